--- /dev/null
+++ b/bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! Measurements.
--- /dev/null
+++ b/cli/src/bin/banyan-control.rs
@@ -0,0 +1,3 @@
+//! To be written.
+
+fn main() {}
--- /dev/null
+++ b/lib/src/control/shared.rs
@@ -0,0 +1,98 @@
+//! What the duties of a control process share.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use banyangauge_proto as wire;
+use tokio::sync::watch;
+
+use crate::catalog::Catalog;
+use crate::ids::Fingerprint;
+use crate::ids::Incarnation;
+use crate::ids::PoolName;
+use crate::ids::Token;
+use crate::ids::VmName;
+use crate::ids::ZoneName;
+use crate::platform::Platform;
+use crate::timeline::Recorder;
+
+/// Who owns a pool, as far as this VM knows; a higher token wins.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Owner {
+    /// The owning VM.
+    pub vm: VmName,
+    /// Where its control process listens.
+    pub address: SocketAddr,
+    /// Its fencing token.
+    pub token: Token,
+}
+
+/// Values that one duty sets and others follow. Each sender has one duty that
+/// writes it; `send_if_modified` and friends keep readers from waking for
+/// nothing.
+#[derive(Debug)]
+pub struct Board {
+    /// The catalog in force here; written by `config`, never to a lower revision.
+    pub catalog: watch::Sender<Arc<Catalog>>,
+    /// Owners of pools; written by `lease` and `peers`.
+    pub owners: watch::Sender<BTreeMap<PoolName, Owner>>,
+    /// Convicted requests and when (milliseconds since the start of this
+    /// process) each verdict ends; written by `owner` and `peers`.
+    pub verdicts: watch::Sender<BTreeMap<Fingerprint, u64>>,
+    /// Members as this VM sees them; written by `peers`.
+    pub members: watch::Sender<BTreeMap<VmName, wire::Member>>,
+    /// Upstreams that are leaving, by address; written by `peers` and `vms`.
+    pub leaving: watch::Sender<std::collections::BTreeSet<SocketAddr>>,
+    /// The state of the pools owned here, for `banyan status`; written by `owner`.
+    pub pools: watch::Sender<BTreeMap<PoolName, wire::PoolStatus>>,
+    /// Whether the platform answered last time; written by `config`.
+    pub platform_up: watch::Sender<bool>,
+    /// True from the first SIGTERM on.
+    pub stopping: watch::Sender<bool>,
+}
+
+impl Board {
+    /// A board on which nothing is known yet.
+    pub fn new() -> Self {
+        Self {
+            catalog: watch::Sender::new(Arc::default()),
+            owners: watch::Sender::default(),
+            verdicts: watch::Sender::default(),
+            members: watch::Sender::default(),
+            leaving: watch::Sender::default(),
+            pools: watch::Sender::default(),
+            platform_up: watch::Sender::new(false),
+            stopping: watch::Sender::new(false),
+        }
+    }
+}
+
+impl Default for Board {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// What every duty of the process holds.
+#[derive(Clone)]
+pub struct Shared {
+    /// This VM.
+    pub vm: VmName,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// This start of the process.
+    pub incarnation: Incarnation,
+    /// Where this process listens for gRPC.
+    pub address: SocketAddr,
+    /// Control processes on other VMs, from the settings.
+    pub peers: Arc<[SocketAddr]>,
+    /// The platform.
+    pub platform: Platform,
+    /// Shared values.
+    pub board: Arc<Board>,
+    /// The time line.
+    pub recorder: Arc<Recorder>,
+    /// The log.
+    pub log: slog::Logger,
+}
--- /dev/null
+++ b/lib/src/entry/mod.rs
@@ -0,0 +1,1 @@
+//! To be written.
--- /dev/null
+++ b/lib/src/ids/mod.rs
@@ -0,0 +1,209 @@
+//! Names and numbers of the domain, each its own type.
+
+use std::borrow::Borrow;
+use std::fmt;
+use std::str::FromStr;
+use std::sync::Arc;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// What is wrong with a name or number.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum IdError {
+    /// The name is empty or longer than [`MAX_NAME`] bytes.
+    Length(usize),
+    /// The name holds a character outside `a-z A-Z 0-9 . _ -`.
+    Character(char),
+    /// The version is not a positive whole number.
+    Version(String),
+}
+
+impl fmt::Display for IdError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Length(n) => write!(f, "{n} bytes long, allowed are 1 to {MAX_NAME}"),
+            Self::Character(c) => write!(f, "holds {c:?}, allowed are a-z A-Z 0-9 . _ -"),
+            Self::Version(v) => write!(f, "version {v:?}, allowed are whole numbers from 1"),
+        }
+    }
+}
+
+impl std::error::Error for IdError {}
+
+/// The longest name, in bytes; names travel in headers and object names.
+pub const MAX_NAME: usize = 128;
+
+fn check_name(s: &str) -> Result<(), IdError> {
+    if s.is_empty() || s.len() > MAX_NAME {
+        return Err(IdError::Length(s.len()));
+    }
+    match s
+        .chars()
+        .find(|c| !(c.is_ascii_alphanumeric() || matches!(c, '.' | '_' | '-')))
+    {
+        Some(c) => Err(IdError::Character(c)),
+        None => Ok(()),
+    }
+}
+
+macro_rules! name_type {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize)]
+        #[serde(try_from = "String", into = "String")]
+        pub struct $name(Arc<str>);
+
+        impl $name {
+            /// Checks and takes a name.
+            ///
+            /// # Errors
+            ///
+            /// When the name is empty, too long, or holds a character that
+            /// headers and object names cannot carry.
+            pub fn new(s: &str) -> Result<Self, IdError> {
+                check_name(s)?;
+                Ok(Self(Arc::from(s)))
+            }
+
+            /// The name as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+
+        impl Borrow<str> for $name {
+            fn borrow(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = IdError;
+            fn from_str(s: &str) -> Result<Self, IdError> {
+                Self::new(s)
+            }
+        }
+
+        impl TryFrom<String> for $name {
+            type Error = IdError;
+            fn try_from(s: String) -> Result<Self, IdError> {
+                Self::new(&s)
+            }
+        }
+
+        impl From<$name> for String {
+            fn from(n: $name) -> Self {
+                n.0.to_string()
+            }
+        }
+    };
+}
+
+name_type!(
+    /// A team that owns adapters and pays for their use.
+    TeamName
+);
+name_type!(
+    /// A LoRA adapter, without its version.
+    AdapterName
+);
+name_type!(
+    /// The replicas of one base model or plain service in one region.
+    PoolName
+);
+name_type!(
+    /// One upstream process of a pool.
+    ReplicaName
+);
+name_type!(
+    /// A VM that runs the system or an upstream.
+    VmName
+);
+name_type!(
+    /// An availability zone.
+    ZoneName
+);
+
+/// An adapter at one version: what a request names and what a slot holds.
+///
+/// ```
+/// use banyangauge::ids::AdapterVersion;
+/// let a: AdapterVersion = "rosters@3".parse().unwrap();
+/// assert_eq!((a.adapter.as_str(), a.version), ("rosters", 3));
+/// assert_eq!(a.to_string(), "rosters@3");
+/// ```
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct AdapterVersion {
+    /// The adapter.
+    pub adapter: AdapterName,
+    /// Its version, from 1.
+    pub version: u32,
+}
+
+impl fmt::Display for AdapterVersion {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}@{}", self.adapter, self.version)
+    }
+}
+
+impl FromStr for AdapterVersion {
+    type Err = IdError;
+
+    fn from_str(s: &str) -> Result<Self, IdError> {
+        let (name, version) = s.split_once('@').unwrap_or((s, ""));
+        let version = version
+            .parse()
+            .ok()
+            .filter(|v| *v > 0)
+            .ok_or_else(|| IdError::Version(version.to_owned()))?;
+        Ok(Self {
+            adapter: name.parse()?,
+            version,
+        })
+    }
+}
+
+impl TryFrom<String> for AdapterVersion {
+    type Error = IdError;
+    fn try_from(s: String) -> Result<Self, IdError> {
+        s.parse()
+    }
+}
+
+impl From<AdapterVersion> for String {
+    fn from(a: AdapterVersion) -> Self {
+        a.to_string()
+    }
+}
+
+/// A fencing token: an owner's orders carry it, a higher one wins.
+#[derive(
+    Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize,
+)]
+pub struct Token(pub u64);
+
+/// A revision of the catalog; it only rises.
+#[derive(
+    Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize,
+)]
+pub struct Revision(pub u64);
+
+/// One start of a process; an engine that restarts empty has a new one.
+#[derive(
+    Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize,
+)]
+pub struct Incarnation(pub u64);
+
+/// A hash of a whole request, by which one that crashes upstreams is known.
+#[derive(
+    Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize,
+)]
+pub struct Fingerprint(pub u64);
--- /dev/null
+++ b/lib/src/lib.rs
@@ -0,0 +1,15 @@
+//! All logic of banyangauge; the programs in `cli/` only start it.
+//!
+//! Start at [`entry`] to follow one request, at [`control`] for who decides,
+//! and at [`pool`] for the decisions themselves.
+
+pub mod catalog;
+pub mod control;
+pub mod entry;
+pub mod ids;
+pub mod platform;
+pub mod pool;
+pub mod settings;
+pub mod telemetry;
+pub mod timeline;
+pub mod upstream;
--- /dev/null
+++ b/lib/src/telemetry/mod.rs
@@ -0,0 +1,93 @@
+//! Logs by `slog` and metrics by `metrics`, with a Prometheus endpoint.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+
+use http_body_util::Full;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Bytes;
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use metrics_exporter_prometheus::PrometheusBuilder;
+use metrics_exporter_prometheus::PrometheusHandle;
+use serde::Deserialize;
+use serde::Serialize;
+use slog::Drain;
+use tokio::net::TcpListener;
+
+/// How logs are written.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LogFormat {
+    /// For a person at a terminal.
+    #[default]
+    Terminal,
+    /// One JSON object a line.
+    Json,
+}
+
+/// Records that may wait for the writing thread; more are dropped and counted,
+/// so that a stuck terminal never holds up a request.
+const LOG_RING: usize = 4_096;
+
+/// A logger for a program, writing to standard error.
+///
+/// ```
+/// use banyangauge::telemetry::{LogFormat, logger};
+/// let log = logger("banyan-entry", LogFormat::Json);
+/// slog::info!(log, "started"; "vm" => "vm-1");
+/// ```
+pub fn logger(program: &'static str, format: LogFormat) -> slog::Logger {
+    let drain = match format {
+        LogFormat::Terminal => {
+            let decorator = slog_term::TermDecorator::new().stderr().build();
+            let drain = slog_term::FullFormat::new(decorator).build().fuse();
+            slog_async::Async::new(drain).chan_size(LOG_RING).build()
+        }
+        LogFormat::Json => {
+            let drain = slog_json::Json::default(std::io::stderr()).fuse();
+            slog_async::Async::new(drain).chan_size(LOG_RING).build()
+        }
+    };
+    slog::Logger::root(drain.fuse(), slog::o!("program" => program))
+}
+
+/// Installs the process's metrics recorder.
+///
+/// # Errors
+///
+/// When a recorder is installed already.
+pub fn install_metrics() -> Result<PrometheusHandle, String> {
+    PrometheusBuilder::new()
+        .install_recorder()
+        .map_err(|e| e.to_string())
+}
+
+/// Serves `GET /metrics` until the process ends.
+///
+/// # Errors
+///
+/// When the address cannot be listened on.
+pub async fn serve_metrics(address: SocketAddr, handle: PrometheusHandle) -> std::io::Result<()> {
+    let listener = TcpListener::bind(address).await?;
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            // The usual cause is a lack of descriptors; it passes.
+            tokio::task::yield_now().await;
+            continue;
+        };
+        let handle = handle.clone();
+        tokio::spawn(async move {
+            let service = service_fn(move |_: Request<Incoming>| {
+                let text = handle.render();
+                async move { Ok::<_, Infallible>(Response::new(Full::new(Bytes::from(text)))) }
+            });
+            // A scraper that hangs up is no matter of ours.
+            let _ = hyper::server::conn::http1::Builder::new()
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+        });
+    }
+}
--- /dev/null
+++ b/lib/tests/runner.rs
@@ -0,0 +1,3 @@
+//! All tests of the library crate.
+
+mod test_ids;
--- /dev/null
+++ b/testutils/src/lib.rs
@@ -0,0 +1,1 @@
+//! Harness for tests.
