--- a/cli/src/bin/banyan-control.rs
+++ b/cli/src/bin/banyan-control.rs
@@ -1,3 +1,35 @@
-//! To be written.
+//! The control process of a VM.
 
-fn main() {}
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use argh::FromArgs;
+use banyangauge::control;
+use banyangauge::control::ControlSettings;
+use banyangauge::settings;
+
+/// Owns pools, spreads configuration, keeps usage.
+#[derive(FromArgs)]
+struct Args {
+    /// settings file, TOML; settings/control.toml explains each key
+    #[argh(option)]
+    settings: PathBuf,
+}
+
+fn main() -> ExitCode {
+    let args: Args = argh::from_env();
+    let settings: ControlSettings = match settings::load(&args.settings) {
+        Ok(settings) => settings,
+        Err(e) => {
+            eprintln!("banyan-control: {e}");
+            return ExitCode::from(2);
+        }
+    };
+    match control::run(settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("banyan-control: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/control/local.rs
@@ -0,0 +1,74 @@
+//! What the duties of control's ownership side tell each other.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+use tokio::sync::Notify;
+use tokio::sync::watch;
+
+use crate::control::ControlSettings;
+use crate::ids::PoolName;
+use crate::lease::Tenure;
+use crate::pool::Moment;
+
+/// Entries, as `name/incarnation`, that may hold grants; `None` is unknown.
+pub type Entries = Option<BTreeSet<String>>;
+
+/// Values between election, owner and peers; each sender has one writer.
+#[derive(Debug)]
+pub struct Local {
+    /// The settings.
+    pub settings: ControlSettings,
+    /// The pools held; written by the election.
+    pub tenures: watch::Sender<BTreeMap<PoolName, Tenure>>,
+    /// Pools that grant and order nothing any more, ready to be released;
+    /// written by the owner.
+    pub drained: watch::Sender<BTreeMap<PoolName, Entries>>,
+    /// True when every lease was released; written by the election.
+    pub released: watch::Sender<bool>,
+    /// When the last answered exchange with each configured peer began;
+    /// written by the peers duty.
+    pub contacts: watch::Sender<BTreeMap<SocketAddr, Moment>>,
+    /// VMs that the platform's list named once and names no longer; written by
+    /// its watcher.
+    pub departed: watch::Sender<BTreeSet<String>>,
+    /// Upstreams that the VM list calls leaving; written by its watcher.
+    pub listed: watch::Sender<BTreeSet<SocketAddr>>,
+    /// Upstreams whose own reports say leaving; written by the owners.
+    pub reported: watch::Sender<BTreeMap<PoolName, BTreeSet<SocketAddr>>>,
+    /// Something changed that the peers should know at once.
+    pub urgent: Notify,
+}
+
+impl Local {
+    /// Nothing is known yet.
+    pub fn new(settings: ControlSettings) -> Self {
+        Self {
+            settings,
+            tenures: watch::Sender::default(),
+            drained: watch::Sender::default(),
+            released: watch::Sender::new(false),
+            contacts: watch::Sender::default(),
+            departed: watch::Sender::default(),
+            listed: watch::Sender::default(),
+            reported: watch::Sender::default(),
+            urgent: Notify::new(),
+        }
+    }
+
+    /// Whether exchanges begun at `since` or later were answered by so many of
+    /// the configured peers that, with this process, they are a majority.
+    ///
+    /// Two processes with the same peers in their settings cannot both have a
+    /// majority without a peer that talked to both.
+    pub fn has_majority(&self, since: Moment) -> bool {
+        let peers = &self.settings.peers;
+        let contacts = self.contacts.borrow();
+        let heard = peers
+            .iter()
+            .filter(|p| contacts.get(p).is_some_and(|at| *at >= since))
+            .count();
+        2 * (heard + 1) > peers.len() + 1
+    }
+}
--- /dev/null
+++ b/lib/src/control/members.rs
@@ -0,0 +1,168 @@
+//! The member table, apart from input and output.
+//!
+//! Each control process counts up its own heartbeat; counts spread by
+//! exchanges with a few members at a time. Whoever's count has not risen for a
+//! while is suspect, then gone: each process judges by its own clock, no
+//! judgement is passed on, so that one process's bad link convinces nobody.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use banyangauge_proto as wire;
+
+use crate::ids::Revision;
+use crate::ids::VmName;
+use crate::pool::Moment;
+use crate::pool::Span;
+
+/// A member's state on the wire.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum MemberState {
+    /// Its heartbeat rises.
+    Live = 0,
+    /// Not heard of for a while.
+    Suspect = 1,
+    /// It said that it stops.
+    Leaving = 2,
+    /// Not heard of for long.
+    Gone = 3,
+}
+
+/// How long a gone member is remembered: several times longer than any other
+/// process passes it on, so that a late digest does not bring it back.
+const FORGET: Span = Span::from_millis(60_000);
+
+/// Members that one digest carries. Today all fit; with more, each digest
+/// carries the ones heard of last, and the rest travel in later ones.
+pub const DIGEST_MEMBERS: usize = 32;
+
+#[derive(Clone, Debug)]
+struct Seen {
+    member: wire::Member,
+    heard: Moment,
+}
+
+/// What one control process knows of the others.
+#[derive(Clone, Debug)]
+pub struct Members {
+    me: VmName,
+    suspect: Span,
+    gone: Span,
+    table: BTreeMap<VmName, Seen>,
+}
+
+impl Members {
+    /// A table that holds this process alone.
+    pub fn new(
+        now: Moment,
+        me: wire::Member,
+        suspect: Span,
+        gone: Span,
+    ) -> Result<Self, crate::ids::IdError> {
+        let name = VmName::new(&me.vm)?;
+        let seen = Seen {
+            member: me,
+            heard: now,
+        };
+        Ok(Self {
+            me: name.clone(),
+            suspect,
+            gone,
+            table: BTreeMap::from([(name, seen)]),
+        })
+    }
+
+    /// One heartbeat of this process.
+    pub fn beat(&mut self, now: Moment, revision: Revision, leaving: bool) {
+        if let Some(me) = self.table.get_mut(&self.me) {
+            me.heard = now;
+            me.member.heartbeat += 1;
+            me.member.revision = revision.0;
+            if leaving {
+                me.member.state = MemberState::Leaving as u32;
+            }
+        }
+    }
+
+    /// Takes in what another process sent. A higher (incarnation, heartbeat)
+    /// replaces what is known; what it says of this process is passed over.
+    pub fn learn(&mut self, now: Moment, members: &[wire::Member]) {
+        for member in members {
+            let Ok(vm) = VmName::new(&member.vm) else {
+                continue;
+            };
+            if vm == self.me || member.address.parse::<SocketAddr>().is_err() {
+                continue;
+            }
+            let age = |m: &wire::Member| (m.incarnation, m.heartbeat);
+            if self
+                .table
+                .get(&vm)
+                .is_some_and(|s| age(&s.member) >= age(member))
+            {
+                continue;
+            }
+            let mut member = member.clone();
+            if member.state != MemberState::Leaving as u32 {
+                member.state = MemberState::Live as u32;
+            }
+            self.table.insert(vm, Seen { member, heard: now });
+        }
+    }
+
+    /// Judges by silence.
+    pub fn sweep(&mut self, now: Moment) {
+        let (me, suspect, gone) = (&self.me, self.suspect, self.gone);
+        self.table
+            .retain(|vm, s| vm == me || now.since(s.heard) < Span(gone.0 + FORGET.0));
+        for (vm, seen) in &mut self.table {
+            let silent = now.since(seen.heard);
+            if vm == me {
+                continue;
+            }
+            if silent >= gone {
+                seen.member.state = MemberState::Gone as u32;
+            } else if silent >= suspect && seen.member.state == MemberState::Live as u32 {
+                seen.member.state = MemberState::Suspect as u32;
+            }
+        }
+    }
+
+    /// All members, this process among them.
+    pub fn view(&self) -> BTreeMap<VmName, wire::Member> {
+        self.table
+            .iter()
+            .map(|(vm, s)| (vm.clone(), s.member.clone()))
+            .collect()
+    }
+
+    /// What a digest carries: this process and those heard of last.
+    pub fn digest(&self) -> Vec<wire::Member> {
+        let mut seen: Vec<&Seen> = self
+            .table
+            .values()
+            .filter(|s| s.member.state != MemberState::Gone as u32)
+            .collect();
+        seen.sort_by_key(|s| (s.member.vm != self.me.as_str(), std::cmp::Reverse(s.heard)));
+        seen.truncate(DIGEST_MEMBERS);
+        seen.into_iter().map(|s| s.member.clone()).collect()
+    }
+
+    /// Where the members that are not gone listen, this process left out.
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        self.table
+            .iter()
+            .filter(|(vm, s)| **vm != self.me && s.member.state != MemberState::Gone as u32)
+            .filter_map(|(_, s)| s.member.address.parse().ok())
+            .collect()
+    }
+}
+
+/// The members that may own pools: live ones, and this one while it stays.
+pub fn candidates(members: &BTreeMap<VmName, wire::Member>) -> Vec<VmName> {
+    members
+        .iter()
+        .filter(|(_, m)| m.state == MemberState::Live as u32)
+        .map(|(vm, _)| vm.clone())
+        .collect()
+}
--- a/lib/src/control/mod.rs
+++ b/lib/src/control/mod.rs
@@ -1,7 +1,39 @@
 //! The control process: ownership of pools, configuration, membership, usage.
+//!
+//! Each duty has a thread of its own and tells the others what changes through
+//! the [`Board`]; start at [`run`] for the list of duties.
 
+mod clock;
+mod election;
+mod local;
+mod members;
+pub mod owner;
+mod peers;
+mod run;
+mod service;
+mod settings;
 mod shared;
+mod vms;
 
+pub use clock::duration;
+pub use clock::now;
+pub use clock::uptime_ms;
+pub use local::Entries;
+pub use local::Local;
+pub use members::DIGEST_MEMBERS;
+pub use members::MemberState;
+pub use members::Members;
+pub use members::candidates;
+pub use peers::Peers;
+pub use run::ControlError;
+pub use run::run;
+pub use service::PeersService;
+pub use settings::ClaimSettings;
+pub use settings::ControlSettings;
+pub use settings::GrantSettings;
+pub use settings::LeaseSettings;
+pub use settings::MemberSettings;
+pub use settings::UpstreamSettings;
 pub use shared::Board;
 pub use shared::Owner;
 pub use shared::Shared;
--- /dev/null
+++ b/lib/src/control/owner/actor.rs
@@ -0,0 +1,514 @@
+//! The owner of one pool: an actor that feeds the pool and carries out what it
+//! decides. Its parts stand in `entries`, `dispatch` and `replicas`.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use banyangauge_proto as wire;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use xtra::prelude::*;
+
+use crate::catalog::Catalog;
+use crate::catalog::PoolKind;
+use crate::catalog::PoolSpec;
+use crate::claims::ClaimKey;
+use crate::claims::Journal;
+use crate::claims::Segment;
+use crate::claims::WriteEnd;
+use crate::control::Shared;
+use crate::control::clock;
+use crate::control::local::Local;
+use crate::control::owner::Book;
+use crate::control::owner::Facts;
+use crate::control::owner::Safety;
+use crate::control::owner::SessionId;
+use crate::control::owner::entries::message;
+use crate::control::owner::journal;
+use crate::control::owner::safety::HEARD;
+use crate::control::owner::safety::PUBLISHED;
+use crate::ids::Fingerprint;
+use crate::ids::Incarnation;
+use crate::ids::PoolName;
+use crate::ids::ReplicaName;
+use crate::ids::Token;
+use crate::lease::Former;
+use crate::lease::Tenure;
+use crate::platform::PlatformError;
+use crate::pool::Health;
+use crate::pool::Moment;
+use crate::pool::OrderEnd;
+use crate::pool::OrderId;
+use crate::pool::Pool;
+use crate::pool::Span;
+use crate::pool::Ticket;
+use crate::upstream::Fence;
+use crate::upstream::OrderError;
+use crate::upstream::Orders;
+use crate::upstream::Report;
+
+/// The stream to an entry; a full one means that the entry does not read, and
+/// its requests are refused.
+pub(super) type Outbox = mpsc::Sender<Result<wire::OwnerMessage, tonic::Status>>;
+
+/// What an owner is told.
+#[derive(Debug)]
+pub enum Event {
+    /// An entry opened a stream.
+    Open {
+        /// The stream.
+        session: SessionId,
+        /// Its first message.
+        hello: wire::Hello,
+        /// Where answers go.
+        out: mpsc::Sender<Result<wire::OwnerMessage, tonic::Status>>,
+    },
+    /// An entry says something.
+    Say {
+        /// On which stream.
+        session: SessionId,
+        /// What.
+        body: wire::entry_message::Body,
+    },
+    /// A stream ended.
+    Closed(SessionId),
+    /// A load report came, or none.
+    Reported {
+        /// Which replica.
+        replica: ReplicaName,
+        /// Where it was asked.
+        address: SocketAddr,
+        /// Its answer.
+        report: Result<Report, OrderError>,
+    },
+    /// An engine was asked for its fence.
+    Fenced {
+        /// Which replica.
+        replica: ReplicaName,
+        /// Where it was asked.
+        address: SocketAddr,
+        /// When it was asked.
+        asked: Moment,
+        /// Its answer.
+        answer: Result<Fence, OrderError>,
+        /// The report that made the owner ask.
+        report: Report,
+    },
+    /// An order ended.
+    Ordered {
+        /// Its number.
+        order: OrderId,
+        /// How it ended.
+        end: OrderEnd,
+    },
+    /// An unload began or ended.
+    Unloading(bool),
+    /// The journal was read.
+    JournalRead(Result<Vec<(Segment, String)>, PlatformError>),
+    /// The earlier owner was shut out of the journal, or not.
+    JournalSealed(Result<Vec<String>, PlatformError>),
+    /// A commit to the journal ended.
+    Committed(WriteEnd),
+    /// The lease is over: refuse what waits and end.
+    Ended,
+    /// Time passes.
+    Tick,
+}
+
+/// One replica as the owner sees it.
+#[derive(Debug)]
+pub(super) struct Watched {
+    pub(super) address: SocketAddr,
+    pub(super) incarnation: Incarnation,
+    pub(super) failures: u32,
+    pub(super) leaving: bool,
+    pub(super) fencing: bool,
+    pub(super) health: Health,
+    pub(super) polling: JoinHandle<()>,
+}
+
+impl Drop for Watched {
+    fn drop(&mut self) {
+        self.polling.abort();
+    }
+}
+
+/// How often time passes at the least.
+const TICK: Span = Span::from_millis(100);
+
+/// How often the pool's state is published for `banyan status`.
+const PUBLISH: Span = Span::from_millis(500);
+
+/// How long after a failed reading of the journal the next is tried.
+const JOURNAL_PAUSE: Span = Span::from_millis(500);
+
+/// The owner of one pool.
+pub struct OwnerActor {
+    pub(super) shared: Shared,
+    pub(super) local: Arc<Local>,
+    pub(super) name: PoolName,
+    pub(super) spec: PoolSpec,
+    pub(super) catalog: Arc<Catalog>,
+    pub(super) pool: Pool,
+    pub(super) book: Book,
+    pub(super) safety: Safety,
+    pub(super) journal: Journal,
+    pub(super) held: BTreeMap<ClaimKey, (Ticket, wire::Grant)>,
+    pub(super) outboxes: BTreeMap<SessionId, Outbox>,
+    pub(super) replicas: BTreeMap<ReplicaName, Watched>,
+    pub(super) orders: Orders,
+    pub(super) reports: Orders,
+    pub(super) verdicts: BTreeMap<Fingerprint, u64>,
+    pub(super) unloading: u32,
+    pub(super) draining: bool,
+    pub(super) deposed: bool,
+    recovering: bool,
+    recover_at: Moment,
+    published: Moment,
+    wake: watch::Sender<Moment>,
+    pub(super) address: Option<Address<Self>>,
+}
+
+impl Actor for OwnerActor {
+    type Stop = ();
+
+    async fn started(&mut self, mailbox: &Mailbox<Self>) -> Result<(), ()> {
+        self.address = mailbox.address().try_upgrade();
+        Ok(())
+    }
+
+    async fn stopped(self) {}
+}
+
+impl OwnerActor {
+    /// An owner that knows nothing of its replicas yet.
+    pub fn new(shared: Shared, local: Arc<Local>, name: PoolName, tenure: Tenure) -> Option<Self> {
+        let catalog = shared.board.catalog.borrow().clone();
+        let spec = catalog.pools.get(&name)?.clone();
+        let honours = match &spec.kind {
+            PoolKind::Engine { honours_token, .. } => *honours_token,
+            PoolKind::Service { .. } => false,
+        };
+        let grants = &local.settings.grants;
+        let margin = Span::from_millis(grants.margin_ms);
+        let quarantine = Span::from_millis(grants.quarantine_ms);
+        let times = &local.settings.upstreams;
+        let orders = Orders::new(std::time::Duration::from_millis(times.order_ms));
+        let reports = Orders::new(std::time::Duration::from_millis(times.report_ms));
+        let limits = local.settings.claim_limits();
+        Some(Self {
+            pool: new_pool(&spec),
+            book: Book::new(tenure.token),
+            journal: Journal::new(tenure.token, limits),
+            safety: Safety::new(honours, tenure, margin, quarantine),
+            spec: PoolSpec {
+                replicas: Vec::new(),
+                ..spec
+            },
+            catalog: Arc::default(),
+            held: BTreeMap::new(),
+            outboxes: BTreeMap::new(),
+            replicas: BTreeMap::new(),
+            verdicts: BTreeMap::new(),
+            unloading: 0,
+            draining: false,
+            deposed: false,
+            recovering: false,
+            recover_at: Moment(0),
+            published: Moment(0),
+            wake: watch::Sender::new(Moment(0)),
+            address: None,
+            shared,
+            local,
+            name,
+            orders,
+            reports,
+        })
+    }
+
+    /// When the owner next wants a tick.
+    pub fn wakes(&self) -> watch::Receiver<Moment> {
+        self.wake.subscribe()
+    }
+
+    pub(super) fn token(&self) -> Token {
+        self.safety.tenure().token
+    }
+
+    /// Sends an event to this owner from a task of its own.
+    pub(super) fn later(&self, work: impl Future<Output = Event> + Send + 'static) {
+        let Some(address) = self.address.clone() else {
+            return;
+        };
+        tokio::spawn(async move {
+            let event = work.await;
+            let _ = address.send(event).detach().await;
+        });
+    }
+
+    pub(super) fn facts(&self, now: Moment) -> Facts {
+        let tenure = self.safety.tenure();
+        let left = match &tenure.former {
+            Former::Lapsed(vm) => self.local.departed.borrow().contains(vm.as_str()),
+            _ => false,
+        };
+        let recent = Moment(now.0.saturating_sub(HEARD.0));
+        Facts {
+            heard_majority: self.local.has_majority(recent),
+            told_majority: self.local.has_majority(tenure.since.after(PUBLISHED)),
+            former_left: left,
+            helloed: self.book.helloed().clone(),
+        }
+    }
+
+    fn tick(&mut self, now: Moment) {
+        self.follow_tenure();
+        self.follow_catalog(now);
+        self.follow_verdicts(now);
+        self.judge_replicas(now);
+        self.end_lapsed(now);
+        self.keep_frozen(now);
+        self.keep_journal(now);
+        self.drain_if_stopping(now);
+        self.pool.tick(now);
+    }
+
+    // Another owner with a higher token may be known before the lease object
+    // says so: from peers, in an outage of the platform.
+    fn follow_tenure(&mut self) {
+        let token = self.token();
+        let until = {
+            let tenures = self.local.tenures.borrow();
+            let tenure = tenures.get(&self.name).filter(|t| t.token == token);
+            tenure.map(|t| t.until)
+        };
+        let higher = {
+            let owners = self.shared.board.owners.borrow();
+            owners.get(&self.name).is_some_and(|o| o.token > token)
+        };
+        match until {
+            Some(until) if !higher => self.safety.renew(until),
+            _ => self.depose(),
+        }
+    }
+
+    /// Grants and orders nothing any more.
+    pub(super) fn depose(&mut self) {
+        if self.deposed {
+            return;
+        }
+        self.deposed = true;
+        slog::warn!(self.shared.log, "deposed"; "pool" => %self.name, "token" => self.token().0);
+        self.pool.drain(clock::now());
+    }
+
+    fn follow_verdicts(&mut self, now: Moment) {
+        let board = self.shared.board.verdicts.borrow().clone();
+        if board == self.verdicts {
+            return;
+        }
+        let uptime = clock::uptime_ms();
+        for (fingerprint, until) in &board {
+            if self.verdicts.get(fingerprint) != Some(until) {
+                let left = Span::from_millis(until.saturating_sub(uptime));
+                self.pool.convict(now, *fingerprint, left);
+            }
+        }
+        self.verdicts = board;
+    }
+
+    fn keep_frozen(&mut self, now: Moment) {
+        let facts = self.facts(now);
+        let replicas: BTreeSet<_> = self.replicas.keys().cloned().collect();
+        let closed = self.safety.is_frozen(now, &replicas, &facts);
+        // Past the lease, slots at engines that ignore tokens are not changed.
+        if closed || !self.safety.may_order(now) {
+            self.pool.freeze(now.after(Span(2 * TICK.0)));
+        }
+    }
+
+    fn keep_journal(&mut self, now: Moment) {
+        let numbers = self.journal.expire(now);
+        if !numbers.is_empty() {
+            let work = journal::delete(self.shared.platform.clone(), self.name.clone(), numbers);
+            tokio::spawn(work);
+        }
+        if !self.journal.is_ready() && !self.recovering && now >= self.recover_at {
+            self.recovering = true;
+            let (platform, pool) = (self.shared.platform.clone(), self.name.clone());
+            self.later(
+                async move { Event::JournalRead(journal::read_all(&platform, &pool).await) },
+            );
+        }
+    }
+
+    fn journal_read(&mut self, now: Moment, read: Result<Vec<(Segment, String)>, PlatformError>) {
+        let Ok(segments) = read else {
+            return self.journal_failed(now);
+        };
+        if segments.iter().any(|(s, _)| s.token > self.token()) {
+            return self.depose();
+        }
+        self.journal.recover(now, &segments);
+        let writes = self.journal.seal();
+        let (platform, pool) = (self.shared.platform.clone(), self.name.clone());
+        self.later(
+            async move { Event::JournalSealed(journal::seal(&platform, &pool, writes).await) },
+        );
+    }
+
+    fn journal_sealed(&mut self, now: Moment, sealed: Result<Vec<String>, PlatformError>) {
+        match sealed {
+            Ok(versions) => {
+                self.recovering = false;
+                self.journal.sealed(&versions);
+            }
+            Err(_) => self.journal_failed(now),
+        }
+    }
+
+    fn journal_failed(&mut self, now: Moment) {
+        self.recovering = false;
+        self.recover_at = now.after(JOURNAL_PAUSE);
+    }
+
+    fn commit_journal(&mut self, now: Moment) {
+        let Some(write) = self.journal.next_write(now) else {
+            return;
+        };
+        let Some(address) = self.address.clone() else {
+            return;
+        };
+        let (platform, pool) = (self.shared.platform.clone(), self.name.clone());
+        tokio::spawn(journal::commit(address, platform, pool, write));
+    }
+
+    fn committed(&mut self, now: Moment, end: WriteEnd) {
+        let (keys, done) = self.journal.written(now, end);
+        for key in keys {
+            let Some((ticket, grant)) = self.held.remove(&key) else {
+                continue;
+            };
+            match done {
+                true => self.send_grant(now, ticket, grant),
+                false => self.take_back(now, ticket, "platform_down"),
+            }
+        }
+        if self.journal.is_deposed() {
+            self.depose();
+        }
+    }
+
+    // Stopping: first grant and order nothing more, then say so, so that the
+    // election can release the lease.
+    fn drain_if_stopping(&mut self, now: Moment) {
+        if !*self.shared.board.stopping.borrow() {
+            return;
+        }
+        if !self.draining {
+            self.draining = true;
+            self.pool.drain(now);
+        }
+        // An unload under way may still take effect; where the engine does not
+        // refuse it, a successor must not grant before it has ended.
+        if self.unloading > 0 && !self.safety.honours() {
+            return;
+        }
+        let entries = self.book.entries();
+        self.local.drained.send_if_modified(|drained| {
+            let new = !drained.contains_key(&self.name);
+            drained.insert(self.name.clone(), Some(entries));
+            new
+        });
+    }
+
+    // Tells every entry to look for another owner.
+    fn part(&mut self) {
+        for (_, out) in std::mem::take(&mut self.outboxes) {
+            let answer = wire::owner_message::Body::NotOwner(wire::NotOwner::default());
+            let _ = out.try_send(Ok(message(answer)));
+        }
+        self.replicas.clear();
+    }
+
+    fn publish(&mut self, now: Moment) {
+        if now < self.published.after(PUBLISH) {
+            return;
+        }
+        self.published = now;
+        let status = self.status();
+        self.shared
+            .board
+            .pools
+            .send_modify(|pools| drop(pools.insert(self.name.clone(), status)));
+    }
+
+    fn schedule(&self, now: Moment) {
+        let mut next = now.after(TICK);
+        for wish in [self.pool.next_wake(), self.journal.next_wake()] {
+            next = next.min(wish.unwrap_or(next));
+        }
+        self.wake.send_if_modified(|wake| {
+            let changed = next < *wake || *wake <= now;
+            if changed {
+                *wake = next;
+            }
+            changed
+        });
+    }
+}
+
+// The one place where a pool is made from what operators configured.
+fn new_pool(_spec: &PoolSpec) -> Pool {
+    Pool::new()
+}
+
+impl Handler<Event> for OwnerActor {
+    type Return = ();
+
+    async fn handle(&mut self, event: Event, ctx: &mut Context<Self>) {
+        let now = clock::now();
+        let last = matches!(event, Event::Ended);
+        match event {
+            Event::Open {
+                session,
+                hello,
+                out,
+            } => self.open(now, session, &hello, out),
+            Event::Say { session, body } => self.say(now, session, body),
+            Event::Closed(session) => self.close(now, session),
+            Event::Reported {
+                replica,
+                address,
+                report,
+            } => self.reported(now, &replica, address, report),
+            Event::Fenced {
+                replica,
+                address,
+                asked,
+                answer,
+                report,
+            } => self.fenced(now, &replica, address, asked, answer, &report),
+            Event::Ordered { order, end } => self.ordered(now, order, end),
+            Event::Unloading(true) => self.unloading += 1,
+            Event::Unloading(false) => self.unloading = self.unloading.saturating_sub(1),
+            Event::JournalRead(read) => self.journal_read(now, read),
+            Event::JournalSealed(sealed) => self.journal_sealed(now, sealed),
+            Event::Committed(end) => self.committed(now, end),
+            Event::Ended => self.depose(),
+            Event::Tick => self.tick(now),
+        }
+        self.carry_out(now);
+        if last {
+            self.part();
+            ctx.stop_self();
+            return;
+        }
+        self.commit_journal(now);
+        self.publish(now);
+        self.schedule(now);
+    }
+}
--- /dev/null
+++ b/lib/src/control/owner/book.rs
@@ -0,0 +1,216 @@
+//! Who asked for what, and which grants are out; plain state.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use banyangauge_proto as wire;
+
+use crate::claims::ClaimKey;
+use crate::ids::Token;
+use crate::pool::Moment;
+use crate::pool::Span;
+use crate::pool::Ticket;
+
+/// Bits of a ticket below the owner's token: tickets, which are also the
+/// numbers of grants, never meet those of an earlier owner. 2^36 requests at
+/// 33,000 a second last 24 days; 2^28 changes of owner last longer.
+const TICKET_BITS: u32 = 36;
+
+/// One stream from an entry.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct SessionId(pub u64);
+
+/// One request that waits or is granted.
+#[derive(Clone, Debug)]
+pub struct Item {
+    /// The entry process, as `name/incarnation`.
+    pub entry: String,
+    /// The entry's number for it.
+    pub request: u64,
+    /// What it asked; the grant repeats parts of it.
+    pub acquire: wire::Acquire,
+    /// The key that it claims.
+    pub claim: Option<ClaimKey>,
+    /// Until when its grant counts as in use; `None` while it waits.
+    pub until: Option<Moment>,
+    /// The grant as sent or adopted.
+    pub grant: Option<wire::Grant>,
+}
+
+/// All requests of a pool that its owner knows of.
+#[derive(Clone, Debug)]
+pub struct Book {
+    next: u64,
+    sessions: BTreeMap<SessionId, String>,
+    current: BTreeMap<String, SessionId>,
+    items: BTreeMap<Ticket, Item>,
+    waiting: BTreeMap<(String, u64), Ticket>,
+    helloed: BTreeSet<String>,
+}
+
+impl Book {
+    /// An empty book for an owner with this token.
+    pub fn new(token: Token) -> Self {
+        Self {
+            next: token.0 << TICKET_BITS,
+            sessions: BTreeMap::new(),
+            current: BTreeMap::new(),
+            items: BTreeMap::new(),
+            waiting: BTreeMap::new(),
+            helloed: BTreeSet::new(),
+        }
+    }
+
+    /// A new stream takes the place of the entry's earlier one. Gives the
+    /// tickets of grants that the entry does not hold: they were lost on the
+    /// way to it, and by its hello it will not use them.
+    pub fn open(&mut self, session: SessionId, entry: &str, held: &BTreeSet<u64>) -> Vec<Ticket> {
+        self.sessions.insert(session, entry.to_owned());
+        self.current.insert(entry.to_owned(), session);
+        self.helloed.insert(entry.to_owned());
+        let strange = |(t, i): &(&Ticket, &Item)| {
+            i.entry == entry && i.until.is_some() && !held.contains(&t.0)
+        };
+        self.items.iter().filter(strange).map(|(t, _)| *t).collect()
+    }
+
+    /// A stream ended. Gives the tickets that waited on it.
+    pub fn close(&mut self, session: SessionId) -> Vec<Ticket> {
+        let Some(entry) = self.sessions.remove(&session) else {
+            return Vec::new();
+        };
+        if self.current.get(&entry) != Some(&session) {
+            return Vec::new();
+        }
+        self.current.remove(&entry);
+        let waits = |(_, i): &(&Ticket, &Item)| i.entry == entry && i.until.is_none();
+        self.items.iter().filter(waits).map(|(t, _)| *t).collect()
+    }
+
+    /// The entry that speaks on a stream, unless another stream has replaced
+    /// this one.
+    pub fn speaker(&self, session: SessionId) -> Option<&str> {
+        let entry = self.sessions.get(&session)?;
+        (self.current.get(entry) == Some(&session)).then_some(entry.as_str())
+    }
+
+    /// The stream to an entry.
+    pub fn session_of(&self, entry: &str) -> Option<SessionId> {
+        self.current.get(entry).copied()
+    }
+
+    /// Enters a request that waits.
+    pub fn enter(
+        &mut self,
+        entry: &str,
+        acquire: wire::Acquire,
+        claim: Option<ClaimKey>,
+    ) -> Ticket {
+        let ticket = Ticket(self.next);
+        self.next += 1;
+        let key = (entry.to_owned(), acquire.request);
+        let item = Item {
+            entry: entry.to_owned(),
+            request: acquire.request,
+            acquire,
+            claim,
+            until: None,
+            grant: None,
+        };
+        self.waiting.insert(key, ticket);
+        self.items.insert(ticket, item);
+        ticket
+    }
+
+    /// Enters a grant that an entry holds from this or an earlier owner.
+    /// False when it was known.
+    pub fn adopt(&mut self, entry: &str, grant: &wire::Grant, until: Moment) -> bool {
+        let ticket = Ticket(grant.grant);
+        if let Some(item) = self.items.get_mut(&ticket) {
+            item.until = item.until.map(|old| old.max(until));
+            return false;
+        }
+        let item = Item {
+            entry: entry.to_owned(),
+            request: grant.request,
+            acquire: wire::Acquire::default(),
+            claim: None,
+            until: Some(until),
+            grant: Some(grant.clone()),
+        };
+        self.items.insert(ticket, item);
+        true
+    }
+
+    /// The ticket of a request that waits.
+    pub fn waiting(&self, entry: &str, request: u64) -> Option<Ticket> {
+        self.waiting.get(&(entry.to_owned(), request)).copied()
+    }
+
+    /// A request by its ticket.
+    pub fn item(&self, ticket: Ticket) -> Option<&Item> {
+        self.items.get(&ticket)
+    }
+
+    /// A request is granted until then.
+    pub fn grant(&mut self, ticket: Ticket, grant: wire::Grant, until: Moment) {
+        if let Some(item) = self.items.get_mut(&ticket) {
+            self.waiting.remove(&(item.entry.clone(), item.request));
+            item.grant = Some(grant);
+            item.until = Some(until);
+        }
+    }
+
+    /// Prolongs a grant of this entry; gives it.
+    pub fn renew(&mut self, entry: &str, grant: u64, until: Moment) -> bool {
+        match self.items.get_mut(&Ticket(grant)) {
+            Some(item) if item.entry == entry && item.until.is_some() => {
+                item.until = Some(until);
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// Strikes a request out.
+    pub fn remove(&mut self, ticket: Ticket) -> Option<Item> {
+        let item = self.items.remove(&ticket)?;
+        let key = (item.entry.clone(), item.request);
+        if self.waiting.get(&key) == Some(&ticket) {
+            self.waiting.remove(&key);
+        }
+        Some(item)
+    }
+
+    /// Grants whose time, with `margin`, has passed unrenewed.
+    pub fn lapsed(&self, now: Moment, margin: Span) -> Vec<Ticket> {
+        self.items
+            .iter()
+            .filter(|(_, i)| i.until.is_some_and(|u| u.after(margin) <= now))
+            .map(|(t, _)| *t)
+            .collect()
+    }
+
+    /// Requests that wait.
+    pub fn waits(&self) -> Vec<Ticket> {
+        self.waiting.values().copied().collect()
+    }
+
+    /// Entries with a stream or a grant.
+    pub fn entries(&self) -> BTreeSet<String> {
+        let holders = self.items.values().filter(|i| i.until.is_some());
+        let holders = holders.map(|i| i.entry.clone());
+        holders.chain(self.current.keys().cloned()).collect()
+    }
+
+    /// Entries that have opened a stream since this owner began, and so have
+    /// told of all grants that they held.
+    pub fn helloed(&self) -> &BTreeSet<String> {
+        &self.helloed
+    }
+
+    /// All streams.
+    pub fn sessions(&self) -> impl Iterator<Item = SessionId> {
+        self.sessions.keys().copied()
+    }
+}
--- /dev/null
+++ b/lib/src/control/owner/journal.rs
@@ -0,0 +1,113 @@
+//! Reads and writes a pool's journal of claims.
+
+use xtra::Address;
+
+use crate::claims::Segment;
+use crate::claims::Write;
+use crate::claims::WriteEnd;
+use crate::control::owner::Event;
+use crate::control::owner::OwnerActor;
+use crate::ids::PoolName;
+use crate::platform::Platform;
+use crate::platform::PlatformError;
+
+/// The kind of journal objects.
+const CLAIMS: &str = "claims";
+
+fn object_name(pool: &PoolName, number: u64) -> String {
+    format!("{pool}-{number}")
+}
+
+// Whether the object is a segment of the pool: the name of one pool may begin
+// with that of another.
+fn is_segment(pool: &PoolName, name: &str, segment: &Segment) -> bool {
+    name == object_name(pool, segment.number)
+}
+
+/// Reads all segments.
+///
+/// # Errors
+///
+/// The failures of any call to the platform.
+pub(super) async fn read_all(
+    platform: &Platform,
+    pool: &PoolName,
+) -> Result<Vec<(Segment, String)>, PlatformError> {
+    let list = platform.list::<Segment>(CLAIMS).await?;
+    let mut segments: Vec<_> = list
+        .items
+        .into_iter()
+        .filter(|o| is_segment(pool, &o.metadata.name, &o.spec))
+        .map(|o| (o.spec, o.metadata.version))
+        .collect();
+    segments.sort_by_key(|(s, _)| s.number);
+    Ok(segments)
+}
+
+/// Carries out the writes that shut an earlier owner out; gives the versions.
+///
+/// # Errors
+///
+/// Any failure; the journal is then read again.
+pub(super) async fn seal(
+    platform: &Platform,
+    pool: &PoolName,
+    writes: Vec<Write>,
+) -> Result<Vec<String>, PlatformError> {
+    let mut versions = Vec::new();
+    for write in writes {
+        versions.push(send(platform, pool, &write).await?);
+    }
+    Ok(versions)
+}
+
+async fn send(
+    platform: &Platform,
+    pool: &PoolName,
+    write: &Write,
+) -> Result<String, PlatformError> {
+    let name = object_name(pool, write.segment.number);
+    match &write.version {
+        Some(version) => {
+            platform
+                .replace(CLAIMS, &name, version, &write.segment)
+                .await
+        }
+        None => platform.create(CLAIMS, &name, &write.segment).await,
+    }
+}
+
+/// Carries out one commit and tells the owner; a lost answer or a conflict is
+/// settled by reading back.
+pub(super) async fn commit(
+    owner: Address<OwnerActor>,
+    platform: Platform,
+    pool: PoolName,
+    write: Write,
+) {
+    let end = match send(&platform, &pool, &write).await {
+        Ok(version) => WriteEnd::Done(version),
+        Err(
+            PlatformError::Refused(_) | PlatformError::Unreachable(_) | PlatformError::TooLarge,
+        ) => WriteEnd::Open(None),
+        Err(_) => read_back(&platform, &pool, &write).await,
+    };
+    let _ = owner.send(Event::Committed(end)).detach().await;
+}
+
+async fn read_back(platform: &Platform, pool: &PoolName, write: &Write) -> WriteEnd {
+    let name = object_name(pool, write.segment.number);
+    match platform.get::<Segment>(CLAIMS, &name).await {
+        Ok(o) if o.spec.operation == write.segment.operation => WriteEnd::Done(o.metadata.version),
+        Ok(o) => WriteEnd::Open(Some((o.spec, o.metadata.version))),
+        Err(_) => WriteEnd::Open(None),
+    }
+}
+
+/// Deletes segments whose claims are all past their retention.
+pub(super) async fn delete(platform: Platform, pool: PoolName, numbers: Vec<u64>) {
+    for number in numbers {
+        // One that stays is read by the next owner and expires there.
+        let _ = platform.delete(CLAIMS, &object_name(&pool, number)).await;
+    }
+}
--- /dev/null
+++ b/lib/src/control/owner/mod.rs
@@ -0,0 +1,26 @@
+//! Owners of pools: each drives one [`Pool`](crate::pool::Pool).
+//!
+//! [`book`](Book) and [`safety`](Safety) are plain state; the actor carries
+//! out what they and the pool decide.
+
+mod actor;
+mod book;
+mod dispatch;
+mod duty;
+mod entries;
+mod journal;
+mod polling;
+mod replicas;
+mod safety;
+mod service;
+
+pub use actor::Event;
+pub use actor::OwnerActor;
+pub use book::Book;
+pub use book::Item;
+pub use book::SessionId;
+pub use duty::Registry;
+pub use duty::run;
+pub use safety::Facts;
+pub use safety::Safety;
+pub use service::GrantsService;
--- /dev/null
+++ b/lib/src/control/peers.rs
@@ -0,0 +1,329 @@
+//! Heartbeats between control processes, and what travels with them.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use banyangauge_proto as wire;
+use rand::seq::IndexedRandom;
+use tonic::transport::Channel;
+use tonic::transport::Endpoint;
+use wire::peers_client::PeersClient;
+
+use crate::control::Owner;
+use crate::control::Shared;
+use crate::control::clock;
+use crate::control::local::Local;
+use crate::control::members::Members;
+use crate::ids::Fingerprint;
+use crate::ids::IdError;
+use crate::ids::PoolName;
+use crate::ids::Token;
+use crate::ids::VmName;
+use crate::pool::Moment;
+use crate::pool::Span;
+
+/// The longest that an exchange may take; a peer answers in milliseconds.
+const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// The shortest time between two urgent rounds, so that news in a burst do
+/// not become a burst of rounds.
+const URGENT_GAP: Duration = Duration::from_millis(50);
+
+/// Members that an urgent round reaches. Whoever learns something passes it
+/// on in an urgent round of its own, so 700 members take about four rounds.
+const URGENT_FANOUT: usize = 8;
+
+/// How long a peer's word that an upstream is leaving counts without being
+/// repeated; several heartbeats.
+const LEAVING_KEPT: Span = Span::from_millis(10_000);
+
+/// How much longer a verdict must hold to replace the known one. Less is the
+/// time on the way, which would otherwise add up as verdicts are passed round.
+const VERDICT_STEP_MS: u64 = 1_000;
+
+/// The most verdicts that are kept; each takes a request that crashed several
+/// upstreams, so more are a fault, and the oldest give way.
+const MAX_VERDICTS: usize = 1_024;
+
+struct State {
+    members: Members,
+    // Leaving upstreams by a peer's word, and when it was last given.
+    heard: BTreeMap<SocketAddr, Moment>,
+}
+
+/// The member table and what is spread with it; shared by the duty that sends
+/// and the service that answers.
+pub struct Peers {
+    shared: Shared,
+    local: Arc<Local>,
+    state: Mutex<State>,
+}
+
+impl Peers {
+    /// A table that holds this process alone.
+    ///
+    /// # Errors
+    ///
+    /// When the VM's name is no valid name.
+    pub fn new(shared: Shared, local: Arc<Local>) -> Result<Self, IdError> {
+        let me = wire::Member {
+            vm: shared.vm.to_string(),
+            address: shared.address.to_string(),
+            zone: shared.zone.to_string(),
+            incarnation: shared.incarnation.0,
+            ..wire::Member::default()
+        };
+        let times = &local.settings.members;
+        let suspect = Span::from_millis(times.suspect_ms);
+        let gone = Span::from_millis(times.gone_ms);
+        let members = Members::new(clock::now(), me, suspect, gone)?;
+        Ok(Self {
+            shared,
+            local,
+            state: Mutex::new(State {
+                members,
+                heard: BTreeMap::new(),
+            }),
+        })
+    }
+
+    /// What this process tells its peers now.
+    pub fn digest(&self) -> wire::Digest {
+        let board = &self.shared.board;
+        let uptime = clock::uptime_ms();
+        let verdicts = board.verdicts.borrow();
+        let verdicts = verdicts.iter().filter(|(_, until)| **until > uptime);
+        wire::Digest {
+            vm: self.shared.vm.to_string(),
+            revision: board.catalog.borrow().revision.0,
+            members: self.lock().members.digest(),
+            verdicts: verdicts
+                .map(|(fingerprint, until)| wire::Verdict {
+                    fingerprint: fingerprint.0,
+                    left_ms: until - uptime,
+                })
+                .collect(),
+            owners: owners_on_wire(&board.owners.borrow()),
+            leaving: self.first_hand().iter().map(|a| a.to_string()).collect(),
+        }
+    }
+
+    /// Takes in what a peer told; news are passed on at once.
+    pub fn absorb(&self, digest: &wire::Digest) {
+        let now = clock::now();
+        {
+            let mut state = self.lock();
+            state.members.learn(now, &digest.members);
+            for address in digest.leaving.iter().filter_map(|a| a.parse().ok()) {
+                state.heard.insert(address, now);
+            }
+        }
+        let mut news = self.absorb_verdicts(&digest.verdicts);
+        news |= self.absorb_owners(&digest.owners);
+        self.refresh(now);
+        if news {
+            self.local.urgent.notify_one();
+        }
+    }
+
+    /// One heartbeat; judges the others by their silence.
+    pub fn beat(&self) {
+        let board = &self.shared.board;
+        let revision = board.catalog.borrow().revision;
+        let stopping = *board.stopping.borrow();
+        let now = clock::now();
+        {
+            let mut state = self.lock();
+            state.members.beat(now, revision, stopping);
+            state.members.sweep(now);
+        }
+        let uptime = clock::uptime_ms();
+        board.verdicts.send_if_modified(|verdicts| {
+            let before = verdicts.len();
+            verdicts.retain(|_, until| *until > uptime);
+            verdicts.len() != before
+        });
+        self.refresh(now);
+    }
+
+    /// A verdict found here: known on this VM now, on its way to the others.
+    pub fn convict(shared: &Shared, local: &Local, fingerprint: Fingerprint, hold: Span) {
+        let until = clock::uptime_ms() + hold.as_millis();
+        let news = shared
+            .board
+            .verdicts
+            .send_if_modified(|verdicts| note_verdict(verdicts, fingerprint, until));
+        if news {
+            local.urgent.notify_one();
+        }
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    // Only what this VM saw itself is passed on, so that a word ages out.
+    fn first_hand(&self) -> BTreeSet<SocketAddr> {
+        let mut seen = self.local.listed.borrow().clone();
+        seen.extend(self.local.reported.borrow().values().flatten());
+        seen
+    }
+
+    fn refresh(&self, now: Moment) {
+        let mut leaving = self.first_hand();
+        let mut state = self.lock();
+        state.heard.retain(|_, at| now.since(*at) < LEAVING_KEPT);
+        leaving.extend(state.heard.keys());
+        let view = state.members.view();
+        drop(state);
+        self.shared.board.leaving.send_if_modified(|old| {
+            let changed = *old != leaving;
+            *old = leaving;
+            changed
+        });
+        self.shared.board.members.send_if_modified(|old| {
+            let changed = *old != view;
+            *old = view;
+            changed
+        });
+    }
+
+    fn absorb_verdicts(&self, verdicts: &[wire::Verdict]) -> bool {
+        let uptime = clock::uptime_ms();
+        self.shared.board.verdicts.send_if_modified(|known| {
+            let mut news = false;
+            for v in verdicts {
+                news |= note_verdict(known, Fingerprint(v.fingerprint), uptime + v.left_ms);
+            }
+            news
+        })
+    }
+
+    fn absorb_owners(&self, owners: &[wire::Owner]) -> bool {
+        self.shared.board.owners.send_if_modified(|known| {
+            let mut news = false;
+            for (pool, owner) in owners.iter().filter_map(owner_from_wire) {
+                if known.get(&pool).is_none_or(|o| o.token < owner.token) {
+                    known.insert(pool, owner);
+                    news = true;
+                }
+            }
+            news
+        })
+    }
+
+    fn targets(&self, most: usize) -> Vec<SocketAddr> {
+        let mut all: BTreeSet<SocketAddr> = self.shared.peers.iter().copied().collect();
+        all.extend(self.lock().members.addresses());
+        all.remove(&self.shared.address);
+        let all: Vec<SocketAddr> = all.into_iter().collect();
+        all.sample(&mut rand::rng(), most).copied().collect()
+    }
+
+    fn note_contact(&self, peer: SocketAddr, began: Moment) {
+        if self.shared.peers.contains(&peer) {
+            self.local.contacts.send_modify(|c| {
+                let at = c.entry(peer).or_default();
+                *at = began.max(*at);
+            });
+        }
+    }
+}
+
+fn note_verdict(known: &mut BTreeMap<Fingerprint, u64>, key: Fingerprint, until: u64) -> bool {
+    if known
+        .get(&key)
+        .is_some_and(|old| until < old + VERDICT_STEP_MS)
+    {
+        return false;
+    }
+    known.insert(key, until);
+    if known.len() > MAX_VERDICTS {
+        let oldest = known.iter().min_by_key(|(_, until)| **until);
+        if let Some(key) = oldest.map(|(k, _)| *k) {
+            known.remove(&key);
+        }
+    }
+    true
+}
+
+fn owners_on_wire(owners: &BTreeMap<PoolName, Owner>) -> Vec<wire::Owner> {
+    owners
+        .iter()
+        .map(|(pool, o)| wire::Owner {
+            pool: pool.to_string(),
+            vm: o.vm.to_string(),
+            address: o.address.to_string(),
+            token: o.token.0,
+        })
+        .collect()
+}
+
+fn owner_from_wire(owner: &wire::Owner) -> Option<(PoolName, Owner)> {
+    let pool = PoolName::new(&owner.pool).ok()?;
+    let owner = Owner {
+        vm: VmName::new(&owner.vm).ok()?,
+        address: owner.address.parse().ok()?,
+        token: Token(owner.token),
+    };
+    Some((pool, owner))
+}
+
+/// Exchanges heartbeats for as long as the process runs.
+pub(super) async fn run(peers: Arc<Peers>) {
+    let settings = peers.local.settings.members.clone();
+    let mut beat = tokio::time::interval(Duration::from_millis(settings.beat_ms));
+    beat.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut channels: BTreeMap<SocketAddr, PeersClient<Channel>> = BTreeMap::new();
+    loop {
+        let fanout = tokio::select! {
+            _ = beat.tick() => settings.fanout,
+            () = peers.local.urgent.notified() => URGENT_FANOUT,
+        };
+        peers.beat();
+        let targets = peers.targets(fanout);
+        channels.retain(|a, _| peers.shared.peers.contains(a) || targets.contains(a));
+        for target in targets {
+            let Some(client) = client_for(&mut channels, target) else {
+                continue;
+            };
+            tokio::spawn(exchange(Arc::clone(&peers), target, client));
+        }
+        if fanout == URGENT_FANOUT {
+            tokio::time::sleep(URGENT_GAP).await;
+        }
+    }
+}
+
+fn client_for(
+    channels: &mut BTreeMap<SocketAddr, PeersClient<Channel>>,
+    target: SocketAddr,
+) -> Option<PeersClient<Channel>> {
+    if let Some(client) = channels.get(&target) {
+        return Some(client.clone());
+    }
+    let endpoint = Endpoint::from_shared(format!("http://{target}")).ok()?;
+    let channel = endpoint
+        .connect_timeout(EXCHANGE_TIMEOUT)
+        .timeout(EXCHANGE_TIMEOUT)
+        .connect_lazy();
+    let client = PeersClient::new(channel);
+    channels.insert(target, client.clone());
+    Some(client)
+}
+
+async fn exchange(peers: Arc<Peers>, target: SocketAddr, mut client: PeersClient<Channel>) {
+    let began = clock::now();
+    match client.exchange(peers.digest()).await {
+        Ok(answer) => {
+            peers.absorb(answer.get_ref());
+            peers.note_contact(target, began);
+        }
+        Err(_) => metrics::counter!("peer_exchange_failed_total").increment(1),
+    }
+}
--- /dev/null
+++ b/lib/src/control/settings.rs
@@ -0,0 +1,265 @@
+//! Settings of `banyan-control`.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+
+use crate::claims;
+use crate::ids::VmName;
+use crate::ids::ZoneName;
+use crate::lease;
+use crate::pool::Span;
+use crate::settings::BadValue;
+use crate::settings::Settings;
+use crate::telemetry::LogFormat;
+
+/// Settings of the control process; `settings/control.toml` explains each.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ControlSettings {
+    /// This VM.
+    pub vm: VmName,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// The organisation that runs it; for logs and metrics.
+    pub organisation: String,
+    /// Where gRPC is served.
+    pub listen: SocketAddr,
+    /// Where metrics are served.
+    pub metrics: SocketAddr,
+    /// The platform's object API.
+    pub platform: SocketAddr,
+    /// Control processes on the other VMs.
+    #[serde(default)]
+    pub peers: Vec<SocketAddr>,
+    /// SHA-256 of each operator's key, as lower-case hex.
+    #[serde(default)]
+    pub operators: BTreeMap<String, String>,
+    /// How the log is written.
+    #[serde(default)]
+    pub log: LogFormat,
+    /// Times of leases.
+    #[serde(default)]
+    pub lease: LeaseSettings,
+    /// Grants and what follows a change of owner.
+    #[serde(default)]
+    pub grants: GrantSettings,
+    /// Load reports and orders.
+    #[serde(default)]
+    pub upstreams: UpstreamSettings,
+    /// Heartbeats between control processes.
+    #[serde(default)]
+    pub members: MemberSettings,
+    /// The journal of keyed calls.
+    #[serde(default)]
+    pub claims: ClaimSettings,
+}
+
+/// Times of leases, in milliseconds.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct LeaseSettings {
+    /// How long a lease holds from its last write.
+    pub ttl_ms: u64,
+    /// How long after a write the next is sent.
+    pub renew_ms: u64,
+    /// What the holder subtracts.
+    pub margin_ms: u64,
+    /// How much later each further candidate tries.
+    pub stagger_ms: u64,
+}
+
+impl Default for LeaseSettings {
+    fn default() -> Self {
+        Self {
+            ttl_ms: 3_000,
+            renew_ms: 1_000,
+            margin_ms: 300,
+            stagger_ms: 100,
+        }
+    }
+}
+
+/// Grants and changes of owner, in milliseconds.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct GrantSettings {
+    /// How long a grant lives unrenewed.
+    pub ttl_ms: u64,
+    /// How much longer the owner counts it as in use.
+    pub margin_ms: u64,
+    /// How long a new owner leaves the slots of engines that ignore fencing
+    /// tokens alone, when the former owner may be paused and unaware.
+    pub quarantine_ms: u64,
+}
+
+impl Default for GrantSettings {
+    fn default() -> Self {
+        Self {
+            ttl_ms: 10_000,
+            margin_ms: 2_000,
+            quarantine_ms: 30_000,
+        }
+    }
+}
+
+/// Load reports and orders, in milliseconds.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct UpstreamSettings {
+    /// Between two load reports of a replica.
+    pub poll_ms: u64,
+    /// The longest that a report may take.
+    pub report_ms: u64,
+    /// Failed reports in a row that make a replica suspect.
+    pub failures: u32,
+    /// The longest that an order may take.
+    pub order_ms: u64,
+}
+
+impl Default for UpstreamSettings {
+    fn default() -> Self {
+        Self {
+            poll_ms: 250,
+            report_ms: 500,
+            failures: 3,
+            order_ms: 10_000,
+        }
+    }
+}
+
+/// Heartbeats between control processes, in milliseconds.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct MemberSettings {
+    /// Between two heartbeats.
+    pub beat_ms: u64,
+    /// Members that each heartbeat is exchanged with.
+    pub fanout: usize,
+    /// Silence after which a member is suspect.
+    pub suspect_ms: u64,
+    /// Silence after which it counts as gone.
+    pub gone_ms: u64,
+}
+
+impl Default for MemberSettings {
+    fn default() -> Self {
+        Self {
+            beat_ms: 500,
+            fanout: 3,
+            suspect_ms: 2_000,
+            gone_ms: 10_000,
+        }
+    }
+}
+
+/// The journal of keyed calls, in milliseconds.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct ClaimSettings {
+    /// How long a claim is kept.
+    pub retention_ms: u64,
+    /// The shortest time between two commits of a pool.
+    pub gap_ms: u64,
+}
+
+impl Default for ClaimSettings {
+    fn default() -> Self {
+        Self {
+            retention_ms: 600_000,
+            gap_ms: 100,
+        }
+    }
+}
+
+impl ControlSettings {
+    /// The lease's times.
+    pub fn times(&self) -> lease::Times {
+        lease::Times {
+            ttl: Span::from_millis(self.lease.ttl_ms),
+            renew: Span::from_millis(self.lease.renew_ms),
+            margin: Span::from_millis(self.lease.margin_ms),
+            stagger: Span::from_millis(self.lease.stagger_ms),
+            grant_ttl: Span::from_millis(self.grants.ttl_ms),
+            ..lease::Times::default()
+        }
+    }
+
+    /// The journal's bounds.
+    pub fn claim_limits(&self) -> claims::Limits {
+        claims::Limits {
+            retention: Span::from_millis(self.claims.retention_ms),
+            gap: Span::from_millis(self.claims.gap_ms),
+            ..claims::Limits::default()
+        }
+    }
+}
+
+// A key, its value, and the range that is allowed.
+type Range = (&'static str, u64, u64, u64, &'static str);
+
+impl Settings for ControlSettings {
+    fn check(&self) -> Result<(), BadValue> {
+        let l = &self.lease;
+        let g = &self.grants;
+        let u = &self.upstreams;
+        let m = &self.members;
+        let ranges: [Range; 14] = [
+            ("lease.ttl_ms", l.ttl_ms, 200, 60_000, "200 to 60000"),
+            (
+                "lease.renew_ms",
+                l.renew_ms,
+                20,
+                l.ttl_ms / 2,
+                "20 to half of lease.ttl_ms",
+            ),
+            (
+                "lease.margin_ms",
+                l.margin_ms,
+                1,
+                l.ttl_ms / 4,
+                "1 to a quarter of lease.ttl_ms",
+            ),
+            ("lease.stagger_ms", l.stagger_ms, 1, 1_000, "1 to 1000"),
+            ("grants.ttl_ms", g.ttl_ms, 200, 60_000, "200 to 60000"),
+            ("grants.margin_ms", g.margin_ms, 10, 60_000, "10 to 60000"),
+            (
+                "grants.quarantine_ms",
+                g.quarantine_ms,
+                g.ttl_ms + 2 * g.margin_ms,
+                600_000,
+                "grants.ttl_ms plus twice grants.margin_ms, to 600000",
+            ),
+            ("upstreams.poll_ms", u.poll_ms, 20, 1_000, "20 to 1000"),
+            ("upstreams.report_ms", u.report_ms, 20, 1_000, "20 to 1000"),
+            ("upstreams.failures", u.failures.into(), 1, 100, "1 to 100"),
+            (
+                "upstreams.order_ms",
+                u.order_ms,
+                100,
+                120_000,
+                "100 to 120000",
+            ),
+            ("members.beat_ms", m.beat_ms, 20, 10_000, "20 to 10000"),
+            ("members.fanout", m.fanout as u64, 1, 16, "1 to 16"),
+            (
+                "members.gone_ms",
+                m.gone_ms,
+                m.suspect_ms,
+                600_000,
+                "members.suspect_ms to 600000",
+            ),
+        ];
+        for (key, found, least, most, allowed) in ranges {
+            if found < least || found > most {
+                return Err(BadValue {
+                    key,
+                    found: found.to_string(),
+                    allowed,
+                });
+            }
+        }
+        Ok(())
+    }
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -4,9 +4,11 @@
 //! and at [`pool`] for the decisions themselves.
 
 pub mod catalog;
+pub mod claims;
 pub mod control;
 pub mod entry;
 pub mod ids;
+pub mod lease;
 pub mod platform;
 pub mod pool;
 pub mod settings;
--- /dev/null
+++ b/lib/src/upstream/orders.rs
@@ -0,0 +1,208 @@
+//! Orders to engines: load, unload, fence.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use hyper::Method;
+use hyper::Request;
+use hyper::StatusCode;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use serde::Deserialize;
+use serde_json::json;
+
+use crate::ids::AdapterVersion;
+use crate::ids::Token;
+
+/// The header that carries the owner's fencing token.
+const TOKEN_HEADER: &str = "x-fencing-token";
+
+/// The longest answer to an order or report, in bytes; a report names a few
+/// dozen adapters.
+const MAX_ANSWER: usize = 256 << 10;
+
+/// Why an order or report failed.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum OrderError {
+    /// The engine has seen a higher token: this owner is deposed.
+    Fenced,
+    /// All slots are full.
+    Full,
+    /// The engine refused with this status; it did nothing.
+    Refused(u16),
+    /// It cannot be reached; nothing was done.
+    Unreachable(String),
+    /// The order was sent and its answer lost: it may have taken effect.
+    Lost(String),
+    /// The answer is not of the published form.
+    Malformed(String),
+}
+
+impl fmt::Display for OrderError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Fenced => write!(f, "the engine holds a higher fencing token"),
+            Self::Full => write!(f, "all slots are full"),
+            Self::Refused(code) => write!(f, "refused with {code}"),
+            Self::Unreachable(e) => write!(f, "cannot be reached: {e}"),
+            Self::Lost(e) => write!(f, "the answer was lost: {e}"),
+            Self::Malformed(e) => write!(f, "the answer is malformed: {e}"),
+        }
+    }
+}
+
+impl std::error::Error for OrderError {}
+
+/// What an engine says of its fence.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Fence {
+    /// The highest token that it has seen, this one included.
+    Highest(Token),
+    /// It ignores tokens.
+    Ignored,
+}
+
+/// A client for the control side of upstreams; clones share connections.
+#[derive(Clone, Debug)]
+pub struct Orders {
+    client: Client<HttpConnector, Full<Bytes>>,
+    timeout: Duration,
+}
+
+impl Orders {
+    /// A client whose calls take `timeout` at the most.
+    pub fn new(timeout: Duration) -> Self {
+        let client = Client::builder(TokioExecutor::new())
+            .pool_idle_timeout(Duration::from_secs(20))
+            .build_http();
+        Self { client, timeout }
+    }
+
+    /// Loads an adapter version into a free slot.
+    ///
+    /// # Errors
+    ///
+    /// Those of [`OrderError`]; after `Lost` the next load report tells.
+    pub async fn load(
+        &self,
+        to: SocketAddr,
+        token: Token,
+        adapter: &AdapterVersion,
+    ) -> Result<(), OrderError> {
+        let name = adapter.to_string();
+        let body = json!({"lora_name": name, "lora_path": format!("weights:{name}")});
+        self.post(to, "/v1/load_lora_adapter", token, &body).await?;
+        Ok(())
+    }
+
+    /// Unloads an adapter version; one that is not loaded is no error.
+    ///
+    /// # Errors
+    ///
+    /// Those of [`OrderError`]; after `Lost` the next load report tells.
+    pub async fn unload(
+        &self,
+        to: SocketAddr,
+        token: Token,
+        adapter: &AdapterVersion,
+    ) -> Result<(), OrderError> {
+        let body = json!({"lora_name": adapter.to_string()});
+        match self.post(to, "/v1/unload_lora_adapter", token, &body).await {
+            Ok(_) | Err(OrderError::Refused(404)) => Ok(()),
+            Err(e) => Err(e),
+        }
+    }
+
+    /// Raises the engine's fence to `token`.
+    ///
+    /// # Errors
+    ///
+    /// Those of [`OrderError`]; `Fenced` when a higher token was seen.
+    pub async fn fence(&self, to: SocketAddr, token: Token) -> Result<Fence, OrderError> {
+        #[derive(Deserialize)]
+        struct Answer {
+            token: u64,
+        }
+        let answer = self
+            .post(to, "/v1/fence", token, &json!({"token": token.0}))
+            .await;
+        match answer {
+            Err(OrderError::Refused(404)) => Ok(Fence::Ignored),
+            Err(e) => Err(e),
+            Ok(body) => {
+                let answer: Answer = parse(&body)?;
+                match answer.token > token.0 {
+                    true => Err(OrderError::Fenced),
+                    false => Ok(Fence::Highest(Token(answer.token))),
+                }
+            }
+        }
+    }
+
+    /// Reads a path.
+    pub(super) async fn get(&self, to: SocketAddr, path: &str) -> Result<Bytes, OrderError> {
+        let request = Request::builder()
+            .method(Method::GET)
+            .uri(format!("http://{to}{path}"))
+            .body(Full::new(Bytes::new()));
+        self.send(request).await
+    }
+
+    async fn post(
+        &self,
+        to: SocketAddr,
+        path: &str,
+        token: Token,
+        body: &serde_json::Value,
+    ) -> Result<Bytes, OrderError> {
+        let request = Request::builder()
+            .method(Method::POST)
+            .uri(format!("http://{to}{path}"))
+            .header("content-type", "application/json")
+            .header(TOKEN_HEADER, token.0)
+            .body(Full::new(Bytes::from(body.to_string())));
+        self.send(request).await
+    }
+
+    async fn send(
+        &self,
+        request: Result<Request<Full<Bytes>>, hyper::http::Error>,
+    ) -> Result<Bytes, OrderError> {
+        let request = request.map_err(|e| OrderError::Malformed(e.to_string()))?;
+        let work = async {
+            let response =
+                self.client
+                    .request(request)
+                    .await
+                    .map_err(|e| match e.is_connect() {
+                        true => OrderError::Unreachable(e.to_string()),
+                        false => OrderError::Lost(e.to_string()),
+                    })?;
+            let status = response.status();
+            let body = Limited::new(response.into_body(), MAX_ANSWER)
+                .collect()
+                .await
+                .map_err(|e| OrderError::Lost(e.to_string()))?
+                .to_bytes();
+            match status {
+                s if s.is_success() => Ok(body),
+                StatusCode::PRECONDITION_FAILED => Err(OrderError::Fenced),
+                StatusCode::CONFLICT => Err(OrderError::Full),
+                s => Err(OrderError::Refused(s.as_u16())),
+            }
+        };
+        tokio::time::timeout(self.timeout, work)
+            .await
+            .map_err(|_| OrderError::Lost("no answer in time".to_owned()))?
+    }
+}
+
+pub(super) fn parse<T: serde::de::DeserializeOwned>(body: &[u8]) -> Result<T, OrderError> {
+    serde_json::from_slice(body).map_err(|e| OrderError::Malformed(e.to_string()))
+}
