--- a/lib/src/pool/mod.rs
+++ b/lib/src/pool/mod.rs
@@ -5,8 +5,10 @@
 //! [`Command`]s.
 
 mod naive;
+mod settings;
 mod types;
 
 pub use naive::Pool;
 pub use naive::PoolView;
+pub use settings::PoolSettings;
 pub use types::*;
--- a/lib/src/pool/naive.rs
+++ b/lib/src/pool/naive.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeSet;
 use std::collections::VecDeque;
 
+use super::settings::PoolSettings;
 use super::types::*;
 use crate::ids::AdapterVersion;
 use crate::ids::Fingerprint;
@@ -25,6 +26,7 @@
 /// The decisions of one pool.
 #[derive(Debug, Default)]
 pub struct Pool {
+    settings: PoolSettings,
     replicas: BTreeMap<ReplicaName, Replica>,
     queue: VecDeque<Arrival>,
     running: BTreeMap<Ticket, (ReplicaName, Option<AdapterVersion>, Fingerprint)>,
@@ -55,8 +57,16 @@
 
 impl Pool {
     /// An empty pool.
-    pub fn new() -> Self {
-        Self::default()
+    pub fn new(settings: PoolSettings) -> Self {
+        Self {
+            settings,
+            ..Self::default()
+        }
+    }
+
+    /// Replaces the shares of the teams.
+    pub fn set_shares(&mut self, shares: &Shares) {
+        self.settings.shares = shares.clone();
     }
 
     /// Sets the replicas; those left out get nothing new.
--- /dev/null
+++ b/lib/src/pool/settings.rs
@@ -0,0 +1,97 @@
+//! What an operator sets for a pool.
+
+use bon::Builder;
+use serde::Deserialize;
+use serde::Serialize;
+
+use super::types::Shares;
+use super::types::Span;
+use super::types::Weighing;
+use crate::settings::BadValue;
+
+/// What an operator sets for a pool; the rest follows from the load.
+///
+/// ```
+/// use banyangauge::pool::PoolSettings;
+/// use banyangauge::pool::Weighing;
+/// let s = PoolSettings::builder()
+///     .weighing(Weighing::Batch)
+///     .loads_per_s(2.0)
+///     .step_us(3_500)
+///     .build();
+/// assert!(s.check().is_ok());
+/// assert_eq!(s.queue, PoolSettings::default().queue);
+/// ```
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, Builder)]
+#[serde(default, deny_unknown_fields)]
+pub struct PoolSettings {
+    /// What the deployment weighs more.
+    #[builder(default = Weighing::Stalls)]
+    pub weighing: Weighing,
+    /// Loads a second that the weight store gives at full speed.
+    #[builder(default = 3.0)]
+    pub loads_per_s: f64,
+    /// The shortest engine step, in microseconds.
+    #[builder(default = 5_500)]
+    pub step_us: u64,
+    /// Relative shares of teams; a team that is not named has 1.
+    #[builder(default)]
+    pub shares: Shares,
+    /// The most requests of one team and class that may wait.
+    #[builder(default = 256)]
+    pub queue: u32,
+    /// The part of each replica's batch, in hundredths, that long work may
+    /// hold while shorter work waits.
+    #[builder(default = 75)]
+    pub long_cap: u32,
+    /// The part of each replica's batch, in hundredths, that waiting long work
+    /// gets even when shorter work would fill it all.
+    #[builder(default = 25)]
+    pub long_floor: u32,
+    /// Retries allowed, in hundredths of the answers.
+    #[builder(default = 10)]
+    pub retry_share: u32,
+    /// How long a request stays convicted of crashing its upstream, in
+    /// microseconds.
+    #[builder(default = Span::from_millis(600_000))]
+    pub verdict: Span,
+}
+
+impl Default for PoolSettings {
+    fn default() -> Self {
+        Self::builder().build()
+    }
+}
+
+impl PoolSettings {
+    /// Checks the ranges of the values.
+    ///
+    /// # Errors
+    ///
+    /// The first value that is out of its range.
+    pub fn check(&self) -> Result<(), BadValue> {
+        let bad = |key, found: String, allowed| {
+            Err(BadValue {
+                key,
+                found,
+                allowed,
+            })
+        };
+        if !(self.loads_per_s > 0.0 && self.loads_per_s <= 1_000.0) {
+            return bad("loads_per_s", self.loads_per_s.to_string(), "0 to 1000");
+        }
+        if !(1..=10_000_000).contains(&self.step_us) {
+            return bad("step_us", self.step_us.to_string(), "1 to 10000000");
+        }
+        if self.queue == 0 {
+            return bad("queue", self.queue.to_string(), "1 or more");
+        }
+        if !(1..=100).contains(&self.long_cap) {
+            return bad("long_cap", self.long_cap.to_string(), "1 to 100");
+        }
+        if self.long_floor > self.long_cap {
+            return bad("long_floor", self.long_floor.to_string(), "0 to long_cap");
+        }
+        Ok(())
+    }
+}
