--- a/lib/src/control/owner/actor.rs
+++ b/lib/src/control/owner/actor.rs
@@ -43,6 +43,8 @@
 use crate::pool::OrderEnd;
 use crate::pool::OrderId;
 use crate::pool::Pool;
+use crate::pool::PoolSettings;
+use crate::pool::Shares;
 use crate::pool::Span;
 use crate::pool::Ticket;
 use crate::upstream::Fence;
@@ -200,7 +202,7 @@
         let reports = Orders::new(std::time::Duration::from_millis(times.report_ms));
         let limits = local.settings.claim_limits();
         Some(Self {
-            pool: new_pool(&spec),
+            pool: new_pool(&catalog, &spec),
             book: Book::new(tenure.token),
             journal: Journal::new(tenure.token, limits),
             safety: Safety::new(honours, tenure, margin, quarantine),
@@ -462,8 +464,29 @@
 }
 
 // The one place where a pool is made from what operators configured.
-fn new_pool(_spec: &PoolSpec) -> Pool {
-    Pool::new()
+fn new_pool(catalog: &Catalog, spec: &PoolSpec) -> Pool {
+    let shares = shares(catalog);
+    let settings = match &spec.kind {
+        PoolKind::Engine {
+            weighing,
+            loads_per_s,
+            step_us,
+            ..
+        } => PoolSettings::builder()
+            .weighing(*weighing)
+            .loads_per_s(*loads_per_s)
+            .step_us(*step_us)
+            .shares(shares)
+            .build(),
+        PoolKind::Service { .. } => PoolSettings::builder().shares(shares).build(),
+    };
+    Pool::new(settings)
+}
+
+/// The shares of all teams.
+pub(super) fn shares(catalog: &Catalog) -> Shares {
+    let teams = catalog.teams.iter();
+    teams.map(|(name, t)| (name.clone(), t.share)).collect()
 }
 
 impl Handler<Event> for OwnerActor {
--- a/lib/src/control/owner/replicas.rs
+++ b/lib/src/control/owner/replicas.rs
@@ -9,6 +9,7 @@
 
 use crate::control::owner::OwnerActor;
 use crate::control::owner::actor::Watched;
+use crate::control::owner::actor::shares;
 use crate::control::owner::polling;
 use crate::ids::Incarnation;
 use crate::ids::ReplicaName;
@@ -28,6 +29,7 @@
             return;
         }
         self.catalog = Arc::clone(&catalog);
+        self.pool.set_shares(&shares(&catalog));
         let Some(spec) = catalog.pools.get(&self.name) else {
             return;
         };
