--- a/lib/src/timeline/mod.rs
+++ b/lib/src/timeline/mod.rs
@@ -3,12 +3,17 @@
 //! Each process keeps a bounded ring of typed events, stamped by a hybrid
 //! logical clock; `banyan timeline` merges the rings of all processes.
 
+mod service;
+
 use std::collections::VecDeque;
 use std::sync::Mutex;
 use std::sync::PoisonError;
 
 use banyangauge_proto as wire;
 
+pub use service::MOST_EVENTS;
+pub use service::TimelineService;
+
 /// What happened.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Kind {
