catalog: shards, plans and one conditional update that decides

Cause: 14,000 adapters do not fit one object of the platform, and Catalog::apply cloned the whole catalog for each change set. Change: teams, pools and adapters lie in immutable shard objects that one root names; a confirmation writes the changed shards and then replaces the root conditionally, with its operation id in the root's log. Apply works in place with an undo list. Rules for keys, addresses, slots, batch and prefix. Ruled out: one object a shard replaced in place, because several of them would not take effect whole.

--- /dev/null
+++ b/lib/src/catalog/item.rs
@@ -0,0 +1,72 @@
+//! The parts of a catalog that a change touches or a plan reads.
+
+use std::fmt;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use super::Catalog;
+use super::Change;
+use crate::ids::AdapterName;
+use crate::ids::PoolName;
+use crate::ids::TeamName;
+
+/// One team, adapter or pool.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd, Serialize, Deserialize)]
+#[serde(tag = "item", content = "name", rename_all = "snake_case")]
+pub enum Item {
+    /// A team.
+    Team(TeamName),
+    /// An adapter with its versions and whom it is served to.
+    Adapter(AdapterName),
+    /// A pool with its replicas.
+    Pool(PoolName),
+}
+
+impl fmt::Display for Item {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Team(n) => write!(f, "team {n}"),
+            Self::Adapter(n) => write!(f, "adapter {n}"),
+            Self::Pool(n) => write!(f, "pool {n}"),
+        }
+    }
+}
+
+impl Change {
+    /// The one item that this change writes.
+    pub fn item(&self) -> Item {
+        match self {
+            Self::PutTeam { team, .. } | Self::RemoveTeam { team } => Item::Team(team.clone()),
+            Self::CreateAdapter { adapter, .. }
+            | Self::RemoveAdapter { adapter }
+            | Self::AddVersion { adapter, .. }
+            | Self::RetireVersion { adapter, .. }
+            | Self::Serve { adapter, .. }
+            | Self::Withdraw { adapter, .. } => Item::Adapter(adapter.clone()),
+            Self::PutPool { pool, .. } | Self::RemovePool { pool } => Item::Pool(pool.clone()),
+        }
+    }
+}
+
+/// Stands for an item that does not exist.
+const ABSENT: u64 = 0;
+
+impl Catalog {
+    /// A hash of an item's content, by which a plan knows whether what it read
+    /// has changed; 0 when the item does not exist.
+    pub fn state_of(&self, item: &Item) -> u64 {
+        match item {
+            Item::Team(n) => self.teams.get(n).map_or(ABSENT, hash),
+            Item::Adapter(n) => self.adapters.get(n).map_or(ABSENT, hash),
+            Item::Pool(n) => self.pools.get(n).map_or(ABSENT, hash),
+        }
+    }
+}
+
+fn hash<T: Serialize>(value: &T) -> u64 {
+    // These types hold text, numbers and maps keyed by text; encoding them
+    // cannot fail.
+    let bytes = serde_json::to_vec(value).unwrap_or_default();
+    xxhash_rust::xxh3::xxh3_64(&bytes).max(ABSENT + 1)
+}
--- a/lib/src/catalog/mod.rs
+++ b/lib/src/catalog/mod.rs
@@ -1,8 +1,41 @@
 //! What operators configure: teams, adapters, versions, pools.
 //!
 //! [`Catalog`] is the aggregate; it changes only by [`Catalog::apply`], whole
-//! or not at all.
+//! or not at all. [`Plan`] is what an operator confirms, [`Ledger`] keeps the
+//! catalog in the platform.
 
+mod apply;
+mod item;
+mod ledger;
 mod model;
+mod plan;
+mod root;
+mod rules;
 
+pub use item::Item;
+pub use ledger::ConfirmError;
+pub use ledger::Confirmed;
+pub use ledger::Ledger;
+pub use ledger::Overtaken;
+pub use ledger::ROOT_KIND;
+pub use ledger::ROOT_NAME;
+pub use ledger::RootRead;
+pub use ledger::SHARD_KIND;
+pub use ledger::replay;
 pub use model::*;
+pub use plan::Effect;
+pub use plan::Intent;
+pub use plan::MAX_CHANGES;
+pub use plan::Plan;
+pub use plan::PlanError;
+pub use plan::Read;
+pub use root::Entry;
+pub use root::LOG_BYTES;
+pub use root::LOG_ENTRIES;
+pub use root::Root;
+pub use root::Shard;
+pub use root::ShardName;
+
+/// The largest snapshot that a client should accept, in bytes: 14,000 adapters
+/// take about 4 MB, four times that leaves room for long names.
+pub const MAX_SNAPSHOT: usize = 16 << 20;
--- a/lib/src/catalog/model.rs
+++ b/lib/src/catalog/model.rs
@@ -1,9 +1,10 @@
-//! The catalog aggregate and its rules.
+//! The catalog aggregate: what is configured, and what can change.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::fmt;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -196,15 +197,78 @@
 
 /// Everything that is configured, at one revision.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(from = "Content")]
 pub struct Catalog {
     /// Its revision; 0 is the empty catalog.
     pub revision: Revision,
     /// Teams by name.
     pub teams: BTreeMap<TeamName, Team>,
-    /// Adapters by name.
-    pub adapters: BTreeMap<AdapterName, Adapter>,
+    /// Adapters by name; shared with the catalog of the revision before, so
+    /// that a clone copies pointers only.
+    pub adapters: BTreeMap<AdapterName, Arc<Adapter>>,
     /// Pools by name.
     pub pools: BTreeMap<PoolName, PoolSpec>,
+    /// The team that each key belongs to; follows from `teams`.
+    #[serde(skip_serializing)]
+    pub(super) keys: BTreeMap<Arc<str>, TeamName>,
+}
+
+/// A catalog as it stands in JSON; the index is built on reading.
+#[derive(Deserialize)]
+struct Content {
+    revision: Revision,
+    #[serde(default)]
+    teams: BTreeMap<TeamName, Team>,
+    #[serde(default)]
+    adapters: BTreeMap<AdapterName, Arc<Adapter>>,
+    #[serde(default)]
+    pools: BTreeMap<PoolName, PoolSpec>,
+}
+
+impl From<Content> for Catalog {
+    fn from(content: Content) -> Self {
+        let mut catalog = Self {
+            revision: content.revision,
+            teams: content.teams,
+            adapters: content.adapters,
+            pools: content.pools,
+            keys: BTreeMap::new(),
+        };
+        catalog.index_keys();
+        catalog
+    }
+}
+
+impl Catalog {
+    /// The team that a bearer key belongs to, by the key's SHA-256 in
+    /// lower-case hex; one look-up in an index, as each request needs it.
+    ///
+    /// ```
+    /// use banyangauge::catalog::{Catalog, Change};
+    /// let hash = "0".repeat(64);
+    /// let mut catalog = Catalog::default();
+    /// catalog
+    ///     .apply(&[Change::PutTeam {
+    ///         team: "laundry".parse().unwrap(),
+    ///         keys: [hash.clone()].into(),
+    ///         share: 1,
+    ///     }])
+    ///     .unwrap();
+    /// assert_eq!(catalog.team_by_key(&hash).unwrap().as_str(), "laundry");
+    /// ```
+    pub fn team_by_key(&self, hash: &str) -> Option<&TeamName> {
+        self.keys.get(hash)
+    }
+
+    pub(super) fn index_keys(&mut self) {
+        let pairs = self
+            .teams
+            .iter()
+            .flat_map(|(name, team)| team.keys.iter().map(move |k| (k, name)));
+        self.keys = pairs
+            .map(|(k, name)| (Arc::from(k.as_str()), name.clone()))
+            .collect();
+    }
 }
 
 /// A confirmed set of changes, as it spreads.
@@ -219,158 +283,3 @@
     /// What changes.
     pub changes: Vec<Change>,
 }
-
-impl Catalog {
-    /// Applies all changes and raises the revision by one, or changes nothing.
-    ///
-    /// # Errors
-    ///
-    /// The first change that the catalog's rules refuse.
-    pub fn apply(&mut self, changes: &[Change]) -> Result<(), CatalogError> {
-        let mut next = self.clone();
-        for c in changes {
-            next.apply_one(c)?;
-        }
-        next.revision = Revision(self.revision.0 + 1);
-        *self = next;
-        Ok(())
-    }
-
-    fn apply_one(&mut self, change: &Change) -> Result<(), CatalogError> {
-        match change {
-            Change::PutTeam { team, keys, share } => {
-                if *share == 0 {
-                    return Err(CatalogError::Value(format!(
-                        "team {team}: share 0, allowed is 1 or more"
-                    )));
-                }
-                let keys = keys.clone();
-                self.teams.insert(
-                    team.clone(),
-                    Team {
-                        keys,
-                        share: *share,
-                    },
-                );
-            }
-            Change::RemoveTeam { team } => {
-                let used = self
-                    .adapters
-                    .iter()
-                    .find(|(_, a)| a.owner == *team || a.serving.contains_key(team));
-                if let Some((name, _)) = used {
-                    return Err(CatalogError::InUse(format!(
-                        "team {team} still owns or uses adapter {name}"
-                    )));
-                }
-                self.teams
-                    .remove(team)
-                    .ok_or_else(|| CatalogError::Missing(format!("team {team}")))?;
-            }
-            Change::CreateAdapter {
-                adapter,
-                owner,
-                pool,
-            } => {
-                self.need_team(owner)?;
-                match self.pools.get(pool).map(|p| &p.kind) {
-                    Some(PoolKind::Engine { .. }) => {}
-                    Some(PoolKind::Service { .. }) => {
-                        return Err(CatalogError::Value(format!(
-                            "pool {pool} is a plain service, adapters need an engine"
-                        )));
-                    }
-                    None => return Err(CatalogError::Missing(format!("pool {pool}"))),
-                }
-                if self.adapters.contains_key(adapter) {
-                    return Err(CatalogError::Exists(format!("adapter {adapter}")));
-                }
-                self.adapters.insert(
-                    adapter.clone(),
-                    Adapter {
-                        owner: owner.clone(),
-                        pool: pool.clone(),
-                        versions: BTreeSet::new(),
-                        serving: BTreeMap::new(),
-                    },
-                );
-            }
-            Change::RemoveAdapter { adapter } => {
-                if let Some(team) = self.need_adapter(adapter)?.serving.keys().next() {
-                    return Err(CatalogError::InUse(format!(
-                        "adapter {adapter} is still served to team {team}"
-                    )));
-                }
-                self.adapters.remove(adapter);
-            }
-            Change::AddVersion { adapter, version } => {
-                let a = self.need_adapter(adapter)?;
-                let last = a.versions.last().copied().unwrap_or(0);
-                if *version <= last {
-                    return Err(CatalogError::Value(format!(
-                        "adapter {adapter}: version {version}, allowed is above {last}"
-                    )));
-                }
-                a.versions.insert(*version);
-            }
-            Change::RetireVersion { adapter, version } => {
-                let a = self.need_adapter(adapter)?;
-                if let Some((team, _)) = a.serving.iter().find(|(_, v)| *v == version) {
-                    return Err(CatalogError::InUse(format!(
-                        "{adapter}@{version} is still in force for team {team}"
-                    )));
-                }
-                if !a.versions.remove(version) {
-                    return Err(CatalogError::Missing(format!("{adapter}@{version}")));
-                }
-            }
-            Change::Serve {
-                team,
-                adapter,
-                version,
-            } => {
-                self.need_team(team)?;
-                let a = self.need_adapter(adapter)?;
-                if !a.versions.contains(version) {
-                    return Err(CatalogError::Missing(format!("{adapter}@{version}")));
-                }
-                a.serving.insert(team.clone(), *version);
-            }
-            Change::Withdraw { team, adapter } => {
-                self.need_adapter(adapter)?
-                    .serving
-                    .remove(team)
-                    .ok_or_else(|| {
-                        CatalogError::Missing(format!("serving of {adapter} to team {team}"))
-                    })?;
-            }
-            Change::PutPool { pool, spec } => {
-                self.pools.insert(pool.clone(), spec.clone());
-            }
-            Change::RemovePool { pool } => {
-                if let Some((name, _)) = self.adapters.iter().find(|(_, a)| a.pool == *pool) {
-                    return Err(CatalogError::InUse(format!(
-                        "pool {pool} is still named by adapter {name}"
-                    )));
-                }
-                self.pools
-                    .remove(pool)
-                    .ok_or_else(|| CatalogError::Missing(format!("pool {pool}")))?;
-            }
-        }
-        Ok(())
-    }
-
-    fn need_team(&self, team: &TeamName) -> Result<(), CatalogError> {
-        match self.teams.contains_key(team) {
-            true => Ok(()),
-            false => Err(CatalogError::Missing(format!("team {team}"))),
-        }
-    }
-
-    fn need_adapter(&mut self, adapter: &AdapterName) -> Result<&mut Adapter, CatalogError> {
-        self.adapters
-            .get_mut(adapter)
-            .ok_or_else(|| CatalogError::Missing(format!("adapter {adapter}")))
-    }
-}
