--- /dev/null
+++ b/lib/src/control/operator.rs
@@ -0,0 +1,232 @@
+//! Serves operators: plan, confirm, status, usage.
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::sync::Arc;
+
+use banyangauge_proto as wire;
+use sha2::Digest;
+use sha2::Sha256;
+use slog::info;
+use slog::warn;
+use tonic::Request;
+use tonic::Response;
+use tonic::Status;
+
+use super::Shared;
+use super::config;
+use super::usage;
+use crate::catalog::Adapter;
+use crate::catalog::Catalog;
+use crate::catalog::ConfirmError;
+use crate::catalog::Intent;
+use crate::catalog::Ledger;
+use crate::catalog::Plan;
+use crate::catalog::PlanError;
+use crate::ids::AdapterName;
+
+/// SHA-256 of each operator's key as lower-case hex, by the operator's name.
+pub type Keys = BTreeMap<String, String>;
+
+/// The gRPC service `Operator`. Each call carries the operator's key as
+/// `authorization: Bearer <key>`.
+#[derive(Clone)]
+pub struct OperatorService {
+    shared: Shared,
+    keys: Keys,
+}
+
+impl OperatorService {
+    /// Serves the operators whose keys are listed.
+    pub const fn new(shared: Shared, keys: Keys) -> Self {
+        Self { shared, keys }
+    }
+
+    /// The operator whose key the call carries.
+    fn operator<T>(&self, request: &Request<T>) -> Result<String, Status> {
+        let header = request.metadata().get("authorization");
+        let key = header
+            .and_then(|v| v.to_str().ok())
+            .and_then(|v| v.strip_prefix("Bearer "))
+            .ok_or_else(|| Status::unauthenticated("no operator's key"))?;
+        let hash = hash_key(key);
+        let known = self.keys.iter().find(|(_, h)| **h == hash);
+        known
+            .map(|(name, _)| name.clone())
+            .ok_or_else(|| Status::unauthenticated("unknown operator's key"))
+    }
+}
+
+/// SHA-256 of a key, as lower-case hex.
+///
+/// ```
+/// use banyangauge::control::operator::hash_key;
+/// assert!(hash_key("abc").starts_with("ba7816bf"));
+/// ```
+pub fn hash_key(key: &str) -> String {
+    let digest = Sha256::digest(key.as_bytes());
+    let mut hex = String::with_capacity(digest.len() * 2);
+    for byte in digest.iter() {
+        // Writing to a string cannot fail.
+        let _ = write!(hex, "{byte:02x}");
+    }
+    hex
+}
+
+#[tonic::async_trait]
+impl wire::operator_server::Operator for OperatorService {
+    async fn plan(
+        &self,
+        request: Request<wire::PlanRequest>,
+    ) -> Result<Response<wire::PlanReply>, Status> {
+        self.operator(&request)?;
+        let intent: Intent = parse(&request.get_ref().intent)?;
+        let catalog = self.shared.board.catalog.borrow().clone();
+        let plan = Plan::new(&catalog, intent.changes).map_err(plan_status)?;
+        let plan = serde_json::to_vec(&plan).map_err(|e| Status::internal(e.to_string()))?;
+        Ok(Response::new(wire::PlanReply { plan: plan.into() }))
+    }
+
+    async fn confirm(
+        &self,
+        request: Request<wire::ConfirmRequest>,
+    ) -> Result<Response<wire::ConfirmReply>, Status> {
+        let operator = self.operator(&request)?;
+        let request = request.into_inner();
+        let plan: Plan = parse(&request.plan)?;
+        if plan.operation != request.operation {
+            return Err(Status::invalid_argument(
+                "the operation id is not the plan's",
+            ));
+        }
+        let revision = self.confirm_plan(&plan, &operator).await?;
+        Ok(Response::new(wire::ConfirmReply { revision }))
+    }
+
+    async fn status(
+        &self,
+        request: Request<wire::StatusRequest>,
+    ) -> Result<Response<wire::StatusReply>, Status> {
+        self.operator(&request)?;
+        let board = &self.shared.board;
+        let owners = board.owners.borrow().clone();
+        let owners = owners.iter().map(|(pool, owner)| wire::Owner {
+            pool: pool.to_string(),
+            vm: owner.vm.to_string(),
+            address: owner.address.to_string(),
+            token: owner.token.0,
+        });
+        Ok(Response::new(wire::StatusReply {
+            vm: self.shared.vm.to_string(),
+            revision: board.catalog.borrow().revision.0,
+            platform_up: *board.platform_up.borrow(),
+            members: board.members.borrow().values().cloned().collect(),
+            owners: owners.collect(),
+            pools: board.pools.borrow().values().cloned().collect(),
+        }))
+    }
+
+    async fn adapters(
+        &self,
+        request: Request<wire::StatusRequest>,
+    ) -> Result<Response<wire::Snapshot>, Status> {
+        self.operator(&request)?;
+        let catalog = self.shared.board.catalog.borrow().clone();
+        let filter = &request.get_ref().filter;
+        let answer = match filter.as_str() {
+            "" => config::snapshot(&catalog),
+            _ => config::snapshot(&filtered(&catalog, filter)),
+        };
+        Ok(Response::new(answer))
+    }
+
+    async fn usage(
+        &self,
+        request: Request<wire::StatusRequest>,
+    ) -> Result<Response<wire::UsageTotals>, Status> {
+        self.operator(&request)?;
+        let filter = &request.get_ref().filter;
+        let all = usage::read_all(&self.shared.platform, &self.shared.board.usage)
+            .await
+            .map_err(|e| Status::unavailable(format!("usage is not known: {e}")))?;
+        let sums = usage::totals(&all);
+        let wanted =
+            |row: &usage::Row| filter.is_empty() || row.team == *filter || row.adapter == *filter;
+        let rows = sums.iter().filter(|(row, _)| wanted(row));
+        Ok(Response::new(wire::UsageTotals {
+            counts: rows.map(|(r, c)| usage::to_wire(r, c)).collect(),
+        }))
+    }
+
+    async fn timeline(
+        &self,
+        request: Request<wire::TimelineRequest>,
+    ) -> Result<Response<wire::TimelineReply>, Status> {
+        self.operator(&request)?;
+        Ok(Response::new(self.shared.recorder.read(request.get_ref())))
+    }
+}
+
+impl OperatorService {
+    async fn confirm_plan(&self, plan: &Plan, operator: &str) -> Result<u64, Status> {
+        let known = self.shared.board.catalog.borrow().clone();
+        let ledger = Ledger::new(self.shared.platform.clone());
+        let end = ledger.confirm(plan, operator, &known).await;
+        let log = &self.shared.log;
+        let confirmed = match end {
+            Ok(confirmed) => confirmed,
+            Err(e) => {
+                warn!(log, "plan not confirmed"; "operator" => operator,
+                    "operation" => &plan.operation, "error" => %e);
+                return Err(confirm_status(&e));
+            }
+        };
+        info!(log, "plan confirmed"; "operator" => operator,
+            "operation" => &plan.operation, "revision" => confirmed.revision.0);
+        if let Some((set, catalog)) = confirmed.made {
+            config::accept(&self.shared, catalog, &[set]);
+        }
+        Ok(confirmed.revision.0)
+    }
+}
+
+/// Adapters of a name, an owner, a served team or a pool.
+fn filtered(catalog: &Catalog, filter: &str) -> Catalog {
+    let named = |name: &AdapterName, adapter: &Adapter| {
+        name.as_str() == filter
+            || adapter.owner.as_str() == filter
+            || adapter.pool.as_str() == filter
+            || adapter.serving.contains_key(filter)
+    };
+    let mut some = Catalog::default();
+    some.revision = catalog.revision;
+    let adapters = catalog.adapters.iter().filter(|(n, a)| named(n, a));
+    some.adapters = adapters.map(|(n, a)| (n.clone(), Arc::clone(a))).collect();
+    some
+}
+
+fn parse<T: serde::de::DeserializeOwned>(body: &[u8]) -> Result<T, Status> {
+    serde_json::from_slice(body).map_err(|e| Status::invalid_argument(e.to_string()))
+}
+
+fn plan_status(error: PlanError) -> Status {
+    match error {
+        PlanError::Rules(e) => Status::failed_precondition(e.to_string()),
+        PlanError::Size(_) | PlanError::Malformed(_) => Status::invalid_argument(error.to_string()),
+    }
+}
+
+/// A conflict is `Aborted`, an outage `Unavailable`, an open outcome
+/// `Unknown`; `banyan` has an exit code for each.
+fn confirm_status(error: &ConfirmError) -> Status {
+    let text = error.to_string();
+    match error {
+        ConfirmError::Plan(PlanError::Rules(_)) => Status::failed_precondition(text),
+        ConfirmError::Plan(_) => Status::invalid_argument(text),
+        ConfirmError::Overtaken(_) | ConfirmError::TooOld { .. } | ConfirmError::Busy => {
+            Status::aborted(text)
+        }
+        ConfirmError::Platform(_) => Status::unavailable(text),
+        ConfirmError::Unknown(_) => Status::unknown(text),
+    }
+}
--- a/lib/src/control/shared.rs
+++ b/lib/src/control/shared.rs
@@ -3,10 +3,14 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::LazyLock;
+use std::time::Instant;
 
 use banyangauge_proto as wire;
 use tokio::sync::watch;
 
+use super::config::History;
+use super::usage;
 use crate::catalog::Catalog;
 use crate::ids::Fingerprint;
 use crate::ids::Incarnation;
@@ -50,6 +54,11 @@
     pub platform_up: watch::Sender<bool>,
     /// True from the first SIGTERM on.
     pub stopping: watch::Sender<bool>,
+    /// The last change sets in force here, for those who follow; written by
+    /// `config` together with `catalog`.
+    pub history: History,
+    /// The usage counters that this process holds.
+    pub usage: usage::Store,
 }
 
 impl Board {
@@ -64,6 +73,8 @@
             pools: watch::Sender::default(),
             platform_up: watch::Sender::new(false),
             stopping: watch::Sender::new(false),
+            history: History::default(),
+            usage: usage::Store::new(),
         }
     }
 }
@@ -96,3 +107,16 @@
     /// The log.
     pub log: slog::Logger,
 }
+
+static START: LazyLock<Instant> = LazyLock::new(Instant::now);
+
+/// Milliseconds since this process first asked, the clock of
+/// [`Board::verdicts`].
+///
+/// ```
+/// use banyangauge::control::uptime_ms;
+/// assert!(uptime_ms() <= uptime_ms());
+/// ```
+pub fn uptime_ms() -> u64 {
+    START.elapsed().as_millis() as u64
+}
