--- a/cli/src/bin/banyan.rs
+++ b/cli/src/bin/banyan.rs
@@ -1,3 +1,48 @@
-//! To be written.
+//! The operators' command-line client.
 
-fn main() {}
+use std::process::ExitCode;
+
+use argh::FromArgs;
+
+#[path = "../commands/mod.rs"]
+mod commands;
+
+/// Wrong usage; `argh` alone would use 1, which means "refused" here.
+const USAGE: u8 = 2;
+
+fn main() -> ExitCode {
+    let arguments: Vec<_> = std::env::args().skip(1).collect();
+    let arguments: Vec<_> = arguments.iter().map(String::as_str).collect();
+    let command = match commands::Banyan::from_args(&["banyan"], &arguments) {
+        Ok(command) => command,
+        Err(exit) => {
+            return match exit.status {
+                Ok(()) => {
+                    println!("{}", exit.output);
+                    ExitCode::SUCCESS
+                }
+                Err(()) => {
+                    eprintln!("{}", exit.output);
+                    ExitCode::from(USAGE)
+                }
+            };
+        }
+    };
+    let runtime = match tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+    {
+        Ok(runtime) => runtime,
+        Err(e) => {
+            eprintln!("banyan: {e}");
+            return ExitCode::FAILURE;
+        }
+    };
+    match runtime.block_on(command.run()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("banyan: {e}");
+            ExitCode::from(e.exit_code())
+        }
+    }
+}
--- /dev/null
+++ b/cli/src/commands/mod.rs
@@ -0,0 +1,159 @@
+//! The commands of `banyan`, one a module.
+
+mod adapters;
+mod check_settings;
+mod confirm;
+mod output;
+mod plan;
+mod pools;
+mod status;
+mod timeline;
+mod usage;
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use argh::FromArgs;
+use banyangauge::operator::Client;
+use banyangauge::operator::ClientError;
+use banyangauge::operator::ClientSettings;
+
+/// Names the control processes when `--control` does not.
+const CONTROL_VARIABLE: &str = "BANYAN_CONTROL";
+
+/// Holds the operator's key when `--key` does not.
+const KEY_VARIABLE: &str = "BANYAN_KEY";
+
+/// Plan and confirm changes, and see what the system does.
+#[derive(FromArgs)]
+#[argh(
+    note = "Intents are TOML or JSON. Without --control, --key or --settings, the
+variables BANYAN_CONTROL and BANYAN_KEY are taken. Options of this list go
+before the command, the others after it.",
+    example = "{command_name} --control 10.0.0.1:7100 plan serve.toml --out plan.json
+{command_name} --control 10.0.0.1:7100 confirm plan.json",
+    error_code(0, "done"),
+    error_code(1, "refused: by the rules, or for the operator's key"),
+    error_code(2, "wrong usage, or a file that cannot be read"),
+    error_code(3, "no control process or platform answered, or the outcome is open"),
+    error_code(4, "another operator's change came first; plan again")
+)]
+pub(crate) struct Banyan {
+    /// control processes, tried in order: ADDR[,ADDR...]
+    #[argh(option)]
+    control: Option<String>,
+    /// the operator's key
+    #[argh(option)]
+    key: Option<String>,
+    /// settings file in TOML: control = [ADDR...], key_file = FILE
+    #[argh(option)]
+    settings: Option<PathBuf>,
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Plan(plan::Plan),
+    Confirm(confirm::Confirm),
+    Status(status::Status),
+    Adapters(adapters::Adapters),
+    Pools(pools::Pools),
+    Usage(usage::Usage),
+    Timeline(timeline::Timeline),
+    CheckSettings(check_settings::CheckSettings),
+}
+
+/// Why a command failed.
+pub(crate) enum CommandError {
+    /// A file cannot be read or written, or an argument is wrong.
+    Usage(String),
+    /// A call failed.
+    Call(ClientError),
+}
+
+impl CommandError {
+    /// The exit code.
+    pub(crate) const fn exit_code(&self) -> u8 {
+        match self {
+            Self::Usage(_) => 2,
+            Self::Call(e) => e.exit_code(),
+        }
+    }
+}
+
+impl std::fmt::Display for CommandError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Usage(e) => f.write_str(e),
+            Self::Call(e) => write!(f, "{e}"),
+        }
+    }
+}
+
+impl From<ClientError> for CommandError {
+    fn from(e: ClientError) -> Self {
+        Self::Call(e)
+    }
+}
+
+impl Banyan {
+    /// Runs the command.
+    ///
+    /// # Errors
+    ///
+    /// Why it failed; the error tells the exit code.
+    pub(crate) async fn run(self) -> Result<(), CommandError> {
+        if let Command::CheckSettings(command) = &self.command {
+            return command.run();
+        }
+        let client = self.client()?;
+        match &self.command {
+            Command::Plan(c) => c.run(&client).await,
+            Command::Confirm(c) => c.run(&client).await,
+            Command::Status(c) => c.run(&client).await,
+            Command::Adapters(c) => c.run(&client).await,
+            Command::Pools(c) => c.run(&client).await,
+            Command::Usage(c) => c.run(&client).await,
+            Command::Timeline(c) => c.run(&client).await,
+            Command::CheckSettings(c) => c.run(),
+        }
+    }
+
+    fn client(&self) -> Result<Client, CommandError> {
+        let settings = match &self.settings {
+            Some(file) => Some(
+                banyangauge::settings::load::<ClientSettings>(file)
+                    .map_err(|e| CommandError::Usage(e.to_string()))?,
+            ),
+            None => None,
+        };
+        let variable = |name| std::env::var(name).ok();
+        let control = match self.control.clone() {
+            Some(text) => addresses(&text)?,
+            None => match &settings {
+                Some(s) => s.control.clone(),
+                None => addresses(&variable(CONTROL_VARIABLE).unwrap_or_default())?,
+            },
+        };
+        let file = settings.and_then(|s| s.key_file);
+        let key = match (self.key.clone(), file) {
+            (Some(key), _) => key,
+            (None, Some(file)) => output::read(&file)?.trim().to_owned(),
+            (None, None) => variable(KEY_VARIABLE).unwrap_or_default(),
+        };
+        Ok(Client::new(&control, &key)?)
+    }
+}
+
+/// Reads `ADDR[,ADDR...]`.
+fn addresses(text: &str) -> Result<Vec<SocketAddr>, CommandError> {
+    let parts = text.split(',').map(str::trim).filter(|p| !p.is_empty());
+    parts
+        .map(|p| {
+            p.parse()
+                .map_err(|_| CommandError::Usage(format!("{p:?} is not an address and a port")))
+        })
+        .collect()
+}
--- /dev/null
+++ b/cli/src/commands/output.rs
@@ -0,0 +1,24 @@
+//! Reading files, writing results.
+
+use std::path::Path;
+
+use serde_json::Value;
+
+use super::CommandError;
+
+pub(super) fn read(file: &Path) -> Result<String, CommandError> {
+    std::fs::read_to_string(file)
+        .map_err(|e| CommandError::Usage(format!("{}: {e}", file.display())))
+}
+
+pub(super) fn write(file: &Path, text: &str) -> Result<(), CommandError> {
+    std::fs::write(file, text).map_err(|e| CommandError::Usage(format!("{}: {e}", file.display())))
+}
+
+/// Prints either form of a result.
+pub(super) fn print(json: bool, text: impl FnOnce() -> String, value: impl FnOnce() -> Value) {
+    match json {
+        true => println!("{}", value()),
+        false => print!("{}", text()),
+    }
+}
--- /dev/null
+++ b/cli/src/commands/plan.rs
@@ -0,0 +1,42 @@
+//! `banyan plan`.
+
+use std::path::PathBuf;
+
+use argh::FromArgs;
+use banyangauge::operator::Client;
+use banyangauge::operator::parse_intent;
+use banyangauge::operator::plan_text;
+use serde_json::json;
+
+use super::CommandError;
+use super::output;
+
+/// Make a plan of an intent: what changes, who is affected, what it costs.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "plan")]
+pub(super) struct Plan {
+    /// the intent, TOML or JSON
+    #[argh(positional)]
+    file: PathBuf,
+    /// where to write the plan, for confirm
+    #[argh(option)]
+    out: Option<PathBuf>,
+    /// print the plan as JSON
+    #[argh(switch)]
+    json: bool,
+}
+
+impl Plan {
+    pub(super) async fn run(&self, client: &Client) -> Result<(), CommandError> {
+        let text = output::read(&self.file)?;
+        let intent = parse_intent(&text)
+            .map_err(|e| CommandError::Usage(format!("{}: {e}", self.file.display())))?;
+        let plan = client.plan(&intent).await?;
+        let value = json!(plan);
+        if let Some(file) = &self.out {
+            output::write(file, &format!("{value:#}\n"))?;
+        }
+        output::print(self.json, || plan_text(&plan), || value);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/cli/src/commands/status.rs
@@ -0,0 +1,26 @@
+//! `banyan status`.
+
+use argh::FromArgs;
+use banyangauge::operator::Client;
+use banyangauge::operator::status_json;
+use banyangauge::operator::status_text;
+
+use super::CommandError;
+use super::output;
+
+/// Show the VMs, the revision that each has in force, and who owns which pool.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "status")]
+pub(super) struct Status {
+    /// print JSON
+    #[argh(switch)]
+    json: bool,
+}
+
+impl Status {
+    pub(super) async fn run(&self, client: &Client) -> Result<(), CommandError> {
+        let status = client.status().await?;
+        output::print(self.json, || status_text(&status), || status_json(&status));
+        Ok(())
+    }
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod control;
 pub mod entry;
 pub mod ids;
+pub mod operator;
 pub mod platform;
 pub mod pool;
 pub mod settings;
--- /dev/null
+++ b/lib/src/operator/input.rs
@@ -0,0 +1,89 @@
+//! What operators give: intents, plans, settings.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use serde::Deserialize;
+
+use crate::catalog::Intent;
+use crate::catalog::Plan;
+use crate::settings::BadValue;
+use crate::settings::Settings;
+
+/// Settings of `banyan`.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ClientSettings {
+    /// Control processes, tried in this order.
+    pub control: Vec<SocketAddr>,
+    /// The file that holds the operator's key.
+    pub key_file: Option<PathBuf>,
+}
+
+impl Settings for ClientSettings {
+    fn check(&self) -> Result<(), BadValue> {
+        match self.control.is_empty() {
+            false => Ok(()),
+            true => Err(BadValue {
+                key: "control",
+                found: "none".to_owned(),
+                allowed: "one address or more",
+            }),
+        }
+    }
+}
+
+/// Why an intent or a plan cannot be read.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum InputError {
+    /// The intent is neither TOML nor JSON of the published form.
+    Intent(String),
+    /// The plan is not JSON of the published form.
+    Plan(String),
+}
+
+impl fmt::Display for InputError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Intent(e) => write!(f, "not an intent: {e}"),
+            Self::Plan(e) => write!(f, "not a plan: {e}"),
+        }
+    }
+}
+
+impl std::error::Error for InputError {}
+
+/// Reads an intent, in JSON when its first character is a brace, else in TOML.
+///
+/// # Errors
+///
+/// When it is neither, or a change is unknown or incomplete.
+///
+/// ```
+/// let intent = banyangauge::operator::parse_intent(
+///     r#"
+///     [[changes]]
+///     change = "serve"
+///     team = "laundry"
+///     adapter = "rosters"
+///     version = 3
+///     "#,
+/// );
+/// assert_eq!(intent.unwrap().changes.len(), 1);
+/// ```
+pub fn parse_intent(text: &str) -> Result<Intent, InputError> {
+    match text.trim_start().starts_with('{') {
+        true => serde_json::from_str(text).map_err(|e| InputError::Intent(e.to_string())),
+        false => toml::from_str(text).map_err(|e| InputError::Intent(e.to_string())),
+    }
+}
+
+/// Reads a plan as `banyan plan` wrote it.
+///
+/// # Errors
+///
+/// When it is not a plan.
+pub fn parse_plan(text: &str) -> Result<Plan, InputError> {
+    serde_json::from_str(text).map_err(|e| InputError::Plan(e.to_string()))
+}
--- /dev/null
+++ b/lib/src/operator/merge.rs
@@ -0,0 +1,39 @@
+//! Merges the rings of several processes into one time line.
+
+use banyangauge_proto as wire;
+
+/// One event of a merged time line.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Line {
+    /// Milliseconds since the first event.
+    pub at: f64,
+    /// The event.
+    pub event: wire::Event,
+}
+
+/// Milliseconds of a clock reading: its upper half counts seconds, its lower
+/// half fractions of them.
+///
+/// ```
+/// assert_eq!(banyangauge::operator::millis((2 << 32) | (1 << 31)), 2_500.0);
+/// ```
+pub fn millis(time: u64) -> f64 {
+    time as f64 * 1_000.0 / (1_u64 << 32) as f64
+}
+
+/// All events in the order of the hybrid logical clock.
+pub fn merge(replies: impl IntoIterator<Item = wire::TimelineReply>) -> Vec<Line> {
+    let mut events: Vec<_> = replies.into_iter().flat_map(|r| r.events).collect();
+    let key = |e: &wire::Event| {
+        let stamp = e.stamp.clone().unwrap_or_default();
+        (stamp.time, stamp.origin)
+    };
+    events.sort_by_cached_key(key);
+    let time = |e: &wire::Event| e.stamp.as_ref().map_or(0, |s| s.time);
+    let first = events.first().map_or(0, time);
+    let line = |event: wire::Event| Line {
+        at: millis(time(&event) - first),
+        event,
+    };
+    events.into_iter().map(line).collect()
+}
--- /dev/null
+++ b/lib/src/operator/mod.rs
@@ -0,0 +1,35 @@
+//! What operators use: a client of the control processes, the forms of intents
+//! and settings, and the output of `banyan`.
+
+mod client;
+mod html;
+mod input;
+mod json;
+mod merge;
+mod render;
+
+pub use client::Client;
+pub use client::ClientError;
+pub use client::Merged;
+pub use html::timeline_page;
+pub use input::ClientSettings;
+pub use input::InputError;
+pub use input::parse_intent;
+pub use input::parse_plan;
+pub use json::pools_json;
+pub use json::status_json;
+pub use json::timeline_json;
+pub use json::usage_json;
+pub use merge::Line;
+pub use merge::merge;
+pub use merge::millis;
+pub use render::adapters_text;
+pub use render::plan_text;
+pub use render::pools_text;
+pub use render::status_text;
+pub use render::table;
+pub use render::timeline_text;
+pub use render::usage_text;
+
+/// What `banyan timeline` asks for: only events that carry these values.
+pub type Filter = banyangauge_proto::TimelineRequest;
--- /dev/null
+++ b/lib/src/operator/render.rs
@@ -0,0 +1,257 @@
+//! Text output of `banyan`: aligned columns, one thing a line.
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+
+use banyangauge_proto as wire;
+
+use super::Line;
+use crate::catalog::Catalog;
+use crate::catalog::Plan;
+
+/// Space between two columns.
+const GAP: &str = "  ";
+
+/// Lines of cells with each column as wide as its widest cell.
+///
+/// ```
+/// let text = banyangauge::operator::table(&["pool", "n"], &[vec!["a".into(), "10".into()]]);
+/// assert_eq!(text, "pool  n\na     10\n");
+/// ```
+pub fn table(head: &[&str], rows: &[Vec<String>]) -> String {
+    let mut widths: Vec<_> = head.iter().map(|h| h.chars().count()).collect();
+    for row in rows {
+        for (width, cell) in widths.iter_mut().zip(row) {
+            *width = (*width).max(cell.chars().count());
+        }
+    }
+    let mut text = line(&widths, head.iter().copied());
+    for row in rows {
+        text += &line(&widths, row.iter().map(String::as_str));
+    }
+    text
+}
+
+fn line<'a>(widths: &[usize], cells: impl Iterator<Item = &'a str>) -> String {
+    let padded: Vec<_> = widths
+        .iter()
+        .zip(cells)
+        .map(|(width, cell)| format!("{:<width$}", shown(cell)))
+        .collect();
+    let mut text = padded.join(GAP).trim_end().to_owned();
+    text.push('\n');
+    text
+}
+
+/// Control characters would let a value move the terminal's cursor.
+fn shown(cell: &str) -> String {
+    cell.chars()
+        .map(|c| if c.is_control() { '\u{fffd}' } else { c })
+        .collect()
+}
+
+/// A plan: what it changes, whom it affects, what it costs.
+pub fn plan_text(plan: &Plan) -> String {
+    let rows: Vec<_> = plan
+        .effects
+        .iter()
+        .map(|e| {
+            let teams: Vec<_> = e.teams.iter().map(ToString::to_string).collect();
+            vec![
+                e.text.clone(),
+                dash(teams.join(" ")),
+                dash(e.pool.as_ref().map(ToString::to_string).unwrap_or_default()),
+                e.loads.to_string(),
+                e.slots.to_string(),
+            ]
+        })
+        .collect();
+    let mut text = format!("operation {} on revision {}\n", plan.operation, plan.base.0);
+    text += &table(&["change", "teams", "pool", "loads", "slots"], &rows);
+    // Writing to a string cannot fail.
+    let _ = writeln!(
+        text,
+        "in all at least {} loads and {} slots; nothing takes effect before it is confirmed",
+        plan.loads(),
+        plan.slots()
+    );
+    text
+}
+
+fn dash(text: String) -> String {
+    match text.is_empty() {
+        true => "-".to_owned(),
+        false => text,
+    }
+}
+
+const STATES: [&str; 4] = ["live", "suspect", "leaving", "gone"];
+
+/// Which VMs are there, what each has in force, who owns which pool.
+pub fn status_text(status: &wire::StatusReply) -> String {
+    let platform = match status.platform_up {
+        true => "up",
+        false => "down",
+    };
+    let mut text = format!(
+        "{}: revision {}, platform {platform}\n\n",
+        status.vm, status.revision
+    );
+    let members: Vec<_> = status
+        .members
+        .iter()
+        .map(|m| {
+            let state = STATES.get(m.state as usize).copied().unwrap_or("?");
+            vec![
+                m.vm.clone(),
+                m.zone.clone(),
+                m.address.clone(),
+                state.to_owned(),
+                m.revision.to_string(),
+                behind(status.revision, m.revision),
+            ]
+        })
+        .collect();
+    text += &table(
+        &["vm", "zone", "address", "state", "revision", ""],
+        &members,
+    );
+    let owners: Vec<_> = status
+        .owners
+        .iter()
+        .map(|o| vec![o.pool.clone(), o.vm.clone(), o.token.to_string()])
+        .collect();
+    text.push('\n');
+    text += &table(&["pool", "owner", "token"], &owners);
+    text
+}
+
+fn behind(ours: u64, theirs: u64) -> String {
+    match ours.checked_sub(theirs) {
+        Some(0) | None => String::new(),
+        Some(n) => format!("{n} behind"),
+    }
+}
+
+/// Adapters, their versions and whom each is served to.
+pub fn adapters_text(catalog: &Catalog) -> String {
+    let rows: Vec<_> = catalog
+        .adapters
+        .iter()
+        .map(|(name, a)| {
+            let versions: Vec<_> = a.versions.iter().map(ToString::to_string).collect();
+            let serving: Vec<_> = a.serving.iter().map(|(t, v)| format!("{t}@{v}")).collect();
+            vec![
+                name.to_string(),
+                a.owner.to_string(),
+                a.pool.to_string(),
+                dash(versions.join(" ")),
+                dash(serving.join(" ")),
+            ]
+        })
+        .collect();
+    table(&["adapter", "owner", "pool", "versions", "served"], &rows)
+}
+
+/// Pools and their replicas.
+pub fn pools_text(pools: &[wire::PoolStatus]) -> String {
+    let rows: Vec<_> = pools
+        .iter()
+        .map(|p| {
+            vec![
+                p.pool.clone(),
+                p.owner.clone(),
+                p.token.to_string(),
+                p.queued.to_string(),
+                p.granted.to_string(),
+                p.loads.to_string(),
+                p.stalls.to_string(),
+            ]
+        })
+        .collect();
+    let head = [
+        "pool", "owner", "token", "queued", "granted", "loads", "stalls",
+    ];
+    let mut text = table(&head, &rows);
+    let replicas: Vec<_> = pools
+        .iter()
+        .flat_map(|p| p.replicas.iter().map(move |r| replica_row(p, r)))
+        .collect();
+    text.push('\n');
+    let head = [
+        "pool",
+        "replica",
+        "address",
+        "state",
+        "outstanding",
+        "loaded",
+        "loading",
+    ];
+    text += &table(&head, &replicas);
+    text
+}
+
+fn replica_row(pool: &wire::PoolStatus, replica: &wire::ReplicaStatus) -> Vec<String> {
+    vec![
+        pool.pool.clone(),
+        replica.replica.clone(),
+        replica.address.clone(),
+        replica.state.clone(),
+        replica.outstanding.to_string(),
+        dash(replica.loaded.join(" ")),
+        dash(replica.loading.join(" ")),
+    ]
+}
+
+/// Usage by team and adapter version, with each team's sum.
+pub fn usage_text(counts: &[wire::UsageCount]) -> String {
+    let mut sums: BTreeMap<&str, [u64; 3]> = BTreeMap::new();
+    let mut rows = Vec::new();
+    for c in counts {
+        let sum = sums.entry(&c.team).or_default();
+        sum[0] += c.requests;
+        sum[1] += c.prompt_tokens;
+        sum[2] += c.output_tokens;
+        let name = match c.version {
+            0 => c.adapter.clone(),
+            v => format!("{}@{v}", c.adapter),
+        };
+        let values = [c.requests, c.prompt_tokens, c.output_tokens];
+        rows.push(usage_row(&c.team, name, values));
+    }
+    for (team, values) in sums {
+        rows.push(usage_row(team, "all".to_owned(), values));
+    }
+    let head = ["team", "adapter", "requests", "prompt", "output"];
+    table(&head, &rows)
+}
+
+fn usage_row(team: &str, name: String, values: [u64; 3]) -> Vec<String> {
+    let mut row = vec![team.to_owned(), name];
+    row.extend(values.iter().map(ToString::to_string));
+    row
+}
+
+/// A merged time line, milliseconds after its first event.
+pub fn timeline_text(lines: &[Line]) -> String {
+    let rows: Vec<_> = lines
+        .iter()
+        .map(|l| {
+            let e = &l.event;
+            vec![
+                format!("{:.3}", l.at),
+                e.process.clone(),
+                e.kind.clone(),
+                e.request.clone(),
+                e.adapter.clone(),
+                e.upstream.clone(),
+                e.pool.clone(),
+                e.detail.clone(),
+            ]
+        })
+        .collect();
+    let head = [
+        "ms", "process", "event", "request", "adapter", "upstream", "pool", "detail",
+    ];
+    table(&head, &rows)
+}
