--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -1,1 +1,7 @@
-//! Harness for tests.
+//! Harness for tests: starts the programs, sends requests, keeps a history,
+//! checks it.
+
+pub mod caller;
+pub mod check;
+pub mod process;
+pub mod rig;
