--- a/lib/src/control/clock.rs
+++ b/lib/src/control/clock.rs
@@ -23,11 +23,3 @@
 pub const fn duration(span: Span) -> std::time::Duration {
     std::time::Duration::from_micros(span.0)
 }
-
-static START: std::sync::OnceLock<Moment> = std::sync::OnceLock::new();
-
-/// Milliseconds since this process first asked, the clock of `Board::verdicts`.
-pub fn uptime_ms() -> u64 {
-    let start = *START.get_or_init(now);
-    now().since(start).0 / 1_000
-}
--- a/lib/src/control/mod.rs
+++ b/lib/src/control/mod.rs
@@ -4,20 +4,23 @@
 //! the [`Board`]; start at [`run`] for the list of duties.
 
 mod clock;
+pub mod config;
 mod election;
+pub mod feed;
 mod local;
 mod members;
+pub mod operator;
 pub mod owner;
 mod peers;
 mod run;
 mod service;
 mod settings;
 mod shared;
+pub mod usage;
 mod vms;
 
 pub use clock::duration;
 pub use clock::now;
-pub use clock::uptime_ms;
 pub use local::Entries;
 pub use local::Local;
 pub use members::DIGEST_MEMBERS;
@@ -37,3 +40,4 @@
 pub use shared::Board;
 pub use shared::Owner;
 pub use shared::Shared;
+pub use shared::uptime_ms;
--- a/lib/src/control/owner/actor.rs
+++ b/lib/src/control/owner/actor.rs
@@ -30,6 +30,7 @@
 use crate::control::owner::journal;
 use crate::control::owner::safety::HEARD;
 use crate::control::owner::safety::PUBLISHED;
+use crate::control::uptime_ms;
 use crate::ids::Fingerprint;
 use crate::ids::Incarnation;
 use crate::ids::PoolName;
@@ -312,7 +313,7 @@
         if board == self.verdicts {
             return;
         }
-        let uptime = clock::uptime_ms();
+        let uptime = uptime_ms();
         for (fingerprint, until) in &board {
             if self.verdicts.get(fingerprint) != Some(until) {
                 let left = Span::from_millis(until.saturating_sub(uptime));
--- a/lib/src/control/peers.rs
+++ b/lib/src/control/peers.rs
@@ -17,11 +17,14 @@
 use crate::control::Owner;
 use crate::control::Shared;
 use crate::control::clock;
+use crate::control::config;
 use crate::control::local::Local;
 use crate::control::members::Members;
+use crate::control::uptime_ms;
 use crate::ids::Fingerprint;
 use crate::ids::IdError;
 use crate::ids::PoolName;
+use crate::ids::Revision;
 use crate::ids::Token;
 use crate::ids::VmName;
 use crate::pool::Moment;
@@ -95,7 +98,7 @@
     /// What this process tells its peers now.
     pub fn digest(&self) -> wire::Digest {
         let board = &self.shared.board;
-        let uptime = clock::uptime_ms();
+        let uptime = uptime_ms();
         let verdicts = board.verdicts.borrow();
         let verdicts = verdicts.iter().filter(|(_, until)| **until > uptime);
         wire::Digest {
@@ -126,6 +129,9 @@
         let mut news = self.absorb_verdicts(&digest.verdicts);
         news |= self.absorb_owners(&digest.owners);
         self.refresh(now);
+        let members = digest.members.iter().map(|m| m.revision);
+        let highest = members.max().unwrap_or(0).max(digest.revision);
+        config::nudge(&self.shared, Revision(highest));
         if news {
             self.local.urgent.notify_one();
         }
@@ -142,7 +148,7 @@
             state.members.beat(now, revision, stopping);
             state.members.sweep(now);
         }
-        let uptime = clock::uptime_ms();
+        let uptime = uptime_ms();
         board.verdicts.send_if_modified(|verdicts| {
             let before = verdicts.len();
             verdicts.retain(|_, until| *until > uptime);
@@ -153,7 +159,7 @@
 
     /// A verdict found here: known on this VM now, on its way to the others.
     pub fn convict(shared: &Shared, local: &Local, fingerprint: Fingerprint, hold: Span) {
-        let until = clock::uptime_ms() + hold.as_millis();
+        let until = uptime_ms() + hold.as_millis();
         let news = shared
             .board
             .verdicts
@@ -194,7 +200,7 @@
     }
 
     fn absorb_verdicts(&self, verdicts: &[wire::Verdict]) -> bool {
-        let uptime = clock::uptime_ms();
+        let uptime = uptime_ms();
         self.shared.board.verdicts.send_if_modified(|known| {
             let mut news = false;
             for v in verdicts {
--- a/lib/src/control/run.rs
+++ b/lib/src/control/run.rs
@@ -14,20 +14,28 @@
 use tokio::signal::unix::signal;
 use tokio_stream::wrappers::TcpListenerStream;
 use tonic::transport::server::Router;
+use wire::feed_server::FeedServer;
 use wire::grants_server::GrantsServer;
+use wire::operator_server::OperatorServer;
 use wire::peers_server::PeersServer;
+use wire::timeline_server::TimelineServer;
 
 use crate::control::Board;
 use crate::control::ControlSettings;
 use crate::control::Local;
 use crate::control::Peers;
 use crate::control::Shared;
+use crate::control::config;
 use crate::control::election;
+use crate::control::feed::FeedService;
+use crate::control::operator::Keys;
+use crate::control::operator::OperatorService;
 use crate::control::owner;
 use crate::control::owner::GrantsService;
 use crate::control::owner::Registry;
 use crate::control::peers;
 use crate::control::service::PeersService;
+use crate::control::usage;
 use crate::control::vms;
 use crate::ids::IdError;
 use crate::ids::Incarnation;
@@ -36,6 +44,7 @@
 use crate::timeline::About;
 use crate::timeline::Kind;
 use crate::timeline::Recorder;
+use crate::timeline::TimelineService;
 
 /// Events that the time line keeps, about 200 bytes each.
 const TIMELINE: usize = 16_384;
@@ -175,6 +184,7 @@
     listener: TcpListener,
 ) -> Result<Duties, ControlError> {
     let platform = settings.platform;
+    let keys = settings.operators.clone();
     let local = Arc::new(Local::new(settings));
     let registry = Arc::new(Registry::default());
     let members = Peers::new(own(shared, platform), Arc::clone(&local));
@@ -193,7 +203,10 @@
             Arc::clone(&registry),
         ),
     )?;
-    let router = services(&own(shared, platform), registry, members);
+    duty("config", config::run(own(shared, platform)))?;
+    let store = shared.board.usage.clone();
+    let usage = duty("usage", usage::run(own(shared, platform), store))?;
+    let router = services(&own(shared, platform), registry, members, keys);
     duty("listen", async move {
         // Ends with the process.
         let incoming = TcpListenerStream::new(listener);
@@ -201,16 +214,24 @@
     })?;
     Ok(Duties {
         local,
-        last: Vec::new(),
+        last: vec![usage],
     })
 }
 
-fn services(shared: &Shared, registry: Arc<Registry>, members: Arc<Peers>) -> Router {
+fn services(shared: &Shared, registry: Arc<Registry>, members: Arc<Peers>, keys: Keys) -> Router {
     let grants = GrantsService::new(shared.clone(), registry);
     let peers = PeersService::new(shared.clone(), members);
     tonic::transport::Server::builder()
         .add_service(GrantsServer::new(grants))
         .add_service(PeersServer::new(peers))
+        .add_service(FeedServer::new(FeedService::new(shared.clone())))
+        .add_service(OperatorServer::new(OperatorService::new(
+            shared.clone(),
+            keys,
+        )))
+        .add_service(TimelineServer::new(TimelineService::new(Arc::clone(
+            &shared.recorder,
+        ))))
 }
 
 fn runtime() -> std::io::Result<tokio::runtime::Runtime> {
--- a/lib/src/control/service.rs
+++ b/lib/src/control/service.rs
@@ -9,6 +9,7 @@
 
 use crate::control::Peers;
 use crate::control::Shared;
+use crate::control::config;
 
 /// Answers other control processes.
 pub struct PeersService {
@@ -35,23 +36,25 @@
 
     async fn fetch_catalog(
         &self,
-        _request: Request<wire::FetchRequest>,
+        request: Request<wire::FetchRequest>,
     ) -> Result<Response<wire::Snapshot>, Status> {
-        let _ = &self.shared;
-        Err(Status::unimplemented("not yet"))
+        let snapshot = config::fetch_catalog(&self.shared, request.get_ref());
+        Ok(Response::new(snapshot))
     }
 
     async fn fetch_changes(
         &self,
-        _request: Request<wire::FetchRequest>,
+        request: Request<wire::FetchRequest>,
     ) -> Result<Response<wire::Changes>, Status> {
-        Err(Status::unimplemented("not yet"))
+        let changes = config::fetch_changes(&self.shared, request.get_ref());
+        Ok(Response::new(changes))
     }
 
     async fn hold_usage(
         &self,
-        _request: Request<wire::UsageReport>,
+        request: Request<wire::UsageReport>,
     ) -> Result<Response<wire::UsageReply>, Status> {
-        Err(Status::unimplemented("not yet"))
+        let reply = self.shared.board.usage.take(request.into_inner());
+        Ok(Response::new(reply))
     }
 }
