owner: forget what waited on a replaced stream, date a majority instead of asking for it

A claim freed while its commit was on the way could be struck out under the next request with the same key; commits now remember whose claims they carry. Facts for the safety rules are gathered once a tick and carry their date, so that a grant costs no look at other duties and a paused owner's facts age.

--- a/lib/src/claims/journal.rs
+++ b/lib/src/claims/journal.rs
@@ -13,7 +13,7 @@
 /// Bounds of the journal.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Limits {
-    /// How long a claim is kept after it was made, or after an owner change.
+    /// How long a claim is kept after it ended, or after an owner change.
     pub retention: Span,
     /// Claims in one segment. Each commit rewrites one segment, about 40 bytes
     /// a claim: 1,000 keep a commit near 40 KB, far below the megabyte.
@@ -60,6 +60,17 @@
     Full,
 }
 
+/// Whether a claim is durable.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Record {
+    /// It is.
+    Recorded,
+    /// The next commit makes it so.
+    Waits,
+    /// The journal does not hold it: the request may not be granted.
+    Lost,
+}
+
 /// A write to the platform that the journal wants.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Write {
@@ -105,7 +116,8 @@
     places: BTreeMap<u64, Place>,
     head: u64,
     pending: BTreeSet<ClaimKey>,
-    flying: Option<(u64, BTreeSet<ClaimKey>)>,
+    // The segment that is being written and the claims that are new in it.
+    flying: Option<(u64, BTreeMap<ClaimKey, Option<Who>>)>,
     last: Moment,
     orders: u64,
     ready: bool,
@@ -235,16 +247,17 @@
         }
     }
 
-    /// The pool granted the request. True when its claim is recorded already
-    /// (a second try of the same request); otherwise it waits for a commit.
-    pub fn record(&mut self, key: &ClaimKey) -> bool {
+    /// The pool granted the request. `Recorded` when its claim is durable
+    /// already (a second try of the same request); otherwise it waits for a
+    /// commit.
+    pub fn record(&mut self, key: &ClaimKey) -> Record {
         match self.claims.get(key) {
-            Some(claim) if claim.place.is_some() => true,
+            Some(claim) if claim.place.is_some() => Record::Recorded,
             Some(_) => {
                 self.pending.insert(key.clone());
-                false
+                Record::Waits
             }
-            None => false,
+            None => Record::Lost,
         }
     }
 
@@ -275,6 +288,7 @@
         };
         claim.state = state;
         claim.touched = true;
+        claim.at = now;
         let place = claim.place;
         self.soil(now, place);
     }
@@ -291,7 +305,9 @@
         let keys = self.take_pending(number);
         self.last = now;
         let segment = self.content_with(number, &keys);
-        self.flying = Some((number, keys));
+        let who = |key: &ClaimKey| self.claims.get(key).and_then(|c| c.who.clone());
+        let flying = keys.iter().map(|k| (k.clone(), who(k))).collect();
+        self.flying = Some((number, flying));
         Some(Write {
             version: self.places.get(&number).and_then(|p| p.version.clone()),
             segment,
@@ -331,22 +347,26 @@
                 false
             }
         };
-        for key in &keys {
+        for (key, who) in &keys {
+            // Another request may hold the key by now; recorded is recorded.
             if done && let Some(claim) = self.claims.get_mut(key) {
                 claim.place = Some(number);
-            } else {
+                continue;
+            }
+            self.soil(now, Some(number));
+            if !done && self.claims.get(key).is_some_and(|c| c.who == *who) {
                 self.claims.remove(key);
-                self.soil(now, Some(number));
             }
         }
-        (keys.into_iter().collect(), done)
+        (keys.into_keys().collect(), done)
     }
 
-    /// Drops claims past their retention; gives segments that can be deleted.
+    /// Drops claims that ended a retention ago; gives segments that can be
+    /// deleted.
     pub fn expire(&mut self, now: Moment) -> Vec<u64> {
         let retention = self.limits.retention;
         self.claims
-            .retain(|_, c| c.place.is_none() || now < c.at.after(retention));
+            .retain(|_, c| c.state == State::Running || now < c.at.after(retention));
         let used: BTreeSet<u64> = self.claims.values().filter_map(|c| c.place).collect();
         let flying = self.flying.as_ref().map(|(n, _)| *n);
         let head = self.head;
--- a/lib/src/claims/mod.rs
+++ b/lib/src/claims/mod.rs
@@ -9,6 +9,7 @@
 
 pub use journal::Journal;
 pub use journal::Limits;
+pub use journal::Record;
 pub use journal::Verdict;
 pub use journal::Who;
 pub use journal::Write;
--- a/lib/src/control/local.rs
+++ b/lib/src/control/local.rs
@@ -57,18 +57,40 @@
         }
     }
 
-    /// Whether exchanges begun at `since` or later were answered by so many of
-    /// the configured peers that, with this process, they are a majority.
+    /// The latest moment such that exchanges begun then or later were answered
+    /// by so many of the configured peers that, with this process, they are a
+    /// majority; zero when there is none, `now` without peers.
     ///
     /// Two processes with the same peers in their settings cannot both have a
     /// majority without a peer that talked to both.
-    pub fn has_majority(&self, since: Moment) -> bool {
-        let peers = &self.settings.peers;
-        let contacts = self.contacts.borrow();
-        let heard = peers
-            .iter()
-            .filter(|p| contacts.get(p).is_some_and(|at| *at >= since))
-            .count();
-        2 * (heard + 1) > peers.len() + 1
+    pub fn majority(&self, now: Moment) -> Moment {
+        majority(now, &self.settings.peers, &self.contacts.borrow())
+    }
+}
+
+/// See [`Local::majority`].
+///
+/// ```
+/// use std::collections::BTreeMap;
+/// use banyangauge::control::majority;
+/// use banyangauge::pool::Moment;
+/// let peers: Vec<std::net::SocketAddr> =
+///     (1..=4).map(|p| ([127, 0, 0, 1], p).into()).collect();
+/// let heard = BTreeMap::from([(peers[0], Moment(5)), (peers[1], Moment(3))]);
+/// assert_eq!(majority(Moment(9), &peers, &heard), Moment(3));
+/// assert_eq!(majority(Moment(9), &[], &heard), Moment(9));
+/// ```
+pub fn majority(
+    now: Moment,
+    peers: &[SocketAddr],
+    contacts: &BTreeMap<SocketAddr, Moment>,
+) -> Moment {
+    let heard = |p: &SocketAddr| contacts.get(p).copied().unwrap_or_default();
+    let mut times: Vec<Moment> = peers.iter().map(heard).collect();
+    times.sort_unstable_by(|a, b| b.cmp(a));
+    // Of n processes, this one among them, n / 2 + 1 are a majority.
+    match times.len().div_ceil(2) {
+        0 => now,
+        needed => times.get(needed - 1).copied().unwrap_or_default(),
     }
 }
--- a/lib/src/control/mod.rs
+++ b/lib/src/control/mod.rs
@@ -23,6 +23,7 @@
 pub use clock::now;
 pub use local::Entries;
 pub use local::Local;
+pub use local::majority;
 pub use members::DIGEST_MEMBERS;
 pub use members::MemberState;
 pub use members::Members;
--- a/lib/src/control/owner/actor.rs
+++ b/lib/src/control/owner/actor.rs
@@ -28,8 +28,6 @@
 use crate::control::owner::SessionId;
 use crate::control::owner::entries::message;
 use crate::control::owner::journal;
-use crate::control::owner::safety::HEARD;
-use crate::control::owner::safety::PUBLISHED;
 use crate::control::uptime_ms;
 use crate::ids::Fingerprint;
 use crate::ids::Incarnation;
@@ -158,6 +156,7 @@
     pub(super) pool: Pool,
     pub(super) book: Book,
     pub(super) safety: Safety,
+    pub(super) facts: Facts,
     pub(super) journal: Journal,
     pub(super) held: BTreeMap<ClaimKey, (Ticket, wire::Grant)>,
     pub(super) outboxes: BTreeMap<SessionId, Outbox>,
@@ -212,6 +211,7 @@
                 ..spec
             },
             catalog: Arc::default(),
+            facts: Facts::default(),
             held: BTreeMap::new(),
             outboxes: BTreeMap::new(),
             replicas: BTreeMap::new(),
@@ -252,22 +252,20 @@
         });
     }
 
-    pub(super) fn facts(&self, now: Moment) -> Facts {
-        let tenure = self.safety.tenure();
-        let left = match &tenure.former {
+    fn learn_facts(&mut self, now: Moment) {
+        let left = match &self.safety.tenure().former {
             Former::Lapsed(vm) => self.local.departed.borrow().contains(vm.as_str()),
             _ => false,
         };
-        let recent = Moment(now.0.saturating_sub(HEARD.0));
-        Facts {
-            heard_majority: self.local.has_majority(recent),
-            told_majority: self.local.has_majority(tenure.since.after(PUBLISHED)),
+        self.facts = Facts {
+            majority: self.local.majority(now),
             former_left: left,
             helloed: self.book.helloed().clone(),
-        }
+        };
     }
 
     fn tick(&mut self, now: Moment) {
+        self.learn_facts(now);
         self.follow_tenure();
         self.follow_catalog(now);
         self.follow_verdicts(now);
@@ -324,9 +322,8 @@
     }
 
     fn keep_frozen(&mut self, now: Moment) {
-        let facts = self.facts(now);
         let replicas: BTreeSet<_> = self.replicas.keys().cloned().collect();
-        let closed = self.safety.is_frozen(now, &replicas, &facts);
+        let closed = self.safety.is_frozen(now, &replicas, &self.facts);
         // Past the lease, slots at engines that ignore tokens are not changed.
         if closed || !self.safety.may_order(now) {
             self.pool.freeze(now.after(Span(2 * TICK.0)));
--- a/lib/src/control/owner/book.rs
+++ b/lib/src/control/owner/book.rs
@@ -37,6 +37,16 @@
     pub grant: Option<wire::Grant>,
 }
 
+/// What a new stream ends of its entry's earlier one.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Opened {
+    /// Grants that were lost on the way: by its hello the entry will not use
+    /// them.
+    pub unused: Vec<Ticket>,
+    /// Requests that waited; the entry asks again for those it still wants.
+    pub waiting: Vec<Ticket>,
+}
+
 /// All requests of a pool that its owner knows of.
 #[derive(Clone, Debug)]
 pub struct Book {
@@ -61,17 +71,19 @@
         }
     }
 
-    /// A new stream takes the place of the entry's earlier one. Gives the
-    /// tickets of grants that the entry does not hold: they were lost on the
-    /// way to it, and by its hello it will not use them.
-    pub fn open(&mut self, session: SessionId, entry: &str, held: &BTreeSet<u64>) -> Vec<Ticket> {
+    /// A new stream takes the place of the entry's earlier one, and with it
+    /// what the entry holds and waits for.
+    pub fn open(&mut self, session: SessionId, entry: &str, held: &BTreeSet<u64>) -> Opened {
         self.sessions.insert(session, entry.to_owned());
         self.current.insert(entry.to_owned(), session);
         self.helloed.insert(entry.to_owned());
-        let strange = |(t, i): &(&Ticket, &Item)| {
-            i.entry == entry && i.until.is_some() && !held.contains(&t.0)
-        };
-        self.items.iter().filter(strange).map(|(t, _)| *t).collect()
+        let of_entry = || self.items.iter().filter(|(_, i)| i.entry == entry);
+        let unused = of_entry().filter(|(t, i)| i.until.is_some() && !held.contains(&t.0));
+        let waiting = of_entry().filter(|(_, i)| i.until.is_none());
+        Opened {
+            unused: unused.map(|(t, _)| *t).collect(),
+            waiting: waiting.map(|(t, _)| *t).collect(),
+        }
     }
 
     /// A stream ended. Gives the tickets that waited on it.
--- a/lib/src/control/owner/dispatch.rs
+++ b/lib/src/control/owner/dispatch.rs
@@ -6,6 +6,7 @@
 use banyangauge_proto as wire;
 use wire::owner_message::Body as Answer;
 
+use crate::claims::Record;
 use crate::control::clock;
 use crate::control::local::Local;
 use crate::control::owner::Event;
@@ -91,7 +92,7 @@
         priority: i32,
     ) {
         let address = self.replicas.get(replica).map(|r| r.address);
-        let allowed = !self.deposed && self.safety.may_grant(now, replica, &self.facts(now));
+        let allowed = !self.deposed && self.safety.may_grant(now, replica, &self.facts);
         let Some(address) = address.filter(|_| allowed) else {
             return self.take_back(now, ticket, Reason::Draining.word());
         };
@@ -114,12 +115,16 @@
             fingerprint: item.acquire.fingerprint,
             max_tokens: item.acquire.max_tokens,
         };
-        match item.claim.clone() {
-            // The claim is durable before anybody can act on the grant.
-            Some(key) if !self.journal.record(&key) => {
+        let Some(key) = item.claim.clone() else {
+            return self.send_grant(now, ticket, grant);
+        };
+        // The claim is durable before anybody can act on the grant.
+        match self.journal.record(&key) {
+            Record::Recorded => self.send_grant(now, ticket, grant),
+            Record::Waits => {
                 self.held.insert(key, (ticket, grant));
             }
-            _ => self.send_grant(now, ticket, grant),
+            Record::Lost => self.take_back(now, ticket, "platform_down"),
         }
     }
 
@@ -131,10 +136,9 @@
             .and_then(|i| self.book.session_of(&i.entry));
         // A commit takes time: whether to grant is asked again.
         let replica = ReplicaName::new(&grant.replica).ok();
-        let facts = self.facts(now);
         let allowed = !self.deposed
             && !self.draining
-            && replica.is_some_and(|r| self.safety.may_grant(now, &r, &facts));
+            && replica.is_some_and(|r| self.safety.may_grant(now, &r, &self.facts));
         let sent = match session.filter(|_| allowed) {
             Some(session) => self.tell(session, Answer::Granted(grant.clone())),
             None => false,
--- a/lib/src/control/owner/entries.rs
+++ b/lib/src/control/owner/entries.rs
@@ -50,9 +50,13 @@
         let entry = format!("{}/{}", hello.entry, hello.incarnation);
         let numbers: BTreeSet<u64> = hello.held.iter().map(|g| g.grant).collect();
         self.outboxes.insert(session, out);
-        for ticket in self.book.open(session, &entry, &numbers) {
+        let opened = self.book.open(session, &entry, &numbers);
+        for ticket in opened.unused {
             self.finish(now, ticket, Outcome::NotRun);
         }
+        for ticket in opened.waiting {
+            self.forget(now, ticket);
+        }
         for grant in hello.held.iter().take(MAX_HELD) {
             self.adopt(now, &entry, grant);
         }
@@ -217,7 +221,6 @@
 
     fn renew(&mut self, now: Moment, session: SessionId, entry: &str, renew: &wire::Renew) {
         let until = now.after(self.grant_ttl());
-        let facts = self.facts(now);
         let mut renewed = wire::Renewed::default();
         for number in &renew.grants {
             let replica = self
@@ -229,7 +232,7 @@
                 renewed.unknown.push(*number);
                 continue;
             };
-            if self.deposed || !self.safety.may_grant(now, &replica, &facts) {
+            if self.deposed || !self.safety.may_grant(now, &replica, &self.facts) {
                 // Neither prolonged nor unknown: the entry asks again.
                 continue;
             }
--- a/lib/src/control/owner/mod.rs
+++ b/lib/src/control/owner/mod.rs
@@ -18,6 +18,7 @@
 pub use actor::OwnerActor;
 pub use book::Book;
 pub use book::Item;
+pub use book::Opened;
 pub use book::SessionId;
 pub use duty::Registry;
 pub use duty::run;
--- a/lib/src/control/owner/safety.rs
+++ b/lib/src/control/owner/safety.rs
@@ -32,10 +32,9 @@
 /// What the owner knows from outside at one moment.
 #[derive(Clone, Debug, Default)]
 pub struct Facts {
-    /// Whether a majority of the configured peers answered lately.
-    pub heard_majority: bool,
-    /// Whether a majority of the configured peers knows of this tenure.
-    pub told_majority: bool,
+    /// A majority of the configured peers has answered exchanges begun at this
+    /// moment or later.
+    pub majority: Moment,
     /// Whether the former owner's VM has left the platform's VM list.
     pub former_left: bool,
     /// Entries that have told which grants they hold.
@@ -127,7 +126,7 @@
     /// so themselves; for the others a majority of the peers does.
     pub fn may_grant(&self, now: Moment, replica: &ReplicaName, facts: &Facts) -> bool {
         if !self.honours {
-            return !self.is_past(now) || facts.heard_majority;
+            return !self.is_past(now) || now <= facts.majority.after(HEARD);
         }
         let Some((_, _, last)) = self.fenced.get(replica) else {
             return false;
@@ -196,7 +195,8 @@
             }
             Former::Lapsed(_) if facts.former_left => waited,
             Former::Lapsed(_) => {
-                if self.told.is_none() && facts.told_majority {
+                let told = facts.majority >= self.tenure.since.after(PUBLISHED);
+                if self.told.is_none() && told {
                     self.told = Some(now);
                 }
                 self.told.is_some_and(|at| now >= at.after(self.quarantine))
--- a/lib/src/control/run.rs
+++ b/lib/src/control/run.rs
@@ -12,8 +12,8 @@
 use tokio::signal::unix::Signal;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
-use tokio_stream::wrappers::TcpListenerStream;
 use tonic::transport::server::Router;
+use tonic::transport::server::TcpIncoming;
 use wire::feed_server::FeedServer;
 use wire::grants_server::GrantsServer;
 use wire::operator_server::OperatorServer;
@@ -53,6 +53,10 @@
 /// they lapse by themselves.
 const RELEASE: Duration = Duration::from_secs(5);
 
+/// How often a quiet stream is probed: an entry that vanished without a word
+/// is noticed within two of these, well before its grants lapse.
+const KEEPALIVE: Duration = Duration::from_secs(2);
+
 /// The longest that a stop waits for the duties' last writes.
 const LAST_WRITES: Duration = Duration::from_secs(2);
 
@@ -209,7 +213,7 @@
     let router = services(&own(shared, platform), registry, members, keys);
     duty("listen", async move {
         // Ends with the process.
-        let incoming = TcpListenerStream::new(listener);
+        let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
         let _ = router.serve_with_incoming(incoming).await;
     })?;
     Ok(Duties {
@@ -222,6 +226,8 @@
     let grants = GrantsService::new(shared.clone(), registry);
     let peers = PeersService::new(shared.clone(), members);
     tonic::transport::Server::builder()
+        .http2_keepalive_interval(Some(KEEPALIVE))
+        .http2_keepalive_timeout(Some(KEEPALIVE))
         .add_service(GrantsServer::new(grants))
         .add_service(PeersServer::new(peers))
         .add_service(FeedServer::new(FeedService::new(shared.clone())))
--- a/lib/src/lease/contest.rs
+++ b/lib/src/lease/contest.rs
@@ -136,7 +136,6 @@
     retry_at: Moment,
     tenure: Option<Tenure>,
     past: Option<(Former, Span)>,
-    gave_up: bool,
 }
 
 impl Contest {
@@ -157,7 +156,6 @@
             retry_at: Moment(0),
             tenure: None,
             past: None,
-            gave_up: false,
         }
     }
 
@@ -172,11 +170,6 @@
         self.seen.as_ref().map(|s| &s.record)
     }
 
-    /// Whether the lease was given up by [`Contest::step`]'s `stop`.
-    pub fn is_released(&self) -> bool {
-        self.gave_up
-    }
-
     /// Takes in what the platform holds now; `None` when there is no object.
     ///
     /// Older versions than the one known are passed over.
@@ -212,11 +205,6 @@
         self.attempt = None;
     }
 
-    /// The watch broke or a write's end is open: read before deciding.
-    pub fn forget(&mut self) {
-        self.known = false;
-    }
-
     /// What to do now. `rank` is this process's place among the candidates, 0
     /// first; `stop` gives the lease up with the entries that may hold grants.
     pub fn step(
@@ -287,13 +275,8 @@
 
     // Decides from a new content who holds the lease.
     fn settle(&mut self, now: Moment, record: &Record) {
-        if !record.is_of(&self.me) {
-            self.tenure = None;
-            return;
-        }
-        if record.released {
+        if !record.is_of(&self.me) || record.released {
             self.tenure = None;
-            self.gave_up = true;
             return;
         }
         // An own write of unknown date holds nothing until it is renewed.
