--- a/lib/src/control/mod.rs
+++ b/lib/src/control/mod.rs
@@ -29,6 +29,7 @@
 pub use members::Members;
 pub use members::candidates;
 pub use peers::Peers;
+pub use run::Control;
 pub use run::ControlError;
 pub use run::run;
 pub use service::PeersService;
--- a/lib/src/control/run.rs
+++ b/lib/src/control/run.rs
@@ -1,7 +1,6 @@
 //! Starts and stops the duties of a control process.
 
 use std::fmt;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::thread::JoinHandle;
 use std::time::Duration;
@@ -12,6 +11,7 @@
 use tokio::signal::unix::Signal;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
+use tokio::sync::watch;
 use tonic::transport::server::Router;
 use tonic::transport::server::TcpIncoming;
 use wire::feed_server::FeedServer;
@@ -105,26 +105,22 @@
 async fn run_main(settings: ControlSettings) -> Result<(), ControlError> {
     let log = telemetry::logger("banyan-control", settings.log);
     let handle = telemetry::install_metrics().map_err(ControlError::Metrics)?;
-    // Bound before anything else: holding the address is what proves that an
-    // earlier process of this VM has ended.
-    let listener = TcpListener::bind(settings.listen)
-        .await
-        .map_err(system("listen"))?;
     let mut term = signal(SignalKind::terminate()).map_err(system("signals"))?;
     let mut int = signal(SignalKind::interrupt()).map_err(system("signals"))?;
     let metrics = settings.metrics;
-    let shared = shared(&settings, log.clone());
-    let duties = start(&shared, settings, listener)?;
-    duty("metrics", async move {
+    let control = Control::start(settings, log.clone()).await?;
+    let endpoint = async move {
         // Without an endpoint the process goes on unmeasured.
         let _ = telemetry::serve_metrics(metrics, handle).await;
-    })?;
+    };
+    control.duty("metrics", endpoint)?;
+    let shared = &control.shared;
     slog::info!(log, "started"; "vm" => %shared.vm, "address" => %shared.address);
     shared.recorder.record(Kind::Process, About::default());
     stop_signal(&mut term, &mut int).await;
     slog::info!(log, "stopping"; "vm" => %shared.vm);
     tokio::select! {
-        () = stop(&shared, duties) => {}
+        () = control.stop() => {}
         () = stop_signal(&mut term, &mut int) => {}
     }
     Ok(())
@@ -137,24 +133,115 @@
     }
 }
 
-/// The duties that a stop waits for.
-struct Duties {
+/// The duties of a control process, each on its thread. They end when this is
+/// dropped, as they would by the death of the process.
+pub struct Control {
+    /// What the duties share.
+    pub shared: Shared,
     local: Arc<Local>,
+    ended: watch::Sender<bool>,
     last: Vec<JoinHandle<()>>,
 }
 
-async fn stop(shared: &Shared, duties: Duties) {
-    shared.board.stopping.send_replace(true);
-    duties.local.urgent.notify_one();
-    let mut released = duties.local.released.subscribe();
-    // Leases that cannot be released lapse.
-    let _ = tokio::time::timeout(RELEASE, released.wait_for(|r| *r)).await;
-    let ended = async {
-        while duties.last.iter().any(|t| !t.is_finished()) {
-            tokio::time::sleep(Duration::from_millis(10)).await;
+impl Drop for Control {
+    fn drop(&mut self) {
+        self.ended.send_replace(true);
+    }
+}
+
+impl Control {
+    /// Binds the address and starts all duties.
+    ///
+    /// # Errors
+    ///
+    /// When the address cannot be listened on or a thread not be started.
+    pub async fn start(
+        mut settings: ControlSettings,
+        log: slog::Logger,
+    ) -> Result<Self, ControlError> {
+        // Bound before anything else: holding the address is what proves that
+        // an earlier process of this VM has ended.
+        let listener = TcpListener::bind(settings.listen)
+            .await
+            .map_err(system("listen"))?;
+        settings.listen = listener.local_addr().map_err(system("listen"))?;
+        let mut control = Self {
+            shared: shared(&settings, log),
+            local: Arc::new(Local::new(settings)),
+            ended: watch::Sender::new(false),
+            last: Vec::new(),
+        };
+        control.start_duties(listener)?;
+        Ok(control)
+    }
+
+    /// Hands over what is owned and makes the last writes.
+    pub async fn stop(&self) {
+        self.shared.board.stopping.send_replace(true);
+        self.local.urgent.notify_one();
+        let mut released = self.local.released.subscribe();
+        // Leases that cannot be released lapse.
+        let _ = tokio::time::timeout(RELEASE, released.wait_for(|r| *r)).await;
+        let ended = async {
+            while self.last.iter().any(|t| !t.is_finished()) {
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+        };
+        let _ = tokio::time::timeout(LAST_WRITES, ended).await;
+    }
+
+    fn start_duties(&mut self, listener: TcpListener) -> Result<(), ControlError> {
+        let local = || Arc::clone(&self.local);
+        let registry = Arc::new(Registry::default());
+        let members = Peers::new(self.own(), local()).map_err(ControlError::Name)?;
+        let members = Arc::new(members);
+        self.duty("lease", election::run(self.own(), local()))?;
+        self.duty("vms", vms::run(self.own(), local()))?;
+        self.duty("peers", peers::run(Arc::clone(&members)))?;
+        let owners = owner::run(self.own(), local(), Arc::clone(&registry));
+        self.duty("owner", owners)?;
+        self.duty("config", config::run(self.own()))?;
+        let store = self.shared.board.usage.clone();
+        let usage = self.duty("usage", usage::run(self.own(), store))?;
+        let keys = self.local.settings.operators.clone();
+        let router = services(&self.own(), registry, members, keys);
+        self.duty("listen", async move {
+            let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
+            // Ends with the process.
+            let _ = router.serve_with_incoming(incoming).await;
+        })?;
+        self.last.push(usage);
+        Ok(())
+    }
+
+    // Each duty has connections of its own: a connection is driven by the
+    // thread that opened it, and one duty's work must not hold up another's
+    // calls.
+    fn own(&self) -> Shared {
+        Shared {
+            platform: Platform::new(self.local.settings.platform),
+            ..self.shared.clone()
         }
-    };
-    let _ = tokio::time::timeout(LAST_WRITES, ended).await;
+    }
+
+    fn duty(
+        &self,
+        name: &'static str,
+        work: impl Future<Output = ()> + Send + 'static,
+    ) -> Result<JoinHandle<()>, ControlError> {
+        let runtime = runtime().map_err(system(name))?;
+        let mut ended = self.ended.subscribe();
+        let work = async move {
+            tokio::select! {
+                () = work => {}
+                _ = ended.wait_for(|e| *e) => {}
+            }
+        };
+        std::thread::Builder::new()
+            .name(name.to_owned())
+            .spawn(move || runtime.block_on(work))
+            .map_err(system(name))
+    }
 }
 
 fn shared(settings: &ControlSettings, log: slog::Logger) -> Shared {
@@ -173,55 +260,6 @@
     }
 }
 
-// Each duty has connections of its own: a connection is driven by the thread
-// that opened it, and one duty's work must not hold up another's calls.
-fn own(shared: &Shared, platform: SocketAddr) -> Shared {
-    Shared {
-        platform: Platform::new(platform),
-        ..shared.clone()
-    }
-}
-
-fn start(
-    shared: &Shared,
-    settings: ControlSettings,
-    listener: TcpListener,
-) -> Result<Duties, ControlError> {
-    let platform = settings.platform;
-    let keys = settings.operators.clone();
-    let local = Arc::new(Local::new(settings));
-    let registry = Arc::new(Registry::default());
-    let members = Peers::new(own(shared, platform), Arc::clone(&local));
-    let members = Arc::new(members.map_err(ControlError::Name)?);
-    duty(
-        "lease",
-        election::run(own(shared, platform), Arc::clone(&local)),
-    )?;
-    duty("vms", vms::run(own(shared, platform), Arc::clone(&local)))?;
-    duty("peers", peers::run(Arc::clone(&members)))?;
-    duty(
-        "owner",
-        owner::run(
-            own(shared, platform),
-            Arc::clone(&local),
-            Arc::clone(&registry),
-        ),
-    )?;
-    duty("config", config::run(own(shared, platform)))?;
-    let store = shared.board.usage.clone();
-    let usage = duty("usage", usage::run(own(shared, platform), store))?;
-    let router = services(&own(shared, platform), registry, members, keys);
-    duty("listen", async move {
-        // Ends with the process.
-        let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
-        let _ = router.serve_with_incoming(incoming).await;
-    })?;
-    Ok(Duties {
-        local,
-        last: vec![usage],
-    })
-}
-
 fn services(shared: &Shared, registry: Arc<Registry>, members: Arc<Peers>, keys: Keys) -> Router {
     let grants = GrantsService::new(shared.clone(), registry);
     let peers = PeersService::new(shared.clone(), members);
@@ -245,14 +283,3 @@
         .enable_all()
         .build()
 }
-
-fn duty(
-    name: &'static str,
-    work: impl Future<Output = ()> + Send + 'static,
-) -> Result<JoinHandle<()>, ControlError> {
-    let runtime = runtime().map_err(system(name))?;
-    std::thread::Builder::new()
-        .name(name.to_owned())
-        .spawn(move || runtime.block_on(work))
-        .map_err(system(name))
-}
--- /dev/null
+++ b/lib/tests/test_claims_journal.rs
@@ -0,0 +1,284 @@
+//! The journal of claims: at most once, whatever the platform loses.
+
+use banyangauge::claims::ClaimKey;
+use banyangauge::claims::Journal;
+use banyangauge::claims::Limits;
+use banyangauge::claims::Record;
+use banyangauge::claims::Segment;
+use banyangauge::claims::State;
+use banyangauge::claims::Verdict;
+use banyangauge::claims::Who;
+use banyangauge::claims::Write;
+use banyangauge::claims::WriteEnd;
+use banyangauge::ids::Token;
+use banyangauge::pool::Moment;
+use banyangauge::pool::Span;
+use rstest::rstest;
+
+fn ms(t: u64) -> Moment {
+    Moment(t * 1_000)
+}
+
+fn key(n: u64) -> ClaimKey {
+    ClaimKey::new(&format!("team/{n}"))
+}
+
+fn who(n: u64) -> Who {
+    Who {
+        entry: "vm-1/1".to_owned(),
+        request: n,
+    }
+}
+
+/// The platform's objects of one pool.
+#[derive(Default)]
+struct Store {
+    version: u64,
+    segments: Vec<(Segment, String)>,
+}
+
+impl Store {
+    fn apply(&mut self, write: &Write) -> Option<String> {
+        let found = self
+            .segments
+            .iter_mut()
+            .find(|(s, _)| s.number == write.segment.number);
+        self.version += 1;
+        let version = self.version.to_string();
+        match (found, &write.version) {
+            (None, None) => self.segments.push((write.segment.clone(), version.clone())),
+            (Some(old), Some(v)) if old.1 == *v => *old = (write.segment.clone(), version.clone()),
+            _ => return None,
+        }
+        Some(version)
+    }
+
+    /// What a writer finds when it reads back.
+    fn read_back(&self, write: &Write) -> WriteEnd {
+        let found = self
+            .segments
+            .iter()
+            .find(|(s, _)| s.number == write.segment.number);
+        match found {
+            Some((s, v)) if s.operation == write.segment.operation => WriteEnd::Done(v.clone()),
+            other => WriteEnd::Open(other.cloned()),
+        }
+    }
+
+    fn commit(&mut self, write: &Write) -> WriteEnd {
+        match self.apply(write) {
+            Some(version) => WriteEnd::Done(version),
+            None => self.read_back(write),
+        }
+    }
+
+    fn open(&mut self, now: Moment, token: u64, limits: Limits) -> Option<Journal> {
+        let mut journal = Journal::new(Token(token), limits);
+        journal.recover(now, &self.segments);
+        let writes = journal.seal();
+        let versions: Option<Vec<_>> = writes.iter().map(|w| self.apply(w)).collect();
+        journal.sealed(&versions?);
+        Some(journal)
+    }
+}
+
+fn claim(journal: &mut Journal, now: Moment, n: u64) {
+    assert_eq!(journal.claim(now, &key(n), &who(n)), Verdict::Fresh);
+    assert_eq!(journal.record(&key(n)), Record::Waits);
+}
+
+#[test]
+fn claim_seen_twice() {
+    let mut store = Store::default();
+    let mut j = store.open(ms(0), 1, Limits::default()).unwrap();
+    claim(&mut j, ms(200), 1);
+    assert_eq!(
+        j.claim(ms(200), &key(1), &who(2)),
+        Verdict::Seen(State::Running)
+    );
+    let write = j.next_write(ms(200)).unwrap();
+    let (keys, done) = j.written(ms(201), store.commit(&write));
+    assert_eq!((keys, done), (vec![key(1)], true));
+    j.end(ms(300), &key(1), State::Answered);
+    assert_eq!(
+        j.claim(ms(400), &key(1), &who(3)),
+        Verdict::Seen(State::Answered)
+    );
+}
+
+#[test]
+fn commit_gathers_what_waits() {
+    let mut store = Store::default();
+    let mut j = store.open(ms(0), 1, Limits::default()).unwrap();
+    claim(&mut j, ms(200), 0);
+    let first = j.next_write(ms(200)).unwrap();
+    // Fifty come while the first commit is on its way: one more is enough.
+    for n in 1..=50 {
+        claim(&mut j, ms(201), n);
+    }
+    assert_eq!(j.next_write(ms(210)), None);
+    j.written(ms(210), store.commit(&first));
+    assert_eq!(j.next_write(ms(299)), None);
+    let second = j.next_write(ms(300)).unwrap();
+    let (keys, done) = j.written(ms(301), store.commit(&second));
+    assert_eq!(
+        (keys.len(), done, store.segments[0].0.claims.len()),
+        (50, true, 51)
+    );
+}
+
+#[test]
+fn lost_answer_read_back() {
+    let mut store = Store::default();
+    let mut j = store.open(ms(0), 1, Limits::default()).unwrap();
+    claim(&mut j, ms(200), 1);
+    let write = j.next_write(ms(200)).unwrap();
+    store.apply(&write);
+    let end = store.read_back(&write);
+    let (_, done) = j.written(ms(300), end);
+    assert!(done);
+}
+
+#[test]
+fn lost_write_arrives_late() {
+    let mut store = Store::default();
+    let mut j = store.open(ms(0), 1, Limits::default()).unwrap();
+    claim(&mut j, ms(200), 1);
+    let lost = j.next_write(ms(200)).unwrap();
+    let (_, done) = j.written(ms(300), store.read_back(&lost));
+    // Its caller was told "not run", and may try again.
+    assert!(!done);
+    store.apply(&lost).unwrap();
+    claim(&mut j, ms(400), 1);
+    let again = j.next_write(ms(400)).unwrap();
+    let (_, done) = j.written(ms(401), store.commit(&again));
+    assert!(!done);
+    claim(&mut j, ms(600), 1);
+    let again = j.next_write(ms(600)).unwrap();
+    let (keys, done) = j.written(ms(601), store.commit(&again));
+    assert_eq!((keys, done), (vec![key(1)], true));
+}
+
+#[test]
+fn takeover_shuts_the_former_out() {
+    let mut store = Store::default();
+    let mut old = store.open(ms(0), 1, Limits::default()).unwrap();
+    claim(&mut old, ms(200), 1);
+    let write = old.next_write(ms(200)).unwrap();
+    old.written(ms(201), store.commit(&write));
+    claim(&mut old, ms(400), 2);
+    let late = old.next_write(ms(400)).unwrap();
+    // The old owner is paused before the write is sent.
+    let mut new = store.open(ms(9_000), 2, Limits::default()).unwrap();
+    assert_eq!(
+        new.claim(ms(9_100), &key(1), &who(7)),
+        Verdict::Seen(State::Unknown)
+    );
+    claim(&mut new, ms(9_100), 2);
+    let (_, done) = old.written(ms(9_200), store.commit(&late));
+    assert!(!done && old.is_deposed() && !old.is_ready());
+    assert_eq!(old.next_write(ms(9_999)), None);
+}
+
+#[test]
+fn takeover_races_a_rotation() {
+    let limits = Limits {
+        segment: 1,
+        ..Limits::default()
+    };
+    let mut store = Store::default();
+    let mut old = store.open(ms(0), 1, limits).unwrap();
+    claim(&mut old, ms(200), 1);
+    let write = old.next_write(ms(200)).unwrap();
+    old.written(ms(201), store.commit(&write));
+    claim(&mut old, ms(400), 2);
+    let rotation = old.next_write(ms(400)).unwrap();
+    // The new owner reads before the new segment is there.
+    let mut new = Journal::new(Token(2), limits);
+    new.recover(ms(9_000), &store.segments.clone());
+    let seal = new.seal();
+    let (_, done) = old.written(ms(9_001), store.commit(&rotation));
+    assert!(done);
+    let versions: Option<Vec<_>> = seal.iter().map(|w| store.apply(w)).collect();
+    assert_eq!(versions, None);
+    // So it reads again, and knows the claim.
+    let mut new = store.open(ms(9_100), 2, limits).unwrap();
+    assert_eq!(
+        new.claim(ms(9_200), &key(2), &who(7)),
+        Verdict::Seen(State::Unknown)
+    );
+}
+
+#[rstest]
+#[case::refused_before_any_try(false, Verdict::Fresh)]
+#[case::refused_after_a_broken_try(true, Verdict::Seen(State::Unknown))]
+fn free_after(#[case] touched: bool, #[case] verdict: Verdict) {
+    let mut store = Store::default();
+    let mut j = store.open(ms(0), 1, Limits::default()).unwrap();
+    claim(&mut j, ms(200), 1);
+    let write = j.next_write(ms(200)).unwrap();
+    j.written(ms(201), store.commit(&write));
+    if touched {
+        j.touch(&key(1));
+    }
+    j.free(ms(300), &key(1));
+    assert_eq!(j.claim(ms(400), &key(1), &who(9)), verdict);
+}
+
+#[test]
+fn freed_on_the_way_and_claimed_again() {
+    let mut store = Store::default();
+    let mut j = store.open(ms(0), 1, Limits::default()).unwrap();
+    claim(&mut j, ms(200), 1);
+    j.next_write(ms(200)).unwrap();
+    j.free(ms(201), &key(1));
+    assert_eq!(j.claim(ms(202), &key(1), &who(2)), Verdict::Fresh);
+    j.written(ms(203), WriteEnd::Open(None));
+    // The commit failed for the first request; the second still has the key.
+    assert_eq!(j.record(&key(1)), Record::Waits);
+    let write = j.next_write(ms(400)).unwrap();
+    let (keys, done) = j.written(ms(401), store.commit(&write));
+    assert_eq!((keys, done), (vec![key(1)], true));
+}
+
+#[test]
+fn outcome_is_written_lazily() {
+    let mut store = Store::default();
+    let mut j = store.open(ms(0), 1, Limits::default()).unwrap();
+    claim(&mut j, ms(200), 1);
+    let write = j.next_write(ms(200)).unwrap();
+    j.written(ms(201), store.commit(&write));
+    j.end(ms(300), &key(1), State::Answered);
+    assert_eq!(j.next_write(ms(1_299)), None);
+    assert_eq!(j.next_wake(), Some(ms(1_300)));
+    let write = j.next_write(ms(1_300)).unwrap();
+    j.written(ms(1_301), store.commit(&write));
+    let mut new = store.open(ms(5_000), 2, Limits::default()).unwrap();
+    assert_eq!(
+        new.claim(ms(5_001), &key(1), &who(4)),
+        Verdict::Seen(State::Answered)
+    );
+}
+
+#[test]
+fn full_refuses_and_retention_frees() {
+    let limits = Limits {
+        segment: 2,
+        segments: 2,
+        retention: Span::from_millis(10_000),
+        ..Limits::default()
+    };
+    let mut store = Store::default();
+    let mut j = store.open(ms(0), 1, limits).unwrap();
+    for n in 0..4 {
+        claim(&mut j, ms(200 * (n + 1)), n);
+        let write = j.next_write(ms(200 * (n + 1))).unwrap();
+        j.written(ms(200 * (n + 1)), store.commit(&write));
+        j.end(ms(1_000), &key(n), State::Answered);
+    }
+    assert_eq!(j.claim(ms(1_000), &key(9), &who(9)), Verdict::Full);
+    assert!(j.expire(ms(10_999)).is_empty());
+    // All but the segment for new claims can be deleted.
+    assert_eq!(j.expire(ms(11_000)), vec![1]);
+    assert_eq!(j.claim(ms(11_000), &key(9), &who(9)), Verdict::Fresh);
+}
--- /dev/null
+++ b/lib/tests/test_members_table.rs
@@ -0,0 +1,111 @@
+//! The member table.
+
+use banyangauge::control::MemberState;
+use banyangauge::control::Members;
+use banyangauge::control::candidates;
+use banyangauge::ids::Revision;
+use banyangauge::ids::VmName;
+use banyangauge::pool::Moment;
+use banyangauge::pool::Span;
+use banyangauge_proto::Member;
+
+fn ms(t: u64) -> Moment {
+    Moment(t * 1_000)
+}
+
+fn member(n: u64, incarnation: u64, heartbeat: u64) -> Member {
+    Member {
+        vm: format!("vm-{n}"),
+        address: format!("127.0.0.1:{}", 7_000 + n),
+        zone: "a".to_owned(),
+        incarnation,
+        heartbeat,
+        ..Member::default()
+    }
+}
+
+fn table(n: u64) -> Members {
+    let (suspect, gone) = (Span::from_millis(2_000), Span::from_millis(10_000));
+    Members::new(ms(0), member(n, 1, 0), suspect, gone).unwrap()
+}
+
+fn state(m: &Members, n: u64) -> Option<u32> {
+    let vm = VmName::new(&format!("vm-{n}")).unwrap();
+    m.view().get(&vm).map(|m| m.state)
+}
+
+#[test]
+fn silence_makes_suspect_then_gone() {
+    let mut m = table(1);
+    m.learn(ms(0), &[member(2, 1, 5)]);
+    for (t, expected) in [
+        (1_999, Some(MemberState::Live as u32)),
+        (2_000, Some(MemberState::Suspect as u32)),
+        (10_000, Some(MemberState::Gone as u32)),
+        (70_000, None),
+    ] {
+        m.sweep(ms(t));
+        assert_eq!(state(&m, 2), expected, "at {t} ms");
+    }
+    assert_eq!(state(&m, 1), Some(MemberState::Live as u32));
+}
+
+#[test]
+fn old_news_prove_nothing() {
+    let mut m = table(1);
+    m.learn(ms(0), &[member(2, 1, 5)]);
+    m.learn(ms(9_000), &[member(2, 1, 5), member(2, 1, 4)]);
+    m.sweep(ms(10_000));
+    assert_eq!(state(&m, 2), Some(MemberState::Gone as u32));
+    // Nor does a gone member travel on.
+    assert_eq!(m.digest().len(), 1);
+}
+
+#[test]
+fn restart_is_a_new_incarnation() {
+    let mut m = table(1);
+    m.learn(ms(0), &[member(2, 1, 500)]);
+    m.sweep(ms(10_000));
+    m.learn(ms(10_001), &[member(2, 2, 1)]);
+    assert_eq!(state(&m, 2), Some(MemberState::Live as u32));
+    m.learn(ms(10_002), &[member(2, 1, 900)]);
+    let vm = VmName::new("vm-2").unwrap();
+    assert_eq!(m.view()[&vm].incarnation, 2);
+}
+
+#[test]
+fn nobody_speaks_for_me() {
+    let mut m = table(1);
+    let mut lie = member(1, 9, 9);
+    lie.state = MemberState::Gone as u32;
+    m.learn(ms(1), &[lie]);
+    assert_eq!(state(&m, 1), Some(MemberState::Live as u32));
+}
+
+#[test]
+fn leaving_is_no_candidate() {
+    let mut m = table(1);
+    let mut other = table(2);
+    other.beat(ms(1), Revision(7), true);
+    m.learn(ms(2), &other.digest());
+    assert_eq!(candidates(&m.view()), [VmName::new("vm-1").unwrap()]);
+    let vm = VmName::new("vm-2").unwrap();
+    assert_eq!(m.view()[&vm].revision, 7);
+}
+
+#[test]
+fn heartbeats_reach_everyone_through_others() {
+    // A ring: each hears of all others only through its neighbour.
+    let mut tables: Vec<Members> = (0..9).map(table).collect();
+    for round in 0..20 {
+        for n in 0..9 {
+            let now = ms(round * 100);
+            tables[n].beat(now, Revision(0), false);
+            let digest = tables[n].digest();
+            tables[(n + 1) % 9].learn(now, &digest);
+        }
+    }
+    for m in &tables {
+        assert_eq!(candidates(&m.view()).len(), 9);
+    }
+}
--- /dev/null
+++ b/lib/tests/test_owner_safety.rs
@@ -0,0 +1,163 @@
+//! When an owner may grant, order and change slots.
+
+use std::collections::BTreeSet;
+
+use banyangauge::control::owner::Facts;
+use banyangauge::control::owner::Safety;
+use banyangauge::ids::Incarnation;
+use banyangauge::ids::ReplicaName;
+use banyangauge::ids::Token;
+use banyangauge::ids::VmName;
+use banyangauge::lease::Former;
+use banyangauge::lease::Tenure;
+use banyangauge::pool::Moment;
+use banyangauge::pool::Span;
+use rstest::rstest;
+
+const ONE: Incarnation = Incarnation(1);
+
+fn ms(t: u64) -> Moment {
+    Moment(t * 1_000)
+}
+
+fn replica() -> ReplicaName {
+    ReplicaName::new("r-1").unwrap()
+}
+
+fn lapsed() -> Former {
+    Former::Lapsed(VmName::new("vm-1").unwrap())
+}
+
+/// Acquired at 1,000 ms, holds until 3,700 ms.
+fn safety(honours: bool, former: Former) -> Safety {
+    let tenure = Tenure {
+        token: Token(2),
+        until: ms(3_700),
+        since: ms(1_000),
+        former,
+        former_ttl: Span::from_millis(10_000),
+    };
+    let margin = Span::from_millis(2_000);
+    Safety::new(honours, tenure, margin, Span::from_millis(30_000))
+}
+
+fn facts(majority: u64) -> Facts {
+    Facts {
+        majority: ms(majority),
+        ..Facts::default()
+    }
+}
+
+fn opens_at(s: &mut Safety, f: &Facts) -> Option<u64> {
+    let all = BTreeSet::from([replica()]);
+    (1_000..60_000)
+        .step_by(100)
+        .find(|t| !s.is_frozen(ms(*t), &all, f))
+}
+
+#[test]
+fn honoured_grants_wait_for_the_fence() {
+    let mut s = safety(true, lapsed());
+    let f = facts(0);
+    assert!(!s.may_grant(ms(1_100), &replica(), &f));
+    s.confirm(ms(1_100), &replica(), ONE);
+    assert!(s.may_grant(ms(1_200), &replica(), &f));
+    // Within the lease nothing more is asked.
+    assert!(s.may_grant(ms(3_600), &replica(), &f));
+    assert!(!s.needs_fence(ms(3_600), &replica(), ONE));
+    assert!(s.needs_fence(ms(3_600), &replica(), Incarnation(2)));
+}
+
+#[test]
+fn honoured_past_the_lease() {
+    let mut s = safety(true, lapsed());
+    let f = facts(0);
+    s.confirm(ms(1_100), &replica(), ONE);
+    assert!(s.needs_fence(ms(3_700), &replica(), ONE));
+    assert!(!s.may_grant(ms(3_700), &replica(), &f));
+    s.confirm(ms(3_700), &replica(), ONE);
+    assert!(s.may_grant(ms(4_700), &replica(), &f));
+    assert!(!s.may_grant(ms(4_701), &replica(), &f));
+    // Its orders are the engine's to refuse.
+    assert!(s.may_order(ms(99_000)));
+}
+
+#[rstest]
+#[case::majority_lately(9_000, 10_900, true)]
+#[case::majority_long_ago(8_000, 10_100, false)]
+fn ignored_past_the_lease(#[case] majority: u64, #[case] now: u64, #[case] grants: bool) {
+    let s = safety(false, lapsed());
+    assert_eq!(s.may_grant(ms(now), &replica(), &facts(majority)), grants);
+    assert!(s.may_order(ms(3_699)));
+    assert!(!s.may_order(ms(3_700)));
+}
+
+#[test]
+fn frozen_never_for_a_first_owner() {
+    let mut s = safety(true, Former::None);
+    assert_eq!(opens_at(&mut s, &facts(0)), Some(1_000));
+}
+
+#[test]
+fn frozen_until_the_former_grants_lapsed() {
+    // The former owner may have granted past its lease until the fence, for
+    // one second after the engine's last word; those grants lapse 12 s later.
+    let mut s = safety(true, lapsed());
+    assert_eq!(opens_at(&mut s, &facts(0)), None);
+    s.confirm(ms(1_500), &replica(), ONE);
+    s.confirm(ms(9_000), &replica(), ONE);
+    assert_eq!(opens_at(&mut s, &facts(0)), Some(1_500 + 1_000 + 12_000));
+}
+
+#[test]
+fn frozen_after_a_release_until_all_told() {
+    let entries = BTreeSet::from(["vm-1/1".to_owned(), "vm-2/1".to_owned()]);
+    let mut s = safety(true, Former::Released(Some(entries.clone())));
+    let mut f = facts(0);
+    f.helloed = BTreeSet::from(["vm-1/1".to_owned(), "vm-9/9".to_owned()]);
+    let all = BTreeSet::from([replica()]);
+    assert!(s.is_frozen(ms(1_100), &all, &f));
+    f.helloed.extend(entries);
+    assert!(!s.is_frozen(ms(1_200), &all, &f));
+}
+
+#[rstest]
+#[case::unknown_entries(Former::Released(None), 13_000)]
+#[case::one_never_comes(
+    Former::Released(Some(BTreeSet::from(["vm-1/1".to_owned()]))),
+    13_000
+)]
+#[case::restarted(Former::Ended, 13_000)]
+fn frozen_at_the_longest(#[case] former: Former, #[case] opens: u64) {
+    let mut s = safety(false, former);
+    assert_eq!(opens_at(&mut s, &facts(0)), Some(opens));
+}
+
+#[test]
+fn quarantine_where_tokens_are_ignored() {
+    let mut s = safety(false, lapsed());
+    // It counts from when a majority knows of the new owner.
+    let all = BTreeSet::from([replica()]);
+    assert!(s.is_frozen(ms(40_000), &all, &facts(1_050)));
+    assert!(s.is_frozen(ms(41_000), &all, &facts(40_500)));
+    assert!(s.is_frozen(ms(70_999), &all, &facts(40_500)));
+    assert!(!s.is_frozen(ms(71_000), &all, &facts(40_500)));
+}
+
+#[test]
+fn quarantine_ends_with_the_former_vm() {
+    let mut s = safety(false, lapsed());
+    let mut f = facts(0);
+    f.former_left = true;
+    assert_eq!(opens_at(&mut s, &f), Some(13_000));
+}
+
+#[test]
+fn eviction_waits_on_an_engine_that_forgot_the_fence() {
+    let mut s = safety(true, lapsed());
+    s.confirm(ms(1_500), &replica(), ONE);
+    assert!(s.may_evict(ms(20_000), &replica()));
+    s.confirm(ms(30_000), &replica(), Incarnation(2));
+    assert!(!s.may_evict(ms(42_999), &replica()));
+    assert!(s.may_evict(ms(43_000), &replica()));
+}
