--- a/standin/src/engine/run.rs
+++ b/standin/src/engine/run.rs
@@ -19,6 +19,7 @@
 use super::state::JobSpec;
 use super::state::NotRun;
 use super::state::Reading;
+use crate::history::first_word;
 use crate::http;
 use crate::http::Body;
 use crate::http::Cut;
@@ -112,6 +113,7 @@
         let marker = &state.faults.crash_on;
         let spec = JobSpec {
             request: id,
+            call: first_word(&prompt),
             priority: body.priority,
             hash: answer.hash,
             total: answer.total,
--- a/standin/src/engine/state.rs
+++ b/standin/src/engine/state.rs
@@ -81,6 +81,7 @@
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub(super) struct JobSpec {
     pub(super) request: String,
+    pub(super) call: String,
     pub(super) model: String,
     pub(super) priority: i32,
     pub(super) hash: u64,
@@ -244,6 +245,7 @@
         let entry = self.history.begin(Execution {
             request: spec.request.clone(),
             model: spec.model.clone(),
+            call: spec.call.clone(),
             key: key.to_owned(),
             incarnation: self.incarnation,
             ..Execution::default()
--- a/standin/src/history/mod.rs
+++ b/standin/src/history/mod.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use serde::Serialize;
+use serde::Serializer;
 
 /// Entries that are kept; older ones are dropped and counted.
 const ENTRIES_MOST: usize = 400_000;
@@ -15,6 +16,8 @@
     pub request: String,
     /// `adapter@version`, or the path at a plain service.
     pub model: String,
+    /// The first word of its prompt or body, by which a checker knows it again.
+    pub call: String,
     /// Its `Idempotency-Key`; empty is none.
     pub key: String,
     /// Milliseconds since the stand-in started.
@@ -49,7 +52,7 @@
 /// The log of a stand-in.
 #[derive(Debug, Serialize)]
 pub struct History {
-    #[serde(skip)]
+    #[serde(rename = "now_ms", serialize_with = "serialize_elapsed")]
     start: Instant,
     /// Entries that were dropped from the front of `requests`.
     dropped: u64,
@@ -57,6 +60,23 @@
     orders: Vec<Order>,
 }
 
+fn serialize_elapsed<S: Serializer>(start: &Instant, out: S) -> Result<S::Ok, S::Error> {
+    out.serialize_u64(start.elapsed().as_millis() as u64)
+}
+
+/// The longest first word that is kept.
+const CALL_MOST: usize = 64;
+
+/// The first word of a prompt or body.
+///
+/// ```
+/// assert_eq!(banyangauge_standin::history::first_word("call=7 len=3"), "call=7");
+/// ```
+pub fn first_word(text: &str) -> String {
+    let word = text.split_ascii_whitespace().next().unwrap_or("");
+    word.chars().take(CALL_MOST).collect()
+}
+
 impl Default for History {
     fn default() -> Self {
         Self {
--- a/standin/src/service/mod.rs
+++ b/standin/src/service/mod.rs
@@ -18,6 +18,7 @@
 
 use crate::history::Execution;
 use crate::history::History;
+use crate::history::first_word;
 use crate::http;
 use crate::http::Cut;
 use crate::http::Doors;
@@ -152,6 +153,7 @@
         let number = inner.history.begin(Execution {
             request: id.clone(),
             model: format!("{} {}", parts.method, parts.uri),
+            call: first_word(&String::from_utf8_lossy(&bytes)),
             key,
             incarnation,
             ..Execution::default()
--- a/testutils/src/check.rs
+++ b/testutils/src/check.rs
@@ -199,10 +199,8 @@
     records
         .iter()
         .filter(|r| {
-            matches!(
-                r.told,
-                Told::Nothing | Told::Dropped | Told::Broken { .. }
-            ) || matches!(&r.told, Told::Refused { ran, .. } if ran == "unknown")
+            matches!(r.told, Told::Nothing | Told::Dropped | Told::Broken { .. })
+                || matches!(&r.told, Told::Refused { ran, .. } if ran == "unknown")
         })
         .map(|r| format!("{}: {:?}", r.call.id, r.told))
         .collect()
@@ -216,7 +214,10 @@
     for s in seen {
         let before = last.insert(&s.vm, s.revision).unwrap_or(0);
         if s.revision < before {
-            bad.push(format!("{}: went from {before} back to {}", s.vm, s.revision));
+            bad.push(format!(
+                "{}: went from {before} back to {}",
+                s.vm, s.revision
+            ));
         }
         let due = confirmed
             .iter()
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -4,4 +4,3 @@
 pub mod caller;
 pub mod check;
 pub mod process;
-pub mod rig;
