--- /dev/null
+++ b/lib/src/entry/dispatch.rs
@@ -0,0 +1,361 @@
+//! One call: a grant, a try under it, and another one where that is allowed.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use banyangauge_proto as wire;
+use bytes::Bytes;
+use hyper::HeaderMap;
+use hyper::Method;
+use hyper::Request;
+use hyper::Response;
+use hyper::header::CONTENT_TYPE;
+use hyper::header::HeaderValue;
+use hyper::http::request;
+use hyper::http::response;
+use tokio::sync::OwnedSemaphorePermit;
+
+use super::CallerError;
+use super::answer::AnswerBody;
+use super::call::Call;
+use super::call::Content;
+use super::call::travelling;
+use super::clock;
+use super::clock::now_us;
+use super::decide;
+use super::decide::Failure;
+use super::decide::Next;
+use super::decide::Tries;
+use super::hold::Hold;
+use super::session::NoGrant;
+use super::state::State;
+use super::stream::Passing;
+use crate::pool::Class;
+use crate::pool::Outcome;
+use crate::timeline::About;
+use crate::timeline::Kind;
+use crate::upstream;
+use crate::upstream::Expected;
+use crate::upstream::Parts;
+use crate::upstream::RunError;
+
+/// Runs a call to its answer. Dropping this abandons or cancels it.
+///
+/// # Errors
+///
+/// What the caller is told in place of an answer.
+pub(super) async fn dispatch(
+    state: Arc<State>,
+    call: Arc<Call>,
+    room: OwnedSemaphorePermit,
+) -> Result<Response<AnswerBody>, CallerError> {
+    let mut tries = Tries {
+        retries: state.settings.limits.retries,
+        idempotent: call.idempotent,
+        ..Tries::default()
+    };
+    loop {
+        let hold = acquire(&state, &call, &tries).await?;
+        let replica = hold.grant.replica.clone();
+        note(&state, Kind::Granted, &call, &replica, String::new);
+        let failure = match attempt(&state, &call, hold).await {
+            Ok(Success::Whole(response)) => return Ok(response),
+            Ok(Success::Stream(head, passing)) => {
+                let body = AnswerBody::Stream(passing.with_room(room));
+                return Ok(Response::from_parts(head, body));
+            }
+            Err(failure) => failure,
+        };
+        match decide::after(&failure, &tries) {
+            Next::GiveUp(e) => return Err(e),
+            Next::Again => {
+                let why = || decide::describe(&failure);
+                note(&state, Kind::Retried, &call, &replica, why);
+                tries.ran |= decide::may_have_run(&failure);
+                tries.attempt += 1;
+                tries.avoid.push(replica);
+            }
+        }
+    }
+}
+
+/// Puts an event of a call on the time line.
+pub(super) fn note(
+    state: &State,
+    kind: Kind,
+    call: &Call,
+    upstream: &str,
+    detail: impl FnOnce() -> String,
+) {
+    let about = About {
+        request: call.id.clone(),
+        adapter: call
+            .adapter
+            .as_ref()
+            .map(ToString::to_string)
+            .unwrap_or_default(),
+        upstream: upstream.to_owned(),
+        pool: call.pool.to_string(),
+        detail: detail(),
+    };
+    state.recorder.record(kind, about);
+}
+
+async fn acquire(state: &State, call: &Call, tries: &Tries) -> Result<Box<Hold>, CallerError> {
+    let session = state.session(&call.pool);
+    let granted = session
+        .acquire(ask(state, call, tries), call.deadline)
+        .await;
+    let error = match granted {
+        Ok(mut hold) => {
+            hold.claimed = !call.claim.is_empty();
+            return Ok(hold);
+        }
+        Err(NoGrant::Refused(refusal)) => decide::refused(&refusal),
+        Err(NoGrant::Deadline) => decide::overdue(),
+        Err(NoGrant::NoOwner) => decide::no_owner(),
+    };
+    Err(decide::truthful(error, tries.ran))
+}
+
+fn ask(state: &State, call: &Call, tries: &Tries) -> wire::Acquire {
+    let (prompt_tokens, max_tokens, prefix) = match &call.content {
+        Content::Completion(c) => (c.prompt_tokens, c.max_tokens, c.prefix),
+        Content::Plain { .. } => (0, 0, 0),
+    };
+    let adapter = call.adapter.as_ref();
+    wire::Acquire {
+        request: state.number(),
+        team: call.team.to_string(),
+        adapter: adapter.map(|a| a.adapter.to_string()).unwrap_or_default(),
+        version: adapter.map_or(0, |a| a.version),
+        class: match call.class {
+            Class::Interactive => 0,
+            Class::Call => 1,
+            Class::Long => 2,
+        },
+        // The session sets what is left when it sends this.
+        deadline_ms: 0,
+        prompt_tokens,
+        max_tokens,
+        prefix,
+        idempotent: call.idempotent,
+        fingerprint: call.fingerprint.0,
+        attempt: tries.attempt,
+        avoid: tries.avoid.clone(),
+        claim: call.claim.clone(),
+    }
+}
+
+enum Success {
+    Whole(Response<AnswerBody>),
+    Stream(response::Parts, Box<Passing>),
+}
+
+async fn attempt(
+    state: &Arc<State>,
+    call: &Arc<Call>,
+    mut hold: Box<Hold>,
+) -> Result<Success, Failure> {
+    let address = match check_grant(call, &hold) {
+        Ok(address) => address,
+        Err(e) => {
+            hold.settle(Outcome::NotRun);
+            return Err(Failure::BadGrant(e));
+        }
+    };
+    let expected = Expected {
+        request: call.id.clone(),
+        model: call
+            .adapter
+            .as_ref()
+            .map(ToString::to_string)
+            .unwrap_or_default(),
+        incarnation: hold.grant.incarnation,
+    };
+    let replica = hold.grant.replica.clone();
+    note(state, Kind::Dispatched, call, &replica, String::new);
+    let before = now_us().saturating_sub(call.received);
+    metrics::histogram!("entry_before_dispatch_seconds").record(before as f64 / 1e6);
+    hold.dispatch(&state.upstreams, address, &call.id, call.adapter.is_some());
+    match call.stream() {
+        true => Passing::start(state, call, hold, address, expected)
+            .await
+            .map(|(head, passing)| Success::Stream(head, passing)),
+        false => whole(state, call, hold, address, &expected)
+            .await
+            .map(Success::Whole),
+    }
+}
+
+/// A grant must be for this adapter version, still in force, and lead
+/// somewhere: anything else is the owner's mistake and nothing is sent.
+fn check_grant(call: &Call, hold: &Hold) -> Result<SocketAddr, &'static str> {
+    let grant = &hold.grant;
+    let fits = match &call.adapter {
+        Some(a) => grant.adapter == a.adapter.as_str() && grant.version == a.version,
+        None => grant.adapter.is_empty(),
+    };
+    if !fits {
+        return Err("it is for another adapter version");
+    }
+    if hold.lease.lapsed(now_us()) {
+        return Err("it has lapsed");
+    }
+    grant.address.parse().map_err(|_| "it names no address")
+}
+
+/// The request for the upstream; `resume` is the index at which a broken
+/// stream goes on.
+///
+/// # Errors
+///
+/// Never with a checked call; a malformed one counts as not sent.
+pub(super) fn request(
+    call: &Call,
+    grant: &wire::Grant,
+    resume: Option<u64>,
+) -> Result<Request<Parts>, RunError> {
+    let mut builder = Request::builder()
+        .method(call.method.clone())
+        .uri(&call.path)
+        .header("host", grant.address.as_str())
+        .header("x-request-id", &call.id);
+    if let Some(index) = resume {
+        builder = builder.header("x-resume-from", index);
+    }
+    let body = match &call.content {
+        Content::Completion(c) => {
+            builder = builder.header(CONTENT_TYPE, "application/json");
+            match &call.adapter {
+                Some(a) => c.rewrite(a, grant.priority),
+                None => Parts::default(),
+            }
+        }
+        Content::Plain { headers, body } => {
+            builder = with_headers(builder, headers);
+            Parts::from(body.clone())
+        }
+    };
+    builder
+        .body(body)
+        .map_err(|e| RunError::NotSent(e.to_string()))
+}
+
+fn with_headers(mut builder: request::Builder, headers: &HeaderMap) -> request::Builder {
+    if let Some(have) = builder.headers_mut() {
+        have.extend(headers.clone());
+    }
+    builder
+}
+
+/// Why a wait for an upstream was given up.
+enum Stop {
+    Deadline,
+    Lapsed,
+}
+
+/// Waits for `work` until the deadline, and only as long as the grant is
+/// confirmed.
+async fn within<T>(hold: &Hold, deadline: u64, work: impl Future<Output = T>) -> Result<T, Stop> {
+    tokio::pin!(work);
+    loop {
+        let until = deadline.min(hold.lease.until());
+        if let Ok(done) = tokio::time::timeout_at(clock::instant(until), &mut work).await {
+            return Ok(done);
+        }
+        let now = now_us();
+        if now >= deadline {
+            return Err(Stop::Deadline);
+        }
+        if hold.lease.lapsed(now) {
+            return Err(Stop::Lapsed);
+        }
+    }
+}
+
+struct WholeAnswer {
+    head: response::Parts,
+    body: Bytes,
+    usage: upstream::Usage,
+}
+
+async fn whole(
+    state: &Arc<State>,
+    call: &Arc<Call>,
+    mut hold: Box<Hold>,
+    address: SocketAddr,
+    expected: &Expected,
+) -> Result<Response<AnswerBody>, Failure> {
+    let most = state.settings.limits.answer;
+    let work = async {
+        let message = request(call, &hold.grant, None)?;
+        fetch(state, message, address, expected, most).await
+    };
+    let answer = match within(&hold, call.deadline, work).await {
+        Ok(Ok(answer)) => answer,
+        Ok(Err(e)) => {
+            if let RunError::WrongIdentity { seen, .. } = &e {
+                hold.seen = *seen;
+            }
+            let failure = Failure::Run(e);
+            hold.settle(decide::outcome(&failure));
+            return Err(failure);
+        }
+        // Dropping the hold cancels the dispatch.
+        Err(Stop::Deadline) => return Err(Failure::Deadline),
+        Err(Stop::Lapsed) => return Err(Failure::Lapsed),
+    };
+    hold.first_byte();
+    hold.seen = hold.grant.incarnation;
+    hold.tokens = answer.usage.completion_tokens;
+    let counter = state.usage.counter(&call.team, call.adapter.as_ref());
+    counter.request();
+    counter.prompt(answer.usage.prompt_tokens);
+    counter.output(answer.usage.completion_tokens);
+    note(
+        state,
+        Kind::Answered,
+        call,
+        &hold.grant.replica,
+        String::new,
+    );
+    hold.settle(Outcome::Answered);
+    let head = answer_head(call, answer.head);
+    let body = AnswerBody::whole(answer.body);
+    Ok(Response::from_parts(head, body))
+}
+
+async fn fetch(
+    state: &State,
+    message: Request<Parts>,
+    address: SocketAddr,
+    expected: &Expected,
+    most: usize,
+) -> Result<WholeAnswer, RunError> {
+    let head_only = message.method() == Method::HEAD;
+    let mut answer = upstream::run(&state.upstreams, address, message, expected).await?;
+    let body = upstream::collect(&mut answer, most).await?;
+    let usage = match expected.model.is_empty() || head_only {
+        true => upstream::Usage::default(),
+        false => upstream::check_whole(&body, expected)?,
+    };
+    Ok(WholeAnswer {
+        head: answer.head,
+        body,
+        usage,
+    })
+}
+
+/// The head for the caller: the upstream's without what belongs to one
+/// connection, and with the request's id.
+pub(super) fn answer_head(call: &Call, head: response::Parts) -> response::Parts {
+    let (mut out, ()) = Response::new(()).into_parts();
+    out.status = head.status;
+    out.headers = travelling(head.headers);
+    out.headers.remove("x-engine-incarnation");
+    if let Ok(id) = HeaderValue::from_str(&call.id) {
+        out.headers.insert("x-request-id", id);
+    }
+    out
+}
--- /dev/null
+++ b/lib/src/entry/feed.rs
@@ -0,0 +1,231 @@
+//! Follows a control process: catalog, owners and verdicts come in, usage
+//! goes out.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use banyangauge_proto as wire;
+use tonic::transport::Channel;
+use wire::feed_client::FeedClient;
+use wire::feed_message::Body;
+
+use super::session::channel;
+use super::state::State;
+use super::view::View;
+use crate::catalog::Catalog;
+use crate::catalog::ChangeSet;
+use crate::control::Owner;
+use crate::ids::Fingerprint;
+use crate::ids::Token;
+use crate::timeline::About;
+use crate::timeline::Kind;
+
+/// The pause before the next control process is tried.
+const PAUSE: Duration = Duration::from_millis(100);
+
+/// How long another VM's control process is followed before the own one is
+/// tried again: the own one costs no traffic between VMs.
+const BORROWED: Duration = Duration::from_secs(20);
+
+/// The longest call to a control process.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// How often usage is reported: a lost VM loses at most about this much.
+const REPORT_EVERY: Duration = Duration::from_secs(1);
+
+/// The largest catalog: 14,000 adapters take about 3 MB.
+const MAX_CATALOG: usize = 64 << 20;
+
+/// Follows the own VM's control process, or another one while that is down;
+/// runs until the process ends.
+pub(super) async fn follow(state: Arc<State>) {
+    for at in (0..state.settings.controls.len()).cycle() {
+        let address = state.settings.controls[at];
+        let work = subscribe(&state, address);
+        let ended = match at {
+            0 => work.await,
+            _ => tokio::time::timeout(BORROWED, work).await.unwrap_or(Ok(())),
+        };
+        if let Err(e) = ended {
+            slog::debug!(state.log, "no feed"; "address" => %address, "error" => %e);
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+}
+
+async fn subscribe(state: &State, address: SocketAddr) -> Result<(), String> {
+    let mut client = client(address).await?;
+    let request = wire::FeedRequest {
+        entry: state.settings.vm.to_string(),
+        incarnation: state.incarnation.0,
+        revision: state.view().revision().0,
+    };
+    let mut stream = tokio::time::timeout(CALL_TIMEOUT, client.subscribe(request))
+        .await
+        .map_err(|_| "no answer in time".to_owned())?
+        .map_err(|e| e.to_string())?
+        .into_inner();
+    while let Some(message) = stream.message().await.map_err(|e| e.to_string())? {
+        apply(state, message)?;
+    }
+    Ok(())
+}
+
+async fn client(address: SocketAddr) -> Result<FeedClient<Channel>, String> {
+    let client = FeedClient::new(channel(address).await?);
+    Ok(client.max_decoding_message_size(MAX_CATALOG))
+}
+
+/// Applies one message of the feed; a catalog only if its revision is higher.
+///
+/// # Errors
+///
+/// When it is malformed or does not follow what is in force; the feed is
+/// opened again then, and brings a snapshot.
+pub fn apply(state: &State, message: wire::FeedMessage) -> Result<(), String> {
+    match message.body {
+        Some(Body::Snapshot(s)) => apply_snapshot(state, &s),
+        Some(Body::Delta(d)) => apply_delta(state, &d),
+        Some(Body::Owners(o)) => {
+            apply_owners(state, o);
+            Ok(())
+        }
+        Some(Body::Verdicts(v)) => {
+            let list = v.verdicts.iter();
+            state.convict(list.map(|v| (Fingerprint(v.fingerprint), v.left_ms)));
+            Ok(())
+        }
+        None => Err("an empty message".to_owned()),
+    }
+}
+
+fn apply_snapshot(state: &State, s: &wire::Snapshot) -> Result<(), String> {
+    if s.revision <= state.view().revision().0 {
+        return Ok(());
+    }
+    let catalog: Catalog = serde_json::from_slice(&s.catalog).map_err(|e| e.to_string())?;
+    if catalog.revision.0 != s.revision {
+        return Err("a snapshot of another revision than it says".to_owned());
+    }
+    put_in_force(state, View::new(catalog));
+    Ok(())
+}
+
+fn apply_delta(state: &State, d: &wire::Delta) -> Result<(), String> {
+    let view = state.view();
+    if d.revision <= view.revision().0 {
+        return Ok(());
+    }
+    let set: ChangeSet = serde_json::from_slice(&d.changes).map_err(|e| e.to_string())?;
+    put_in_force(state, view.next(&set)?);
+    Ok(())
+}
+
+fn put_in_force(state: &State, view: View) {
+    let revision = view.revision().0;
+    if state.put_in_force(view) {
+        let about = About {
+            detail: format!("revision {revision}"),
+            ..About::default()
+        };
+        state.recorder.record(Kind::InForce, about);
+        metrics::gauge!("entry_revision").set(revision as f64);
+    }
+}
+
+/// A higher token wins, so that news from a control process that lags does not
+/// lead back to an earlier owner.
+fn apply_owners(state: &State, owners: wire::Owners) {
+    let list = owners.owners.into_iter().filter_map(|o| {
+        let owner = Owner {
+            vm: o.vm.parse().ok()?,
+            address: o.address.parse().ok()?,
+            token: Token(o.token),
+        };
+        Some((o.pool.parse().ok()?, owner))
+    });
+    state.owners.send_if_modified(|have| {
+        let mut changed = false;
+        for (pool, owner) in list {
+            let newer = have.get(&pool).is_none_or(|h| owner.token > h.token);
+            if newer {
+                have.insert(pool, owner);
+                changed = true;
+            }
+        }
+        changed
+    });
+}
+
+/// Reports usage each second until the process ends; a report repeats all
+/// counts, so that a lost one loses nothing.
+pub(super) async fn report(state: Arc<State>) {
+    let mut reporter = Reporter::new(state);
+    let mut tick = tokio::time::interval(REPORT_EVERY);
+    tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        tick.tick().await;
+        reporter.send().await;
+    }
+}
+
+/// Reports usage once, at the end of the process.
+pub(super) async fn report_last(state: Arc<State>) {
+    Reporter::new(state).send().await;
+}
+
+struct Reporter {
+    state: Arc<State>,
+    client: Option<FeedClient<Channel>>,
+    at: usize,
+}
+
+impl Reporter {
+    fn new(state: Arc<State>) -> Self {
+        Self {
+            state,
+            client: None,
+            at: 0,
+        }
+    }
+
+    /// Sends one report to the first control process that takes it.
+    async fn send(&mut self) {
+        let counts = self.state.usage.counts();
+        if counts.is_empty() {
+            return;
+        }
+        let report = wire::UsageReport {
+            vm: self.state.settings.vm.to_string(),
+            incarnation: self.state.incarnation.0,
+            // Reports of one process are told apart by when they were made.
+            sequence: super::clock::now_us(),
+            counts,
+        };
+        for _ in 0..self.state.settings.controls.len() {
+            match self.try_send(&report).await {
+                Ok(()) => return,
+                Err(e) => slog::debug!(self.state.log, "usage not reported"; "error" => %e),
+            }
+            self.client = None;
+            self.at = (self.at + 1) % self.state.settings.controls.len();
+        }
+    }
+
+    async fn try_send(&mut self, report: &wire::UsageReport) -> Result<(), String> {
+        let work = async {
+            let mut client = match self.client.take() {
+                Some(client) => client,
+                None => client(self.state.settings.controls[self.at]).await?,
+            };
+            let reply = client.report_usage(report.clone()).await;
+            reply.map_err(|e| e.to_string())?;
+            self.client = Some(client);
+            Ok(())
+        };
+        tokio::time::timeout(CALL_TIMEOUT, work)
+            .await
+            .unwrap_or_else(|_| Err("no answer in time".to_owned()))
+    }
+}
--- /dev/null
+++ b/lib/src/entry/hold.rs
@@ -0,0 +1,180 @@
+//! A grant in use: when it lapses, and its one release.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+use banyangauge_proto as wire;
+use tokio::sync::mpsc;
+
+use super::clock::now_us;
+use super::ledger::Command;
+use crate::pool::Outcome;
+use crate::upstream::Upstreams;
+use crate::upstream::cancel;
+
+/// Until when a grant may be used, on the clock of [`now_us`].
+#[derive(Debug)]
+pub struct Lease(AtomicU64);
+
+impl Lease {
+    /// A lease until `until_us`.
+    pub fn new(until_us: u64) -> Self {
+        Self(AtomicU64::new(until_us))
+    }
+
+    /// When it ends, in microseconds.
+    pub fn until(&self) -> u64 {
+        self.0.load(Ordering::Acquire)
+    }
+
+    /// Prolongs it; never shortens it.
+    pub fn extend(&self, until_us: u64) {
+        self.0.fetch_max(until_us, Ordering::AcqRel);
+    }
+
+    /// Ends it at once.
+    pub fn end(&self) {
+        self.0.store(0, Ordering::Release);
+    }
+
+    /// Whether the grant must not be used any more.
+    pub fn lapsed(&self, now_us: u64) -> bool {
+        now_us >= self.until()
+    }
+}
+
+/// What a dispatch needs for being cancelled.
+#[derive(Clone)]
+struct Running {
+    upstreams: Upstreams,
+    address: SocketAddr,
+    request: String,
+    /// Whether the upstream knows how to cancel.
+    engine: bool,
+    since: u64,
+    first: Option<u64>,
+}
+
+/// A grant in the hands of a request. Its release is sent exactly once: by
+/// [`Hold::settle`], or when it is dropped because the caller went away or the
+/// request's task panicked; a dispatch under way is cancelled then.
+pub struct Hold {
+    /// What was granted.
+    pub grant: wire::Grant,
+    /// Until when.
+    pub lease: Arc<Lease>,
+    /// Tokens that were passed on.
+    pub tokens: u64,
+    /// The incarnation by the answer; 0 is not known.
+    pub seen: u64,
+    /// Whether the request has an idempotency key.
+    pub claimed: bool,
+    commands: mpsc::Sender<Command>,
+    running: Option<Running>,
+    settled: bool,
+}
+
+impl Hold {
+    /// A grant that has just come.
+    pub fn new(grant: wire::Grant, lease: Arc<Lease>, commands: mpsc::Sender<Command>) -> Self {
+        Self {
+            grant,
+            lease,
+            tokens: 0,
+            seen: 0,
+            claimed: false,
+            commands,
+            running: None,
+            settled: false,
+        }
+    }
+
+    /// Notes that the request goes out now.
+    pub fn dispatch(
+        &mut self,
+        upstreams: &Upstreams,
+        address: SocketAddr,
+        request: &str,
+        engine: bool,
+    ) {
+        self.running = Some(Running {
+            upstreams: upstreams.clone(),
+            address,
+            request: request.to_owned(),
+            engine,
+            since: now_us(),
+            first: None,
+        });
+    }
+
+    /// Notes that the answer began.
+    pub fn first_byte(&mut self) {
+        if let Some(r) = &mut self.running {
+            r.first.get_or_insert(now_us());
+        }
+    }
+
+    /// Tells the owner how it ended.
+    pub fn settle(mut self, outcome: Outcome) {
+        self.send(outcome);
+    }
+
+    fn send(&mut self, outcome: Outcome) {
+        self.settled = true;
+        let now = now_us();
+        let running = self.running.as_ref();
+        let span = |end: u64| running.map_or(0, |r| end.saturating_sub(r.since) / 1_000);
+        let release = wire::Release {
+            request: self.grant.request,
+            grant: self.grant.grant,
+            outcome: outcome_number(outcome),
+            tokens: u32::try_from(self.tokens).unwrap_or(u32::MAX),
+            first_ms: running.and_then(|r| r.first).map_or(0, span),
+            total_ms: span(now),
+            seen: self.seen,
+            claim_outcome: claim_outcome(self.claimed, outcome).to_owned(),
+        };
+        // The mailbox holds more than all requests in flight can send.
+        self.commands.try_send(Command::Release(release)).ok();
+    }
+}
+
+impl Drop for Hold {
+    fn drop(&mut self) {
+        if self.settled {
+            return;
+        }
+        match self.running.take() {
+            Some(r) => {
+                if r.engine {
+                    cancel(&r.upstreams, r.address, &r.request);
+                }
+                self.running = Some(r);
+                self.send(Outcome::Cancelled);
+            }
+            None => self.send(Outcome::NotRun),
+        }
+    }
+}
+
+/// The number of an outcome in `Release`.
+pub(super) const fn outcome_number(outcome: Outcome) -> u32 {
+    match outcome {
+        Outcome::Answered => 0,
+        Outcome::NotRun => 1,
+        Outcome::BrokenEarly => 2,
+        Outcome::BrokenLate => 3,
+        Outcome::Cancelled => 4,
+        Outcome::WrongIdentity => 5,
+    }
+}
+
+const fn claim_outcome(claimed: bool, outcome: Outcome) -> &'static str {
+    match (claimed, outcome) {
+        (false, _) | (_, Outcome::NotRun) => "",
+        (true, Outcome::Answered) => "answered",
+        (true, _) => "unknown",
+    }
+}
--- /dev/null
+++ b/lib/src/entry/ledger.rs
@@ -0,0 +1,301 @@
+//! What one session with a pool's owner knows: requests that wait for a
+//! grant, grants in use, and which of them are confirmed until when.
+//!
+//! Plain state with time as an argument; [`super::session`] does the input
+//! and output.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use banyangauge_proto as wire;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use wire::entry_message::Body as ToOwner;
+use wire::owner_message::Body as FromOwner;
+
+use super::hold::Hold;
+use super::hold::Lease;
+
+/// Renewals that may be unanswered before the owner counts as gone: at one a
+/// second, shorter than any useful lifetime of a grant.
+const MOST_UNANSWERED: usize = 4;
+
+/// What a request gets from the owner.
+pub enum Reply {
+    /// Leave to dispatch.
+    Granted(Box<Hold>),
+    /// It may not run.
+    Refused(wire::Refusal),
+}
+
+/// A request that waits for a grant.
+pub struct Waiting {
+    /// What it asks for; its deadline is set at each sending.
+    pub acquire: wire::Acquire,
+    /// When its caller gives up, in microseconds.
+    pub deadline: u64,
+    /// When it was last sent to the owner, in microseconds.
+    pub sent: u64,
+    /// Where the reply goes.
+    pub reply: oneshot::Sender<Reply>,
+}
+
+/// What requests tell their session.
+pub enum Command {
+    /// Ask for a grant.
+    Acquire(Box<Waiting>),
+    /// The request with this number no longer waits.
+    Abandon(u64),
+    /// A dispatch ended.
+    Release(wire::Release),
+}
+
+struct Held {
+    grant: wire::Grant,
+    lease: Arc<Lease>,
+    /// Not handed out until the owner confirms it.
+    parked: Option<Waiting>,
+}
+
+/// What the session does next.
+#[derive(Debug, PartialEq)]
+pub enum Step {
+    /// Nothing.
+    Stay,
+    /// Send these.
+    Send(Vec<ToOwner>),
+    /// Leave this owner; the address is where it says the owner is.
+    Leave(Option<SocketAddr>),
+}
+
+/// The state of one session.
+pub struct Ledger {
+    pool: String,
+    entry: String,
+    incarnation: u64,
+    commands: mpsc::Sender<Command>,
+    waiting: BTreeMap<u64, Waiting>,
+    held: BTreeMap<u64, Held>,
+    /// Releases that no owner has been told, with their grants.
+    unsent: Vec<(wire::Grant, wire::Release)>,
+    /// When each unanswered renewal was sent.
+    renewals: VecDeque<u64>,
+    /// When the latest renewal was sent that the owner has answered: whatever
+    /// comes after the answer was sent by the owner after this moment.
+    confirmed: u64,
+    ttl: u64,
+    connected: bool,
+}
+
+impl Ledger {
+    /// Nothing waits and nothing is held.
+    pub fn new(pool: &str, entry: &str, incarnation: u64, commands: mpsc::Sender<Command>) -> Self {
+        Self {
+            pool: pool.to_owned(),
+            entry: entry.to_owned(),
+            incarnation,
+            commands,
+            waiting: BTreeMap::new(),
+            held: BTreeMap::new(),
+            unsent: Vec::new(),
+            renewals: VecDeque::new(),
+            confirmed: 0,
+            ttl: 0,
+            connected: false,
+        }
+    }
+
+    /// Whether there is any reason to be connected.
+    pub fn idle(&self) -> bool {
+        self.waiting.is_empty() && self.held.is_empty() && self.unsent.is_empty()
+    }
+
+    /// The first messages to a new owner: what is held, a renewal of it, what
+    /// ended meanwhile, and what still waits. Asking again is safe, as nothing
+    /// that waits was dispatched.
+    pub fn open(&mut self, now: u64) -> Vec<ToOwner> {
+        self.renewals.clear();
+        self.confirmed = 0;
+        self.connected = true;
+        let in_use = self.held.values().filter(|h| !h.lease.lapsed(now));
+        let ended = self.unsent.iter().map(|(g, _)| g);
+        let mut out = vec![ToOwner::Hello(wire::Hello {
+            pool: self.pool.clone(),
+            entry: self.entry.clone(),
+            incarnation: self.incarnation,
+            held: in_use.map(|h| &h.grant).chain(ended).cloned().collect(),
+        })];
+        out.extend(self.unsent.drain(..).map(|(_, r)| ToOwner::Release(r)));
+        out.extend(self.renew(now));
+        self.waiting
+            .retain(|_, w| w.deadline > now && !w.reply.is_closed());
+        out.extend(
+            self.waiting
+                .values_mut()
+                .map(|w| ToOwner::Acquire(ask(w, now))),
+        );
+        out
+    }
+
+    /// The connection to the owner is gone.
+    pub fn close(&mut self) {
+        self.connected = false;
+    }
+
+    /// Takes a command; gives what the owner must be told of it.
+    pub fn command(&mut self, command: Command, now: u64) -> Option<ToOwner> {
+        let message = match command {
+            Command::Acquire(mut w) => {
+                let acquire = ask(&mut w, now);
+                self.waiting.insert(acquire.request, *w);
+                ToOwner::Acquire(acquire)
+            }
+            Command::Abandon(request) => {
+                self.waiting.remove(&request)?;
+                ToOwner::Abandon(wire::Abandon { request })
+            }
+            Command::Release(release) => {
+                let held = self.held.remove(&release.grant);
+                if !self.connected {
+                    self.unsent.extend(held.map(|h| (h.grant, release)));
+                    return None;
+                }
+                ToOwner::Release(release)
+            }
+        };
+        self.connected.then_some(message)
+    }
+
+    /// Takes a message of the owner.
+    pub fn message(&mut self, message: FromOwner, now: u64) -> Step {
+        match message {
+            FromOwner::Welcome(w) => {
+                self.ttl = w.ttl_ms * 1_000;
+                Step::Stay
+            }
+            FromOwner::Granted(grant) => self.granted(grant, now),
+            FromOwner::Refused(refusal) => {
+                if let Some(w) = self.waiting.remove(&refusal.request) {
+                    // A caller that has gone away needs no reply.
+                    w.reply.send(Reply::Refused(refusal)).ok();
+                }
+                Step::Stay
+            }
+            FromOwner::Renewed(r) => self.renewed(&r, now),
+            FromOwner::NotOwner(n) => Step::Leave(n.address.parse().ok()),
+        }
+    }
+
+    /// Renews what is held, each second; leaves an owner that has gone silent.
+    pub fn tick(&mut self, now: u64) -> Step {
+        if self.renewals.len() >= MOST_UNANSWERED {
+            return Step::Leave(None);
+        }
+        self.renew(now).map_or(Step::Stay, |m| Step::Send(vec![m]))
+    }
+
+    fn renew(&mut self, now: u64) -> Option<ToOwner> {
+        if self.held.is_empty() && self.waiting.is_empty() {
+            return None;
+        }
+        self.renewals.push_back(now);
+        let live = self.held.iter().filter(|(_, h)| !h.lease.lapsed(now));
+        Some(ToOwner::Renew(wire::Renew {
+            grants: live.map(|(id, _)| *id).collect(),
+        }))
+    }
+
+    fn granted(&mut self, grant: wire::Grant, now: u64) -> Step {
+        if self.held.contains_key(&grant.grant) {
+            return Step::Stay;
+        }
+        let Some(w) = self.waiting.remove(&grant.request) else {
+            return Step::Send(vec![ToOwner::Release(not_run(&grant))]);
+        };
+        let ttl = grant.ttl_ms * 1_000;
+        let until = w.sent.max(self.confirmed) + ttl;
+        let lease = Arc::new(Lease::new(until));
+        let id = grant.grant;
+        let mut held = Held {
+            grant,
+            lease,
+            parked: Some(w),
+        };
+        // Of a grant that waited long, only its renewal tells how much is left.
+        let fresh = until.saturating_sub(now) >= ttl / 2;
+        if fresh {
+            self.hand_out(&mut held);
+        }
+        self.held.insert(id, held);
+        if fresh {
+            return Step::Stay;
+        }
+        self.renewals.push_back(now);
+        Step::Send(vec![ToOwner::Renew(wire::Renew { grants: vec![id] })])
+    }
+
+    fn renewed(&mut self, r: &wire::Renewed, now: u64) -> Step {
+        let Some(sent) = self.renewals.pop_front() else {
+            return Step::Stay;
+        };
+        self.confirmed = self.confirmed.max(sent);
+        for id in &r.grants {
+            let Some(mut held) = self.held.remove(id) else {
+                continue;
+            };
+            let ttl = match self.ttl {
+                0 => held.grant.ttl_ms * 1_000,
+                ttl => ttl,
+            };
+            held.lease.extend(sent + ttl);
+            self.hand_out(&mut held);
+            self.held.insert(*id, held);
+        }
+        let unknown = r.unknown.iter();
+        let again: Vec<_> = unknown.filter_map(|id| self.disowned(*id, now)).collect();
+        match again.is_empty() {
+            true => Step::Stay,
+            false => Step::Send(again),
+        }
+    }
+
+    /// The owner will not prolong a grant: what runs on it ends visibly, what
+    /// was never dispatched is asked for again.
+    fn disowned(&mut self, id: u64, now: u64) -> Option<ToOwner> {
+        let held = self.held.get_mut(&id)?;
+        held.lease.end();
+        let mut w = held.parked.take()?;
+        self.held.remove(&id);
+        let acquire = ask(&mut w, now);
+        self.waiting.insert(acquire.request, w);
+        Some(ToOwner::Acquire(acquire))
+    }
+
+    fn hand_out(&self, held: &mut Held) {
+        let Some(w) = held.parked.take() else { return };
+        let hold = Hold::new(
+            held.grant.clone(),
+            held.lease.clone(),
+            self.commands.clone(),
+        );
+        // If the caller has gone, the hold comes back and releases itself.
+        w.reply.send(Reply::Granted(Box::new(hold))).ok();
+    }
+}
+
+fn ask(w: &mut Waiting, now: u64) -> wire::Acquire {
+    w.sent = now;
+    w.acquire.deadline_ms = w.deadline.saturating_sub(now) / 1_000;
+    w.acquire.clone()
+}
+
+fn not_run(grant: &wire::Grant) -> wire::Release {
+    wire::Release {
+        request: grant.request,
+        grant: grant.grant,
+        outcome: super::hold::outcome_number(crate::pool::Outcome::NotRun),
+        ..Default::default()
+    }
+}
--- a/lib/src/entry/mod.rs
+++ b/lib/src/entry/mod.rs
@@ -1,1 +1,55 @@
-//! To be written.
+//! The entry process: callers' HTTP in, dispatch to upstreams, answers back.
+//!
+//! One request goes through these modules in order: `server` accepts
+//! its connection, `serve` reads it, `call`, `auth`, `body` and `view` check
+//! it against the catalog, `session` gets a grant for it from the owner of
+//! its pool, `dispatch` sends it to the granted upstream, and `stream` passes
+//! a streamed answer on. [`decide`] holds what follows a failure, `ledger`
+//! what a session knows, `hold` one grant in use. `feed` brings the catalog
+//! and takes usage away.
+
+mod answer;
+mod auth;
+mod body;
+mod call;
+mod clock;
+pub mod decide;
+mod dispatch;
+mod errors;
+mod feed;
+mod hold;
+mod ledger;
+mod program;
+mod serve;
+mod server;
+mod session;
+mod settings;
+mod state;
+mod stream;
+mod usage;
+mod view;
+
+pub use auth::KeyIndex;
+pub use body::Completion;
+pub use errors::CallerError;
+pub use errors::Code;
+pub use errors::Ran;
+pub use feed::apply;
+pub use hold::Hold;
+pub use hold::Lease;
+pub use ledger::Command;
+pub use ledger::Ledger;
+pub use ledger::Reply;
+pub use ledger::Step;
+pub use ledger::Waiting;
+pub use program::Entry;
+pub use program::EntryError;
+pub use program::run;
+pub use session::candidate;
+pub use settings::EntrySettings;
+pub use settings::Limits;
+pub use state::State;
+pub use usage::Counter;
+pub use usage::Usage;
+pub use view::Service;
+pub use view::View;
--- /dev/null
+++ b/lib/src/entry/session.rs
@@ -0,0 +1,384 @@
+//! The stream to the owner of one pool.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use banyangauge_proto as wire;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+use tokio::time::MissedTickBehavior;
+use tokio_stream::wrappers::ReceiverStream;
+use tonic::Streaming;
+use tonic::transport::Channel;
+use tonic::transport::Endpoint;
+use wire::grants_client::GrantsClient;
+
+use super::clock;
+use super::clock::now_us;
+use super::hold::Hold;
+use super::ledger::Command;
+use super::ledger::Ledger;
+use super::ledger::Reply;
+use super::ledger::Step;
+use super::ledger::Waiting;
+use crate::control::Owner;
+use crate::ids::PoolName;
+
+/// Grants last some seconds; a renewal a second outlives two lost ones.
+const RENEW_EVERY: Duration = Duration::from_secs(1);
+
+/// The longest wait for a connection or for the owner's welcome; processes
+/// are about a millisecond apart.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// The pause after a failed try, which grows to the second value: a new owner
+/// takes over within seconds, and must not be met by a storm of tries.
+const PAUSES: (Duration, Duration) = (Duration::from_millis(20), Duration::from_millis(500));
+
+/// Messages that may wait for the connection; more mean that it is stuck.
+const OUTBOX: usize = 8_192;
+
+/// A request sends at most this many commands before they are taken up.
+const COMMANDS_PER_REQUEST: usize = 4;
+
+/// What a session needs to know of its process.
+#[derive(Clone)]
+pub(super) struct Identity {
+    /// The VM's name.
+    pub entry: String,
+    /// This start of the process.
+    pub incarnation: u64,
+    /// Control processes to ask when the owner is not known.
+    pub controls: Vec<SocketAddr>,
+    /// Owners as the feed tells them.
+    pub owners: watch::Receiver<BTreeMap<PoolName, Owner>>,
+    /// Requests in flight at the most.
+    pub requests: usize,
+    /// The log.
+    pub log: slog::Logger,
+}
+
+/// Why there is no grant.
+#[derive(Debug)]
+pub(super) enum NoGrant {
+    /// The owner refused.
+    Refused(wire::Refusal),
+    /// The deadline passed while the owner had the request in its queue.
+    Deadline,
+    /// The deadline passed without an owner, or too much waits for one.
+    NoOwner,
+}
+
+/// A pool's session; clones share it.
+#[derive(Clone)]
+pub(super) struct Session {
+    commands: mpsc::Sender<Command>,
+    connected: Arc<AtomicBool>,
+}
+
+impl Session {
+    /// Starts the session of `pool`; it connects when first used.
+    pub(super) fn start(pool: &PoolName, identity: Identity) -> Self {
+        let (commands, mailbox) = mpsc::channel(identity.requests * COMMANDS_PER_REQUEST);
+        let connected = Arc::new(AtomicBool::new(false));
+        let ledger = Ledger::new(
+            pool.as_str(),
+            &identity.entry,
+            identity.incarnation,
+            commands.clone(),
+        );
+        let task = Task {
+            pool: pool.clone(),
+            identity,
+            ledger,
+            mailbox,
+            connected: connected.clone(),
+        };
+        tokio::spawn(task.run());
+        Self {
+            commands,
+            connected,
+        }
+    }
+
+    /// Asks the owner for leave to dispatch one request; `deadline` is a
+    /// reading of the entry's clock. Dropping the call abandons the request.
+    ///
+    /// # Errors
+    ///
+    /// See [`NoGrant`]; in each case the request did not run.
+    pub(super) async fn acquire(
+        &self,
+        acquire: wire::Acquire,
+        deadline: u64,
+    ) -> Result<Box<Hold>, NoGrant> {
+        let (reply, receiver) = oneshot::channel();
+        let request = acquire.request;
+        let waiting = Box::new(Waiting {
+            acquire,
+            deadline,
+            sent: now_us(),
+            reply,
+        });
+        self.commands
+            .try_send(Command::Acquire(waiting))
+            .map_err(|_| NoGrant::NoOwner)?;
+        let mut abandon = Abandon {
+            commands: &self.commands,
+            request: Some(request),
+        };
+        let reply = tokio::time::timeout_at(clock::instant(deadline), receiver).await;
+        let reply = match reply {
+            Ok(Ok(reply)) => reply,
+            // The session ended with the process.
+            Ok(Err(_)) => return Err(NoGrant::NoOwner),
+            Err(_) if self.connected.load(Ordering::Relaxed) => return Err(NoGrant::Deadline),
+            Err(_) => return Err(NoGrant::NoOwner),
+        };
+        abandon.request = None;
+        match reply {
+            Reply::Granted(hold) => Ok(hold),
+            Reply::Refused(refusal) => Err(NoGrant::Refused(refusal)),
+        }
+    }
+}
+
+struct Abandon<'a> {
+    commands: &'a mpsc::Sender<Command>,
+    request: Option<u64>,
+}
+
+impl Drop for Abandon<'_> {
+    fn drop(&mut self) {
+        if let Some(request) = self.request {
+            // If it is lost, the grant finds nobody and releases itself.
+            self.commands.try_send(Command::Abandon(request)).ok();
+        }
+    }
+}
+
+/// Where to look for a pool's owner at the given try: first where the last
+/// control said, then where the feed says, then at each control in turn, as
+/// any of them may know.
+pub fn candidate(
+    hint: Option<SocketAddr>,
+    owner: Option<SocketAddr>,
+    controls: &[SocketAddr],
+    tries: usize,
+) -> Option<SocketAddr> {
+    let mut list: Vec<SocketAddr> = hint.into_iter().chain(owner).collect();
+    list.extend_from_slice(controls);
+    let mut seen = std::collections::BTreeSet::new();
+    list.retain(|a| seen.insert(*a));
+    list.get(tries % list.len().max(1)).copied()
+}
+
+struct Task {
+    pool: PoolName,
+    identity: Identity,
+    ledger: Ledger,
+    mailbox: mpsc::Receiver<Command>,
+    connected: Arc<AtomicBool>,
+}
+
+struct Link {
+    outbox: mpsc::Sender<wire::EntryMessage>,
+    inbox: Streaming<wire::OwnerMessage>,
+}
+
+impl Task {
+    async fn run(mut self) {
+        let mut hint = None;
+        let mut tries = 0;
+        let mut pause = PAUSES.0;
+        loop {
+            if self.ledger.idle() && !self.wait_for_work().await {
+                return;
+            }
+            let owner = self.owner();
+            let Some(address) = candidate(hint, owner, &self.identity.controls, tries) else {
+                return;
+            };
+            let served = self.connect_and_serve(address).await;
+            self.connected.store(false, Ordering::Relaxed);
+            self.ledger.close();
+            match served {
+                Served::Ended => return,
+                // It was the owner for a while: begin again with what is known.
+                Served::Worked => (hint, tries, pause) = (None, 0, PAUSES.0),
+                Served::Failed(told) => {
+                    tries = if told.is_some() && told != hint {
+                        0
+                    } else {
+                        tries + 1
+                    };
+                    hint = told.or(hint.filter(|h| *h != address));
+                    if !self.rest(pause).await {
+                        return;
+                    }
+                    pause = (pause * 2).min(PAUSES.1);
+                }
+            }
+        }
+    }
+
+    fn owner(&self) -> Option<SocketAddr> {
+        let owners = self.identity.owners.borrow();
+        owners.get(&self.pool).map(|o| o.address)
+    }
+
+    async fn wait_for_work(&mut self) -> bool {
+        let Some(command) = self.mailbox.recv().await else {
+            return false;
+        };
+        self.ledger.command(command, now_us());
+        true
+    }
+
+    /// Waits, or until the feed names another owner; takes commands meanwhile.
+    async fn rest(&mut self, pause: Duration) -> bool {
+        let mut owners = self.identity.owners.clone();
+        let sleep = tokio::time::sleep(pause);
+        tokio::pin!(sleep);
+        owners.mark_unchanged();
+        loop {
+            tokio::select! {
+                () = &mut sleep => return true,
+                Ok(()) = owners.changed() => return true,
+                command = self.mailbox.recv() => match command {
+                    Some(c) => { self.ledger.command(c, now_us()); }
+                    None => return false,
+                },
+            }
+        }
+    }
+
+    async fn connect_and_serve(&mut self, address: SocketAddr) -> Served {
+        let connect = connect(address);
+        tokio::pin!(connect);
+        let link = loop {
+            tokio::select! {
+                link = &mut connect => break link,
+                command = self.mailbox.recv() => match command {
+                    Some(c) => { self.ledger.command(c, now_us()); }
+                    None => return Served::Ended,
+                },
+            }
+        };
+        match link {
+            Ok(link) => self.serve(link).await,
+            Err(e) => {
+                slog::debug!(self.identity.log, "no session";
+                    "pool" => %self.pool, "address" => %address, "error" => %e);
+                Served::Failed(None)
+            }
+        }
+    }
+
+    async fn serve(&mut self, mut link: Link) -> Served {
+        let mut worked = false;
+        for m in self.ledger.open(now_us()) {
+            if !link.send(m) {
+                return Served::Failed(None);
+            }
+        }
+        let mut tick = tokio::time::interval(RENEW_EVERY);
+        tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        tick.reset();
+        loop {
+            let step = tokio::select! {
+                command = self.mailbox.recv() => match command {
+                    Some(c) => match self.ledger.command(c, now_us()) {
+                        Some(m) => Step::Send(vec![m]),
+                        None => Step::Stay,
+                    },
+                    None => return Served::Ended,
+                },
+                message = link.inbox.message() => match message {
+                    Ok(Some(wire::OwnerMessage { body: Some(body) })) => {
+                        let step = self.ledger.message(body, now_us());
+                        if !worked && !matches!(step, Step::Leave(_)) {
+                            worked = true;
+                            self.connected.store(true, Ordering::Relaxed);
+                        }
+                        step
+                    }
+                    // An empty message is malformed; the owner's next may be good.
+                    Ok(Some(_)) => Step::Stay,
+                    Ok(None) | Err(_) => Step::Leave(None),
+                },
+                _ = tick.tick() => match worked {
+                    true => self.ledger.tick(now_us()),
+                    // No welcome within a second.
+                    false => Step::Leave(None),
+                },
+            };
+            let sent = match step {
+                Step::Stay => true,
+                Step::Send(list) => list.into_iter().all(|m| link.send(m)),
+                Step::Leave(Some(told)) => return Served::Failed(Some(told)),
+                Step::Leave(None) if worked => return Served::Worked,
+                Step::Leave(None) => return Served::Failed(None),
+            };
+            if !sent {
+                return Served::Failed(None);
+            }
+        }
+    }
+}
+
+enum Served {
+    /// The process ends.
+    Ended,
+    /// The owner answered for a while.
+    Worked,
+    /// It did not, and perhaps said who does.
+    Failed(Option<SocketAddr>),
+}
+
+impl Link {
+    fn send(&self, body: wire::entry_message::Body) -> bool {
+        let message = wire::EntryMessage { body: Some(body) };
+        self.outbox.try_send(message).is_ok()
+    }
+}
+
+async fn connect(address: SocketAddr) -> Result<Link, String> {
+    let work = async {
+        let channel = channel(address).await?;
+        let (outbox, messages) = mpsc::channel(OUTBOX);
+        let inbox = GrantsClient::new(channel)
+            .session(ReceiverStream::new(messages))
+            .await
+            .map_err(|e| e.to_string())?
+            .into_inner();
+        Ok(Link { outbox, inbox })
+    };
+    tokio::time::timeout(CONNECT_TIMEOUT, work)
+        .await
+        .unwrap_or_else(|_| Err("no answer in time".to_owned()))
+}
+
+/// Connects to another process of the system.
+///
+/// # Errors
+///
+/// When it cannot be reached in time.
+pub(super) async fn channel(address: SocketAddr) -> Result<Channel, String> {
+    Endpoint::from_shared(format!("http://{address}"))
+        .map_err(|e| e.to_string())?
+        .connect_timeout(CONNECT_TIMEOUT)
+        .tcp_nodelay(true)
+        // A peer that vanished without a word is noticed within three seconds.
+        .http2_keep_alive_interval(Duration::from_secs(1))
+        .keep_alive_timeout(Duration::from_secs(2))
+        .keep_alive_while_idle(true)
+        .connect()
+        .await
+        .map_err(|e| e.to_string())
+}
--- /dev/null
+++ b/lib/src/entry/stream.rs
@@ -0,0 +1,411 @@
+//! A stream on its way from an engine to a caller: each event is checked
+//! before it is passed on, and a broken connection is resumed.
+
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::Context;
+use std::task::Poll;
+use std::task::ready;
+
+use bytes::Bytes;
+use hyper::http::response;
+use tokio::sync::OwnedSemaphorePermit;
+use tokio::time::Sleep;
+
+use super::CallerError;
+use super::Code;
+use super::answer::Truncated;
+use super::call::Call;
+use super::clock;
+use super::clock::now_us;
+use super::decide;
+use super::decide::Failure;
+use super::dispatch::answer_head;
+use super::dispatch::note;
+use super::dispatch::request;
+use super::hold::Hold;
+use super::state::State;
+use super::usage::Counter;
+use crate::pool::Outcome;
+use crate::timeline::Kind;
+use crate::upstream;
+use crate::upstream::Answer;
+use crate::upstream::Checker;
+use crate::upstream::Expected;
+use crate::upstream::Fault;
+use crate::upstream::Progress;
+use crate::upstream::RunError;
+use crate::upstream::Scanner;
+
+/// Resumptions in a row that bring no token: the engine keeps a broken stream
+/// for 5 s, and one that breaks at once each time is not worth more.
+const MOST_RESUMES: u32 = 2;
+
+type Opening = Pin<Box<dyn Future<Output = Result<Answer, RunError>> + Send>>;
+
+enum Source {
+    /// Events come in.
+    Open(Answer),
+    /// The connection is being made, for the first time or again.
+    Opening(Opening),
+    /// `[DONE]` was passed on; only the end of the body is missing.
+    Draining(Answer),
+    /// Nothing more comes.
+    Closed,
+}
+
+enum Phase {
+    /// Events are passed on.
+    Passing,
+    /// The caller has been told of a failure; let it be written out.
+    Told,
+    /// Then the connection is reset.
+    Reset,
+    /// All is passed on.
+    Ended,
+}
+
+struct Run {
+    events: Bytes,
+    progress: Progress,
+}
+
+/// A stream under way; dropping it cancels the dispatch.
+pub(super) struct Passing {
+    state: Arc<State>,
+    call: Arc<Call>,
+    hold: Option<Box<Hold>>,
+    address: SocketAddr,
+    expected: Arc<Expected>,
+    source: Source,
+    scanner: Scanner,
+    checker: Checker,
+    resumes: u32,
+    timer: Pin<Box<Sleep>>,
+    counter: Arc<Counter>,
+    first: Option<Run>,
+    passed: bool,
+    phase: Phase,
+    room: Option<OwnedSemaphorePermit>,
+}
+
+impl Passing {
+    /// Dispatches the call and waits for its first checked event, so that
+    /// until then another replica can be tried.
+    ///
+    /// # Errors
+    ///
+    /// Why no event came; the grant is released then.
+    pub(super) async fn start(
+        state: &Arc<State>,
+        call: &Arc<Call>,
+        hold: Box<Hold>,
+        address: SocketAddr,
+        expected: Expected,
+    ) -> Result<(response::Parts, Box<Self>), Failure> {
+        let counter = state.usage.counter(&call.team, call.adapter.as_ref());
+        let until = call.deadline.min(hold.lease.until());
+        let mut passing = Box::new(Self {
+            state: state.clone(),
+            call: call.clone(),
+            hold: Some(hold),
+            address,
+            expected: Arc::new(expected),
+            source: Source::Closed,
+            scanner: Scanner::default(),
+            checker: Checker::default(),
+            resumes: 0,
+            timer: Box::pin(tokio::time::sleep_until(clock::instant(until))),
+            counter,
+            first: None,
+            passed: false,
+            phase: Phase::Passing,
+            room: None,
+        });
+        passing.source = passing.open(None);
+        let first = std::future::poll_fn(|cx| passing.poll_run(cx)).await;
+        match first {
+            Ok(run) => {
+                passing.first = run;
+                if let Some(hold) = &mut passing.hold {
+                    hold.first_byte();
+                    note(
+                        state,
+                        Kind::FirstByte,
+                        call,
+                        &hold.grant.replica,
+                        String::new,
+                    );
+                }
+                Ok((passing.head(), passing))
+            }
+            Err(failure) => {
+                passing.settle(decide::outcome(&failure));
+                Err(failure)
+            }
+        }
+    }
+
+    /// Keeps the request's place among those in flight until it ends.
+    pub(super) fn with_room(mut self: Box<Self>, room: OwnedSemaphorePermit) -> Box<Self> {
+        self.room = Some(room);
+        self
+    }
+
+    fn head(&self) -> response::Parts {
+        match &self.source {
+            Source::Open(a) | Source::Draining(a) => answer_head(&self.call, a.head.clone()),
+            _ => hyper::Response::new(()).into_parts().0,
+        }
+    }
+
+    fn open(&self, resume: Option<u64>) -> Source {
+        let state = self.state.clone();
+        let address = self.address;
+        let expected = self.expected.clone();
+        let grant = self
+            .hold
+            .as_ref()
+            .map(|h| h.grant.clone())
+            .unwrap_or_default();
+        let message = request(&self.call, &grant, resume);
+        Source::Opening(Box::pin(async move {
+            upstream::run(&state.upstreams, address, message?, &expected).await
+        }))
+    }
+
+    /// The next piece for the caller; an error resets its connection.
+    pub(super) fn poll_pass(
+        &mut self,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Bytes, Truncated>>> {
+        match self.phase {
+            Phase::Passing => {}
+            Phase::Told => {
+                // One turn for the connection to write out what it was told.
+                self.phase = Phase::Reset;
+                cx.waker().wake_by_ref();
+                return Poll::Pending;
+            }
+            Phase::Reset => {
+                self.phase = Phase::Ended;
+                return Poll::Ready(Some(Err(Truncated)));
+            }
+            Phase::Ended => return Poll::Ready(None),
+        }
+        let next = match self.first.take() {
+            Some(run) => Ok(Some(run)),
+            None => ready!(self.poll_run(cx)),
+        };
+        Poll::Ready(match next {
+            Ok(Some(run)) => {
+                self.count(&run.progress);
+                Some(Ok(run.events))
+            }
+            Ok(None) => {
+                self.phase = Phase::Ended;
+                self.room = None;
+                None
+            }
+            Err(failure) => Some(Ok(self.tell(&failure))),
+        })
+    }
+
+    fn count(&mut self, progress: &Progress) {
+        if !self.passed {
+            self.passed = true;
+            self.counter.request();
+        }
+        self.counter.output(progress.tokens);
+        if let Some(hold) = &mut self.hold {
+            hold.tokens += progress.tokens;
+        }
+        if let Some(usage) = progress.usage {
+            self.counter.prompt(usage.prompt_tokens);
+        }
+        if progress.done {
+            if let Some(hold) = &self.hold {
+                let replica = &hold.grant.replica;
+                note(
+                    &self.state,
+                    Kind::Answered,
+                    &self.call,
+                    replica,
+                    String::new,
+                );
+            }
+            metrics::counter!("entry_requests_total", "outcome" => "answered").increment(1);
+            self.settle(Outcome::Answered);
+        }
+    }
+
+    /// The last thing that the caller of a broken stream reads.
+    fn tell(&mut self, failure: &Failure) -> Bytes {
+        self.phase = Phase::Told;
+        let text = decide::describe(failure);
+        let replica = self
+            .hold
+            .as_ref()
+            .map(|h| h.grant.replica.clone())
+            .unwrap_or_default();
+        note(&self.state, Kind::Unknown, &self.call, &replica, || {
+            text.clone()
+        });
+        metrics::counter!("entry_requests_total", "outcome" => "truncated").increment(1);
+        self.source = Source::Closed;
+        self.settle(decide::outcome(failure));
+        self.room = None;
+        let code = match failure {
+            Failure::Deadline => Code::Overdue,
+            _ => Code::OutcomeUnknown,
+        };
+        let body = CallerError::new(code, text).body();
+        Bytes::from([b"event: error\ndata: ", &body[..], b"\n\n"].concat())
+    }
+
+    fn settle(&mut self, outcome: Outcome) {
+        let Some(hold) = self.hold.take() else { return };
+        match outcome {
+            // A dropped hold cancels the dispatch besides.
+            Outcome::Cancelled => drop(hold),
+            outcome => hold.settle(outcome),
+        }
+    }
+
+    /// The next run of checked events, over resumed connections; `None` after
+    /// `[DONE]` and the end of the body.
+    fn poll_run(&mut self, cx: &mut Context<'_>) -> Poll<Result<Option<Run>, Failure>> {
+        loop {
+            if let Some(stop) = self.poll_stop(cx) {
+                return Poll::Ready(Err(stop));
+            }
+            let fault = match &mut self.source {
+                Source::Closed => return Poll::Ready(Ok(None)),
+                Source::Draining(answer) => {
+                    // What comes after `[DONE]` is not for the caller.
+                    if matches!(ready!(answer.poll_data(cx)), None | Some(Err(_))) {
+                        self.source = Source::Closed;
+                    }
+                    continue;
+                }
+                Source::Opening(opening) => match ready!(opening.as_mut().poll(cx)) {
+                    Ok(answer) => {
+                        self.source = Source::Open(answer);
+                        continue;
+                    }
+                    Err(e) => e,
+                },
+                Source::Open(answer) => match ready!(answer.poll_data(cx)) {
+                    Some(Ok(piece)) => match self.check(piece) {
+                        Ok(Some(run)) => return Poll::Ready(Ok(Some(run))),
+                        Ok(None) => continue,
+                        Err(e) => e,
+                    },
+                    Some(Err(e)) => self.broken(e.to_string()),
+                    None => self.broken("the stream ended without [DONE]".to_owned()),
+                },
+            };
+            if !self.resume(&fault) {
+                return Poll::Ready(Err(Failure::Run(fault)));
+            }
+        }
+    }
+
+    fn broken(&self, text: String) -> RunError {
+        match self.checker.next() {
+            0 => RunError::BrokenEarly(text),
+            _ => RunError::BrokenLate(text),
+        }
+    }
+
+    fn check(&mut self, piece: Bytes) -> Result<Option<Run>, RunError> {
+        let events = self.scanner.push(piece).map_err(|e| self.fault(e))?;
+        if events.is_empty() {
+            return Ok(None);
+        }
+        let checked = self.checker.check(&events, &self.expected);
+        let progress = checked.map_err(|e| self.fault(e))?;
+        if progress.tokens > 0 {
+            self.resumes = 0;
+        }
+        if progress.done {
+            let source = std::mem::replace(&mut self.source, Source::Closed);
+            if let Source::Open(answer) = source {
+                self.source = Source::Draining(answer);
+            }
+        }
+        Ok(Some(Run { events, progress }))
+    }
+
+    fn fault(&self, fault: Fault) -> RunError {
+        match fault {
+            Fault::Identity(what) => RunError::WrongIdentity {
+                what,
+                seen: self.expected.incarnation,
+            },
+            Fault::Malformed(text) => self.broken(text),
+        }
+    }
+
+    /// Goes on with a broken stream on the same replica, where that cannot run
+    /// the request a second time.
+    fn resume(&mut self, fault: &RunError) -> bool {
+        let next = self.checker.next();
+        let broken = matches!(fault, RunError::BrokenEarly(_) | RunError::BrokenLate(_));
+        // Before the first token there is nothing to go on from: another
+        // replica is as good, and the owner decides.
+        let useful = broken && next > 0 && self.call.idempotent;
+        if !useful || self.resumes >= MOST_RESUMES {
+            return false;
+        }
+        self.resumes += 1;
+        self.scanner.reset();
+        self.source = self.open(Some(next));
+        let replica = self
+            .hold
+            .as_ref()
+            .map(|h| h.grant.replica.as_str())
+            .unwrap_or_default();
+        note(&self.state, Kind::Resumed, &self.call, replica, || {
+            format!("at token {next}: {fault}")
+        });
+        true
+    }
+
+    /// Whether the stream must end now, before anything more is passed on.
+    fn poll_stop(&mut self, cx: &mut Context<'_>) -> Option<Failure> {
+        let hold = self.hold.as_ref()?;
+        let now = now_us();
+        if now >= self.call.deadline {
+            return Some(Failure::Deadline);
+        }
+        if hold.lease.lapsed(now) {
+            return Some(Failure::Lapsed);
+        }
+        // The timer may be due while the lease was prolonged meanwhile.
+        while self.timer.as_mut().poll(cx).is_ready() {
+            let until = self.call.deadline.min(hold.lease.until());
+            if until <= now_us() {
+                break;
+            }
+            self.timer.as_mut().reset(clock::instant(until));
+        }
+        None
+    }
+}
+
+impl Drop for Passing {
+    fn drop(&mut self) {
+        let Some(hold) = &self.hold else { return };
+        let replica = &hold.grant.replica;
+        note(
+            &self.state,
+            Kind::Cancelled,
+            &self.call,
+            replica,
+            String::new,
+        );
+        metrics::counter!("entry_requests_total", "outcome" => "cancelled").increment(1);
+    }
+}
--- a/lib/src/upstream/mod.rs
+++ b/lib/src/upstream/mod.rs
@@ -1,1 +1,24 @@
-//! To be written.
+//! The border to the upstreams: model engines and plain services.
+
+mod body;
+mod connections;
+mod errors;
+mod run;
+mod sse;
+
+pub use body::Parts;
+pub use connections::Answer;
+pub use connections::SendError;
+pub use connections::Upstreams;
+pub use errors::RunError;
+pub use errors::Unready;
+pub use run::Expected;
+pub use run::Usage;
+pub use run::cancel;
+pub use run::check_whole;
+pub use run::collect;
+pub use run::run;
+pub use sse::Checker;
+pub use sse::Fault;
+pub use sse::Progress;
+pub use sse::Scanner;
