--- a/lib/src/entry/dispatch.rs
+++ b/lib/src/entry/dispatch.rs
@@ -108,7 +108,7 @@
         .await;
     let error = match granted {
         Ok(mut hold) => {
-            hold.claimed = !call.claim.is_empty();
+            hold.claim = call.claim.clone();
             return Ok(hold);
         }
         Err(NoGrant::Refused(refusal)) => decide::refused(&refusal),
--- a/lib/src/upstream/mod.rs
+++ b/lib/src/upstream/mod.rs
@@ -3,6 +3,8 @@
 mod body;
 mod connections;
 mod errors;
+mod orders;
+mod report;
 mod run;
 mod sse;
 
@@ -12,6 +14,11 @@
 pub use connections::Upstreams;
 pub use errors::RunError;
 pub use errors::Unready;
+pub use orders::Fence;
+pub use orders::OrderError;
+pub use orders::Orders;
+pub use report::Report;
+pub use report::read_report;
 pub use run::Expected;
 pub use run::Usage;
 pub use run::cancel;
