entry: name the outcome of a failed resumption, check a delta's revision

Tests of failures found two faults. A stream whose resumption failed told the owner "broken before the first byte" or even "not run", although its caller had got tokens; it is "broken after it" now, whatever the resumption failed of. And a delta whose change set names another revision than its envelope was applied.

Tests: upstreams that refuse, break, forge, truncate or hang; owners that refuse, fall silent or are missing; callers that leave; bad bodies, heads and headers; slow, half-closed and too many callers; feeds that go back or skip.

--- a/lib/src/entry/feed.rs
+++ b/lib/src/entry/feed.rs
@@ -118,6 +118,9 @@
         return Ok(());
     }
     let set: ChangeSet = serde_json::from_slice(&d.changes).map_err(|e| e.to_string())?;
+    if set.revision.0 != d.revision {
+        return Err("a change set of another revision than it says".to_owned());
+    }
     put_in_force(state, view.next(&set)?);
     Ok(())
 }
--- a/lib/src/entry/stream.rs
+++ b/lib/src/entry/stream.rs
@@ -294,7 +294,7 @@
                         self.source = Source::Open(answer);
                         continue;
                     }
-                    Err(e) => e,
+                    Err(e) => self.late(e),
                 },
                 Source::Open(answer) => match ready!(answer.poll_data(cx)) {
                     Some(Ok(piece)) => match self.check(piece) {
@@ -312,6 +312,15 @@
         }
     }
 
+    /// Whatever a resumption fails of, the stream broke after its first token.
+    fn late(&self, e: RunError) -> RunError {
+        match (self.checker.next(), e) {
+            (0, e) => e,
+            (_, e @ RunError::WrongIdentity { .. }) => e,
+            (_, e) => RunError::BrokenLate(e.to_string()),
+        }
+    }
+
     fn broken(&self, text: String) -> RunError {
         match self.checker.next() {
             0 => RunError::BrokenEarly(text),
--- /dev/null
+++ b/lib/tests/test_entry_failures.rs
@@ -0,0 +1,414 @@
+//! Upstreams, owners and callers that fail: what the caller is told is true.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use banyangauge_proto as wire;
+use rstest::rstest;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use wire::entry_message::Body as ToOwner;
+
+use crate::test_entry_fakes::*;
+
+/// Grants the first try one upstream and all later ones another.
+fn first_then(first: SocketAddr, then: SocketAddr) -> Script {
+    Arc::new(move |a| {
+        let address = if a.attempt == 0 { first } else { then };
+        Some(grant(a, address, 5_000))
+    })
+}
+
+fn always(address: SocketAddr) -> Script {
+    Arc::new(move |a| Some(grant(a, address, 5_000)))
+}
+
+fn once() -> String {
+    format!("{}\nx-idempotent: false", completion())
+}
+
+async fn good() -> FakeUpstream {
+    FakeUpstream::start(|got| match got.body.contains("\"stream\":true") {
+        true => stream(got, 0, 3),
+        false => vec![whole(got)],
+    })
+    .await
+}
+
+async fn nowhere() -> SocketAddr {
+    bind().await.1
+}
+
+fn outcomes(releases: &[wire::Release]) -> Vec<u32> {
+    releases.iter().map(|r| r.outcome).collect()
+}
+
+#[rstest]
+#[case::not_loaded("404 Not Found", "model_not_found")]
+#[case::full("429 Too Many Requests", "engine_full")]
+#[case::leaving("503 Service Unavailable", "draining")]
+#[tokio::test]
+async fn not_run_tried_elsewhere(#[case] status: &'static str, #[case] code: &'static str) {
+    let bad = FakeUpstream::start(move |_| vec![error_code(status, code)]).await;
+    let good = good().await;
+    let world = World::start(first_then(bad.address, good.address)).await;
+    // It did not run, so that it may even be one that runs only once.
+    let answer = world.ask(&once(), PROMPT).await;
+    assert_eq!(answer.status, 200, "{answer:?}");
+    assert_eq!(outcomes(&world.releases(2).await), [1, 0]);
+    let again = &world.acquires()[1];
+    assert_eq!(again.avoid, [format!("replica-{}", bad.address.port())]);
+}
+
+#[tokio::test]
+async fn unreachable_tried_elsewhere() {
+    let good = good().await;
+    let world = World::start(first_then(nowhere().await, good.address)).await;
+    assert_eq!(world.ask(&once(), PROMPT).await.status, 200);
+    assert_eq!(outcomes(&world.releases(2).await), [1, 0]);
+}
+
+#[tokio::test]
+async fn unreachable_given_up() {
+    let world = World::start(always(nowhere().await)).await;
+    let answer = world.ask(&completion(), PROMPT).await;
+    assert_eq!(answer.error(), (503, "no_replica".into(), "not_run".into()));
+    assert_eq!(answer.header("retry-after"), Some("1"));
+    assert_eq!(world.acquires().len(), 4);
+}
+
+#[rstest]
+#[case::whole(PROMPT)]
+#[case::stream(STREAM)]
+#[tokio::test]
+async fn broken_early_idempotent_retried(#[case] body: &str) {
+    let bad = FakeUpstream::start(|_| vec![Act::Cut]).await;
+    let good = good().await;
+    let world = World::start(first_then(bad.address, good.address)).await;
+    let answer = world.ask(&completion(), body).await;
+    assert_eq!((answer.status, answer.whole), (200, true), "{answer:?}");
+    assert_eq!(outcomes(&world.releases(2).await), [2, 0]);
+    assert_eq!(world.entry.state.usage.counts()[0].requests, 1);
+}
+
+#[tokio::test]
+async fn broken_early_runs_once() {
+    let bad = FakeUpstream::start(|_| vec![Act::Cut]).await;
+    let world = World::start(always(bad.address)).await;
+    let answer = world.ask(&once(), PROMPT).await;
+    assert_eq!(
+        answer.error(),
+        (502, "outcome_unknown".into(), "unknown".into())
+    );
+    assert_eq!(bad.count("POST"), 1);
+}
+
+#[tokio::test]
+async fn broken_then_refused_unknown() {
+    let bad = FakeUpstream::start(|_| vec![Act::Cut]).await;
+    let address = bad.address;
+    let world = World::start(Arc::new(move |a| {
+        Some(match a.attempt {
+            0 => grant(a, address, 5_000),
+            _ => refuse(a, "retry_budget", ""),
+        })
+    }))
+    .await;
+    let answer = world.ask(&completion(), PROMPT).await;
+    // The refused try did not run, but the one before may have.
+    assert_eq!(
+        answer.error(),
+        (502, "outcome_unknown".into(), "unknown".into())
+    );
+}
+
+#[tokio::test]
+async fn stale_connection_runs_once() {
+    let upstream = FakeUpstream::start(|got| vec![whole(got), Act::Cut]).await;
+    let world = World::start(always(upstream.address)).await;
+    for _ in 0..20 {
+        assert_eq!(world.ask(&once(), PROMPT).await.status, 200);
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    assert_eq!(upstream.count("POST"), 20);
+}
+
+fn forged(got: &Got, from: &str, to: &str) -> Vec<Act> {
+    let head = identity(got).replace(from, to);
+    let body = whole_body(got).replace(from, to);
+    vec![sized("200 OK", &head, &body), Act::Cut]
+}
+
+#[rstest]
+#[case::model_in_head("x-served-model: rosters@3", "x-served-model: rosters@2")]
+#[case::no_model("x-served-model", "x-served-other")]
+#[case::request_in_head("x-request-id: ", "x-request-id: 1")]
+#[case::incarnation("x-engine-incarnation: 7", "x-engine-incarnation: 8")]
+#[case::model_in_body("\"rosters@3\"", "\"rosters@1\"")]
+#[case::request_in_body("\"id\":\"", "\"id\":\"_")]
+#[tokio::test]
+async fn wrong_identity_never_passed(#[case] from: &'static str, #[case] to: &'static str) {
+    let bad = FakeUpstream::start(move |got| forged(got, from, to)).await;
+    let good = good().await;
+    let world = World::start(first_then(bad.address, good.address)).await;
+    let answer = world.ask(&completion(), PROMPT).await;
+    assert_eq!((answer.status, answer.whole), (200, true), "{answer:?}");
+    assert_eq!(answer.header("x-served-model"), Some("rosters@3"));
+    assert_eq!(outcomes(&world.releases(2).await), [5, 0]);
+
+    let world = World::start(always(bad.address)).await;
+    let answer = world.ask(&once(), PROMPT).await;
+    assert_eq!(
+        answer.error(),
+        (502, "outcome_unknown".into(), "unknown".into())
+    );
+}
+
+#[rstest]
+#[case::half("HTTP/1.1 200 OK\r\ncontent-length: 900\r\nID", "{\"id\":")]
+#[case::not_json("HTTP/1.1 200 OK\r\ncontent-length: 5\r\nID", "hello")]
+#[case::not_http("hello\r\n", "")]
+#[case::failure("HTTP/1.1 500 Oops\r\ncontent-length: 0\r\n", "")]
+#[tokio::test]
+async fn malformed_whole_unknown(#[case] head: &'static str, #[case] body: &'static str) {
+    let bad = FakeUpstream::start(move |got| {
+        let head = head.replace("ID", &identity(got));
+        vec![Act::Write(format!("{head}\r\n{body}")), Act::Cut]
+    })
+    .await;
+    let world = World::start(always(bad.address)).await;
+    let answer = world.ask(&once(), PROMPT).await;
+    assert_eq!(
+        answer.error(),
+        (502, "outcome_unknown".into(), "unknown".into())
+    );
+}
+
+#[tokio::test]
+async fn stream_resumed() {
+    let upstream = FakeUpstream::start(|got| match got.header("x-resume-from") {
+        Some("2") => stream(got, 2, 4),
+        _ => vec![
+            stream_head(got),
+            token(got, 0, false),
+            token(got, 1, false),
+            Act::Cut,
+        ],
+    })
+    .await;
+    let world = World::start(always(upstream.address)).await;
+    let answer = world.ask(&completion(), STREAM).await;
+    assert!(
+        answer.whole && answer.body.ends_with("data: [DONE]\n\n"),
+        "{answer:?}"
+    );
+    for index in 0..4 {
+        let text = format!("\"token_index\":{index}");
+        assert_eq!(answer.body.matches(&text).count(), 1);
+    }
+    assert_eq!(outcomes(&world.releases(1).await), [0]);
+    assert_eq!(world.entry.state.usage.counts()[0].output_tokens, 4);
+}
+
+/// What an upstream does after the first token, and how the owner hears of it.
+#[rstest]
+#[case::cut_for_good(|_: &Got| vec![Act::Cut], 3)]
+#[case::gap(|got: &Got| vec![token(got, 2, false)], 5)]
+#[case::twice(|got: &Got| vec![token(got, 0, false)], 5)]
+#[case::early_done(|_: &Got| stream_end().to_vec(), 3)]
+#[case::no_json(|_: &Got| vec![chunk("data: x\n\n"), Act::Cut], 3)]
+#[tokio::test]
+async fn stream_truncated_visibly(#[case] rest: fn(&Got) -> Vec<Act>, #[case] outcome: u32) {
+    let upstream = FakeUpstream::start(move |got| match got.header("x-resume-from") {
+        Some(_) => vec![Act::Cut],
+        None => [vec![stream_head(got), token(got, 0, false)], rest(got)].concat(),
+    })
+    .await;
+    let world = World::start(always(upstream.address)).await;
+    let answer = world.ask(&completion(), STREAM).await;
+    assert_truncated(&answer);
+    assert_eq!(outcomes(&world.releases(1).await), [outcome]);
+}
+
+fn assert_truncated(answer: &Answer) {
+    assert_eq!((answer.status, answer.whole), (200, false), "{answer:?}");
+    assert!(answer.body.contains("event: error"), "{answer:?}");
+    assert!(!answer.body.contains("[DONE]"), "{answer:?}");
+}
+
+/// One token, then silence.
+async fn stuck() -> FakeUpstream {
+    FakeUpstream::start(|got| match got.head.starts_with("DELETE") {
+        true => vec![sized("200 OK", "", "")],
+        false => vec![stream_head(got), token(got, 0, false), Act::Sleep(20_000)],
+    })
+    .await
+}
+
+async fn wait_for_cancel(upstream: &FakeUpstream) {
+    for _ in 0..300 {
+        if upstream.count("DELETE /v1/requests/") == 1 {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    panic!("no cancel came");
+}
+
+#[tokio::test]
+async fn lapsed_grant_ends_stream() {
+    let upstream = stuck().await;
+    let address = upstream.address;
+    let script: Script = Arc::new(move |a| Some(grant(a, address, 600)));
+    let world = World::with(script, Default::default(), 600, false).await;
+    let answer = world.ask(&completion(), STREAM).await;
+    assert_truncated(&answer);
+    wait_for_cancel(&upstream).await;
+    assert_eq!(outcomes(&world.releases(1).await), [4]);
+}
+
+#[tokio::test]
+async fn renewed_grant_outlives_its_time() {
+    let upstream = FakeUpstream::start(|got| {
+        let mut acts = stream(got, 0, 2);
+        acts.insert(2, Act::Sleep(3_500));
+        acts
+    })
+    .await;
+    let address = upstream.address;
+    let script: Script = Arc::new(move |a| Some(grant(a, address, 2_500)));
+    let world = World::with(script, Default::default(), 2_500, true).await;
+    let answer = world.ask(&completion(), STREAM).await;
+    assert!(answer.whole && answer.body.contains("[DONE]"), "{answer:?}");
+}
+
+#[rstest]
+#[case::whole(PROMPT)]
+#[case::stream(STREAM)]
+#[tokio::test]
+async fn deadline_while_running(#[case] body: &str) {
+    let upstream = FakeUpstream::start(|got| match got.head.starts_with("DELETE") {
+        true => vec![sized("200 OK", "", "")],
+        false => vec![Act::Sleep(20_000)],
+    })
+    .await;
+    let world = World::start(always(upstream.address)).await;
+    let head = format!("{}\nx-deadline-ms: 200", completion());
+    let answer = world.ask(&head, body).await;
+    assert_eq!(
+        answer.error(),
+        (504, "outcome_unknown".into(), "unknown".into())
+    );
+    wait_for_cancel(&upstream).await;
+}
+
+#[tokio::test]
+async fn deadline_before_dispatch() {
+    let world = World::start(Arc::new(|_| None)).await;
+    let head = format!("{}\nx-deadline-ms: 200", completion());
+    let answer = world.ask(&head, PROMPT).await;
+    assert_eq!(answer.error(), (504, "deadline".into(), "not_run".into()));
+}
+
+#[tokio::test]
+async fn no_owner_refused() {
+    let feed = FakeFeed {
+        messages: vec![snapshot(&catalog())],
+        reports: Arc::default(),
+    };
+    let entry = start_entry(serve_feed(&feed).await, Default::default()).await;
+    while entry.state.view().revision().0 == 0 {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    let head = format!("{}\nx-deadline-ms: 200", completion());
+    let answer = ask(entry.address, &head, PROMPT).await;
+    assert_eq!(answer.error(), (503, "no_owner".into(), "not_run".into()));
+}
+
+#[rstest]
+#[case::deadline("deadline", "", 504, "deadline")]
+#[case::queue("queue_full", "", 429, "queue_full")]
+#[case::replica("no_replica", "", 503, "no_replica")]
+#[case::load("load_failed", "", 503, "load_failed")]
+#[case::convicted("convicted", "", 422, "convicted")]
+#[case::budget("retry_budget", "", 429, "retry_budget")]
+#[case::draining("draining", "", 503, "draining")]
+#[case::platform("platform_down", "", 503, "platform_down")]
+#[case::running("queue_full", "running", 409, "claim_running")]
+#[case::answered("", "answered", 409, "claim_answered")]
+#[case::unknown("", "unknown", 409, "claim_unknown")]
+#[tokio::test]
+async fn refusal_told(
+    #[case] reason: &'static str,
+    #[case] claim: &'static str,
+    #[case] status: u16,
+    #[case] code: &str,
+) {
+    let world = World::start(Arc::new(move |a| Some(refuse(a, reason, claim)))).await;
+    let answer = world.ask(&completion(), PROMPT).await;
+    assert_eq!(answer.error(), (status, code.into(), "not_run".into()));
+    let retry = claim.is_empty().then_some("2");
+    assert_eq!(answer.header("retry-after"), retry);
+}
+
+#[expect(
+    clippy::unwrap_used,
+    reason = "a fake that cannot work must fail its test"
+)]
+async fn leave_after(world: &World, body: &str, wait_ms: u64) {
+    let mut caller = TcpStream::connect(world.entry.address).await.unwrap();
+    let message = message(&completion(), body);
+    caller.write_all(message.as_bytes()).await.unwrap();
+    if wait_ms == 0 {
+        let mut first = [0; 16];
+        caller.read_exact(&mut first).await.unwrap();
+    } else {
+        tokio::time::sleep(Duration::from_millis(wait_ms)).await;
+    }
+}
+
+#[tokio::test]
+async fn caller_gone_cancels_stream() {
+    let upstream = stuck().await;
+    let world = World::start(always(upstream.address)).await;
+    leave_after(&world, STREAM, 0).await;
+    wait_for_cancel(&upstream).await;
+    assert_eq!(outcomes(&world.releases(1).await), [4]);
+}
+
+#[tokio::test]
+async fn caller_gone_abandons() {
+    let world = World::start(Arc::new(|_| None)).await;
+    leave_after(&world, PROMPT, 100).await;
+    for _ in 0..300 {
+        let abandoned = world.hear(|m| matches!(m, ToOwner::Abandon(_)).then_some(()));
+        if !abandoned.is_empty() {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    panic!("no Abandon came");
+}
+
+#[tokio::test]
+async fn caller_gone_claim_recorded() {
+    let upstream = FakeUpstream::start(|got| {
+        let id = got.header("x-request-id").unwrap();
+        let head = format!("x-request-id: {id}\r\n");
+        vec![Act::Sleep(300), sized("200 OK", &head, "booked")]
+    })
+    .await;
+    let world = World::start(always(upstream.address)).await;
+    let head = format!("POST /booking/confirm\nauthorization: Bearer {KEY}\nidempotency-key: k-1");
+    let mut caller = TcpStream::connect(world.entry.address).await.unwrap();
+    caller
+        .write_all(message(&head, "slot 4").as_bytes())
+        .await
+        .unwrap();
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    drop(caller);
+    assert_eq!(world.releases(1).await[0].claim_outcome, "answered");
+    assert_eq!(world.acquires()[0].claim, "laundry/k-1");
+}
--- a/lib/tests/test_entry_fakes.rs
+++ b/lib/tests/test_entry_fakes.rs
@@ -1,5 +1,9 @@
 //! Small fakes around an entry: an owner with its feed, an upstream and a
 //! caller, all on 127.0.0.1 and all scripted.
+#![expect(
+    clippy::unwrap_used,
+    reason = "a fake that cannot work must fail its test"
+)]
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -395,7 +399,7 @@
     body["model"].as_str().unwrap().to_owned()
 }
 
-fn identity(got: &Got) -> String {
+pub(crate) fn identity(got: &Got) -> String {
     format!(
         "x-request-id: {}\r\nx-served-model: {}\r\nx-engine-incarnation: 7\r\n",
         got.header("x-request-id").unwrap(),
