--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -1,6 +1,14 @@
 //! All tests of the library crate.
+#![expect(
+    clippy::unwrap_used,
+    reason = "a failed step of a test's helper fails the test"
+)]
 
 mod test_claims_journal;
+mod test_entry_failures;
+mod test_entry_fakes;
+mod test_entry_input;
+mod test_entry_path;
 mod test_ids;
 mod test_lease_contest;
 mod test_members_table;
