--- a/lib/src/control/election.rs
+++ b/lib/src/control/election.rs
@@ -95,6 +95,7 @@
                 for (pool, contest) in &mut self.contests {
                     let name = object_name(pool);
                     let found = records.iter().find(|(n, _, _)| *n == name);
+                    contest.resume(now);
                     contest.observe(now, found.map(|(_, r, v)| (r.clone(), v.clone())));
                 }
             }
--- a/lib/src/control/owner/actor.rs
+++ b/lib/src/control/owner/actor.rs
@@ -140,6 +140,9 @@
 /// How often time passes at the least.
 const TICK: Span = Span::from_millis(100);
 
+/// When slots that are frozen open by themselves.
+const NEVER: Moment = Moment(u64::MAX);
+
 /// How often the pool's state is published for `banyan status`.
 const PUBLISH: Span = Span::from_millis(500);
 
@@ -167,6 +170,7 @@
     pub(super) unloading: u32,
     pub(super) draining: bool,
     pub(super) deposed: bool,
+    frozen: bool,
     recovering: bool,
     recover_at: Moment,
     published: Moment,
@@ -201,8 +205,10 @@
         let orders = Orders::new(std::time::Duration::from_millis(times.order_ms));
         let reports = Orders::new(std::time::Duration::from_millis(times.report_ms));
         let limits = local.settings.claim_limits();
+        let mut pool = new_pool(&catalog, &spec);
+        pool.freeze(NEVER);
         Some(Self {
-            pool: new_pool(&catalog, &spec),
+            pool,
             book: Book::new(tenure.token),
             journal: Journal::new(tenure.token, limits),
             safety: Safety::new(honours, tenure, margin, quarantine),
@@ -219,6 +225,7 @@
             unloading: 0,
             draining: false,
             deposed: false,
+            frozen: true,
             recovering: false,
             recover_at: Moment(0),
             published: Moment(0),
@@ -321,12 +328,16 @@
         self.verdicts = board;
     }
 
+    // Frozen from the start, and until a tick finds that it need not be: a tick
+    // that comes late must not open the slots.
     fn keep_frozen(&mut self, now: Moment) {
         let replicas: BTreeSet<_> = self.replicas.keys().cloned().collect();
         let closed = self.safety.is_frozen(now, &replicas, &self.facts);
         // Past the lease, slots at engines that ignore tokens are not changed.
-        if closed || !self.safety.may_order(now) {
-            self.pool.freeze(now.after(Span(2 * TICK.0)));
+        let frozen = closed || !self.safety.may_order(now);
+        if frozen != self.frozen {
+            self.frozen = frozen;
+            self.pool.freeze(if frozen { NEVER } else { now });
         }
     }
 
--- a/lib/src/control/run.rs
+++ b/lib/src/control/run.rs
@@ -155,15 +155,25 @@
     /// # Errors
     ///
     /// When the address cannot be listened on or a thread not be started.
-    pub async fn start(
-        mut settings: ControlSettings,
-        log: slog::Logger,
-    ) -> Result<Self, ControlError> {
+    pub async fn start(settings: ControlSettings, log: slog::Logger) -> Result<Self, ControlError> {
         // Bound before anything else: holding the address is what proves that
         // an earlier process of this VM has ended.
         let listener = TcpListener::bind(settings.listen)
             .await
             .map_err(system("listen"))?;
+        Self::start_on(listener, settings, log)
+    }
+
+    /// Starts all duties on a bound address, which overrides the settings'.
+    ///
+    /// # Errors
+    ///
+    /// When a thread cannot be started.
+    pub fn start_on(
+        listener: TcpListener,
+        mut settings: ControlSettings,
+        log: slog::Logger,
+    ) -> Result<Self, ControlError> {
         settings.listen = listener.local_addr().map_err(system("listen"))?;
         let mut control = Self {
             shared: shared(&settings, log),
--- a/lib/src/lease/contest.rs
+++ b/lib/src/lease/contest.rs
@@ -205,6 +205,15 @@
         self.attempt = None;
     }
 
+    /// The platform is back after it could not be followed: the holder could
+    /// not renew either, and gets a whole `ttl` to do so. Without this every
+    /// pool would change its owner at the end of each outage.
+    pub fn resume(&mut self, now: Moment) {
+        if let Some(seen) = &mut self.seen {
+            seen.since = now;
+        }
+    }
+
     /// What to do now. `rank` is this process's place among the candidates, 0
     /// first; `stop` gives the lease up with the entries that may hold grants.
     pub fn step(
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -5,6 +5,7 @@
 )]
 
 mod test_claims_journal;
+mod test_claims_owner;
 mod test_entry_failures;
 mod test_entry_fakes;
 mod test_entry_input;
@@ -13,4 +14,6 @@
 mod test_lease_contest;
 mod test_members_table;
 mod test_owner_book;
+mod test_owner_rig;
 mod test_owner_safety;
+mod test_owner_takeover;
--- a/lib/tests/test_lease_contest.rs
+++ b/lib/tests/test_lease_contest.rs
@@ -287,6 +287,21 @@
     assert_eq!((tenure.token, tenure.until), (Token(1), ms(2_700)));
 }
 
+#[test]
+fn outage_over_holder_renews_first() {
+    let mut object = Object::default();
+    let mut held = holder(&mut object);
+    let mut other = contest(2);
+    advance(&mut other, &mut object, ms(10));
+    // An hour without the platform; then both find it at the same time.
+    let back = ms(3_600_000);
+    other.resume(back);
+    assert_eq!(advance(&mut other, &mut object, back), Step::Wait);
+    advance(&mut held, &mut object, back);
+    assert_eq!(held.tenure().unwrap().until, ms(3_602_700));
+    assert_eq!(token(&other), None);
+}
+
 #[test]
 fn rank_spreads_pools() {
     let vms: Vec<VmName> = (0..9)
--- /dev/null
+++ b/lib/tests/test_owner_rig.rs
@@ -0,0 +1,370 @@
+//! Control processes in this process, on stand-ins of platform and engines.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use banyangauge::catalog::Catalog;
+use banyangauge::catalog::Change;
+use banyangauge::control::Control;
+use banyangauge::control::ControlSettings;
+use banyangauge::control::config;
+use banyangauge::ids::PoolName;
+use banyangauge_proto as wire;
+use banyangauge_standin::Running;
+use banyangauge_standin::engine;
+use banyangauge_standin::engine::EngineArgs;
+use banyangauge_standin::platform;
+use banyangauge_standin::platform::PlatformArgs;
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::Request;
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::TokioExecutor;
+use serde_json::Value;
+use serde_json::json;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+use tokio_stream::wrappers::ReceiverStream;
+use wire::entry_message::Body as Said;
+use wire::owner_message::Body as Answer;
+
+/// The longest wait for anything: far above what is measured, so that a slow
+/// machine fails no test.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+pub(crate) const POOL: &str = "p";
+
+/// Times a tenth or less of the defaults.
+const TIMES: &str = r#"
+[lease]
+ttl_ms = 600
+renew_ms = 200
+margin_ms = 60
+stagger_ms = 20
+[grants]
+ttl_ms = 1000
+margin_ms = 200
+quarantine_ms = 3000
+[upstreams]
+poll_ms = 50
+[members]
+beat_ms = 50
+suspect_ms = 500
+gone_ms = 5000
+[claims]
+gap_ms = 20
+"#;
+
+/// What a rig is made of.
+pub(crate) struct Plan {
+    pub(crate) controls: usize,
+    pub(crate) engines: usize,
+    pub(crate) slots: u32,
+    pub(crate) honours: bool,
+}
+
+pub(crate) struct Rig {
+    pub(crate) platform: Running,
+    pub(crate) engines: Vec<Running>,
+    pub(crate) controls: Vec<Option<Control>>,
+    /// Each control's own way to the platform.
+    pub(crate) wires: Vec<Wire>,
+}
+
+impl Rig {
+    pub(crate) async fn start(plan: Plan) -> Self {
+        let args = PlatformArgs::builder().list_lag_ms(50).build();
+        let platform = platform::start(args).await.unwrap();
+        let mut engines = Vec::new();
+        for _ in 0..plan.engines {
+            let args = EngineArgs::builder()
+                .slots(plan.slots as usize)
+                .honours_token(plan.honours)
+                .report_lag_ms(0)
+                .build();
+            engines.push(engine::start(args).await.unwrap());
+        }
+        let catalog = catalog(&plan, &engines);
+        let mut listeners = Vec::new();
+        let mut wires = Vec::new();
+        for _ in 0..plan.controls {
+            listeners.push(TcpListener::bind("127.0.0.1:0").await.unwrap());
+            wires.push(Wire::start(platform.address).await);
+        }
+        let all: Vec<SocketAddr> = listeners.iter().map(|l| l.local_addr().unwrap()).collect();
+        let mut controls = Vec::new();
+        for (n, listener) in listeners.into_iter().enumerate() {
+            let peers = all.iter().filter(|a| **a != all[n]);
+            let peers: Vec<String> = peers.map(|a| format!("{a:?}")).collect();
+            let text = format!(
+                "vm = \"vm-{n}\"\nzone = \"z\"\norganisation = \"o\"\nlisten = \"{}\"\n\
+                 metrics = \"127.0.0.1:0\"\nplatform = \"{}\"\npeers = {peers:?}\n{TIMES}",
+                all[n], wires[n].address
+            );
+            let settings: ControlSettings = toml::from_str(&text).unwrap();
+            let log = slog::Logger::root(slog::Discard, slog::o!());
+            let control = Control::start_on(listener, settings, log).unwrap();
+            config::accept(&control.shared, catalog.clone(), &[]);
+            controls.push(Some(control));
+        }
+        Self {
+            platform,
+            engines,
+            controls,
+            wires,
+        }
+    }
+
+    pub(crate) fn control(&self, n: usize) -> &Control {
+        self.controls[n].as_ref().unwrap()
+    }
+
+    /// Waits until the platform's lease names a token of at least this; gives
+    /// the holder's place.
+    pub(crate) async fn owner(&self, token: u64) -> usize {
+        let holder = until(async || {
+            let lease = self.object("leases", "pool-p").await?;
+            let good = lease["token"].as_u64()? >= token && lease["released"] == false;
+            good.then(|| lease["holder"].as_str().map(str::to_owned))?
+        })
+        .await;
+        holder.strip_prefix("vm-").unwrap().parse().unwrap()
+    }
+
+    /// The content of an object, as the platform holds it.
+    pub(crate) async fn object(&self, kind: &str, name: &str) -> Option<Value> {
+        let path = format!("/apis/banyangauge.dev/v1/{kind}/{name}");
+        let answer = call(self.platform.address, "GET", &path, "").await;
+        answer.get("spec").cloned()
+    }
+
+    pub(crate) async fn faults(&self, faults: Value) {
+        let body = faults.to_string();
+        call(self.platform.control, "POST", "/faults", &body).await;
+    }
+
+    /// The orders of one kind that an engine carried out, as (model, token).
+    pub(crate) async fn orders(&self, engine: usize, kind: &str) -> Vec<(String, u64)> {
+        let history = call(self.engines[engine].control, "GET", "/history", "").await;
+        let orders = history["orders"].as_array().unwrap().iter();
+        let done = orders.filter(|o| o["kind"] == kind && o["status"] == 200);
+        done.map(|o| {
+            let model = o["model"].as_str().unwrap().to_owned();
+            (model, o["token"].as_u64().unwrap())
+        })
+        .collect()
+    }
+
+    /// Opens a session at a control, waiting until it is the owner.
+    pub(crate) async fn enter(&self, n: usize, entry: &str, held: &[wire::Grant]) -> Entry {
+        let address = self.control(n).shared.address;
+        until(async || Entry::open(address, entry, held).await).await
+    }
+}
+
+fn catalog(plan: &Plan, engines: &[Running]) -> Catalog {
+    let replicas: Vec<Value> = engines
+        .iter()
+        .enumerate()
+        .map(|(n, e)| {
+            json!({"name": format!("r-{n}"), "address": e.address, "zone": "z",
+                   "slots": plan.slots, "batch": 8})
+        })
+        .collect();
+    let mut changes = vec![
+        json!({"change": "put_team", "team": "t", "keys": ["0".repeat(64)], "share": 1}),
+        json!({"change": "put_pool", "pool": POOL, "spec": {
+            "kind": "engine", "base": "m", "honours_token": plan.honours,
+            "weighing": "stalls", "loads_per_s": 50.0, "step_us": 1000,
+            "replicas": replicas}}),
+    ];
+    for name in ["a", "b", "c"] {
+        changes
+            .push(json!({"change": "create_adapter", "adapter": name, "owner": "t", "pool": POOL}));
+        changes.push(json!({"change": "add_version", "adapter": name, "version": 1}));
+    }
+    let changes: Vec<Change> = changes
+        .into_iter()
+        .map(|c| serde_json::from_value(c).unwrap())
+        .collect();
+    let mut catalog = Catalog::default();
+    catalog.apply(&changes).unwrap();
+    catalog
+}
+
+/// An entry's stream.
+pub(crate) struct Entry {
+    pub(crate) token: u64,
+    out: mpsc::Sender<wire::EntryMessage>,
+    answers: tonic::Streaming<wire::OwnerMessage>,
+}
+
+impl Entry {
+    /// `None` when the process is not the owner, or not reached.
+    pub(crate) async fn open(
+        address: SocketAddr,
+        entry: &str,
+        held: &[wire::Grant],
+    ) -> Option<Self> {
+        let (out, said) = mpsc::channel(64);
+        let hello = wire::Hello {
+            pool: POOL.to_owned(),
+            entry: entry.to_owned(),
+            incarnation: 1,
+            held: held.to_vec(),
+        };
+        let first = wire::EntryMessage {
+            body: Some(Said::Hello(hello)),
+        };
+        out.send(first).await.unwrap();
+        let target = format!("http://{address}");
+        let mut client = wire::grants_client::GrantsClient::connect(target)
+            .await
+            .ok()?;
+        let answers = client.session(ReceiverStream::new(said)).await.ok()?;
+        let mut entry = Self {
+            token: 0,
+            out,
+            answers: answers.into_inner(),
+        };
+        match entry.next().await {
+            Some(Answer::Welcome(w)) => entry.token = w.token,
+            _ => return None,
+        }
+        Some(entry)
+    }
+
+    pub(crate) async fn say(&self, said: Said) {
+        let message = wire::EntryMessage { body: Some(said) };
+        self.out.send(message).await.unwrap();
+    }
+
+    pub(crate) async fn acquire(&self, request: u64, adapter: &str, claim: &str) {
+        self.say(Said::Acquire(wire::Acquire {
+            request,
+            team: "t".to_owned(),
+            adapter: adapter.to_owned(),
+            version: 1,
+            deadline_ms: 20_000,
+            max_tokens: 4,
+            idempotent: claim.is_empty(),
+            fingerprint: request,
+            claim: claim.to_owned(),
+            ..wire::Acquire::default()
+        }))
+        .await;
+    }
+
+    pub(crate) async fn release(&self, grant: &wire::Grant, outcome: u32, claim: &str) {
+        self.say(Said::Release(wire::Release {
+            request: grant.request,
+            grant: grant.grant,
+            outcome,
+            claim_outcome: claim.to_owned(),
+            ..wire::Release::default()
+        }))
+        .await;
+    }
+
+    pub(crate) async fn renew(&self, grants: &[u64]) {
+        let grants = grants.to_vec();
+        self.say(Said::Renew(wire::Renew { grants })).await;
+    }
+
+    /// The next answer; `None` when the stream ended.
+    pub(crate) async fn next(&mut self) -> Option<Answer> {
+        let message = tokio::time::timeout(PATIENCE, self.answers.message());
+        message.await.unwrap().ok()??.body
+    }
+
+    pub(crate) async fn granted(&mut self) -> wire::Grant {
+        loop {
+            match self.next().await {
+                Some(Answer::Granted(grant)) => return grant,
+                Some(Answer::Renewed(_)) => {}
+                other => panic!("no grant but {other:?}"),
+            }
+        }
+    }
+
+    pub(crate) async fn refused(&mut self) -> wire::Refusal {
+        loop {
+            match self.next().await {
+                Some(Answer::Refused(refusal)) => return refusal,
+                Some(Answer::Renewed(_)) => {}
+                other => panic!("no refusal but {other:?}"),
+            }
+        }
+    }
+}
+
+/// A connection to the platform that can be cut.
+pub(crate) struct Wire {
+    pub(crate) address: SocketAddr,
+    cut: Arc<watch::Sender<bool>>,
+}
+
+impl Wire {
+    async fn start(to: SocketAddr) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let cut = Arc::new(watch::Sender::new(false));
+        let sender = Arc::clone(&cut);
+        tokio::spawn(async move {
+            while let Ok((mut from, _)) = listener.accept().await {
+                let mut cut = sender.subscribe();
+                tokio::spawn(async move {
+                    if *cut.borrow() {
+                        return;
+                    }
+                    let Ok(mut there) = TcpStream::connect(to).await else {
+                        return;
+                    };
+                    tokio::select! {
+                        _ = tokio::io::copy_bidirectional(&mut from, &mut there) => {}
+                        _ = cut.wait_for(|c| *c) => {}
+                    }
+                });
+            }
+        });
+        Self { address, cut }
+    }
+
+    pub(crate) fn cut(&self) {
+        self.cut.send_replace(true);
+    }
+}
+
+/// Waits until `check` gives something.
+pub(crate) async fn until<T>(check: impl AsyncFn() -> Option<T>) -> T {
+    let wait = async {
+        loop {
+            if let Some(found) = check().await {
+                return found;
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    tokio::time::timeout(PATIENCE, wait).await.unwrap()
+}
+
+/// The pool of all tests here.
+pub(crate) fn pool() -> PoolName {
+    PoolName::new(POOL).unwrap()
+}
+
+async fn call(address: SocketAddr, method: &str, path: &str, body: &str) -> Value {
+    let request = Request::builder()
+        .method(method)
+        .uri(format!("http://{address}{path}"))
+        .body(Full::new(Bytes::from(body.to_owned())))
+        .unwrap();
+    let client = Client::builder(TokioExecutor::new()).build_http();
+    let response = client.request(request).await.unwrap();
+    let body = response.into_body().collect().await.unwrap().to_bytes();
+    serde_json::from_slice(&body).unwrap_or(Value::Null)
+}
--- /dev/null
+++ b/lib/tests/test_owner_takeover.rs
@@ -0,0 +1,223 @@
+//! Owners that die, stop, lose the platform or are cut off from it.
+
+use std::time::Duration;
+
+use banyangauge::ids::Fingerprint;
+use serde_json::json;
+
+use crate::test_owner_rig::Entry;
+use crate::test_owner_rig::Plan;
+use crate::test_owner_rig::Rig;
+use crate::test_owner_rig::pool;
+use crate::test_owner_rig::until;
+
+const THREE: Plan = Plan {
+    controls: 3,
+    engines: 1,
+    slots: 1,
+    honours: true,
+};
+
+#[tokio::test]
+async fn killed_owner_held_adapter_stays() {
+    let mut rig = Rig::start(THREE).await;
+    let first = rig.owner(1).await;
+    let mut entry = rig.enter(first, "e", &[]).await;
+    entry.acquire(1, "a", "").await;
+    let grant = entry.granted().await;
+    rig.controls[first] = None;
+    let second = rig.owner(2).await;
+    assert_ne!(first, second);
+    let mut entry = rig.enter(second, "e", std::slice::from_ref(&grant)).await;
+    assert_eq!(entry.token, 2);
+    // The only slot holds what is in use, for longer than any freeze.
+    entry.acquire(2, "b", "").await;
+    for _ in 0..40 {
+        entry.renew(&[grant.grant]).await;
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        assert_eq!(rig.orders(0, "unload").await, []);
+    }
+    entry.release(&grant, 0, "").await;
+    let next = entry.granted().await;
+    assert_eq!((next.adapter.as_str(), next.token), ("b", 2));
+    assert_eq!(rig.orders(0, "unload").await, [("a@1".to_owned(), 2)]);
+}
+
+#[tokio::test]
+async fn killed_owner_unknown_grant_outlives_the_freeze() {
+    let mut rig = Rig::start(THREE).await;
+    let first = rig.owner(1).await;
+    let mut silent = rig.enter(first, "silent", &[]).await;
+    silent.acquire(1, "a", "").await;
+    silent.granted().await;
+    let granted = tokio::time::Instant::now();
+    rig.controls[first] = None;
+    let second = rig.owner(2).await;
+    // The entry with the grant does not come; another wants the slot.
+    let mut entry = rig.enter(second, "e", &[]).await;
+    entry.acquire(2, "b", "").await;
+    entry.granted().await;
+    // Its grant lapsed 1.2 s after it was sent, and counted for no less.
+    assert!(granted.elapsed() >= Duration::from_millis(1_200));
+    drop(silent);
+}
+
+#[tokio::test]
+async fn planned_stop_hands_over() {
+    let rig = Rig::start(THREE).await;
+    let first = rig.owner(1).await;
+    let mut entry = rig.enter(first, "e", &[]).await;
+    entry.acquire(1, "a", "").await;
+    let grant = entry.granted().await;
+    rig.control(first).stop().await;
+    let released = rig.object("leases", "pool-p").await.unwrap();
+    let second = rig.owner(2).await;
+    assert_ne!(first, second);
+    assert!(released["token"] == 1 || released["token"] == 2);
+    let mut entry = rig.enter(second, "e", std::slice::from_ref(&grant)).await;
+    entry.release(&grant, 0, "").await;
+    entry.acquire(2, "b", "").await;
+    assert_eq!(entry.granted().await.token, 2);
+}
+
+#[tokio::test]
+async fn outage_grants_go_on_past_the_lease() {
+    let rig = Rig::start(THREE).await;
+    let first = rig.owner(1).await;
+    let mut entry = rig.enter(first, "e", &[]).await;
+    rig.faults(json!({"down": true})).await;
+    // Three leases long; each round loads another adapter into the only slot.
+    for round in 0..12 {
+        let adapter = ["a", "b", "c"][round % 3];
+        entry.acquire(round as u64, adapter, "").await;
+        let grant = entry.granted().await;
+        assert_eq!((grant.adapter.as_str(), grant.token), (adapter, 1));
+        entry.release(&grant, 0, "").await;
+        tokio::time::sleep(Duration::from_millis(150)).await;
+    }
+    rig.faults(json!({"down": false})).await;
+    entry.acquire(99, "a", "").await;
+    assert_eq!(entry.granted().await.token, 1);
+}
+
+#[tokio::test]
+async fn outage_placement_freezes_where_tokens_are_ignored() {
+    let rig = Rig::start(Plan {
+        honours: false,
+        ..THREE
+    })
+    .await;
+    let first = rig.owner(1).await;
+    let mut entry = rig.enter(first, "e", &[]).await;
+    entry.acquire(1, "a", "").await;
+    let grant = entry.granted().await;
+    entry.release(&grant, 0, "").await;
+    rig.faults(json!({"down": true})).await;
+    tokio::time::sleep(Duration::from_millis(900)).await;
+    entry.acquire(2, "b", "").await;
+    for round in 10..20 {
+        entry.acquire(round, "a", "").await;
+        let grant = entry.granted().await;
+        assert_eq!(grant.adapter, "a");
+        entry.release(&grant, 0, "").await;
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    assert_eq!(rig.orders(0, "unload").await, []);
+    rig.faults(json!({"down": false})).await;
+    assert_eq!(entry.granted().await.adapter, "b");
+}
+
+#[tokio::test]
+async fn cut_off_owner_is_deposed() {
+    let rig = Rig::start(THREE).await;
+    let first = rig.owner(1).await;
+    let mut entry = rig.enter(first, "e", &[]).await;
+    entry.acquire(1, "a", "").await;
+    entry.granted().await;
+    rig.wires[first].cut();
+    let second = rig.owner(2).await;
+    assert_ne!(first, second);
+    let address = rig.control(first).shared.address;
+    // It learns from its peers or the engine and sends its entries away.
+    until(async || {
+        Entry::open(address, "late", &[])
+            .await
+            .is_none()
+            .then_some(())
+    })
+    .await;
+    let orders = rig.orders(0, "fence").await;
+    assert!(orders.iter().any(|(_, token)| *token == 2), "{orders:?}");
+    let owner = rig.control(first).shared.board.owners.borrow()[&pool()].clone();
+    assert_eq!(owner.token.0, 2);
+}
+
+#[tokio::test]
+async fn lost_answers_keep_one_owner() {
+    let rig = Rig::start(THREE).await;
+    let first = rig.owner(1).await;
+    let entry = rig.enter(first, "e", &[]).await;
+    for _ in 0..5 {
+        rig.faults(json!({"lose_after_write": 1})).await;
+        tokio::time::sleep(Duration::from_millis(300)).await;
+    }
+    assert_eq!((rig.owner(1).await, entry.token), (first, 1));
+    assert_eq!(rig.object("leases", "pool-p").await.unwrap()["token"], 1);
+}
+
+#[tokio::test]
+async fn conviction_reaches_every_vm_in_an_outage() {
+    let rig = Rig::start(THREE).await;
+    let first = rig.owner(1).await;
+    rig.faults(json!({"down": true})).await;
+    let shared = &rig.control(first).shared;
+    let until_ms = banyangauge::control::uptime_ms() + 60_000;
+    shared.board.verdicts.send_modify(|v| {
+        v.insert(Fingerprint(7), until_ms);
+    });
+    until(async || {
+        let knows = |n: usize| {
+            let board = &rig.control(n).shared.board;
+            board.verdicts.borrow().contains_key(&Fingerprint(7))
+        };
+        (0..3).all(knows).then_some(())
+    })
+    .await;
+    // Its owner refuses it.
+    let mut entry = rig.enter(first, "e", &[]).await;
+    until(async || {
+        let pools = shared.board.pools.borrow();
+        pools.contains_key(&pool()).then_some(())
+    })
+    .await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    entry.acquire(7, "a", "").await;
+    assert_eq!(entry.refused().await.reason, "convicted");
+}
+
+#[tokio::test]
+async fn leaving_replica_gets_nothing_new() {
+    let rig = Rig::start(Plan {
+        engines: 2,
+        ..THREE
+    })
+    .await;
+    let first = rig.owner(1).await;
+    let mut entry = rig.enter(first, "e", &[]).await;
+    let leaving = rig.engines[0].address;
+    rig.engines[0].begin_stop();
+    let board = &rig.control(first).shared.board;
+    until(async || {
+        let pools = board.pools.borrow();
+        let replicas = pools.get(&pool())?.replicas.clone();
+        let seen = replicas.iter().find(|r| r.address == leaving.to_string())?;
+        // Its report, or its closed door, tells.
+        (seen.state == "leaving" || seen.state == "suspect").then_some(())
+    })
+    .await;
+    for request in 0..8 {
+        entry.acquire(request, "a", "").await;
+        let grant = entry.granted().await;
+        assert_eq!(grant.address, rig.engines[1].address.to_string());
+    }
+}
