control: open a grants stream before its hello is read

Cause: the service read the first message before it answered the call, and the entry sends its hello only once the call is answered; each waited for the other, and every request of the demo was refused (no_owner: 574 of 574). Ruled out: the owner's lease and the reports, which the log shows in order.

--- a/lib/src/control/owner/service.rs
+++ b/lib/src/control/owner/service.rs
@@ -33,11 +33,14 @@
 /// The longest that the first message of a stream may take.
 const HELLO: Duration = Duration::from_secs(5);
 
+type Out = mpsc::Sender<Result<wire::OwnerMessage, Status>>;
+
 /// Serves grants for the pools that are owned here.
+#[derive(Clone)]
 pub struct GrantsService {
     shared: Shared,
     registry: Arc<Registry>,
-    sessions: AtomicU64,
+    sessions: Arc<AtomicU64>,
 }
 
 impl GrantsService {
@@ -46,7 +49,7 @@
         Self {
             shared,
             registry,
-            sessions: AtomicU64::new(1),
+            sessions: Arc::new(AtomicU64::new(1)),
         }
     }
 
@@ -66,37 +69,53 @@
         &self,
         request: Request<Streaming<wire::EntryMessage>>,
     ) -> Result<Response<Self::SessionStream>, Status> {
-        let mut said = request.into_inner();
         let (out, answers) = mpsc::channel(OUTBOX);
-        let hello = read_hello(&mut said).await?;
-        let pool =
-            PoolName::new(&hello.pool).map_err(|e| Status::invalid_argument(e.to_string()))?;
-        let Some(owner) = self.registry.get(&pool) else {
-            let _ = out.try_send(Ok(self.not_owner(&pool)));
-            return Ok(Response::new(Box::pin(ReceiverStream::new(answers))));
-        };
-        let session = SessionId(self.sessions.fetch_add(1, Ordering::Relaxed));
-        let open = Event::Open {
-            session,
-            hello,
-            out: out.clone(),
-        };
-        if owner.send(open).detach().await.is_err() {
-            let _ = out.try_send(Ok(self.not_owner(&pool)));
-            return Ok(Response::new(Box::pin(ReceiverStream::new(answers))));
-        }
-        let last = self.not_owner(&pool);
-        tokio::spawn(listen(said, owner, session, out, last));
+        // An entry says hello only once the stream is open, so the answer's
+        // head must not wait for it.
+        tokio::spawn(converse(self.clone(), request.into_inner(), out));
         Ok(Response::new(Box::pin(ReceiverStream::new(answers))))
     }
 }
 
-async fn read_hello(said: &mut Streaming<wire::EntryMessage>) -> Result<wire::Hello, Status> {
+async fn converse(service: GrantsService, mut said: Streaming<wire::EntryMessage>, out: Out) {
+    let (pool, hello) = match read_hello(&mut said).await {
+        Ok(first) => first,
+        Err(status) => {
+            // The entry may be gone; nobody else waits for this.
+            let _ = out.try_send(Err(status));
+            return;
+        }
+    };
+    let last = service.not_owner(&pool);
+    let Some(owner) = service.registry.get(&pool) else {
+        let _ = out.try_send(Ok(last));
+        return;
+    };
+    let session = SessionId(service.sessions.fetch_add(1, Ordering::Relaxed));
+    let open = Event::Open {
+        session,
+        hello,
+        out: out.clone(),
+    };
+    if owner.send(open).detach().await.is_err() {
+        let _ = out.try_send(Ok(last));
+        return;
+    }
+    listen(said, owner, session, out, last).await;
+}
+
+async fn read_hello(
+    said: &mut Streaming<wire::EntryMessage>,
+) -> Result<(PoolName, wire::Hello), Status> {
     let first = tokio::time::timeout(HELLO, said.message())
         .await
         .map_err(|_| Status::deadline_exceeded("no hello"))??;
     match first.and_then(|m| m.body) {
-        Some(Said::Hello(hello)) => Ok(hello),
+        Some(Said::Hello(hello)) => {
+            let pool =
+                PoolName::new(&hello.pool).map_err(|e| Status::invalid_argument(e.to_string()))?;
+            Ok((pool, hello))
+        }
         _ => Err(Status::invalid_argument("the first message is a hello")),
     }
 }
@@ -106,7 +125,7 @@
     mut said: Streaming<wire::EntryMessage>,
     owner: Address<OwnerActor>,
     session: SessionId,
-    out: mpsc::Sender<Result<wire::OwnerMessage, Status>>,
+    out: Out,
     last: wire::OwnerMessage,
 ) {
     while let Ok(Some(m)) = said.message().await {
