--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -4,3 +4,5 @@
 pub mod caller;
 pub mod check;
 pub mod process;
+pub mod prove;
+pub mod rig;
