--- a/lib/src/control/owner/actor.rs
+++ b/lib/src/control/owner/actor.rs
@@ -140,8 +140,9 @@
 /// How often time passes at the least.
 const TICK: Span = Span::from_millis(100);
 
-/// When slots that are frozen open by themselves.
-const NEVER: Moment = Moment(u64::MAX);
+/// How far ahead the pool is told that slots are frozen: several ticks, and
+/// the most by which they open late.
+const AHEAD: Span = Span::from_millis(500);
 
 /// How often the pool's state is published for `banyan status`.
 const PUBLISH: Span = Span::from_millis(500);
@@ -170,7 +171,7 @@
     pub(super) unloading: u32,
     pub(super) draining: bool,
     pub(super) deposed: bool,
-    frozen: bool,
+    pub(super) frozen: bool,
     recovering: bool,
     recover_at: Moment,
     published: Moment,
@@ -206,7 +207,7 @@
         let reports = Orders::new(std::time::Duration::from_millis(times.report_ms));
         let limits = local.settings.claim_limits();
         let mut pool = new_pool(&catalog, &spec);
-        pool.freeze(NEVER);
+        pool.freeze(clock::now().after(AHEAD));
         Some(Self {
             pool,
             book: Book::new(tenure.token),
@@ -328,16 +329,15 @@
         self.verdicts = board;
     }
 
-    // Frozen from the start, and until a tick finds that it need not be: a tick
-    // that comes late must not open the slots.
+    // The pool is told a little ahead, so that it plans no change it may not
+    // make; should a tick come later than that, `load` still refuses.
     fn keep_frozen(&mut self, now: Moment) {
         let replicas: BTreeSet<_> = self.replicas.keys().cloned().collect();
         let closed = self.safety.is_frozen(now, &replicas, &self.facts);
         // Past the lease, slots at engines that ignore tokens are not changed.
-        let frozen = closed || !self.safety.may_order(now);
-        if frozen != self.frozen {
-            self.frozen = frozen;
-            self.pool.freeze(if frozen { NEVER } else { now });
+        self.frozen = closed || !self.safety.may_order(now);
+        if self.frozen {
+            self.pool.freeze(now.after(AHEAD));
         }
     }
 
--- a/lib/src/control/owner/dispatch.rs
+++ b/lib/src/control/owner/dispatch.rs
@@ -162,7 +162,9 @@
         let known = self.replicas.get(replica);
         let known = known.filter(|r| r.incarnation == incarnation);
         let allowed = evict.is_none() || self.safety.may_evict(now, replica);
-        let Some(known) = known.filter(|_| allowed && !self.deposed && !self.draining) else {
+        let Some(known) =
+            known.filter(|_| allowed && !self.frozen && !self.deposed && !self.draining)
+        else {
             return self.pool.order_end(now, order, OrderEnd::Failed);
         };
         let load = Load {
