--- /dev/null
+++ b/lib/src/pool/adapter.rs
@@ -0,0 +1,197 @@
+//! What the pool knows of one adapter version, and the ordered indexes over
+//! all of them.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use super::demand::Demand;
+use super::queue::Lane;
+use super::types::Moment;
+use super::types::Ticket;
+use crate::ids::AdapterVersion;
+use crate::ids::ReplicaName;
+
+/// What a request runs on: an adapter, or the bare model or service.
+pub(super) type Target = Option<AdapterVersion>;
+
+/// The most versions remembered; those least asked for are forgotten first.
+/// Above the 14,000 adapters of the target with a new and an old version each.
+const MOST_KEPT: usize = 32_768;
+
+/// One adapter version.
+#[derive(Debug)]
+pub(super) struct Adapter {
+    /// What waits for it, by lane, in the order of their turn.
+    pub(super) lists: [BTreeSet<(u64, Ticket)>; 2],
+    /// How many suspects wait for it.
+    pub(super) solos: u32,
+    /// Since when something has waited for it.
+    pub(super) since: Moment,
+    pub(super) demand: Demand,
+    /// Replicas that have it, live or not.
+    pub(super) holders: BTreeSet<ReplicaName>,
+    /// Orders under way for it.
+    pub(super) loading: u32,
+    /// Loads that failed one after the other.
+    pub(super) failures: u32,
+    /// No load before then.
+    pub(super) backoff: Moment,
+    wanted: Option<i64>,
+    ranked: Option<(i64, Moment)>,
+}
+
+impl Adapter {
+    fn new() -> Self {
+        Self {
+            lists: [BTreeSet::new(), BTreeSet::new()],
+            solos: 0,
+            since: Moment(0),
+            demand: Demand::NONE,
+            holders: BTreeSet::new(),
+            loading: 0,
+            failures: 0,
+            backoff: Moment(0),
+            wanted: None,
+            ranked: None,
+        }
+    }
+
+    /// How many requests wait for it.
+    pub(super) fn waiting(&self) -> usize {
+        self.lists[0].len() + self.lists[1].len() + self.solos as usize
+    }
+
+    pub(super) fn list(&self, lane: Lane) -> &BTreeSet<(u64, Ticket)> {
+        &self.lists[lane.index()]
+    }
+
+    fn idle(&self) -> bool {
+        self.waiting() == 0 && self.holders.is_empty() && self.loading == 0
+    }
+}
+
+/// All adapter versions, with the sets that make each choice a look at the
+/// first few entries.
+#[derive(Debug, Default)]
+pub(super) struct Adapters {
+    all: BTreeMap<Target, Adapter>,
+    /// Adapters that something waits for and that should be loaded, the most
+    /// beneficial load first.
+    wanted: BTreeSet<(i64, AdapterVersion)>,
+    /// Slots that nothing uses, the least asked for first.
+    by_rate: BTreeSet<(i64, ReplicaName, AdapterVersion)>,
+    /// The same, the longest silent first.
+    by_use: BTreeSet<(Moment, ReplicaName, AdapterVersion)>,
+    /// Known adapters that are loaded nowhere, the least asked for first.
+    cold: BTreeSet<(i64, AdapterVersion)>,
+}
+
+impl Adapters {
+    pub(super) fn get(&self, target: &Target) -> Option<&Adapter> {
+        self.all.get(target)
+    }
+
+    pub(super) fn entry(&mut self, target: &Target) -> &mut Adapter {
+        if !self.all.contains_key(target) {
+            self.all.insert(target.clone(), Adapter::new());
+        }
+        // The entry was just made sure of.
+        self.all.entry(target.clone()).or_insert_with(Adapter::new)
+    }
+
+    pub(super) fn get_mut(&mut self, target: &Target) -> Option<&mut Adapter> {
+        self.all.get_mut(target)
+    }
+
+    /// How many adapters wait for a load.
+    pub(super) fn wanted_len(&self) -> usize {
+        self.wanted.len()
+    }
+
+    /// How many loads come before one of this key, counted up to `most`.
+    pub(super) fn wanted_before(&self, key: i64, most: usize) -> usize {
+        let before = self.wanted.iter().take_while(|(k, _)| *k < key);
+        before.take(most).count()
+    }
+
+    /// The loads that wait, the most beneficial first.
+    pub(super) fn wanted(&self) -> impl Iterator<Item = &AdapterVersion> {
+        self.wanted.iter().map(|(_, a)| a)
+    }
+
+    /// Sets or ends that an adapter should be loaded; lower keys go first.
+    pub(super) fn want(&mut self, adapter: &AdapterVersion, key: Option<i64>) {
+        let Some(a) = self.all.get_mut(&Some(adapter.clone())) else {
+            return;
+        };
+        if a.wanted == key {
+            return;
+        }
+        if let Some(old) = a.wanted.take() {
+            self.wanted.remove(&(old, adapter.clone()));
+        }
+        if let Some(new) = key {
+            self.wanted.insert((new, adapter.clone()));
+        }
+        a.wanted = key;
+    }
+
+    /// Idle slots in the order of least demand.
+    pub(super) fn least_asked(&self) -> impl Iterator<Item = (&ReplicaName, &AdapterVersion)> {
+        self.by_rate.iter().map(|(_, r, a)| (r, a))
+    }
+
+    /// Idle slots in the order of longest silence.
+    pub(super) fn longest_silent(&self) -> impl Iterator<Item = (&ReplicaName, &AdapterVersion)> {
+        self.by_use.iter().map(|(_, r, a)| (r, a))
+    }
+
+    /// Takes an adapter out of the indexes before its demand, holders or idle
+    /// slots change; [`Adapters::index`] puts it back.
+    pub(super) fn unindex(&mut self, adapter: &AdapterVersion) {
+        let Some(a) = self.all.get_mut(&Some(adapter.clone())) else {
+            return;
+        };
+        let Some((key, last)) = a.ranked.take() else {
+            return;
+        };
+        self.cold.remove(&(key, adapter.clone()));
+        for r in &a.holders {
+            self.by_rate.remove(&(key, r.clone(), adapter.clone()));
+            self.by_use.remove(&(last, r.clone(), adapter.clone()));
+        }
+    }
+
+    /// Puts an adapter into the indexes; `idle` tells whether its slot at a
+    /// replica may be evicted.
+    pub(super) fn index(&mut self, adapter: &AdapterVersion, idle: impl Fn(&ReplicaName) -> bool) {
+        let Some(a) = self.all.get_mut(&Some(adapter.clone())) else {
+            return;
+        };
+        let key = a.demand.key(a.holders.len());
+        let last = a.demand.last;
+        a.ranked = Some((key, last));
+        if a.holders.is_empty() {
+            self.cold.insert((key, adapter.clone()));
+        }
+        for r in a.holders.iter().filter(|r| idle(r)) {
+            self.by_rate.insert((key, r.clone(), adapter.clone()));
+            self.by_use.insert((last, r.clone(), adapter.clone()));
+        }
+        if self.cold.len() > MOST_KEPT {
+            self.forget_one();
+        }
+    }
+
+    fn forget_one(&mut self) {
+        let idle = |a: &&(i64, AdapterVersion)| {
+            self.all
+                .get(&Some(a.1.clone()))
+                .is_none_or(|adapter| adapter.idle())
+        };
+        if let Some(entry) = self.cold.iter().find(idle).cloned() {
+            self.cold.remove(&entry);
+            self.all.remove(&Some(entry.1));
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/pool/demand.rs
@@ -0,0 +1,53 @@
+//! How often something is asked for, forgetting with time.
+
+use super::types::Moment;
+
+/// Steps of an ordered key to one doubling of demand.
+const KEY_STEPS: f64 = 4_096.0;
+
+/// A count that halves every half-life, kept as a logarithm that grows with
+/// time instead of decaying, so that the order of two of them never changes
+/// while nothing is asked for and an ordered index of them stays valid.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Demand {
+    log: f64,
+    /// When it was last asked for.
+    pub(super) last: Moment,
+}
+
+impl Demand {
+    /// Nothing was asked for so far.
+    pub(super) const NONE: Self = Self {
+        log: f64::NEG_INFINITY,
+        last: Moment(0),
+    };
+
+    /// Counts `weight` requests at `now`.
+    pub(super) fn count(&mut self, now: Moment, half_us: f64, weight: f64) {
+        let scale = now.0 as f64 / half_us;
+        let old = (self.log - scale).exp2();
+        self.log = scale + (old + weight).log2();
+        self.last = now;
+    }
+
+    /// Requests a second, as far as the half-life can tell.
+    pub(super) fn rate(&self, now: Moment, half_us: f64) -> f64 {
+        let count = (self.log - now.0 as f64 / half_us).exp2();
+        count * std::f64::consts::LN_2 * 1e6 / half_us
+    }
+
+    /// The rate, bounded by what the silence since the last request leaves
+    /// likely. A count alone keeps yesterday's busiest adapter for many
+    /// half-lives; an adapter of one request a second that was silent for
+    /// `patience` seconds has most likely lost its callers.
+    pub(super) fn outlook(&self, now: Moment, half_us: f64, patience: f64) -> f64 {
+        let silence = now.since(self.last).0 as f64 / 1e6;
+        self.rate(now, half_us).min(patience / silence.max(1e-3))
+    }
+
+    /// A key that orders as the rate shared by `copies` does, at any time.
+    pub(super) fn key(&self, copies: usize) -> i64 {
+        let log = self.log - (copies.max(1) as f64).log2();
+        (log.max(-1e12) * KEY_STEPS) as i64
+    }
+}
--- /dev/null
+++ b/lib/src/pool/dispatch.rs
@@ -0,0 +1,242 @@
+//! Placing: which replica runs a request, and which request a replica runs
+//! next.
+
+use super::adapter::Target;
+use super::queue::Lane;
+use super::queue::Waiting;
+use super::replica::Replica;
+use super::state::Pool;
+use super::state::Running;
+use super::types::*;
+use crate::ids::ReplicaName;
+
+/// Open replicas looked at for one request to a target that all of them have.
+/// The first is the least loaded; the others serve when it is to be avoided.
+const OPEN_PROBED: usize = 16;
+
+/// Requests of a list looked at for one that does not avoid the replica.
+const TURNS_PROBED: usize = 4;
+
+/// Load steps of an ordered score, by requests and pace.
+const SCORE_STEPS: f64 = 1_000.0;
+
+/// How much shorter a replica's queue seems to a request whose prompt's head
+/// it ran last: a cached prefix saves about the time of a few tokens of a few
+/// others, and must not outweigh a batch that is half full.
+const PREFIX_BONUS: f64 = 3.0;
+
+/// Engine priorities by lane; lower is earlier.
+const PRIORITIES: [i32; 2] = [0, 10];
+
+impl Pool {
+    /// Dispatches a request at once if a replica that has its adapter takes
+    /// it.
+    pub(super) fn place(&mut self, now: Moment, w: &Waiting) -> bool {
+        let Some(name) = self.choose(w) else {
+            return false;
+        };
+        self.grant(now, w, &name);
+        true
+    }
+
+    /// The best replica for a request, of those that have its adapter.
+    ///
+    /// Made for skew and for one slow upstream, under load reports that lag:
+    /// the pool counts what it has granted itself, so a burst within one
+    /// report's age does not all go to the replica that was idle in it. The
+    /// measured pace makes a slow replica seem longer in proportion, so it
+    /// gets only the work it can do in time. The replicas that a request
+    /// should avoid serve only when no other has its adapter.
+    fn choose(&self, w: &Waiting) -> Option<ReplicaName> {
+        let a = &w.arrival;
+        let lane = w.lane();
+        let usable = |name: &ReplicaName| {
+            let r = self.replicas.get(name)?;
+            let fit = self.has_room(r, lane, &a.adapter) && !self.avoids(a, name);
+            fit.then_some(r)
+        };
+        let near = self.prefixes.place(a.prefix).filter(|_| a.prefix != 0);
+        let score = |name: &ReplicaName, r: &Replica| {
+            let bonus = if near == Some(name) {
+                PREFIX_BONUS
+            } else {
+                0.0
+            };
+            self.score(r, bonus)
+        };
+        if a.adapter.is_some() {
+            let holders = &self.adapters.get(&a.adapter)?.holders;
+            let fit = holders.iter().filter_map(|n| Some((n, usable(n)?)));
+            return fit.min_by_key(|(n, r)| score(n, r)).map(|(n, _)| n.clone());
+        }
+        let first = self.open.iter().take(OPEN_PROBED).map(|(_, n)| n);
+        let fit = first.chain(near).filter_map(|n| Some((n, usable(n)?)));
+        fit.min_by_key(|(n, r)| score(n, r)).map(|(n, _)| n.clone())
+    }
+
+    fn has_room(&self, r: &Replica, lane: Lane, target: &Target) -> bool {
+        let s = &self.settings;
+        let other = lane == Lane::Short && self.long_waits(r, target);
+        r.room(lane, s.long_cap, s.long_floor, other)
+    }
+
+    /// Whether long work waits that this replica could run.
+    fn long_waits(&self, r: &Replica, target: &Target) -> bool {
+        let waits = |t: &Target| {
+            let entry = self.adapters.get(t);
+            entry.is_some_and(|e| !e.list(Lane::Long).is_empty())
+        };
+        if !self.queue.has_long() {
+            return false;
+        }
+        waits(target) || r.loaded.iter().any(|a| waits(&Some(a.clone())))
+    }
+
+    /// How loaded a replica seems, `bonus` requests less.
+    fn score(&self, r: &Replica, bonus: f64) -> u64 {
+        let pace = match (r.pace > 0.0, self.service.pace()) {
+            (true, mean) if mean > 0.0 => r.pace / mean,
+            _ => 1.0,
+        };
+        let queue = (f64::from(r.busy()) + 1.0 - bonus).max(0.1);
+        (queue * pace.max(0.2) * SCORE_STEPS) as u64
+    }
+
+    /// Gives a replica the work that waits for it, in turn, while it has room.
+    pub(super) fn fill(&mut self, now: Moment, name: &ReplicaName) {
+        while let Some(ticket) = self.next_for(name) {
+            let Some(w) = self.withdraw(now, ticket) else {
+                return;
+            };
+            self.grant(now, &w, name);
+        }
+    }
+
+    /// The request whose turn it is at a replica: short work first, then long
+    /// work, each in the order of fair queueing between teams.
+    fn next_for(&self, name: &ReplicaName) -> Option<Ticket> {
+        let r = self.replicas.get(name)?;
+        if !r.open() {
+            return None;
+        }
+        let bare: Target = None;
+        let own = r.loaded.iter().map(|a| Some(a.clone()));
+        let targets: Vec<Target> = own.chain([bare]).collect();
+        let lists = targets.iter().filter_map(|t| self.adapters.get(t));
+        let lists: Vec<_> = lists.filter(|e| e.waiting() > 0).collect();
+        let long = lists.iter().any(|e| !e.list(Lane::Long).is_empty());
+        let s = &self.settings;
+        let lanes = Lane::ALL.into_iter();
+        let mut open = lanes.filter(|lane| r.room(*lane, s.long_cap, s.long_floor, long));
+        open.find_map(|lane| {
+            let heads = lists.iter().flat_map(|e| {
+                let turns = e.list(lane).iter().take(TURNS_PROBED);
+                turns.filter(|(_, t)| self.may_run(*t, name)).take(1)
+            });
+            heads.min().map(|(_, ticket)| *ticket)
+        })
+    }
+
+    fn may_run(&self, ticket: Ticket, name: &ReplicaName) -> bool {
+        let w = self.queue.get(ticket);
+        w.is_some_and(|w| !self.avoids(&w.arrival, name))
+    }
+
+    /// Whether a request does not go to a replica: it should not, and another
+    /// live one could run it.
+    fn avoids(&self, a: &Arrival, name: &ReplicaName) -> bool {
+        let other = |n: &ReplicaName| {
+            let r = self.replicas.get(n);
+            r.is_some_and(|r| r.live()) && !a.avoid.contains(n)
+        };
+        if !a.avoid.contains(name) {
+            return false;
+        }
+        match a.adapter {
+            Some(_) => {
+                let entry = self.adapters.get(&a.adapter);
+                entry.is_some_and(|e| e.holders.iter().any(other))
+            }
+            None => self.replicas.keys().any(other),
+        }
+    }
+
+    /// Dispatches a request that is in no list any more.
+    pub(super) fn grant(&mut self, now: Moment, w: &Waiting, name: &ReplicaName) {
+        let Some(r) = self.replicas.get(name) else {
+            return;
+        };
+        let a = &w.arrival;
+        let lane = w.lane();
+        let incarnation = r.incarnation;
+        self.fair[lane.index()].served(w.tag);
+        self.prefixes.note(now, a.prefix, name);
+        self.commands.push(Command::Grant {
+            ticket: a.ticket,
+            replica: name.clone(),
+            incarnation,
+            priority: PRIORITIES[lane.index()],
+        });
+        let run = Running {
+            replica: name.clone(),
+            incarnation,
+            target: a.adapter.clone(),
+            lane,
+            fingerprint: a.fingerprint,
+            solo: w.solo,
+        };
+        self.start(now, a.ticket, run);
+    }
+
+    /// Counts a dispatch.
+    pub(super) fn start(&mut self, now: Moment, ticket: Ticket, run: Running) {
+        let name = run.replica.clone();
+        if let Some(r) = self.replicas.get_mut(&name)
+            && (!r.known || r.incarnation == run.incarnation)
+        {
+            r.tickets.insert(ticket);
+            r.longs += u32::from(run.lane == Lane::Long);
+            self.use_slot(now, &name, &run.target);
+            self.rescore(&name);
+        }
+        self.running.insert(ticket, run);
+    }
+
+    /// Ends the count of a dispatch.
+    pub(super) fn leave(&mut self, now: Moment, ticket: Ticket, run: &Running) {
+        let name = &run.replica;
+        let Some(r) = self.replicas.get_mut(name) else {
+            return;
+        };
+        if r.solo == Some(ticket) {
+            r.solo = None;
+        }
+        if r.tickets.remove(&ticket) {
+            r.note_end(now);
+            r.longs -= u32::from(run.lane == Lane::Long);
+            self.free_slot(now, name, &run.target);
+        }
+        self.rescore(name);
+    }
+
+    /// Keeps the index of open replicas in step with one of them.
+    pub(super) fn rescore(&mut self, name: &ReplicaName) {
+        let Some(r) = self.replicas.get(name) else {
+            return;
+        };
+        let score = r.open().then(|| self.score(r, 0.0));
+        let old = r.score;
+        if score == old {
+            return;
+        }
+        if let Some(old) = old {
+            self.open.remove(&(old, name.clone()));
+        }
+        if let Some(new) = score {
+            self.open.insert((new, name.clone()));
+        }
+        if let Some(r) = self.replicas.get_mut(name) {
+            r.score = score;
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/pool/loads.rs
@@ -0,0 +1,344 @@
+//! Loads: which adapter is loaded next, where, and what gives up its slot.
+
+use super::queue::Lane;
+use super::replica::Order;
+use super::state::Pool;
+use super::types::*;
+use crate::ids::AdapterVersion;
+use crate::ids::ReplicaName;
+
+/// Microseconds that each waiting request makes its adapter's wait seem
+/// older: a load that serves three callers goes before one that serves one.
+const PER_WAITING: f64 = 1_000_000.0;
+
+/// A long request counts for less: nobody stands and waits for it.
+const LONG_WEIGHT: f64 = 0.25;
+
+/// Microseconds by which an adapter of one request a second seems older: its
+/// load serves all that would come meanwhile. Bounded, so that the wait of an
+/// adapter that one caller needs stays bounded too.
+const PER_RATE: f64 = 20_000_000.0;
+
+/// The most that the expected demand counts, in microseconds.
+const MOST_FOR_RATE: f64 = 40_000_000.0;
+
+/// Microseconds by which a second copy seems younger: those who wait for it
+/// will be served by the first copy at some time, the others by none.
+const COPY_DELAY: f64 = 2_000_000.0;
+
+/// Wanted loads looked at for one that can be ordered now.
+const LOADS_PROBED: usize = 8;
+
+/// Idle slots looked at from each index for the one to evict.
+const SLOTS_PROBED: usize = 8;
+
+/// Idle slots walked over at the most to find these: others are on replicas
+/// with an order under way, or wanted.
+const SLOTS_WALKED: usize = 64;
+
+/// An order that has had no end for so many load times no longer holds the
+/// others up.
+const PATIENCE: u64 = 8;
+
+/// The first wait after a failed load, doubled at each further failure.
+const FIRST_BACKOFF: u64 = 500_000;
+
+/// The longest wait after failed loads.
+const LONGEST_BACKOFF: u64 = 30_000_000;
+
+/// Failed loads in a row after which those who wait are told. One failure may
+/// be the weight store's hiccup; after three the callers are better off
+/// knowing than waiting for their deadline.
+const FAILURES_TOLD: u32 = 3;
+
+/// Seconds of silence, in mean intervals between requests, after which demand
+/// is thought to have gone elsewhere.
+pub(super) const SILENCE: f64 = 4.0;
+
+/// Weighs several candidates of nearly equal demand by where they are.
+const NEARLY: f64 = 2.0;
+
+impl Pool {
+    /// The time of one load at full speed.
+    pub(super) fn load_time(&self) -> Span {
+        Span((1e6 / self.settings.loads_per_s.max(1e-3)) as u64)
+    }
+
+    /// Where a load of an adapter stands in the queue of loads; lower is
+    /// earlier. `more` requests are counted that do not wait yet.
+    ///
+    /// Made for two or three loads a second against skewed demand. All loads
+    /// cost the same, so the order of benefit per second of load is that of
+    /// benefit: callers who wait, and those who are expected to come while it
+    /// is not loaded. The age of the first wait is part of the key, so that
+    /// each load has its turn at last.
+    pub(super) fn load_key(&self, now: Moment, adapter: &AdapterVersion, more: usize) -> i64 {
+        let half = self.half_life();
+        let Some(e) = self.adapters.get(&Some(adapter.clone())) else {
+            return now.0 as i64;
+        };
+        let since = if e.waiting() == 0 { now } else { e.since };
+        let long = e.list(Lane::Long).len() as f64;
+        let short = (e.waiting() + more) as f64 - long;
+        let waiting = (short + long * LONG_WEIGHT - 1.0).max(0.0);
+        let rate = e.demand.outlook(now, half, SILENCE);
+        let expected = (rate * PER_RATE).min(MOST_FOR_RATE);
+        let copy = if e.holders.is_empty() {
+            0.0
+        } else {
+            COPY_DELAY
+        };
+        (since.0 as f64 - waiting * PER_WAITING - expected + copy) as i64
+    }
+
+    /// Sets or ends that an adapter should be loaded.
+    pub(super) fn rewant(&mut self, now: Moment, adapter: &AdapterVersion) {
+        let key = self.wants_load(now, adapter);
+        let key = key.then(|| self.load_key(now, adapter, 0));
+        self.adapters.want(adapter, key);
+    }
+
+    /// Whether an adapter needs a load: something waits for it, and no live
+    /// replica has it or all that have it are full while others are not.
+    ///
+    /// Made for a hot adapter whose replica is full. A second copy takes a
+    /// slot from another adapter for good, so it is loaded only when another
+    /// replica has room and more wait than those that have the adapter end
+    /// within the time of the load.
+    fn wants_load(&self, now: Moment, adapter: &AdapterVersion) -> bool {
+        let Some(e) = self.adapters.get(&Some(adapter.clone())) else {
+            return false;
+        };
+        if e.waiting() == 0 || e.loading > 0 || e.backoff > now {
+            return false;
+        }
+        let holders = e.holders.iter().filter_map(|n| self.replicas.get(n));
+        let live: Vec<_> = holders.filter(|r| r.live()).collect();
+        if live.is_empty() {
+            return true;
+        }
+        if self.open.is_empty() || live.iter().any(|r| r.open()) {
+            return false;
+        }
+        let work = |lane| self.service.mean(lane).0 * e.list(lane).len() as u64;
+        let batch: u32 = live.iter().map(|r| r.spec.batch).sum();
+        work(Lane::Short) + work(Lane::Long) > self.load_time().0 * u64::from(batch)
+    }
+
+    /// Orders the next load, one at a time.
+    ///
+    /// The weight store gives its full speed to one load only: two at a time
+    /// end both later than one after the other.
+    pub(super) fn pump_loads(&mut self, now: Moment) {
+        if now < self.frozen || self.store_busy(now) {
+            return;
+        }
+        if self.adapters.wanted_len() == 0 {
+            return;
+        }
+        let vacant = self.vacant();
+        let wanted = self.adapters.wanted().take(LOADS_PROBED);
+        let first = wanted.cloned().find_map(|adapter| {
+            let (name, evict) = self.choose_slot(now, &adapter, &vacant)?;
+            Some((adapter, name, evict))
+        });
+        if let Some((adapter, name, evict)) = first {
+            self.order(now, &adapter, &name, evict);
+        }
+    }
+
+    fn store_busy(&self, now: Moment) -> bool {
+        let patience = Span(self.load_time().0 * PATIENCE);
+        let sent = |name| {
+            let r = self.replicas.get(name)?;
+            r.order.as_ref().map(|o| o.sent)
+        };
+        let mut under_way = self.orders.values().filter_map(sent);
+        under_way.any(|sent| sent.after(patience) > now)
+    }
+
+    /// Replicas with a free slot, the least loaded first; then those with a
+    /// slot that nothing can use, and what may still fill it.
+    fn vacant(&self) -> Vec<(ReplicaName, Option<AdapterVersion>)> {
+        let all = self.replicas.iter();
+        let takes = all.filter(|(_, r)| r.orderable() && r.solo.is_none());
+        let mut free: Vec<_> = takes
+            .filter_map(|(n, r)| {
+                let ghost = r.ghosts.iter().find(|g| !r.users.contains_key(*g));
+                let ghost = ghost.filter(|_| !r.vacant());
+                let fit = r.vacant() || ghost.is_some();
+                fit.then(|| (ghost, !r.open(), r.busy(), r.loaded.len(), n))
+            })
+            .collect();
+        free.sort();
+        let found = free.into_iter();
+        found.map(|f| (f.4.clone(), f.0.cloned())).collect()
+    }
+
+    /// Where an adapter should be loaded, and what gives up its slot.
+    fn choose_slot(
+        &self,
+        now: Moment,
+        adapter: &AdapterVersion,
+        vacant: &[(ReplicaName, Option<AdapterVersion>)],
+    ) -> Option<(ReplicaName, Option<AdapterVersion>)> {
+        let fits = |name: &ReplicaName| {
+            let r = self.replicas.get(name)?;
+            let fit = r.orderable() && r.solo.is_none() && !r.loaded.contains(adapter);
+            fit.then_some(r)
+        };
+        if let Some(found) = vacant.iter().find(|(name, _)| fits(name).is_some()) {
+            return Some(found.clone());
+        }
+        self.choose_victim(now, fits)
+    }
+
+    /// The idle slot that is worth the least.
+    ///
+    /// Made for popularity that shifts without warning. The worth of a slot is
+    /// the demand expected for it: the decayed count, but no more than its
+    /// silence leaves likely. The least of either index is the least of both.
+    /// An adapter for which something waits keeps its slot, so that no two
+    /// adapters chase each other out.
+    fn choose_victim<'a>(
+        &'a self,
+        now: Moment,
+        fits: impl Fn(&ReplicaName) -> Option<&'a super::replica::Replica>,
+    ) -> Option<(ReplicaName, Option<AdapterVersion>)> {
+        let half = self.half_life();
+        let worth = |a: &AdapterVersion| {
+            let e = self.adapters.get(&Some(a.clone()))?;
+            let rate = e.demand.outlook(now, half, SILENCE);
+            (e.waiting() == 0).then(|| rate / e.holders.len().max(1) as f64)
+        };
+        let rate = self.adapters.least_asked().take(SLOTS_WALKED);
+        let silent = self.adapters.longest_silent().take(SLOTS_WALKED);
+        let fit = |(name, a): (&ReplicaName, &AdapterVersion)| {
+            let r = fits(name)?;
+            Some((worth(a)?, r, name.clone(), a.clone()))
+        };
+        let mut slots: Vec<_> = rate.filter_map(fit).take(SLOTS_PROBED).collect();
+        slots.extend(silent.filter_map(fit).take(SLOTS_PROBED));
+        let least = slots.iter().map(|s| s.0).min_by(f64::total_cmp)?;
+        let near = slots.iter().filter(|s| s.0 <= least * NEARLY);
+        let best = near.min_by_key(|(_, r, _, _)| (!r.open(), r.busy()));
+        best.map(|(_, _, name, a)| (name.clone(), Some(a.clone())))
+    }
+
+    fn order(
+        &mut self,
+        now: Moment,
+        adapter: &AdapterVersion,
+        name: &ReplicaName,
+        evict: Option<AdapterVersion>,
+    ) {
+        self.loads += 1;
+        let id = OrderId(self.loads);
+        if let Some(old) = &evict {
+            self.lose(now, name, old, false);
+        }
+        let Some(r) = self.replicas.get_mut(name) else {
+            return;
+        };
+        r.order = Some(Order {
+            id,
+            adapter: adapter.clone(),
+            evict: evict.clone(),
+            sent: now,
+        });
+        self.commands.push(Command::Load {
+            order: id,
+            replica: name.clone(),
+            incarnation: r.incarnation,
+            adapter: adapter.clone(),
+            evict,
+        });
+        self.orders.insert(id, name.clone());
+        self.adapters.entry(&Some(adapter.clone())).loading += 1;
+        self.rewant(now, adapter);
+    }
+
+    /// An order ended.
+    pub fn order_end(&mut self, now: Moment, order: OrderId, end: OrderEnd) {
+        if let Some(name) = self.orders.remove(&order) {
+            self.close_order(now, &name, order, end);
+            self.fill(now, &name);
+        }
+        self.pump_solos(now);
+        self.pump_loads(now);
+    }
+
+    fn close_order(&mut self, now: Moment, name: &ReplicaName, order: OrderId, end: OrderEnd) {
+        let Some(r) = self.replicas.get_mut(name) else {
+            return;
+        };
+        let Some(o) = r.order.take_if(|o| o.id == order) else {
+            return;
+        };
+        r.changed = now;
+        r.unsettled = matches!(end, OrderEnd::Unknown | OrderEnd::Fenced);
+        let entry = self.adapters.entry(&Some(o.adapter.clone()));
+        entry.loading = entry.loading.saturating_sub(1);
+        match end {
+            OrderEnd::Done => self.gain(now, name, &o.adapter),
+            OrderEnd::Failed | OrderEnd::Unknown => {
+                self.haunt(name, &o, end);
+                self.back_off(now, &o.adapter, end);
+            }
+            OrderEnd::Fenced => {
+                if let Some(old) = &o.evict {
+                    self.gain(now, name, old);
+                }
+            }
+        }
+        self.rewant(now, &o.adapter);
+    }
+
+    /// After a load that may not have happened, or an eviction that may not,
+    /// the slot counts as full of something that nothing is sent to.
+    fn haunt(&mut self, name: &ReplicaName, o: &Order, end: OrderEnd) {
+        let Some(r) = self.replicas.get_mut(name) else {
+            return;
+        };
+        r.ghosts.extend(o.evict.clone());
+        if end == OrderEnd::Unknown {
+            r.ghosts.insert(o.adapter.clone());
+        }
+    }
+
+    /// Lets a failing load wait, without holding up the others.
+    ///
+    /// Made for loads that fail for one adapter or for all: tried again at
+    /// once, a broken adapter would take the whole rate of the weight store.
+    fn back_off(&mut self, now: Moment, adapter: &AdapterVersion, end: OrderEnd) {
+        let entry = self.adapters.entry(&Some(adapter.clone()));
+        if end == OrderEnd::Failed {
+            entry.failures = entry.failures.saturating_add(1);
+        }
+        let doublings = entry.failures.saturating_sub(1).min(10);
+        let wait = (FIRST_BACKOFF << doublings).min(LONGEST_BACKOFF);
+        entry.backoff = now.after(Span(wait));
+        let told = entry.failures >= FAILURES_TOLD && entry.holders.is_empty();
+        self.backoffs.insert((entry.backoff, adapter.clone()));
+        if told {
+            self.tell_failed(now, adapter, Span(wait));
+        }
+    }
+
+    fn tell_failed(&mut self, now: Moment, adapter: &AdapterVersion, after: Span) {
+        let target = Some(adapter.clone());
+        for ticket in self.queue.matching(|a| a.adapter == target) {
+            self.turn_away(now, ticket, Reason::LoadFailed, after);
+        }
+    }
+
+    /// Lets loads back into the queue whose backoff has ended.
+    pub(super) fn end_backoffs(&mut self, now: Moment) {
+        while let Some((at, _)) = self.backoffs.first()
+            && *at <= now
+            && let Some((_, adapter)) = self.backoffs.pop_first()
+        {
+            self.rewant(now, &adapter);
+        }
+    }
+}
--- a/lib/src/pool/mod.rs
+++ b/lib/src/pool/mod.rs
@@ -3,12 +3,35 @@
 //! [`Pool`] is driven by its owner (and by the measurements and tests) with
 //! plain calls; time is an argument. What it decides comes out as
 //! [`Command`]s.
+//!
+//! | module | decides |
+//! |---|---|
+//! | `admit` | who may wait, who is refused and when to come back |
+//! | `queue` | whose turn it is |
+//! | `dispatch` | where a request runs, what a replica runs next |
+//! | `loads` | which adapter is loaded next, where, and what it evicts |
+//! | `health` | what reports and ends of dispatches mean |
+//! | `solo`, `verdicts` | which request crashes its upstream |
 
-mod naive;
+mod adapter;
+mod admit;
+mod budget;
+mod demand;
+mod dispatch;
+mod health;
+mod loads;
+mod prefix;
+mod queue;
+mod replica;
+mod service;
 mod settings;
+mod slots;
+mod solo;
+mod state;
 mod types;
+mod verdicts;
 
-pub use naive::Pool;
-pub use naive::PoolView;
 pub use settings::PoolSettings;
+pub use state::Pool;
+pub use state::PoolView;
 pub use types::*;
--- /dev/null
+++ b/lib/src/pool/replica.rs
@@ -0,0 +1,202 @@
+//! What the pool knows of one replica.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::VecDeque;
+
+use super::queue::Lane;
+use super::types::Health;
+use super::types::Moment;
+use super::types::OrderId;
+use super::types::ReplicaSpec;
+use super::types::Ticket;
+use crate::ids::AdapterVersion;
+use crate::ids::Incarnation;
+
+/// The part that the newest answer has in the measured pace: about the last
+/// ten answers count, so that a replica that turned slow is known within a
+/// second at ten answers a second and one slow answer does not condemn it.
+const PACE_PART: f64 = 0.1;
+
+/// Ended dispatches remembered: more than a replica ends in a report's age.
+const ENDS_KEPT: usize = 256;
+
+/// An order under way.
+#[derive(Debug)]
+pub(super) struct Order {
+    pub(super) id: OrderId,
+    pub(super) adapter: AdapterVersion,
+    pub(super) evict: Option<AdapterVersion>,
+    pub(super) sent: Moment,
+}
+
+/// One replica.
+#[derive(Debug)]
+pub(super) struct Replica {
+    pub(super) spec: ReplicaSpec,
+    pub(super) health: Health,
+    pub(super) incarnation: Incarnation,
+    /// Whether it has reported since it was configured.
+    pub(super) known: bool,
+    /// Whether it is still configured.
+    pub(super) listed: bool,
+    /// A connection to it broke and no later report has come.
+    pub(super) doubt: Option<Moment>,
+    /// What requests may be sent to.
+    pub(super) loaded: BTreeSet<AdapterVersion>,
+    /// What may still fill a slot but must not be sent to: an eviction or a
+    /// load that ended unknown, or an answer by another adapter.
+    pub(super) ghosts: BTreeSet<AdapterVersion>,
+    /// Dispatches by adapter; such an adapter is never evicted.
+    pub(super) users: BTreeMap<AdapterVersion, u32>,
+    pub(super) order: Option<Order>,
+    /// When its slots were last changed by an order: a report of an older
+    /// state says nothing about them.
+    pub(super) changed: Moment,
+    /// Whether an order ended unknown and no later report has settled it.
+    pub(super) unsettled: bool,
+    /// Dispatches of this incarnation.
+    pub(super) tickets: BTreeSet<Ticket>,
+    /// Of these, long ones.
+    pub(super) longs: u32,
+    /// Requests in the engine that are not ours, by its last report.
+    pub(super) foreign: u32,
+    /// When the last dispatches ended, the oldest first.
+    pub(super) ended: VecDeque<Moment>,
+    /// Microseconds a token (an answer at a plain service); 0 is not known.
+    pub(super) pace: f64,
+    /// The request that has it, or will have it, alone.
+    pub(super) solo: Option<Ticket>,
+    /// The score under which it stands in the index of open replicas.
+    pub(super) score: Option<u64>,
+}
+
+impl Replica {
+    pub(super) fn new(spec: ReplicaSpec) -> Self {
+        Self {
+            spec,
+            health: Health::Suspect,
+            incarnation: Incarnation(0),
+            known: false,
+            listed: true,
+            doubt: None,
+            loaded: BTreeSet::new(),
+            ghosts: BTreeSet::new(),
+            users: BTreeMap::new(),
+            order: None,
+            changed: Moment(0),
+            unsettled: false,
+            tickets: BTreeSet::new(),
+            longs: 0,
+            foreign: 0,
+            ended: VecDeque::new(),
+            pace: 0.0,
+            solo: None,
+            score: None,
+        }
+    }
+
+    /// Whether it may get new work at all.
+    pub(super) fn live(&self) -> bool {
+        self.listed && self.known && self.health == Health::Live && self.doubt.is_none()
+    }
+
+    /// Whether it may become live without being configured anew.
+    pub(super) fn hopeful(&self) -> bool {
+        self.listed && matches!(self.health, Health::Live | Health::Suspect)
+    }
+
+    pub(super) fn outstanding(&self) -> u32 {
+        self.tickets.len() as u32
+    }
+
+    /// Whether it takes one more request beside others.
+    pub(super) fn open(&self) -> bool {
+        self.live() && self.solo.is_none() && self.busy() < self.spec.batch
+    }
+
+    /// Whether it takes one more request of this lane, given the parts of the
+    /// batch, in hundredths, that long work may hold at most and that waiting
+    /// long work is left.
+    ///
+    /// Made for long work beside counters. Without the cap, long work that
+    /// came in a quiet minute holds the whole batch for seconds and a counter
+    /// waits behind it; without the floor, a busy counter starves long work
+    /// for good.
+    pub(super) fn room(&self, lane: Lane, cap: u32, floor: u32, other_waits: bool) -> bool {
+        if !self.open() {
+            return false;
+        }
+        match lane {
+            Lane::Long => self.longs < part(self.spec.batch, cap).max(1),
+            Lane::Short => {
+                let kept = part(self.spec.batch, floor).saturating_sub(self.longs);
+                !other_waits || self.busy() + kept < self.spec.batch
+            }
+        }
+    }
+
+    /// Requests in its batch as far as is known.
+    pub(super) fn busy(&self) -> u32 {
+        self.outstanding() + self.foreign
+    }
+
+    /// Slots that hold nothing and are promised to nothing.
+    pub(super) fn vacant(&self) -> bool {
+        let used = self.loaded.len() + self.ghosts.len() + usize::from(self.order.is_some());
+        used < self.spec.slots as usize
+    }
+
+    /// Whether an order may be sent to it.
+    pub(super) fn orderable(&self) -> bool {
+        self.live() && self.order.is_none() && !self.unsettled && self.spec.slots > 0
+    }
+
+    /// Takes in how many requests the engine had at `seen`. Those of ours that
+    /// have ended since are in the count and no longer here; without them a
+    /// report that lags would show each ended request as another's.
+    pub(super) fn compare_load(&mut self, seen: Moment, told: u32) {
+        let since = self.ended.iter().rev().take_while(|at| **at >= seen);
+        let own = self.outstanding() + since.count() as u32;
+        self.foreign = told.saturating_sub(own).min(self.spec.batch / 2);
+    }
+
+    /// Notes that a dispatch ended.
+    pub(super) fn note_end(&mut self, now: Moment) {
+        self.ended.push_back(now);
+        if self.ended.len() > ENDS_KEPT {
+            self.ended.pop_front();
+        }
+    }
+
+    /// Takes in how long an answer of `tokens` tokens took.
+    pub(super) fn measure(&mut self, micros: u64, tokens: u32) {
+        let sample = micros as f64 / f64::from(tokens.max(1));
+        self.pace = match self.pace > 0.0 {
+            true => self.pace + PACE_PART * (sample - self.pace),
+            false => sample,
+        };
+    }
+
+    pub(super) fn hold(&mut self, adapter: &AdapterVersion) {
+        *self.users.entry(adapter.clone()).or_insert(0) += 1;
+    }
+
+    /// Ends a hold; true when nothing uses the adapter any more.
+    pub(super) fn release(&mut self, adapter: &AdapterVersion) -> bool {
+        let Some(n) = self.users.get_mut(adapter) else {
+            return true;
+        };
+        *n -= 1;
+        let free = *n == 0;
+        if free {
+            self.users.remove(adapter);
+        }
+        free
+    }
+}
+
+/// `hundredths` of a batch, rounded down.
+pub(super) fn part(batch: u32, hundredths: u32) -> u32 {
+    batch * hundredths / 100
+}
--- a/lib/src/pool/settings.rs
+++ b/lib/src/pool/settings.rs
@@ -51,6 +51,9 @@
     /// Retries allowed, in hundredths of the answers.
     #[builder(default = 10)]
     pub retry_share: u32,
+    /// Half-life of the count of an adapter's requests, in microseconds.
+    #[builder(default = Span::from_millis(120_000))]
+    pub half_life: Span,
     /// How long a request stays convicted of crashing its upstream, in
     /// microseconds.
     #[builder(default = Span::from_millis(600_000))]
--- /dev/null
+++ b/lib/src/pool/slots.rs
@@ -0,0 +1,121 @@
+//! Slots: what is loaded where, what uses it and what may be evicted.
+
+use super::adapter::Target;
+use super::replica::Replica;
+use super::state::Pool;
+use super::types::*;
+use crate::ids::AdapterVersion;
+use crate::ids::ReplicaName;
+
+impl Pool {
+    /// Half-life of demand, in microseconds.
+    pub(super) fn half_life(&self) -> f64 {
+        self.settings.half_life.0.max(1) as f64
+    }
+
+    /// Counts a request for an adapter. A retry is not demand of its own.
+    pub(super) fn note_demand(&mut self, now: Moment, a: &Arrival) {
+        let half = self.half_life();
+        if a.attempt == 0 {
+            self.adapters.entry(&a.adapter).demand.count(now, half, 1.0);
+        }
+        if let Some(adapter) = &a.adapter {
+            self.reindex(adapter);
+        }
+    }
+
+    /// Keeps the indexes in step with one adapter.
+    pub(super) fn reindex(&mut self, adapter: &AdapterVersion) {
+        self.adapters.unindex(adapter);
+        let replicas = &self.replicas;
+        let idle = |name: &ReplicaName| {
+            let r = replicas.get(name);
+            r.is_some_and(|r| evictable(r, adapter))
+        };
+        self.adapters.index(adapter, idle);
+    }
+
+    /// Changes holders of an adapter and keeps the indexes in step.
+    fn hold(&mut self, name: &ReplicaName, adapter: &AdapterVersion, holds: bool) {
+        self.adapters.unindex(adapter);
+        let entry = self.adapters.entry(&Some(adapter.clone()));
+        match holds {
+            true => entry.holders.insert(name.clone()),
+            false => entry.holders.remove(name),
+        };
+        self.reindex(adapter);
+    }
+
+    /// A replica has an adapter from now on.
+    pub(super) fn gain(&mut self, now: Moment, name: &ReplicaName, adapter: &AdapterVersion) {
+        let Some(r) = self.replicas.get_mut(name) else {
+            return;
+        };
+        r.ghosts.remove(adapter);
+        if r.loaded.insert(adapter.clone()) {
+            self.hold(name, adapter, true);
+        }
+        let entry = self.adapters.entry(&Some(adapter.clone()));
+        entry.failures = 0;
+        self.rewant(now, adapter);
+    }
+
+    /// A replica has an adapter no more; `ghost` when it may still fill a
+    /// slot.
+    pub(super) fn lose(
+        &mut self,
+        now: Moment,
+        name: &ReplicaName,
+        adapter: &AdapterVersion,
+        ghost: bool,
+    ) {
+        let Some(r) = self.replicas.get_mut(name) else {
+            return;
+        };
+        r.ghosts.remove(adapter);
+        if ghost {
+            r.ghosts.insert(adapter.clone());
+        }
+        if r.loaded.remove(adapter) {
+            self.hold(name, adapter, false);
+        }
+        self.rewant(now, adapter);
+    }
+
+    /// A dispatch uses a slot; under an earlier owner's grant it tells that
+    /// the slot is there.
+    pub(super) fn use_slot(&mut self, now: Moment, name: &ReplicaName, target: &Target) {
+        let Some(adapter) = target else {
+            return;
+        };
+        let Some(r) = self.replicas.get_mut(name) else {
+            return;
+        };
+        r.hold(adapter);
+        match r.loaded.contains(adapter) || r.ghosts.contains(adapter) {
+            true => self.reindex(adapter),
+            false => self.gain(now, name, adapter),
+        }
+    }
+
+    /// A dispatch no longer uses a slot.
+    pub(super) fn free_slot(&mut self, _now: Moment, name: &ReplicaName, target: &Target) {
+        let Some(adapter) = target else {
+            return;
+        };
+        let freed = self
+            .replicas
+            .get_mut(name)
+            .is_some_and(|r| r.release(adapter));
+        if freed {
+            self.reindex(adapter);
+        }
+    }
+}
+
+/// Whether an adapter's slot may be given up: nothing uses it, at a replica
+/// that takes orders. An adapter that a request is using, or has been granted,
+/// is never evicted: its requests would fail.
+fn evictable(r: &Replica, adapter: &AdapterVersion) -> bool {
+    r.live() && !r.users.contains_key(adapter)
+}
--- /dev/null
+++ b/lib/src/pool/state.rs
@@ -0,0 +1,271 @@
+//! The pool's state and the calls of its owner.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use super::adapter::Adapters;
+use super::adapter::Target;
+use super::budget::RetryBudget;
+use super::prefix::Prefixes;
+use super::queue::Fair;
+use super::queue::Lane;
+use super::queue::Queue;
+use super::replica::Replica;
+use super::service::Service;
+use super::settings::PoolSettings;
+use super::types::*;
+use super::verdicts::Verdicts;
+use crate::ids::AdapterVersion;
+use crate::ids::Fingerprint;
+use crate::ids::Incarnation;
+use crate::ids::ReplicaName;
+
+/// A dispatch under way.
+#[derive(Debug)]
+pub(super) struct Running {
+    pub(super) replica: ReplicaName,
+    pub(super) incarnation: Incarnation,
+    pub(super) target: Target,
+    pub(super) lane: Lane,
+    pub(super) fingerprint: Fingerprint,
+    pub(super) solo: bool,
+}
+
+/// The decisions of one pool.
+///
+/// ```
+/// use banyangauge::pool::Health;
+/// use banyangauge::pool::Moment;
+/// use banyangauge::pool::Pool;
+/// use banyangauge::pool::PoolSettings;
+/// use banyangauge::pool::ReplicaSpec;
+/// let mut pool = Pool::new(PoolSettings::default());
+/// let spec = ReplicaSpec { name: "r1".parse().unwrap(), slots: 8, batch: 16 };
+/// pool.set_replicas(Moment(0), &[spec]);
+/// pool.set_health(Moment(0), &"r1".parse().unwrap(), Health::Leaving);
+/// assert!(pool.take_commands().is_empty());
+/// ```
+#[derive(Debug, Default)]
+pub struct Pool {
+    pub(super) settings: PoolSettings,
+    pub(super) replicas: BTreeMap<ReplicaName, Replica>,
+    /// Replicas that are no longer configured.
+    pub(super) unlisted: BTreeSet<ReplicaName>,
+    /// Replicas that take work, the least loaded first.
+    pub(super) open: BTreeSet<(u64, ReplicaName)>,
+    pub(super) adapters: Adapters,
+    pub(super) queue: Queue,
+    pub(super) fair: [Fair; 2],
+    pub(super) running: BTreeMap<Ticket, Running>,
+    /// Suspects that wait for a replica of their own, the oldest first.
+    pub(super) solos: BTreeSet<(Moment, Ticket)>,
+    /// Suspects for which a replica is being emptied.
+    pub(super) reserved: BTreeMap<Ticket, ReplicaName>,
+    /// Orders under way.
+    pub(super) orders: BTreeMap<OrderId, ReplicaName>,
+    /// Adapters that wait for the end of their backoff.
+    pub(super) backoffs: BTreeSet<(Moment, AdapterVersion)>,
+    pub(super) service: Service,
+    pub(super) budget: RetryBudget,
+    pub(super) verdicts: Verdicts,
+    pub(super) prefixes: Prefixes,
+    pub(super) commands: Vec<Command>,
+    pub(super) frozen: Moment,
+    pub(super) draining: bool,
+    pub(super) loads: u64,
+    pub(super) stalls: u64,
+    pub(super) live: usize,
+}
+
+/// What a pool looks like from outside.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct PoolView {
+    /// Requests that wait.
+    pub queued: u32,
+    /// Dispatches under way.
+    pub granted: u32,
+    /// Loads ordered since the start.
+    pub loads: u64,
+    /// Requests that had to wait for their adapter.
+    pub stalls: u64,
+    /// Outstanding dispatches by replica.
+    pub outstanding: BTreeMap<ReplicaName, u32>,
+    /// Loaded adapter versions by replica.
+    pub loaded: BTreeMap<ReplicaName, BTreeSet<AdapterVersion>>,
+}
+
+impl Pool {
+    /// An empty pool.
+    pub fn new(settings: PoolSettings) -> Self {
+        Self {
+            settings,
+            ..Self::default()
+        }
+    }
+
+    /// Replaces the shares of the teams; requests that wait keep their turn.
+    pub fn set_shares(&mut self, shares: &Shares) {
+        self.settings.shares = shares.clone();
+    }
+
+    /// Sets the replicas; those left out get nothing new, and are forgotten
+    /// once the last dispatch there has ended.
+    pub fn set_replicas(&mut self, now: Moment, specs: &[ReplicaSpec]) {
+        let keep: BTreeSet<_> = specs.iter().map(|s| s.name.clone()).collect();
+        let gone: Vec<_> = self.replicas.keys().cloned().collect();
+        for name in gone.iter().filter(|name| !keep.contains(*name)) {
+            self.change(now, name, |r| r.listed = false);
+            self.unlisted.insert(name.clone());
+        }
+        for spec in specs {
+            self.unlisted.remove(&spec.name);
+            self.replicas
+                .entry(spec.name.clone())
+                .or_insert_with(|| Replica::new(spec.clone()));
+            self.change(now, &spec.name, |r| {
+                r.spec = spec.clone();
+                r.listed = true;
+            });
+        }
+        self.settle(now);
+    }
+
+    /// Sets whether a replica takes new work.
+    pub fn set_health(&mut self, now: Moment, name: &ReplicaName, health: Health) {
+        self.change(now, name, |r| r.health = health);
+        self.settle(now);
+    }
+
+    /// Takes in a load report; a new incarnation starts with what it reports.
+    pub fn report(&mut self, now: Moment, report: LoadReport) {
+        let name = report.replica.clone();
+        let Some(r) = self.replicas.get(&name) else {
+            return;
+        };
+        if !r.known || r.incarnation != report.incarnation {
+            self.restarted(now, &name, report);
+        } else {
+            self.compare(now, &name, report);
+        }
+        self.settle(now);
+    }
+
+    /// A request asks for a replica.
+    pub fn offer(&mut self, now: Moment, arrival: Arrival) {
+        if let Err((reason, after)) = self.admit(now, &arrival) {
+            self.refuse(arrival.ticket, reason, after);
+            return;
+        }
+        self.enqueue(now, arrival);
+        self.settle(now);
+    }
+
+    /// The caller of a waiting request went away.
+    pub fn abandon(&mut self, now: Moment, ticket: Ticket) {
+        self.give_up(now, ticket);
+        self.settle(now);
+    }
+
+    /// A dispatch ended, or its grant lapsed.
+    pub fn finish(&mut self, now: Moment, finish: Finish) {
+        if let Some(run) = self.running.remove(&finish.ticket) {
+            self.learn(now, &finish, &run);
+            self.leave(now, finish.ticket, &run);
+            self.run_solo(now, &run.replica);
+            self.fill(now, &run.replica);
+        }
+        self.settle(now);
+    }
+
+    /// A new owner learns of a dispatch under an earlier owner's grant.
+    pub fn adopt(&mut self, now: Moment, held: Held) {
+        let lane = Lane::of(held.class);
+        let run = Running {
+            replica: held.replica,
+            incarnation: held.incarnation,
+            target: held.adapter,
+            lane,
+            fingerprint: held.fingerprint,
+            solo: false,
+        };
+        self.start(now, held.ticket, run);
+    }
+
+    /// Another process found that a request crashes its upstream.
+    pub fn convict(&mut self, now: Moment, fingerprint: Fingerprint, hold: Span) {
+        self.verdicts.convict(now, fingerprint, now.after(hold));
+        for ticket in self.queue.matching(|a| a.fingerprint == fingerprint) {
+            self.turn_away(now, ticket, Reason::Convicted, hold);
+        }
+        self.settle(now);
+    }
+
+    /// No slot changes before `until`: a new owner's quarantine.
+    pub fn freeze(&mut self, until: Moment) {
+        self.frozen = self.frozen.max(until);
+    }
+
+    /// Refuses what waits and all that comes.
+    pub fn drain(&mut self, now: Moment) {
+        self.draining = true;
+        for ticket in self.queue.matching(|_| true) {
+            self.turn_away(now, ticket, Reason::Draining, COME_BACK);
+        }
+    }
+
+    /// Ends waits whose deadline can no longer be made and looks for work.
+    pub fn tick(&mut self, now: Moment) {
+        while let Some(ticket) = self.queue.expired(now) {
+            let after = self.wait_estimate();
+            let why = match self.live {
+                0 => Reason::NoReplica,
+                _ => Reason::Deadline,
+            };
+            self.turn_away(now, ticket, why, after);
+        }
+        self.end_backoffs(now);
+        self.forget_unlisted(now);
+        self.settle(now);
+    }
+
+    /// When [`Pool::tick`] is wanted next.
+    pub fn next_wake(&self) -> Option<Moment> {
+        let expiry = self.queue.next_expiry();
+        let backoff = self.backoffs.first().map(|(at, _)| *at);
+        let thaw = (self.adapters.wanted_len() > 0 && self.frozen > Moment(0))
+            .then_some(self.frozen)
+            .filter(|at| *at > self.service.now);
+        [expiry, backoff, thaw].into_iter().flatten().min()
+    }
+
+    /// What was decided since the last call.
+    pub fn take_commands(&mut self) -> Vec<Command> {
+        std::mem::take(&mut self.commands)
+    }
+
+    /// What the pool looks like.
+    pub fn view(&self) -> PoolView {
+        let mut view = PoolView {
+            queued: self.queue.len() as u32,
+            granted: self.running.len() as u32,
+            loads: self.loads,
+            stalls: self.stalls,
+            ..PoolView::default()
+        };
+        for (name, r) in &self.replicas {
+            view.outstanding.insert(name.clone(), r.outstanding());
+            view.loaded.insert(name.clone(), r.loaded.clone());
+        }
+        view
+    }
+
+    /// Decisions that any change may have made possible.
+    fn settle(&mut self, now: Moment) {
+        self.service.now = now;
+        self.pump_solos(now);
+        self.pump_loads(now);
+    }
+}
+
+/// When a refused caller may come back, where nothing better is known.
+pub(super) const COME_BACK: Span = Span::from_millis(1_000);
--- /dev/null
+++ b/lib/src/pool/verdicts.rs
@@ -0,0 +1,88 @@
+//! Requests suspected or convicted of crashing their upstream.
+
+use std::collections::BTreeMap;
+
+use super::types::Moment;
+use super::types::Span;
+use crate::ids::Fingerprint;
+use crate::ids::Incarnation;
+use crate::ids::ReplicaName;
+
+/// How long a suspicion holds when nothing settles it: longer than a caller's
+/// retries, shorter than what would keep an innocent request slow.
+const SUSPICION: Span = Span::from_millis(120_000);
+
+/// The most fingerprints kept of either kind; the soonest to end goes first.
+const MOST_KEPT: usize = 8_192;
+
+#[derive(Debug)]
+struct Suspicion {
+    until: Moment,
+    replica: ReplicaName,
+    incarnation: Incarnation,
+}
+
+/// What is known of requests that may crash their upstream.
+///
+/// Made for the one request that crashes each engine that runs it, sent again
+/// by its caller: without verdicts it takes a batch of others down each time.
+#[derive(Debug, Default)]
+pub(super) struct Verdicts {
+    suspects: BTreeMap<Fingerprint, Suspicion>,
+    convicted: BTreeMap<Fingerprint, Moment>,
+}
+
+impl Verdicts {
+    /// It ran where the upstream broke.
+    pub(super) fn suspect(
+        &mut self,
+        now: Moment,
+        fingerprint: Fingerprint,
+        replica: &ReplicaName,
+        incarnation: Incarnation,
+    ) {
+        if self.suspects.len() >= MOST_KEPT {
+            self.suspects.retain(|_, s| s.until > now);
+        }
+        let suspicion = Suspicion {
+            until: now.after(SUSPICION),
+            replica: replica.clone(),
+            incarnation,
+        };
+        self.suspects.insert(fingerprint, suspicion);
+    }
+
+    /// It was answered, so it does not crash its upstream.
+    pub(super) fn clear(&mut self, fingerprint: Fingerprint) {
+        self.suspects.remove(&fingerprint);
+    }
+
+    /// The replica still runs the incarnation that was thought to have
+    /// crashed: only connections broke.
+    pub(super) fn survived(&mut self, replica: &ReplicaName, incarnation: Incarnation) {
+        self.suspects
+            .retain(|_, s| s.replica != *replica || s.incarnation != incarnation);
+    }
+
+    pub(super) fn is_suspect(&self, now: Moment, fingerprint: Fingerprint) -> bool {
+        self.suspects
+            .get(&fingerprint)
+            .is_some_and(|s| s.until > now)
+    }
+
+    /// Refuse it until `until`.
+    pub(super) fn convict(&mut self, now: Moment, fingerprint: Fingerprint, until: Moment) {
+        if self.convicted.len() >= MOST_KEPT {
+            self.convicted.retain(|_, end| *end > now);
+        }
+        self.suspects.remove(&fingerprint);
+        let end = self.convicted.entry(fingerprint).or_insert(until);
+        *end = until.max(*end);
+    }
+
+    /// How long its verdict still holds.
+    pub(super) fn convicted(&self, now: Moment, fingerprint: Fingerprint) -> Option<Span> {
+        let end = self.convicted.get(&fingerprint)?;
+        (*end > now).then(|| end.since(now))
+    }
+}
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -1,3 +1,6 @@
 //! All tests of the library crate.
 
 mod test_ids;
+mod test_pool_outcomes;
+mod test_pool_promises;
+mod test_pool_rig;
--- /dev/null
+++ b/lib/tests/test_pool_outcomes.rs
@@ -0,0 +1,462 @@
+//! What callers get under load and faults; no sockets, no clock.
+
+#![expect(clippy::unwrap_used, reason = "helpers of tests")]
+
+use banyangauge::ids::Fingerprint;
+use banyangauge::ids::Incarnation;
+use banyangauge::ids::TeamName;
+use banyangauge::pool::*;
+use rstest::rstest;
+
+use crate::test_pool_rig::Got;
+use crate::test_pool_rig::Rig;
+use crate::test_pool_rig::arrival;
+
+fn settings() -> PoolSettings {
+    // Round numbers: 50 tokens take half a second, a load takes as long.
+    PoolSettings::builder()
+        .loads_per_s(2.0)
+        .step_us(10_000)
+        .build()
+}
+
+fn due(rig: &Rig, ms: u64, mut a: Arrival) -> Arrival {
+    a.deadline = rig.now.after(Span::from_millis(ms));
+    a
+}
+
+fn part(sorted: &[Span], hundredths: usize) -> u64 {
+    sorted[(sorted.len() - 1) * hundredths / 100].as_millis()
+}
+
+#[test]
+fn load_merged_for_all_waiting() {
+    let mut rig = Rig::new(settings(), 2, 2, 16);
+    for i in 0..10 {
+        rig.offer_in(i * 10, arrival(i, "t", "a@1"));
+    }
+    rig.run_for(2_000);
+    assert_eq!(rig.loads.len(), 1);
+    assert_eq!(rig.totals(|_| true).len(), 10);
+}
+
+#[test]
+fn load_hot_before_cold() {
+    let mut rig = Rig::new(settings(), 2, 4, 16);
+    rig.offer_in(0, arrival(0, "t", "first@1"));
+    rig.offer_in(10, arrival(1, "t", "cold@1"));
+    for i in 0..8 {
+        rig.offer_in(20, arrival(10 + i, "t", "hot@1"));
+    }
+    rig.run_for(5_000);
+    let order: Vec<_> = rig.loads.iter().map(|l| l.2.adapter.as_str()).collect();
+    assert_eq!(order, ["first", "hot", "cold"]);
+}
+
+#[test]
+fn load_failing_blocks_no_other() {
+    let mut rig = Rig::new(settings(), 2, 2, 16);
+    rig.broken.insert("bad@1".parse().unwrap());
+    for i in 0..40 {
+        let a = arrival(i, "t", if i % 2 == 0 { "bad@1" } else { "good@1" });
+        rig.offer_in(i * 100, due(&rig, 30_000, a));
+    }
+    rig.run_for(60_000);
+    let good = |a: &Arrival| a.adapter == Some("good@1".parse().unwrap());
+    assert_eq!(rig.totals(good).len(), 20);
+    assert!(rig.refused(Reason::LoadFailed) > 0);
+    assert_eq!(rig.waiting(), 0);
+    let tries = rig.loads.iter().filter(|l| l.2.adapter.as_str() == "bad");
+    assert!(tries.count() < 12, "no backoff");
+}
+
+#[test]
+fn load_failed_recovers() {
+    let mut rig = Rig::new(settings(), 1, 2, 16);
+    rig.broken.insert("a@1".parse().unwrap());
+    rig.offer_in(0, due(&rig, 20_000, arrival(0, "t", "a@1")));
+    rig.run_for(700);
+    rig.broken.clear();
+    rig.run_for(3_000);
+    assert_eq!(rig.totals(|_| true).len(), 1);
+}
+
+#[test]
+fn burst_leaves_other_teams_places() {
+    let mut rig = Rig::new(settings(), 2, 2, 4);
+    // The pool answers 16 a second. One team offers 60 a second for ten
+    // seconds, the other 4 a second.
+    for i in 0..600 {
+        let a = arrival(i, "burst", "");
+        rig.offer_in(i * 1_000 / 60, due(&rig, 4_000 + i * 17, a));
+    }
+    for i in 0..40 {
+        let a = arrival(1_000 + i, "steady", "");
+        rig.offer_in(i * 250, due(&rig, 4_000 + i * 250, a));
+    }
+    rig.run_for(30_000);
+    let steady: TeamName = "steady".parse().unwrap();
+    let times = rig.totals(|a| a.team == steady);
+    assert_eq!(times.len(), 40, "the steady team lost some");
+    assert!(part(&times, 99) <= 1_200, "{times:?}");
+    assert_eq!(rig.waiting(), 0);
+}
+
+#[rstest]
+#[case::equal(1, 1)]
+#[case::three_to_one(3, 1)]
+fn shares_of_full_pool(#[case] first: u32, #[case] second: u32) {
+    let mut s = settings();
+    s.shares = [
+        ("one".parse().unwrap(), first),
+        ("two".parse().unwrap(), second),
+    ]
+    .into();
+    let mut rig = Rig::new(s, 2, 0, 4);
+    for i in 0..400 {
+        for (k, team) in ["one", "two"].into_iter().enumerate() {
+            let a = arrival(i * 2 + k as u64, team, "");
+            rig.offer_in(i * 25, due(&rig, 5_000, a));
+        }
+    }
+    rig.run_for(10_000);
+    let of = |t: &str| {
+        let t: TeamName = t.parse().unwrap();
+        rig.totals(|a| a.team == t).len() as f64
+    };
+    let ratio = of("one") / of("two");
+    let want = f64::from(first) / f64::from(second);
+    assert!((ratio / want - 1.0).abs() < 0.25, "{ratio} for {want}");
+}
+
+#[test]
+fn shift_served_within_seconds() {
+    let mut rig = Rig::new(settings(), 2, 2, 16);
+    // Four adapters are busy for a minute and then fall silent; four others
+    // are busy from then on.
+    for i in 0..1_200u64 {
+        let new = if i < 600 { 0 } else { 4 };
+        let a = arrival(i, "t", &format!("a{}@1", new + i % 4));
+        rig.offer_in(i * 100, due(&rig, i * 100 + 10_000, a));
+    }
+    rig.run_for(66_000);
+    let new = |a: &Arrival| a.ticket.0 >= 600;
+    let times = rig.totals(new);
+    assert!(times.len() > 40);
+    assert!(times.last().unwrap().as_millis() <= 3_500, "{times:?}");
+    rig.run_for(60_000);
+    // Once shifted, no load is needed any more.
+    let late = rig.loads.iter().filter(|l| l.0 > Moment(75_000_000));
+    assert_eq!(late.count(), 0, "thrashing");
+}
+
+#[test]
+fn slow_upstream_gets_less() {
+    let mut rig = Rig::new(settings(), 3, 0, 16);
+    rig.slow("r1", 1_000);
+    for i in 0..1_200 {
+        rig.offer_in(i * 50, arrival(i, "t", ""));
+    }
+    rig.run_for(70_000);
+    let times = rig.totals(|a| a.ticket.0 >= 200);
+    assert!(part(&times, 90) <= 600, "{:?}", part(&times, 90));
+    assert_eq!(rig.totals(|_| true).len(), 1_200);
+}
+
+#[test]
+fn long_work_leaves_counters_their_places() {
+    let mut rig = Rig::new(settings(), 2, 2, 8);
+    for i in 0..200 {
+        let mut a = arrival(i, "archive", "");
+        a.class = Class::Long;
+        a.output = 500;
+        rig.offer_in(0, due(&rig, 400_000, a));
+    }
+    for i in 0..100 {
+        rig.offer_in(1_000 + i * 200, arrival(1_000 + i, "counter", ""));
+    }
+    rig.run_for(300_000);
+    let short = rig.totals(|a| a.class == Class::Interactive);
+    assert_eq!(short.len(), 100);
+    assert!(part(&short, 99) <= 550, "{short:?}");
+    assert_eq!(rig.totals(|a| a.class == Class::Long).len(), 200);
+    let capped = rig.peak.values().all(|(_, long)| *long <= 6);
+    assert!(capped, "{:?}", rig.peak);
+}
+
+#[test]
+fn counters_leave_long_work_its_floor() {
+    let mut rig = Rig::new(settings(), 1, 0, 8);
+    // Twice as much short work as the replica can do, for a minute.
+    for i in 0..1_920 {
+        let a = arrival(i, "counter", "");
+        rig.offer_in(i * 31, due(&rig, i * 31 + 5_000, a));
+    }
+    for i in 0..10 {
+        let mut a = arrival(5_000 + i, "archive", "");
+        a.class = Class::Long;
+        a.output = 500;
+        rig.offer_in(500, due(&rig, 60_000, a));
+    }
+    rig.run_for(60_000);
+    assert_eq!(rig.totals(|a| a.class == Class::Long).len(), 10);
+    assert!(rig.totals(|a| a.class == Class::Interactive).len() > 500);
+}
+
+#[test]
+fn saturation_refused_truthfully() {
+    let mut rig = Rig::new(settings(), 2, 0, 4);
+    for i in 0..2_000 {
+        let a = arrival(i, &format!("t{}", i % 5), "");
+        rig.offer_in(i * 20, due(&rig, i * 20 + 2_000, a));
+    }
+    rig.run_for(60_000);
+    assert_eq!(rig.waiting(), 0);
+    let times = rig.totals(|_| true);
+    // 16 a second for 40 seconds, all that the replicas can do.
+    assert!(times.len() >= 600, "{}", times.len());
+    assert!(times.last().unwrap().as_millis() <= 2_000, "late answers");
+    let refused: Vec<_> = rig
+        .got
+        .values()
+        .filter_map(|g| match g {
+            Got::Refused { after, .. } => Some(*after),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(refused.len() + times.len(), 2_000);
+    assert!(refused.iter().all(|after| after.0 > 0));
+}
+
+#[test]
+fn deadline_unreachable_refused_at_once() {
+    let mut rig = Rig::new(settings(), 1, 2, 4);
+    rig.offer_in(0, due(&rig, 300, arrival(0, "t", "a@1")));
+    rig.run_for(0);
+    assert_eq!(rig.refused(Reason::Deadline), 1);
+}
+
+#[test]
+fn restart_empty_served_again() {
+    let mut rig = Rig::new(settings(), 2, 2, 8);
+    rig.retries = 1;
+    for i in 0..100 {
+        let a = arrival(i, "t", &format!("a{}@1", i % 3));
+        rig.offer_in(i * 100, due(&rig, i * 100 + 8_000, a));
+    }
+    rig.crash_in(5_000, "r1");
+    rig.run_for(30_000);
+    assert_eq!(rig.crashes, 1);
+    assert_eq!(rig.totals(|_| true).len(), 100);
+    assert!(rig.convicted.is_empty());
+}
+
+#[rstest]
+#[case::with_adapter("a@1")]
+#[case::plain("")]
+fn crashing_request_convicted_exactly(#[case] adapter: &str) {
+    let mut rig = Rig::new(settings(), 4, 2, 8);
+    rig.retries = 3;
+    for i in 0..200 {
+        let a = arrival(i, "t", adapter);
+        rig.offer_in(i * 50, due(&rig, i * 50 + 20_000, a));
+    }
+    let mut bad = arrival(500, "t", adapter);
+    bad.fingerprint = Fingerprint(77_777);
+    rig.poison.insert(bad.fingerprint);
+    rig.offer_in(3_000, due(&rig, 20_000, bad.clone()));
+    // Its caller sends it again later.
+    bad.ticket = Ticket(501);
+    rig.offer_in(8_000, due(&rig, 20_000, bad));
+    rig.run_for(60_000);
+    assert!(rig.convicted.contains(&Fingerprint(77_777)));
+    assert_eq!(rig.convicted.len(), 1);
+    assert_eq!(rig.crashes, 2, "one to suspect, one to convict");
+    assert!(rig.refused(Reason::Convicted) >= 1);
+    assert_eq!(rig.totals(|_| true).len(), 200);
+    assert_eq!(rig.waiting(), 0);
+}
+
+#[test]
+fn verdict_ages_out() {
+    let mut rig = Rig::new(settings(), 1, 0, 8);
+    let hold = Span::from_millis(1_000);
+    rig.pool.convict(rig.now, Fingerprint(0), hold);
+    rig.offer_in(0, arrival(0, "t", ""));
+    rig.run_for(1_500);
+    let mut again = arrival(1, "t", "");
+    again.fingerprint = Fingerprint(0);
+    rig.offer_in(0, again);
+    rig.run_for(1_000);
+    assert_eq!(rig.refused(Reason::Convicted), 1);
+    assert_eq!(rig.totals(|_| true).len(), 1);
+}
+
+#[test]
+fn leaving_gets_nothing_new_and_finishes() {
+    let mut rig = Rig::new(settings(), 2, 0, 8);
+    for i in 0..4 {
+        rig.offer_in(0, arrival(i, "t", ""));
+    }
+    rig.run_for(10);
+    rig.health("r1", Health::Leaving);
+    rig.configure(&["r1"]);
+    let held = rig.pool.view().outstanding["r1"];
+    assert_eq!(held, 2, "forgot running dispatches");
+    for i in 10..14 {
+        rig.offer_in(0, arrival(i, "t", ""));
+    }
+    rig.run_for(10);
+    let on = |g: &&Got| matches!(g, Got::Granted(n) if n.as_str() == "r1");
+    assert_eq!(rig.got.values().filter(on).count(), 2);
+    rig.run_for(1_000);
+    assert_eq!(rig.totals(|_| true).len(), 8);
+    assert_eq!(rig.pool.view().outstanding["r1"], 0);
+    rig.run_for(60_000);
+    assert!(!rig.pool.view().outstanding.contains_key("r1"));
+}
+
+#[test]
+fn drain_refuses_all_waiting() {
+    let mut rig = Rig::new(settings(), 1, 0, 2);
+    for i in 0..6 {
+        rig.offer_in(0, arrival(i, "t", ""));
+    }
+    rig.run_for(10);
+    rig.drain();
+    assert_eq!(rig.refused(Reason::Draining), 4);
+    rig.run_for(1_000);
+    assert_eq!(rig.totals(|_| true).len(), 2);
+}
+
+#[test]
+fn freeze_holds_loads_back() {
+    let mut rig = Rig::new(settings(), 1, 2, 8);
+    rig.freeze(rig.now.after(Span::from_millis(3_000)));
+    rig.offer_in(0, due(&rig, 10_000, arrival(0, "t", "a@1")));
+    rig.run_for(2_900);
+    assert!(rig.loads.is_empty());
+    rig.run_for(2_000);
+    assert_eq!(rig.totals(|_| true).len(), 1);
+}
+
+/// A pool with one replica of two slots, which has reported `a@1`.
+fn reported() -> Pool {
+    let mut pool = Pool::new(settings());
+    let name: banyangauge::ids::ReplicaName = "r1".parse().unwrap();
+    let spec = ReplicaSpec {
+        name: name.clone(),
+        slots: 2,
+        batch: 8,
+    };
+    pool.set_replicas(Moment(0), &[spec]);
+    pool.report(Moment(10_000_000), report(1, 0, &["a@1"]));
+    pool
+}
+
+fn report(incarnation: u64, age_ms: u64, loaded: &[&str]) -> LoadReport {
+    LoadReport {
+        replica: "r1".parse().unwrap(),
+        incarnation: Incarnation(incarnation),
+        age: Span::from_millis(age_ms),
+        running: 0,
+        waiting: 0,
+        loaded: loaded.iter().map(|a| a.parse().unwrap()).collect(),
+    }
+}
+
+fn has(pool: &Pool, adapter: &str) -> bool {
+    pool.view().loaded["r1"].contains(&adapter.parse().unwrap())
+}
+
+#[rstest]
+#[case::older_than_the_load(2_000, true)]
+#[case::newer(500, false)]
+fn report_after_load(#[case] age_ms: u64, #[case] kept: bool) {
+    let mut pool = reported();
+    pool.offer(Moment(20_000_000), arrival(1, "t", "b@1"));
+    let commands = pool.take_commands();
+    let Some(Command::Load { order, .. }) = commands.first() else {
+        panic!("{commands:?}");
+    };
+    pool.order_end(Moment(21_000_000), *order, OrderEnd::Done);
+    assert!(has(&pool, "b@1"));
+    pool.report(Moment(22_000_000), report(1, age_ms, &["a@1"]));
+    assert_eq!(has(&pool, "b@1"), kept);
+}
+
+#[test]
+fn wrong_identity_not_granted_until_reported() {
+    let mut pool = reported();
+    pool.offer(Moment(20_000_000), arrival(1, "t", "a@1"));
+    let finish = Finish {
+        ticket: Ticket(1),
+        outcome: Outcome::WrongIdentity,
+        tokens: 0,
+        first: Span(0),
+        total: Span(0),
+    };
+    pool.finish(Moment(20_100_000), finish);
+    assert!(!has(&pool, "a@1"));
+    pool.report(Moment(21_000_000), report(1, 100, &["a@1"]));
+    assert!(has(&pool, "a@1"));
+}
+
+#[test]
+fn adopted_in_use_not_evicted() {
+    let mut pool = reported();
+    for (ticket, adapter) in [(1, "a@1"), (2, "x@1")] {
+        pool.adopt(
+            Moment(11_000_000),
+            Held {
+                ticket: Ticket(ticket),
+                replica: "r1".parse().unwrap(),
+                incarnation: Incarnation(1),
+                adapter: Some(adapter.parse().unwrap()),
+                team: "t".parse().unwrap(),
+                class: Class::Interactive,
+                output: 10,
+                fingerprint: Fingerprint(ticket),
+            },
+        );
+    }
+    pool.offer(Moment(12_000_000), arrival(3, "t", "b@1"));
+    assert!(pool.take_commands().is_empty(), "evicted an adapter in use");
+}
+
+#[test]
+fn retries_bounded_by_budget() {
+    let mut rig = Rig::new(settings(), 2, 0, 16);
+    for i in 0..200 {
+        let mut a = arrival(i, "t", "");
+        a.attempt = 1;
+        rig.offer_in(i * 10, a);
+    }
+    rig.run_for(20_000);
+    // The reserve of one batch, and a tenth of the answers.
+    assert!(rig.refused(Reason::RetryBudget) > 150);
+    assert!(rig.totals(|_| true).len() >= 32);
+}
+
+#[test]
+fn second_copy_when_first_is_full() {
+    let mut rig = Rig::new(settings(), 2, 2, 4);
+    for i in 0..400 {
+        let a = arrival(i, "t", "hot@1");
+        rig.offer_in(i * 80, due(&rig, i * 80 + 10_000, a));
+    }
+    rig.run_for(40_000);
+    assert_eq!(rig.loads.len(), 2, "one load a copy");
+    let times = rig.totals(|a| a.ticket.0 > 200);
+    assert!(part(&times, 99) <= 800, "{times:?}");
+}
+
+#[test]
+fn no_copy_while_first_has_room() {
+    let mut rig = Rig::new(settings(), 2, 2, 8);
+    for i in 0..100 {
+        rig.offer_in(i * 100, arrival(i, "t", "hot@1"));
+    }
+    rig.run_for(15_000);
+    assert_eq!(rig.loads.len(), 1);
+}
