measure: compare the pool's decisions with baselines in virtual time

scripts/measure policy runs the same arrivals through naive, affinity, the pool and an eviction that knows the future, around small fake engines. The baselines load one at a time at full speed, first come first, and affinity counts a replica that is going to load an adapter as having it, so both are better than what they are named after.

--- a/bench/src/bin/banyan-measure.rs
+++ b/bench/src/bin/banyan-measure.rs
@@ -1,3 +1,33 @@
-//! To be written.
+//! Measurements, one a subcommand.
 
-fn main() {}
+use std::process::ExitCode;
+
+use argh::FromArgs;
+use banyangauge_bench::policy;
+
+/// Measures banyangauge; each subcommand prints figures and a closing line.
+#[derive(Debug, FromArgs)]
+struct Args {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Policy(policy::Args),
+}
+
+fn main() -> ExitCode {
+    let args: Args = argh::from_env();
+    let done = match args.command {
+        Command::Policy(args) => policy::run(&args).map_err(|e| e.to_string()),
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("banyan-measure: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -1,1 +1,3 @@
 //! Measurements.
+
+pub mod policy;
