pool: copy an adapter whose replicas are full for its lane

A replica with long work up to its cap still took short work, so it never counted as full and the hottest adapters got no second copy: long readings for them waited until their deadline. Full is now asked for the lane that waits.

--- a/lib/src/pool/dispatch.rs
+++ b/lib/src/pool/dispatch.rs
@@ -80,6 +80,16 @@
         r.room(lane, s.long_cap, s.long_floor, other)
     }
 
+    /// Whether a replica has room for a lane, long work that waits aside.
+    pub(super) fn takes(&self, r: &Replica, lane: Lane) -> bool {
+        r.room(
+            lane,
+            self.settings.long_cap,
+            self.settings.long_floor,
+            false,
+        )
+    }
+
     /// Whether long work waits that this replica could run.
     fn long_waits(&self, r: &Replica, target: &Target) -> bool {
         let waits = |t: &Target| {
--- a/lib/src/pool/loads.rs
+++ b/lib/src/pool/loads.rs
@@ -117,12 +117,15 @@
         if live.is_empty() {
             return true;
         }
-        if self.open.is_empty() || live.iter().any(|r| r.open()) {
+        if self.open.is_empty() {
             return false;
         }
-        let work = |lane| self.service.mean(lane).0 * e.list(lane).len() as u64;
-        let batch: u32 = live.iter().map(|r| r.spec.batch).sum();
-        work(Lane::Short) + work(Lane::Long) > self.load_time().0 * u64::from(batch)
+        Lane::ALL.into_iter().any(|lane| {
+            let full = !live.iter().any(|r| self.takes(r, lane));
+            let work = self.service.mean(lane).0 * e.list(lane).len() as u64;
+            let batch: u32 = live.iter().map(|r| r.spec.batch).sum();
+            full && work > self.load_time().0 * u64::from(batch)
+        })
     }
 
     /// Orders the next load, one at a time.
