pool: keep slots and loads of those who stand and wait from long work

At full saturation long work used every slot and headed the queue of loads by its number, so a counter whose adapter was not loaded waited out its deadline. Long work now uses three quarters of a replica's slots at once, keeps no slot by waiting, and has one load in four while others wait. Where full steps weigh more it may fill the whole batch: a place frees every few hundred milliseconds.

--- a/lib/src/pool/adapter.rs
+++ b/lib/src/pool/adapter.rs
@@ -36,7 +36,7 @@
     pub(super) failures: u32,
     /// No load before then.
     pub(super) backoff: Moment,
-    wanted: Option<i64>,
+    wanted: Option<(Lane, i64)>,
     ranked: Option<(i64, Moment)>,
 }
 
@@ -61,6 +61,11 @@
         self.lists[0].len() + self.lists[1].len() + self.solos as usize
     }
 
+    /// Whether someone stands and waits for it.
+    pub(super) fn urgent(&self) -> bool {
+        !self.lists[Lane::Short.index()].is_empty() || self.solos > 0
+    }
+
     pub(super) fn list(&self, lane: Lane) -> &BTreeSet<(u64, Ticket)> {
         &self.lists[lane.index()]
     }
@@ -76,8 +81,8 @@
 pub(super) struct Adapters {
     all: BTreeMap<Target, Adapter>,
     /// Adapters that something waits for and that should be loaded, the most
-    /// beneficial load first.
-    wanted: BTreeSet<(i64, AdapterVersion)>,
+    /// beneficial load first; by the most urgent lane that waits.
+    wanted: [BTreeSet<(i64, AdapterVersion)>; 2],
     /// Slots that nothing uses, the least asked for first.
     by_rate: BTreeSet<(i64, ReplicaName, AdapterVersion)>,
     /// The same, the longest silent first.
@@ -105,18 +110,18 @@
 
     /// How many adapters wait for a load.
     pub(super) fn wanted_len(&self) -> usize {
-        self.wanted.len()
+        self.wanted.iter().map(BTreeSet::len).sum()
     }
 
     /// How many loads come before one of this key, counted up to `most`.
-    pub(super) fn wanted_before(&self, key: i64, most: usize) -> usize {
-        let before = self.wanted.iter().take_while(|(k, _)| *k < key);
-        before.take(most).count()
+    pub(super) fn wanted_before(&self, lane: Lane, key: i64, most: usize) -> usize {
+        let before = self.wanted[lane.index()].iter();
+        before.take_while(|(k, _)| *k < key).take(most).count()
     }
 
-    /// The loads that wait, the most beneficial first.
-    pub(super) fn wanted(&self) -> impl Iterator<Item = &AdapterVersion> {
-        self.wanted.iter().map(|(_, a)| a)
+    /// The loads that wait in a lane, the most beneficial first.
+    pub(super) fn wanted(&self, lane: Lane) -> impl Iterator<Item = &AdapterVersion> {
+        self.wanted[lane.index()].iter().map(|(_, a)| a)
     }
 
     /// Sets or ends that an adapter should be loaded; lower keys go first.
@@ -124,16 +129,18 @@
         let Some(a) = self.all.get_mut(&Some(adapter.clone())) else {
             return;
         };
-        if a.wanted == key {
+        let lane = if a.urgent() { Lane::Short } else { Lane::Long };
+        let new = key.map(|key| (lane, key));
+        if a.wanted == new {
             return;
         }
-        if let Some(old) = a.wanted.take() {
-            self.wanted.remove(&(old, adapter.clone()));
+        if let Some((lane, old)) = a.wanted {
+            self.wanted[lane.index()].remove(&(old, adapter.clone()));
         }
-        if let Some(new) = key {
-            self.wanted.insert((new, adapter.clone()));
+        if let Some((lane, new)) = new {
+            self.wanted[lane.index()].insert((new, adapter.clone()));
         }
-        a.wanted = key;
+        a.wanted = new;
     }
 
     /// Idle slots in the order of least demand.
--- a/lib/src/pool/admit.rs
+++ b/lib/src/pool/admit.rs
@@ -69,7 +69,9 @@
         }
         let pause = entry.map_or(Span(0), |e| e.backoff.since(now));
         let key = self.load_key(now, adapter, 1);
-        let ahead = self.adapters.wanted_before(key, LOADS_COUNTED);
+        let ahead = self
+            .adapters
+            .wanted_before(Lane::of(a.class), key, LOADS_COUNTED);
         let load = self.load_time().0;
         Span(pause.0.max(load * ahead as u64) + load)
     }
--- a/lib/src/pool/dispatch.rs
+++ b/lib/src/pool/dispatch.rs
@@ -77,14 +77,15 @@
     fn has_room(&self, r: &Replica, lane: Lane, target: &Target) -> bool {
         let s = &self.settings;
         let other = lane == Lane::Short && self.long_waits(r, target);
-        r.room(lane, s.long_cap, s.long_floor, other)
+        let slot = lane == Lane::Short || r.long_slot(target, s.long_slots);
+        slot && r.room(lane, s.long_part(), s.long_floor, other)
     }
 
     /// Whether a replica has room for a lane, long work that waits aside.
     pub(super) fn takes(&self, r: &Replica, lane: Lane) -> bool {
         r.room(
             lane,
-            self.settings.long_cap,
+            self.settings.long_part(),
             self.settings.long_floor,
             false,
         )
@@ -132,14 +133,19 @@
         let bare: Target = None;
         let own = r.loaded.iter().map(|a| Some(a.clone()));
         let targets: Vec<Target> = own.chain([bare]).collect();
-        let lists = targets.iter().filter_map(|t| self.adapters.get(t));
-        let lists: Vec<_> = lists.filter(|e| e.waiting() > 0).collect();
-        let long = lists.iter().any(|e| !e.list(Lane::Long).is_empty());
+        let lists = targets
+            .iter()
+            .filter_map(|t| Some((t, self.adapters.get(t)?)));
+        let lists: Vec<_> = lists.filter(|(_, e)| e.waiting() > 0).collect();
         let s = &self.settings;
+        let slot = |t: &Target, lane| lane == Lane::Short || r.long_slot(t, s.long_slots);
+        let mut longs = lists.iter().filter(|(t, _)| slot(t, Lane::Long));
+        let long = longs.any(|(_, e)| !e.list(Lane::Long).is_empty());
         let lanes = Lane::ALL.into_iter();
-        let mut open = lanes.filter(|lane| r.room(*lane, s.long_cap, s.long_floor, long));
+        let mut open = lanes.filter(|lane| r.room(*lane, s.long_part(), s.long_floor, long));
         open.find_map(|lane| {
-            let heads = lists.iter().flat_map(|e| {
+            let usable = lists.iter().filter(|(t, _)| slot(t, lane));
+            let heads = usable.flat_map(|(_, e)| {
                 let turns = e.list(lane).iter().take(TURNS_PROBED);
                 turns.filter(|(_, t)| self.may_run(*t, name)).take(1)
             });
@@ -147,6 +153,7 @@
         })
     }
 
+    /// Whether a waiting request goes to a replica.
     fn may_run(&self, ticket: Ticket, name: &ReplicaName) -> bool {
         let w = self.queue.get(ticket);
         w.is_some_and(|w| !self.avoids(&w.arrival, name))
@@ -205,7 +212,9 @@
             && (!r.known || r.incarnation == run.incarnation)
         {
             r.tickets.insert(ticket);
-            r.longs += u32::from(run.lane == Lane::Long);
+            if run.lane == Lane::Long {
+                r.begin_long(&run.target);
+            }
             self.use_slot(now, &name, &run.target);
             self.rescore(&name);
         }
@@ -223,7 +232,9 @@
         }
         if r.tickets.remove(&ticket) {
             r.note_end(now);
-            r.longs -= u32::from(run.lane == Lane::Long);
+            if run.lane == Lane::Long {
+                r.end_long(&run.target);
+            }
             self.free_slot(now, name, &run.target);
         }
         self.rescore(name);
--- a/lib/src/pool/health.rs
+++ b/lib/src/pool/health.rs
@@ -94,6 +94,7 @@
         r.foreign = 0;
         let tickets = std::mem::take(&mut r.tickets);
         r.longs = 0;
+        r.long_users.clear();
         for adapter in lost {
             self.forget_holder(now, name, &adapter);
         }
--- a/lib/src/pool/loads.rs
+++ b/lib/src/pool/loads.rs
@@ -26,7 +26,10 @@
 /// will be served by the first copy at some time, the others by none.
 const COPY_DELAY: f64 = 2_000_000.0;
 
-/// Wanted loads looked at for one that can be ordered now.
+/// One load in so many goes to long work, also when shorter work waits.
+const LOADS_A_LONG: u64 = 4;
+
+/// Wanted loads of a lane looked at for one that can be ordered now.
 const LOADS_PROBED: usize = 8;
 
 /// Idle slots looked at from each index for the one to evict.
@@ -131,7 +134,9 @@
     /// Orders the next load, one at a time.
     ///
     /// The weight store gives its full speed to one load only: two at a time
-    /// end both later than one after the other.
+    /// end both later than one after the other. Loads for which only long work
+    /// waits have a share of them and what the others leave: by their number
+    /// alone they would hold up someone who stands and waits.
     pub(super) fn pump_loads(&mut self, now: Moment) {
         if now < self.frozen || self.store_busy(now) {
             return;
@@ -140,7 +145,12 @@
             return;
         }
         let vacant = self.vacant();
-        let wanted = self.adapters.wanted().take(LOADS_PROBED);
+        let probed = |lane| self.adapters.wanted(lane).take(LOADS_PROBED);
+        let turn = match self.loads % LOADS_A_LONG {
+            0 => [Lane::Long, Lane::Short],
+            _ => Lane::ALL,
+        };
+        let wanted = turn.into_iter().flat_map(probed);
         let first = wanted.cloned().find_map(|adapter| {
             let (name, evict) = self.choose_slot(now, &adapter, &vacant)?;
             Some((adapter, name, evict))
@@ -193,7 +203,9 @@
         if let Some(found) = vacant.iter().find(|(name, _)| fits(name).is_some()) {
             return Some(found.clone());
         }
-        self.choose_victim(now, fits)
+        let target = Some(adapter.clone());
+        let urgent = self.adapters.get(&target).is_some_and(|e| e.urgent());
+        self.choose_victim(now, urgent, fits)
     }
 
     /// The idle slot that is worth the least.
@@ -202,17 +214,20 @@
     /// the demand expected for it: the decayed count, but no more than its
     /// silence leaves likely. The least of either index is the least of both.
     /// An adapter for which something waits keeps its slot, so that no two
-    /// adapters chase each other out.
+    /// adapters chase each other out; but long work that waits for its turn
+    /// does not keep a slot from someone who stands and waits.
     fn choose_victim<'a>(
         &'a self,
         now: Moment,
+        urgent: bool,
         fits: impl Fn(&ReplicaName) -> Option<&'a super::replica::Replica>,
     ) -> Option<(ReplicaName, Option<AdapterVersion>)> {
         let half = self.half_life();
         let worth = |a: &AdapterVersion| {
             let e = self.adapters.get(&Some(a.clone()))?;
             let rate = e.demand.outlook(now, half, SILENCE);
-            (e.waiting() == 0).then(|| rate / e.holders.len().max(1) as f64)
+            let free = e.waiting() == 0 || urgent && !e.urgent();
+            free.then(|| rate / e.holders.len().max(1) as f64)
         };
         let rate = self.adapters.least_asked().take(SLOTS_WALKED);
         let silent = self.adapters.longest_silent().take(SLOTS_WALKED);
--- a/lib/src/pool/replica.rs
+++ b/lib/src/pool/replica.rs
@@ -59,6 +59,8 @@
     pub(super) tickets: BTreeSet<Ticket>,
     /// Of these, long ones.
     pub(super) longs: u32,
+    /// Long dispatches by adapter.
+    pub(super) long_users: BTreeMap<AdapterVersion, u32>,
     /// Requests in the engine that are not ours, by its last report.
     pub(super) foreign: u32,
     /// When the last dispatches ended, the oldest first.
@@ -88,6 +90,7 @@
             unsettled: false,
             tickets: BTreeSet::new(),
             longs: 0,
+            long_users: BTreeMap::new(),
             foreign: 0,
             ended: VecDeque::new(),
             pace: 0.0,
@@ -178,6 +181,41 @@
         };
     }
 
+    /// Whether long work may use an adapter's slot: one that it uses already,
+    /// or one more while it holds fewer than `cap` hundredths of the slots.
+    ///
+    /// Made for full saturation by long work. When it uses every slot, none
+    /// can be evicted for seconds, and a counter whose adapter is not loaded
+    /// waits behind all of it.
+    pub(super) fn long_slot(&self, target: &Option<AdapterVersion>, cap: u32) -> bool {
+        let Some(adapter) = target else {
+            return true;
+        };
+        let held = self.long_users.len() as u32;
+        self.long_users.contains_key(adapter) || held < part(self.spec.slots, cap).max(1)
+    }
+
+    /// Counts a dispatch of long work up.
+    pub(super) fn begin_long(&mut self, target: &Option<AdapterVersion>) {
+        self.longs += 1;
+        if let Some(adapter) = target {
+            *self.long_users.entry(adapter.clone()).or_insert(0) += 1;
+        }
+    }
+
+    /// Counts a dispatch of long work down.
+    pub(super) fn end_long(&mut self, target: &Option<AdapterVersion>) {
+        self.longs -= 1;
+        if let Some(adapter) = target
+            && let Some(n) = self.long_users.get_mut(adapter)
+        {
+            *n -= 1;
+            if *n == 0 {
+                self.long_users.remove(adapter);
+            }
+        }
+    }
+
     pub(super) fn hold(&mut self, adapter: &AdapterVersion) {
         *self.users.entry(adapter.clone()).or_insert(0) += 1;
     }
--- a/lib/src/pool/settings.rs
+++ b/lib/src/pool/settings.rs
@@ -41,13 +41,17 @@
     #[builder(default = 256)]
     pub queue: u32,
     /// The part of each replica's batch, in hundredths, that long work may
-    /// hold while shorter work waits.
-    #[builder(default = 75)]
+    /// hold; 0 is by the weighing: 75 for stalls, 100 for batch.
+    #[builder(default)]
     pub long_cap: u32,
     /// The part of each replica's batch, in hundredths, that waiting long work
     /// gets even when shorter work would fill it all.
     #[builder(default = 25)]
     pub long_floor: u32,
+    /// The part of each replica's slots, in hundredths, whose adapters long
+    /// work may use at the same time.
+    #[builder(default = 75)]
+    pub long_slots: u32,
     /// Retries allowed, in hundredths of the answers.
     #[builder(default = 10)]
     pub retry_share: u32,
@@ -67,6 +71,20 @@
 }
 
 impl PoolSettings {
+    /// The part of a batch, in hundredths, that long work may hold.
+    ///
+    /// Where stalls weigh more, a quarter stays free for those who stand and
+    /// wait. Where full steps weigh more, nothing does: short work goes first
+    /// when the next place frees, which in a full batch of long work takes a
+    /// fraction of a second.
+    pub(super) fn long_part(&self) -> u32 {
+        match (self.long_cap, self.weighing) {
+            (0, Weighing::Stalls) => 75,
+            (0, Weighing::Batch) => 100,
+            (cap, _) => cap,
+        }
+    }
+
     /// Checks the ranges of the values.
     ///
     /// # Errors
@@ -89,10 +107,13 @@
         if self.queue == 0 {
             return bad("queue", self.queue.to_string(), "1 or more");
         }
-        if !(1..=100).contains(&self.long_cap) {
-            return bad("long_cap", self.long_cap.to_string(), "1 to 100");
+        if self.long_cap > 100 {
+            return bad("long_cap", self.long_cap.to_string(), "0 to 100");
+        }
+        if !(1..=100).contains(&self.long_slots) {
+            return bad("long_slots", self.long_slots.to_string(), "1 to 100");
         }
-        if self.long_floor > self.long_cap {
+        if self.long_floor > self.long_part() {
             return bad("long_floor", self.long_floor.to_string(), "0 to long_cap");
         }
         Ok(())
