--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -5,3 +5,6 @@
 mod test_entry_input;
 mod test_entry_path;
 mod test_ids;
+mod test_pool_outcomes;
+mod test_pool_promises;
+mod test_pool_rig;
