--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -1,3 +1,4 @@
 //! Measurements.
 
 pub mod load;
+pub mod path;
