--- a/lib/src/control/mod.rs
+++ b/lib/src/control/mod.rs
@@ -1,11 +1,43 @@
 //! The control process: ownership of pools, configuration, membership, usage.
+//!
+//! Each duty has a thread of its own and tells the others what changes through
+//! the [`Board`]; start at [`run`] for the list of duties.
 
+mod clock;
 pub mod config;
+mod election;
 pub mod feed;
+mod local;
+mod members;
 pub mod operator;
+pub mod owner;
+mod peers;
+mod run;
+mod service;
+mod settings;
 mod shared;
 pub mod usage;
+mod vms;
 
+pub use clock::duration;
+pub use clock::now;
+pub use local::Entries;
+pub use local::Local;
+pub use local::majority;
+pub use members::DIGEST_MEMBERS;
+pub use members::MemberState;
+pub use members::Members;
+pub use members::candidates;
+pub use peers::Peers;
+pub use run::ControlError;
+pub use run::run;
+pub use service::PeersService;
+pub use settings::ClaimSettings;
+pub use settings::ControlSettings;
+pub use settings::GrantSettings;
+pub use settings::LeaseSettings;
+pub use settings::MemberSettings;
+pub use settings::UpstreamSettings;
 pub use shared::Board;
 pub use shared::Owner;
 pub use shared::Shared;
