control: take a heartbeat that came before the configuration duty started

Cause: the test run_follows_a_heartbeat waited for ever, because the members that the board held when the duty subscribed never counted as a change. Change: each tick looks at the members as well.

--- a/lib/src/control/config.rs
+++ b/lib/src/control/config.rs
@@ -299,25 +299,15 @@
     let mut tick = tokio::time::interval(PEER_TICK);
     tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
-        tokio::select! {
-            end = members.changed() => {
-                if end.is_err() {
-                    return;
-                }
-                if let Some(peer) = ahead(shared) {
-                    ask_peer(shared, peer).await;
-                }
-            }
-            () = shared.board.history.wake.notified() => {
-                if let Some(peer) = ahead(shared) {
-                    ask_peer(shared, peer).await;
-                }
-            }
-            _ = tick.tick() => {
-                if !*shared.board.platform_up.borrow() {
-                    ask_settings(shared).await;
-                }
-            }
+        let ticked = tokio::select! {
+            Ok(()) = members.changed() => false,
+            () = shared.board.history.wake.notified() => false,
+            _ = tick.tick() => true,
+        };
+        if let Some(peer) = ahead(shared) {
+            ask_peer(shared, peer).await;
+        } else if ticked && !*shared.board.platform_up.borrow() {
+            ask_settings(shared).await;
         }
     }
 }
--- a/lib/src/control/usage.rs
+++ b/lib/src/control/usage.rs
@@ -46,7 +46,7 @@
 
 /// A source that was silent this long is written and let go of, by whoever
 /// holds it: its VM may be gone.
-const SILENCE: Duration = Duration::from_secs(15);
+pub const SILENCE: Duration = Duration::from_secs(15);
 
 /// The longest that a stopping process waits for its last write.
 const LAST_FLUSH: Duration = Duration::from_secs(2);
@@ -273,11 +273,11 @@
 
     /// Parts to write now: those of this VM, and all of a source that fell
     /// silent.
-    fn due(&self, vm: &str) -> Vec<(Source, usize)> {
+    fn due(&self, vm: &str, silence: Duration) -> Vec<(Source, usize)> {
         let accounts = self.lock();
         let due = accounts
             .iter()
-            .filter(|(s, a)| s.vm == vm || a.heard.elapsed() > SILENCE);
+            .filter(|(s, a)| s.vm == vm || a.heard.elapsed() > silence);
         due.flat_map(|(s, a)| a.dirty.iter().map(|part| (s.clone(), *part)))
             .collect()
     }
@@ -317,7 +317,7 @@
         () = flush_all(&shared, &store) => {}
     }
     // What the last write could not bring to the platform, the peer holds.
-    let _ = timeout(LAST_FLUSH, flush(&shared, &store)).await;
+    let _ = timeout(LAST_FLUSH, flush(&shared, &store, SILENCE)).await;
 }
 
 async fn flush_all(shared: &Shared, store: &Store) {
@@ -325,15 +325,16 @@
     let first = rand::random_range(0.0..1.0);
     tokio::time::sleep(FLUSH_EVERY.mul_f64(first)).await;
     loop {
-        flush(shared, store).await;
+        flush(shared, store, SILENCE).await;
         store.forget();
         tokio::time::sleep(FLUSH_EVERY).await;
     }
 }
 
-/// Writes what is due; what fails stays due.
-pub async fn flush(shared: &Shared, store: &Store) {
-    for (source, part) in store.due(shared.vm.as_str()) {
+/// Writes what is due: the counters of this VM, and those of others that were
+/// silent for longer than `silence`. What fails stays due.
+pub async fn flush(shared: &Shared, store: &Store, silence: Duration) {
+    for (source, part) in store.due(shared.vm.as_str(), silence) {
         match write_part(&shared.platform, store, &source, part).await {
             Ok(()) => {}
             // Each further write would fail alike; the next round tries.
--- /dev/null
+++ b/lib/tests/rig/mod.rs
@@ -0,0 +1,231 @@
+//! What the tests of catalog, configuration and usage start from.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use banyangauge::catalog::Catalog;
+use banyangauge::catalog::Change;
+use banyangauge::catalog::Plan;
+use banyangauge::catalog::PoolKind;
+use banyangauge::catalog::PoolSpec;
+use banyangauge::catalog::Replica;
+use banyangauge::control::Board;
+use banyangauge::control::Shared;
+use banyangauge::control::config;
+use banyangauge::ids::Incarnation;
+use banyangauge::platform::Platform;
+use banyangauge::pool::Weighing;
+use banyangauge::timeline::Recorder;
+use banyangauge_proto as wire;
+use banyangauge_standin::Running;
+use banyangauge_standin::platform;
+use banyangauge_standin::platform::PlatformArgs;
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::Request;
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::TokioExecutor;
+use serde_json::Value;
+use serde_json::json;
+use tokio::net::TcpListener;
+use tokio_stream::wrappers::TcpListenerStream;
+use wire::peers_server::Peers;
+use wire::peers_server::PeersServer;
+
+/// Looks at a value that changes, at most so often.
+const LOOKS: u32 = 1_000;
+
+/// A platform stand-in with rates that no test here meets.
+pub(crate) async fn platform() -> (Running, Platform) {
+    let args = PlatformArgs::builder()
+        .writes_per_s(100_000.0)
+        .reads_per_s(100_000.0);
+    let running = platform::start(args.build()).await.unwrap();
+    let client = Platform::new(running.address);
+    (running, client)
+}
+
+async fn control_call(running: &Running, line: &str, body: Value) -> Value {
+    let (method, path) = line.split_once(' ').unwrap();
+    let request = Request::builder()
+        .method(method)
+        .uri(format!("http://{}{path}", running.control))
+        .body(Full::new(Bytes::from(body.to_string())))
+        .unwrap();
+    let client = Client::builder(TokioExecutor::new()).build_http();
+    let answer = client.request(request).await.unwrap();
+    assert!(answer.status().is_success());
+    let body = answer.into_body().collect().await.unwrap().to_bytes();
+    serde_json::from_slice(&body).unwrap()
+}
+
+pub(crate) async fn fault(running: &Running, switches: Value) {
+    control_call(running, "POST /faults", switches).await;
+}
+
+/// Calls of a kind and method that the platform has seen.
+pub(crate) async fn calls(running: &Running, kind: &str, method: &str) -> u64 {
+    let history = control_call(running, "GET /history", json!({})).await;
+    history["calls"][kind][method].as_u64().unwrap_or(0)
+}
+
+/// What a control process on `vm` holds.
+pub(crate) fn shared(vm: &str, platform: &Platform, peers: &[SocketAddr]) -> Shared {
+    Shared {
+        vm: vm.parse().unwrap(),
+        zone: "suva-a".parse().unwrap(),
+        incarnation: Incarnation(1),
+        address: "127.0.0.1:1".parse().unwrap(),
+        peers: peers.into(),
+        platform: platform.clone(),
+        board: Arc::new(Board::new()),
+        recorder: Arc::new(Recorder::new(vm, 1_000)),
+        log: slog::Logger::root(slog::Discard, slog::o!()),
+    }
+}
+
+/// Waits until the catalog here has a revision; fails after a bounded count.
+pub(crate) async fn in_force(shared: &Shared, revision: u64) {
+    until(|| shared.board.catalog.borrow().revision.0 >= revision).await;
+}
+
+/// Looks until something holds; fails after a bounded count of looks.
+pub(crate) async fn until(holds: impl Fn() -> bool) {
+    for _ in 0..LOOKS {
+        if holds() {
+            return;
+        }
+        tokio::time::sleep(std::time::Duration::from_millis(10)).await;
+    }
+    panic!("did not come to hold in {LOOKS} looks");
+}
+
+pub(crate) fn put_team(team: &str) -> Change {
+    Change::PutTeam {
+        team: team.parse().unwrap(),
+        keys: [format!("{:064x}", team.bytes().map(u64::from).sum::<u64>())].into(),
+        share: 1,
+    }
+}
+
+pub(crate) fn engine_pool(pool: &str, replicas: u16) -> Change {
+    let number: u16 = pool.bytes().map(u16::from).sum::<u16>() % 200;
+    let replica = |n: u16| Replica {
+        name: format!("{pool}-replica-{n}").parse().unwrap(),
+        address: SocketAddr::from(([10, number as u8, (n >> 8) as u8, n as u8], 8_000)),
+        zone: "suva-a".parse().unwrap(),
+        slots: 4,
+        batch: 16,
+    };
+    Change::PutPool {
+        pool: pool.parse().unwrap(),
+        spec: PoolSpec {
+            kind: PoolKind::Engine {
+                base: "base-7b".to_owned(),
+                honours_token: true,
+                weighing: Weighing::Stalls,
+                loads_per_s: 3.0,
+                step_us: 5_500,
+            },
+            replicas: (0..replicas).map(replica).collect(),
+        },
+    }
+}
+
+pub(crate) fn create(adapter: &str, owner: &str, pool: &str) -> Change {
+    Change::CreateAdapter {
+        adapter: adapter.parse().unwrap(),
+        owner: owner.parse().unwrap(),
+        pool: pool.parse().unwrap(),
+    }
+}
+
+pub(crate) fn add(adapter: &str, version: u32) -> Change {
+    Change::AddVersion {
+        adapter: adapter.parse().unwrap(),
+        version,
+    }
+}
+
+pub(crate) fn serve(team: &str, adapter: &str, version: u32) -> Change {
+    Change::Serve {
+        team: team.parse().unwrap(),
+        adapter: adapter.parse().unwrap(),
+        version,
+    }
+}
+
+/// A team, a pool and two adapters, each with versions 1 to 3.
+pub(crate) fn basics() -> Vec<Change> {
+    let mut changes = vec![put_team("laundry"), engine_pool("assistant", 2)];
+    for adapter in ["rosters", "dryers"] {
+        changes.push(create(adapter, "laundry", "assistant"));
+        changes.extend((1..=3).map(|v| add(adapter, v)));
+    }
+    changes
+}
+
+pub(crate) fn plan(catalog: &Catalog, changes: Vec<Change>) -> Plan {
+    Plan::new(catalog, changes).unwrap()
+}
+
+/// A peer that gives its configuration, as a control process does.
+struct Peer(Shared);
+
+#[tonic::async_trait]
+impl Peers for Peer {
+    async fn exchange(
+        &self,
+        request: tonic::Request<wire::Digest>,
+    ) -> Result<tonic::Response<wire::Digest>, tonic::Status> {
+        Ok(tonic::Response::new(request.into_inner()))
+    }
+
+    async fn fetch_catalog(
+        &self,
+        request: tonic::Request<wire::FetchRequest>,
+    ) -> Result<tonic::Response<wire::Snapshot>, tonic::Status> {
+        let answer = config::fetch_catalog(&self.0, request.get_ref());
+        Ok(tonic::Response::new(answer))
+    }
+
+    async fn fetch_changes(
+        &self,
+        request: tonic::Request<wire::FetchRequest>,
+    ) -> Result<tonic::Response<wire::Changes>, tonic::Status> {
+        let answer = config::fetch_changes(&self.0, request.get_ref());
+        Ok(tonic::Response::new(answer))
+    }
+
+    async fn hold_usage(
+        &self,
+        request: tonic::Request<wire::UsageReport>,
+    ) -> Result<tonic::Response<wire::UsageReply>, tonic::Status> {
+        let reply = self.0.board.usage.take(request.into_inner());
+        Ok(tonic::Response::new(reply))
+    }
+}
+
+/// Serves a control process's `Peers`; ends with the test's runtime.
+pub(crate) async fn serve_peer(shared: &Shared) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let service = PeersServer::new(Peer(shared.clone()));
+    let router = tonic::transport::Server::builder().add_service(service);
+    tokio::spawn(router.serve_with_incoming(TcpListenerStream::new(listener)));
+    address
+}
+
+/// How other members see a control process.
+pub(crate) fn member(shared: &Shared, address: SocketAddr, zone: &str) -> wire::Member {
+    wire::Member {
+        vm: shared.vm.to_string(),
+        address: address.to_string(),
+        zone: zone.to_owned(),
+        incarnation: 1,
+        heartbeat: 1,
+        state: 0,
+        revision: shared.board.catalog.borrow().revision.0,
+    }
+}
--- /dev/null
+++ b/lib/tests/test_catalog_ledger.rs
@@ -0,0 +1,326 @@
+//! Confirmations against a platform that loses answers, is down, or is asked
+//! by two operators at once.
+
+use std::sync::Mutex;
+
+use banyangauge::catalog::Catalog;
+use banyangauge::catalog::ConfirmError;
+use banyangauge::catalog::LOG_ENTRIES;
+use banyangauge::catalog::Ledger;
+use banyangauge::catalog::Plan;
+use banyangauge::catalog::PlanError;
+use banyangauge::catalog::Shard;
+use banyangauge::ids::Revision;
+use banyangauge::platform::Platform;
+use banyangauge::platform::PlatformError;
+use rstest::rstest;
+use serde_json::json;
+use todc_utils::Action;
+use todc_utils::History;
+use todc_utils::Specification;
+use todc_utils::WGLChecker;
+
+use crate::rig;
+
+async fn with_basics(platform: &Platform) -> (Ledger, Catalog) {
+    let ledger = Ledger::new(platform.clone());
+    let first = rig::plan(&Catalog::default(), rig::basics());
+    let made = ledger.confirm(&first, "ana", &Catalog::default()).await;
+    (ledger, made.unwrap().made.unwrap().1)
+}
+
+async fn read(ledger: &Ledger) -> Catalog {
+    let root = ledger.read_root().await.unwrap().root;
+    ledger.read_catalog(&root).await.unwrap()
+}
+
+/// The first lost answer is a shard's, the second the root's.
+#[rstest]
+#[case::shard(1)]
+#[case::shard_and_root(2)]
+#[tokio::test]
+async fn confirm_answer_lost(#[case] lost: u32) {
+    let (running, platform) = rig::platform().await;
+    let (ledger, catalog) = with_basics(&platform).await;
+    let plan = rig::plan(&catalog, vec![rig::serve("laundry", "rosters", 2)]);
+    rig::fault(&running, json!({"lose_after_write": lost})).await;
+    let confirmed = ledger.confirm(&plan, "ana", &catalog).await.unwrap();
+    assert_eq!(confirmed.revision, Revision(2));
+    assert_eq!(read(&ledger).await.revision, Revision(2));
+    // What the shards hold is what the change set makes.
+    let mut made = catalog.clone();
+    made.apply(&plan.changes).unwrap();
+    assert_eq!(read(&ledger).await, made);
+}
+
+/// Every answer to a write is lost for longer than the client tries: it says
+/// that it does not know, and the same plan settles it.
+#[tokio::test]
+async fn confirm_unknown_then_settled() {
+    let (running, platform) = rig::platform().await;
+    let (ledger, catalog) = with_basics(&platform).await;
+    let plan = rig::plan(&catalog, vec![rig::serve("laundry", "rosters", 2)]);
+    let lossy = Ledger::new(Platform::new(losing_front(running.address).await));
+    let end = lossy.confirm(&plan, "ana", &catalog).await;
+    assert!(matches!(end, Err(ConfirmError::Unknown(_))), "{end:?}");
+    let settled = ledger.confirm(&plan, "ana", &catalog).await.unwrap();
+    assert_eq!(settled.revision, Revision(2));
+    assert!(settled.made.is_none(), "the first try had taken effect");
+    assert_eq!(read(&ledger).await.revision, Revision(2));
+}
+
+/// Passes each call on and loses every answer to a change of the root, and
+/// whatever is asked of the root after it.
+async fn losing_front(real: std::net::SocketAddr) -> std::net::SocketAddr {
+    use banyangauge_standin::http;
+    use hyper_util::client::legacy::Client;
+    use hyper_util::rt::TokioExecutor;
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let client = Client::builder(TokioExecutor::new()).build_http();
+    let lost = std::sync::Arc::new(std::sync::atomic::AtomicBool::new(false));
+    let handle = move |request: hyper::Request<hyper::body::Incoming>| {
+        let (client, lost) = (client.clone(), lost.clone());
+        async move {
+            let (parts, body) = request.into_parts();
+            let path = parts.uri.path_and_query().unwrap().to_string();
+            let of_root = path.contains("catalogs");
+            if of_root && parts.method == "PUT" {
+                lost.store(true, std::sync::atomic::Ordering::SeqCst);
+            }
+            let body = http::read_body(body).await?;
+            let request = hyper::Request::builder()
+                .method(parts.method)
+                .uri(format!("http://{real}{path}"))
+                .body(http_body_util::Full::new(body))
+                .unwrap();
+            let answer = client.request(request).await.map_err(|_| http::Cut)?;
+            let (parts, body) = answer.into_parts();
+            let body = http::read_body(body).await?;
+            if of_root && lost.load(std::sync::atomic::Ordering::SeqCst) {
+                return Err(http::Cut);
+            }
+            Ok(hyper::Response::from_parts(
+                parts,
+                http::Body::Whole(Some(body)),
+            ))
+        }
+    };
+    tokio::spawn(http::serve(listener, Default::default(), handle));
+    address
+}
+
+#[tokio::test]
+async fn confirm_platform_down() {
+    let (running, platform) = rig::platform().await;
+    let (ledger, catalog) = with_basics(&platform).await;
+    let plan = rig::plan(&catalog, vec![rig::serve("laundry", "rosters", 2)]);
+    rig::fault(&running, json!({"down": true})).await;
+    let end = ledger.confirm(&plan, "ana", &catalog).await;
+    let expected = ConfirmError::Platform(PlatformError::Refused(503));
+    assert_eq!(end.unwrap_err(), expected);
+    rig::fault(&running, json!({"down": false})).await;
+    assert_eq!(read(&ledger).await, catalog);
+    ledger.confirm(&plan, "ana", &catalog).await.unwrap();
+}
+
+#[tokio::test]
+async fn confirm_twice_is_once() {
+    let (_running, platform) = rig::platform().await;
+    let (ledger, catalog) = with_basics(&platform).await;
+    let plan = rig::plan(&catalog, vec![rig::serve("laundry", "rosters", 2)]);
+    let back = |v| vec![rig::serve("laundry", "rosters", v)];
+    ledger.confirm(&plan, "ana", &catalog).await.unwrap();
+    let next = read(&ledger).await;
+    let other = rig::plan(&next, back(1));
+    ledger.confirm(&other, "ben", &next).await.unwrap();
+    let again = ledger.confirm(&plan, "ana", &catalog).await.unwrap();
+    assert_eq!((again.revision, again.made.is_none()), (Revision(2), true));
+    let serving = &read(&ledger).await.adapters["rosters"].serving;
+    assert_eq!(serving["laundry"], 1);
+}
+
+/// A repeat of an operation that the root has forgotten is refused, also when
+/// everything it read looks again as it did.
+#[tokio::test]
+async fn confirm_repeat_forgotten() {
+    let (_running, platform) = rig::platform().await;
+    let (ledger, mut catalog) = with_basics(&platform).await;
+    let old = rig::plan(&catalog, vec![rig::serve("laundry", "rosters", 2)]);
+    let undo = banyangauge::catalog::Change::Withdraw {
+        team: "laundry".parse().unwrap(),
+        adapter: "rosters".parse().unwrap(),
+    };
+    let mut changes = vec![old.changes.clone(), vec![undo]];
+    changes.extend((1..=LOG_ENTRIES as u32).map(|n| vec![rig::add("dryers", n + 3)]));
+    for (n, set) in changes.into_iter().enumerate() {
+        let plan = if n == 0 {
+            old.clone()
+        } else {
+            rig::plan(&catalog, set)
+        };
+        let made = ledger.confirm(&plan, "ana", &catalog).await.unwrap().made;
+        catalog = made.unwrap().1;
+    }
+    assert!(old.changed_reads(&catalog).is_empty());
+    let end = ledger.confirm(&old, "ana", &catalog).await.unwrap_err();
+    assert!(matches!(end, ConfirmError::TooOld { .. }), "{end:?}");
+}
+
+#[tokio::test]
+async fn confirm_overtaken_told_by_whom() {
+    let (_running, platform) = rig::platform().await;
+    let (ledger, catalog) = with_basics(&platform).await;
+    let mine = rig::plan(&catalog, vec![rig::serve("laundry", "rosters", 2)]);
+    let theirs = rig::plan(&catalog, vec![rig::serve("laundry", "rosters", 3)]);
+    let beside = rig::plan(&catalog, vec![rig::serve("laundry", "dryers", 1)]);
+    ledger.confirm(&theirs, "ben", &catalog).await.unwrap();
+    let end = ledger.confirm(&mine, "ana", &catalog).await.unwrap_err();
+    let text = end.to_string();
+    let expected = format!(
+        "adapter rosters was changed by ben in revision 2 (operation {})",
+        theirs.operation
+    );
+    assert!(text.contains(&expected), "{text}");
+    // What another plan touches does not matter.
+    let made = ledger.confirm(&beside, "ana", &catalog).await.unwrap();
+    assert_eq!(made.revision, Revision(3));
+}
+
+#[tokio::test]
+async fn confirm_changed_by_hand_refused() {
+    let (_running, platform) = rig::platform().await;
+    let (ledger, catalog) = with_basics(&platform).await;
+    let plan = rig::plan(&catalog, vec![rig::serve("laundry", "rosters", 2)]);
+    let mut other = plan.clone();
+    other.changes = vec![rig::serve("laundry", "rosters", 3)];
+    let mut unread = plan.clone();
+    unread.reads.clear();
+    let mut odd = plan.clone();
+    odd.operation = "../x".to_owned();
+    ledger.confirm(&plan, "ana", &catalog).await.unwrap();
+    for bad in [other, unread, odd] {
+        let end = ledger.confirm(&bad, "ana", &catalog).await.unwrap_err();
+        assert!(
+            matches!(end, ConfirmError::Plan(PlanError::Malformed(_))),
+            "{end:?}"
+        );
+    }
+}
+
+/// Several shards in one confirmation, and no more objects than the last two
+/// roots name.
+#[tokio::test]
+async fn confirm_deletes_what_nobody_names() {
+    let (_running, platform) = rig::platform().await;
+    let (ledger, mut catalog) = with_basics(&platform).await;
+    for version in 4..20 {
+        let set = vec![rig::add("rosters", version), rig::add("dryers", version)];
+        let plan = rig::plan(&catalog, set);
+        let made = ledger.confirm(&plan, "ana", &catalog).await.unwrap().made;
+        catalog = made.unwrap().1;
+    }
+    let root = ledger.read_root().await.unwrap().root;
+    let list = platform.list::<Shard>("shards").await.unwrap();
+    let names: Vec<_> = list.items.iter().map(|o| &o.metadata.name).collect();
+    let live = root.shards.values();
+    assert!(live.clone().all(|n| names.contains(&n)));
+    assert_eq!(names.len(), live.count() + root.retired.len());
+    assert!(root.retired.len() <= 4, "{:?}", root.retired);
+}
+
+/// The version in force as operators see it: a confirmation either puts its
+/// version in force or changes nothing.
+struct Serving;
+
+#[derive(Clone, Copy, Debug)]
+enum Operation {
+    /// The version that was read.
+    Read(Option<u32>),
+    /// Confirm `1` on `0`; the last tells whether it took effect.
+    Swap(u32, u32, Option<bool>),
+}
+
+impl Specification for Serving {
+    type State = u32;
+    type Operation = Operation;
+
+    fn init() -> u32 {
+        0
+    }
+
+    fn apply(operation: &Operation, state: &u32) -> (bool, u32) {
+        match *operation {
+            Operation::Read(seen) => (seen == Some(*state), *state),
+            Operation::Swap(from, to, Some(true)) => (from == *state, to),
+            Operation::Swap(from, _, _) => (from != *state, *state),
+        }
+    }
+}
+
+fn version_of(catalog: &Catalog) -> u32 {
+    let serving = &catalog.adapters["rosters"].serving;
+    serving.get("laundry").copied().unwrap_or(0)
+}
+
+/// Four operators race for one adapter, answers are lost on the way: what each
+/// was told is linearizable as a compare-and-swap of the version in force.
+#[tokio::test]
+async fn confirm_race_linearizable() {
+    let (running, platform) = rig::platform().await;
+    let (_, catalog) = with_basics(&platform).await;
+    let versions: Vec<_> = (4..40).map(|v| rig::add("rosters", v)).collect();
+    let ledger = Ledger::new(platform.clone());
+    let more = rig::plan(&catalog, versions);
+    ledger.confirm(&more, "ana", &catalog).await.unwrap();
+    let actions = Mutex::new(Vec::new());
+    let note = |who: usize, action| actions.lock().unwrap().push((who, action));
+    let operator = async |who: usize| {
+        let ledger = Ledger::new(platform.clone());
+        for turn in 0..5_u32 {
+            note(who, Action::Call(Operation::Read(None)));
+            let catalog = read(&ledger).await;
+            let from = version_of(&catalog);
+            note(who, Action::Response(Operation::Read(Some(from))));
+            let to = who as u32 * 5 + turn + 4;
+            let plan = rig::plan(&catalog, vec![rig::serve("laundry", "rosters", to)]);
+            if turn == 2 {
+                rig::fault(&running, json!({"lose_after_write": 2})).await;
+            }
+            note(who, Action::Call(Operation::Swap(from, to, None)));
+            let took = match ledger.confirm(&plan, &format!("o{who}"), &catalog).await {
+                Ok(_) => true,
+                Err(ConfirmError::Overtaken(_)) => false,
+                Err(e) => panic!("{e:?}"),
+            };
+            note(who, Action::Response(Operation::Swap(from, to, Some(took))));
+        }
+    };
+    tokio::join!(operator(0), operator(1), operator(2), operator(3));
+    let actions = actions.into_inner().unwrap();
+    let took = |(_, a): &&(usize, Action<Operation>)| {
+        matches!(a, Action::Response(Operation::Swap(_, _, Some(true))))
+    };
+    let winners = actions.iter().filter(took).count();
+    assert!(winners >= 5, "{winners} took effect");
+    let history = History::from_actions(actions);
+    assert!(WGLChecker::<Serving>::is_linearizable(history));
+}
+
+#[test]
+fn plan_effects() {
+    let mut catalog = Catalog::default();
+    catalog.apply(&rig::basics()).unwrap();
+    catalog
+        .apply(&[rig::put_team("b"), rig::serve("laundry", "rosters", 1)])
+        .unwrap();
+    let changes = vec![
+        rig::serve("laundry", "rosters", 2),
+        rig::serve("b", "rosters", 2),
+        rig::engine_pool("assistant", 1),
+    ];
+    let plan = Plan::new(&catalog, changes).unwrap();
+    let costs: Vec<_> = plan.effects.iter().map(|e| (e.loads, e.slots)).collect();
+    // The second team finds the version loaded; the replica that goes had 4 slots.
+    assert_eq!(costs, [(1, 1), (0, 0), (4, 4)]);
+}
--- /dev/null
+++ b/lib/tests/test_usage_store.rs
@@ -0,0 +1,149 @@
+//! Usage counted once, whatever is repeated, lost or written by two.
+
+use std::time::Duration;
+
+use banyangauge::control::usage;
+use banyangauge::control::usage::Count;
+use banyangauge::control::usage::Row;
+use banyangauge::control::usage::totals;
+use banyangauge::platform::Platform;
+use banyangauge_proto as wire;
+use serde_json::json;
+
+use crate::rig;
+
+fn report(vm: &str, sequence: u64, counts: &[(&str, u64)]) -> wire::UsageReport {
+    let count = |(adapter, n): &(&str, u64)| wire::UsageCount {
+        team: "laundry".to_owned(),
+        adapter: (*adapter).to_owned(),
+        version: 1,
+        requests: *n,
+        prompt_tokens: n * 10,
+        output_tokens: n * 100,
+    };
+    wire::UsageReport {
+        vm: vm.to_owned(),
+        incarnation: 7,
+        sequence,
+        counts: counts.iter().map(count).collect(),
+    }
+}
+
+fn row(adapter: &str) -> Row {
+    Row {
+        team: "laundry".to_owned(),
+        adapter: adapter.to_owned(),
+        version: 1,
+    }
+}
+
+async fn sum(platform: &Platform, adapter: &str) -> u64 {
+    let empty = rig::shared("reader", platform, &[]).board.usage.clone();
+    let all = usage::read_all(platform, &empty).await.unwrap();
+    totals(&all).get(&row(adapter)).map_or(0, |c| c.requests)
+}
+
+#[tokio::test]
+async fn take_lower_sequence_changes_nothing() {
+    let (_running, platform) = rig::platform().await;
+    let store = rig::shared("vm-1", &platform, &[]).board.usage.clone();
+    assert_eq!(store.take(report("vm-1", 5, &[("rosters", 3)])).sequence, 5);
+    assert_eq!(store.take(report("vm-1", 5, &[("rosters", 9)])).sequence, 5);
+    assert_eq!(store.take(report("vm-1", 4, &[("rosters", 9)])).sequence, 5);
+    // A higher report may leave out what did not rise, and never lowers.
+    store.take(report("vm-1", 6, &[("dryers", 1), ("rosters", 2)]));
+    let sums = totals(&store.counts());
+    let three = Count {
+        requests: 3,
+        prompt: 30,
+        output: 300,
+    };
+    assert_eq!(sums[&row("rosters")], three);
+    assert_eq!(sums[&row("dryers")].requests, 1);
+}
+
+/// The answer to the write is lost, the write is repeated, and a restarted
+/// control process that knows only the last report writes as well.
+#[tokio::test]
+async fn flush_once_whatever_is_repeated() {
+    let (running, platform) = rig::platform().await;
+    let shared = rig::shared("vm-1", &platform, &[]);
+    let store = &shared.board.usage;
+    store.take(report("vm-1", 1, &[("rosters", 3), ("dryers", 2)]));
+    rig::fault(&running, json!({"lose_after_write": 1})).await;
+    usage::flush(&shared, store, usage::SILENCE).await;
+    usage::flush(&shared, store, usage::SILENCE).await;
+    assert_eq!(sum(&platform, "rosters").await, 3);
+    let restarted = rig::shared("vm-1", &platform, &[]);
+    let store = &restarted.board.usage;
+    store.take(report("vm-1", 9, &[("rosters", 4)]));
+    usage::flush(&restarted, store, usage::SILENCE).await;
+    assert_eq!(sum(&platform, "rosters").await, 4);
+    assert_eq!(sum(&platform, "dryers").await, 2);
+    let before = rig::calls(&running, "usages", "replace").await;
+    usage::flush(&restarted, store, usage::SILENCE).await;
+    assert_eq!(rig::calls(&running, "usages", "replace").await, before);
+}
+
+#[tokio::test]
+async fn flush_waits_out_an_outage() {
+    let (running, platform) = rig::platform().await;
+    let shared = rig::shared("vm-1", &platform, &[]);
+    let store = &shared.board.usage;
+    store.take(report("vm-1", 1, &[("rosters", 3)]));
+    rig::fault(&running, json!({"down": true})).await;
+    usage::flush(&shared, store, usage::SILENCE).await;
+    assert!(usage::read_all(&platform, store).await.is_err());
+    rig::fault(&running, json!({"down": false})).await;
+    usage::flush(&shared, store, usage::SILENCE).await;
+    assert_eq!(sum(&platform, "rosters").await, 3);
+}
+
+/// More rows than one object holds.
+#[tokio::test]
+async fn flush_in_parts() {
+    let (_running, platform) = rig::platform().await;
+    let shared = rig::shared("vm-1", &platform, &[]);
+    let store = &shared.board.usage;
+    let names: Vec<_> = (0..4_500).map(|n| format!("adapter-{n:05}")).collect();
+    let rows: Vec<_> = names.iter().map(|n| (n.as_str(), 1)).collect();
+    store.take(report("vm-1", 1, &rows));
+    usage::flush(&shared, store, usage::SILENCE).await;
+    let list = platform.list::<serde_json::Value>("usages").await.unwrap();
+    assert_eq!(list.items.len(), 3);
+    assert_eq!(sum(&platform, "adapter-04499").await, 1);
+}
+
+/// The VM is lost before it wrote anything: the peer in another zone writes
+/// for it, and what both wrote counts once.
+#[tokio::test]
+async fn run_peer_writes_for_a_lost_vm() {
+    let (_running, platform) = rig::platform().await;
+    let holder = rig::shared("vm-2", &platform, &[]);
+    let near = rig::shared("vm-3", &platform, &[]);
+    let shared = rig::shared("vm-1", &platform, &[]);
+    let members = [
+        rig::member(&holder, rig::serve_peer(&holder).await, "suva-b"),
+        rig::member(&near, rig::serve_peer(&near).await, "suva-a"),
+    ];
+    shared.board.members.send_modify(|all| {
+        all.extend(members.into_iter().map(|m| (m.vm.parse().unwrap(), m)));
+    });
+    let store = shared.board.usage.clone();
+    let lost = tokio::spawn(usage::run(shared.clone(), store.clone()));
+    store.take(report("vm-1", 1, &[("rosters", 3)]));
+    store.take(report("vm-1", 2, &[("rosters", 5)]));
+    rig::until(|| {
+        totals(&holder.board.usage.counts())
+            .get(&row("rosters"))
+            .is_some_and(|c| c.requests == 5)
+    })
+    .await;
+    assert!(near.board.usage.counts().is_empty());
+    lost.abort();
+    usage::flush(&holder, &holder.board.usage, usage::SILENCE).await;
+    assert_eq!(sum(&platform, "rosters").await, 0, "the VM may be live");
+    usage::flush(&holder, &holder.board.usage, Duration::ZERO).await;
+    usage::flush(&holder, &holder.board.usage, Duration::ZERO).await;
+    assert_eq!(sum(&platform, "rosters").await, 5);
+}
