--- a/lib/src/catalog/plan.rs
+++ b/lib/src/catalog/plan.rs
@@ -318,7 +318,7 @@
         false => BTreeSet::new(),
     };
     Effect {
-        text: format!("{word} pool {pool}: {added} replicas added, {removed} removed"),
+        text: format!("{word} pool {pool}: replicas +{added} -{removed}"),
         teams,
         pool: Some(pool.clone()),
         loads: lost,
