control: usage and confirmation in modules of one duty each

The copy of the counters now goes over one connection as long as the holding peer stays the same, where each report opened one.

--- a/lib/src/catalog/ledger.rs
+++ b/lib/src/catalog/ledger.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
-use std::fmt;
 use std::time::Duration;
 
 use futures_util::StreamExt;
@@ -11,15 +10,17 @@
 
 use super::Catalog;
 use super::ChangeSet;
+use super::ConfirmError;
+use super::Confirmed;
 use super::Entry;
-use super::Item;
 use super::Plan;
 use super::PlanError;
 use super::Root;
 use super::Shard;
 use super::ShardName;
+use super::confirm::check_reads;
+use super::confirm::repeated;
 use super::root;
-use crate::ids::Revision;
 use crate::platform::Platform;
 use crate::platform::PlatformError;
 
@@ -49,86 +50,6 @@
 /// Orphaned shard objects are looked for at each so manieth revision.
 const SWEEP_EVERY: u64 = 256;
 
-/// What a plan read and another operator changed.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Overtaken {
-    /// What changed.
-    pub item: Item,
-    /// The revision, the operator and the operation id; `None` when the root
-    /// no longer tells.
-    pub by: Option<(Revision, String, String)>,
-}
-
-impl fmt::Display for Overtaken {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match &self.by {
-            Some((revision, operator, operation)) => write!(
-                f,
-                "{} was changed by {operator} in revision {} (operation {operation})",
-                self.item, revision.0
-            ),
-            None => write!(f, "{} was changed", self.item),
-        }
-    }
-}
-
-/// Why a confirmation did not take effect.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum ConfirmError {
-    /// Something that the plan read has changed; nothing took effect.
-    Overtaken(Vec<Overtaken>),
-    /// The plan is older than the root's log; nothing took effect.
-    TooOld {
-        /// The revision the plan was made on.
-        base: Revision,
-        /// The revision in force.
-        current: Revision,
-    },
-    /// The plan is not as this system makes plans; nothing took effect.
-    Plan(PlanError),
-    /// Other operators won each round; nothing took effect.
-    Busy,
-    /// The platform failed before the deciding write; nothing took effect.
-    Platform(PlatformError),
-    /// It is not known whether it took effect; confirming the same plan again
-    /// settles it and is safe.
-    Unknown(PlatformError),
-}
-
-impl fmt::Display for ConfirmError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Overtaken(items) => {
-                let items: Vec<_> = items.iter().map(Overtaken::to_string).collect();
-                write!(f, "nothing changed: {}; plan again", items.join("; "))
-            }
-            Self::TooOld { base, current } => write!(
-                f,
-                "nothing changed: the plan was made on revision {}, {} is in force; plan again",
-                base.0, current.0
-            ),
-            Self::Plan(e) => write!(f, "nothing changed: {e}"),
-            Self::Busy => write!(
-                f,
-                "nothing changed: other operators won each round; try again"
-            ),
-            Self::Platform(e) => write!(f, "nothing changed: {e}"),
-            Self::Unknown(e) => write!(
-                f,
-                "not known whether it took effect ({e}); confirm the same plan again"
-            ),
-        }
-    }
-}
-
-impl std::error::Error for ConfirmError {}
-
-impl From<PlanError> for ConfirmError {
-    fn from(e: PlanError) -> Self {
-        Self::Plan(e)
-    }
-}
-
 /// The root as read, with its version for a conditional update.
 #[derive(Clone, Debug, Default)]
 pub struct RootRead {
@@ -138,15 +59,6 @@
     pub version: String,
 }
 
-/// A confirmation that took effect, now or earlier.
-#[derive(Clone, Debug)]
-pub struct Confirmed {
-    /// The revision that it made.
-    pub revision: Revision,
-    /// The whole catalog at that revision, when this call made it.
-    pub made: Option<(ChangeSet, Catalog)>,
-}
-
 /// The catalog as it lies in the platform.
 #[derive(Clone, Debug)]
 pub struct Ledger {
@@ -463,45 +375,6 @@
     (next.revision == root.revision).then_some(next)
 }
 
-fn repeated(plan: &Plan, entry: &Entry) -> Result<Confirmed, ConfirmError> {
-    match &entry.changes {
-        Some(changes) if *changes != plan.changes => Err(ConfirmError::Plan(PlanError::Malformed(
-            "operation: was confirmed with other changes",
-        ))),
-        _ => Ok(Confirmed {
-            revision: entry.revision,
-            made: None,
-        }),
-    }
-}
-
-fn check_reads(plan: &Plan, root: &Root, current: &Catalog) -> Result<(), ConfirmError> {
-    if !root.covers(plan.base) {
-        return Err(ConfirmError::TooOld {
-            base: plan.base,
-            current: root.revision,
-        });
-    }
-    let changed = plan.changed_reads(current);
-    if changed.is_empty() {
-        return Ok(());
-    }
-    let who = |item: &Item| {
-        let mut after = root.log.iter().rev().filter(|e| e.revision > plan.base);
-        after.find(|e| {
-            let changes = e.changes.iter().flatten();
-            changes.into_iter().any(|c| c.item() == *item)
-        })
-    };
-    let tell = |item: Item| Overtaken {
-        by: who(&item).map(|e| (e.revision, e.operator.clone(), e.operation.clone())),
-        item,
-    };
-    Err(ConfirmError::Overtaken(
-        changed.into_iter().map(tell).collect(),
-    ))
-}
-
 /// Whether a failure may pass when tried again shortly.
 const fn passes(error: &PlatformError) -> bool {
     matches!(
--- a/lib/src/catalog/mod.rs
+++ b/lib/src/catalog/mod.rs
@@ -5,6 +5,7 @@
 //! catalog in the platform.
 
 mod apply;
+mod confirm;
 mod item;
 mod ledger;
 mod model;
@@ -12,11 +13,11 @@
 mod root;
 mod rules;
 
+pub use confirm::ConfirmError;
+pub use confirm::Confirmed;
+pub use confirm::Overtaken;
 pub use item::Item;
-pub use ledger::ConfirmError;
-pub use ledger::Confirmed;
 pub use ledger::Ledger;
-pub use ledger::Overtaken;
 pub use ledger::ROOT_KIND;
 pub use ledger::ROOT_NAME;
 pub use ledger::RootRead;
--- /dev/null
+++ b/lib/src/control/usage/mod.rs
@@ -0,0 +1,220 @@
+//! What teams used: counted by entries, held by a peer, kept in the platform.
+//!
+//! Counters are cumulative for one start of an entry process and only rise, so
+//! the greater of two values is always the right one. Taking a report twice,
+//! writing an object twice, or two VMs writing the same one change nothing.
+
+mod counts;
+mod store;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use banyangauge_proto as wire;
+use slog::warn;
+use tokio::time::timeout;
+use tonic::transport::Channel;
+use tonic::transport::Endpoint;
+use wire::peers_client::PeersClient;
+
+pub use counts::Count;
+pub use counts::Counts;
+pub use counts::Row;
+pub use counts::Source;
+pub use counts::to_wire;
+pub use counts::totals;
+pub use store::Store;
+
+use counts::Sheet;
+use counts::rows_of;
+use counts::sheet;
+
+use super::Shared;
+use crate::platform::Platform;
+use crate::platform::PlatformError;
+
+/// Kind of the objects that hold counters.
+pub const KIND: &str = "usages";
+
+/// Between two writes of a VM: 700 VMs then write 70 times a second, of the
+/// several hundred that the platform takes.
+const FLUSH_EVERY: Duration = Duration::from_secs(10);
+
+/// The least time between two reports to the peer that holds a copy; with the
+/// interval at which entries report it bounds what a lost VM loses.
+const HOLD_GAP: Duration = Duration::from_millis(500);
+
+/// The longest that handing a copy to a peer may take.
+const HOLD_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// A source that was silent this long is written and let go of, by whoever
+/// holds it: its VM may be gone.
+pub const SILENCE: Duration = Duration::from_secs(15);
+
+/// The longest that a stopping process waits for its last write.
+const LAST_FLUSH: Duration = Duration::from_secs(2);
+
+/// Tries of one object when others write it as well.
+const WRITE_TRIES: u32 = 3;
+
+/// Hands copies to a peer and writes to the platform until the process stops.
+pub async fn run(shared: Shared, store: Store) {
+    let mut stopping = shared.board.stopping.subscribe();
+    let stopped = async { stopping.wait_for(|s| *s).await.is_ok() };
+    tokio::select! {
+        _ = stopped => {}
+        () = hold_all(&shared, &store) => {}
+        () = flush_all(&shared, &store) => {}
+    }
+    // What the last write could not bring to the platform, the peer holds.
+    let _ = timeout(LAST_FLUSH, flush(&shared, &store, SILENCE)).await;
+}
+
+async fn flush_all(shared: &Shared, store: &Store) {
+    // VMs that start together do not write together.
+    let first = rand::random_range(0.0..1.0);
+    tokio::time::sleep(FLUSH_EVERY.mul_f64(first)).await;
+    loop {
+        flush(shared, store, SILENCE).await;
+        store.forget();
+        tokio::time::sleep(FLUSH_EVERY).await;
+    }
+}
+
+/// Writes what is due: the counters of this VM, and those of others that were
+/// silent for longer than `silence`. What fails stays due.
+pub async fn flush(shared: &Shared, store: &Store, silence: Duration) {
+    for (source, part) in store.due(shared.vm.as_str(), silence) {
+        match write_part(&shared.platform, store, &source, part).await {
+            Ok(()) => {}
+            // Each further write would fail alike; the next round tries.
+            Err(PlatformError::Unreachable(_)) => return,
+            Err(e) => {
+                let object = source.object(part);
+                warn!(shared.log, "usage not written"; "object" => object, "error" => %e);
+            }
+        }
+    }
+}
+
+/// Raises an object to what is held here. Each counter only rises, so the
+/// outcome is the same whoever writes, in whichever order and how often.
+async fn write_part(
+    platform: &Platform,
+    store: &Store,
+    source: &Source,
+    part: usize,
+) -> Result<(), PlatformError> {
+    let name = source.object(part);
+    let mut tries = 0;
+    loop {
+        let (version, mut counts) = match platform.get::<Sheet>(KIND, &name).await {
+            Ok(object) => (object.metadata.version, rows_of(object.spec)),
+            Err(PlatformError::NotFound) => (String::new(), Counts::new()),
+            Err(e) => return Err(e),
+        };
+        let mut rose = false;
+        let held = store.part(source, part);
+        for (row, count) in &held {
+            rose |= counts.entry(row.clone()).or_default().raise(count);
+        }
+        if !rose {
+            store.written(source, part, &held);
+            return Ok(());
+        }
+        let sheet = sheet(source, counts);
+        let end = match version.as_str() {
+            "" => platform.create(KIND, &name, &sheet).await,
+            v => platform.replace(KIND, &name, v, &sheet).await,
+        };
+        tries += 1;
+        match end {
+            Ok(_) => {
+                store.written(source, part, &held);
+                return Ok(());
+            }
+            // Reading it again tells what became of it.
+            Err(PlatformError::Conflict | PlatformError::Lost(_)) if tries < WRITE_TRIES => {}
+            Err(e) => return Err(e),
+        }
+    }
+}
+
+/// All counters in the platform, raised by those held here, by source.
+///
+/// # Errors
+///
+/// When the platform does not answer: a part of the counters is no answer.
+pub async fn read_all(
+    platform: &Platform,
+    store: &Store,
+) -> Result<BTreeMap<Source, Counts>, PlatformError> {
+    let mut all = store.counts();
+    for object in platform.list::<Sheet>(KIND).await?.items {
+        let counts = all.entry(object.spec.source.clone()).or_default();
+        for line in object.spec.counts {
+            counts.entry(line.row).or_default().raise(&line.count);
+        }
+    }
+    Ok(all)
+}
+
+/// Hands each change to the peer that holds this VM's counters, over one
+/// connection as long as that peer stays the same.
+async fn hold_all(shared: &Shared, store: &Store) {
+    let mut link: Option<(String, PeersClient<Channel>)> = None;
+    loop {
+        store.wake.notified().await;
+        if let Some(address) = holder(shared) {
+            let known = link.take().filter(|(there, _)| *there == address);
+            let whole = known.is_none();
+            let reports = store.to_hold(shared.vm.as_str(), whole);
+            link = hold(known, address, &reports).await;
+            if link.is_none() {
+                store.not_held(reports);
+                store.wake.notify_one();
+            }
+        }
+        tokio::time::sleep(HOLD_GAP).await;
+    }
+}
+
+/// Hands reports over; gives the connection when all were taken.
+async fn hold(
+    known: Option<(String, PeersClient<Channel>)>,
+    address: String,
+    reports: &[wire::UsageReport],
+) -> Option<(String, PeersClient<Channel>)> {
+    let work = async {
+        let mut client = match known {
+            Some((_, client)) => client,
+            None => connect(&address).await?,
+        };
+        for report in reports {
+            client.hold_usage(report.clone()).await.ok()?;
+        }
+        Some((address, client))
+    };
+    timeout(HOLD_TIMEOUT, work).await.ok().flatten()
+}
+
+async fn connect(address: &str) -> Option<PeersClient<Channel>> {
+    let endpoint = Endpoint::from_shared(format!("http://{address}")).ok()?;
+    let channel = endpoint.connect_timeout(HOLD_TIMEOUT).connect().await;
+    channel.ok().map(PeersClient::new)
+}
+
+/// The live member in another availability zone that ranks first for this VM
+/// (rendezvous hashing: each VM keeps its peer while that lives, and the work
+/// is spread); in the same zone when there is no other.
+fn holder(shared: &Shared) -> Option<String> {
+    let members = shared.board.members.borrow();
+    let live = members
+        .values()
+        .filter(|m| m.state == 0 && m.vm != shared.vm.as_str());
+    let best = live.max_by_key(|m| {
+        let rank = xxhash_rust::xxh3::xxh3_64(format!("{}/{}", shared.vm, m.vm).as_bytes());
+        (m.zone != shared.zone.as_str(), rank)
+    })?;
+    Some(best.address.clone())
+}
--- /dev/null
+++ b/lib/src/control/usage/store.rs
@@ -0,0 +1,202 @@
+//! The counters that a process holds.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use banyangauge_proto as wire;
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+use super::Count;
+use super::Counts;
+use super::Row;
+use super::SILENCE;
+use super::Source;
+use super::counts::from_wire;
+use super::counts::to_wire;
+
+/// Rows in one object: with the longest names a row is 350 bytes, so an object
+/// stays below the platform's megabyte.
+const PART_ROWS: usize = 2_000;
+
+#[derive(Debug)]
+struct Cell {
+    count: Count,
+    part: usize,
+}
+
+#[derive(Debug)]
+struct Account {
+    sequence: Option<u64>,
+    rows: BTreeMap<Row, Cell>,
+    /// Parts that the platform does not have as they are here.
+    dirty: BTreeSet<usize>,
+    /// Rows that the holding peer does not have as they are here.
+    unheld: BTreeSet<Row>,
+    heard: Instant,
+}
+
+impl Account {
+    fn new() -> Self {
+        Self {
+            sequence: None,
+            rows: BTreeMap::new(),
+            dirty: BTreeSet::new(),
+            unheld: BTreeSet::new(),
+            heard: Instant::now(),
+        }
+    }
+
+    fn raise(&mut self, row: Row, count: &Count) {
+        let part = self.rows.len() / PART_ROWS;
+        let cell = self.rows.entry(row.clone()).or_insert(Cell {
+            count: Count::default(),
+            part,
+        });
+        if cell.count.raise(count) {
+            self.dirty.insert(cell.part);
+            self.unheld.insert(row);
+        }
+    }
+
+    fn part(&self, part: usize) -> Counts {
+        let rows = self.rows.iter().filter(|(_, c)| c.part == part);
+        rows.map(|(r, c)| (r.clone(), c.count)).collect()
+    }
+}
+
+type Accounts = BTreeMap<Source, Account>;
+
+/// The counters that this process holds, its own VM's and others'; clones
+/// share them. [`Board::usage`](crate::control::Board::usage) is the one of a process.
+#[derive(Clone, Debug)]
+pub struct Store {
+    accounts: Arc<Mutex<Accounts>>,
+    pub(super) wake: Arc<Notify>,
+}
+
+impl Store {
+    pub(in crate::control) fn new() -> Self {
+        Self {
+            accounts: Arc::default(),
+            wake: Arc::default(),
+        }
+    }
+
+    /// Takes a report of cumulative counters; a report whose sequence is not
+    /// above the last one's changes nothing. It may list only the rows that
+    /// rose since the last report that was answered.
+    pub fn take(&self, report: wire::UsageReport) -> wire::UsageReply {
+        let source = Source {
+            vm: report.vm,
+            incarnation: report.incarnation,
+        };
+        let mut accounts = self.lock();
+        let account = accounts.entry(source).or_insert_with(Account::new);
+        account.heard = Instant::now();
+        let last = account.sequence;
+        if let Some(last) = last
+            && report.sequence <= last
+        {
+            return wire::UsageReply { sequence: last };
+        }
+        account.sequence = Some(report.sequence);
+        for line in report.counts {
+            let (row, count) = from_wire(line);
+            account.raise(row, &count);
+        }
+        drop(accounts);
+        self.wake.notify_one();
+        wire::UsageReply {
+            sequence: report.sequence,
+        }
+    }
+
+    /// All counters held here, by source.
+    pub fn counts(&self) -> BTreeMap<Source, Counts> {
+        let all = |a: &Account| a.rows.iter().map(|(r, c)| (r.clone(), c.count)).collect();
+        let accounts = self.lock();
+        accounts.iter().map(|(s, a)| (s.clone(), all(a))).collect()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Accounts> {
+        self.accounts.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// What the peer that holds a copy of `vm`'s counters lacks; all of it for
+    /// a peer that is new to it.
+    pub(super) fn to_hold(&self, vm: &str, whole: bool) -> Vec<wire::UsageReport> {
+        let mut reports = Vec::new();
+        let mut accounts = self.lock();
+        for (source, account) in accounts.iter_mut().filter(|(s, _)| s.vm == vm) {
+            let unheld = std::mem::take(&mut account.unheld);
+            let wanted = |r: &Row| whole || unheld.contains(r);
+            let rows = account.rows.iter().filter(|(r, _)| wanted(r));
+            let counts: Vec<_> = rows.map(|(r, c)| to_wire(r, &c.count)).collect();
+            if !counts.is_empty() {
+                reports.push(wire::UsageReport {
+                    vm: source.vm.clone(),
+                    incarnation: source.incarnation,
+                    sequence: account.sequence.unwrap_or(0),
+                    counts,
+                });
+            }
+        }
+        reports
+    }
+
+    /// A report that the peer did not take goes with the next.
+    pub(super) fn not_held(&self, reports: Vec<wire::UsageReport>) {
+        let mut accounts = self.lock();
+        for report in reports {
+            let source = Source {
+                vm: report.vm,
+                incarnation: report.incarnation,
+            };
+            if let Some(account) = accounts.get_mut(&source) {
+                let rows = report.counts.into_iter().map(|line| from_wire(line).0);
+                account.unheld.extend(rows);
+            }
+        }
+    }
+
+    /// Parts to write now: those of this VM, and all of a source that fell
+    /// silent.
+    pub(super) fn due(&self, vm: &str, silence: Duration) -> Vec<(Source, usize)> {
+        let accounts = self.lock();
+        let due = accounts
+            .iter()
+            .filter(|(s, a)| s.vm == vm || a.heard.elapsed() > silence);
+        due.flat_map(|(s, a)| a.dirty.iter().map(|part| (s.clone(), *part)))
+            .collect()
+    }
+
+    pub(super) fn part(&self, source: &Source, part: usize) -> Counts {
+        let accounts = self.lock();
+        accounts
+            .get(source)
+            .map(|a| a.part(part))
+            .unwrap_or_default()
+    }
+
+    /// Notes what the platform holds of a part.
+    pub(super) fn written(&self, source: &Source, part: usize, there: &Counts) {
+        let mut accounts = self.lock();
+        if let Some(account) = accounts.get_mut(source)
+            && account.part(part) == *there
+        {
+            account.dirty.remove(&part);
+        }
+    }
+
+    /// Lets go of sources that are silent and wholly written.
+    pub(super) fn forget(&self) {
+        let done = |a: &Account| a.dirty.is_empty() && a.heard.elapsed() > SILENCE;
+        self.lock().retain(|_, a| !done(a));
+    }
+}
