control: three VMs of a zone watch the root, the others learn from them

Figures: nine VMs of one zone: 3 watches, none more at a change (test run_watches_a_few_a_zone). Ruled out: following the members only, because heartbeats may not reach a VM.

--- a/lib/tests/test_config_spread.rs
+++ b/lib/tests/test_config_spread.rs
@@ -174,6 +174,43 @@
     );
 }
 
+/// Three VMs of a zone watch, the others learn from them; nine VMs cost the
+/// platform three watches and a change costs it nothing more.
+#[tokio::test]
+async fn run_watches_a_few_a_zone() {
+    let (running, platform) = rig::platform().await;
+    let mut catalog = confirm(&platform, &Catalog::default(), rig::basics()).await;
+    let all: Vec<_> = (0..9)
+        .map(|n| rig::shared(&format!("vm-{n}"), &platform, &[]))
+        .collect();
+    let mut addresses = Vec::new();
+    for shared in &all {
+        addresses.push(rig::serve_peer(shared).await);
+    }
+    let spread = |all: &[Shared]| {
+        for shared in all {
+            let table = all.iter().zip(&addresses);
+            let table = table.map(|(m, a)| (m.vm.clone(), rig::member(m, *a, "suva-a")));
+            shared.board.members.send_replace(table.collect());
+        }
+    };
+    spread(&all);
+    for shared in &all {
+        tokio::spawn(config::run(shared.clone()));
+    }
+    for version in 4..9 {
+        let at = catalog.revision.0;
+        rig::until(|| {
+            spread(&all);
+            all.iter()
+                .all(|s| s.board.catalog.borrow().revision.0 == at)
+        })
+        .await;
+        catalog = confirm(&platform, &catalog, vec![rig::add("rosters", version)]).await;
+    }
+    assert_eq!(rig::calls(&running, "catalogs", "watch").await, 3);
+}
+
 #[tokio::test]
 async fn fetch_changes_bounds() {
     let (_running, platform) = rig::platform().await;
