--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -1,5 +1,11 @@
 //! All tests of the library crate.
+#![expect(
+    clippy::unwrap_used,
+    reason = "a failed step of a test's helper fails the test"
+)]
 
+mod test_claims_journal;
+mod test_claims_owner;
 mod test_entry_failures;
 mod test_entry_fakes;
 mod test_entry_input;
@@ -19,3 +25,9 @@
 mod test_config_spread;
 mod test_ids;
 mod test_usage_store;
+mod test_lease_contest;
+mod test_members_table;
+mod test_owner_book;
+mod test_owner_rig;
+mod test_owner_safety;
+mod test_owner_takeover;
