entry: lose no release at a reconnect, say hello before the owner answers

The owner counts a grant that a hello leaves out as never used and frees its idempotency key. A release that was lost with its connection would so have let a keyed call run twice. Releases are kept, with their grants in the hello, until the answer to a later renewal shows that the owner has read them.

The owner answers the call only after the hello; the entry waited for that answer first, and never got a session.

A refusal "draining" is asked again each 200 ms until the deadline, since a successor takes over within seconds; all tries of a call have one number, so that its claim is known again; grants that lapse before they are handed out are given back. Teams are found by the catalog's own index.

Ruled out: a message that acknowledges each release; the renewals that are sent anyway, answered in order, show the same.

--- a/lib/src/entry/call.rs
+++ b/lib/src/entry/call.rs
@@ -37,11 +37,22 @@
     },
 }
 
+/// The id of a request.
+#[derive(Clone, Debug)]
+pub(super) struct Id {
+    /// Unique among all entries.
+    pub text: String,
+    /// Unique in this process.
+    pub number: u64,
+}
+
 /// A caller's request, checked against the catalog.
 #[derive(Clone, Debug)]
 pub(super) struct Call {
     /// Its id, for upstreams, callers and the time line.
     pub id: String,
+    /// Its number in this process, the same for all its tries.
+    pub number: u64,
     /// Who pays.
     pub team: TeamName,
     /// Which pool serves it.
@@ -97,7 +108,7 @@
         now: u64,
     ) -> Result<Self, CallerError> {
         let headers = &parts.headers;
-        let team = view.keys.team(headers)?.clone();
+        let team = view.team(headers)?.clone();
         let kind = read_kind(view, parts)?;
         let key = read_key(headers)?;
         let by_kind = match &kind {
@@ -126,7 +137,7 @@
         view: &View,
         parts: request::Parts,
         body: Bytes,
-        id: String,
+        id: Id,
         received: u64,
     ) -> Result<Call, CallerError> {
         let path = match parts.uri.path_and_query() {
@@ -149,7 +160,8 @@
             }
         };
         Ok(Call {
-            id,
+            id: id.text,
+            number: id.number,
             team: self.team,
             pool,
             adapter,
--- a/lib/src/entry/dispatch.rs
+++ b/lib/src/entry/dispatch.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use banyangauge_proto as wire;
 use bytes::Bytes;
@@ -16,6 +17,7 @@
 use tokio::sync::OwnedSemaphorePermit;
 
 use super::CallerError;
+use super::Code;
 use super::answer::AnswerBody;
 use super::call::Call;
 use super::call::Content;
@@ -101,31 +103,42 @@
     state.recorder.record(kind, about);
 }
 
+/// The pause before a pool whose owner is stopping, or does not grant yet, is
+/// asked again: a successor takes over within seconds, and requests in flight
+/// bound how many ask.
+const ASK_AGAIN: Duration = Duration::from_millis(200);
+
 async fn acquire(state: &State, call: &Call, tries: &Tries) -> Result<Box<Hold>, CallerError> {
     let session = state.session(&call.pool);
-    let granted = session
-        .acquire(ask(state, call, tries), call.deadline)
-        .await;
-    let error = match granted {
-        Ok(mut hold) => {
-            hold.claimed = !call.claim.is_empty();
-            return Ok(hold);
+    let last = call.deadline.saturating_sub(ASK_AGAIN.as_micros() as u64);
+    let error = loop {
+        match session.acquire(ask(call, tries), call.deadline).await {
+            Ok(mut hold) => {
+                hold.claimed = !call.claim.is_empty();
+                return Ok(hold);
+            }
+            Err(NoGrant::Refused(refusal)) => {
+                let error = decide::refused(&refusal);
+                if error.code != Code::Draining || now_us() >= last {
+                    break error;
+                }
+                tokio::time::sleep(ASK_AGAIN).await;
+            }
+            Err(NoGrant::Deadline) => break decide::overdue(),
+            Err(NoGrant::NoOwner) => break decide::no_owner(),
         }
-        Err(NoGrant::Refused(refusal)) => decide::refused(&refusal),
-        Err(NoGrant::Deadline) => decide::overdue(),
-        Err(NoGrant::NoOwner) => decide::no_owner(),
     };
     Err(decide::truthful(error, tries.ran))
 }
 
-fn ask(state: &State, call: &Call, tries: &Tries) -> wire::Acquire {
+fn ask(call: &Call, tries: &Tries) -> wire::Acquire {
     let (prompt_tokens, max_tokens, prefix) = match &call.content {
         Content::Completion(c) => (c.prompt_tokens, c.max_tokens, c.prefix),
         Content::Plain { .. } => (0, 0, 0),
     };
     let adapter = call.adapter.as_ref();
     wire::Acquire {
-        request: state.number(),
+        request: call.number,
         team: call.team.to_string(),
         adapter: adapter.map(|a| a.adapter.to_string()).unwrap_or_default(),
         version: adapter.map_or(0, |a| a.version),
@@ -141,7 +154,9 @@
         prefix,
         idempotent: call.idempotent,
         fingerprint: call.fingerprint.0,
-        attempt: tries.attempt,
+        // What may run only once is tried again only when no try ran: it is no
+        // second run in the owner's count.
+        attempt: if call.idempotent { tries.attempt } else { 0 },
         avoid: tries.avoid.clone(),
         claim: call.claim.clone(),
     }
--- a/lib/src/entry/feed.rs
+++ b/lib/src/entry/feed.rs
@@ -15,6 +15,7 @@
 use super::view::View;
 use crate::catalog::Catalog;
 use crate::catalog::ChangeSet;
+use crate::catalog::MAX_SNAPSHOT;
 use crate::control::Owner;
 use crate::ids::Fingerprint;
 use crate::ids::Token;
@@ -34,9 +35,6 @@
 /// How often usage is reported: a lost VM loses at most about this much.
 const REPORT_EVERY: Duration = Duration::from_secs(1);
 
-/// The largest catalog: 14,000 adapters take about 3 MB.
-const MAX_CATALOG: usize = 64 << 20;
-
 /// Follows the own VM's control process, or another one while that is down;
 /// runs until the process ends.
 pub(super) async fn follow(state: Arc<State>) {
@@ -74,7 +72,7 @@
 
 async fn client(address: SocketAddr) -> Result<FeedClient<Channel>, String> {
     let client = FeedClient::new(channel(address).await?);
-    Ok(client.max_decoding_message_size(MAX_CATALOG))
+    Ok(client.max_decoding_message_size(MAX_SNAPSHOT))
 }
 
 /// Applies one message of the feed; a catalog only if its revision is higher.
--- a/lib/src/entry/hold.rs
+++ b/lib/src/entry/hold.rs
@@ -14,7 +14,7 @@
 use crate::upstream::Upstreams;
 use crate::upstream::cancel;
 
-/// Until when a grant may be used, on the clock of [`now_us`].
+/// Until when a grant may be used, in microseconds since the VM started.
 #[derive(Debug)]
 pub struct Lease(AtomicU64);
 
--- a/lib/src/entry/ledger.rs
+++ b/lib/src/entry/ledger.rs
@@ -59,6 +59,14 @@
     parked: Option<Waiting>,
 }
 
+struct Ended {
+    grant: wire::Grant,
+    release: wire::Release,
+    /// Renewals sent before the release: the answer to a later one shows that
+    /// the owner has read it.
+    mark: u64,
+}
+
 /// What the session does next.
 #[derive(Debug, PartialEq)]
 pub enum Step {
@@ -78,10 +86,14 @@
     commands: mpsc::Sender<Command>,
     waiting: BTreeMap<u64, Waiting>,
     held: BTreeMap<u64, Held>,
-    /// Releases that no owner has been told, with their grants.
-    unsent: Vec<(wire::Grant, wire::Release)>,
+    /// Dispatches that ended, until the owner is known to have heard of it. A
+    /// grant that a hello leaves out counts as never used, which must not
+    /// happen to one whose release was lost.
+    ended: VecDeque<Ended>,
     /// When each unanswered renewal was sent.
     renewals: VecDeque<u64>,
+    /// Renewals answered on this stream.
+    answered: u64,
     /// When the latest renewal was sent that the owner has answered: whatever
     /// comes after the answer was sent by the owner after this moment.
     confirmed: u64,
@@ -99,8 +111,9 @@
             commands,
             waiting: BTreeMap::new(),
             held: BTreeMap::new(),
-            unsent: Vec::new(),
+            ended: VecDeque::new(),
             renewals: VecDeque::new(),
+            answered: 0,
             confirmed: 0,
             ttl: 0,
             connected: false,
@@ -109,28 +122,32 @@
 
     /// Whether there is any reason to be connected.
     pub fn idle(&self) -> bool {
-        self.waiting.is_empty() && self.held.is_empty() && self.unsent.is_empty()
+        self.waiting.is_empty() && self.held.is_empty() && self.ended.is_empty()
     }
 
-    /// The first messages to a new owner: what is held, a renewal of it, what
-    /// ended meanwhile, and what still waits. Asking again is safe, as nothing
+    /// The first messages to a new owner: what is held, what ended, a renewal
+    /// of what is held, and what still waits. Asking again is safe, as nothing
     /// that waits was dispatched.
     pub fn open(&mut self, now: u64) -> Vec<ToOwner> {
         self.renewals.clear();
+        self.answered = 0;
         self.confirmed = 0;
         self.connected = true;
-        let in_use = self.held.values().filter(|h| !h.lease.lapsed(now));
-        let ended = self.unsent.iter().map(|(g, _)| g);
+        let held = self.held.values().map(|h| &h.grant);
+        let ended = self.ended.iter().map(|e| &e.grant);
         let mut out = vec![ToOwner::Hello(wire::Hello {
             pool: self.pool.clone(),
             entry: self.entry.clone(),
             incarnation: self.incarnation,
-            held: in_use.map(|h| &h.grant).chain(ended).cloned().collect(),
+            held: held.chain(ended).cloned().collect(),
         })];
-        out.extend(self.unsent.drain(..).map(|(_, r)| ToOwner::Release(r)));
-        out.extend(self.renew(now));
+        for e in &mut self.ended {
+            e.mark = 0;
+            out.push(ToOwner::Release(e.release.clone()));
+        }
         self.waiting
             .retain(|_, w| w.deadline > now && !w.reply.is_closed());
+        out.extend(self.renew(now));
         out.extend(
             self.waiting
                 .values_mut()
@@ -157,11 +174,12 @@
                 ToOwner::Abandon(wire::Abandon { request })
             }
             Command::Release(release) => {
-                let held = self.held.remove(&release.grant);
-                if !self.connected {
-                    self.unsent.extend(held.map(|h| (h.grant, release)));
-                    return None;
-                }
+                let held = self.held.remove(&release.grant)?;
+                self.ended.push_back(Ended {
+                    grant: held.grant,
+                    release: release.clone(),
+                    mark: self.answered + self.renewals.len() as u64,
+                });
                 ToOwner::Release(release)
             }
         };
@@ -193,11 +211,35 @@
         if self.renewals.len() >= MOST_UNANSWERED {
             return Step::Leave(None);
         }
-        self.renew(now).map_or(Step::Stay, |m| Step::Send(vec![m]))
+        let mut out = self.ask_again(now);
+        out.extend(self.renew(now));
+        match out.is_empty() {
+            true => Step::Stay,
+            false => Step::Send(out),
+        }
+    }
+
+    /// Grants that lapsed before they were handed out are given back, and
+    /// asked for again.
+    fn ask_again(&mut self, now: u64) -> Vec<ToOwner> {
+        let late = |h: &Held| h.parked.is_some() && h.lease.lapsed(now);
+        let late: Vec<u64> = self
+            .held
+            .iter()
+            .filter(|(_, h)| late(h))
+            .map(|(id, _)| *id)
+            .collect();
+        let mut out = Vec::new();
+        for id in late {
+            let release = self.held.get(&id).map(|h| not_run(&h.grant));
+            out.extend(release.map(ToOwner::Release));
+            out.extend(self.disowned(id, now));
+        }
+        out
     }
 
     fn renew(&mut self, now: u64) -> Option<ToOwner> {
-        if self.held.is_empty() && self.waiting.is_empty() {
+        if self.idle() {
             return None;
         }
         self.renewals.push_back(now);
@@ -241,6 +283,10 @@
             return Step::Stay;
         };
         self.confirmed = self.confirmed.max(sent);
+        self.answered += 1;
+        while self.ended.front().is_some_and(|e| e.mark < self.answered) {
+            self.ended.pop_front();
+        }
         for id in &r.grants {
             let Some(mut held) = self.held.remove(id) else {
                 continue;
--- a/lib/src/entry/mod.rs
+++ b/lib/src/entry/mod.rs
@@ -29,7 +29,6 @@
 mod usage;
 mod view;
 
-pub use auth::KeyIndex;
 pub use body::Completion;
 pub use errors::CallerError;
 pub use errors::Code;
--- a/lib/src/entry/serve.rs
+++ b/lib/src/entry/serve.rs
@@ -22,6 +22,7 @@
 use super::answer::AnswerBody;
 use super::call::Call;
 use super::call::Head;
+use super::call::Id;
 use super::clock;
 use super::clock::now_us;
 use super::dispatch::dispatch;
@@ -41,10 +42,14 @@
     state: Arc<State>,
     request: Request<Incoming>,
 ) -> Result<Response<AnswerBody>, Infallible> {
-    let id = format!("{:x}-{:x}", state.incarnation.0, state.number());
+    let number = state.number();
+    let id = Id {
+        text: format!("{:x}-{number:x}", state.incarnation.0),
+        number,
+    };
     let answer = match answer(state, request, id.clone()).await {
         Ok(answer) => answer,
-        Err(e) => error_answer(&e, &id),
+        Err(e) => error_answer(&e, &id.text),
     };
     Ok(answer)
 }
@@ -52,7 +57,7 @@
 async fn answer(
     state: Arc<State>,
     request: Request<Incoming>,
-    id: String,
+    id: Id,
 ) -> Result<Response<AnswerBody>, CallerError> {
     let (call, room) = match read(&state, request, id).await {
         Ok(read) => read,
@@ -96,7 +101,7 @@
 async fn read(
     state: &Arc<State>,
     request: Request<Incoming>,
-    id: String,
+    id: Id,
 ) -> Result<(Arc<Call>, OwnedSemaphorePermit), CallerError> {
     let room = state.room.clone().try_acquire_owned().map_err(|_| {
         CallerError::new(Code::TooMany, "too many requests in flight").after(COME_BACK_MS)
--- a/lib/src/entry/session.rs
+++ b/lib/src/entry/session.rs
@@ -187,7 +187,7 @@
 }
 
 struct Link {
-    outbox: mpsc::Sender<wire::EntryMessage>,
+    outbox: Outbox,
     inbox: Streaming<wire::OwnerMessage>,
 }
 
@@ -240,53 +240,81 @@
         true
     }
 
-    /// Waits, or until the feed names another owner; takes commands meanwhile.
+    /// Waits, or until the feed names another owner; false when the process
+    /// ends.
     async fn rest(&mut self, pause: Duration) -> bool {
         let mut owners = self.identity.owners.clone();
-        let sleep = tokio::time::sleep(pause);
-        tokio::pin!(sleep);
         owners.mark_unchanged();
-        loop {
+        let work = async {
             tokio::select! {
-                () = &mut sleep => return true,
-                Ok(()) = owners.changed() => return true,
-                command = self.mailbox.recv() => match command {
-                    Some(c) => { self.ledger.command(c, now_us()); }
-                    None => return false,
-                },
+                () = tokio::time::sleep(pause) => {}
+                Ok(()) = owners.changed() => {}
             }
-        }
+        };
+        self.attend(work, None).await.is_some()
     }
 
     async fn connect_and_serve(&mut self, address: SocketAddr) -> Served {
-        let connect = connect(address);
-        tokio::pin!(connect);
-        let link = loop {
-            tokio::select! {
-                link = &mut connect => break link,
-                command = self.mailbox.recv() => match command {
-                    Some(c) => { self.ledger.command(c, now_us()); }
-                    None => return Served::Ended,
-                },
-            }
-        };
-        match link {
-            Ok(link) => self.serve(link).await,
+        let mut link = match self.connect(address).await {
+            Ok(Some(link)) => link,
+            Ok(None) => return Served::Ended,
             Err(e) => {
                 slog::debug!(self.identity.log, "no session";
                     "pool" => %self.pool, "address" => %address, "error" => %e);
-                Served::Failed(None)
+                return Served::Failed(None);
             }
-        }
+        };
+        self.serve(&mut link).await
     }
 
-    async fn serve(&mut self, mut link: Link) -> Served {
-        let mut worked = false;
+    /// Connects and says hello, taking commands meanwhile; `None` when the
+    /// process ends.
+    async fn connect(&mut self, address: SocketAddr) -> Result<Option<Link>, String> {
+        let Some(channel) = self.attend(channel(address), None).await else {
+            return Ok(None);
+        };
+        let (outbox, messages) = mpsc::channel(OUTBOX);
+        let outbox = Outbox(outbox);
+        // The owner answers the call only after the hello.
         for m in self.ledger.open(now_us()) {
-            if !link.send(m) {
-                return Served::Failed(None);
+            outbox.send(m);
+        }
+        let mut client = GrantsClient::new(channel?);
+        let call = client.session(ReceiverStream::new(messages));
+        let call = tokio::time::timeout(CONNECT_TIMEOUT, call);
+        let Some(inbox) = self.attend(call, Some(&outbox)).await else {
+            return Ok(None);
+        };
+        let inbox = inbox
+            .map_err(|_| "no answer in time".to_owned())?
+            .map_err(|e| e.to_string())?
+            .into_inner();
+        Ok(Some(Link { outbox, inbox }))
+    }
+
+    /// Waits for `work` while commands go on to the ledger and the owner;
+    /// `None` when the process ends.
+    async fn attend<T>(
+        &mut self,
+        work: impl Future<Output = T>,
+        outbox: Option<&Outbox>,
+    ) -> Option<T> {
+        tokio::pin!(work);
+        loop {
+            tokio::select! {
+                done = &mut work => return Some(done),
+                command = self.mailbox.recv() => {
+                    let message = self.ledger.command(command?, now_us());
+                    if let (Some(m), Some(outbox)) = (message, outbox) {
+                        outbox.send(m);
+                    }
+                }
             }
         }
+    }
+
+    async fn serve(&mut self, link: &mut Link) -> Served {
+        let mut worked = false;
         let mut tick = tokio::time::interval(RENEW_EVERY);
         tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
         tick.reset();
@@ -320,7 +348,7 @@
             };
             let sent = match step {
                 Step::Stay => true,
-                Step::Send(list) => list.into_iter().all(|m| link.send(m)),
+                Step::Send(list) => list.into_iter().all(|m| link.outbox.send(m)),
                 Step::Leave(Some(told)) => return Served::Failed(Some(told)),
                 Step::Leave(None) if worked => return Served::Worked,
                 Step::Leave(None) => return Served::Failed(None),
@@ -341,29 +369,16 @@
     Failed(Option<SocketAddr>),
 }
 
-impl Link {
+struct Outbox(mpsc::Sender<wire::EntryMessage>);
+
+impl Outbox {
+    /// False when the connection is gone or stuck.
     fn send(&self, body: wire::entry_message::Body) -> bool {
         let message = wire::EntryMessage { body: Some(body) };
-        self.outbox.try_send(message).is_ok()
+        self.0.try_send(message).is_ok()
     }
 }
 
-async fn connect(address: SocketAddr) -> Result<Link, String> {
-    let work = async {
-        let channel = channel(address).await?;
-        let (outbox, messages) = mpsc::channel(OUTBOX);
-        let inbox = GrantsClient::new(channel)
-            .session(ReceiverStream::new(messages))
-            .await
-            .map_err(|e| e.to_string())?
-            .into_inner();
-        Ok(Link { outbox, inbox })
-    };
-    tokio::time::timeout(CONNECT_TIMEOUT, work)
-        .await
-        .unwrap_or_else(|_| Err("no answer in time".to_owned()))
-}
-
 /// Connects to another process of the system.
 ///
 /// # Errors
--- a/lib/src/entry/view.rs
+++ b/lib/src/entry/view.rs
@@ -3,9 +3,11 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
+use hyper::HeaderMap;
+
 use super::CallerError;
 use super::Code;
-use super::auth::KeyIndex;
+use super::auth;
 use crate::catalog::Catalog;
 use crate::catalog::ChangeSet;
 use crate::catalog::PoolKind;
@@ -27,15 +29,12 @@
 #[derive(Debug, Default)]
 pub struct View {
     catalog: Catalog,
-    /// Teams by key.
-    pub keys: KeyIndex,
     services: BTreeMap<String, Service>,
 }
 
 impl View {
     /// Indexes a catalog.
     pub fn new(catalog: Catalog) -> Self {
-        let keys = KeyIndex::new(&catalog);
         let services = catalog
             .pools
             .iter()
@@ -50,11 +49,7 @@
                 PoolKind::Engine { .. } => None,
             })
             .collect();
-        Self {
-            catalog,
-            keys,
-            services,
-        }
+        Self { catalog, services }
     }
 
     /// The catalog's revision; 0 is none yet.
@@ -76,6 +71,15 @@
         }
     }
 
+    /// The team whose bearer key a request has.
+    ///
+    /// # Errors
+    ///
+    /// [`Code::BadKey`] when it has none that is known.
+    pub fn team(&self, headers: &HeaderMap) -> Result<&TeamName, CallerError> {
+        auth::team(&self.catalog, headers)
+    }
+
     /// The pool and exact adapter version that `model` means for `team`.
     ///
     /// # Errors
--- /dev/null
+++ b/lib/tests/test_entry_ledger.rs
@@ -0,0 +1,228 @@
+//! What a session knows: expiry, reconnection, and that no release is lost.
+
+use banyangauge::entry::Command;
+use banyangauge::entry::Hold;
+use banyangauge::entry::Ledger;
+use banyangauge::entry::Reply;
+use banyangauge::entry::Step;
+use banyangauge::entry::Waiting;
+use banyangauge::entry::candidate;
+use banyangauge_proto as wire;
+use rstest::rstest;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use wire::entry_message::Body as ToOwner;
+use wire::owner_message::Body as FromOwner;
+
+const SECOND: u64 = 1_000_000;
+const TTL: u64 = 3 * SECOND;
+
+struct Case {
+    ledger: Ledger,
+    commands: mpsc::Receiver<Command>,
+}
+
+impl Case {
+    fn new() -> Self {
+        let (sender, commands) = mpsc::channel(100);
+        let mut ledger = Ledger::new("pool", "vm-1", 9, sender);
+        ledger.open(0);
+        Self { ledger, commands }
+    }
+
+    fn acquire(&mut self, request: u64, now: u64) -> oneshot::Receiver<Reply> {
+        let (reply, receiver) = oneshot::channel();
+        let waiting = Waiting {
+            acquire: wire::Acquire {
+                request,
+                ..wire::Acquire::default()
+            },
+            deadline: 100 * SECOND,
+            sent: 0,
+            reply,
+        };
+        self.ledger
+            .command(Command::Acquire(Box::new(waiting)), now);
+        receiver
+    }
+
+    fn grant(&mut self, request: u64, now: u64) -> Step {
+        let grant = wire::Grant {
+            request,
+            grant: request + 100,
+            ttl_ms: TTL / 1_000,
+            ..wire::Grant::default()
+        };
+        self.ledger.message(FromOwner::Granted(grant), now)
+    }
+
+    fn renewed(&mut self, grants: &[u64], unknown: &[u64], now: u64) -> Step {
+        let renewed = wire::Renewed {
+            grants: grants.to_vec(),
+            unknown: unknown.to_vec(),
+        };
+        self.ledger.message(FromOwner::Renewed(renewed), now)
+    }
+
+    /// Takes the command that a hold has sent, as the session does.
+    fn pump(&mut self, now: u64) -> Option<ToOwner> {
+        let command = self.commands.try_recv().ok()?;
+        self.ledger.command(command, now)
+    }
+}
+
+#[expect(clippy::unwrap_used, reason = "no grant is a failure of the test")]
+fn granted(receiver: &mut oneshot::Receiver<Reply>) -> Box<Hold> {
+    match receiver.try_recv().unwrap() {
+        Reply::Granted(hold) => hold,
+        Reply::Refused(_) => panic!("refused"),
+    }
+}
+
+fn held(open: &[ToOwner]) -> Vec<u64> {
+    match &open[0] {
+        ToOwner::Hello(h) => h.held.iter().map(|g| g.grant).collect(),
+        _ => panic!("no hello"),
+    }
+}
+
+#[test]
+fn expiry_from_sending() {
+    let mut case = Case::new();
+    let mut receiver = case.acquire(1, SECOND);
+    case.grant(1, SECOND + SECOND / 2);
+    let hold = granted(&mut receiver);
+    // Counted from the sending of the request, not from the grant's arrival.
+    assert_eq!(hold.lease.until(), SECOND + TTL);
+    case.ledger.tick(2 * SECOND);
+    assert_eq!(hold.lease.until(), SECOND + TTL);
+    case.renewed(&[101], &[], 3 * SECOND);
+    assert_eq!(hold.lease.until(), 2 * SECOND + TTL);
+    assert!(hold.lease.lapsed(2 * SECOND + TTL));
+}
+
+#[test]
+fn long_wait_confirmed_first() {
+    let mut case = Case::new();
+    let mut receiver = case.acquire(1, 0);
+    // What is left of it cannot be known from the request alone.
+    let step = case.grant(1, 10 * SECOND);
+    let renew = wire::Renew { grants: vec![101] };
+    assert_eq!(step, Step::Send(vec![ToOwner::Renew(renew)]));
+    assert!(receiver.try_recv().is_err());
+    case.renewed(&[101], &[], 10 * SECOND + 1);
+    assert_eq!(granted(&mut receiver).lease.until(), 10 * SECOND + TTL);
+}
+
+#[test]
+fn long_wait_with_renewals_needs_none() {
+    let mut case = Case::new();
+    let mut receiver = case.acquire(1, 0);
+    case.ledger.tick(9 * SECOND);
+    case.renewed(&[], &[], 9 * SECOND + 1);
+    // The grant came after the answer, so it was made after the renewal.
+    case.grant(1, 10 * SECOND);
+    assert_eq!(granted(&mut receiver).lease.until(), 9 * SECOND + TTL);
+}
+
+#[test]
+fn parked_unknown_asked_again() {
+    let mut case = Case::new();
+    let _receiver = case.acquire(1, 0);
+    case.grant(1, 10 * SECOND);
+    let Step::Send(list) = case.renewed(&[], &[101], 10 * SECOND + 1) else {
+        panic!("nothing sent");
+    };
+    assert!(matches!(&list[..], [ToOwner::Acquire(a)] if a.request == 1));
+}
+
+#[test]
+fn unknown_grant_ends() {
+    let mut case = Case::new();
+    let mut receiver = case.acquire(1, 0);
+    case.grant(1, 1);
+    let hold = granted(&mut receiver);
+    case.ledger.tick(SECOND);
+    case.renewed(&[], &[101], SECOND + 1);
+    assert!(hold.lease.lapsed(SECOND + 1));
+}
+
+#[test]
+fn reconnect_lists_and_asks_again() {
+    let mut case = Case::new();
+    let mut first = case.acquire(1, 0);
+    let _second = case.acquire(2, 0);
+    case.grant(1, 1);
+    let _hold = granted(&mut first);
+    case.ledger.close();
+    let open = case.ledger.open(40 * SECOND);
+    assert_eq!(held(&open), [101]);
+    let asked = open.iter().find_map(|m| match m {
+        ToOwner::Acquire(a) => Some((a.request, a.deadline_ms)),
+        _ => None,
+    });
+    assert_eq!(asked, Some((2, 60_000)));
+}
+
+#[test]
+fn release_sent_until_heard() {
+    let mut case = Case::new();
+    let mut receiver = case.acquire(1, 0);
+    case.grant(1, 1);
+    drop(granted(&mut receiver));
+    assert!(matches!(case.pump(2), Some(ToOwner::Release(r)) if r.outcome == 1));
+    // The connection breaks, perhaps before the release was read.
+    case.ledger.close();
+    let open = case.ledger.open(3);
+    assert_eq!(held(&open), [101]);
+    assert!(matches!(&open[1], ToOwner::Release(r) if r.grant == 101));
+    // The hello's renewal is answered after the release was read.
+    case.renewed(&[], &[], 4);
+    case.ledger.close();
+    assert!(held(&case.ledger.open(5)).is_empty());
+}
+
+#[test]
+fn release_after_renewal_not_yet_heard() {
+    let mut case = Case::new();
+    let mut receiver = case.acquire(1, 0);
+    case.grant(1, 1);
+    case.ledger.tick(SECOND);
+    drop(granted(&mut receiver));
+    case.pump(SECOND + 1);
+    // This answers a renewal that was sent before the release.
+    case.renewed(&[101], &[], SECOND + 2);
+    case.ledger.close();
+    assert_eq!(held(&case.ledger.open(2 * SECOND)), [101]);
+}
+
+#[test]
+fn nobody_waits_released() {
+    let mut case = Case::new();
+    drop(case.acquire(1, 0));
+    case.grant(1, 1);
+    assert!(matches!(case.pump(2), Some(ToOwner::Release(_))));
+    let step = case.grant(7, 3);
+    assert!(matches!(step, Step::Send(l) if matches!(&l[..], [ToOwner::Release(_)])));
+}
+
+#[test]
+fn silent_owner_left() {
+    let mut case = Case::new();
+    let _receiver = case.acquire(1, 0);
+    let steps: Vec<_> = (1..6).map(|i| case.ledger.tick(i * SECOND)).collect();
+    assert_eq!(steps.last(), Some(&Step::Leave(None)));
+}
+
+#[rstest]
+#[case::hint_first(0, 3)]
+#[case::then_owner(1, 2)]
+#[case::then_controls(2, 1)]
+#[case::each_once(3, 4)]
+#[case::around(4, 3)]
+fn candidate_order(#[case] tries: usize, #[case] port: u16) {
+    let at = |p: u16| std::net::SocketAddr::from(([127, 0, 0, 1], p));
+    let controls = [at(1), at(2), at(4)];
+    let found = candidate(Some(at(3)), Some(at(2)), &controls, tries);
+    assert_eq!(found, Some(at(port)));
+}
