--- /dev/null
+++ b/lib/src/control/local.rs
@@ -0,0 +1,96 @@
+//! What the duties of control's ownership side tell each other.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+use tokio::sync::Notify;
+use tokio::sync::watch;
+
+use crate::control::ControlSettings;
+use crate::ids::PoolName;
+use crate::lease::Tenure;
+use crate::pool::Moment;
+
+/// Entries, as `name/incarnation`, that may hold grants; `None` is unknown.
+pub type Entries = Option<BTreeSet<String>>;
+
+/// Values between election, owner and peers; each sender has one writer.
+#[derive(Debug)]
+pub struct Local {
+    /// The settings.
+    pub settings: ControlSettings,
+    /// The pools held; written by the election.
+    pub tenures: watch::Sender<BTreeMap<PoolName, Tenure>>,
+    /// Pools that grant and order nothing any more, ready to be released;
+    /// written by the owner.
+    pub drained: watch::Sender<BTreeMap<PoolName, Entries>>,
+    /// True when every lease was released; written by the election.
+    pub released: watch::Sender<bool>,
+    /// When the last answered exchange with each configured peer began;
+    /// written by the peers duty.
+    pub contacts: watch::Sender<BTreeMap<SocketAddr, Moment>>,
+    /// VMs that the platform's list named once and names no longer; written by
+    /// its watcher.
+    pub departed: watch::Sender<BTreeSet<String>>,
+    /// Upstreams that the VM list calls leaving; written by its watcher.
+    pub listed: watch::Sender<BTreeSet<SocketAddr>>,
+    /// Upstreams whose own reports say leaving; written by the owners.
+    pub reported: watch::Sender<BTreeMap<PoolName, BTreeSet<SocketAddr>>>,
+    /// Something changed that the peers should know at once.
+    pub urgent: Notify,
+}
+
+impl Local {
+    /// Nothing is known yet.
+    pub fn new(settings: ControlSettings) -> Self {
+        Self {
+            settings,
+            tenures: watch::Sender::default(),
+            drained: watch::Sender::default(),
+            released: watch::Sender::new(false),
+            contacts: watch::Sender::default(),
+            departed: watch::Sender::default(),
+            listed: watch::Sender::default(),
+            reported: watch::Sender::default(),
+            urgent: Notify::new(),
+        }
+    }
+
+    /// The latest moment such that exchanges begun then or later were answered
+    /// by so many of the configured peers that, with this process, they are a
+    /// majority; zero when there is none, `now` without peers.
+    ///
+    /// Two processes with the same peers in their settings cannot both have a
+    /// majority without a peer that talked to both.
+    pub fn majority(&self, now: Moment) -> Moment {
+        majority(now, &self.settings.peers, &self.contacts.borrow())
+    }
+}
+
+/// See [`Local::majority`].
+///
+/// ```
+/// use std::collections::BTreeMap;
+/// use banyangauge::control::majority;
+/// use banyangauge::pool::Moment;
+/// let peers: Vec<std::net::SocketAddr> =
+///     (1..=4).map(|p| ([127, 0, 0, 1], p).into()).collect();
+/// let heard = BTreeMap::from([(peers[0], Moment(5)), (peers[1], Moment(3))]);
+/// assert_eq!(majority(Moment(9), &peers, &heard), Moment(3));
+/// assert_eq!(majority(Moment(9), &[], &heard), Moment(9));
+/// ```
+pub fn majority(
+    now: Moment,
+    peers: &[SocketAddr],
+    contacts: &BTreeMap<SocketAddr, Moment>,
+) -> Moment {
+    let heard = |p: &SocketAddr| contacts.get(p).copied().unwrap_or_default();
+    let mut times: Vec<Moment> = peers.iter().map(heard).collect();
+    times.sort_unstable_by(|a, b| b.cmp(a));
+    // Of n processes, this one among them, n / 2 + 1 are a majority.
+    match times.len().div_ceil(2) {
+        0 => now,
+        needed => times.get(needed - 1).copied().unwrap_or_default(),
+    }
+}
--- /dev/null
+++ b/lib/src/control/service.rs
@@ -0,0 +1,60 @@
+//! The gRPC side of peers.
+
+use std::sync::Arc;
+
+use banyangauge_proto as wire;
+use tonic::Request;
+use tonic::Response;
+use tonic::Status;
+
+use crate::control::Peers;
+use crate::control::Shared;
+use crate::control::config;
+
+/// Answers other control processes.
+pub struct PeersService {
+    shared: Shared,
+    peers: Arc<Peers>,
+}
+
+impl PeersService {
+    /// A service over this process's table.
+    pub fn new(shared: Shared, peers: Arc<Peers>) -> Self {
+        Self { shared, peers }
+    }
+}
+
+#[tonic::async_trait]
+impl wire::peers_server::Peers for PeersService {
+    async fn exchange(
+        &self,
+        request: Request<wire::Digest>,
+    ) -> Result<Response<wire::Digest>, Status> {
+        self.peers.absorb(request.get_ref());
+        Ok(Response::new(self.peers.digest()))
+    }
+
+    async fn fetch_catalog(
+        &self,
+        request: Request<wire::FetchRequest>,
+    ) -> Result<Response<wire::Snapshot>, Status> {
+        let snapshot = config::fetch_catalog(&self.shared, request.get_ref());
+        Ok(Response::new(snapshot))
+    }
+
+    async fn fetch_changes(
+        &self,
+        request: Request<wire::FetchRequest>,
+    ) -> Result<Response<wire::Changes>, Status> {
+        let changes = config::fetch_changes(&self.shared, request.get_ref());
+        Ok(Response::new(changes))
+    }
+
+    async fn hold_usage(
+        &self,
+        request: Request<wire::UsageReport>,
+    ) -> Result<Response<wire::UsageReply>, Status> {
+        let reply = self.shared.board.usage.take(request.into_inner());
+        Ok(Response::new(reply))
+    }
+}
--- a/lib/src/entry/dispatch.rs
+++ b/lib/src/entry/dispatch.rs
@@ -113,10 +113,7 @@
     let last = call.deadline.saturating_sub(ASK_AGAIN.as_micros() as u64);
     let error = loop {
         match session.acquire(ask(call, tries), call.deadline).await {
-            Ok(mut hold) => {
-                hold.claimed = !call.claim.is_empty();
-                return Ok(hold);
-            }
+            Ok(hold) => return Ok(hold),
             Err(NoGrant::Refused(refusal)) => {
                 let error = decide::refused(&refusal);
                 if error.code != Code::Draining || now_us() >= last {
--- a/lib/src/entry/hold.rs
+++ b/lib/src/entry/hold.rs
@@ -69,8 +69,8 @@
     pub tokens: u64,
     /// The incarnation by the answer; 0 is not known.
     pub seen: u64,
-    /// Whether the request has an idempotency key.
-    pub claimed: bool,
+    /// The claim of its idempotency key; empty is none.
+    pub claim: String,
     commands: mpsc::Sender<Command>,
     running: Option<Running>,
     settled: bool,
@@ -84,7 +84,7 @@
             lease,
             tokens: 0,
             seen: 0,
-            claimed: false,
+            claim: String::new(),
             commands,
             running: None,
             settled: false,
@@ -134,7 +134,8 @@
             first_ms: running.and_then(|r| r.first).map_or(0, span),
             total_ms: span(now),
             seen: self.seen,
-            claim_outcome: claim_outcome(self.claimed, outcome).to_owned(),
+            claim_outcome: claim_outcome(!self.claim.is_empty(), outcome).to_owned(),
+            claim: self.claim.clone(),
         };
         // The mailbox holds more than all requests in flight can send.
         self.commands.try_send(Command::Release(release)).ok();
--- a/lib/src/entry/ledger.rs
+++ b/lib/src/entry/ledger.rs
@@ -321,11 +321,12 @@
 
     fn hand_out(&self, held: &mut Held) {
         let Some(w) = held.parked.take() else { return };
-        let hold = Hold::new(
+        let mut hold = Hold::new(
             held.grant.clone(),
             held.lease.clone(),
             self.commands.clone(),
         );
+        hold.claim.clone_from(&w.acquire.claim);
         // If the caller has gone, the hold comes back and releases itself.
         w.reply.send(Reply::Granted(Box::new(hold))).ok();
     }
