--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -9,6 +9,7 @@
 mod test_entry_failures;
 mod test_entry_fakes;
 mod test_entry_input;
+mod test_entry_ledger;
 mod test_entry_path;
 mod test_ids;
 mod test_pool_outcomes;
