--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -24,7 +24,6 @@
 mod test_catalog_apply;
 mod test_catalog_ledger;
 mod test_config_spread;
-mod test_ids;
 mod test_usage_store;
 mod test_lease_contest;
 mod test_members_table;
