usage: whoever takes an entry's report writes it

Change: a store knows which sources report to it; it writes and has those held, and holds the rest for its peers. The interval between writes is a setting.

--- a/lib/src/control/mod.rs
+++ b/lib/src/control/mod.rs
@@ -39,6 +39,7 @@
 pub use settings::LeaseSettings;
 pub use settings::MemberSettings;
 pub use settings::UpstreamSettings;
+pub use settings::UsageSettings;
 pub use shared::Board;
 pub use shared::Owner;
 pub use shared::Shared;
--- a/lib/src/control/run.rs
+++ b/lib/src/control/run.rs
@@ -212,7 +212,8 @@
         self.duty("owner", owners)?;
         self.duty("config", config::run(self.own()))?;
         let store = self.shared.board.usage.clone();
-        let usage = self.duty("usage", usage::run(self.own(), store))?;
+        let every = self.local.settings.usage.every();
+        let usage = self.duty("usage", usage::run(self.own(), store, every))?;
         let keys = self.local.settings.operators.clone();
         let router = services(&self.own(), registry, members, keys);
         self.duty("listen", async move {
--- a/lib/src/control/service.rs
+++ b/lib/src/control/service.rs
@@ -54,7 +54,7 @@
         &self,
         request: Request<wire::UsageReport>,
     ) -> Result<Response<wire::UsageReply>, Status> {
-        let reply = self.shared.board.usage.take(request.into_inner());
+        let reply = self.shared.board.usage.hold(request.into_inner());
         Ok(Response::new(reply))
     }
 }
--- a/lib/src/control/settings.rs
+++ b/lib/src/control/settings.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use serde::Deserialize;
 
@@ -54,6 +55,9 @@
     /// The journal of keyed calls.
     #[serde(default)]
     pub claims: ClaimSettings,
+    /// Writing of usage to the platform.
+    #[serde(default)]
+    pub usage: UsageSettings,
 }
 
 /// Times of leases, in milliseconds.
@@ -173,6 +177,27 @@
     }
 }
 
+/// Writing of usage to the platform, in milliseconds.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct UsageSettings {
+    /// Between two writes of a VM.
+    pub flush_ms: u64,
+}
+
+impl Default for UsageSettings {
+    fn default() -> Self {
+        Self { flush_ms: 10_000 }
+    }
+}
+
+impl UsageSettings {
+    /// Between two writes of a VM.
+    pub fn every(&self) -> Duration {
+        Duration::from_millis(self.flush_ms)
+    }
+}
+
 impl ControlSettings {
     /// The lease's times.
     pub fn times(&self) -> lease::Times {
@@ -205,7 +230,7 @@
         let g = &self.grants;
         let u = &self.upstreams;
         let m = &self.members;
-        let ranges: [Range; 14] = [
+        let ranges: [Range; 15] = [
             ("lease.ttl_ms", l.ttl_ms, 200, 60_000, "200 to 60000"),
             (
                 "lease.renew_ms",
@@ -250,6 +275,13 @@
                 600_000,
                 "members.suspect_ms to 600000",
             ),
+            (
+                "usage.flush_ms",
+                self.usage.flush_ms,
+                100,
+                600_000,
+                "100 to 600000",
+            ),
         ];
         for (key, found, least, most, allowed) in ranges {
             if found < least || found > most {
--- a/lib/src/control/usage/mod.rs
+++ b/lib/src/control/usage/mod.rs
@@ -36,10 +36,6 @@
 /// Kind of the objects that hold counters.
 pub const KIND: &str = "usages";
 
-/// Between two writes of a VM: 700 VMs then write 70 times a second, of the
-/// several hundred that the platform takes.
-const FLUSH_EVERY: Duration = Duration::from_secs(10);
-
 /// The least time between two reports to the peer that holds a copy; with the
 /// interval at which entries report it bounds what a lost VM loses.
 const HOLD_GAP: Duration = Duration::from_millis(500);
@@ -57,34 +53,35 @@
 /// Tries of one object when others write it as well.
 const WRITE_TRIES: u32 = 3;
 
-/// Hands copies to a peer and writes to the platform until the process stops.
-pub async fn run(shared: Shared, store: Store) {
+/// Hands copies to a peer and writes to the platform each `every` until the
+/// process stops.
+pub async fn run(shared: Shared, store: Store, every: Duration) {
     let mut stopping = shared.board.stopping.subscribe();
     let stopped = async { stopping.wait_for(|s| *s).await.is_ok() };
     tokio::select! {
         _ = stopped => {}
         () = hold_all(&shared, &store) => {}
-        () = flush_all(&shared, &store) => {}
+        () = flush_all(&shared, &store, every) => {}
     }
     // What the last write could not bring to the platform, the peer holds.
     let _ = timeout(LAST_FLUSH, flush(&shared, &store, SILENCE)).await;
 }
 
-async fn flush_all(shared: &Shared, store: &Store) {
+async fn flush_all(shared: &Shared, store: &Store, every: Duration) {
     // VMs that start together do not write together.
     let first = rand::random_range(0.0..1.0);
-    tokio::time::sleep(FLUSH_EVERY.mul_f64(first)).await;
+    tokio::time::sleep(every.mul_f64(first)).await;
     loop {
         flush(shared, store, SILENCE).await;
         store.forget();
-        tokio::time::sleep(FLUSH_EVERY).await;
+        tokio::time::sleep(every).await;
     }
 }
 
-/// Writes what is due: the counters of this VM, and those of others that were
-/// silent for longer than `silence`. What fails stays due.
+/// Writes what is due: the counters taken here, and those held for others that
+/// were silent for longer than `silence`. What fails stays due.
 pub async fn flush(shared: &Shared, store: &Store, silence: Duration) {
-    for (source, part) in store.due(shared.vm.as_str(), silence) {
+    for (source, part) in store.due(silence) {
         match write_part(&shared.platform, store, &source, part).await {
             Ok(()) => {}
             // Each further write would fail alike; the next round tries.
@@ -168,7 +165,7 @@
         if let Some(address) = holder(shared) {
             let known = link.take().filter(|(there, _)| *there == address);
             let whole = known.is_none();
-            let reports = store.to_hold(shared.vm.as_str(), whole);
+            let reports = store.to_hold(whole);
             link = hold(known, address, &reports).await;
             if link.is_none() {
                 store.not_held(reports);
--- a/lib/src/control/usage/store.rs
+++ b/lib/src/control/usage/store.rs
@@ -39,6 +39,8 @@
     /// Rows that the holding peer does not have as they are here.
     unheld: BTreeSet<Row>,
     heard: Instant,
+    /// Whether its entry reports here, rather than a peer handing copies over.
+    direct: bool,
 }
 
 impl Account {
@@ -49,6 +51,7 @@
             dirty: BTreeSet::new(),
             unheld: BTreeSet::new(),
             heard: Instant::now(),
+            direct: false,
         }
     }
 
@@ -88,10 +91,24 @@
         }
     }
 
-    /// Takes a report of cumulative counters; a report whose sequence is not
-    /// above the last one's changes nothing. It may list only the rows that
-    /// rose since the last report that was answered.
+    /// Takes a report of an entry's cumulative counters; a report whose
+    /// sequence is not above the last one's changes nothing. It may list only
+    /// the rows that rose since the last report that was answered.
+    ///
+    /// Whoever takes a report writes it to the platform and has a peer hold a
+    /// copy, also when the entry runs on another VM whose control process is
+    /// down.
     pub fn take(&self, report: wire::UsageReport) -> wire::UsageReply {
+        self.add(report, true)
+    }
+
+    /// Holds a copy for the peer that took the report; it is written here only
+    /// when that peer falls silent.
+    pub fn hold(&self, report: wire::UsageReport) -> wire::UsageReply {
+        self.add(report, false)
+    }
+
+    fn add(&self, report: wire::UsageReport, direct: bool) -> wire::UsageReply {
         let source = Source {
             vm: report.vm,
             incarnation: report.incarnation,
@@ -99,6 +116,7 @@
         let mut accounts = self.lock();
         let account = accounts.entry(source).or_insert_with(Account::new);
         account.heard = Instant::now();
+        account.direct |= direct;
         let last = account.sequence;
         if let Some(last) = last
             && report.sequence <= last
@@ -128,12 +146,12 @@
         self.accounts.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// What the peer that holds a copy of `vm`'s counters lacks; all of it for
-    /// a peer that is new to it.
-    pub(super) fn to_hold(&self, vm: &str, whole: bool) -> Vec<wire::UsageReport> {
+    /// What the peer that holds a copy of the counters taken here lacks; all
+    /// of it for a peer that is new to it.
+    pub(super) fn to_hold(&self, whole: bool) -> Vec<wire::UsageReport> {
         let mut reports = Vec::new();
         let mut accounts = self.lock();
-        for (source, account) in accounts.iter_mut().filter(|(s, _)| s.vm == vm) {
+        for (source, account) in accounts.iter_mut().filter(|(_, a)| a.direct) {
             let unheld = std::mem::take(&mut account.unheld);
             let wanted = |r: &Row| whole || unheld.contains(r);
             let rows = account.rows.iter().filter(|(r, _)| wanted(r));
@@ -165,13 +183,13 @@
         }
     }
 
-    /// Parts to write now: those of this VM, and all of a source that fell
-    /// silent.
-    pub(super) fn due(&self, vm: &str, silence: Duration) -> Vec<(Source, usize)> {
+    /// Parts to write now: those that entries reported here, and all of a
+    /// source that fell silent.
+    pub(super) fn due(&self, silence: Duration) -> Vec<(Source, usize)> {
         let accounts = self.lock();
         let due = accounts
             .iter()
-            .filter(|(s, a)| s.vm == vm || a.heard.elapsed() > silence);
+            .filter(|(_, a)| a.direct || a.heard.elapsed() > silence);
         due.flat_map(|(s, a)| a.dirty.iter().map(|part| (s.clone(), *part)))
             .collect()
     }
--- a/lib/tests/rig/mod.rs
+++ b/lib/tests/rig/mod.rs
@@ -202,7 +202,7 @@
         &self,
         request: tonic::Request<wire::UsageReport>,
     ) -> Result<tonic::Response<wire::UsageReply>, tonic::Status> {
-        let reply = self.0.board.usage.take(request.into_inner());
+        let reply = self.0.board.usage.hold(request.into_inner());
         Ok(tonic::Response::new(reply))
     }
 }
--- a/lib/tests/test_usage_store.rs
+++ b/lib/tests/test_usage_store.rs
@@ -130,7 +130,7 @@
         all.extend(members.into_iter().map(|m| (m.vm.parse().unwrap(), m)));
     });
     let store = shared.board.usage.clone();
-    let lost = tokio::spawn(usage::run(shared.clone(), store.clone()));
+    let lost = tokio::spawn(usage::run(shared.clone(), store.clone(), usage_every()));
     store.take(report("vm-1", 1, &[("rosters", 3)]));
     store.take(report("vm-1", 2, &[("rosters", 5)]));
     rig::until(|| {
@@ -147,3 +147,21 @@
     usage::flush(&holder, &holder.board.usage, Duration::ZERO).await;
     assert_eq!(sum(&platform, "rosters").await, 5);
 }
+
+/// An entry whose own control process is down reports to another VM's, and
+/// that one writes its usage while the reports go on.
+#[tokio::test]
+async fn flush_writes_what_a_foreign_entry_reported() {
+    let (_running, platform) = rig::platform().await;
+    let shared = rig::shared("vm-2", &platform, &[]);
+    let store = &shared.board.usage;
+    store.take(report("vm-1", 1, &[("rosters", 3)]));
+    store.hold(report("vm-3", 1, &[("dryers", 2)]));
+    usage::flush(&shared, store, usage::SILENCE).await;
+    assert_eq!(sum(&platform, "rosters").await, 3);
+    assert_eq!(sum(&platform, "dryers").await, 0, "its own VM writes it");
+}
+
+fn usage_every() -> Duration {
+    Duration::from_secs(10)
+}
--- a/testutils/src/rig/settings.rs
+++ b/testutils/src/rig/settings.rs
@@ -17,7 +17,7 @@
         let text = format!(
             "vm = \"vm-{i}\"\nzone = \"zone-{}\"\norganisation = \"prove\"\n\
              listen = \"{}\"\nmetrics = \"{}\"\nplatform = \"{}\"\npeers = {}\n\
-             [operators]\nprove = \"{}\"\n",
+             [operators]\nprove = \"{}\"\n[usage]\nflush_ms = 1000\n",
             i % 3,
             self.control(i),
             self.control_metrics(i),
