entry: end a stream in time when its caller reads nothing

The deadline and the grant's expiry of a stream were looked at only when the connection asked for more of it, which it does not while its caller does not read: such a caller kept a slot of an engine for as long as it liked. A guard now holds the grant and watches both times by itself.

Ruled out: a task a stream with a channel to the connection, which costs a wake for each token; the guard costs one spawn a stream.

Idle connections to upstreams are no longer all looked at for each request.

--- a/lib/src/entry/dispatch.rs
+++ b/lib/src/entry/dispatch.rs
@@ -63,7 +63,8 @@
         let failure = match attempt(&state, &call, hold).await {
             Ok(Success::Whole(response)) => return Ok(response),
             Ok(Success::Stream(head, passing)) => {
-                let body = AnswerBody::Stream(passing.with_room(room));
+                passing.keep(room);
+                let body = AnswerBody::Stream(passing);
                 return Ok(Response::from_parts(head, body));
             }
             Err(failure) => failure,
--- a/lib/src/entry/mod.rs
+++ b/lib/src/entry/mod.rs
@@ -17,6 +17,7 @@
 mod dispatch;
 mod errors;
 mod feed;
+mod guard;
 mod hold;
 mod ledger;
 mod program;
--- a/lib/src/entry/stream.rs
+++ b/lib/src/entry/stream.rs
@@ -8,22 +8,21 @@
 use std::task::Poll;
 use std::task::ready;
 
+use banyangauge_proto as wire;
 use bytes::Bytes;
 use hyper::http::response;
 use tokio::sync::OwnedSemaphorePermit;
-use tokio::time::Sleep;
 
 use super::CallerError;
 use super::Code;
 use super::answer::Truncated;
 use super::call::Call;
-use super::clock;
-use super::clock::now_us;
 use super::decide;
 use super::decide::Failure;
 use super::dispatch::answer_head;
 use super::dispatch::note;
 use super::dispatch::request;
+use super::guard::Guard;
 use super::hold::Hold;
 use super::state::State;
 use super::usage::Counter;
@@ -75,19 +74,18 @@
 pub(super) struct Passing {
     state: Arc<State>,
     call: Arc<Call>,
-    hold: Option<Box<Hold>>,
+    guard: Guard,
+    grant: wire::Grant,
     address: SocketAddr,
     expected: Arc<Expected>,
     source: Source,
     scanner: Scanner,
     checker: Checker,
     resumes: u32,
-    timer: Pin<Box<Sleep>>,
     counter: Arc<Counter>,
     first: Option<Run>,
     passed: bool,
     phase: Phase,
-    room: Option<OwnedSemaphorePermit>,
 }
 
 impl Passing {
@@ -105,52 +103,42 @@
         expected: Expected,
     ) -> Result<(response::Parts, Box<Self>), Failure> {
         let counter = state.usage.counter(&call.team, call.adapter.as_ref());
-        let until = call.deadline.min(hold.lease.until());
         let mut passing = Box::new(Self {
             state: state.clone(),
             call: call.clone(),
-            hold: Some(hold),
+            grant: hold.grant.clone(),
+            guard: Guard::new(hold, call.deadline),
             address,
             expected: Arc::new(expected),
             source: Source::Closed,
             scanner: Scanner::default(),
             checker: Checker::default(),
             resumes: 0,
-            timer: Box::pin(tokio::time::sleep_until(clock::instant(until))),
             counter,
             first: None,
             passed: false,
             phase: Phase::Passing,
-            room: None,
         });
         passing.source = passing.open(None);
         let first = std::future::poll_fn(|cx| passing.poll_run(cx)).await;
         match first {
             Ok(run) => {
                 passing.first = run;
-                if let Some(hold) = &mut passing.hold {
-                    hold.first_byte();
-                    note(
-                        state,
-                        Kind::FirstByte,
-                        call,
-                        &hold.grant.replica,
-                        String::new,
-                    );
-                }
+                passing.guard.with(Hold::first_byte);
+                let replica = &passing.grant.replica;
+                note(state, Kind::FirstByte, call, replica, String::new);
                 Ok((passing.head(), passing))
             }
             Err(failure) => {
-                passing.settle(decide::outcome(&failure));
+                passing.guard.settle(decide::outcome(&failure));
                 Err(failure)
             }
         }
     }
 
     /// Keeps the request's place among those in flight until it ends.
-    pub(super) fn with_room(mut self: Box<Self>, room: OwnedSemaphorePermit) -> Box<Self> {
-        self.room = Some(room);
-        self
+    pub(super) fn keep(&self, room: OwnedSemaphorePermit) {
+        self.guard.keep(room);
     }
 
     fn head(&self) -> response::Parts {
@@ -164,12 +152,7 @@
         let state = self.state.clone();
         let address = self.address;
         let expected = self.expected.clone();
-        let grant = self
-            .hold
-            .as_ref()
-            .map(|h| h.grant.clone())
-            .unwrap_or_default();
-        let message = request(&self.call, &grant, resume);
+        let message = request(&self.call, &self.grant, resume);
         Source::Opening(Box::pin(async move {
             upstream::run(&state.upstreams, address, message?, &expected).await
         }))
@@ -205,7 +188,6 @@
             }
             Ok(None) => {
                 self.phase = Phase::Ended;
-                self.room = None;
                 None
             }
             Err(failure) => Some(Ok(self.tell(&failure))),
@@ -218,25 +200,21 @@
             self.counter.request();
         }
         self.counter.output(progress.tokens);
-        if let Some(hold) = &mut self.hold {
-            hold.tokens += progress.tokens;
-        }
+        self.guard.with(|hold| hold.tokens += progress.tokens);
         if let Some(usage) = progress.usage {
             self.counter.prompt(usage.prompt_tokens);
         }
         if progress.done {
-            if let Some(hold) = &self.hold {
-                let replica = &hold.grant.replica;
-                note(
-                    &self.state,
-                    Kind::Answered,
-                    &self.call,
-                    replica,
-                    String::new,
-                );
-            }
+            let replica = &self.grant.replica;
+            note(
+                &self.state,
+                Kind::Answered,
+                &self.call,
+                replica,
+                String::new,
+            );
             metrics::counter!("entry_requests_total", "outcome" => "answered").increment(1);
-            self.settle(Outcome::Answered);
+            self.guard.settle(Outcome::Answered);
         }
     }
 
@@ -244,18 +222,13 @@
     fn tell(&mut self, failure: &Failure) -> Bytes {
         self.phase = Phase::Told;
         let text = decide::describe(failure);
-        let replica = self
-            .hold
-            .as_ref()
-            .map(|h| h.grant.replica.clone())
-            .unwrap_or_default();
-        note(&self.state, Kind::Unknown, &self.call, &replica, || {
+        let replica = &self.grant.replica;
+        note(&self.state, Kind::Unknown, &self.call, replica, || {
             text.clone()
         });
         metrics::counter!("entry_requests_total", "outcome" => "truncated").increment(1);
         self.source = Source::Closed;
-        self.settle(decide::outcome(failure));
-        self.room = None;
+        self.guard.settle(decide::outcome(failure));
         let code = match failure {
             Failure::Deadline => Code::Overdue,
             _ => Code::OutcomeUnknown,
@@ -264,20 +237,11 @@
         Bytes::from([b"event: error\ndata: ", &body[..], b"\n\n"].concat())
     }
 
-    fn settle(&mut self, outcome: Outcome) {
-        let Some(hold) = self.hold.take() else { return };
-        match outcome {
-            // A dropped hold cancels the dispatch besides.
-            Outcome::Cancelled => drop(hold),
-            outcome => hold.settle(outcome),
-        }
-    }
-
     /// The next run of checked events, over resumed connections; `None` after
     /// `[DONE]` and the end of the body.
     fn poll_run(&mut self, cx: &mut Context<'_>) -> Poll<Result<Option<Run>, Failure>> {
         loop {
-            if let Some(stop) = self.poll_stop(cx) {
+            if let Some(stop) = self.guard.poll_stop(cx) {
                 return Poll::Ready(Err(stop));
             }
             let fault = match &mut self.source {
@@ -371,43 +335,20 @@
         self.resumes += 1;
         self.scanner.reset();
         self.source = self.open(Some(next));
-        let replica = self
-            .hold
-            .as_ref()
-            .map(|h| h.grant.replica.as_str())
-            .unwrap_or_default();
+        let replica = &self.grant.replica;
         note(&self.state, Kind::Resumed, &self.call, replica, || {
             format!("at token {next}: {fault}")
         });
         true
     }
-
-    /// Whether the stream must end now, before anything more is passed on.
-    fn poll_stop(&mut self, cx: &mut Context<'_>) -> Option<Failure> {
-        let hold = self.hold.as_ref()?;
-        let now = now_us();
-        if now >= self.call.deadline {
-            return Some(Failure::Deadline);
-        }
-        if hold.lease.lapsed(now) {
-            return Some(Failure::Lapsed);
-        }
-        // The timer may be due while the lease was prolonged meanwhile.
-        while self.timer.as_mut().poll(cx).is_ready() {
-            let until = self.call.deadline.min(hold.lease.until());
-            if until <= now_us() {
-                break;
-            }
-            self.timer.as_mut().reset(clock::instant(until));
-        }
-        None
-    }
 }
 
 impl Drop for Passing {
     fn drop(&mut self) {
-        let Some(hold) = &self.hold else { return };
-        let replica = &hold.grant.replica;
+        if !self.guard.settle(Outcome::Cancelled) {
+            return;
+        }
+        let replica = &self.grant.replica;
         note(
             &self.state,
             Kind::Cancelled,
--- a/lib/src/upstream/connections.rs
+++ b/lib/src/upstream/connections.rs
@@ -113,10 +113,14 @@
         }
     }
 
+    /// The connection that was used last; the others age, and go.
     fn take(&self, address: SocketAddr) -> Option<SendRequest<Parts>> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let list = idle.get_mut(&address)?;
-        list.retain(|i| !i.sender.is_closed() && i.since.elapsed() < IDLE_TIMEOUT);
+        // They stand in the order of their last use.
+        let old = list.partition_point(|i| i.since.elapsed() >= IDLE_TIMEOUT);
+        list.drain(..old);
+        // One that has just been given back may not be ready yet.
         let at = list.iter().rposition(|i| i.sender.is_ready())?;
         Some(list.remove(at).sender)
     }
--- /dev/null
+++ b/lib/tests/test_upstream_sse.rs
@@ -0,0 +1,88 @@
+//! Events of a stream: cut and checked.
+
+use banyangauge::upstream::Checker;
+use banyangauge::upstream::Expected;
+use banyangauge::upstream::Fault;
+use banyangauge::upstream::Scanner;
+use bytes::Bytes;
+use proptest::prelude::*;
+use rstest::rstest;
+
+fn expected() -> Expected {
+    Expected {
+        request: "r".into(),
+        model: "a@1".into(),
+        incarnation: 1,
+    }
+}
+
+fn event(index: u64, finish: &str) -> String {
+    format!(
+        "data: {{\"id\":\"r\",\"model\":\"a@1\",\"token_index\":{index},\
+         \"choices\":[{{\"index\":0,\"text\":\"w\",\"finish_reason\":{finish}}}]}}\n\n"
+    )
+}
+
+#[test]
+fn check_whole_stream() {
+    let mut checker = Checker::default();
+    let text = event(0, "null") + ": comment\n\n" + &event(1, "\"stop\"") + "data: [DONE]\n\n";
+    let progress = checker.check(text.as_bytes(), &expected()).unwrap();
+    assert_eq!(
+        (progress.tokens, progress.done, checker.next()),
+        (2, true, 2)
+    );
+}
+
+#[rstest]
+#[case::index(event(1, "null"))]
+#[case::request(event(0, "null").replace("\"r\"", "\"s\""))]
+#[case::model(event(0, "null").replace("a@1", "a@2"))]
+#[case::after_last(event(0, "\"stop\"") + &event(1, "null"))]
+fn check_identity(#[case] text: String) {
+    let fault = Checker::default().check(text.as_bytes(), &expected());
+    assert!(matches!(fault, Err(Fault::Identity(_))), "{fault:?}");
+}
+
+#[rstest]
+#[case::done_early(event(0, "null") + "data: [DONE]\n\n")]
+#[case::after_done(event(0, "\"stop\"") + "data: [DONE]\n\n" + &event(1, "null"))]
+#[case::no_data("event: token\n\n".to_owned())]
+#[case::no_json("data: {\n\n".to_owned())]
+#[case::no_index(event(0, "null").replace("token_index", "index"))]
+fn check_malformed(#[case] text: String) {
+    let fault = Checker::default().check(text.as_bytes(), &expected());
+    assert!(matches!(fault, Err(Fault::Malformed(_))), "{fault:?}");
+}
+
+#[test]
+fn scanner_endless_event() {
+    let mut scanner = Scanner::default();
+    let piece = Bytes::from(vec![b'x'; 64 << 10]);
+    let ends = (0..8).map(|_| scanner.push(piece.clone()).is_err());
+    assert!(ends.last().unwrap());
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(64))]
+
+    /// However the network cuts a stream, the same whole events come out.
+    #[test]
+    fn scanner_any_cuts(mut cuts in prop::collection::vec(0_usize..400, 0..12)) {
+        let text = event(0, "null") + &event(1, "null") + &event(2, "\"stop\"") + "data: [DONE]\n\n";
+        cuts.push(text.len());
+        cuts.sort_unstable();
+        let mut scanner = Scanner::default();
+        let mut checker = Checker::default();
+        let (mut out, mut from) = (Vec::new(), 0);
+        for cut in cuts {
+            let cut = cut.min(text.len());
+            let run = scanner.push(Bytes::copy_from_slice(&text.as_bytes()[from..cut])).unwrap();
+            checker.check(&run, &expected()).unwrap();
+            out.extend_from_slice(&run);
+            from = cut;
+        }
+        prop_assert_eq!(out, text.as_bytes());
+        prop_assert_eq!(checker.next(), 3);
+    }
+}
