--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -7,6 +7,7 @@
 
 mod rig;
 mod test_catalog_apply;
+mod test_catalog_cost;
 mod test_catalog_ledger;
 mod test_config_spread;
 mod test_ids;
