--- a/lib/src/control/owner/actor.rs
+++ b/lib/src/control/owner/actor.rs
@@ -28,8 +28,6 @@
 use crate::control::owner::SessionId;
 use crate::control::owner::entries::message;
 use crate::control::owner::journal;
-use crate::control::owner::safety::HEARD;
-use crate::control::owner::safety::PUBLISHED;
 use crate::control::uptime_ms;
 use crate::ids::Fingerprint;
 use crate::ids::Incarnation;
@@ -142,6 +140,9 @@
 /// How often time passes at the least.
 const TICK: Span = Span::from_millis(100);
 
+/// When slots that are frozen open by themselves.
+const NEVER: Moment = Moment(u64::MAX);
+
 /// How often the pool's state is published for `banyan status`.
 const PUBLISH: Span = Span::from_millis(500);
 
@@ -158,6 +159,7 @@
     pub(super) pool: Pool,
     pub(super) book: Book,
     pub(super) safety: Safety,
+    pub(super) facts: Facts,
     pub(super) journal: Journal,
     pub(super) held: BTreeMap<ClaimKey, (Ticket, wire::Grant)>,
     pub(super) outboxes: BTreeMap<SessionId, Outbox>,
@@ -168,6 +170,7 @@
     pub(super) unloading: u32,
     pub(super) draining: bool,
     pub(super) deposed: bool,
+    frozen: bool,
     recovering: bool,
     recover_at: Moment,
     published: Moment,
@@ -202,8 +205,10 @@
         let orders = Orders::new(std::time::Duration::from_millis(times.order_ms));
         let reports = Orders::new(std::time::Duration::from_millis(times.report_ms));
         let limits = local.settings.claim_limits();
+        let mut pool = new_pool(&catalog, &spec);
+        pool.freeze(NEVER);
         Some(Self {
-            pool: new_pool(&catalog, &spec),
+            pool,
             book: Book::new(tenure.token),
             journal: Journal::new(tenure.token, limits),
             safety: Safety::new(honours, tenure, margin, quarantine),
@@ -212,6 +217,7 @@
                 ..spec
             },
             catalog: Arc::default(),
+            facts: Facts::default(),
             held: BTreeMap::new(),
             outboxes: BTreeMap::new(),
             replicas: BTreeMap::new(),
@@ -219,6 +225,7 @@
             unloading: 0,
             draining: false,
             deposed: false,
+            frozen: true,
             recovering: false,
             recover_at: Moment(0),
             published: Moment(0),
@@ -252,22 +259,20 @@
         });
     }
 
-    pub(super) fn facts(&self, now: Moment) -> Facts {
-        let tenure = self.safety.tenure();
-        let left = match &tenure.former {
+    fn learn_facts(&mut self, now: Moment) {
+        let left = match &self.safety.tenure().former {
             Former::Lapsed(vm) => self.local.departed.borrow().contains(vm.as_str()),
             _ => false,
         };
-        let recent = Moment(now.0.saturating_sub(HEARD.0));
-        Facts {
-            heard_majority: self.local.has_majority(recent),
-            told_majority: self.local.has_majority(tenure.since.after(PUBLISHED)),
+        self.facts = Facts {
+            majority: self.local.majority(now),
             former_left: left,
             helloed: self.book.helloed().clone(),
-        }
+        };
     }
 
     fn tick(&mut self, now: Moment) {
+        self.learn_facts(now);
         self.follow_tenure();
         self.follow_catalog(now);
         self.follow_verdicts(now);
@@ -323,13 +328,16 @@
         self.verdicts = board;
     }
 
+    // Frozen from the start, and until a tick finds that it need not be: a tick
+    // that comes late must not open the slots.
     fn keep_frozen(&mut self, now: Moment) {
-        let facts = self.facts(now);
         let replicas: BTreeSet<_> = self.replicas.keys().cloned().collect();
-        let closed = self.safety.is_frozen(now, &replicas, &facts);
+        let closed = self.safety.is_frozen(now, &replicas, &self.facts);
         // Past the lease, slots at engines that ignore tokens are not changed.
-        if closed || !self.safety.may_order(now) {
-            self.pool.freeze(now.after(Span(2 * TICK.0)));
+        let frozen = closed || !self.safety.may_order(now);
+        if frozen != self.frozen {
+            self.frozen = frozen;
+            self.pool.freeze(if frozen { NEVER } else { now });
         }
     }
 
