--- a/cli/src/commands/check_settings.rs
+++ b/cli/src/commands/check_settings.rs
@@ -1,9 +1,13 @@
 //! `banyan check-settings`.
 
+use std::path::Path;
 use std::path::PathBuf;
 
 use argh::FromArgs;
+use banyangauge::control::ControlSettings;
+use banyangauge::entry::EntrySettings;
 use banyangauge::operator::ClientSettings;
+use banyangauge::settings::SettingsError;
 use banyangauge::settings::load;
 use serde_json::json;
 
@@ -17,30 +21,56 @@
     /// the settings file
     #[argh(positional)]
     file: PathBuf,
-    /// the program it is for: banyan
-    #[argh(option, default = "String::from(\"banyan\")")]
-    program: String,
+    /// the program it is for: banyan, banyan-control or banyan-entry; each is
+    /// tried when left out
+    #[argh(option)]
+    program: Option<String>,
     /// print JSON
     #[argh(switch)]
     json: bool,
 }
 
+/// The programs that have settings.
+const PROGRAMS: [&str; 3] = ["banyan", "banyan-control", "banyan-entry"];
+
 impl CheckSettings {
     pub(super) fn run(&self) -> Result<(), CommandError> {
-        let result = match self.program.as_str() {
-            "banyan" => load::<ClientSettings>(&self.file).map(drop),
-            other => {
-                return Err(CommandError::Usage(format!(
-                    "--program: found {other}, allowed is banyan"
-                )));
+        let wanted = self.program.as_deref();
+        if let Some(other) = wanted.filter(|p| !PROGRAMS.contains(p)) {
+            return Err(CommandError::Usage(format!(
+                "--program: found {other}, allowed are {}",
+                PROGRAMS.join(", ")
+            )));
+        }
+        let mut errors = Vec::new();
+        for program in PROGRAMS {
+            if wanted.is_some_and(|w| w != program) {
+                continue;
+            }
+            match check(program, &self.file) {
+                Ok(()) => {
+                    self.print(program);
+                    return Ok(());
+                }
+                Err(e) => errors.push(format!("not settings of {program}: {e}")),
             }
-        };
-        result.map_err(|e| CommandError::Usage(e.to_string()))?;
+        }
+        Err(CommandError::Usage(errors.join("\n")))
+    }
+
+    fn print(&self, program: &str) {
         output::print(
             self.json,
-            || format!("{}: good\n", self.file.display()),
-            || json!({"file": self.file, "good": true}),
+            || format!("{}: good settings of {program}\n", self.file.display()),
+            || json!({"file": self.file, "program": program}),
         );
-        Ok(())
+    }
+}
+
+fn check(program: &str, file: &Path) -> Result<(), SettingsError> {
+    match program {
+        "banyan" => load::<ClientSettings>(file).map(drop),
+        "banyan-control" => load::<ControlSettings>(file).map(drop),
+        _ => load::<EntrySettings>(file).map(drop),
     }
 }
--- a/cli/tests/test_banyan.rs
+++ b/cli/tests/test_banyan.rs
@@ -211,6 +211,12 @@
     let good = rig.file("good.toml", &good);
     let bad = rig.file("bad.toml", "control = []\n");
     assert_eq!(code(&rig.banyan(&["check-settings", text(&good)]).await), 0);
+    let settings = Path::new(env!("CARGO_MANIFEST_DIR")).join("../settings");
+    for program in ["control", "entry"] {
+        let file = settings.join(format!("{program}.toml"));
+        let end = rig.banyan(&["check-settings", text(&file), "--json"]).await;
+        assert_eq!(json(&end)["program"], format!("banyan-{program}"));
+    }
     let end = rig.banyan(&["check-settings", text(&bad)]).await;
     assert_eq!(code(&end), 2);
     assert!(
