link: mutual tls between our processes, with keys reloaded on change

Cause: whoever reached a port could hand itself the catalog or confirm. Change: a module that makes and takes connections, by rustls with keys from files when the settings name them; both sides show a certificate of our authority for one process name. Each new connection uses the keys of now, also when a channel connects again; files that do not fit are refused and the keys in use stay. Handshakes run apart from each other and are bounded. The configuration, usage and operators' clients use it. Ruled out: tonic's own TLS settings, because their keys are fixed when a channel or a listener is made.

--- a/cli/src/commands/mod.rs
+++ b/cli/src/commands/mod.rs
@@ -14,6 +14,7 @@
 use std::path::PathBuf;
 
 use argh::FromArgs;
+use banyangauge::link::Link;
 use banyangauge::operator::Client;
 use banyangauge::operator::ClientError;
 use banyangauge::operator::ClientSettings;
@@ -45,7 +46,8 @@
     /// the operator's key
     #[argh(option)]
     key: Option<String>,
-    /// settings file in TOML: control = [ADDR...], key_file = FILE
+    /// settings file in TOML: control = [ADDR...], key_file = FILE,
+    /// [link] authority, certificate, key = FILE
     #[argh(option)]
     settings: Option<PathBuf>,
     #[argh(subcommand)]
@@ -137,13 +139,17 @@
                 None => addresses(&variable(CONTROL_VARIABLE).unwrap_or_default())?,
             },
         };
+        let link = match settings.as_ref().and_then(|s| s.link.as_ref()) {
+            Some(keys) => Link::load(keys).map_err(|e| CommandError::Usage(e.to_string()))?,
+            None => Link::plain(),
+        };
         let file = settings.and_then(|s| s.key_file);
         let key = match (self.key.clone(), file) {
             (Some(key), _) => key,
             (None, Some(file)) => output::read(&file)?.trim().to_owned(),
             (None, None) => variable(KEY_VARIABLE).unwrap_or_default(),
         };
-        Ok(Client::new(&control, &key)?)
+        Ok(Client::new(&control, &key)?.by_link(link))
     }
 }
 
--- a/lib/src/control/config/peers.rs
+++ b/lib/src/control/config/peers.rs
@@ -7,7 +7,6 @@
 use rand::seq::IndexedRandom;
 use tokio::time::MissedTickBehavior;
 use tokio::time::timeout;
-use tonic::transport::Endpoint;
 use wire::peers_client::PeersClient;
 
 use super::accept;
@@ -94,12 +93,7 @@
 /// that fails is passed over; the next tick asks another.
 async fn ask_peer(shared: &Shared, peer: SocketAddr) {
     let work = async {
-        let channel = Endpoint::from_shared(format!("http://{peer}"))
-            .ok()?
-            .connect_timeout(PEER_TIMEOUT)
-            .connect()
-            .await
-            .ok()?;
+        let channel = shared.board.link().connect(peer, PEER_TIMEOUT).await.ok()?;
         let mut client = PeersClient::new(channel).max_decoding_message_size(MAX_SNAPSHOT);
         let revision = shared.board.catalog.borrow().revision.0;
         let request = wire::FetchRequest { revision };
--- a/lib/src/control/shared.rs
+++ b/lib/src/control/shared.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::LazyLock;
+use std::sync::OnceLock;
 use std::time::Instant;
 
 use banyangauge_proto as wire;
@@ -18,6 +19,7 @@
 use crate::ids::Token;
 use crate::ids::VmName;
 use crate::ids::ZoneName;
+use crate::link::Link;
 use crate::platform::Platform;
 use crate::timeline::Recorder;
 
@@ -59,6 +61,9 @@
     pub history: History,
     /// The usage counters that this process holds.
     pub usage: usage::Store,
+    /// How our processes connect to each other; set once at the start, plain
+    /// connections until then.
+    pub link: OnceLock<Link>,
 }
 
 impl Board {
@@ -75,8 +80,14 @@
             stopping: watch::Sender::new(false),
             history: History::default(),
             usage: usage::Store::new(),
+            link: OnceLock::new(),
         }
     }
+
+    /// How to connect to our other processes.
+    pub fn link(&self) -> Link {
+        self.link.get().cloned().unwrap_or_default()
+    }
 }
 
 impl Default for Board {
--- a/lib/src/control/usage/mod.rs
+++ b/lib/src/control/usage/mod.rs
@@ -14,7 +14,6 @@
 use slog::warn;
 use tokio::time::timeout;
 use tonic::transport::Channel;
-use tonic::transport::Endpoint;
 use wire::peers_client::PeersClient;
 
 pub use counts::Count;
@@ -169,7 +168,7 @@
             let known = link.take().filter(|(there, _)| *there == address);
             let whole = known.is_none();
             let reports = store.to_hold(shared.vm.as_str(), whole);
-            link = hold(known, address, &reports).await;
+            link = hold(shared, known, address, &reports).await;
             if link.is_none() {
                 store.not_held(reports);
                 store.wake.notify_one();
@@ -181,6 +180,7 @@
 
 /// Hands reports over; gives the connection when all were taken.
 async fn hold(
+    shared: &Shared,
     known: Option<(String, PeersClient<Channel>)>,
     address: String,
     reports: &[wire::UsageReport],
@@ -188,7 +188,7 @@
     let work = async {
         let mut client = match known {
             Some((_, client)) => client,
-            None => connect(&address).await?,
+            None => connect(shared, &address).await?,
         };
         for report in reports {
             client.hold_usage(report.clone()).await.ok()?;
@@ -198,9 +198,9 @@
     timeout(HOLD_TIMEOUT, work).await.ok().flatten()
 }
 
-async fn connect(address: &str) -> Option<PeersClient<Channel>> {
-    let endpoint = Endpoint::from_shared(format!("http://{address}")).ok()?;
-    let channel = endpoint.connect_timeout(HOLD_TIMEOUT).connect().await;
+async fn connect(shared: &Shared, address: &str) -> Option<PeersClient<Channel>> {
+    let address = address.parse().ok()?;
+    let channel = shared.board.link().connect(address, HOLD_TIMEOUT).await;
     channel.ok().map(PeersClient::new)
 }
 
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod entry;
 pub mod ids;
 pub mod lease;
+pub mod link;
 pub mod operator;
 pub mod platform;
 pub mod pool;
--- a/lib/src/operator/client.rs
+++ b/lib/src/operator/client.rs
@@ -11,7 +11,6 @@
 use tonic::Status;
 use tonic::metadata::AsciiMetadataValue;
 use tonic::transport::Channel;
-use tonic::transport::Endpoint;
 use wire::operator_client::OperatorClient;
 use wire::timeline_client::TimelineClient;
 
@@ -21,6 +20,7 @@
 use crate::catalog::Intent;
 use crate::catalog::MAX_SNAPSHOT;
 use crate::catalog::Plan;
+use crate::link::Link;
 
 /// The longest that connecting may take; a VM that is gone does not answer.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -104,6 +104,7 @@
 pub struct Client {
     addresses: Vec<SocketAddr>,
     bearer: AsciiMetadataValue,
+    link: Link,
 }
 
 type Stub = OperatorClient<Channel>;
@@ -121,9 +122,22 @@
         Ok(Self {
             addresses: addresses.to_vec(),
             bearer,
+            link: Link::plain(),
         })
     }
 
+    /// The same client, by way of `link`.
+    #[must_use]
+    pub fn by_link(mut self, link: Link) -> Self {
+        self.link = link;
+        self
+    }
+
+    async fn connect(&self, address: SocketAddr) -> Result<Channel, ClientError> {
+        let channel = self.link.connect(address, CONNECT_TIMEOUT).await;
+        channel.map_err(|e| ClientError::Unreachable(e.to_string()))
+    }
+
     /// Makes a plan of an intent; nothing takes effect.
     ///
     /// # Errors
@@ -218,6 +232,7 @@
             let one = Self {
                 addresses: vec![address],
                 bearer: self.bearer.clone(),
+                link: self.link.clone(),
             };
             if let Ok(status) = one.status().await {
                 pools.extend(status.pools);
@@ -284,7 +299,7 @@
         process: SocketAddr,
         filter: &wire::TimelineRequest,
     ) -> Result<wire::TimelineReply, ClientError> {
-        let channel = connect(process).await?;
+        let channel = self.connect(process).await?;
         let mut stub = TimelineClient::new(channel).max_decoding_message_size(MAX_SNAPSHOT);
         let request = self.request(filter);
         Ok(stub.read(request).await?.into_inner())
@@ -292,6 +307,7 @@
 
     fn request<T: Clone>(&self, message: &T) -> Request<T> {
         let mut request = Request::new(message.clone());
+        request.set_timeout(CALL_TIMEOUT);
         request
             .metadata_mut()
             .insert("authorization", self.bearer.clone());
@@ -308,7 +324,7 @@
     {
         let mut last = ClientError::Unreachable("no control process is named".to_owned());
         for address in &self.addresses {
-            let result = match connect(*address).await {
+            let result = match self.connect(*address).await {
                 Ok(channel) => {
                     let stub = OperatorClient::new(channel).max_decoding_message_size(MAX_SNAPSHOT);
                     let end = run(stub, self.request(message)).await;
@@ -328,17 +344,6 @@
     }
 }
 
-async fn connect(address: SocketAddr) -> Result<Channel, ClientError> {
-    let endpoint = Endpoint::from_shared(format!("http://{address}"))
-        .map_err(|e| ClientError::Form(e.to_string()))?;
-    endpoint
-        .connect_timeout(CONNECT_TIMEOUT)
-        .timeout(CALL_TIMEOUT)
-        .connect()
-        .await
-        .map_err(|e| ClientError::Unreachable(format!("cannot connect: {e}")))
-}
-
 fn malformed(error: &serde_json::Error) -> ClientError {
     ClientError::Unreachable(format!("the answer is malformed: {error}"))
 }
--- a/lib/src/operator/input.rs
+++ b/lib/src/operator/input.rs
@@ -8,6 +8,7 @@
 
 use crate::catalog::Intent;
 use crate::catalog::Plan;
+use crate::link::LinkSettings;
 use crate::settings::BadValue;
 use crate::settings::Settings;
 
@@ -19,6 +20,8 @@
     pub control: Vec<SocketAddr>,
     /// The file that holds the operator's key.
     pub key_file: Option<PathBuf>,
+    /// Keys for TLS; plain connections when left out.
+    pub link: Option<LinkSettings>,
 }
 
 impl Settings for ClientSettings {
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -18,6 +18,7 @@
 mod test_entry_path;
 mod test_ids;
 mod test_lease_contest;
+mod test_link_tls;
 mod test_members_table;
 mod test_owner_book;
 mod test_owner_rig;
