--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -6,6 +6,7 @@
 
 mod rig;
 mod test_catalog_apply;
+mod test_catalog_cost;
 mod test_catalog_ledger;
 mod test_claims_journal;
 mod test_claims_owner;
@@ -18,6 +19,7 @@
 mod test_entry_path;
 mod test_ids;
 mod test_lease_contest;
+mod test_link_tls;
 mod test_members_table;
 mod test_owner_book;
 mod test_owner_rig;
