pool: doubt an adapter's demand after one mean interval of silence

With four intervals, yesterday's busiest adapters kept their slots for minutes after a shift while the new ones queued for loads.

--- a/lib/src/pool/loads.rs
+++ b/lib/src/pool/loads.rs
@@ -56,7 +56,7 @@
 
 /// Seconds of silence, in mean intervals between requests, after which demand
 /// is thought to have gone elsewhere.
-pub(super) const SILENCE: f64 = 4.0;
+pub(super) const SILENCE: f64 = 1.0;
 
 /// Weighs several candidates of nearly equal demand by where they are.
 const NEARLY: f64 = 2.0;
