pool: gather long work until it fills steps

A step takes nearly the same time for one request as for a batch. Where full steps weigh more, long work now starts at a replica when it fills 60 in 100 places together with what runs there, or after 10 s; loads go where long work has company.

--- a/lib/src/pool/admit.rs
+++ b/lib/src/pool/admit.rs
@@ -121,6 +121,11 @@
                 entry.lists[lane.index()].insert((tag, ticket));
             }
         }
+        let first = entry.waiting() == 1;
+        if first && lane == Lane::Long {
+            self.note_gathering(now, &target);
+        }
+        let entry = self.adapters.entry(&target);
         if let Some(adapter) = &target {
             let held = entry.holders.iter().any(|r| {
                 let r = self.replicas.get(r);
--- a/lib/src/pool/dispatch.rs
+++ b/lib/src/pool/dispatch.rs
@@ -32,10 +32,14 @@
     /// Dispatches a request at once if a replica that has its adapter takes
     /// it.
     pub(super) fn place(&mut self, now: Moment, w: &Waiting) -> bool {
-        let Some(name) = self.choose(w) else {
+        let Some(name) = self.choose(now, w) else {
             return false;
         };
         self.grant(now, w, &name);
+        if w.lane() == Lane::Long {
+            // It may have been the one that the others waited for.
+            self.fill(now, &name);
+        }
         true
     }
 
@@ -47,12 +51,14 @@
     /// measured pace makes a slow replica seem longer in proportion, so it
     /// gets only the work it can do in time. The replicas that a request
     /// should avoid serve only when no other has its adapter.
-    fn choose(&self, w: &Waiting) -> Option<ReplicaName> {
+    fn choose(&self, now: Moment, w: &Waiting) -> Option<ReplicaName> {
         let a = &w.arrival;
         let lane = w.lane();
         let usable = |name: &ReplicaName| {
             let r = self.replicas.get(name)?;
-            let fit = self.has_room(r, lane, &a.adapter) && !self.avoids(a, name);
+            let fit = self.has_room(r, lane, &a.adapter)
+                && !self.avoids(a, name)
+                && (lane == Lane::Short || self.gathered(now, r, 1));
             fit.then_some(r)
         };
         let near = self.prefixes.place(a.prefix).filter(|_| a.prefix != 0);
@@ -115,7 +121,7 @@
 
     /// Gives a replica the work that waits for it, in turn, while it has room.
     pub(super) fn fill(&mut self, now: Moment, name: &ReplicaName) {
-        while let Some(ticket) = self.next_for(name) {
+        while let Some(ticket) = self.next_for(now, name) {
             let Some(w) = self.withdraw(now, ticket) else {
                 return;
             };
@@ -125,7 +131,7 @@
 
     /// The request whose turn it is at a replica: short work first, then long
     /// work, each in the order of fair queueing between teams.
-    fn next_for(&self, name: &ReplicaName) -> Option<Ticket> {
+    fn next_for(&self, now: Moment, name: &ReplicaName) -> Option<Ticket> {
         let r = self.replicas.get(name)?;
         if !r.open() {
             return None;
@@ -144,6 +150,9 @@
         let lanes = Lane::ALL.into_iter();
         let mut open = lanes.filter(|lane| r.room(*lane, s.long_part(), s.long_floor, long));
         open.find_map(|lane| {
+            if lane == Lane::Long && !self.gathered(now, r, 0) {
+                return None;
+            }
             let usable = lists.iter().filter(|(t, _)| slot(t, lane));
             let heads = usable.flat_map(|(_, e)| {
                 let turns = e.list(lane).iter().take(TURNS_PROBED);
--- a/lib/src/pool/loads.rs
+++ b/lib/src/pool/loads.rs
@@ -180,7 +180,7 @@
                 let ghost = r.ghosts.iter().find(|g| !r.users.contains_key(*g));
                 let ghost = ghost.filter(|_| !r.vacant());
                 let fit = r.vacant() || ghost.is_some();
-                fit.then(|| (ghost, !r.open(), r.busy(), r.loaded.len(), n))
+                fit.then(|| (ghost, !r.open(), self.crowd(r, n), r.loaded.len(), n))
             })
             .collect();
         free.sort();
@@ -239,10 +239,19 @@
         slots.extend(silent.filter_map(fit).take(SLOTS_PROBED));
         let least = slots.iter().map(|s| s.0).min_by(f64::total_cmp)?;
         let near = slots.iter().filter(|s| s.0 <= least * NEARLY);
-        let best = near.min_by_key(|(_, r, _, _)| (!r.open(), r.busy()));
+        let best = near.min_by_key(|(_, r, name, _)| (!r.open(), self.crowd(r, name)));
         best.map(|(_, _, name, a)| (name.clone(), Some(a.clone())))
     }
 
+    /// How little a replica suits one more adapter, others being equal: its
+    /// load, or where long work is gathered, how little company there is.
+    fn crowd(&self, r: &super::replica::Replica, name: &ReplicaName) -> usize {
+        match self.gathers() {
+            true => usize::MAX - self.company(name),
+            false => r.busy() as usize,
+        }
+    }
+
     fn order(
         &mut self,
         now: Moment,
--- a/lib/src/pool/mod.rs
+++ b/lib/src/pool/mod.rs
@@ -9,6 +9,7 @@
 //! | `admit` | who may wait, who is refused and when to come back |
 //! | `queue` | whose turn it is |
 //! | `dispatch` | where a request runs, what a replica runs next |
+//! | `gather` | when long work starts |
 //! | `loads` | which adapter is loaded next, where, and what it evicts |
 //! | `health` | what reports and ends of dispatches mean |
 //! | `solo`, `verdicts` | which request crashes its upstream |
@@ -18,6 +19,7 @@
 mod budget;
 mod demand;
 mod dispatch;
+mod gather;
 mod health;
 mod loads;
 mod prefix;
--- a/lib/src/pool/settings.rs
+++ b/lib/src/pool/settings.rs
@@ -52,6 +52,14 @@
     /// work may use at the same time.
     #[builder(default = 75)]
     pub long_slots: u32,
+    /// Where full steps weigh more: the part of a batch, in hundredths, that
+    /// long work must fill with what runs to be started at once; 0 starts it
+    /// always.
+    #[builder(default = 60)]
+    pub gather: u32,
+    /// The longest that long work waits for company, in microseconds.
+    #[builder(default = Span::from_millis(10_000))]
+    pub gather_for: Span,
     /// Retries allowed, in hundredths of the answers.
     #[builder(default = 10)]
     pub retry_share: u32,
@@ -113,6 +121,9 @@
         if !(1..=100).contains(&self.long_slots) {
             return bad("long_slots", self.long_slots.to_string(), "1 to 100");
         }
+        if self.gather > 100 {
+            return bad("gather", self.gather.to_string(), "0 to 100");
+        }
         if self.long_floor > self.long_part() {
             return bad("long_floor", self.long_floor.to_string(), "0 to long_cap");
         }
--- a/lib/src/pool/state.rs
+++ b/lib/src/pool/state.rs
@@ -65,6 +65,8 @@
     pub(super) orders: BTreeMap<OrderId, ReplicaName>,
     /// Adapters that wait for the end of their backoff.
     pub(super) backoffs: BTreeSet<(Moment, AdapterVersion)>,
+    /// When long work for an adapter no longer waits for company.
+    pub(super) gathering: BTreeSet<(Moment, AdapterVersion)>,
     pub(super) service: Service,
     pub(super) budget: RetryBudget,
     pub(super) verdicts: Verdicts,
@@ -224,6 +226,7 @@
             self.turn_away(now, ticket, why, after);
         }
         self.end_backoffs(now);
+        self.end_gathering(now);
         self.forget_unlisted(now);
         self.settle(now);
     }
@@ -235,7 +238,8 @@
         let thaw = (self.adapters.wanted_len() > 0 && self.frozen > Moment(0))
             .then_some(self.frozen)
             .filter(|at| *at > self.service.now);
-        [expiry, backoff, thaw].into_iter().flatten().min()
+        let company = self.gathering.first().map(|(at, _)| *at);
+        [expiry, backoff, thaw, company].into_iter().flatten().min()
     }
 
     /// What was decided since the last call.
