pool: count requests that share a load as one

A group of readings for one adapter is served by one load, but it counted as many requests, and its adapter held a slot against those that are asked for again and again. Requests within a second of the last now count a tenth.

--- a/lib/src/pool/slots.rs
+++ b/lib/src/pool/slots.rs
@@ -7,6 +7,15 @@
 use crate::ids::AdapterVersion;
 use crate::ids::ReplicaName;
 
+/// Requests for one adapter that come closer together than this would have
+/// waited for the same load.
+const TOGETHER: Span = Span::from_millis(1_000);
+
+/// What each further one of them counts for. A load that is saved for a group
+/// of readings is one load; counted in full, the group would make its adapter
+/// look as busy as one that is asked for again and again.
+const TOGETHER_WEIGHT: f64 = 0.1;
+
 impl Pool {
     /// Half-life of demand, in microseconds.
     pub(super) fn half_life(&self) -> f64 {
@@ -17,7 +26,10 @@
     pub(super) fn note_demand(&mut self, now: Moment, a: &Arrival) {
         let half = self.half_life();
         if a.attempt == 0 {
-            self.adapters.entry(&a.adapter).demand.count(now, half, 1.0);
+            let demand = &mut self.adapters.entry(&a.adapter).demand;
+            let together = now.since(demand.last) < TOGETHER;
+            let weight = if together { TOGETHER_WEIGHT } else { 1.0 };
+            demand.count(now, half, weight);
         }
         if let Some(adapter) = &a.adapter {
             self.reindex(adapter);
