pool: evict what is long overdue first, and weigh who waits for a load

After a shift yesterday's busiest adapters kept their slots until their silence fell below the demand of the least, fifty seconds, and useful ones were evicted instead. A slot whose next request is six mean intervals overdue is now worth nothing. A waiting request counts for four seconds of age, not one, in the order of loads.

--- a/lib/src/pool/adapter.rs
+++ b/lib/src/pool/adapter.rs
@@ -37,7 +37,15 @@
     /// No load before then.
     pub(super) backoff: Moment,
     wanted: Option<(Lane, i64)>,
-    ranked: Option<(i64, Moment)>,
+    ranked: Option<Rank>,
+}
+
+/// The keys under which an adapter stands in the indexes.
+#[derive(Clone, Copy, Debug)]
+struct Rank {
+    key: i64,
+    last: Moment,
+    due: Moment,
 }
 
 impl Adapter {
@@ -87,6 +95,8 @@
     by_rate: BTreeSet<(i64, ReplicaName, AdapterVersion)>,
     /// The same, the longest silent first.
     by_use: BTreeSet<(Moment, ReplicaName, AdapterVersion)>,
+    /// The same, those first whose next request is the longest overdue.
+    by_due: BTreeSet<(Moment, ReplicaName, AdapterVersion)>,
     /// Known adapters that are loaded nowhere, the least asked for first.
     cold: BTreeSet<(i64, AdapterVersion)>,
 }
@@ -153,37 +163,57 @@
         self.by_use.iter().map(|(_, r, a)| (r, a))
     }
 
+    /// Idle slots whose next request is overdue, the longest overdue first.
+    pub(super) fn overdue(
+        &self,
+        now: Moment,
+    ) -> impl Iterator<Item = (&ReplicaName, &AdapterVersion)> {
+        let due = self
+            .by_due
+            .iter()
+            .take_while(move |(due, _, _)| *due <= now);
+        due.map(|(_, r, a)| (r, a))
+    }
+
     /// Takes an adapter out of the indexes before its demand, holders or idle
     /// slots change; [`Adapters::index`] puts it back.
     pub(super) fn unindex(&mut self, adapter: &AdapterVersion) {
         let Some(a) = self.all.get_mut(&Some(adapter.clone())) else {
             return;
         };
-        let Some((key, last)) = a.ranked.take() else {
+        let Some(Rank { key, last, due }) = a.ranked.take() else {
             return;
         };
         self.cold.remove(&(key, adapter.clone()));
         for r in &a.holders {
             self.by_rate.remove(&(key, r.clone(), adapter.clone()));
             self.by_use.remove(&(last, r.clone(), adapter.clone()));
+            self.by_due.remove(&(due, r.clone(), adapter.clone()));
         }
     }
 
     /// Puts an adapter into the indexes; `idle` tells whether its slot at a
     /// replica may be evicted.
-    pub(super) fn index(&mut self, adapter: &AdapterVersion, idle: impl Fn(&ReplicaName) -> bool) {
+    pub(super) fn index(
+        &mut self,
+        adapter: &AdapterVersion,
+        half_us: f64,
+        idle: impl Fn(&ReplicaName) -> bool,
+    ) {
         let Some(a) = self.all.get_mut(&Some(adapter.clone())) else {
             return;
         };
         let key = a.demand.key(a.holders.len());
         let last = a.demand.last;
-        a.ranked = Some((key, last));
+        let due = a.demand.due(half_us);
+        a.ranked = Some(Rank { key, last, due });
         if a.holders.is_empty() {
             self.cold.insert((key, adapter.clone()));
         }
         for r in a.holders.iter().filter(|r| idle(r)) {
             self.by_rate.insert((key, r.clone(), adapter.clone()));
             self.by_use.insert((last, r.clone(), adapter.clone()));
+            self.by_due.insert((due, r.clone(), adapter.clone()));
         }
         if self.cold.len() > MOST_KEPT {
             self.forget_one();
--- a/lib/src/pool/demand.rs
+++ b/lib/src/pool/demand.rs
@@ -1,10 +1,14 @@
 //! How often something is asked for, forgetting with time.
 
 use super::types::Moment;
+use super::types::Span;
 
 /// Steps of an ordered key to one doubling of demand.
 const KEY_STEPS: f64 = 4_096.0;
 
+/// Mean intervals between requests after which the next one is overdue.
+const GAP: f64 = 6.0;
+
 /// A count that halves every half-life, kept as a logarithm that grows with
 /// time instead of decaying, so that the order of two of them never changes
 /// while nothing is asked for and an ordered index of them stays valid.
@@ -45,6 +49,14 @@
         self.rate(now, half_us).min(patience / silence.max(1e-3))
     }
 
+    /// When silence since the last request means that the callers have gone:
+    /// requests that come as often as these did leave so long a gap once in
+    /// four hundred times.
+    pub(super) fn due(&self, half_us: f64) -> Moment {
+        let rate = self.rate(self.last, half_us).max(1e-6);
+        self.last.after(Span((GAP / rate * 1e6) as u64))
+    }
+
     /// A key that orders as the rate shared by `copies` does, at any time.
     pub(super) fn key(&self, copies: usize) -> i64 {
         let log = self.log - (copies.max(1) as f64).log2();
--- a/lib/src/pool/loads.rs
+++ b/lib/src/pool/loads.rs
@@ -9,7 +9,7 @@
 
 /// Microseconds that each waiting request makes its adapter's wait seem
 /// older: a load that serves three callers goes before one that serves one.
-const PER_WAITING: f64 = 1_000_000.0;
+const PER_WAITING: f64 = 4_000_000.0;
 
 /// A long request counts for less: nobody stands and waits for it.
 const LONG_WEIGHT: f64 = 0.25;
@@ -213,6 +213,8 @@
     /// Made for popularity that shifts without warning. The worth of a slot is
     /// the demand expected for it: the decayed count, but no more than its
     /// silence leaves likely. The least of either index is the least of both.
+    /// A slot whose next request is long overdue is worth nothing: right after
+    /// a shift those of yesterday's busiest adapters go first.
     /// An adapter for which something waits keeps its slot, so that no two
     /// adapters chase each other out; but long work that waits for its turn
     /// does not keep a slot from someone who stands and waits.
@@ -235,6 +237,10 @@
             let r = fits(name)?;
             Some((worth(a)?, r, name.clone(), a.clone()))
         };
+        let overdue = self.adapters.overdue(now).take(SLOTS_WALKED);
+        if let Some((_, _, name, a)) = overdue.filter_map(fit).next() {
+            return Some((name, Some(a)));
+        }
         let mut slots: Vec<_> = rate.filter_map(fit).take(SLOTS_PROBED).collect();
         slots.extend(silent.filter_map(fit).take(SLOTS_PROBED));
         let least = slots.iter().map(|s| s.0).min_by(f64::total_cmp)?;
--- a/lib/src/pool/slots.rs
+++ b/lib/src/pool/slots.rs
@@ -38,13 +38,14 @@
 
     /// Keeps the indexes in step with one adapter.
     pub(super) fn reindex(&mut self, adapter: &AdapterVersion) {
+        let half = self.half_life();
         self.adapters.unindex(adapter);
         let replicas = &self.replicas;
         let idle = |name: &ReplicaName| {
             let r = replicas.get(name);
             r.is_some_and(|r| evictable(r, adapter))
         };
-        self.adapters.index(adapter, idle);
+        self.adapters.index(adapter, half, idle);
     }
 
     /// Changes holders of an adapter and keeps the indexes in step.
