standin: answer at once when nothing is to be late

Cause: a sleep of zero waits for the timer's next millisecond, so that every answer of an engine with instant steps took over a millisecond; the direct side of `measure path` showed it.

--- a/standin/src/engine/run.rs
+++ b/standin/src/engine/run.rs
@@ -144,7 +144,10 @@
     if !body.stream || spoilt.before {
         wait_whole(&mut reader).await?;
     }
-    tokio::time::sleep(spoilt.late).await;
+    // Even a sleep of zero waits for the timer's next millisecond.
+    if !spoilt.late.is_zero() {
+        tokio::time::sleep(spoilt.late).await;
+    }
     if spoilt.before {
         return Err(Cut);
     }
--- a/standin/src/service/mod.rs
+++ b/standin/src/service/mod.rs
@@ -167,7 +167,10 @@
         number,
         outcome: "caller_gone",
     };
-    tokio::time::sleep(wait).await;
+    // Even a sleep of zero waits for the timer's next millisecond.
+    if !wait.is_zero() {
+        tokio::time::sleep(wait).await;
+    }
     if drops {
         call.outcome = "dropped";
         return Err(Cut);
