--- a/bench/src/path/programs.rs
+++ b/bench/src/path/programs.rs
@@ -1,11 +1,11 @@
 //! The programs of one measurement: started here, stopped by process id.
 
-use std::fmt::Write;
 use std::io;
 use std::io::BufRead;
 use std::io::BufReader;
 use std::net::SocketAddr;
 use std::net::TcpListener;
+use std::ops::Range;
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::Child;
@@ -13,6 +13,7 @@
 use std::process::Stdio;
 use std::time::Duration;
 
+use serde_json::Value;
 use serde_json::json;
 
 use super::PathArgs;
@@ -32,6 +33,10 @@
 /// SHA-256 of [`OPERATOR`].
 const OPERATOR_HASH: &str = "7aaa67461dc9dc3ac8f2c87c76e8a1e5ebe4620aa509982fd818b1237c193bbc";
 
+/// Adapters that one plan creates: a plan travels in one message, whose limit
+/// is 4 MiB, and takes about 600 bytes an adapter.
+const ADAPTERS_A_PLAN: usize = 3_500;
+
 /// How often a program that is not ready is tried, and how long after.
 const TRIES: u32 = 100;
 const TRY_GAP: Duration = Duration::from_millis(200);
@@ -130,14 +135,26 @@
         Ok(pid)
     }
 
-    /// Configures the pool and all adapters through `banyan`.
+    /// Configures the pool and all adapters through `banyan`, some at a time.
     pub(super) async fn configure(&self, args: &PathArgs) -> Result<(), PathError> {
-        let intent = self.folder.join("intent.json");
-        std::fs::write(&intent, self.intent(args.adapters))?;
+        self.confirm(&intent(&self.pool_changes())).await?;
+        let mut first = 0;
+        while first < args.adapters {
+            let end = args.adapters.min(first + ADAPTERS_A_PLAN);
+            self.confirm(&intent(&adapter_changes(first..end))).await?;
+            first = end;
+        }
+        Ok(())
+    }
+
+    /// Plans and confirms an intent; tries again while the programs start.
+    async fn confirm(&self, intent: &str) -> Result<(), PathError> {
+        let file = self.folder.join("intent.json");
+        std::fs::write(&file, intent)?;
         let plan = self.folder.join("plan.json");
         let mut said = String::new();
         for _ in 0..TRIES {
-            let mut ended = self.banyan(&["plan", text(&intent), "--out", text(&plan)])?;
+            let mut ended = self.banyan(&["plan", text(&file), "--out", text(&plan)])?;
             if ended.is_ok() {
                 ended = self.banyan(&["confirm", text(&plan)])?;
             }
@@ -162,26 +179,15 @@
         })
     }
 
-    fn intent(&self, adapters: usize) -> String {
-        let mut out = String::from("{\"changes\":[");
-        let team = json!({"change": "put_team", "team": "path", "keys": [KEY_HASH], "share": 1});
+    fn pool_changes(&self) -> Vec<Value> {
         let replica = json!({"name": "engine-1", "address": self.engine, "zone": "suva-a",
             "slots": 32, "batch": 64});
-        let pool = json!({"change": "put_pool", "pool": "assistant", "spec": {
-            "kind": "engine", "base": "base", "honours_token": true, "weighing": "stalls",
-            "loads_per_s": 100.0, "step_us": 1, "replicas": [replica]}});
-        // Writing to a string cannot fail.
-        let _ = write!(out, "{team},{pool}");
-        for number in 0..adapters {
-            let name = format!("adapter-{number:05}");
-            let create = json!({"change": "create_adapter", "adapter": name, "owner": "path",
-                "pool": "assistant"});
-            let version = json!({"change": "add_version", "adapter": name, "version": 1});
-            let serve = json!({"change": "serve", "team": "path", "adapter": name, "version": 1});
-            let _ = write!(out, ",{create},{version},{serve}");
-        }
-        out.push_str("]}");
-        out
+        vec![
+            json!({"change": "put_team", "team": "path", "keys": [KEY_HASH], "share": 1}),
+            json!({"change": "put_pool", "pool": "assistant", "spec": {
+                "kind": "engine", "base": "base", "honours_token": true, "weighing": "stalls",
+                "loads_per_s": 100.0, "step_us": 1, "replicas": [replica]}}),
+        ]
     }
 
     pub(super) fn usage_entry(&self) -> io::Result<Usage> {
@@ -210,6 +216,24 @@
     }
 }
 
+fn adapter_changes(numbers: Range<usize>) -> Vec<Value> {
+    let mut changes = Vec::new();
+    for number in numbers {
+        let name = format!("adapter-{number:05}");
+        changes.extend([
+            json!({"change": "create_adapter", "adapter": name, "owner": "path",
+                "pool": "assistant"}),
+            json!({"change": "add_version", "adapter": name, "version": 1}),
+            json!({"change": "serve", "team": "path", "adapter": name, "version": 1}),
+        ]);
+    }
+    changes
+}
+
+fn intent(changes: &[Value]) -> String {
+    json!({ "changes": changes }).to_string()
+}
+
 fn own_folder() -> io::Result<PathBuf> {
     let own = std::env::current_exe()?;
     Ok(own.parent().map(Path::to_owned).unwrap_or_default())
