--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -2,3 +2,4 @@
 
 pub mod load;
 pub mod path;
+pub mod policy;
--- a/lib/src/control/owner/actor.rs
+++ b/lib/src/control/owner/actor.rs
@@ -140,6 +140,10 @@
 /// How often time passes at the least.
 const TICK: Span = Span::from_millis(100);
 
+/// How far ahead the pool is told that slots are frozen: several ticks, and
+/// the most by which they open late.
+const AHEAD: Span = Span::from_millis(500);
+
 /// How often the pool's state is published for `banyan status`.
 const PUBLISH: Span = Span::from_millis(500);
 
@@ -167,6 +171,7 @@
     pub(super) unloading: u32,
     pub(super) draining: bool,
     pub(super) deposed: bool,
+    pub(super) frozen: bool,
     recovering: bool,
     recover_at: Moment,
     published: Moment,
@@ -201,8 +206,10 @@
         let orders = Orders::new(std::time::Duration::from_millis(times.order_ms));
         let reports = Orders::new(std::time::Duration::from_millis(times.report_ms));
         let limits = local.settings.claim_limits();
+        let mut pool = new_pool(&catalog, &spec);
+        pool.freeze(clock::now().after(AHEAD));
         Some(Self {
-            pool: new_pool(&catalog, &spec),
+            pool,
             book: Book::new(tenure.token),
             journal: Journal::new(tenure.token, limits),
             safety: Safety::new(honours, tenure, margin, quarantine),
@@ -219,6 +226,7 @@
             unloading: 0,
             draining: false,
             deposed: false,
+            frozen: true,
             recovering: false,
             recover_at: Moment(0),
             published: Moment(0),
@@ -321,12 +329,15 @@
         self.verdicts = board;
     }
 
+    // The pool is told a little ahead, so that it plans no change it may not
+    // make; should a tick come later than that, `load` still refuses.
     fn keep_frozen(&mut self, now: Moment) {
         let replicas: BTreeSet<_> = self.replicas.keys().cloned().collect();
         let closed = self.safety.is_frozen(now, &replicas, &self.facts);
         // Past the lease, slots at engines that ignore tokens are not changed.
-        if closed || !self.safety.may_order(now) {
-            self.pool.freeze(now.after(Span(2 * TICK.0)));
+        self.frozen = closed || !self.safety.may_order(now);
+        if self.frozen {
+            self.pool.freeze(now.after(AHEAD));
         }
     }
 
