entry: release a broken dispatch only after its upstream has ended it

Cause: after an answer with another's identity, or a break, the entry told the owner at once that the grant had ended; the engine still ran the request, and the owner evicted its adapter under it. Ruled out: the owner's count of grants (the release stands before the load order on the time line) and late load reports. Change: for ends after which the upstream may go on, the cancel is waited for (5 s at the most, when the engine gives up by itself) and the grant renewed until then. The tests' fake owner gave a grant number twice, as an owner never does, and matched releases by arrival; it now numbers each try and matches by grant.

--- a/cli/tests/runner.rs
+++ b/cli/tests/runner.rs
@@ -5,5 +5,15 @@
     reason = "a helper of a test fails by a panic, as the test itself does"
 )]
 
+mod proof;
 mod test_banyan;
 mod test_output;
+mod test_promise_at_most_once;
+mod test_promise_config_in_force;
+mod test_promise_exact_version;
+mod test_promise_graceful_stop;
+mod test_promise_leaving_drains;
+mod test_promise_no_evict_in_use;
+mod test_promise_not_run_true;
+mod test_promise_usage_attributed;
+mod test_promise_whole_answer;
--- /dev/null
+++ b/cli/tests/test_promise_at_most_once.rs
@@ -0,0 +1,13 @@
+//! A non-idempotent request runs at most once.
+
+use banyangauge_testutils::prove::Promise;
+use rstest::rstest;
+
+use crate::proof::assert_kept;
+
+#[rstest]
+#[case::one_fault(1, false)]
+#[case::two_faults(2, true)]
+fn at_most_once_under(#[case] seed: u64, #[case] pairs: bool) {
+    assert_kept(Promise::AtMostOnce, seed, pairs);
+}
--- /dev/null
+++ b/cli/tests/test_promise_exact_version.rs
@@ -0,0 +1,13 @@
+//! Each request runs on exactly the adapter and version it names.
+
+use banyangauge_testutils::prove::Promise;
+use rstest::rstest;
+
+use crate::proof::assert_kept;
+
+#[rstest]
+#[case::one_fault(1, false)]
+#[case::two_faults(2, true)]
+fn exact_version_under(#[case] seed: u64, #[case] pairs: bool) {
+    assert_kept(Promise::ExactVersion, seed, pairs);
+}
--- /dev/null
+++ b/cli/tests/test_promise_graceful_stop.rs
@@ -0,0 +1,14 @@
+//! A planned stop cuts off no request in flight.
+
+use banyangauge_testutils::prove::Promise;
+use rstest::rstest;
+
+use crate::proof::assert_kept;
+
+#[rstest]
+#[case::one_fault(1, false)]
+#[case::two_faults(2, true)]
+#[case::leaving_beside_a_stop(6, true)]
+fn graceful_stop_under(#[case] seed: u64, #[case] pairs: bool) {
+    assert_kept(Promise::GracefulStop, seed, pairs);
+}
--- /dev/null
+++ b/cli/tests/test_promise_leaving_drains.rs
@@ -0,0 +1,13 @@
+//! An upstream that is leaving receives no new work after a few seconds.
+
+use banyangauge_testutils::prove::Promise;
+use rstest::rstest;
+
+use crate::proof::assert_kept;
+
+#[rstest]
+#[case::one_fault(1, false)]
+#[case::two_faults(2, true)]
+fn leaving_drains_under(#[case] seed: u64, #[case] pairs: bool) {
+    assert_kept(Promise::LeavingDrains, seed, pairs);
+}
--- /dev/null
+++ b/cli/tests/test_promise_not_run_true.rs
@@ -0,0 +1,13 @@
+//! A refusal that says "not run" is true.
+
+use banyangauge_testutils::prove::Promise;
+use rstest::rstest;
+
+use crate::proof::assert_kept;
+
+#[rstest]
+#[case::one_fault(1, false)]
+#[case::two_faults(2, true)]
+fn not_run_true_under(#[case] seed: u64, #[case] pairs: bool) {
+    assert_kept(Promise::NotRunTrue, seed, pairs);
+}
--- a/lib/src/entry/hold.rs
+++ b/lib/src/entry/hold.rs
@@ -137,26 +137,55 @@
             claim_outcome: claim_outcome(!self.claim.is_empty(), outcome).to_owned(),
             claim: self.claim.clone(),
         };
-        // The mailbox holds more than all requests in flight can send.
-        self.commands.try_send(Command::Release(release)).ok();
+        match self
+            .running
+            .take()
+            .filter(|r| r.engine && may_go_on(outcome))
+        {
+            Some(running) => release_when_ended(running, self.commands.clone(), release),
+            None => tell(&self.commands, release),
+        }
+    }
+}
+
+/// Whether the upstream may still run the request after such an end.
+const fn may_go_on(outcome: Outcome) -> bool {
+    match outcome {
+        Outcome::Answered | Outcome::NotRun => false,
+        Outcome::BrokenEarly
+        | Outcome::BrokenLate
+        | Outcome::Cancelled
+        | Outcome::WrongIdentity => true,
     }
 }
 
+// The owner may evict the adapter as soon as it is told, so the engine ends
+// the request first. Until then the grant is renewed like any other.
+fn release_when_ended(running: Running, commands: mpsc::Sender<Command>, release: wire::Release) {
+    let Ok(runtime) = tokio::runtime::Handle::try_current() else {
+        return tell(&commands, release);
+    };
+    runtime.spawn(async move {
+        cancel(&running.upstreams, running.address, &running.request).await;
+        tell(&commands, release);
+    });
+}
+
+fn tell(commands: &mpsc::Sender<Command>, release: wire::Release) {
+    // The mailbox holds more than all requests in flight can send.
+    commands.try_send(Command::Release(release)).ok();
+}
+
 impl Drop for Hold {
     fn drop(&mut self) {
         if self.settled {
             return;
         }
-        match self.running.take() {
-            Some(r) => {
-                if r.engine {
-                    cancel(&r.upstreams, r.address, &r.request);
-                }
-                self.running = Some(r);
-                self.send(Outcome::Cancelled);
-            }
-            None => self.send(Outcome::NotRun),
-        }
+        let outcome = match self.running {
+            Some(_) => Outcome::Cancelled,
+            None => Outcome::NotRun,
+        };
+        self.send(outcome);
     }
 }
 
--- a/lib/src/upstream/run.rs
+++ b/lib/src/upstream/run.rs
@@ -228,8 +228,9 @@
     }
 }
 
-/// Asks an engine to end a request; whether it worked is not waited for.
-pub fn cancel(upstreams: &Upstreams, address: SocketAddr, request: &str) {
+/// Asks an engine to end a request and waits until it has, or until
+/// `CANCEL_TIMEOUT`, when the engine has ended it by itself.
+pub async fn cancel(upstreams: &Upstreams, address: SocketAddr, request: &str) {
     let Ok(message) = Request::builder()
         .method(Method::DELETE)
         .uri(format!("/v1/requests/{request}"))
@@ -238,19 +239,13 @@
     else {
         return;
     };
-    let Ok(runtime) = tokio::runtime::Handle::try_current() else {
-        return;
+    let work = async {
+        if let Ok(mut answer) = upstreams.send(address, message).await {
+            // Reading to the end lets the connection be used again.
+            collect(&mut answer, MAX_ERROR).await.ok();
+        }
     };
-    let upstreams = upstreams.clone();
-    runtime.spawn(async move {
-        let work = async {
-            if let Ok(mut answer) = upstreams.send(address, message).await {
-                // Reading to the end lets the connection be used again.
-                collect(&mut answer, MAX_ERROR).await.ok();
-            }
-        };
-        tokio::time::timeout(CANCEL_TIMEOUT, work).await.ok();
-    });
+    tokio::time::timeout(CANCEL_TIMEOUT, work).await.ok();
 }
 
 /// The longest time a cancel may take; after 5 s the engine gives up a stream
--- a/lib/tests/test_entry_failures.rs
+++ b/lib/tests/test_entry_failures.rs
@@ -90,6 +90,8 @@
     let answer = world.ask(&completion(), body).await;
     assert_eq!((answer.status, answer.whole), (200, true), "{answer:?}");
     assert_eq!(outcomes(&world.releases(2).await), [2, 0]);
+    // Told only after the upstream was asked to end it.
+    assert_eq!(bad.count("DELETE"), 1);
     assert_eq!(world.entry.state.usage.counts()[0].requests, 1);
 }
 
--- a/lib/tests/test_entry_fakes.rs
+++ b/lib/tests/test_entry_fakes.rs
@@ -97,7 +97,8 @@
 pub(crate) fn grant(a: &wire::Acquire, address: SocketAddr, ttl_ms: u64) -> FromOwner {
     FromOwner::Granted(wire::Grant {
         request: a.request,
-        grant: a.request + 1_000,
+        // Never given twice, as the owner's tickets are not.
+        grant: a.request + 1_000 * (1 + u64::from(a.attempt)),
         replica: format!("replica-{}", address.port()),
         address: address.to_string(),
         incarnation: 7,
@@ -252,13 +253,16 @@
     }
 
     /// Releases that the owner heard, once there are `count` of them.
+    /// The releases in the order of their grants: one that waits for a cancel
+    /// comes after that of the next try.
     pub(crate) async fn releases(&self, count: usize) -> Vec<wire::Release> {
         for _ in 0..300 {
-            let list: Vec<_> = self.hear(|m| match m {
+            let mut list: Vec<_> = self.hear(|m| match m {
                 ToOwner::Release(r) => Some(r.clone()),
                 _ => None,
             });
             if list.len() >= count {
+                list.sort_by_key(|r| r.grant);
                 return list;
             }
             tokio::time::sleep(Duration::from_millis(10)).await;
@@ -368,6 +372,11 @@
         let (head, body) = read_message(&mut stream, &mut buffer).await?;
         let request = Got { head, body };
         got.lock().unwrap().push(request.clone());
+        if request.head.starts_with("DELETE") {
+            let done = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+            stream.write_all(done).await.ok()?;
+            continue;
+        }
         for act in script(&request) {
             match act {
                 Act::Write(s) => stream.write_all(s.as_bytes()).await.ok()?,
--- a/testutils/src/prove/run.rs
+++ b/testutils/src/prove/run.rs
@@ -12,6 +12,7 @@
 use banyangauge::operator::timeline_text;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
+use tokio::sync::Semaphore;
 
 use super::evidence::Evidence;
 use super::evidence::read_runs;
@@ -50,12 +51,19 @@
     pub timeline: String,
 }
 
+/// Runs side by side in one process at the most; each is a dozen programs, and
+/// a run that starves shows the machine's limits instead of the system's.
+const SIDE_BY_SIDE: usize = 4;
+
+static TURNS: Semaphore = Semaphore::const_new(SIDE_BY_SIDE);
+
 /// Runs a schedule on programs of its own.
 ///
 /// # Errors
 ///
 /// When the programs do not start, or a stand-in does not answer.
 pub async fn run(schedule: &Schedule) -> io::Result<Report> {
+    let _turn = TURNS.acquire().await.map_err(io::Error::other)?;
     let size = Size {
         honours_token: schedule.honours_token,
         ..Size::default()
