--- a/bench/src/policy/mod.rs
+++ b/bench/src/policy/mod.rs
@@ -107,7 +107,10 @@
 
 /// The settings that give the decisions of the round before the latest.
 fn previous(settings: &PoolSettings) -> PoolSettings {
-    settings.clone()
+    PoolSettings {
+        ahead: false,
+        ..settings.clone()
+    }
 }
 
 /// Looks the next use of an adapter up in the arrivals.
--- a/lib/src/pool/adapter.rs
+++ b/lib/src/pool/adapter.rs
@@ -175,6 +175,11 @@
         due.map(|(_, r, a)| (r, a))
     }
 
+    /// Adapters that are loaded nowhere, the most asked for first.
+    pub(super) fn missed(&self) -> impl Iterator<Item = &AdapterVersion> {
+        self.cold.iter().rev().map(|(_, a)| a)
+    }
+
     /// Takes an adapter out of the indexes before its demand, holders or idle
     /// slots change; [`Adapters::index`] puts it back.
     pub(super) fn unindex(&mut self, adapter: &AdapterVersion) {
--- a/lib/src/pool/settings.rs
+++ b/lib/src/pool/settings.rs
@@ -63,9 +63,14 @@
     /// Retries allowed, in hundredths of the answers.
     #[builder(default = 10)]
     pub retry_share: u32,
-    /// Half-life of the count of an adapter's requests, in microseconds.
-    #[builder(default = Span::from_millis(120_000))]
+    /// Half-life of the count of an adapter's requests, in microseconds; 0 is
+    /// by the weighing: 80 s for stalls, 200 s for batch.
+    #[builder(default)]
     pub half_life: Span,
+    /// Whether adapters are loaded ahead of requests while nothing waits for a
+    /// load.
+    #[builder(default = true)]
+    pub ahead: bool,
     /// How long a request stays convicted of crashing its upstream, in
     /// microseconds.
     #[builder(default = Span::from_millis(600_000))]
@@ -79,6 +84,19 @@
 }
 
 impl PoolSettings {
+    /// Half-life of the count of an adapter's requests, in microseconds.
+    ///
+    /// A short one notices a shift sooner, a long one tells apart adapters that
+    /// are asked for once in a minute. Long work can wait for a load, so the
+    /// second counts for more where full steps do.
+    pub(super) fn half_life_us(&self) -> f64 {
+        match (self.half_life.0, self.weighing) {
+            (0, Weighing::Stalls) => 80e6,
+            (0, Weighing::Batch) => 200e6,
+            (us, _) => us as f64,
+        }
+    }
+
     /// The part of a batch, in hundredths, that long work may hold.
     ///
     /// Where stalls weigh more, a quarter stays free for those who stand and
--- a/lib/src/pool/slots.rs
+++ b/lib/src/pool/slots.rs
@@ -19,7 +19,7 @@
 impl Pool {
     /// Half-life of demand, in microseconds.
     pub(super) fn half_life(&self) -> f64 {
-        self.settings.half_life.0.max(1) as f64
+        self.settings.half_life_us()
     }
 
     /// Counts a request for an adapter. A retry is not demand of its own.
