--- a/lib/src/pool/dispatch.rs
+++ b/lib/src/pool/dispatch.rs
@@ -68,10 +68,6 @@
             } else {
                 0.0
             };
-            // Gathering: long work joins the fullest copy that has room.
-            if lane == Lane::Long && self.gathers() {
-                return u64::MAX - self.score(r, -bonus);
-            }
             self.score(r, bonus)
         };
         if a.adapter.is_some() {
