pool: let long work bear ten seconds before a second copy

A second copy for long work was loaded as soon as more waited than a load's time would end, which for readings of several seconds is two. In mixed a quarter of all loads were such copies, and the counters' loads queued behind. Long work now bears 10 s, and has one load in six beside others, not four.

--- a/bench/src/policy/work.rs
+++ b/bench/src/policy/work.rs
@@ -197,7 +197,7 @@
         let w = &self.d.work;
         match self.scenario {
             Scenario::Mixed => (w.short, w.mixed),
-            Scenario::Saturated => (w.short * w.saturated, w.mixed * w.saturated),
+            Scenario::Saturated => (w.saturated[0], w.saturated[1]),
             _ => (w.short, w.long),
         }
     }
--- a/lib/src/pool/loads.rs
+++ b/lib/src/pool/loads.rs
@@ -27,7 +27,10 @@
 const COPY_DELAY: f64 = 2_000_000.0;
 
 /// One load in so many goes to long work, also when shorter work waits.
-const LOADS_A_LONG: u64 = 4;
+const LOADS_A_LONG: u64 = 6;
+
+/// How long long work waits for its turn before a second copy is loaded.
+const LONG_BEARS: Span = Span::from_millis(10_000);
 
 /// Wanted loads of a lane looked at for one that can be ordered now.
 const LOADS_PROBED: usize = 8;
@@ -113,7 +116,7 @@
     /// Made for a hot adapter whose replica is full. A second copy takes a
     /// slot from another adapter for good, so it is loaded only when another
     /// replica has room and more wait than those that have the adapter end
-    /// within the time of the load.
+    /// within the time of the load, or for long work in the time it bears.
     fn wants_load(&self, now: Moment, adapter: &AdapterVersion) -> bool {
         let Some(e) = self.adapters.get(&Some(adapter.clone())) else {
             return false;
@@ -133,7 +136,11 @@
             let full = !live.iter().any(|r| self.takes(r, lane));
             let work = self.service.mean(lane).0 * e.list(lane).len() as u64;
             let batch: u32 = live.iter().map(|r| r.spec.batch).sum();
-            full && work > self.load_time().0 * u64::from(batch)
+            let bearable = match lane {
+                Lane::Short => self.load_time().0,
+                Lane::Long => LONG_BEARS.0,
+            };
+            full && work > bearable * u64::from(batch)
         })
     }
 
