pool: doubt a replica that refuses, and load ahead what a leaving one holds

A replica that is down refuses at once, so it seemed the least loaded and drew all requests in; it now gets nothing new until its next report. Dispatches that a new owner adopts before it knows the replica are counted at the first report. An adapter that only replicas hold that take no work counts as not loaded, so it is loaded ahead elsewhere. Verdicts are bounded in number.

--- a/lib/src/pool/adapter.rs
+++ b/lib/src/pool/adapter.rs
@@ -97,7 +97,7 @@
     by_use: BTreeSet<(Moment, ReplicaName, AdapterVersion)>,
     /// The same, those first whose next request is the longest overdue.
     by_due: BTreeSet<(Moment, ReplicaName, AdapterVersion)>,
-    /// Known adapters that are loaded nowhere, the least asked for first.
+    /// Known adapters that no live replica has, the least asked for first.
     cold: BTreeSet<(i64, AdapterVersion)>,
 }
 
@@ -175,7 +175,7 @@
         due.map(|(_, r, a)| (r, a))
     }
 
-    /// Adapters that are loaded nowhere, the most asked for first.
+    /// Adapters that no live replica has, the most asked for first.
     pub(super) fn missed(&self) -> impl Iterator<Item = &AdapterVersion> {
         self.cold.iter().rev().map(|(_, a)| a)
     }
@@ -203,6 +203,7 @@
         &mut self,
         adapter: &AdapterVersion,
         half_us: f64,
+        live: impl Fn(&ReplicaName) -> bool,
         idle: impl Fn(&ReplicaName) -> bool,
     ) {
         let Some(a) = self.all.get_mut(&Some(adapter.clone())) else {
@@ -212,7 +213,7 @@
         let last = a.demand.last;
         let due = a.demand.due(half_us);
         a.ranked = Some(Rank { key, last, due });
-        if a.holders.is_empty() {
+        if !a.holders.iter().any(live) {
             self.cold.insert((key, adapter.clone()));
         }
         for r in a.holders.iter().filter(|r| idle(r)) {
--- a/lib/src/pool/admit.rs
+++ b/lib/src/pool/admit.rs
@@ -73,6 +73,7 @@
             .adapters
             .wanted_before(Lane::of(a.class), key, LOADS_COUNTED);
         let load = self.load_time().0;
+        let pause = pause.max(self.frozen.since(now));
         Span(pause.0.max(load * ahead as u64) + load)
     }
 
--- a/lib/src/pool/health.rs
+++ b/lib/src/pool/health.rs
@@ -92,7 +92,7 @@
         r.changed = Moment(now.0.saturating_sub(report.age.0));
         r.pace = 0.0;
         r.foreign = 0;
-        let tickets = std::mem::take(&mut r.tickets);
+        r.tickets.clear();
         r.longs = 0;
         r.long_users.clear();
         for adapter in lost {
@@ -107,7 +107,7 @@
         for adapter in &report.loaded {
             self.gain(now, name, adapter);
         }
-        self.readopt(now, name, tickets);
+        self.readopt(now, name);
         self.change(now, name, |r| {
             r.known = true;
             r.doubt = None;
@@ -117,17 +117,14 @@
         });
     }
 
-    /// Counts again those dispatches that were made to this incarnation, such
-    /// as a new owner's that were adopted before the first report.
-    fn readopt(&mut self, now: Moment, name: &ReplicaName, tickets: BTreeSet<Ticket>) {
+    /// Counts those dispatches that were made to this incarnation, such as a
+    /// new owner's that were adopted before the first report.
+    fn readopt(&mut self, now: Moment, name: &ReplicaName) {
         let inc = self.replicas.get(name).map(|r| r.incarnation);
-        for ticket in tickets {
-            let Some(run) = self.running.get(&ticket) else {
-                continue;
-            };
-            if Some(run.incarnation) == inc
-                && let Some(run) = self.running.remove(&ticket)
-            {
+        let here = self.running.iter().filter(|(_, run)| run.replica == *name);
+        let here = here.filter(|(_, run)| Some(run.incarnation) == inc);
+        for ticket in here.map(|(t, _)| *t).collect::<Vec<_>>() {
+            if let Some(run) = self.running.remove(&ticket) {
                 self.start(now, ticket, run);
             }
         }
@@ -202,7 +199,8 @@
                     self.lose(now, &run.replica, adapter, true);
                 }
             }
-            Outcome::NotRun | Outcome::Cancelled => {}
+            Outcome::NotRun => self.doubt(now, run),
+            Outcome::Cancelled => {}
         }
     }
 
@@ -235,16 +233,25 @@
             self.verdicts
                 .suspect(now, run.fingerprint, &run.replica, run.incarnation);
         }
-        let Some(r) = self.replicas.get(&run.replica) else {
-            return;
-        };
-        if r.incarnation != run.incarnation {
-            return;
-        }
-        for other in r.tickets.iter().filter_map(|t| self.running.get(t)) {
+        let others = self.replicas.get(&run.replica).map(|r| r.tickets.iter());
+        let others = others.into_iter().flatten().copied().collect::<Vec<_>>();
+        let others = others.iter().filter_map(|t| self.running.get(t));
+        for other in others.filter(|o| o.incarnation == run.incarnation) {
             self.verdicts
                 .suspect(now, other.fingerprint, &run.replica, run.incarnation);
         }
-        self.change(now, &run.replica, |r| r.doubt = Some(now));
+        self.doubt(now, run);
+    }
+
+    /// Sends nothing new to a replica until its next report.
+    ///
+    /// Made for an upstream that is down and refuses at once: it ends its work
+    /// sooner than any other, seems the least loaded and would draw all
+    /// requests in, each to be refused.
+    fn doubt(&mut self, now: Moment, run: &Running) {
+        let same = |r: &Replica| r.incarnation == run.incarnation;
+        if self.replicas.get(&run.replica).is_some_and(same) {
+            self.change(now, &run.replica, |r| r.doubt = Some(now));
+        }
     }
 }
--- a/lib/src/pool/slots.rs
+++ b/lib/src/pool/slots.rs
@@ -45,7 +45,8 @@
             let r = replicas.get(name);
             r.is_some_and(|r| evictable(r, adapter))
         };
-        self.adapters.index(adapter, half, idle);
+        let live = |name: &ReplicaName| replicas.get(name).is_some_and(|r| r.live());
+        self.adapters.index(adapter, half, live, idle);
     }
 
     /// Changes holders of an adapter and keeps the indexes in step.
--- a/lib/src/pool/verdicts.rs
+++ b/lib/src/pool/verdicts.rs
@@ -12,7 +12,8 @@
 /// retries, shorter than what would keep an innocent request slow.
 const SUSPICION: Span = Span::from_millis(120_000);
 
-/// The most fingerprints kept of either kind; the soonest to end goes first.
+/// The most fingerprints kept of either kind: those that have ended go first,
+/// then any, as a flood of them must not fill the memory.
 const MOST_KEPT: usize = 8_192;
 
 #[derive(Debug)]
@@ -44,6 +45,9 @@
         if self.suspects.len() >= MOST_KEPT {
             self.suspects.retain(|_, s| s.until > now);
         }
+        if self.suspects.len() >= MOST_KEPT {
+            self.suspects.pop_first();
+        }
         let suspicion = Suspicion {
             until: now.after(SUSPICION),
             replica: replica.clone(),
@@ -75,6 +79,9 @@
         if self.convicted.len() >= MOST_KEPT {
             self.convicted.retain(|_, end| *end > now);
         }
+        if self.convicted.len() >= MOST_KEPT {
+            self.convicted.pop_first();
+        }
         self.suspects.remove(&fingerprint);
         let end = self.convicted.entry(fingerprint).or_insert(until);
         *end = until.max(*end);
