--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -6,6 +6,7 @@
 
 mod rig;
 mod test_catalog_apply;
+mod test_catalog_cost;
 mod test_catalog_ledger;
 mod test_claims_journal;
 mod test_claims_owner;
@@ -14,9 +15,11 @@
 mod test_entry_fakes;
 mod test_entry_input;
 mod test_entry_ledger;
+mod test_entry_life;
 mod test_entry_path;
 mod test_ids;
 mod test_lease_contest;
+mod test_link_tls;
 mod test_members_table;
 mod test_owner_book;
 mod test_owner_rig;
@@ -25,4 +28,5 @@
 mod test_pool_outcomes;
 mod test_pool_promises;
 mod test_pool_rig;
+mod test_upstream_sse;
 mod test_usage_store;
