--- a/lib/tests/test_catalog_ledger.rs
+++ b/lib/tests/test_catalog_ledger.rs
@@ -140,6 +140,59 @@
     assert_eq!(serving["laundry"], 1);
 }
 
+/// The operator's client gave up on one control process and asked another: both
+/// confirm the same operation at once, and it takes effect once.
+#[tokio::test]
+async fn confirm_same_operation_at_two_vms() {
+    let (_running, platform) = rig::platform().await;
+    let (ledger, mut catalog) = with_basics(&platform).await;
+    for version in 4..14 {
+        let plan = rig::plan(&catalog, vec![rig::add("rosters", version)]);
+        let other = Ledger::new(platform.clone());
+        let (one, two) = tokio::join!(
+            ledger.confirm(&plan, "ana", &catalog),
+            other.confirm(&plan, "ana", &catalog)
+        );
+        let (one, two) = (one.unwrap(), two.unwrap());
+        assert_eq!(one.revision, two.revision);
+        assert!(one.made.is_some() != two.made.is_some());
+        catalog = read(&ledger).await;
+        assert_eq!(catalog.revision, one.revision);
+    }
+}
+
+/// A process died after it had written a shard and before the root: the shard
+/// is deleted by a later confirmation, what is named stays.
+#[tokio::test]
+async fn confirm_sweeps_orphans() {
+    let (_running, platform) = rig::platform().await;
+    let (ledger, mut catalog) = with_basics(&platform).await;
+    let orphan = "00-2-00112233445566aa";
+    let late = "00-9000-00112233445566aa";
+    for name in [orphan, late] {
+        platform
+            .create("shards", name, &Shard::default())
+            .await
+            .unwrap();
+    }
+    while catalog.revision.0 < 256 {
+        let version = catalog.revision.0 as u32 + 3;
+        let plan = rig::plan(&catalog, vec![rig::add("rosters", version)]);
+        let made = ledger.confirm(&plan, "ana", &catalog).await.unwrap().made;
+        catalog = made.unwrap().1;
+    }
+    let list = platform.list::<Shard>("shards").await.unwrap();
+    let names: Vec<_> = list
+        .items
+        .iter()
+        .map(|o| o.metadata.name.as_str())
+        .collect();
+    assert!(!names.contains(&orphan));
+    // It may belong to a confirmation under way.
+    assert!(names.contains(&late));
+    assert_eq!(read(&ledger).await, catalog);
+}
+
 /// A repeat of an operation that the root has forgotten is refused, also when
 /// everything it read looks again as it did.
 #[tokio::test]
