--- a/lib/src/operator/client.rs
+++ b/lib/src/operator/client.rs
@@ -79,7 +79,8 @@
         let text = status.message().to_owned();
         match status.code() {
             Code::Aborted => Self::Conflict(text),
-            Code::InvalidArgument => Self::Form(text),
+            // Out of range: the message is larger than the process accepts.
+            Code::InvalidArgument | Code::OutOfRange => Self::Form(text),
             Code::FailedPrecondition | Code::Unauthenticated | Code::PermissionDenied => {
                 Self::Refused(text)
             }
@@ -162,7 +163,13 @@
     ///
     /// As for each call: see [`ClientError`].
     pub async fn confirm(&self, plan: &Plan) -> Result<u64, ClientError> {
-        let body = serde_json::to_vec(plan).map_err(|e| ClientError::Form(e.to_string()))?;
+        // The effects are for the reader; without them the message is half as
+        // large.
+        let bare = Plan {
+            effects: Vec::new(),
+            ..plan.clone()
+        };
+        let body = serde_json::to_vec(&bare).map_err(|e| ClientError::Form(e.to_string()))?;
         let message = wire::ConfirmRequest {
             operator: String::new(),
             operation: plan.operation.clone(),
--- a/lib/tests/test_catalog_cost.rs
+++ b/lib/tests/test_catalog_cost.rs
@@ -88,7 +88,7 @@
     let shared = rig::shared("vm-1", &platform, &[]);
     let start = Instant::now();
     tokio::spawn(config::run(shared.clone()));
-    rig::in_force(&shared, 1).await;
+    rig::in_force(&shared, catalog.revision.0).await;
     let first = start.elapsed();
     let writes = rig::calls(&running, "shards", "create").await;
     let (mut took, mut seen) = (Vec::new(), Vec::new());
