--- a/lib/tests/rig/mod.rs
+++ b/lib/tests/rig/mod.rs
@@ -64,10 +64,16 @@
     control_call(running, "POST /faults", switches).await;
 }
 
+/// What the platform has seen.
+pub(crate) async fn history(running: &Running) -> Value {
+    control_call(running, "GET /history", json!({})).await
+}
+
 /// Calls of a kind and method that the platform has seen.
 pub(crate) async fn calls(running: &Running, kind: &str, method: &str) -> u64 {
-    let history = control_call(running, "GET /history", json!({})).await;
-    history["calls"][kind][method].as_u64().unwrap_or(0)
+    history(running).await["calls"][kind][method]
+        .as_u64()
+        .unwrap_or(0)
 }
 
 /// What a control process on `vm` holds.
--- a/lib/tests/test_catalog_ledger.rs
+++ b/lib/tests/test_catalog_ledger.rs
@@ -2,6 +2,7 @@
 //! by two operators at once.
 
 use std::sync::Mutex;
+use std::time::Duration;
 
 use banyangauge::catalog::Catalog;
 use banyangauge::catalog::ConfirmError;
@@ -13,6 +14,9 @@
 use banyangauge::ids::Revision;
 use banyangauge::platform::Platform;
 use banyangauge::platform::PlatformError;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
 use serde_json::json;
 use todc_utils::Action;
@@ -360,6 +364,109 @@
     assert!(WGLChecker::<Serving>::is_linearizable(history));
 }
 
+/// What an operator was told of one confirmation.
+enum Told {
+    InForce(u64),
+    NothingChanged,
+    Unknown,
+}
+
+/// Six operators confirm while answers are lost and the platform comes and
+/// goes. What each was told is true by the platform's own record: in force is
+/// there once and at that revision, "nothing changed" is not there.
+#[rstest]
+#[tokio::test]
+async fn confirm_told_the_truth(#[values(1, 2, 3, 4)] seed: u64) {
+    let (running, platform) = rig::platform().await;
+    let (_, catalog) = with_basics(&platform).await;
+    let chaos = async {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        for _ in 0..16 {
+            let lost = rng.random_range(0..5);
+            let switches = json!({"lose_after_write": lost, "down": rng.random_bool(0.4)});
+            rig::fault(&running, switches).await;
+            tokio::time::sleep(Duration::from_millis(rng.random_range(5..200))).await;
+        }
+        rig::fault(&running, json!({"lose_after_write": 0, "down": false})).await;
+    };
+    let operator = async |who: u32| {
+        let ledger = Ledger::new(platform.clone());
+        let mut told = Vec::new();
+        for turn in 0..8 {
+            let known = match ledger.read_root().await {
+                Ok(read) => ledger
+                    .read_catalog(&read.root)
+                    .await
+                    .unwrap_or(catalog.clone()),
+                Err(_) => catalog.clone(),
+            };
+            let adapter = ["rosters", "dryers"][(who % 2) as usize];
+            let version = 4 + turn * 6 + who;
+            let Ok(plan) = Plan::new(&known, vec![rig::add(adapter, version)]) else {
+                continue;
+            };
+            let end = match ledger.confirm(&plan, &format!("o{who}"), &known).await {
+                Ok(confirmed) => Told::InForce(confirmed.revision.0),
+                Err(ConfirmError::Unknown(_)) => Told::Unknown,
+                Err(_) => Told::NothingChanged,
+            };
+            told.push((plan.operation, end));
+        }
+        told
+    };
+    let (_, a, b, c, d, e, f) = tokio::join!(
+        chaos,
+        operator(0),
+        operator(1),
+        operator(2),
+        operator(3),
+        operator(4),
+        operator(5)
+    );
+    let made = root_operations(&rig::history(&running).await);
+    let mut in_force = 0;
+    for (operation, told) in [a, b, c, d, e, f].into_iter().flatten() {
+        let at: Vec<_> = made.iter().filter(|(o, _)| *o == operation).collect();
+        match told {
+            Told::InForce(revision) => {
+                assert_eq!(at, [&(operation, revision)]);
+                in_force += 1;
+            }
+            Told::NothingChanged => assert!(at.is_empty(), "{operation} took effect"),
+            Told::Unknown => assert!(at.len() <= 1),
+        }
+    }
+    assert!(in_force > 0);
+    let revisions: Vec<_> = made.iter().map(|(_, r)| *r).collect();
+    assert!(
+        revisions.iter().copied().eq(1..=made.len() as u64),
+        "{revisions:?}"
+    );
+    let ledger = Ledger::new(platform.clone());
+    let root = ledger.read_root().await.unwrap().root;
+    let mut replayed = Catalog::default();
+    if let Some(next) = banyangauge::catalog::replay(&replayed, &root) {
+        replayed = next;
+        assert_eq!(replayed, read(&ledger).await);
+    }
+}
+
+/// The operations that put each root in force, by the platform's record.
+fn root_operations(history: &serde_json::Value) -> Vec<(String, u64)> {
+    let writes = history["writes"].as_array().unwrap().iter();
+    let roots = writes.filter(|w| w["object"]["kind"] == "catalogs");
+    let last = |w: &serde_json::Value| {
+        let entry = w["object"]["spec"]["log"]
+            .as_array()
+            .unwrap()
+            .last()
+            .unwrap();
+        let operation = entry["operation"].as_str().unwrap().to_owned();
+        (operation, entry["revision"].as_u64().unwrap())
+    };
+    roots.map(last).collect()
+}
+
 #[test]
 fn plan_effects() {
     let mut catalog = Catalog::default();
