--- a/lib/src/pool/loads.rs
+++ b/lib/src/pool/loads.rs
@@ -9,7 +9,7 @@
 
 /// Microseconds that each waiting request makes its adapter's wait seem
 /// older: a load that serves three callers goes before one that serves one.
-const PER_WAITING: f64 = 1_000_000.0;
+const PER_WAITING: f64 = 4_000_000.0;
 
 /// A long request counts for less: nobody stands and waits for it.
 const LONG_WEIGHT: f64 = 0.25;
@@ -56,7 +56,7 @@
 
 /// Seconds of silence, in mean intervals between requests, after which demand
 /// is thought to have gone elsewhere.
-pub(super) const SILENCE: f64 = 4.0;
+pub(super) const SILENCE: f64 = 1.0;
 
 /// Weighs several candidates of nearly equal demand by where they are.
 const NEARLY: f64 = 2.0;
@@ -180,7 +180,7 @@
                 let ghost = r.ghosts.iter().find(|g| !r.users.contains_key(*g));
                 let ghost = ghost.filter(|_| !r.vacant());
                 let fit = r.vacant() || ghost.is_some();
-                fit.then(|| (ghost, !r.open(), r.busy(), r.loaded.len(), n))
+                fit.then(|| (ghost, !r.open(), self.crowd(r, n), r.loaded.len(), n))
             })
             .collect();
         free.sort();
@@ -213,6 +213,8 @@
     /// Made for popularity that shifts without warning. The worth of a slot is
     /// the demand expected for it: the decayed count, but no more than its
     /// silence leaves likely. The least of either index is the least of both.
+    /// A slot whose next request is long overdue is worth nothing: right after
+    /// a shift those of yesterday's busiest adapters go first.
     /// An adapter for which something waits keeps its slot, so that no two
     /// adapters chase each other out; but long work that waits for its turn
     /// does not keep a slot from someone who stands and waits.
@@ -235,14 +237,27 @@
             let r = fits(name)?;
             Some((worth(a)?, r, name.clone(), a.clone()))
         };
+        let overdue = self.adapters.overdue(now).take(SLOTS_WALKED);
+        if let Some((_, _, name, a)) = overdue.filter_map(fit).next() {
+            return Some((name, Some(a)));
+        }
         let mut slots: Vec<_> = rate.filter_map(fit).take(SLOTS_PROBED).collect();
         slots.extend(silent.filter_map(fit).take(SLOTS_PROBED));
         let least = slots.iter().map(|s| s.0).min_by(f64::total_cmp)?;
         let near = slots.iter().filter(|s| s.0 <= least * NEARLY);
-        let best = near.min_by_key(|(_, r, _, _)| (!r.open(), r.busy()));
+        let best = near.min_by_key(|(_, r, name, _)| (!r.open(), self.crowd(r, name)));
         best.map(|(_, _, name, a)| (name.clone(), Some(a.clone())))
     }
 
+    /// How little a replica suits one more adapter, others being equal: its
+    /// load, or where long work is gathered, how little company there is.
+    fn crowd(&self, r: &super::replica::Replica, name: &ReplicaName) -> usize {
+        match self.gathers() {
+            true => usize::MAX - self.company(name),
+            false => r.busy() as usize,
+        }
+    }
+
     fn order(
         &mut self,
         now: Moment,
