link: endpoints with a caller's own limits, and channels that connect later

Cause: entries keep connections alive by pings and heartbeats connect when first used; both need their own endpoint.

--- a/lib/src/link/mod.rs
+++ b/lib/src/link/mod.rs
@@ -29,10 +29,10 @@
 use tokio_rustls::TlsConnector;
 use tokio_rustls::server::TlsStream;
 use tokio_stream::wrappers::ReceiverStream;
-use tokio_stream::wrappers::TcpListenerStream;
 use tonic::transport::Channel;
 use tonic::transport::Endpoint;
 use tonic::transport::server::Router;
+use tonic::transport::server::TcpIncoming;
 
 use keys::Keys;
 
@@ -188,20 +188,51 @@
     /// [`LinkError::Connect`] when it does not answer within `limit`, or does
     /// not show a certificate of our authority.
     pub async fn connect(&self, to: SocketAddr, limit: Duration) -> Result<Channel, LinkError> {
-        let endpoint = Endpoint::from_shared(format!("http://{to}"))
-            .map_err(LinkError::Connect)?
-            .connect_timeout(limit);
+        self.open(to, |e| e.connect_timeout(limit)).await
+    }
+
+    /// Connects to one of our processes, with what `set` adds to the endpoint.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::connect`].
+    pub async fn open(
+        &self,
+        to: SocketAddr,
+        set: impl FnOnce(Endpoint) -> Endpoint,
+    ) -> Result<Channel, LinkError> {
+        let endpoint = set(endpoint(to)?);
         let channel = match self.trust.clone() {
             None => endpoint.connect().await,
             Some(trust) => {
-                let dial = move |_: Uri| dial(Arc::clone(&trust), to);
-                let connector = tower::service_fn(dial);
+                let connector = tower::service_fn(move |_: Uri| dial(Arc::clone(&trust), to));
                 endpoint.connect_with_connector(connector).await
             }
         };
         channel.map_err(LinkError::Connect)
     }
 
+    /// A channel that connects when it is first used, with what `set` adds to
+    /// the endpoint.
+    ///
+    /// # Errors
+    ///
+    /// When the address cannot stand in a URI.
+    pub fn open_lazy(
+        &self,
+        to: SocketAddr,
+        set: impl FnOnce(Endpoint) -> Endpoint,
+    ) -> Result<Channel, LinkError> {
+        let endpoint = set(endpoint(to)?);
+        Ok(match self.trust.clone() {
+            None => endpoint.connect_lazy(),
+            Some(trust) => {
+                let connector = tower::service_fn(move |_: Uri| dial(Arc::clone(&trust), to));
+                endpoint.connect_with_connector_lazy(connector)
+            }
+        })
+    }
+
     /// Serves connections until the listener fails; with keys, only those of
     /// our own processes.
     ///
@@ -215,7 +246,7 @@
     ) -> Result<(), tonic::transport::Error> {
         match self.trust.clone() {
             None => {
-                let incoming = TcpListenerStream::new(listener);
+                let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
                 router.serve_with_incoming(incoming).await
             }
             Some(trust) => {
@@ -228,6 +259,10 @@
     }
 }
 
+fn endpoint(to: SocketAddr) -> Result<Endpoint, LinkError> {
+    Endpoint::from_shared(format!("http://{to}")).map_err(LinkError::Connect)
+}
+
 /// Connects with the keys of now, also when a channel connects again later.
 async fn dial(
     trust: Arc<Trust>,
