lease: carry an unsettled takeover to the next owner, resign when fenced

Three faults found by reading. A successor that released within its own wait handed over a complete list of entries that could not name the first owner's grants. An owner deposed by its peers or an engine while the platform still showed its lease kept renewing it and served nobody. Each has a test.

--- a/lib/src/claims/journal.rs
+++ b/lib/src/claims/journal.rs
@@ -4,90 +4,16 @@
 use std::collections::BTreeSet;
 
 use crate::claims::ClaimKey;
+use crate::claims::Limits;
+use crate::claims::Record;
 use crate::claims::Segment;
 use crate::claims::State;
+use crate::claims::Verdict;
+use crate::claims::Who;
+use crate::claims::Write;
+use crate::claims::WriteEnd;
 use crate::ids::Token;
 use crate::pool::Moment;
-use crate::pool::Span;
-
-/// Bounds of the journal.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Limits {
-    /// How long a claim is kept after it ended, or after an owner change.
-    pub retention: Span,
-    /// Claims in one segment. Each commit rewrites one segment, about 40 bytes
-    /// a claim: 1,000 keep a commit near 40 KB, far below the megabyte.
-    pub segment: usize,
-    /// Segments; with `segment` this bounds memory and what a takeover reads.
-    /// 64,000 claims in 10 minutes are 106 keyed calls a second.
-    pub segments: usize,
-    /// The shortest time between two writes: ten a second at the most, whatever
-    /// the rate of keyed calls.
-    pub gap: Span,
-    /// How long an outcome may wait for a commit to travel with.
-    pub lazy: Span,
-}
-
-impl Default for Limits {
-    fn default() -> Self {
-        Self {
-            retention: Span::from_millis(600_000),
-            segment: 1_000,
-            segments: 64,
-            gap: Span::from_millis(100),
-            lazy: Span::from_millis(1_000),
-        }
-    }
-}
-
-/// The request that claims a key: an entry's own number for it.
-#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub struct Who {
-    /// The entry process, as `name/incarnation`.
-    pub entry: String,
-    /// Its number for the request.
-    pub request: u64,
-}
-
-/// What the journal says of a request with a key.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Verdict {
-    /// The key is this request's; it may be granted once it is recorded.
-    Fresh,
-    /// Another request had the key.
-    Seen(State),
-    /// The journal is full.
-    Full,
-}
-
-/// Whether a claim is durable.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Record {
-    /// It is.
-    Recorded,
-    /// The next commit makes it so.
-    Waits,
-    /// The journal does not hold it: the request may not be granted.
-    Lost,
-}
-
-/// A write to the platform that the journal wants.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Write {
-    /// The version to replace; `None` creates the segment.
-    pub version: Option<String>,
-    /// The new content.
-    pub segment: Segment,
-}
-
-/// How a write, with its reading back where that was needed, ended.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum WriteEnd {
-    /// Done; the new version.
-    Done(String),
-    /// Not done, or not known. What the platform holds now, when it was read.
-    Open(Option<(Segment, String)>),
-}
 
 #[derive(Clone, Debug)]
 struct Claim {
--- a/lib/src/claims/mod.rs
+++ b/lib/src/claims/mod.rs
@@ -6,14 +6,15 @@
 
 mod journal;
 mod segment;
+mod types;
 
 pub use journal::Journal;
-pub use journal::Limits;
-pub use journal::Record;
-pub use journal::Verdict;
-pub use journal::Who;
-pub use journal::Write;
-pub use journal::WriteEnd;
 pub use segment::ClaimKey;
 pub use segment::Segment;
 pub use segment::State;
+pub use types::Limits;
+pub use types::Record;
+pub use types::Verdict;
+pub use types::Who;
+pub use types::Write;
+pub use types::WriteEnd;
--- a/lib/src/control/election.rs
+++ b/lib/src/control/election.rs
@@ -135,8 +135,12 @@
         let stopping = *self.shared.board.stopping.borrow();
         let live = members::candidates(&self.shared.board.members.borrow());
         let drained = self.local.drained.borrow().clone();
+        let settled = self.local.settled.borrow().clone();
+        let deposed = self.local.deposed.borrow().clone();
         let mut steps = Vec::new();
         for (pool, contest) in &mut self.contests {
+            settled.get(pool).inspect(|t| contest.set_settled(**t));
+            deposed.get(pool).inspect(|t| contest.resign(**t));
             if contest.tenure().is_none() && (!self.watching || stopping) {
                 continue;
             }
--- a/lib/src/control/local.rs
+++ b/lib/src/control/local.rs
@@ -9,6 +9,7 @@
 
 use crate::control::ControlSettings;
 use crate::ids::PoolName;
+use crate::ids::Token;
 use crate::lease::Tenure;
 use crate::pool::Moment;
 
@@ -25,6 +26,11 @@
     /// Pools that grant and order nothing any more, ready to be released;
     /// written by the owner.
     pub drained: watch::Sender<BTreeMap<PoolName, Entries>>,
+    /// Pools whose slots may be changed, by token: no earlier owner's grant is
+    /// in use any more; written by the owners.
+    pub settled: watch::Sender<BTreeMap<PoolName, Token>>,
+    /// Pools whose owner found a successor, by token; written by the owners.
+    pub deposed: watch::Sender<BTreeMap<PoolName, Token>>,
     /// True when every lease was released; written by the election.
     pub released: watch::Sender<bool>,
     /// When the last answered exchange with each configured peer began;
@@ -48,6 +54,8 @@
             settings,
             tenures: watch::Sender::default(),
             drained: watch::Sender::default(),
+            settled: watch::Sender::default(),
+            deposed: watch::Sender::default(),
             released: watch::Sender::new(false),
             contacts: watch::Sender::default(),
             departed: watch::Sender::default(),
--- a/lib/src/control/owner/actor.rs
+++ b/lib/src/control/owner/actor.rs
@@ -2,7 +2,6 @@
 //! decides. Its parts stand in `entries`, `dispatch` and `replicas`.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -27,14 +26,12 @@
 use crate::control::owner::Safety;
 use crate::control::owner::SessionId;
 use crate::control::owner::entries::message;
-use crate::control::owner::journal;
-use crate::control::uptime_ms;
+use crate::control::owner::upkeep::AHEAD;
 use crate::ids::Fingerprint;
 use crate::ids::Incarnation;
 use crate::ids::PoolName;
 use crate::ids::ReplicaName;
 use crate::ids::Token;
-use crate::lease::Former;
 use crate::lease::Tenure;
 use crate::platform::PlatformError;
 use crate::pool::Health;
@@ -140,16 +137,9 @@
 /// How often time passes at the least.
 const TICK: Span = Span::from_millis(100);
 
-/// How far ahead the pool is told that slots are frozen: several ticks, and
-/// the most by which they open late.
-const AHEAD: Span = Span::from_millis(500);
-
 /// How often the pool's state is published for `banyan status`.
 const PUBLISH: Span = Span::from_millis(500);
 
-/// How long after a failed reading of the journal the next is tried.
-const JOURNAL_PAUSE: Span = Span::from_millis(500);
-
 /// The owner of one pool.
 pub struct OwnerActor {
     pub(super) shared: Shared,
@@ -172,8 +162,9 @@
     pub(super) draining: bool,
     pub(super) deposed: bool,
     pub(super) frozen: bool,
-    recovering: bool,
-    recover_at: Moment,
+    pub(super) settled: bool,
+    pub(super) recovering: bool,
+    pub(super) recover_at: Moment,
     published: Moment,
     wake: watch::Sender<Moment>,
     pub(super) address: Option<Address<Self>>,
@@ -227,6 +218,7 @@
             draining: false,
             deposed: false,
             frozen: true,
+            settled: false,
             recovering: false,
             recover_at: Moment(0),
             published: Moment(0),
@@ -260,18 +252,6 @@
         });
     }
 
-    fn learn_facts(&mut self, now: Moment) {
-        let left = match &self.safety.tenure().former {
-            Former::Lapsed(vm) => self.local.departed.borrow().contains(vm.as_str()),
-            _ => false,
-        };
-        self.facts = Facts {
-            majority: self.local.majority(now),
-            former_left: left,
-            helloed: self.book.helloed().clone(),
-        };
-    }
-
     fn tick(&mut self, now: Moment) {
         self.learn_facts(now);
         self.follow_tenure();
@@ -285,157 +265,6 @@
         self.pool.tick(now);
     }
 
-    // Another owner with a higher token may be known before the lease object
-    // says so: from peers, in an outage of the platform.
-    fn follow_tenure(&mut self) {
-        let token = self.token();
-        let until = {
-            let tenures = self.local.tenures.borrow();
-            let tenure = tenures.get(&self.name).filter(|t| t.token == token);
-            tenure.map(|t| t.until)
-        };
-        let higher = {
-            let owners = self.shared.board.owners.borrow();
-            owners.get(&self.name).is_some_and(|o| o.token > token)
-        };
-        match until {
-            Some(until) if !higher => self.safety.renew(until),
-            _ => self.depose(),
-        }
-    }
-
-    /// Grants and orders nothing any more.
-    pub(super) fn depose(&mut self) {
-        if self.deposed {
-            return;
-        }
-        self.deposed = true;
-        slog::warn!(self.shared.log, "deposed"; "pool" => %self.name, "token" => self.token().0);
-        self.pool.drain(clock::now());
-    }
-
-    fn follow_verdicts(&mut self, now: Moment) {
-        let board = self.shared.board.verdicts.borrow().clone();
-        if board == self.verdicts {
-            return;
-        }
-        let uptime = uptime_ms();
-        for (fingerprint, until) in &board {
-            if self.verdicts.get(fingerprint) != Some(until) {
-                let left = Span::from_millis(until.saturating_sub(uptime));
-                self.pool.convict(now, *fingerprint, left);
-            }
-        }
-        self.verdicts = board;
-    }
-
-    // The pool is told a little ahead, so that it plans no change it may not
-    // make; should a tick come later than that, `load` still refuses.
-    fn keep_frozen(&mut self, now: Moment) {
-        let replicas: BTreeSet<_> = self.replicas.keys().cloned().collect();
-        let closed = self.safety.is_frozen(now, &replicas, &self.facts);
-        // Past the lease, slots at engines that ignore tokens are not changed.
-        self.frozen = closed || !self.safety.may_order(now);
-        if self.frozen {
-            self.pool.freeze(now.after(AHEAD));
-        }
-    }
-
-    fn keep_journal(&mut self, now: Moment) {
-        let numbers = self.journal.expire(now);
-        if !numbers.is_empty() {
-            let work = journal::delete(self.shared.platform.clone(), self.name.clone(), numbers);
-            tokio::spawn(work);
-        }
-        if !self.journal.is_ready() && !self.recovering && now >= self.recover_at {
-            self.recovering = true;
-            let (platform, pool) = (self.shared.platform.clone(), self.name.clone());
-            self.later(
-                async move { Event::JournalRead(journal::read_all(&platform, &pool).await) },
-            );
-        }
-    }
-
-    fn journal_read(&mut self, now: Moment, read: Result<Vec<(Segment, String)>, PlatformError>) {
-        let Ok(segments) = read else {
-            return self.journal_failed(now);
-        };
-        if segments.iter().any(|(s, _)| s.token > self.token()) {
-            return self.depose();
-        }
-        self.journal.recover(now, &segments);
-        let writes = self.journal.seal();
-        let (platform, pool) = (self.shared.platform.clone(), self.name.clone());
-        self.later(
-            async move { Event::JournalSealed(journal::seal(&platform, &pool, writes).await) },
-        );
-    }
-
-    fn journal_sealed(&mut self, now: Moment, sealed: Result<Vec<String>, PlatformError>) {
-        match sealed {
-            Ok(versions) => {
-                self.recovering = false;
-                self.journal.sealed(&versions);
-            }
-            Err(_) => self.journal_failed(now),
-        }
-    }
-
-    fn journal_failed(&mut self, now: Moment) {
-        self.recovering = false;
-        self.recover_at = now.after(JOURNAL_PAUSE);
-    }
-
-    fn commit_journal(&mut self, now: Moment) {
-        let Some(write) = self.journal.next_write(now) else {
-            return;
-        };
-        let Some(address) = self.address.clone() else {
-            return;
-        };
-        let (platform, pool) = (self.shared.platform.clone(), self.name.clone());
-        tokio::spawn(journal::commit(address, platform, pool, write));
-    }
-
-    fn committed(&mut self, now: Moment, end: WriteEnd) {
-        let (keys, done) = self.journal.written(now, end);
-        for key in keys {
-            let Some((ticket, grant)) = self.held.remove(&key) else {
-                continue;
-            };
-            match done {
-                true => self.send_grant(now, ticket, grant),
-                false => self.take_back(now, ticket, "platform_down"),
-            }
-        }
-        if self.journal.is_deposed() {
-            self.depose();
-        }
-    }
-
-    // Stopping: first grant and order nothing more, then say so, so that the
-    // election can release the lease.
-    fn drain_if_stopping(&mut self, now: Moment) {
-        if !*self.shared.board.stopping.borrow() {
-            return;
-        }
-        if !self.draining {
-            self.draining = true;
-            self.pool.drain(now);
-        }
-        // An unload under way may still take effect; where the engine does not
-        // refuse it, a successor must not grant before it has ended.
-        if self.unloading > 0 && !self.safety.honours() {
-            return;
-        }
-        let entries = self.book.entries();
-        self.local.drained.send_if_modified(|drained| {
-            let new = !drained.contains_key(&self.name);
-            drained.insert(self.name.clone(), Some(entries));
-            new
-        });
-    }
-
     // Tells every entry to look for another owner.
     fn part(&mut self) {
         for (_, out) in std::mem::take(&mut self.outboxes) {
--- a/lib/src/control/owner/journal.rs
+++ b/lib/src/control/owner/journal.rs
@@ -10,10 +10,15 @@
 use crate::ids::PoolName;
 use crate::platform::Platform;
 use crate::platform::PlatformError;
+use crate::pool::Moment;
+use crate::pool::Span;
 
 /// The kind of journal objects.
 const CLAIMS: &str = "claims";
 
+/// How long after a failed reading of the journal the next is tried.
+const JOURNAL_PAUSE: Span = Span::from_millis(500);
+
 fn object_name(pool: &PoolName, number: u64) -> String {
     format!("{pool}-{number}")
 }
@@ -111,3 +116,81 @@
         let _ = platform.delete(CLAIMS, &object_name(&pool, number)).await;
     }
 }
+
+impl OwnerActor {
+    pub(super) fn keep_journal(&mut self, now: Moment) {
+        let numbers = self.journal.expire(now);
+        if !numbers.is_empty() {
+            let work = delete(self.shared.platform.clone(), self.name.clone(), numbers);
+            tokio::spawn(work);
+        }
+        if !self.journal.is_ready() && !self.recovering && now >= self.recover_at {
+            self.recovering = true;
+            let (platform, pool) = (self.shared.platform.clone(), self.name.clone());
+            self.later(async move { Event::JournalRead(read_all(&platform, &pool).await) });
+        }
+    }
+
+    pub(super) fn journal_read(
+        &mut self,
+        now: Moment,
+        read: Result<Vec<(Segment, String)>, PlatformError>,
+    ) {
+        let Ok(segments) = read else {
+            return self.journal_failed(now);
+        };
+        if segments.iter().any(|(s, _)| s.token > self.token()) {
+            return self.depose();
+        }
+        self.journal.recover(now, &segments);
+        let writes = self.journal.seal();
+        let (platform, pool) = (self.shared.platform.clone(), self.name.clone());
+        self.later(async move { Event::JournalSealed(seal(&platform, &pool, writes).await) });
+    }
+
+    pub(super) fn journal_sealed(
+        &mut self,
+        now: Moment,
+        sealed: Result<Vec<String>, PlatformError>,
+    ) {
+        match sealed {
+            Ok(versions) => {
+                self.recovering = false;
+                self.journal.sealed(&versions);
+            }
+            Err(_) => self.journal_failed(now),
+        }
+    }
+
+    pub(super) fn journal_failed(&mut self, now: Moment) {
+        self.recovering = false;
+        self.recover_at = now.after(JOURNAL_PAUSE);
+    }
+
+    pub(super) fn commit_journal(&mut self, now: Moment) {
+        let Some(write) = self.journal.next_write(now) else {
+            return;
+        };
+        let Some(address) = self.address.clone() else {
+            return;
+        };
+        let (platform, pool) = (self.shared.platform.clone(), self.name.clone());
+        tokio::spawn(commit(address, platform, pool, write));
+    }
+
+    pub(super) fn committed(&mut self, now: Moment, end: WriteEnd) {
+        let (keys, done) = self.journal.written(now, end);
+        for key in keys {
+            let Some((ticket, grant)) = self.held.remove(&key) else {
+                continue;
+            };
+            match done {
+                true => self.send_grant(now, ticket, grant),
+                false => self.take_back(now, ticket, "platform_down"),
+            }
+        }
+        if self.journal.is_deposed() {
+            self.depose();
+        }
+    }
+}
--- a/lib/src/control/owner/mod.rs
+++ b/lib/src/control/owner/mod.rs
@@ -13,6 +13,7 @@
 mod replicas;
 mod safety;
 mod service;
+mod upkeep;
 
 pub use actor::Event;
 pub use actor::OwnerActor;
@@ -23,5 +24,6 @@
 pub use duty::Registry;
 pub use duty::run;
 pub use safety::Facts;
+pub use safety::HEARD;
 pub use safety::Safety;
 pub use service::GrantsService;
--- a/lib/src/control/owner/safety.rs
+++ b/lib/src/control/owner/safety.rs
@@ -23,7 +23,7 @@
 
 /// How recently a majority of peers must have answered for an owner past its
 /// lease to go on granting at engines that ignore tokens.
-pub(super) const HEARD: Span = Span::from_millis(2_000);
+pub const HEARD: Span = Span::from_millis(2_000);
 
 /// Between the publication of a tenure and its being on every digest that
 /// this process sends.
@@ -146,7 +146,7 @@
     /// restarted, and so forgot the fence, a former owner past its lease may
     /// have granted until this one fenced it again.
     pub fn may_evict(&self, now: Moment, replica: &ReplicaName) -> bool {
-        if !self.honours || !matches!(self.tenure.former, Former::Lapsed(_)) {
+        if !self.honours || !self.former_may_grant() {
             return true;
         }
         self.fenced
@@ -168,6 +168,11 @@
         !self.open
     }
 
+    // Whether an earlier owner may be alive and past its lease.
+    fn former_may_grant(&self) -> bool {
+        matches!(self.tenure.former, Former::Lapsed(_) | Former::Unsettled)
+    }
+
     fn grant_wait(&self) -> Span {
         Span(self.tenure.former_ttl.0 + self.margin.0)
     }
@@ -183,7 +188,7 @@
             // Its last grant was sent before it ended.
             Former::Ended | Former::Released(None) => waited,
             Former::Released(Some(entries)) => waited || entries.is_subset(&facts.helloed),
-            Former::Lapsed(_) if self.honours => {
+            Former::Lapsed(_) | Former::Unsettled if self.honours => {
                 // Unreachable replicas get nothing until they are fenced, and
                 // then are held by `may_evict`.
                 let last = replicas
@@ -194,7 +199,7 @@
                 last.is_some_and(|at| now >= at.after(self.fence_wait()))
             }
             Former::Lapsed(_) if facts.former_left => waited,
-            Former::Lapsed(_) => {
+            Former::Lapsed(_) | Former::Unsettled => {
                 let told = facts.majority >= self.tenure.since.after(PUBLISHED);
                 if self.told.is_none() && told {
                     self.told = Some(now);
--- a/lib/src/control/settings.rs
+++ b/lib/src/control/settings.rs
@@ -6,6 +6,7 @@
 use serde::Deserialize;
 
 use crate::claims;
+use crate::control::owner;
 use crate::ids::VmName;
 use crate::ids::ZoneName;
 use crate::lease;
@@ -227,9 +228,9 @@
             (
                 "grants.quarantine_ms",
                 g.quarantine_ms,
-                g.ttl_ms + 2 * g.margin_ms,
+                g.ttl_ms + g.margin_ms + owner::HEARD.as_millis(),
                 600_000,
-                "grants.ttl_ms plus twice grants.margin_ms, to 600000",
+                "grants.ttl_ms + grants.margin_ms + 2000 to 600000",
             ),
             ("upstreams.poll_ms", u.poll_ms, 20, 1_000, "20 to 1000"),
             ("upstreams.report_ms", u.report_ms, 20, 1_000, "20 to 1000"),
--- a/lib/src/lease/contest.rs
+++ b/lib/src/lease/contest.rs
@@ -3,11 +3,14 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
-use crate::ids::PoolName;
 use crate::ids::Token;
-use crate::ids::VmName;
 use crate::lease::Candidate;
+use crate::lease::Former;
 use crate::lease::Record;
+use crate::lease::Step;
+use crate::lease::Tenure;
+use crate::lease::Times;
+use crate::lease::WriteEnd;
 use crate::pool::Moment;
 use crate::pool::Span;
 
@@ -15,96 +18,6 @@
 /// late can still be dated; more than are ever open at once.
 const SENT_KEPT: usize = 8;
 
-/// The lease's times.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Times {
-    /// How long a lease holds from its last write. Longer survives longer
-    /// hiccups of the platform; shorter shortens the takeover after a kill.
-    pub ttl: Span,
-    /// How long after the last write the next is sent: a third of `ttl`, so
-    /// that two may fail before the lease is lost.
-    pub renew: Span,
-    /// What the holder subtracts from its own count.
-    pub margin: Span,
-    /// How much later each further candidate tries, so that they do not all
-    /// write at once; the conditional update decides in any case.
-    pub stagger: Span,
-    /// How long after a failed call the next is made.
-    pub retry: Span,
-    /// How long a grant lives unrenewed; told to successors.
-    pub grant_ttl: Span,
-}
-
-impl Default for Times {
-    fn default() -> Self {
-        Self {
-            ttl: Span::from_millis(3_000),
-            renew: Span::from_millis(1_000),
-            margin: Span::from_millis(300),
-            stagger: Span::from_millis(100),
-            retry: Span::from_millis(200),
-            grant_ttl: Span::from_millis(10_000),
-        }
-    }
-}
-
-/// What is known of the holder before this one.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum Former {
-    /// There never was one.
-    None,
-    /// It gave the lease up after its last grant and order. The entries that
-    /// may hold its grants, when it knew them.
-    Released(Option<BTreeSet<String>>),
-    /// It was an earlier process at this VM and address, which has ended.
-    Ended,
-    /// It stopped renewing; it may be paused and unaware.
-    Lapsed(VmName),
-}
-
-/// A lease that this process holds, or held when it last heard.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Tenure {
-    /// The fencing token.
-    pub token: Token,
-    /// Until when it holds for certain, margin subtracted. After that it may
-    /// have a successor; without the platform there can be none.
-    pub until: Moment,
-    /// When it was acquired, as far as this process knows.
-    pub since: Moment,
-    /// Who held it before.
-    pub former: Former,
-    /// The longest that a grant of the former holder lives unrenewed.
-    pub former_ttl: Span,
-}
-
-/// What to do next.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum Step {
-    /// Nothing.
-    Wait,
-    /// Read the object and pass it to [`Contest::observe`].
-    Read,
-    /// Create the object, then call [`Contest::written`].
-    Create(Record),
-    /// Replace the object at this version, then call [`Contest::written`].
-    Replace(String, Record),
-}
-
-/// How a write ended.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum WriteEnd {
-    /// Done; the new version.
-    Done(String),
-    /// It surely did nothing.
-    Nothing,
-    /// The object has another version: done by somebody, perhaps by an own
-    /// write whose answer was lost.
-    Conflict,
-    /// It may have taken effect.
-    Lost,
-}
-
 #[derive(Clone, Debug)]
 struct Seen {
     record: Record,
@@ -112,13 +25,6 @@
     since: Moment,
 }
 
-#[derive(Clone, Debug)]
-struct Attempt {
-    record: Record,
-    former: Former,
-    former_ttl: Span,
-}
-
 /// One process's view of one lease.
 #[derive(Clone, Debug)]
 pub struct Contest {
@@ -128,7 +34,7 @@
     since: Moment,
     seen: Option<Seen>,
     deleted: Option<Record>,
-    attempt: Option<Attempt>,
+    attempt: Option<Record>,
     busy: bool,
     sent: BTreeMap<String, Moment>,
     order: u64,
@@ -136,6 +42,8 @@
     retry_at: Moment,
     tenure: Option<Tenure>,
     past: Option<(Former, Span)>,
+    settled: bool,
+    resigned: Option<Token>,
 }
 
 impl Contest {
@@ -156,6 +64,8 @@
             retry_at: Moment(0),
             tenure: None,
             past: None,
+            settled: false,
+            resigned: None,
         }
     }
 
@@ -205,6 +115,22 @@
         self.attempt = None;
     }
 
+    /// No earlier owner's grant can be in use any more; the next write says so.
+    pub fn set_settled(&mut self, token: Token) {
+        if self.tenure.as_ref().is_some_and(|t| t.token == token) {
+            self.settled = true;
+        }
+    }
+
+    /// The owner found that an engine or a peer knows a higher token: the lease
+    /// is worth nothing, and is let lapse.
+    pub fn resign(&mut self, token: Token) {
+        if self.tenure.as_ref().is_some_and(|t| t.token == token) {
+            self.tenure = None;
+            self.resigned = Some(token);
+        }
+    }
+
     /// The platform is back after it could not be followed: the holder could
     /// not renew either, and gets a whole `ttl` to do so. Without this every
     /// pool would change its owner at the end of each outage.
@@ -254,9 +180,7 @@
         self.busy = false;
         match end {
             WriteEnd::Done(version) => {
-                if let Some(attempt) = self.attempt.take() {
-                    let record = attempt.record;
-                    self.past = Some((attempt.former, attempt.former_ttl));
+                if let Some(record) = self.attempt.take() {
                     self.settle(now, &record);
                     self.seen = Some(Seen {
                         record,
@@ -270,9 +194,6 @@
                 self.retry_at = now.after(self.times.retry);
             }
             WriteEnd::Conflict | WriteEnd::Lost => {
-                if let Some(attempt) = &self.attempt {
-                    self.past = Some((attempt.former.clone(), attempt.former_ttl));
-                }
                 self.known = false;
                 self.retry_at = match end {
                     WriteEnd::Lost => now.after(self.times.retry),
@@ -284,7 +205,8 @@
 
     // Decides from a new content who holds the lease.
     fn settle(&mut self, now: Moment, record: &Record) {
-        if !record.is_of(&self.me) || record.released {
+        let resigned = self.resigned == Some(record.token);
+        if !record.is_of(&self.me) || record.released || resigned {
             self.tenure = None;
             return;
         }
@@ -296,10 +218,10 @@
         match &mut self.tenure {
             Some(t) if t.token == record.token => t.until = t.until.max(until),
             _ => {
-                let (former, former_ttl) = self
-                    .past
-                    .take()
-                    .unwrap_or((Former::Ended, self.times.grant_ttl));
+                let past = self.past.take();
+                let (former, former_ttl) =
+                    past.unwrap_or((Former::Unsettled, self.times.grant_ttl));
+                self.settled = former == Former::None;
                 self.tenure = Some(Tenure {
                     token: record.token,
                     until,
@@ -324,6 +246,7 @@
         }
         let mut record = seen.record;
         record.released = stop.is_some();
+        record.unsettled = !self.settled;
         record.entries = stop.cloned().flatten();
         self.send(now, Some(seen.version), record, None)
     }
@@ -337,17 +260,18 @@
             return self.send_first(now);
         };
         let old = &seen.record;
-        let (wait, former) = if old.released {
-            (Span(0), Former::Released(old.entries.clone()))
+        let (wait, late, former) = if old.released {
+            let former = Former::Released(old.entries.clone());
+            (Span(0), stagger, former)
         } else if old.is_of_predecessor(&self.me) {
-            (Span(0), Former::Ended)
+            (Span(0), Span(0), Former::Ended)
         } else {
             let ttl = Span::from_millis(old.ttl_ms);
-            (ttl, Former::Lapsed(old.holder.clone()))
+            (ttl, stagger, Former::Lapsed(old.holder.clone()))
         };
-        let late = match former {
-            Former::Ended => Span(0),
-            _ => stagger,
+        let former = match old.unsettled {
+            true => Former::Unsettled,
+            false => former,
         };
         if now < seen.since.after(wait).after(late) {
             return Step::Wait;
@@ -370,7 +294,8 @@
                 ),
             ),
         };
-        let record = self.fresh(token);
+        let mut record = self.fresh(token);
+        record.unsettled = past.0 != Former::None;
         self.send(now, None, record, Some(past))
     }
 
@@ -383,6 +308,7 @@
             ttl_ms: self.times.ttl.as_millis(),
             released: false,
             granted_ttl: self.times.grant_ttl.as_millis(),
+            unsettled: true,
             operation: String::new(),
             entries: None,
         }
@@ -407,12 +333,12 @@
         }
         self.last = now;
         self.busy = true;
-        let (former, former_ttl) = past.unwrap_or((Former::Ended, Span(0)));
-        self.attempt = Some(Attempt {
-            record: record.clone(),
-            former,
-            former_ttl,
-        });
+        // Kept until the lease is seen to be held: by the answer, by the watch
+        // before the answer, or by reading back after it was lost.
+        if past.is_some() {
+            self.past = past;
+        }
+        self.attempt = Some(record.clone());
         match version {
             Some(v) => Step::Replace(v, record),
             None => Step::Create(record),
@@ -428,27 +354,3 @@
         _ => false,
     }
 }
-
-/// A candidate's place in the order in which candidates try for a pool.
-///
-/// Made for many pools and few VMs: a rendezvous hash spreads pools evenly and
-/// moves only a lost VM's pools; without it one VM would win all of them. The
-/// order is advice, the conditional update decides.
-///
-/// ```
-/// use banyangauge::ids::{PoolName, VmName};
-/// let pool = PoolName::new("assistant").unwrap();
-/// let (a, b) = (VmName::new("a").unwrap(), VmName::new("b").unwrap());
-/// let ranks = [&a, &b].map(|me| banyangauge::lease::rank(&pool, me, [&a, &b]));
-/// assert_eq!(ranks.iter().sum::<u64>(), 1);
-/// ```
-pub fn rank<'a>(pool: &PoolName, me: &VmName, live: impl IntoIterator<Item = &'a VmName>) -> u64 {
-    let score = |vm: &VmName| {
-        let text = format!("{pool}/{vm}");
-        (xxhash_rust::xxh3::xxh3_64(text.as_bytes()), vm.clone())
-    };
-    let mine = score(me);
-    live.into_iter()
-        .filter(|vm| *vm != me && score(vm) > mine)
-        .count() as u64
-}
--- a/lib/src/lease/mod.rs
+++ b/lib/src/lease/mod.rs
@@ -14,14 +14,16 @@
 //! time from the check to the send of an order.
 
 mod contest;
+mod rank;
 mod record;
+mod types;
 
 pub use contest::Contest;
-pub use contest::Former;
-pub use contest::Step;
-pub use contest::Tenure;
-pub use contest::Times;
-pub use contest::WriteEnd;
-pub use contest::rank;
+pub use rank::rank;
 pub use record::Candidate;
 pub use record::Record;
+pub use types::Former;
+pub use types::Step;
+pub use types::Tenure;
+pub use types::Times;
+pub use types::WriteEnd;
--- a/lib/src/lease/record.rs
+++ b/lib/src/lease/record.rs
@@ -38,6 +38,10 @@
     pub released: bool,
     /// The longest that a grant of this holder lives unrenewed, in milliseconds.
     pub granted_ttl: u64,
+    /// The holder has not yet been able to rule out that an earlier one's
+    /// grants are in use; its successor has to wait as long as it would have.
+    #[serde(default)]
+    pub unsettled: bool,
     /// The write that made this content; settles a lost answer.
     pub operation: String,
     /// With `released`: every entry process that may hold a grant of this
--- a/lib/tests/test_lease_contest.rs
+++ b/lib/tests/test_lease_contest.rs
@@ -260,6 +260,56 @@
     assert_eq!(token(&other), Some(2));
 }
 
+#[test]
+fn watch_before_the_answer() {
+    let mut object = Object::default();
+    holder(&mut object);
+    let mut other = contest(2);
+    advance(&mut other, &mut object, ms(10));
+    let step = other.step(ms(3_010), 0, None);
+    let end = object.apply(&step);
+    other.observe(ms(3_011), object.read());
+    let tenure = other.tenure().unwrap().clone();
+    assert!(matches!(tenure.former, Former::Lapsed(_)));
+    other.written(ms(3_012), end);
+    assert_eq!(other.tenure(), Some(&tenure));
+}
+
+#[rstest]
+#[case::before_it_settled(false, Former::Unsettled)]
+#[case::after(true, Former::Released(Some(BTreeSet::new())))]
+fn release_of_a_successor(#[case] settled: bool, #[case] former: Former) {
+    let mut object = Object::default();
+    holder(&mut object);
+    let mut second = contest(2);
+    advance(&mut second, &mut object, ms(10));
+    advance(&mut second, &mut object, ms(3_010));
+    // The first may be paused and unaware; the second gives up at once.
+    if settled {
+        second.set_settled(Token(2));
+    }
+    let stop = Some(BTreeSet::new());
+    let step = second.step(ms(3_100), 0, Some(&stop));
+    let end = object.apply(&step);
+    second.written(ms(3_101), end);
+    let mut third = contest(3);
+    advance(&mut third, &mut object, ms(3_200));
+    advance(&mut third, &mut object, ms(3_200));
+    assert_eq!(third.tenure().unwrap().former, former);
+}
+
+#[test]
+fn resigned_lease_lapses() {
+    let mut object = Object::default();
+    let mut c = holder(&mut object);
+    c.resign(Token(1));
+    c.observe(ms(100), object.read());
+    assert_eq!(token(&c), None);
+    assert_eq!(advance(&mut c, &mut object, ms(2_999)), Step::Wait);
+    advance(&mut c, &mut object, ms(3_000));
+    assert_eq!(token(&c), Some(2));
+}
+
 #[test]
 fn deleted_object_keeps_tokens_rising() {
     let mut object = Object::default();
