owner: unload nothing that an engine may still run

An entry that gives up on a broken, cancelled or crossed answer releases its grant at once, while the engine goes on with the request for up to 5 s. Such an adapter now keeps its slot for 6 s, or until the engine restarted. Making the entry wait for the cancel would shorten the wait; it does not replace it, as a broken connection cannot be asked.

Outcomes of adopted keyed grants are recorded by the key that the release names. A test holds the hello back until the response head is there.

--- a/lib/src/control/owner/actor.rs
+++ b/lib/src/control/owner/actor.rs
@@ -23,6 +23,7 @@
 use crate::control::local::Local;
 use crate::control::owner::Book;
 use crate::control::owner::Facts;
+use crate::control::owner::Pins;
 use crate::control::owner::Safety;
 use crate::control::owner::SessionId;
 use crate::control::owner::entries::message;
@@ -153,6 +154,7 @@
     pub(super) facts: Facts,
     pub(super) journal: Journal,
     pub(super) held: BTreeMap<ClaimKey, (Ticket, wire::Grant)>,
+    pub(super) pins: Pins,
     pub(super) outboxes: BTreeMap<SessionId, Outbox>,
     pub(super) replicas: BTreeMap<ReplicaName, Watched>,
     pub(super) orders: Orders,
@@ -211,6 +213,7 @@
             catalog: Arc::default(),
             facts: Facts::default(),
             held: BTreeMap::new(),
+            pins: Pins::default(),
             outboxes: BTreeMap::new(),
             replicas: BTreeMap::new(),
             verdicts: BTreeMap::new(),
--- a/lib/tests/test_claims_owner.rs
+++ b/lib/tests/test_claims_owner.rs
@@ -78,6 +78,25 @@
     );
 }
 
+#[tokio::test]
+async fn adopted_outcome_recorded_by_the_next_owner() {
+    let mut rig = Rig::start(TWO).await;
+    let first = rig.owner(1).await;
+    let mut entry = rig.enter(first, "e", &[]).await;
+    until(async || rig.object("claims", "p-1").await).await;
+    tokio::time::sleep(std::time::Duration::from_millis(100)).await;
+    entry.acquire(1, "a", "k").await;
+    let grant = entry.granted().await;
+    rig.controls[first] = None;
+    let second = rig.owner(2).await;
+    let entry = rig.enter(second, "e", std::slice::from_ref(&grant)).await;
+    // The next owner has read the journal once it has its segment.
+    until(async || rig.object("claims", "p-2").await).await;
+    tokio::time::sleep(std::time::Duration::from_millis(100)).await;
+    entry.answer(&grant, "k").await;
+    until(async || (recorded(&rig).await == ["a"]).then_some(())).await;
+}
+
 #[tokio::test]
 async fn outage_refuses_keyed_calls_only() {
     let rig = Rig::start(TWO).await;
--- a/lib/tests/test_owner_rig.rs
+++ b/lib/tests/test_owner_rig.rs
@@ -270,6 +270,18 @@
         .await;
     }
 
+    /// Ends a keyed call of an adopted grant with its answer.
+    pub(crate) async fn answer(&self, grant: &wire::Grant, claim: &str) {
+        self.say(Said::Release(wire::Release {
+            request: grant.request,
+            grant: grant.grant,
+            claim_outcome: "answered".to_owned(),
+            claim: claim.to_owned(),
+            ..wire::Release::default()
+        }))
+        .await;
+    }
+
     pub(crate) async fn renew(&self, grants: &[u64]) {
         let grants = grants.to_vec();
         self.say(Said::Renew(wire::Renew { grants })).await;
--- a/lib/tests/test_owner_takeover.rs
+++ b/lib/tests/test_owner_takeover.rs
@@ -3,7 +3,10 @@
 use std::time::Duration;
 
 use banyangauge::ids::Fingerprint;
+use banyangauge_proto as wire;
 use serde_json::json;
+use tokio_stream::wrappers::ReceiverStream;
+use wire::grants_client::GrantsClient;
 
 use crate::test_owner_rig::Entry;
 use crate::test_owner_rig::Plan;
@@ -62,6 +65,31 @@
     drop(silent);
 }
 
+#[tokio::test]
+async fn hello_after_the_response_head() {
+    let rig = Rig::start(THREE).await;
+    let first = rig.owner(1).await;
+    rig.enter(first, "e", &[]).await;
+    let target = format!("http://{}", rig.control(first).shared.address);
+    let mut client = GrantsClient::connect(target).await.unwrap();
+    let (out, said) = tokio::sync::mpsc::channel(1);
+    let opening = client.session(ReceiverStream::new(said));
+    let opened = tokio::time::timeout(Duration::from_secs(20), opening).await;
+    let mut answers = opened.unwrap().unwrap().into_inner();
+    let hello = wire::Hello {
+        pool: "p".to_owned(),
+        entry: "late".to_owned(),
+        ..wire::Hello::default()
+    };
+    let body = Some(wire::entry_message::Body::Hello(hello));
+    out.send(wire::EntryMessage { body }).await.unwrap();
+    let welcome = answers.message().await.unwrap().unwrap().body;
+    assert!(matches!(
+        welcome,
+        Some(wire::owner_message::Body::Welcome(w)) if w.token == 1
+    ));
+}
+
 #[tokio::test]
 async fn planned_stop_hands_over() {
     let rig = Rig::start(THREE).await;
