owner: know the replicas before the first entry speaks

peers: name members in brief once they are known

Digests named address and zone of every member and every owner each time. They are now told to those that started lately, when they changed, and when the reader's own claim is out of date.

--- a/lib/src/control/members.rs
+++ b/lib/src/control/members.rs
@@ -34,12 +34,34 @@
 
 /// Members that one digest carries. Today all fit; with more, each digest
 /// carries the ones heard of last, and the rest travel in later ones.
-pub const DIGEST_MEMBERS: usize = 32;
+pub const DIGEST_MEMBERS: usize = 16;
+
+/// How long after its start a process is young: what it tells and is told
+/// names everything, after that only what moves.
+pub const YOUNG: Span = Span::from_millis(10_000);
 
 #[derive(Clone, Debug)]
 struct Seen {
     member: wire::Member,
     heard: Moment,
+    // When this incarnation was first heard of.
+    born: Moment,
+}
+
+impl Seen {
+    fn is_young(&self, now: Moment) -> bool {
+        now.since(self.born) < YOUNG
+    }
+
+    // Where a member is does not change within an incarnation, and is most of
+    // its bytes.
+    fn brief(&self) -> wire::Member {
+        wire::Member {
+            address: String::new(),
+            zone: String::new(),
+            ..self.member.clone()
+        }
+    }
 }
 
 /// What one control process knows of the others.
@@ -63,6 +85,7 @@
         let seen = Seen {
             member: me,
             heard: now,
+            born: now,
         };
         Ok(Self {
             me: name.clone(),
@@ -85,31 +108,52 @@
     }
 
     /// Takes in what another process sent. A higher (incarnation, heartbeat)
-    /// replaces what is known; what it says of this process is passed over.
+    /// replaces what is known; what it says of this process is passed over, and
+    /// so is a brief word of a process that is not known.
     pub fn learn(&mut self, now: Moment, members: &[wire::Member]) {
         for member in members {
-            let Ok(vm) = VmName::new(&member.vm) else {
-                continue;
-            };
-            if vm == self.me || member.address.parse::<SocketAddr>().is_err() {
-                continue;
-            }
-            let age = |m: &wire::Member| (m.incarnation, m.heartbeat);
-            if self
-                .table
-                .get(&vm)
-                .is_some_and(|s| age(&s.member) >= age(member))
-            {
-                continue;
+            match VmName::new(&member.vm) {
+                Ok(vm) if vm != self.me => self.learn_one(now, vm, member),
+                _ => {}
             }
-            let mut member = member.clone();
-            if member.state != MemberState::Leaving as u32 {
-                member.state = MemberState::Live as u32;
-            }
-            self.table.insert(vm, Seen { member, heard: now });
         }
     }
 
+    fn learn_one(&mut self, now: Moment, vm: VmName, member: &wire::Member) {
+        let known = self.table.get(&vm);
+        let age = |m: &wire::Member| (m.incarnation, m.heartbeat);
+        if known.is_some_and(|s| age(&s.member) >= age(member)) {
+            return;
+        }
+        let same = known.filter(|s| s.member.incarnation == member.incarnation);
+        let mut member = member.clone();
+        if let Some(s) = same.filter(|_| member.address.is_empty()) {
+            member.address.clone_from(&s.member.address);
+            member.zone.clone_from(&s.member.zone);
+        }
+        if member.address.parse::<SocketAddr>().is_err() {
+            return;
+        }
+        if member.state != MemberState::Leaving as u32 {
+            member.state = MemberState::Live as u32;
+        }
+        let born = same.map_or(now, |s| s.born);
+        let heard = now;
+        self.table.insert(
+            vm,
+            Seen {
+                member,
+                heard,
+                born,
+            },
+        );
+    }
+
+    /// Whether a process started lately, or is not known.
+    pub fn is_young(&self, now: Moment, vm: &str) -> bool {
+        self.table.get(vm).is_none_or(|s| s.is_young(now))
+    }
+
     /// Judges by silence.
     pub fn sweep(&mut self, now: Moment) {
         let (me, suspect, gone) = (&self.me, self.suspect, self.gone);
@@ -136,16 +180,23 @@
             .collect()
     }
 
-    /// What a digest carries: this process and those heard of last.
-    pub fn digest(&self) -> Vec<wire::Member> {
+    /// What a digest carries: this process and those heard of last; in full
+    /// for a young reader, in brief for one that has heard of them.
+    pub fn digest(&self, now: Moment, full: bool) -> Vec<wire::Member> {
         let mut seen: Vec<&Seen> = self
             .table
             .values()
             .filter(|s| s.member.state != MemberState::Gone as u32)
             .collect();
-        seen.sort_by_key(|s| (s.member.vm != self.me.as_str(), std::cmp::Reverse(s.heard)));
+        let mine = |s: &Seen| s.member.vm == self.me.as_str();
+        seen.sort_by_key(|s| (!mine(s), std::cmp::Reverse(s.heard)));
         seen.truncate(DIGEST_MEMBERS);
-        seen.into_iter().map(|s| s.member.clone()).collect()
+        seen.into_iter()
+            .map(|s| match full || mine(s) || s.is_young(now) {
+                true => s.member.clone(),
+                false => s.brief(),
+            })
+            .collect()
     }
 
     /// Where the members that are not gone listen, this process left out.
--- a/lib/src/control/mod.rs
+++ b/lib/src/control/mod.rs
@@ -27,6 +27,7 @@
 pub use members::DIGEST_MEMBERS;
 pub use members::MemberState;
 pub use members::Members;
+pub use members::YOUNG;
 pub use members::candidates;
 pub use peers::Peers;
 pub use run::Control;
--- a/lib/src/control/owner/actor.rs
+++ b/lib/src/control/owner/actor.rs
@@ -36,6 +36,7 @@
 use crate::lease::Tenure;
 use crate::platform::PlatformError;
 use crate::pool::Health;
+use crate::pool::Held;
 use crate::pool::Moment;
 use crate::pool::OrderEnd;
 use crate::pool::OrderId;
@@ -155,6 +156,8 @@
     pub(super) journal: Journal,
     pub(super) held: BTreeMap<ClaimKey, (Ticket, wire::Grant)>,
     pub(super) pins: Pins,
+    // Grants on replicas that the catalog here does not name yet.
+    pub(super) orphans: Vec<Held>,
     pub(super) outboxes: BTreeMap<SessionId, Outbox>,
     pub(super) replicas: BTreeMap<ReplicaName, Watched>,
     pub(super) orders: Orders,
@@ -177,6 +180,9 @@
 
     async fn started(&mut self, mailbox: &Mailbox<Self>) -> Result<(), ()> {
         self.address = mailbox.address().try_upgrade();
+        // Before the first entry speaks: the pool must know its replicas to
+        // count what entries hold on them.
+        self.tick(clock::now());
         Ok(())
     }
 
@@ -214,6 +220,7 @@
             facts: Facts::default(),
             held: BTreeMap::new(),
             pins: Pins::default(),
+            orphans: Vec::new(),
             outboxes: BTreeMap::new(),
             replicas: BTreeMap::new(),
             verdicts: BTreeMap::new(),
--- a/lib/src/control/owner/entries.rs
+++ b/lib/src/control/owner/entries.rs
@@ -103,19 +103,33 @@
         if grant.token > self.token().0 || !self.book.adopt(entry, grant, until) {
             return;
         }
-        self.pool.adopt(
-            now,
-            Held {
-                ticket: Ticket(grant.grant),
-                replica,
-                incarnation: Incarnation(grant.incarnation),
-                adapter: adapter_of(&grant.adapter, grant.version),
-                team,
-                class: class_of(grant.class),
-                output: grant.max_tokens,
-                fingerprint: Fingerprint(grant.fingerprint),
-            },
-        );
+        let held = Held {
+            ticket: Ticket(grant.grant),
+            replica,
+            incarnation: Incarnation(grant.incarnation),
+            adapter: adapter_of(&grant.adapter, grant.version),
+            team,
+            class: class_of(grant.class),
+            output: grant.max_tokens,
+            fingerprint: Fingerprint(grant.fingerprint),
+        };
+        match self.replicas.contains_key(&held.replica) {
+            true => self.pool.adopt(now, held),
+            false => self.orphans.push(held),
+        }
+    }
+
+    /// Counts grants on replicas that the catalog names only now.
+    pub(super) fn adopt_orphans(&mut self, now: Moment) {
+        for held in std::mem::take(&mut self.orphans) {
+            if self.book.item(held.ticket).is_none() {
+                continue;
+            }
+            match self.replicas.contains_key(&held.replica) {
+                true => self.pool.adopt(now, held),
+                false => self.orphans.push(held),
+            }
+        }
     }
 
     fn acquire(&mut self, now: Moment, session: SessionId, entry: &str, acquire: wire::Acquire) {
--- a/lib/src/control/owner/replicas.rs
+++ b/lib/src/control/owner/replicas.rs
@@ -49,6 +49,7 @@
             })
             .collect();
         self.pool.set_replicas(now, &specs);
+        self.adopt_orphans(now);
     }
 
     fn watch_replicas(&mut self) {
--- a/lib/src/control/peers.rs
+++ b/lib/src/control/peers.rs
@@ -20,6 +20,7 @@
 use crate::control::config;
 use crate::control::local::Local;
 use crate::control::members::Members;
+use crate::control::members::YOUNG;
 use crate::control::uptime_ms;
 use crate::ids::Fingerprint;
 use crate::ids::IdError;
@@ -55,6 +56,8 @@
 
 struct State {
     members: Members,
+    // When each pool's owner was last seen to change.
+    changed: BTreeMap<PoolName, (Token, Moment)>,
     // Leaving upstreams by a peer's word, and when it was last given.
     heard: BTreeMap<SocketAddr, Moment>,
 }
@@ -90,28 +93,46 @@
             local,
             state: Mutex::new(State {
                 members,
+                changed: BTreeMap::new(),
                 heard: BTreeMap::new(),
             }),
         })
     }
 
-    /// What this process tells its peers now.
-    pub fn digest(&self) -> wire::Digest {
+    /// What this process tells: to a peer that asked, or to any.
+    ///
+    /// Owners are told when they changed lately, when this process holds them,
+    /// when the reader started lately, and whenever the reader's own claim is
+    /// out of date: an owner is never left in the belief that it has no
+    /// successor.
+    pub fn digest(&self, asked: Option<&wire::Digest>) -> wire::Digest {
+        let now = clock::now();
         let board = &self.shared.board;
         let uptime = uptime_ms();
         let verdicts = board.verdicts.borrow();
         let verdicts = verdicts.iter().filter(|(_, until)| **until > uptime);
+        let reader = asked.map_or(self.shared.vm.as_str(), |d| d.vm.as_str());
+        let mut state = self.lock();
+        let full = state.members.is_young(now, reader);
+        let owners = board.owners.borrow();
+        state.note_owners(now, &owners);
+        let told = owners.iter().filter(|(pool, owner)| {
+            let claim = asked.and_then(|d| claim_of(d, pool));
+            full || owner.vm == self.shared.vm
+                || claim.is_some_and(|token| token < owner.token.0)
+                || state.is_new(now, pool)
+        });
         wire::Digest {
             vm: self.shared.vm.to_string(),
             revision: board.catalog.borrow().revision.0,
-            members: self.lock().members.digest(),
+            members: state.members.digest(now, full),
             verdicts: verdicts
                 .map(|(fingerprint, until)| wire::Verdict {
                     fingerprint: fingerprint.0,
                     left_ms: until - uptime,
                 })
                 .collect(),
-            owners: owners_on_wire(&board.owners.borrow()),
+            owners: told.map(|(pool, o)| owner_on_wire(pool, o)).collect(),
             leaving: self.first_hand().iter().map(|a| a.to_string()).collect(),
         }
     }
@@ -258,16 +279,36 @@
     true
 }
 
-fn owners_on_wire(owners: &BTreeMap<PoolName, Owner>) -> Vec<wire::Owner> {
-    owners
-        .iter()
-        .map(|(pool, o)| wire::Owner {
-            pool: pool.to_string(),
-            vm: o.vm.to_string(),
-            address: o.address.to_string(),
-            token: o.token.0,
-        })
-        .collect()
+impl State {
+    fn note_owners(&mut self, now: Moment, owners: &BTreeMap<PoolName, Owner>) {
+        self.changed.retain(|pool, _| owners.contains_key(pool));
+        for (pool, owner) in owners {
+            let known = self.changed.get(pool).map(|(token, _)| *token);
+            if known != Some(owner.token) {
+                self.changed.insert(pool.clone(), (owner.token, now));
+            }
+        }
+    }
+
+    fn is_new(&self, now: Moment, pool: &PoolName) -> bool {
+        let changed = self.changed.get(pool);
+        changed.is_some_and(|(_, at)| now.since(*at) < YOUNG)
+    }
+}
+
+// The token that the sender of a digest knows for a pool.
+fn claim_of(digest: &wire::Digest, pool: &PoolName) -> Option<u64> {
+    let claim = digest.owners.iter().find(|o| o.pool == pool.as_str());
+    claim.map(|o| o.token)
+}
+
+fn owner_on_wire(pool: &PoolName, owner: &Owner) -> wire::Owner {
+    wire::Owner {
+        pool: pool.to_string(),
+        vm: owner.vm.to_string(),
+        address: owner.address.to_string(),
+        token: owner.token.0,
+    }
 }
 
 fn owner_from_wire(owner: &wire::Owner) -> Option<(PoolName, Owner)> {
@@ -325,11 +366,20 @@
 
 async fn exchange(peers: Arc<Peers>, target: SocketAddr, mut client: PeersClient<Channel>) {
     let began = clock::now();
-    match client.exchange(peers.digest()).await {
+    let digest = peers.digest(None);
+    count_bytes("sent", &digest);
+    match client.exchange(digest).await {
         Ok(answer) => {
+            count_bytes("received", answer.get_ref());
             peers.absorb(answer.get_ref());
             peers.note_contact(target, began);
         }
         Err(_) => metrics::counter!("peer_exchange_failed_total").increment(1),
     }
 }
+
+/// Counts the bytes of a digest, without what the transport adds.
+pub(super) fn count_bytes(direction: &'static str, digest: &wire::Digest) {
+    let bytes = prost::Message::encoded_len(digest) as u64;
+    metrics::counter!("peer_bytes_total", "direction" => direction).increment(bytes);
+}
--- a/lib/src/control/service.rs
+++ b/lib/src/control/service.rs
@@ -10,6 +10,7 @@
 use crate::control::Peers;
 use crate::control::Shared;
 use crate::control::config;
+use crate::control::peers::count_bytes;
 
 /// Answers other control processes.
 pub struct PeersService {
@@ -30,8 +31,12 @@
         &self,
         request: Request<wire::Digest>,
     ) -> Result<Response<wire::Digest>, Status> {
-        self.peers.absorb(request.get_ref());
-        Ok(Response::new(self.peers.digest()))
+        let asked = request.get_ref();
+        count_bytes("received", asked);
+        self.peers.absorb(asked);
+        let answer = self.peers.digest(Some(asked));
+        count_bytes("sent", &answer);
+        Ok(Response::new(answer))
     }
 
     async fn fetch_catalog(
--- a/lib/src/control/settings.rs
+++ b/lib/src/control/settings.rs
@@ -151,10 +151,10 @@
 impl Default for MemberSettings {
     fn default() -> Self {
         Self {
-            beat_ms: 500,
-            fanout: 3,
-            suspect_ms: 2_000,
-            gone_ms: 10_000,
+            beat_ms: 1_000,
+            fanout: 2,
+            suspect_ms: 4_000,
+            gone_ms: 15_000,
         }
     }
 }
--- a/lib/tests/test_members_table.rs
+++ b/lib/tests/test_members_table.rs
@@ -58,7 +58,7 @@
     m.sweep(ms(10_000));
     assert_eq!(state(&m, 2), Some(MemberState::Gone as u32));
     // Nor does a gone member travel on.
-    assert_eq!(m.digest().len(), 1);
+    assert_eq!(m.digest(ms(10_000), true).len(), 1);
 }
 
 #[test]
@@ -73,6 +73,27 @@
     assert_eq!(m.view()[&vm].incarnation, 2);
 }
 
+#[test]
+fn brief_word_of_a_known_member() {
+    let mut m = table(1);
+    m.learn(ms(0), &[member(2, 1, 5)]);
+    // Young members are named in full, later ones in brief.
+    assert!(m.digest(ms(9_999), false)[1].address.starts_with("127"));
+    let mut brief = m.digest(ms(10_000), false)[1].clone();
+    assert_eq!((brief.address.as_str(), brief.zone.as_str()), ("", ""));
+    assert!(m.digest(ms(10_000), true)[1].address.starts_with("127"));
+    brief.heartbeat = 6;
+    m.learn(ms(1_500), &[brief.clone()]);
+    m.sweep(ms(3_000));
+    let vm = VmName::new("vm-2").unwrap();
+    assert_eq!(m.view()[&vm].address, "127.0.0.1:7002");
+    assert_eq!(state(&m, 2), Some(MemberState::Live as u32));
+    // To one that does not know the member it tells nothing.
+    let mut other = table(3);
+    other.learn(ms(0), &[brief]);
+    assert_eq!(state(&other, 2), None);
+}
+
 #[test]
 fn nobody_speaks_for_me() {
     let mut m = table(1);
@@ -87,7 +108,7 @@
     let mut m = table(1);
     let mut other = table(2);
     other.beat(ms(1), Revision(7), true);
-    m.learn(ms(2), &other.digest());
+    m.learn(ms(2), &other.digest(ms(2), true));
     assert_eq!(candidates(&m.view()), [VmName::new("vm-1").unwrap()]);
     let vm = VmName::new("vm-2").unwrap();
     assert_eq!(m.view()[&vm].revision, 7);
@@ -101,7 +122,7 @@
         for n in 0..9 {
             let now = ms(round * 100);
             tables[n].beat(now, Revision(0), false);
-            let digest = tables[n].digest();
+            let digest = tables[n].digest(now, false);
             tables[(n + 1) % 9].learn(now, &digest);
         }
     }
