upstream: take only the published codes for "not run"

A bare 503 or 429 may come from anything on the way, also after the request ran; one that may run once was then sent to another replica. Now only 429 engine_full, 503 draining and 404 model_not_found count as not run, for plain services only 503 draining; the rest is unknown.

Releases tell the incarnation of the answer and when its head came, also for streams and whole answers; they told 0 for streams, and the end of the answer for whole ones.

--- a/lib/src/entry/decide.rs
+++ b/lib/src/entry/decide.rs
@@ -83,6 +83,14 @@
     }
 }
 
+/// The incarnation that a wrong answer told, for the owner; 0 is none.
+pub fn seen(failure: &Failure) -> u64 {
+    match failure {
+        Failure::Run(RunError::WrongIdentity { seen, .. }) => *seen,
+        _ => 0,
+    }
+}
+
 /// What follows a failure before the caller has got a byte; `tries` counts
 /// the tries before this one.
 ///
--- a/lib/src/entry/dispatch.rs
+++ b/lib/src/entry/dispatch.rs
@@ -288,6 +288,10 @@
 }
 
 struct WholeAnswer {
+    /// When its head came, in microseconds.
+    begun: u64,
+    /// The incarnation that it told.
+    seen: u64,
     head: response::Parts,
     body: Bytes,
     usage: upstream::Usage,
@@ -308,10 +312,8 @@
     let answer = match within(&hold, call.deadline, work).await {
         Ok(Ok(answer)) => answer,
         Ok(Err(e)) => {
-            if let RunError::WrongIdentity { seen, .. } = &e {
-                hold.seen = *seen;
-            }
             let failure = Failure::Run(e);
+            hold.seen = decide::seen(&failure);
             hold.settle(decide::outcome(&failure));
             return Err(failure);
         }
@@ -319,8 +321,7 @@
         Err(Stop::Deadline) => return Err(Failure::Deadline),
         Err(Stop::Lapsed) => return Err(Failure::Lapsed),
     };
-    hold.first_byte();
-    hold.seen = hold.grant.incarnation;
+    hold.begun(answer.begun, answer.seen);
     hold.tokens = answer.usage.completion_tokens;
     let counter = state.usage.counter(&call.team, call.adapter.as_ref());
     counter.request();
@@ -348,12 +349,15 @@
 ) -> Result<WholeAnswer, RunError> {
     let head_only = message.method() == Method::HEAD;
     let mut answer = upstream::run(&state.upstreams, address, message, expected).await?;
+    let begun = now_us();
     let body = upstream::collect(&mut answer, most).await?;
     let usage = match expected.model.is_empty() || head_only {
         true => upstream::Usage::default(),
         false => upstream::check_whole(&body, expected)?,
     };
     Ok(WholeAnswer {
+        begun,
+        seen: upstream::incarnation(&answer),
         head: answer.head,
         body,
         usage,
--- a/lib/src/entry/hold.rs
+++ b/lib/src/entry/hold.rs
@@ -109,10 +109,11 @@
         });
     }
 
-    /// Notes that the answer began.
-    pub fn first_byte(&mut self) {
+    /// Notes when the answer began, and which incarnation it told.
+    pub fn begun(&mut self, at_us: u64, seen: u64) {
+        self.seen = seen;
         if let Some(r) = &mut self.running {
-            r.first.get_or_insert(now_us());
+            r.first.get_or_insert(at_us);
         }
     }
 
--- a/lib/src/entry/stream.rs
+++ b/lib/src/entry/stream.rs
@@ -17,6 +17,7 @@
 use super::Code;
 use super::answer::Truncated;
 use super::call::Call;
+use super::clock::now_us;
 use super::decide;
 use super::decide::Failure;
 use super::dispatch::answer_head;
@@ -124,12 +125,16 @@
         match first {
             Ok(run) => {
                 passing.first = run;
-                passing.guard.with(Hold::first_byte);
+                let seen = passing.seen();
+                passing.guard.with(|hold| hold.begun(now_us(), seen));
                 let replica = &passing.grant.replica;
                 note(state, Kind::FirstByte, call, replica, String::new);
                 Ok((passing.head(), passing))
             }
             Err(failure) => {
+                passing
+                    .guard
+                    .with(|hold| hold.seen = decide::seen(&failure));
                 passing.guard.settle(decide::outcome(&failure));
                 Err(failure)
             }
@@ -148,6 +153,13 @@
         }
     }
 
+    fn seen(&self) -> u64 {
+        match &self.source {
+            Source::Open(a) | Source::Draining(a) => upstream::incarnation(a),
+            _ => 0,
+        }
+    }
+
     fn open(&self, resume: Option<u64>) -> Source {
         let state = self.state.clone();
         let address = self.address;
--- a/lib/src/upstream/mod.rs
+++ b/lib/src/upstream/mod.rs
@@ -24,6 +24,7 @@
 pub use run::cancel;
 pub use run::check_whole;
 pub use run::collect;
+pub use run::incarnation;
 pub use run::run;
 pub use sse::Checker;
 pub use sse::Fault;
--- a/lib/src/upstream/run.rs
+++ b/lib/src/upstream/run.rs
@@ -96,11 +96,16 @@
     Ok(answer)
 }
 
-fn check_head(answer: &Answer, expected: &Expected) -> Result<(), RunError> {
-    let seen = answer
+/// The engine's incarnation by its answer; 0 when it tells none.
+pub fn incarnation(answer: &Answer) -> u64 {
+    answer
         .header("x-engine-incarnation")
         .and_then(|v| v.parse().ok())
-        .unwrap_or(0);
+        .unwrap_or(0)
+}
+
+fn check_head(answer: &Answer, expected: &Expected) -> Result<(), RunError> {
+    let seen = incarnation(answer);
     check_request(answer, expected, seen)?;
     let wrong = |what| Err(RunError::WrongIdentity { what, seen });
     if answer.header("x-served-model") != Some(expected.model.as_str()) {
@@ -128,9 +133,11 @@
         .map(|b| b.error.code.into_owned())
         .unwrap_or_default();
     match (status, code.as_str()) {
+        // Only the published codes say "not run": a bare 503 may come from
+        // anything on the way, after the request ran.
         (404, "model_not_found") => RunError::Unready(Unready::NotLoaded),
-        (429, _) => RunError::Unready(Unready::Full),
-        (503, _) => RunError::Unready(Unready::Leaving),
+        (429, "engine_full") => RunError::Unready(Unready::Full),
+        (503, "draining") => RunError::Unready(Unready::Leaving),
         (400..=499, _) => RunError::Rejected(status, code),
         _ => RunError::BrokenEarly(format!("status {status}")),
     }
--- a/lib/tests/test_entry_failures.rs
+++ b/lib/tests/test_entry_failures.rs
@@ -124,6 +124,35 @@
     );
 }
 
+/// A service that leaves says so; a bare 503 may come after the call ran.
+#[rstest]
+#[case::draining("{\"error\":{\"code\":\"draining\"}}", 2)]
+#[case::bare("", 1)]
+#[tokio::test]
+async fn service_unavailable(#[case] body: &'static str, #[case] dispatches: usize) {
+    let bad = FakeUpstream::start(move |_| vec![sized("503 Oops", "", body)]).await;
+    let good = FakeUpstream::start(|got| {
+        let id = got.header("x-request-id").unwrap();
+        vec![sized(
+            "200 OK",
+            &format!("x-request-id: {id}\r\n"),
+            "booked",
+        )]
+    })
+    .await;
+    let world = World::start(first_then(bad.address, good.address)).await;
+    let head = format!("POST /booking/confirm\nauthorization: Bearer {KEY}");
+    let answer = world.ask(&head, "slot 4").await;
+    assert_eq!(bad.count("POST") + good.count("POST"), dispatches);
+    match dispatches {
+        2 => assert_eq!(answer.status, 200),
+        _ => assert_eq!(
+            answer.error(),
+            (502, "outcome_unknown".into(), "unknown".into())
+        ),
+    }
+}
+
 #[tokio::test]
 async fn stale_connection_runs_once() {
     let upstream = FakeUpstream::start(|got| vec![whole(got), Act::Cut]).await;
@@ -171,6 +200,7 @@
 #[case::not_json("HTTP/1.1 200 OK\r\ncontent-length: 5\r\nID", "hello")]
 #[case::not_http("hello\r\n", "")]
 #[case::failure("HTTP/1.1 500 Oops\r\ncontent-length: 0\r\n", "")]
+#[case::bare_503("HTTP/1.1 503 Oops\r\ncontent-length: 0\r\n", "")]
 #[tokio::test]
 async fn malformed_whole_unknown(#[case] head: &'static str, #[case] body: &'static str) {
     let bad = FakeUpstream::start(move |got| {
--- a/lib/tests/test_entry_path.rs
+++ b/lib/tests/test_entry_path.rs
@@ -47,7 +47,7 @@
     // The caller's own priority is replaced by the owner's.
     assert_eq!(got.body.matches("\"priority\":3").count(), 1);
     let release = &world.releases(1).await[0];
-    assert_eq!((release.outcome, release.tokens), (0, 3));
+    assert_eq!((release.outcome, release.tokens, release.seen), (0, 3, 7));
     let counts = world.entry.state.usage.counts();
     assert_eq!(
         (
