--- a/lib/src/entry/feed.rs
+++ b/lib/src/entry/feed.rs
@@ -12,6 +12,7 @@
 
 use super::session::channel;
 use super::state::State;
+use super::usage::Report;
 use super::view::View;
 use crate::catalog::Catalog;
 use crate::catalog::ChangeSet;
@@ -159,8 +160,8 @@
     });
 }
 
-/// Reports usage each second until the process ends; a report repeats all
-/// counts, so that a lost one loses nothing.
+/// Reports usage each second until the process ends: what rose since the last
+/// report that was answered, and everything to a control process that is new.
 pub(super) async fn report(state: Arc<State>) {
     let mut reporter = Reporter::new(state);
     let mut tick = tokio::time::interval(REPORT_EVERY);
@@ -171,7 +172,7 @@
     }
 }
 
-/// Reports usage once, at the end of the process.
+/// Reports all usage once, at the end of the process.
 pub(super) async fn report_last(state: Arc<State>) {
     Reporter::new(state).send().await;
 }
@@ -193,19 +194,15 @@
 
     /// Sends one report to the first control process that takes it.
     async fn send(&mut self) {
-        let counts = self.state.usage.counts();
-        if counts.is_empty() {
-            return;
-        }
-        let report = wire::UsageReport {
-            vm: self.state.settings.vm.to_string(),
-            incarnation: self.state.incarnation.0,
-            // Reports of one process are told apart by when they were made.
-            sequence: super::clock::now_us(),
-            counts,
-        };
         for _ in 0..self.state.settings.controls.len() {
-            match self.try_send(&report).await {
+            let report = match self.client {
+                Some(_) => self.state.usage.risen(),
+                None => self.state.usage.all(),
+            };
+            if report.counts.is_empty() {
+                return;
+            }
+            match self.try_send(report).await {
                 Ok(()) => return,
                 Err(e) => slog::debug!(self.state.log, "usage not reported"; "error" => %e),
             }
@@ -214,19 +211,29 @@
         }
     }
 
-    async fn try_send(&mut self, report: &wire::UsageReport) -> Result<(), String> {
+    async fn try_send(&mut self, mut report: Report) -> Result<(), String> {
+        let message = wire::UsageReport {
+            vm: self.state.settings.vm.to_string(),
+            incarnation: self.state.incarnation.0,
+            // Reports of one process are told apart by when they were made.
+            sequence: super::clock::now_us(),
+            counts: std::mem::take(&mut report.counts),
+        };
         let work = async {
             let mut client = match self.client.take() {
                 Some(client) => client,
                 None => client(self.state.settings.controls[self.at]).await?,
             };
-            let reply = client.report_usage(report.clone()).await;
+            let reply = client.report_usage(message).await;
             reply.map_err(|e| e.to_string())?;
             self.client = Some(client);
             Ok(())
         };
-        tokio::time::timeout(CALL_TIMEOUT, work)
+        let answered = tokio::time::timeout(CALL_TIMEOUT, work);
+        answered
             .await
-            .unwrap_or_else(|_| Err("no answer in time".to_owned()))
+            .unwrap_or_else(|_| Err("no answer in time".to_owned()))?;
+        report.told();
+        Ok(())
     }
 }
--- a/lib/src/entry/usage.rs
+++ b/lib/src/entry/usage.rs
@@ -18,6 +18,8 @@
     requests: AtomicU64,
     prompt: AtomicU64,
     output: AtomicU64,
+    /// The sum of the three when they were last reported.
+    told: AtomicU64,
 }
 
 impl Counter {
@@ -53,7 +55,7 @@
         counters.entry(key).or_default().clone()
     }
 
-    /// Cumulative counts, for a report.
+    /// Cumulative counts of all.
     ///
     /// ```
     /// use banyangauge::entry::Usage;
@@ -63,20 +65,72 @@
     /// assert_eq!(usage.counts()[0].requests, 1);
     /// ```
     pub fn counts(&self) -> Vec<wire::UsageCount> {
+        self.pick(|_| true).counts
+    }
+
+    /// Cumulative counts of those that rose since they were last told.
+    pub fn risen(&self) -> Report {
+        self.pick(|c| c.sum() != c.told.load(Ordering::Relaxed))
+    }
+
+    fn pick(&self, wanted: impl Fn(&Counter) -> bool) -> Report {
         let counters = self.counters.lock().unwrap_or_else(PoisonError::into_inner);
-        counters
-            .iter()
-            .map(|((team, adapter), c)| wire::UsageCount {
-                team: team.to_string(),
-                adapter: adapter
-                    .as_ref()
-                    .map(|a| a.adapter.to_string())
-                    .unwrap_or_default(),
-                version: adapter.as_ref().map_or(0, |a| a.version),
-                requests: c.requests.load(Ordering::Relaxed),
-                prompt_tokens: c.prompt.load(Ordering::Relaxed),
-                output_tokens: c.output.load(Ordering::Relaxed),
-            })
-            .collect()
+        let mut report = Report::default();
+        for ((team, adapter), counter) in counters.iter() {
+            if wanted(counter) {
+                // Read before the counts, so that it is never too high.
+                report.sums.push((counter.clone(), counter.sum()));
+                report.counts.push(count(team, adapter.as_ref(), counter));
+            }
+        }
+        report
+    }
+
+    /// All counters, for a control process that may know none of them.
+    pub fn all(&self) -> Report {
+        self.pick(|_| true)
+    }
+}
+
+/// Counts to be told, and how far they tell.
+#[derive(Debug, Default)]
+pub struct Report {
+    /// The counts.
+    pub counts: Vec<wire::UsageCount>,
+    sums: Vec<(Arc<Counter>, u64)>,
+}
+
+impl Report {
+    /// Notes that the report was answered.
+    ///
+    /// ```
+    /// use banyangauge::entry::Usage;
+    /// let usage = Usage::default();
+    /// usage.counter(&"laundry".parse().unwrap(), None).request();
+    /// usage.risen().told();
+    /// assert!(usage.risen().counts.is_empty());
+    /// ```
+    pub fn told(self) {
+        for (counter, sum) in self.sums {
+            counter.told.store(sum, Ordering::Relaxed);
+        }
+    }
+}
+
+impl Counter {
+    fn sum(&self) -> u64 {
+        let parts = [&self.requests, &self.prompt, &self.output];
+        parts.iter().map(|p| p.load(Ordering::Relaxed)).sum()
+    }
+}
+
+fn count(team: &TeamName, adapter: Option<&AdapterVersion>, counter: &Counter) -> wire::UsageCount {
+    wire::UsageCount {
+        team: team.to_string(),
+        adapter: adapter.map(|a| a.adapter.to_string()).unwrap_or_default(),
+        version: adapter.map_or(0, |a| a.version),
+        requests: counter.requests.load(Ordering::Relaxed),
+        prompt_tokens: counter.prompt.load(Ordering::Relaxed),
+        output_tokens: counter.output.load(Ordering::Relaxed),
     }
 }
