--- a/bench/src/bin/banyan-measure.rs
+++ b/bench/src/bin/banyan-measure.rs
@@ -3,6 +3,7 @@
 use std::process::ExitCode;
 
 use argh::FromArgs;
+use banyangauge_bench::path;
 use banyangauge_bench::policy;
 
 /// Measures banyangauge; each subcommand prints figures and a closing line.
@@ -15,12 +16,14 @@
 #[derive(Debug, FromArgs)]
 #[argh(subcommand)]
 enum Command {
+    Path(path::PathArgs),
     Policy(policy::Args),
 }
 
 fn main() -> ExitCode {
     let args: Args = argh::from_env();
     let done = match args.command {
+        Command::Path(args) => path::run(&args).map_err(|e| e.to_string()),
         Command::Policy(args) => policy::run(&args).map_err(|e| e.to_string()),
     };
     match done {
