prove: see the last accepted revision through its limit

A run ended before the 8 s of the last confirmation, so that a VM that never applied it was not seen; the run now looks until all have it or the limit has passed.

--- a/testutils/src/prove/evidence.rs
+++ b/testutils/src/prove/evidence.rs
@@ -25,7 +25,7 @@
 use crate::rig::TEAMS;
 
 /// How long an accepted configuration may take, in milliseconds: the letter's.
-const IN_FORCE_LIMIT: u64 = 8_000;
+pub(super) const IN_FORCE_LIMIT: u64 = 8_000;
 
 /// When a leaving upstream gets nothing new any more, in milliseconds: the
 /// issue's 2 s and what a dispatch under way takes.
--- a/testutils/src/prove/run.rs
+++ b/testutils/src/prove/run.rs
@@ -15,6 +15,7 @@
 use tokio::sync::Semaphore;
 
 use super::evidence::Evidence;
+use super::evidence::IN_FORCE_LIMIT;
 use super::evidence::read_runs;
 use super::faults::Balancer;
 use super::faults::Notes;
@@ -94,6 +95,7 @@
         charged: before,
         warm,
     };
+    settle_configuration(&rig, &evidence).await;
     settle_usage(&rig, &mut evidence).await;
     ended.store(true, Ordering::SeqCst);
     evidence.seen = looking.await.map_err(io::Error::other)?;
@@ -151,6 +153,29 @@
     seen
 }
 
+// Long enough that a VM on which the last accepted revision is not in force in
+// time is seen without it.
+async fn settle_configuration(rig: &Rig, evidence: &Evidence) {
+    let confirmed = &evidence.notes.confirmed;
+    let Some(due) = confirmed.iter().map(|c| c.revision).max() else {
+        return;
+    };
+    let last = confirmed.iter().map(|c| c.at).max().unwrap_or(0);
+    let until = last + IN_FORCE_LIMIT + 1_000;
+    while rig.now_ms() < until {
+        let Ok(clients) = clients(rig) else { return };
+        let mut behind = false;
+        for client in &clients {
+            let status = tokio::time::timeout(LOOK, client.status()).await;
+            behind |= !matches!(status, Ok(Ok(s)) if s.revision >= due);
+        }
+        if !behind {
+            return;
+        }
+        tokio::time::sleep(LOOK).await;
+    }
+}
+
 async fn settle_usage(rig: &Rig, evidence: &mut Evidence) {
     let begin = std::time::Instant::now();
     while begin.elapsed() < USAGE_SETTLES {
