pool: let an operator choose after how many breaks a request runs alone

Run alone after the first break, what a crashed engine was running is retried one by one on emptied replicas; that finds a crashing request with one further crash, but an engine that restarts for another reason pays for it too.

--- a/lib/src/pool/admit.rs
+++ b/lib/src/pool/admit.rs
@@ -90,7 +90,9 @@
         let lane = Lane::of(a.class);
         let ticket = a.ticket;
         let target = a.adapter.clone();
-        let solo = self.verdicts.is_suspect(now, a.fingerprint);
+        let solo = self
+            .verdicts
+            .is_suspect(now, a.fingerprint, self.settings.strikes);
         self.note_demand(now, &a);
         let cost = u64::from(a.output / 2) + u64::from(a.prompt / 16) + 1;
         let share = self.share(&a);
--- a/lib/src/pool/settings.rs
+++ b/lib/src/pool/settings.rs
@@ -71,6 +71,12 @@
     /// load.
     #[builder(default = true)]
     pub ahead: bool,
+    /// How many times a request must have run where an upstream broke before
+    /// it is run alone. With 1 a request that crashes its upstream takes one
+    /// batch of others down; with 2 it takes two, but what an engine loses
+    /// that fails for another reason is not retried one by one.
+    #[builder(default = 1)]
+    pub strikes: u32,
     /// How long a request stays convicted of crashing its upstream, in
     /// microseconds.
     #[builder(default = Span::from_millis(600_000))]
@@ -139,6 +145,9 @@
         if !(1..=100).contains(&self.long_slots) {
             return bad("long_slots", self.long_slots.to_string(), "1 to 100");
         }
+        if self.strikes == 0 {
+            return bad("strikes", self.strikes.to_string(), "1 or more");
+        }
         if self.gather > 100 {
             return bad("gather", self.gather.to_string(), "0 to 100");
         }
--- a/lib/src/pool/verdicts.rs
+++ b/lib/src/pool/verdicts.rs
@@ -21,6 +21,8 @@
     until: Moment,
     replica: ReplicaName,
     incarnation: Incarnation,
+    /// How many times it ran where an upstream broke.
+    strikes: u32,
 }
 
 /// What is known of requests that may crash their upstream.
@@ -48,10 +50,14 @@
         if self.suspects.len() >= MOST_KEPT {
             self.suspects.pop_first();
         }
+        let old = self.suspects.get(&fingerprint);
+        let same = old.is_some_and(|s| s.replica == *replica && s.incarnation == incarnation);
+        let before = old.filter(|s| s.until > now).map_or(0, |s| s.strikes);
         let suspicion = Suspicion {
             until: now.after(SUSPICION),
             replica: replica.clone(),
             incarnation,
+            strikes: before + u32::from(!same),
         };
         self.suspects.insert(fingerprint, suspicion);
     }
@@ -68,10 +74,10 @@
             .retain(|_, s| s.replica != *replica || s.incarnation != incarnation);
     }
 
-    pub(super) fn is_suspect(&self, now: Moment, fingerprint: Fingerprint) -> bool {
-        self.suspects
-            .get(&fingerprint)
-            .is_some_and(|s| s.until > now)
+    /// Whether it ran so many times where an upstream broke.
+    pub(super) fn is_suspect(&self, now: Moment, fingerprint: Fingerprint, strikes: u32) -> bool {
+        let s = self.suspects.get(&fingerprint);
+        s.is_some_and(|s| s.until > now && s.strikes >= strikes)
     }
 
     /// Refuse it until `until`.
--- a/lib/tests/test_pool_outcomes.rs
+++ b/lib/tests/test_pool_outcomes.rs
@@ -252,10 +252,14 @@
 }
 
 #[rstest]
-#[case::with_adapter("a@1")]
-#[case::plain("")]
-fn crashing_request_convicted_exactly(#[case] adapter: &str) {
-    let mut rig = Rig::new(settings(), 4, 2, 8);
+#[case::with_adapter("a@1", 1)]
+#[case::plain("", 1)]
+#[case::with_adapter_after_two("a@1", 2)]
+#[case::plain_after_two("", 2)]
+fn crashing_request_convicted_exactly(#[case] adapter: &str, #[case] strikes: u32) {
+    let mut s = settings();
+    s.strikes = strikes;
+    let mut rig = Rig::new(s, 4, 2, 8);
     rig.retries = 3;
     for i in 0..200 {
         let a = arrival(i, "t", adapter);
@@ -271,7 +275,7 @@
     rig.run_for(60_000);
     assert!(rig.convicted.contains(&Fingerprint(77_777)));
     assert_eq!(rig.convicted.len(), 1);
-    assert_eq!(rig.crashes, 2, "one to suspect, one to convict");
+    assert_eq!(rig.crashes, strikes + 1, "to suspect, and one to convict");
     assert!(rig.refused(Reason::Convicted) >= 1);
     assert_eq!(rig.totals(|_| true).len(), 200);
     assert_eq!(rig.waiting(), 0);
