pool: give company a tenth of a long request's time at most

A long request with a near deadline waited the whole ten seconds for company. Each now waits for itself, a tenth of the time to its deadline at most.

--- a/lib/src/pool/admit.rs
+++ b/lib/src/pool/admit.rs
@@ -110,6 +110,9 @@
         if !solo && self.place(now, &w) {
             return;
         }
+        if lane == Lane::Long {
+            self.note_gathering(now, &w.arrival);
+        }
         self.queue.insert(w);
         let entry = self.adapters.entry(&target);
         if entry.waiting() == 0 {
@@ -124,11 +127,6 @@
                 entry.lists[lane.index()].insert((tag, ticket));
             }
         }
-        let first = entry.waiting() == 1;
-        if first && lane == Lane::Long {
-            self.note_gathering(now, &target);
-        }
-        let entry = self.adapters.entry(&target);
         if let Some(adapter) = &target {
             let held = entry.holders.iter().any(|r| {
                 let r = self.replicas.get(r);
--- a/lib/src/pool/gather.rs
+++ b/lib/src/pool/gather.rs
@@ -1,7 +1,6 @@
 //! Gathering: long work starts when it fills steps.
 
 use super::adapter::Adapter;
-use super::adapter::Target;
 use super::queue::Lane;
 use super::replica::Replica;
 use super::replica::part;
@@ -9,6 +8,9 @@
 use super::types::*;
 use crate::ids::ReplicaName;
 
+/// Long work gives one part in so many of its time to wait for company.
+const DEADLINE_PARTS: u64 = 10;
+
 impl Pool {
     /// Whether long work may start at a replica now, `more` requests of it
     /// counted that do not wait yet.
@@ -17,8 +19,9 @@
     /// takes nearly the same time for one request as for a batch, so long work
     /// that is spread as it comes keeps every engine at work nearly empty. It
     /// waits until what runs at the replica and what waits for it fill enough
-    /// of a batch together, but no longer than `gather_for`, so that each
-    /// reading is started in time. Short work never waits for this.
+    /// of a batch together, but no longer than `gather_for` or a tenth of its
+    /// time, so that each reading is started in time. Short work never waits
+    /// for this.
     pub(super) fn gathered(&self, now: Moment, r: &Replica, more: usize) -> bool {
         if !self.gathers() || r.spec.slots == 0 {
             return true;
@@ -46,16 +49,24 @@
         self.settings.weighing == Weighing::Batch && self.settings.gather > 0
     }
 
+    /// Whether the first in turn has waited long enough.
     fn patience_over(&self, now: Moment, e: &Adapter) -> bool {
-        now.since(e.since) >= self.settings.gather_for
+        let first = e.list(Lane::Long).first();
+        let first = first.and_then(|(_, ticket)| self.queue.get(*ticket));
+        first.is_some_and(|w| self.patience_end(w.since, &w.arrival) <= now)
+    }
+
+    fn patience_end(&self, since: Moment, a: &Arrival) -> Moment {
+        let part = Span(a.deadline.since(since).0 / DEADLINE_PARTS);
+        since.after(part.min(self.settings.gather_for))
     }
 
-    /// Notes that long work begins to wait for an adapter.
-    pub(super) fn note_gathering(&mut self, now: Moment, target: &Target) {
+    /// Notes that long work waits for company.
+    pub(super) fn note_gathering(&mut self, now: Moment, a: &Arrival) {
         if self.gathers()
-            && let Some(adapter) = target
+            && let Some(adapter) = &a.adapter
         {
-            let due = now.after(self.settings.gather_for);
+            let due = self.patience_end(now, a);
             self.gathering.insert((due, adapter.clone()));
         }
     }
--- a/lib/src/pool/settings.rs
+++ b/lib/src/pool/settings.rs
@@ -57,7 +57,8 @@
     /// always.
     #[builder(default = 60)]
     pub gather: u32,
-    /// The longest that long work waits for company, in microseconds.
+    /// The longest that long work waits for company, in microseconds; never
+    /// more than a tenth of the time to its deadline.
     #[builder(default = Span::from_millis(10_000))]
     pub gather_for: Span,
     /// Retries allowed, in hundredths of the answers.
--- a/lib/tests/test_pool_outcomes.rs
+++ b/lib/tests/test_pool_outcomes.rs
@@ -464,3 +464,54 @@
     rig.run_for(15_000);
     assert_eq!(rig.loads.len(), 1);
 }
+
+fn gathering() -> Rig {
+    let mut s = settings();
+    s.weighing = Weighing::Batch;
+    Rig::new(s, 2, 2, 10)
+}
+
+fn reading(rig: &Rig, ticket: u64, ms: u64) -> Arrival {
+    let mut a = arrival(ticket, "archive", "a@1");
+    a.class = Class::Long;
+    due(rig, ms, a)
+}
+
+#[rstest]
+#[case::no_longer_than_set(600_000, 10_600)]
+#[case::a_tenth_of_its_time(30_000, 3_600)]
+fn long_alone_starts_in_time(#[case] deadline: u64, #[case] most: u64) {
+    let mut rig = gathering();
+    rig.offer_in(0, arrival(0, "counter", "a@1"));
+    rig.run_for(2_000);
+    rig.offer_in(0, reading(&rig, 1, deadline));
+    rig.run_for(most - 1_000);
+    assert_eq!(rig.totals(|a| a.class == Class::Long).len(), 0);
+    rig.run_for(1_000);
+    assert_eq!(rig.totals(|a| a.class == Class::Long).len(), 1);
+}
+
+#[test]
+fn long_in_company_starts_at_once() {
+    let mut rig = gathering();
+    rig.offer_in(0, arrival(0, "counter", "a@1"));
+    rig.run_for(2_000);
+    for i in 1..=6 {
+        rig.offer_in(i * 10, reading(&rig, i, 600_000));
+    }
+    rig.run_for(600);
+    assert_eq!(rig.totals(|a| a.class == Class::Long).len(), 6);
+}
+
+#[test]
+fn refusing_replica_draws_nothing_in() {
+    let mut rig = Rig::new(settings(), 2, 0, 8);
+    rig.crash_in(0, "r1");
+    rig.run_for(10);
+    for i in 0..100 {
+        rig.offer_in(i * 10, arrival(i, "t", ""));
+    }
+    rig.run_for(5_000);
+    let broken = rig.got.values().filter(|g| matches!(g, Got::Broken(_)));
+    assert!(broken.count() <= 2, "one a report");
+}
