--- a/lib/src/pool/loads.rs
+++ b/lib/src/pool/loads.rs
@@ -33,14 +33,7 @@
 const LONG_BEARS: Span = Span::from_millis(10_000);
 
 /// Wanted loads of a lane looked at for one that can be ordered now.
-const LOADS_PROBED: usize = 8;
-
-/// Idle slots looked at from each index for the one to evict.
-const SLOTS_PROBED: usize = 8;
-
-/// Idle slots walked over at the most to find these: others are on replicas
-/// with an order under way, or wanted.
-const SLOTS_WALKED: usize = 64;
+pub(super) const LOADS_PROBED: usize = 8;
 
 /// An order that has had no end for so many load times no longer holds the
 /// others up.
@@ -61,15 +54,6 @@
 /// is thought to have gone elsewhere.
 pub(super) const SILENCE: f64 = 1.0;
 
-/// Requests a second below which an adapter is not loaded ahead.
-const LEAST_AHEAD: f64 = 0.03;
-
-/// How many times more what is loaded ahead must be asked for than what goes.
-const GAIN_AHEAD: f64 = 3.0;
-
-/// Weighs several candidates of nearly equal demand by where they are.
-const NEARLY: f64 = 2.0;
-
 impl Pool {
     /// The time of one load at full speed.
     pub(super) fn load_time(&self) -> Span {
@@ -174,52 +158,6 @@
         }
     }
 
-    /// Loads what is asked for most of what is loaded nowhere, while nothing
-    /// waits for a load.
-    ///
-    /// Made for an engine that restarts empty and for the time after a shift:
-    /// the weight store has some loads to spare, and each adapter that is
-    /// back before its next request is a stall less. It pays only if what
-    /// comes is asked for much more than what goes; else near equals would
-    /// chase each other out, and each such load holds up the next real one.
-    fn load_ahead(&mut self, now: Moment) {
-        if !self.settings.ahead || self.open.is_empty() {
-            return;
-        }
-        let half = self.half_life();
-        let outlook = |a: &AdapterVersion| {
-            let e = self.adapters.get(&Some(a.clone()))?;
-            let known = e.backoff <= now && e.loading == 0 && e.demand.due(half) > now;
-            known.then(|| e.demand.outlook(now, half, SILENCE))
-        };
-        let missed = self.adapters.missed().take(LOADS_PROBED);
-        let best = missed.filter_map(|a| Some((outlook(a)?, a)));
-        let Some((gain, adapter)) = best.max_by(|a, b| a.0.total_cmp(&b.0)) else {
-            return;
-        };
-        if gain < LEAST_AHEAD {
-            return;
-        }
-        let adapter = adapter.clone();
-        let Some((name, evict)) = self.choose_slot(now, &adapter, &self.vacant()) else {
-            return;
-        };
-        let loss = evict.as_ref().map_or(0.0, |a| self.worth_of(now, a));
-        if gain > loss * GAIN_AHEAD {
-            self.order(now, &adapter, &name, evict);
-        }
-    }
-
-    /// The demand expected for a slot; nothing when it is long overdue.
-    fn worth_of(&self, now: Moment, adapter: &AdapterVersion) -> f64 {
-        let half = self.half_life();
-        let entry = self.adapters.get(&Some(adapter.clone()));
-        entry.map_or(0.0, |e| match e.demand.due(half) <= now {
-            true => 0.0,
-            false => e.demand.outlook(now, half, SILENCE) / e.holders.len().max(1) as f64,
-        })
-    }
-
     fn store_busy(&self, now: Moment) -> bool {
         let patience = Span(self.load_time().0 * PATIENCE);
         let sent = |name| {
@@ -230,95 +168,7 @@
         under_way.any(|sent| sent.after(patience) > now)
     }
 
-    /// Replicas with a free slot, the least loaded first; then those with a
-    /// slot that nothing can use, and what may still fill it.
-    fn vacant(&self) -> Vec<(ReplicaName, Option<AdapterVersion>)> {
-        let all = self.replicas.iter();
-        let takes = all.filter(|(_, r)| r.orderable() && r.solo.is_none());
-        let mut free: Vec<_> = takes
-            .filter_map(|(n, r)| {
-                let ghost = r.ghosts.iter().find(|g| !r.users.contains_key(*g));
-                let ghost = ghost.filter(|_| !r.vacant());
-                let fit = r.vacant() || ghost.is_some();
-                fit.then(|| (ghost, !r.open(), self.crowd(r, n), r.loaded.len(), n))
-            })
-            .collect();
-        free.sort();
-        let found = free.into_iter();
-        found.map(|f| (f.4.clone(), f.0.cloned())).collect()
-    }
-
-    /// Where an adapter should be loaded, and what gives up its slot.
-    fn choose_slot(
-        &self,
-        now: Moment,
-        adapter: &AdapterVersion,
-        vacant: &[(ReplicaName, Option<AdapterVersion>)],
-    ) -> Option<(ReplicaName, Option<AdapterVersion>)> {
-        let fits = |name: &ReplicaName| {
-            let r = self.replicas.get(name)?;
-            let fit = r.orderable() && r.solo.is_none() && !r.loaded.contains(adapter);
-            fit.then_some(r)
-        };
-        if let Some(found) = vacant.iter().find(|(name, _)| fits(name).is_some()) {
-            return Some(found.clone());
-        }
-        let target = Some(adapter.clone());
-        let urgent = self.adapters.get(&target).is_some_and(|e| e.urgent());
-        self.choose_victim(now, urgent, fits)
-    }
-
-    /// The idle slot that is worth the least.
-    ///
-    /// Made for popularity that shifts without warning. The worth of a slot is
-    /// the demand expected for it: the decayed count, but no more than its
-    /// silence leaves likely. The least of either index is the least of both.
-    /// A slot whose next request is long overdue is worth nothing: right after
-    /// a shift those of yesterday's busiest adapters go first.
-    /// An adapter for which something waits keeps its slot, so that no two
-    /// adapters chase each other out; but long work that waits for its turn
-    /// does not keep a slot from someone who stands and waits.
-    fn choose_victim<'a>(
-        &'a self,
-        now: Moment,
-        urgent: bool,
-        fits: impl Fn(&ReplicaName) -> Option<&'a super::replica::Replica>,
-    ) -> Option<(ReplicaName, Option<AdapterVersion>)> {
-        let half = self.half_life();
-        let worth = |a: &AdapterVersion| {
-            let e = self.adapters.get(&Some(a.clone()))?;
-            let rate = e.demand.outlook(now, half, SILENCE);
-            let free = e.waiting() == 0 || urgent && !e.urgent();
-            free.then(|| rate / e.holders.len().max(1) as f64)
-        };
-        let rate = self.adapters.least_asked().take(SLOTS_WALKED);
-        let silent = self.adapters.longest_silent().take(SLOTS_WALKED);
-        let fit = |(name, a): (&ReplicaName, &AdapterVersion)| {
-            let r = fits(name)?;
-            Some((worth(a)?, r, name.clone(), a.clone()))
-        };
-        let overdue = self.adapters.overdue(now).take(SLOTS_WALKED);
-        if let Some((_, _, name, a)) = overdue.filter_map(fit).next() {
-            return Some((name, Some(a)));
-        }
-        let mut slots: Vec<_> = rate.filter_map(fit).take(SLOTS_PROBED).collect();
-        slots.extend(silent.filter_map(fit).take(SLOTS_PROBED));
-        let least = slots.iter().map(|s| s.0).min_by(f64::total_cmp)?;
-        let near = slots.iter().filter(|s| s.0 <= least * NEARLY);
-        let best = near.min_by_key(|(_, r, name, _)| (!r.open(), self.crowd(r, name)));
-        best.map(|(_, _, name, a)| (name.clone(), Some(a.clone())))
-    }
-
-    /// How little a replica suits one more adapter, others being equal: its
-    /// load, or where long work is gathered, how little company there is.
-    fn crowd(&self, r: &super::replica::Replica, name: &ReplicaName) -> usize {
-        match self.gathers() {
-            true => usize::MAX - self.company(name),
-            false => r.busy() as usize,
-        }
-    }
-
-    fn order(
+    pub(super) fn order(
         &mut self,
         now: Moment,
         adapter: &AdapterVersion,
--- a/lib/src/pool/mod.rs
+++ b/lib/src/pool/mod.rs
@@ -10,15 +10,19 @@
 //! | `queue` | whose turn it is |
 //! | `dispatch` | where a request runs, what a replica runs next |
 //! | `gather` | when long work starts |
-//! | `loads` | which adapter is loaded next, where, and what it evicts |
+//! | `loads` | which adapter is loaded next |
+//! | `evict` | where, and what gives up its slot |
+//! | `ahead` | what is loaded before it is asked for |
 //! | `health` | what reports and ends of dispatches mean |
 //! | `solo`, `verdicts` | which request crashes its upstream |
 
 mod adapter;
 mod admit;
+mod ahead;
 mod budget;
 mod demand;
 mod dispatch;
+mod evict;
 mod gather;
 mod health;
 mod loads;
--- a/lib/tests/test_pool_rig.rs
+++ b/lib/tests/test_pool_rig.rs
@@ -17,8 +17,6 @@
 /// How often replicas report, and how old a report is on arrival.
 const REPORT: Span = Span::from_millis(250);
 const LAG: Span = Span::from_millis(100);
-/// From dispatch to the crash of a replica by a request that crashes it.
-const FUSE: Span = Span::from_millis(20);
 
 /// What became of a request.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -39,7 +37,7 @@
 }
 
 #[derive(Clone, Debug)]
-enum Event {
+pub(crate) enum Event {
     Offer(Arrival),
     Abandon(Ticket),
     Ends(Ticket),
@@ -52,15 +50,15 @@
 }
 
 #[derive(Debug, Default)]
-struct Engine {
-    up: bool,
-    incarnation: u64,
-    slots: u32,
-    batch: u32,
-    loaded: BTreeSet<AdapterVersion>,
-    running: BTreeSet<Ticket>,
+pub(crate) struct Engine {
+    pub(crate) up: bool,
+    pub(crate) incarnation: u64,
+    pub(crate) slots: u32,
+    pub(crate) batch: u32,
+    pub(crate) loaded: BTreeSet<AdapterVersion>,
+    pub(crate) running: BTreeSet<Ticket>,
     /// Hundredths of the usual time.
-    slow: u64,
+    pub(crate) slow: u64,
 }
 
 /// A pool with fake replicas and callers.
@@ -79,16 +77,16 @@
     pub(crate) loads: Vec<(Moment, ReplicaName, AdapterVersion)>,
     /// Most requests that a replica ran at once, long ones apart.
     pub(crate) peak: BTreeMap<ReplicaName, (usize, usize)>,
-    engines: BTreeMap<ReplicaName, Engine>,
-    sent: BTreeMap<Ticket, (Arrival, Moment, Moment)>,
-    orders: BTreeMap<OrderId, (ReplicaName, Incarnation, AdapterVersion)>,
+    pub(crate) engines: BTreeMap<ReplicaName, Engine>,
+    pub(crate) sent: BTreeMap<Ticket, (Arrival, Moment, Moment)>,
+    pub(crate) orders: BTreeMap<OrderId, (ReplicaName, Incarnation, AdapterVersion)>,
     /// The request that a retry stands for.
     pub(crate) first: BTreeMap<Ticket, Ticket>,
     events: BTreeMap<(Moment, u64), Event>,
     serial: u64,
-    step: Span,
-    load: Span,
-    frozen: Moment,
+    pub(crate) step: Span,
+    pub(crate) load: Span,
+    pub(crate) frozen: Moment,
 }
 
 /// A plain arrival; tests change what they are about.
@@ -109,6 +107,21 @@
     }
 }
 
+/// Settings of most of these tests.
+pub(crate) fn settings() -> PoolSettings {
+    // Round numbers: 50 tokens take half a second, a load takes as long.
+    PoolSettings::builder()
+        .loads_per_s(2.0)
+        .step_us(10_000)
+        .build()
+}
+
+/// Gives an arrival a deadline.
+pub(crate) fn due(rig: &Rig, ms: u64, mut a: Arrival) -> Arrival {
+    a.deadline = rig.now.after(Span::from_millis(ms));
+    a
+}
+
 impl Rig {
     /// `count` replicas named `r1`, `r2` and so on, which have reported.
     pub(crate) fn new(settings: PoolSettings, count: u32, slots: u32, batch: u32) -> Self {
@@ -225,7 +238,7 @@
         self.now = end;
     }
 
-    fn at(&mut self, when: Moment, event: Event) {
+    pub(crate) fn at(&mut self, when: Moment, event: Event) {
         self.serial += 1;
         self.events.insert((when, self.serial), event);
     }
@@ -326,7 +339,7 @@
     }
 
     /// A dispatch ended without an answer; its caller may try again.
-    fn break_off(&mut self, ticket: Ticket, name: &ReplicaName, outcome: Outcome) {
+    pub(crate) fn break_off(&mut self, ticket: Ticket, name: &ReplicaName, outcome: Outcome) {
         self.got.insert(ticket, Got::Broken(name.clone()));
         let (mut a, _, granted) = self.sent[&ticket].clone();
         self.finish(ticket, outcome, 0, granted);
@@ -362,104 +375,6 @@
         self.pool.order_end(self.now, order, end);
     }
 
-    /// Carries out what the pool decided, and checks it.
-    fn obey(&mut self) {
-        loop {
-            let commands = self.pool.take_commands();
-            if commands.is_empty() {
-                return;
-            }
-            for command in commands {
-                self.carry_out(command);
-            }
-        }
-    }
-
-    fn carry_out(&mut self, command: Command) {
-        let now = self.now;
-        match command {
-            Command::Grant {
-                ticket,
-                replica,
-                incarnation,
-                ..
-            } => self.run(ticket, replica, incarnation),
-            Command::Refuse {
-                ticket,
-                reason,
-                retry_after,
-            } => {
-                assert_eq!(self.got.get(&ticket), Some(&Got::Waits), "two ends");
-                let got = Got::Refused {
-                    why: reason,
-                    at: now,
-                    after: retry_after,
-                };
-                self.got.insert(ticket, got);
-            }
-            Command::Load {
-                order,
-                replica,
-                incarnation,
-                adapter,
-                evict,
-            } => {
-                assert!(now >= self.frozen, "a load in the quarantine");
-                self.loads.push((now, replica.clone(), adapter.clone()));
-                if let Some(old) = evict {
-                    self.evict(&replica, incarnation, &old);
-                }
-                self.orders.insert(order, (replica, incarnation, adapter));
-                self.at(now.after(self.load), Event::Loaded(order));
-            }
-            Command::Convict { fingerprint, .. } => {
-                self.convicted.insert(fingerprint);
-            }
-        }
-    }
-
-    fn evict(&mut self, name: &ReplicaName, inc: Incarnation, old: &AdapterVersion) {
-        let Some(e) = self.engines.get_mut(name) else {
-            return;
-        };
-        if e.incarnation != inc.0 {
-            return;
-        }
-        let uses = |t: &Ticket| self.sent[t].0.adapter.as_ref() == Some(old);
-        assert!(!e.running.iter().any(uses), "evicted while in use");
-        e.loaded.remove(old);
-    }
-
-    fn run(&mut self, ticket: Ticket, name: ReplicaName, inc: Incarnation) {
-        assert_eq!(self.got.get(&ticket), Some(&Got::Waits), "two ends");
-        self.got.insert(ticket, Got::Granted(name.clone()));
-        let now = self.now;
-        let sent = self.sent.get_mut(&ticket).unwrap();
-        sent.2 = now;
-        let a = sent.0.clone();
-        let e = self.engines.get_mut(&name).unwrap();
-        if !e.up || e.incarnation != inc.0 {
-            self.break_off(ticket, &name, Outcome::NotRun);
-            return;
-        }
-        if let Some(adapter) = &a.adapter {
-            assert!(e.loaded.contains(adapter), "granted where not loaded");
-        }
-        e.running.insert(ticket);
-        assert!(e.running.len() <= e.batch as usize, "more than the batch");
-        let running = e.running.iter();
-        let longs = running.filter(|t| self.sent[*t].0.class == Class::Long);
-        let longs = longs.count();
-        let peak = self.peak.entry(name.clone()).or_default();
-        *peak = (peak.0.max(e.running.len()), peak.1.max(longs));
-        let time = Span(u64::from(a.output) * self.step.0 * e.slow / 100);
-        if self.poison.contains(&a.fingerprint) {
-            self.at(now.after(FUSE), Event::Crash(name, inc));
-        } else {
-            self.at(now.after(time), Event::Ends(ticket));
-        }
-    }
-
     /// Requests that neither ended nor run.
     pub(crate) fn waiting(&self) -> usize {
         self.got.values().filter(|g| **g == Got::Waits).count()
