--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -18,6 +18,8 @@
 mod test_entry_life;
 mod test_entry_path;
 mod test_ids;
+mod test_pool_faults;
+mod test_pool_obey;
 mod test_lease_contest;
 mod test_link_tls;
 mod test_members_table;
