path: take the median of many short rounds, say how busy the machine is

On a machine that others use (load 17 to 25 on 12 cores) one percentile over all turns moved with their bursts. Each round now gives its own difference, who goes first changes, and the median counts.

--- a/bench/src/path/mod.rs
+++ b/bench/src/path/mod.rs
@@ -39,10 +39,10 @@
     #[argh(option, default = "14_000")]
     pub adapters: usize,
     /// how often direct and entry take turns
-    #[argh(option, default = "8")]
+    #[argh(option, default = "16")]
     pub rounds: u32,
     /// milliseconds of one turn
-    #[argh(option, default = "1_000")]
+    #[argh(option, default = "500")]
     pub turn_ms: u64,
     /// folder of the programs; the one this program is in when left out
     #[argh(option)]
@@ -104,11 +104,11 @@
     for round in 1..=args.rounds {
         few.take_turns(&direct, &entry, turn).await?;
         many.take_turns(&direct, &entry, turn).await?;
-        eprintln!("round {round} of {}: {}", args.rounds, few.progress());
+        eprintln!("round {round} of {}", args.rounds);
     }
     let after = [programs.usage_entry()?, programs.usage_control()?];
-    let requests = few.entry.answered() + many.entry.answered();
-    print_details(&few, &many);
+    print_machine()?;
+    let requests = print_details("few", &few) + print_details("many", &many);
     print_processes(before, after, requests);
     let rss = after.iter().map(|u| u.rss_mb).fold(0.0, f64::max);
     println!(
@@ -121,18 +121,28 @@
     Ok(())
 }
 
-fn print_details(few: &Rounds, many: &Rounds) {
-    for (name, rounds) in [("few", few), ("many", many)] {
-        for (way, side) in [("direct", &rounds.direct), ("entry", &rounds.entry)] {
-            println!(
-                "{name} callers, {way}: rps={:.0} p50_us={} p99_us={} requests={}",
-                side.rps(),
-                side.us(50.0),
-                side.us(99.0),
-                side.answered()
-            );
-        }
+/// What else the machine did matters to every figure.
+fn print_machine() -> Result<(), PathError> {
+    let cores = std::thread::available_parallelism()?;
+    let load = std::fs::read_to_string("/proc/loadavg")?;
+    let minute = load.split(' ').next().unwrap_or("");
+    println!("machine: cores={cores} load_1min={minute}");
+    Ok(())
+}
+
+/// Prints all turns of both sides together; gives the entry's answers.
+fn print_details(name: &str, rounds: &Rounds) -> u64 {
+    let (direct, entry) = rounds.sum();
+    for (way, side) in [("direct", &direct), ("entry", &entry)] {
+        println!(
+            "{name} callers, {way}: rps={:.0} p50_us={} p99_us={} requests={}",
+            side.rps(),
+            side.us(50.0),
+            side.us(99.0),
+            side.answered()
+        );
     }
+    entry.answered()
 }
 
 fn print_processes(before: [Usage; 2], after: [Usage; 2], requests: u64) {
--- a/bench/src/path/rounds.rs
+++ b/bench/src/path/rounds.rs
@@ -25,8 +25,8 @@
 /// How often a hot adapter is asked for until it answers.
 const WARM_TRIES: u32 = 600;
 
-/// What one side did in all its turns.
-#[derive(Debug)]
+/// What one side did, in one turn or in all.
+#[derive(Clone, Debug)]
 pub(super) struct Side {
     latency: Histogram<u64>,
     spent: Duration,
@@ -42,6 +42,12 @@
         }
     }
 
+    fn add(&mut self, turn: &Self) {
+        // Both have the same bounds.
+        let _ = self.latency.add(&turn.latency);
+        self.spent += turn.spent;
+    }
+
     pub(super) fn answered(&self) -> u64 {
         self.latency.len()
     }
@@ -62,8 +68,8 @@
 pub(super) struct Rounds {
     rng: ChaCha8Rng,
     callers: usize,
-    pub(super) direct: Side,
-    pub(super) entry: Side,
+    /// Direct and entry of each round.
+    turns: Vec<(Side, Side)>,
 }
 
 impl Rounds {
@@ -71,12 +77,11 @@
         Self {
             rng: ChaCha8Rng::seed_from_u64(seed),
             callers,
-            direct: Side::new(),
-            entry: Side::new(),
+            turns: Vec::new(),
         }
     }
 
-    /// One turn of each side with the same requests.
+    /// One turn of each side with the same requests; who goes first changes.
     pub(super) async fn take_turns(
         &mut self,
         direct: &Caller,
@@ -84,27 +89,47 @@
         turn: Duration,
     ) -> Result<(), PathError> {
         let seed = self.rng.random();
-        take_turn(&mut self.direct, direct, self.callers, seed, turn).await?;
-        take_turn(&mut self.entry, entry, self.callers, seed, turn).await
+        let turns = match self.turns.len() % 2 {
+            0 => {
+                let first = take_turn(direct, self.callers, seed, turn).await?;
+                (first, take_turn(entry, self.callers, seed, turn).await?)
+            }
+            _ => {
+                let first = take_turn(entry, self.callers, seed, turn).await?;
+                (take_turn(direct, self.callers, seed, turn).await?, first)
+            }
+        };
+        self.turns.push(turns);
+        Ok(())
+    }
+
+    /// All turns together: direct, entry.
+    pub(super) fn sum(&self) -> (Side, Side) {
+        let mut sum = (Side::new(), Side::new());
+        for (direct, entry) in &self.turns {
+            sum.0.add(direct);
+            sum.1.add(entry);
+        }
+        sum
     }
 
-    /// How much more a percentile is through the entry, in microseconds.
-    pub(super) fn added_us(&self, percentile: f64) -> i64 {
-        self.entry.us(percentile) as i64 - self.direct.us(percentile) as i64
+    /// How much more a percentile is through the entry, in microseconds: the
+    /// median of the rounds, so that what else the machine did in some of them
+    /// counts little.
+    pub(super) fn added_us(&self, percentile: f64) -> f64 {
+        let added = |(d, e): &(Side, Side)| e.us(percentile) as f64 - d.us(percentile) as f64;
+        median(self.turns.iter().map(added).collect())
     }
 
-    /// The entry's rate as a share of the direct rate.
+    /// The entry's rate as a share of the direct rate; the median of the rounds.
     pub(super) fn ratio(&self) -> f64 {
-        self.entry.rps() / self.direct.rps()
+        median(self.turns.iter().map(|(d, e)| e.rps() / d.rps()).collect())
     }
+}
 
-    pub(super) fn progress(&self) -> String {
-        format!(
-            "direct p50 {} us, entry p50 {} us",
-            self.direct.us(50.0),
-            self.entry.us(50.0)
-        )
-    }
+fn median(mut values: Vec<f64>) -> f64 {
+    values.sort_by(f64::total_cmp);
+    values.get(values.len() / 2).copied().unwrap_or(f64::NAN)
 }
 
 /// Asks for each hot adapter until it is loaded and answers.
@@ -127,12 +152,12 @@
 }
 
 async fn take_turn(
-    side: &mut Side,
     caller: &Caller,
     callers: usize,
     seed: u64,
     turn: Duration,
-) -> Result<(), PathError> {
+) -> Result<Side, PathError> {
+    let mut side = Side::new();
     let mut tasks = JoinSet::new();
     let start = Instant::now();
     for number in 0..callers {
@@ -141,12 +166,12 @@
     }
     while let Some(ended) = tasks.join_next().await {
         let spans = ended.map_err(|e| PathError::Answer(e.to_string()))??;
-        spans
-            .into_iter()
-            .for_each(|us| side.latency.saturating_record(us));
+        for us in spans {
+            side.latency.saturating_record(us);
+        }
     }
-    side.spent += start.elapsed();
-    Ok(())
+    side.spent = start.elapsed();
+    Ok(side)
 }
 
 /// Asks one question after another; gives their latencies in microseconds.
