--- a/lib/src/pool/slots.rs
+++ b/lib/src/pool/slots.rs
@@ -19,7 +19,7 @@
 impl Pool {
     /// Half-life of demand, in microseconds.
     pub(super) fn half_life(&self) -> f64 {
-        self.settings.half_life.0.max(1) as f64
+        self.settings.half_life_us()
     }
 
     /// Counts a request for an adapter. A retry is not demand of its own.
@@ -45,7 +45,8 @@
             let r = replicas.get(name);
             r.is_some_and(|r| evictable(r, adapter))
         };
-        self.adapters.index(adapter, half, idle);
+        let live = |name: &ReplicaName| replicas.get(name).is_some_and(|r| r.live());
+        self.adapters.index(adapter, half, live, idle);
     }
 
     /// Changes holders of an adapter and keeps the indexes in step.
--- a/lib/tests/test_entry_failures.rs
+++ b/lib/tests/test_entry_failures.rs
@@ -90,6 +90,8 @@
     let answer = world.ask(&completion(), body).await;
     assert_eq!((answer.status, answer.whole), (200, true), "{answer:?}");
     assert_eq!(outcomes(&world.releases(2).await), [2, 0]);
+    // Told only after the upstream was asked to end it.
+    assert_eq!(bad.count("DELETE"), 1);
     assert_eq!(world.entry.state.usage.counts()[0].requests, 1);
 }
 
@@ -124,6 +126,35 @@
     );
 }
 
+/// A service that leaves says so; a bare 503 may come after the call ran.
+#[rstest]
+#[case::draining("{\"error\":{\"code\":\"draining\"}}", 2)]
+#[case::bare("", 1)]
+#[tokio::test]
+async fn service_unavailable(#[case] body: &'static str, #[case] dispatches: usize) {
+    let bad = FakeUpstream::start(move |_| vec![sized("503 Oops", "", body)]).await;
+    let good = FakeUpstream::start(|got| {
+        let id = got.header("x-request-id").unwrap();
+        vec![sized(
+            "200 OK",
+            &format!("x-request-id: {id}\r\n"),
+            "booked",
+        )]
+    })
+    .await;
+    let world = World::start(first_then(bad.address, good.address)).await;
+    let head = format!("POST /booking/confirm\nauthorization: Bearer {KEY}");
+    let answer = world.ask(&head, "slot 4").await;
+    assert_eq!(bad.count("POST") + good.count("POST"), dispatches);
+    match dispatches {
+        2 => assert_eq!(answer.status, 200),
+        _ => assert_eq!(
+            answer.error(),
+            (502, "outcome_unknown".into(), "unknown".into())
+        ),
+    }
+}
+
 #[tokio::test]
 async fn stale_connection_runs_once() {
     let upstream = FakeUpstream::start(|got| vec![whole(got), Act::Cut]).await;
@@ -171,6 +202,7 @@
 #[case::not_json("HTTP/1.1 200 OK\r\ncontent-length: 5\r\nID", "hello")]
 #[case::not_http("hello\r\n", "")]
 #[case::failure("HTTP/1.1 500 Oops\r\ncontent-length: 0\r\n", "")]
+#[case::bare_503("HTTP/1.1 503 Oops\r\ncontent-length: 0\r\n", "")]
 #[tokio::test]
 async fn malformed_whole_unknown(#[case] head: &'static str, #[case] body: &'static str) {
     let bad = FakeUpstream::start(move |got| {
@@ -327,6 +359,47 @@
     assert_eq!(answer.error(), (503, "no_owner".into(), "not_run".into()));
 }
 
+/// The first owner grants one stream and then says nothing more, as one that
+/// is paused; the feed names a second one.
+#[tokio::test]
+async fn takeover_keeps_stream_and_waiting() {
+    let upstream = FakeUpstream::start(|got| match got.body.contains("\"stream\":true") {
+        true => {
+            let mut acts = stream(got, 0, 2);
+            acts.insert(2, Act::Sleep(1_500));
+            acts
+        }
+        false => vec![whole(got)],
+    })
+    .await;
+    let address = upstream.address;
+    let world = World::start(Arc::new(move |a| {
+        (a.version == 2).then(|| grant(a, address, 5_000))
+    }))
+    .await;
+    let entry = world.entry.address;
+    let streaming = tokio::spawn(async move { ask(entry, &completion(), STREAM).await });
+    let waiting = tokio::spawn(async move { ask(entry, &completion(), PROMPT).await });
+    while world.acquires().len() < 2 || upstream.count("POST") == 0 {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    let second = FakeOwner::new(always(address), 5_000, true);
+    let owner = banyangauge::control::Owner {
+        vm: "vm-2".parse().unwrap(),
+        address: second.serve().await,
+        token: banyangauge::ids::Token(2),
+    };
+    let pool = "assistant".parse().unwrap();
+    world.entry.state.owners.send_modify(|o| {
+        o.insert(pool, owner);
+    });
+    assert_eq!(waiting.await.unwrap().status, 200);
+    let answer = streaming.await.unwrap();
+    assert!(answer.whole && answer.body.contains("[DONE]"), "{answer:?}");
+    let heard = second.heard.lock().unwrap();
+    assert!(matches!(&heard[0], ToOwner::Hello(h) if h.held.len() == 1));
+}
+
 #[rstest]
 #[case::deadline("deadline", "", 504, "deadline")]
 #[case::queue("queue_full", "", 429, "queue_full")]
--- a/lib/tests/test_entry_fakes.rs
+++ b/lib/tests/test_entry_fakes.rs
@@ -78,6 +78,25 @@
 }
 
 impl FakeOwner {
+    pub(crate) fn new(script: Script, ttl_ms: u64, renews: bool) -> Self {
+        Self {
+            heard: Arc::default(),
+            ttl_ms,
+            renews,
+            script,
+        }
+    }
+
+    pub(crate) async fn serve(&self) -> SocketAddr {
+        let (listener, address) = bind().await;
+        let service = wire::grants_server::GrantsServer::new(self.clone());
+        tokio::spawn(
+            tonic::transport::Server::builder()
+                .serve_with_incoming(service, TcpListenerStream::new(listener)),
+        );
+        address
+    }
+
     fn answer(&self, body: &ToOwner) -> Option<FromOwner> {
         match body {
             ToOwner::Hello(_) => Some(FromOwner::Welcome(wire::Welcome {
@@ -97,7 +116,8 @@
 pub(crate) fn grant(a: &wire::Acquire, address: SocketAddr, ttl_ms: u64) -> FromOwner {
     FromOwner::Granted(wire::Grant {
         request: a.request,
-        grant: a.request + 1_000,
+        // Never given twice, as the owner's tickets are not.
+        grant: a.request + 1_000 * (1 + u64::from(a.attempt)),
         replica: format!("replica-{}", address.port()),
         address: address.to_string(),
         incarnation: 7,
@@ -219,18 +239,8 @@
     }
 
     pub(crate) async fn with(script: Script, limits: Limits, ttl_ms: u64, renews: bool) -> Self {
-        let owner = FakeOwner {
-            heard: Arc::default(),
-            ttl_ms,
-            renews,
-            script,
-        };
-        let (listener, owner_address) = bind().await;
-        let service = wire::grants_server::GrantsServer::new(owner.clone());
-        tokio::spawn(
-            tonic::transport::Server::builder()
-                .serve_with_incoming(service, TcpListenerStream::new(listener)),
-        );
+        let owner = FakeOwner::new(script, ttl_ms, renews);
+        let owner_address = owner.serve().await;
         let feed = FakeFeed {
             messages: vec![snapshot(&catalog()), owners(owner_address)],
             reports: Arc::default(),
@@ -252,13 +262,16 @@
     }
 
     /// Releases that the owner heard, once there are `count` of them.
+    /// The releases in the order of their grants: one that waits for a cancel
+    /// comes after that of the next try.
     pub(crate) async fn releases(&self, count: usize) -> Vec<wire::Release> {
         for _ in 0..300 {
-            let list: Vec<_> = self.hear(|m| match m {
+            let mut list: Vec<_> = self.hear(|m| match m {
                 ToOwner::Release(r) => Some(r.clone()),
                 _ => None,
             });
             if list.len() >= count {
+                list.sort_by_key(|r| r.grant);
                 return list;
             }
             tokio::time::sleep(Duration::from_millis(10)).await;
@@ -368,6 +381,11 @@
         let (head, body) = read_message(&mut stream, &mut buffer).await?;
         let request = Got { head, body };
         got.lock().unwrap().push(request.clone());
+        if request.head.starts_with("DELETE") {
+            let done = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+            stream.write_all(done).await.ok()?;
+            continue;
+        }
         for act in script(&request) {
             match act {
                 Act::Write(s) => stream.write_all(s.as_bytes()).await.ok()?,
