--- a/bench/src/load/mod.rs
+++ b/bench/src/load/mod.rs
@@ -123,7 +123,7 @@
     let teams = args.team.join(",");
     match args.json {
         true => println!("{}", tally.json(&teams)),
-        false => println!("{}", tally.line()),
+        false => println!("{}{}", tally.reasons(), tally.line()),
     }
     Ok(tally.is_clean())
 }
--- a/bench/src/load/tally.rs
+++ b/bench/src/load/tally.rs
@@ -147,6 +147,18 @@
         )
     }
 
+    /// Why requests were refused or their outcome is unknown; empty when none.
+    pub(super) fn reasons(&self) -> String {
+        let of = |name: &str, counts: &BTreeMap<String, u64>| -> String {
+            let parts = counts.iter().map(|(code, n)| format!(" {code}={n}"));
+            match counts.is_empty() {
+                true => String::new(),
+                false => format!("{name}:{}\n", parts.collect::<String>()),
+            }
+        };
+        of("refused", &self.refused) + &of("unknown", &self.unknown)
+    }
+
     /// The final line.
     pub(super) fn line(&self) -> String {
         format!(
--- a/bench/src/path/mod.rs
+++ b/bench/src/path/mod.rs
@@ -52,7 +52,7 @@
 /// Why nothing could be measured.
 #[derive(Debug)]
 pub enum PathError {
-    /// A program could not be started or stopped.
+    /// A program could not be started, or its figures not be read.
     Program(std::io::Error),
     /// A program did not become ready; which, and what it said.
     Ready(String),
@@ -63,7 +63,10 @@
 impl fmt::Display for PathError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::Program(e) => write!(f, "a program cannot be run: {e}"),
+            Self::Program(e) => write!(
+                f,
+                "a program cannot be run: {e}; all stand in one folder (cargo build --release --workspace --bins)"
+            ),
             Self::Ready(what) => write!(f, "not ready: {what}"),
             Self::Answer(what) => write!(f, "a request was not answered: {what}"),
         }
