control: the operator service takes all 14,000 adapters in one plan

Cause: a gRPC service accepts 4 MB, which is about 36,000 changes with short names and 9,000 with the longest. Change: OperatorService::server has room for 16 MB; plans hold 50,000 changes again.

--- a/cli/tests/test_banyan.rs
+++ b/cli/tests/test_banyan.rs
@@ -22,10 +22,10 @@
 use banyangauge_standin::platform;
 use banyangauge_standin::platform::PlatformArgs;
 use serde_json::Value;
+use serde_json::json;
 use tempfile::TempDir;
 use tokio::net::TcpListener;
 use tokio_stream::wrappers::TcpListenerStream;
-use wire::operator_server::OperatorServer;
 use wire::timeline_server::TimelineServer;
 
 const KEY: &str = "a-key-of-ana";
@@ -64,7 +64,7 @@
         log: slog::Logger::root(slog::Discard, slog::o!()),
     };
     let keys = [("ana".to_owned(), hash_key(KEY))].into();
-    let operator = OperatorServer::new(OperatorService::new(shared.clone(), keys));
+    let operator = OperatorService::new(shared.clone(), keys).server();
     let timeline = TimelineServer::new(TimelineService::new(shared.recorder.clone()));
     let router = tonic::transport::Server::builder()
         .add_service(operator)
@@ -127,7 +127,7 @@
     String::from_utf8(output.stderr.clone()).unwrap()
 }
 
-fn json(output: &Output) -> Value {
+fn answer(output: &Output) -> Value {
     assert_eq!(code(output), 0, "{}", error(output));
     serde_json::from_slice(&output.stdout).unwrap()
 }
@@ -141,7 +141,7 @@
         .await;
     for _ in 0..2 {
         let end = rig.banyan(&["confirm", text(&first), "--json"]).await;
-        assert_eq!(json(&end)["revision"], 1);
+        assert_eq!(answer(&end)["revision"], 1);
     }
     let end = rig.banyan(&["confirm", text(&second)]).await;
     assert_eq!(code(&end), 4);
@@ -151,14 +151,39 @@
         error(&end)
     );
     assert_eq!(
-        json(&rig.banyan(&["status", "--json"]).await)["revision"],
+        answer(&rig.banyan(&["status", "--json"]).await)["revision"],
         1
     );
-    let answer = json(&rig.banyan(&["adapters", "--json"]).await);
-    let catalog: Catalog = serde_json::from_value(answer).unwrap();
+    let whole = answer(&rig.banyan(&["adapters", "--json"]).await);
+    let catalog: Catalog = serde_json::from_value(whole).unwrap();
     assert_eq!(catalog, **rig.shared.board.catalog.borrow());
 }
 
+/// All adapters of the letter in one plan.
+#[tokio::test(flavor = "multi_thread")]
+async fn confirm_fourteen_thousand_adapters() {
+    let rig = rig().await;
+    let mut changes = vec![
+        json!({"change": "put_team", "team": "laundry", "keys": [], "share": 1}),
+        json!({"change": "put_pool", "pool": "assistant", "spec": {"kind": "engine",
+            "base": "base-7b", "honours_token": true, "weighing": "stalls",
+            "loads_per_s": 3.0, "step_us": 5_500, "replicas": []}}),
+    ];
+    for n in 0..14_000 {
+        let name = format!("adapter-of-a-region-with-a-long-name-{n:05}");
+        changes.push(json!({"change": "create_adapter", "adapter": name,
+            "owner": "laundry", "pool": "assistant"}));
+        changes.push(json!({"change": "add_version", "adapter": name, "version": 1}));
+        changes.push(json!({"change": "serve", "adapter": name,
+            "team": "laundry", "version": 1}));
+    }
+    let intent = json!({"changes": changes}).to_string();
+    let plan = rig.plan("plan", &intent).await;
+    let end = rig.banyan(&["confirm", text(&plan), "--json"]).await;
+    assert_eq!(answer(&end)["revision"], 1);
+    assert_eq!(rig.shared.board.catalog.borrow().adapters.len(), 14_000);
+}
+
 /// The first control process of the list is gone.
 #[tokio::test(flavor = "multi_thread")]
 async fn control_tried_in_order() {
@@ -215,7 +240,7 @@
     for program in ["control", "entry"] {
         let file = settings.join(format!("{program}.toml"));
         let end = rig.banyan(&["check-settings", text(&file), "--json"]).await;
-        assert_eq!(json(&end)["program"], format!("banyan-{program}"));
+        assert_eq!(answer(&end)["program"], format!("banyan-{program}"));
     }
     let end = rig.banyan(&["check-settings", text(&bad)]).await;
     assert_eq!(code(&end), 2);
@@ -259,5 +284,5 @@
             &address,
         ])
         .await;
-    assert_eq!(json(&one)["events"].as_array().unwrap().len(), 1);
+    assert_eq!(answer(&one)["events"].as_array().unwrap().len(), 1);
 }
--- a/lib/src/catalog/plan.rs
+++ b/lib/src/catalog/plan.rs
@@ -15,10 +15,10 @@
 use crate::ids::Revision;
 use crate::ids::TeamName;
 
-/// Changes in one plan at the most: with names of usual length the messages
-/// stay below the 4 MB that a gRPC service accepts. 14,000 adapters, each
-/// created, given a version and served, are three plans.
-pub const MAX_CHANGES: usize = 20_000;
+/// Changes in one plan at the most: 14,000 adapters, each created, given a
+/// version and served, are 42,000. With names of 40 bytes they are 6 MB on the
+/// wire, of the 16 MB that the operator service takes.
+pub const MAX_CHANGES: usize = 50_000;
 
 /// Hex digits of an operation id.
 const OPERATION_DIGITS: usize = 16;
--- a/lib/src/control/operator.rs
+++ b/lib/src/control/operator.rs
@@ -12,6 +12,7 @@
 use tonic::Request;
 use tonic::Response;
 use tonic::Status;
+use wire::operator_server::OperatorServer;
 
 use super::Shared;
 use super::config;
@@ -21,6 +22,7 @@
 use crate::catalog::ConfirmError;
 use crate::catalog::Intent;
 use crate::catalog::Ledger;
+use crate::catalog::MAX_SNAPSHOT;
 use crate::catalog::Plan;
 use crate::catalog::PlanError;
 use crate::ids::AdapterName;
@@ -42,6 +44,11 @@
         Self { shared, keys }
     }
 
+    /// The service with room for a plan of [`MAX_CHANGES`](crate::catalog::MAX_CHANGES) changes.
+    pub fn server(self) -> OperatorServer<Self> {
+        OperatorServer::new(self).max_decoding_message_size(MAX_SNAPSHOT)
+    }
+
     /// The operator whose key the call carries.
     fn operator<T>(&self, request: &Request<T>) -> Result<String, Status> {
         let header = request.metadata().get("authorization");
