--- a/cli/src/commands/mod.rs
+++ b/cli/src/commands/mod.rs
@@ -47,7 +47,7 @@
     #[argh(option)]
     key: Option<String>,
     /// settings file in TOML: control = [ADDR...], key_file = FILE,
-    /// [link] authority, certificate, key = FILE
+    /// and for TLS a table link with authority, certificate, key = FILE
     #[argh(option)]
     settings: Option<PathBuf>,
     #[argh(subcommand)]
