--- a/lib/src/control/members.rs
+++ b/lib/src/control/members.rs
@@ -181,14 +181,21 @@
     }
 
     /// What a digest carries: this process and those heard of last; in full
-    /// for a young reader, in brief for one that has heard of them.
-    pub fn digest(&self, now: Moment, full: bool) -> Vec<wire::Member> {
+    /// for a young reader, in brief for one that has heard of them, and without
+    /// those that the reader itself told as much of.
+    pub fn digest(&self, now: Moment, full: bool, told: &[wire::Member]) -> Vec<wire::Member> {
+        let mine = |s: &Seen| s.member.vm == self.me.as_str();
+        let age = |m: &wire::Member| (m.incarnation, m.heartbeat);
+        let is_news = |s: &&Seen| {
+            let known = told.iter().find(|m| m.vm == s.member.vm);
+            known.is_none_or(|m| age(m) < age(&s.member))
+        };
         let mut seen: Vec<&Seen> = self
             .table
             .values()
             .filter(|s| s.member.state != MemberState::Gone as u32)
+            .filter(is_news)
             .collect();
-        let mine = |s: &Seen| s.member.vm == self.me.as_str();
         seen.sort_by_key(|s| (!mine(s), std::cmp::Reverse(s.heard)));
         seen.truncate(DIGEST_MEMBERS);
         seen.into_iter()
--- a/lib/src/control/peers.rs
+++ b/lib/src/control/peers.rs
@@ -125,7 +125,9 @@
         wire::Digest {
             vm: self.shared.vm.to_string(),
             revision: board.catalog.borrow().revision.0,
-            members: state.members.digest(now, full),
+            members: state
+                .members
+                .digest(now, full, asked.map_or(&[], |d| &d.members)),
             verdicts: verdicts
                 .map(|(fingerprint, until)| wire::Verdict {
                     fingerprint: fingerprint.0,
--- a/lib/tests/test_members_table.rs
+++ b/lib/tests/test_members_table.rs
@@ -58,7 +58,7 @@
     m.sweep(ms(10_000));
     assert_eq!(state(&m, 2), Some(MemberState::Gone as u32));
     // Nor does a gone member travel on.
-    assert_eq!(m.digest(ms(10_000), true).len(), 1);
+    assert_eq!(m.digest(ms(10_000), true, &[]).len(), 1);
 }
 
 #[test]
@@ -78,10 +78,18 @@
     let mut m = table(1);
     m.learn(ms(0), &[member(2, 1, 5)]);
     // Young members are named in full, later ones in brief.
-    assert!(m.digest(ms(9_999), false)[1].address.starts_with("127"));
-    let mut brief = m.digest(ms(10_000), false)[1].clone();
+    assert!(
+        m.digest(ms(9_999), false, &[])[1]
+            .address
+            .starts_with("127")
+    );
+    let mut brief = m.digest(ms(10_000), false, &[])[1].clone();
     assert_eq!((brief.address.as_str(), brief.zone.as_str()), ("", ""));
-    assert!(m.digest(ms(10_000), true)[1].address.starts_with("127"));
+    assert!(
+        m.digest(ms(10_000), true, &[])[1]
+            .address
+            .starts_with("127")
+    );
     brief.heartbeat = 6;
     m.learn(ms(1_500), &[brief.clone()]);
     m.sweep(ms(3_000));
@@ -94,6 +102,16 @@
     assert_eq!(state(&other, 2), None);
 }
 
+#[test]
+fn answer_tells_news_only() {
+    let mut m = table(1);
+    m.learn(ms(0), &[member(2, 1, 5), member(3, 1, 7)]);
+    let told = [member(2, 1, 5), member(3, 1, 6), member(1, 1, 0)];
+    let answer = m.digest(ms(1), false, &told);
+    let names: Vec<&str> = answer.iter().map(|m| m.vm.as_str()).collect();
+    assert_eq!(names, ["vm-3"]);
+}
+
 #[test]
 fn nobody_speaks_for_me() {
     let mut m = table(1);
@@ -108,7 +126,7 @@
     let mut m = table(1);
     let mut other = table(2);
     other.beat(ms(1), Revision(7), true);
-    m.learn(ms(2), &other.digest(ms(2), true));
+    m.learn(ms(2), &other.digest(ms(2), true, &[]));
     assert_eq!(candidates(&m.view()), [VmName::new("vm-1").unwrap()]);
     let vm = VmName::new("vm-2").unwrap();
     assert_eq!(m.view()[&vm].revision, 7);
@@ -122,7 +140,7 @@
         for n in 0..9 {
             let now = ms(round * 100);
             tables[n].beat(now, Revision(0), false);
-            let digest = tables[n].digest(now, false);
+            let digest = tables[n].digest(now, false, &[]);
             tables[(n + 1) % 9].learn(now, &digest);
         }
     }
