--- a/bench/src/bin/banyan-measure.rs
+++ b/bench/src/bin/banyan-measure.rs
@@ -3,6 +3,7 @@
 use std::process::ExitCode;
 
 use argh::FromArgs;
+use banyangauge_bench::capacity;
 use banyangauge_bench::path;
 use banyangauge_bench::policy;
 
@@ -16,6 +17,7 @@
 #[derive(Debug, FromArgs)]
 #[argh(subcommand)]
 enum Command {
+    Capacity(capacity::CapacityArgs),
     Path(path::PathArgs),
     Policy(policy::Args),
 }
@@ -23,6 +25,10 @@
 fn main() -> ExitCode {
     let args: Args = argh::from_env();
     let done = match args.command {
+        Command::Capacity(args) => {
+            capacity::run(&args);
+            Ok(())
+        }
         Command::Path(args) => path::run(&args).map_err(|e| e.to_string()),
         Command::Policy(args) => policy::run(&args).map_err(|e| e.to_string()),
     };
--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -1,5 +1,6 @@
 //! Measurements.
 
+pub mod capacity;
 pub mod load;
 pub mod path;
 pub mod policy;
