pool: freeze evictions alone, and keep slots after broken dispatches

A new owner froze every slot for its quarantine, so after the kill of an owner nothing was loaded for 12.5 s though slots were free. freeze_evictions lets loads into free slots go on; freeze still stops every order, for engines that ignore fencing tokens. The random schedules now use both.

After a dispatch that broke, was cancelled or answered by another adapter, the engine may still run it: its slot is now kept for 6 s, so that the pool picks another victim instead of an eviction that its owner has to hold back.

--- a/lib/src/pool/admit.rs
+++ b/lib/src/pool/admit.rs
@@ -152,7 +152,7 @@
         }
         if w.solo {
             self.solos.remove(&(w.since, ticket));
-            self.unreserve(now, ticket, target);
+            self.unreserve(ticket, target);
         }
         if let Some(adapter) = target {
             self.rewant(now, adapter);
--- a/lib/src/pool/ahead.rs
+++ b/lib/src/pool/ahead.rs
@@ -40,7 +40,7 @@
             return;
         }
         let adapter = adapter.clone();
-        let Some((name, evict)) = self.choose_slot(now, &adapter, &self.vacant()) else {
+        let Some((name, evict)) = self.choose_slot(now, &adapter, &self.vacant(now)) else {
             return;
         };
         let loss = evict.as_ref().map_or(0.0, |a| self.worth_of(now, a));
--- a/lib/src/pool/dispatch.rs
+++ b/lib/src/pool/dispatch.rs
@@ -231,9 +231,9 @@
     }
 
     /// Ends the count of a dispatch.
-    pub(super) fn leave(&mut self, now: Moment, ticket: Ticket, run: &Running) {
-        let name = &run.replica;
-        let Some(r) = self.replicas.get_mut(name) else {
+    pub(super) fn leave(&mut self, now: Moment, ticket: Ticket, run: Running, end: Outcome) {
+        let name = run.replica.clone();
+        let Some(r) = self.replicas.get_mut(&name) else {
             return;
         };
         if r.solo == Some(ticket) {
@@ -244,9 +244,12 @@
             if run.lane == Lane::Long {
                 r.end_long(&run.target);
             }
-            self.free_slot(now, name, &run.target);
+            match end {
+                Outcome::Answered | Outcome::NotRun => self.free_slot(&name, &run.target),
+                _ => self.linger(now, ticket, run),
+            }
         }
-        self.rescore(name);
+        self.rescore(&name);
     }
 
     /// Keeps the index of open replicas in step with one of them.
--- a/lib/src/pool/evict.rs
+++ b/lib/src/pool/evict.rs
@@ -20,13 +20,13 @@
 impl Pool {
     /// Replicas with a free slot, the least loaded first; then those with a
     /// slot that nothing can use, and what may still fill it.
-    pub(super) fn vacant(&self) -> Vec<(ReplicaName, Option<AdapterVersion>)> {
+    pub(super) fn vacant(&self, now: Moment) -> Vec<(ReplicaName, Option<AdapterVersion>)> {
         let all = self.replicas.iter();
         let takes = all.filter(|(_, r)| r.orderable() && r.solo.is_none());
         let mut free: Vec<_> = takes
             .filter_map(|(n, r)| {
                 let ghost = r.ghosts.iter().find(|g| !r.users.contains_key(*g));
-                let ghost = ghost.filter(|_| !r.vacant());
+                let ghost = ghost.filter(|_| !r.vacant() && now >= self.keeping);
                 let fit = r.vacant() || ghost.is_some();
                 fit.then(|| (ghost, !r.open(), self.crowd(r, n), r.loaded.len(), n))
             })
@@ -53,7 +53,10 @@
         }
         let target = Some(adapter.clone());
         let urgent = self.adapters.get(&target).is_some_and(|e| e.urgent());
-        self.choose_victim(now, urgent, fits)
+        match now < self.keeping {
+            true => None,
+            false => self.choose_victim(now, urgent, fits),
+        }
     }
 
     /// The idle slot that is worth the least.
--- a/lib/src/pool/health.rs
+++ b/lib/src/pool/health.rs
@@ -34,7 +34,7 @@
         if before && !after {
             self.live -= 1;
             if let Some(ticket) = solo {
-                self.send_back(now, ticket);
+                self.send_back(ticket);
             }
         }
         if !before && after {
--- a/lib/src/pool/loads.rs
+++ b/lib/src/pool/loads.rs
@@ -142,7 +142,7 @@
             self.load_ahead(now);
             return;
         }
-        let vacant = self.vacant();
+        let vacant = self.vacant(now);
         let probed = |lane| self.adapters.wanted(lane).take(LOADS_PROBED);
         let turn = match self.loads % LOADS_A_LONG {
             0 => [Lane::Long, Lane::Short],
--- a/lib/src/pool/slots.rs
+++ b/lib/src/pool/slots.rs
@@ -3,6 +3,7 @@
 use super::adapter::Target;
 use super::replica::Replica;
 use super::state::Pool;
+use super::state::Running;
 use super::types::*;
 use crate::ids::AdapterVersion;
 use crate::ids::ReplicaName;
@@ -16,6 +17,10 @@
 /// look as busy as one that is asked for again and again.
 const TOGETHER_WEIGHT: f64 = 0.1;
 
+/// How long a slot is kept after a dispatch that did not end with its answer:
+/// the five seconds for which an engine keeps a broken stream, and one more.
+const LINGER: Span = Span::from_millis(6_000);
+
 impl Pool {
     /// Half-life of demand, in microseconds.
     pub(super) fn half_life(&self) -> f64 {
@@ -113,7 +118,7 @@
     }
 
     /// A dispatch no longer uses a slot.
-    pub(super) fn free_slot(&mut self, _now: Moment, name: &ReplicaName, target: &Target) {
+    pub(super) fn free_slot(&mut self, name: &ReplicaName, target: &Target) {
         let Some(adapter) = target else {
             return;
         };
@@ -125,6 +130,34 @@
             self.reindex(adapter);
         }
     }
+
+    /// Keeps the slot of a dispatch whose engine may not know yet that it is
+    /// over.
+    ///
+    /// Made for connections that break and callers that go away: the engine
+    /// keeps such a stream for some seconds, and an eviction would fail a
+    /// request that still runs or is resumed.
+    pub(super) fn linger(&mut self, now: Moment, ticket: Ticket, run: Running) {
+        self.lingers.insert((now.after(LINGER), ticket));
+        self.lingering.insert(ticket, run);
+    }
+
+    /// Gives up the slots that were kept long enough.
+    pub(super) fn end_lingers(&mut self, now: Moment) {
+        while let Some((at, _)) = self.lingers.first()
+            && *at <= now
+            && let Some((_, ticket)) = self.lingers.pop_first()
+        {
+            let run = self.lingering.remove(&ticket);
+            let same = |run: &Running| {
+                let r = self.replicas.get(&run.replica);
+                r.is_some_and(|r| r.incarnation == run.incarnation)
+            };
+            if let Some(run) = run.filter(same) {
+                self.free_slot(&run.replica, &run.target);
+            }
+        }
+    }
 }
 
 /// Whether an adapter's slot may be given up: nothing uses it, at a replica
--- a/lib/src/pool/solo.rs
+++ b/lib/src/pool/solo.rs
@@ -81,24 +81,24 @@
     }
 
     /// Ends a suspect's claim on a replica.
-    pub(super) fn unreserve(&mut self, now: Moment, ticket: Ticket, target: &Target) {
+    pub(super) fn unreserve(&mut self, ticket: Ticket, target: &Target) {
         let Some(name) = self.reserved.remove(&ticket) else {
             return;
         };
         if let Some(r) = self.replicas.get_mut(&name) {
             r.solo = None;
         }
-        self.free_slot(now, &name, target);
+        self.free_slot(&name, target);
         self.rescore(&name);
     }
 
     /// A suspect whose replica is no longer live waits for another.
-    pub(super) fn send_back(&mut self, now: Moment, ticket: Ticket) {
+    pub(super) fn send_back(&mut self, ticket: Ticket) {
         let Some(w) = self.queue.get(ticket) else {
             return;
         };
         let (since, target) = (w.since, w.arrival.adapter.clone());
-        self.unreserve(now, ticket, &target);
+        self.unreserve(ticket, &target);
         self.solos.insert((since, ticket));
     }
 }
--- a/lib/src/pool/state.rs
+++ b/lib/src/pool/state.rs
@@ -73,6 +73,11 @@
     pub(super) prefixes: Prefixes,
     pub(super) commands: Vec<Command>,
     pub(super) frozen: Moment,
+    /// No eviction before then.
+    pub(super) keeping: Moment,
+    /// Uses of slots that may outlast their dispatch, the first to end first.
+    pub(super) lingers: BTreeSet<(Moment, Ticket)>,
+    pub(super) lingering: BTreeMap<Ticket, Running>,
     pub(super) draining: bool,
     pub(super) loads: u64,
     pub(super) stalls: u64,
@@ -172,9 +177,10 @@
     pub fn finish(&mut self, now: Moment, finish: Finish) {
         if let Some(run) = self.running.remove(&finish.ticket) {
             self.learn(now, &finish, &run);
-            self.leave(now, finish.ticket, &run);
-            self.run_solo(now, &run.replica);
-            self.fill(now, &run.replica);
+            let name = run.replica.clone();
+            self.leave(now, finish.ticket, run, finish.outcome);
+            self.run_solo(now, &name);
+            self.fill(now, &name);
         }
         self.settle(now);
     }
@@ -202,11 +208,20 @@
         self.settle(now);
     }
 
-    /// No slot changes before `until`: a new owner's quarantine.
+    /// No slot changes before `until`: a new owner's quarantine at engines that
+    /// ignore fencing tokens, where an earlier owner may still give orders.
     pub fn freeze(&mut self, until: Moment) {
         self.frozen = self.frozen.max(until);
     }
 
+    /// Nothing is evicted before `until`, loads into free slots go on: a new
+    /// owner's quarantine at engines that refuse an earlier owner's orders.
+    /// Requests may run under grants that it does not know, but a load into a
+    /// free slot takes nothing from them.
+    pub fn freeze_evictions(&mut self, until: Moment) {
+        self.keeping = self.keeping.max(until);
+    }
+
     /// Refuses what waits and all that comes.
     pub fn drain(&mut self, now: Moment) {
         self.draining = true;
@@ -225,6 +240,7 @@
             };
             self.turn_away(now, ticket, why, after);
         }
+        self.end_lingers(now);
         self.end_backoffs(now);
         self.end_gathering(now);
         self.forget_unlisted(now);
@@ -235,9 +251,11 @@
     pub fn next_wake(&self) -> Option<Moment> {
         let expiry = self.queue.next_expiry();
         let backoff = self.backoffs.first().map(|(at, _)| *at);
-        let thaw = (self.adapters.wanted_len() > 0 && self.frozen > Moment(0))
-            .then_some(self.frozen)
-            .filter(|at| *at > self.service.now);
+        let wanted = self.adapters.wanted_len() > 0;
+        let linger = self.lingers.first().map(|(at, _)| *at);
+        let thaw = [Some(self.frozen), Some(self.keeping), linger];
+        let thaw = thaw.into_iter().flatten();
+        let thaw = thaw.filter(|at| wanted && *at > self.service.now).min();
         let company = self.gathering.first().map(|(at, _)| *at);
         [expiry, backoff, thaw, company].into_iter().flatten().min()
     }
--- a/lib/tests/test_pool_faults.rs
+++ b/lib/tests/test_pool_faults.rs
@@ -259,3 +259,53 @@
     let broken = rig.got.values().filter(|g| matches!(g, Got::Broken(_)));
     assert!(broken.count() <= 2, "one a report");
 }
+
+#[test]
+fn freeze_evictions_leaves_free_slots_to_loads() {
+    let mut rig = Rig::new(settings(), 1, 2, 8);
+    rig.freeze_evictions(rig.now.after(Span::from_millis(6_000)));
+    for (i, adapter) in ["a@1", "b@1", "c@1"].iter().enumerate() {
+        rig.offer_in(0, due(&rig, 20_000, arrival(i as u64, "t", adapter)));
+    }
+    rig.run_for(5_900);
+    assert_eq!(rig.loads.len(), 2);
+    assert_eq!(rig.totals(|_| true).len(), 2);
+    rig.run_for(2_000);
+    assert_eq!(rig.totals(|_| true).len(), 3);
+}
+
+#[rstest]
+#[case::answered(Outcome::Answered, 0)]
+#[case::broken(Outcome::BrokenLate, 6)]
+#[case::cancelled(Outcome::Cancelled, 6)]
+#[case::wrong_identity(Outcome::WrongIdentity, 6)]
+fn slot_kept_after(#[case] outcome: Outcome, #[case] seconds: u64) {
+    let mut pool = Pool::new(settings());
+    let spec = ReplicaSpec {
+        name: "r1".parse().unwrap(),
+        slots: 1,
+        batch: 8,
+    };
+    pool.set_replicas(Moment(0), &[spec]);
+    pool.report(Moment(1_000_000), report(1, 0, &["a@1"]));
+    pool.offer(Moment(2_000_000), arrival(1, "t", "a@1"));
+    pool.take_commands();
+    let finish = Finish {
+        ticket: Ticket(1),
+        outcome,
+        tokens: 0,
+        first: Span(0),
+        total: Span(0),
+    };
+    pool.finish(Moment(3_000_000), finish);
+    pool.offer(Moment(3_000_000), arrival(2, "t", "b@1"));
+    let evicted = |pool: &mut Pool, at: u64| {
+        pool.report(Moment(at), report(1, 10, &["a@1"]));
+        pool.tick(Moment(at));
+        let orders = pool.take_commands();
+        orders.iter().any(|c| matches!(c, Command::Load { .. }))
+    };
+    let end = 3_000_000 + seconds * 1_000_000;
+    assert!(seconds == 0 || !evicted(&mut pool, end - 100_000));
+    assert!(evicted(&mut pool, end + 100_000));
+}
--- a/lib/tests/test_pool_obey.rs
+++ b/lib/tests/test_pool_obey.rs
@@ -60,6 +60,7 @@
                 assert!(now >= self.frozen, "a load in the quarantine");
                 self.loads.push((now, replica.clone(), adapter.clone()));
                 if let Some(old) = evict {
+                    assert!(now >= self.keeping, "an eviction in the quarantine");
                     self.evict(&replica, incarnation, &old);
                 }
                 self.orders.insert(order, (replica, incarnation, adapter));
--- a/lib/tests/test_pool_promises.rs
+++ b/lib/tests/test_pool_promises.rs
@@ -29,6 +29,7 @@
     Remove(u8),
     BreakLoads(u8, bool),
     Freeze(u64),
+    FreezeEvictions(u64),
     Wait(u64),
 }
 
@@ -61,6 +62,7 @@
         1 => (0..4u8).prop_map(Step::Remove),
         1 => (0..12u8, any::<bool>()).prop_map(|(a, on)| Step::BreakLoads(a, on)),
         1 => (0..3_000u64).prop_map(Step::Freeze),
+        1 => (0..3_000u64).prop_map(Step::FreezeEvictions),
         10 => (0..800u64).prop_map(Step::Wait),
     ]
 }
@@ -117,6 +119,11 @@
             }
         }
         Step::Freeze(ms) => rig.freeze(rig.now.after(Span::from_millis(*ms))),
+        Step::FreezeEvictions(ms) => {
+            // A shorter one does not end a longer one.
+            let until = rig.now.after(Span::from_millis(*ms));
+            rig.freeze_evictions(until.max(rig.keeping));
+        }
         Step::Wait(ms) => rig.run_for(*ms),
     }
 }
--- a/lib/tests/test_pool_rig.rs
+++ b/lib/tests/test_pool_rig.rs
@@ -87,6 +87,7 @@
     pub(crate) step: Span,
     pub(crate) load: Span,
     pub(crate) frozen: Moment,
+    pub(crate) keeping: Moment,
 }
 
 /// A plain arrival; tests change what they are about.
@@ -147,6 +148,7 @@
             step,
             load,
             frozen: Moment(0),
+            keeping: Moment(0),
         };
         for i in 1..=count {
             let engine = Engine {
@@ -184,6 +186,11 @@
         self.obey();
     }
 
+    pub(crate) fn freeze_evictions(&mut self, until: Moment) {
+        self.keeping = until;
+        self.pool.freeze_evictions(until);
+    }
+
     pub(crate) fn freeze(&mut self, until: Moment) {
         self.frozen = until;
         self.pool.freeze(until);
