--- a/bench/tests/runner.rs
+++ b/bench/tests/runner.rs
@@ -4,4 +4,5 @@
     reason = "a failed step of a test's helper fails the test"
 )]
 
+mod test_demo;
 mod test_load;
