lease: rank candidates only when a lease is due

The rank hashed every member for every pool 20 times a second though it decides only at a takeover: at 20 pools and 100 members 40,000 hashes a second.

--- a/lib/src/control/election.rs
+++ b/lib/src/control/election.rs
@@ -145,7 +145,7 @@
                 continue;
             }
             let stop = drained.get(pool).filter(|_| stopping);
-            let place = rank(pool, &self.shared.vm, &live);
+            let place = || rank(pool, &self.shared.vm, &live);
             steps.push((pool.clone(), contest.step(now, place, stop)));
         }
         for (pool, step) in steps {
--- a/lib/src/lease/contest.rs
+++ b/lib/src/lease/contest.rs
@@ -141,11 +141,11 @@
     }
 
     /// What to do now. `rank` is this process's place among the candidates, 0
-    /// first; `stop` gives the lease up with the entries that may hold grants.
+    /// first, and is asked for only when it matters; `stop` gives the lease up with the entries that may hold grants.
     pub fn step(
         &mut self,
         now: Moment,
-        rank: u64,
+        rank: impl FnOnce() -> u64,
         stop: Option<&Option<BTreeSet<String>>>,
     ) -> Step {
         if self.busy || now < self.retry_at {
@@ -251,29 +251,31 @@
         self.send(now, Some(seen.version), record, None)
     }
 
-    fn step_contending(&mut self, now: Moment, rank: u64) -> Step {
-        let stagger = Span(self.times.stagger.0 * rank);
+    fn step_contending(&mut self, now: Moment, rank: impl FnOnce() -> u64) -> Step {
+        let step = self.times.stagger.0;
+        let stagger = || Span(step * rank());
         let Some(seen) = self.seen.clone() else {
-            if now < self.since.after(stagger) {
+            if now < self.since.after(stagger()) {
                 return Step::Wait;
             }
             return self.send_first(now);
         };
         let old = &seen.record;
-        let (wait, late, former) = if old.released {
-            let former = Former::Released(old.entries.clone());
-            (Span(0), stagger, former)
-        } else if old.is_of_predecessor(&self.me) {
-            (Span(0), Span(0), Former::Ended)
+        let ended = !old.released && old.is_of_predecessor(&self.me);
+        let (wait, former) = if old.released {
+            (Span(0), Former::Released(old.entries.clone()))
+        } else if ended {
+            (Span(0), Former::Ended)
         } else {
             let ttl = Span::from_millis(old.ttl_ms);
-            (ttl, stagger, Former::Lapsed(old.holder.clone()))
+            (ttl, Former::Lapsed(old.holder.clone()))
         };
         let former = match old.unsettled {
             true => Former::Unsettled,
             false => former,
         };
-        if now < seen.since.after(wait).after(late) {
+        let due = seen.since.after(wait);
+        if now < due || !ended && now < due.after(stagger()) {
             return Step::Wait;
         }
         let ttl = Span::from_millis(old.granted_ttl);
--- a/lib/tests/test_lease_contest.rs
+++ b/lib/tests/test_lease_contest.rs
@@ -62,7 +62,7 @@
 
 /// Steps once at `now` with every answer arriving.
 fn advance(c: &mut Contest, object: &mut Object, now: Moment) -> Step {
-    let step = c.step(now, 0, None);
+    let step = c.step(now, || 0, None);
     match &step {
         Step::Wait => {}
         Step::Read => {
@@ -104,8 +104,8 @@
 fn renew_extends_from_before_the_sending() {
     let mut object = Object::default();
     let mut c = holder(&mut object);
-    assert_eq!(c.step(ms(999), 0, None), Step::Wait);
-    let step = c.step(ms(1_000), 0, None);
+    assert_eq!(c.step(ms(999), || 0, None), Step::Wait);
+    let step = c.step(ms(1_000), || 0, None);
     let end = object.apply(&step);
     // The answer takes half a second; it buys nothing.
     c.written(ms(1_500), end);
@@ -169,12 +169,12 @@
 fn renewal_answer_lost(#[case] applied: bool, #[case] until: u64) {
     let mut object = Object::default();
     let mut c = holder(&mut object);
-    let step = c.step(ms(1_000), 0, None);
+    let step = c.step(ms(1_000), || 0, None);
     if applied {
         object.apply(&step);
     }
     c.written(ms(1_100), WriteEnd::Lost);
-    assert_eq!(c.step(ms(1_100), 0, None), Step::Wait);
+    assert_eq!(c.step(ms(1_100), || 0, None), Step::Wait);
     assert_eq!(advance(&mut c, &mut object, ms(1_300)), Step::Read);
     assert_eq!(c.tenure().unwrap().until, ms(until));
     advance(&mut c, &mut object, ms(2_300));
@@ -187,11 +187,11 @@
     holder(&mut object);
     let mut other = contest(2);
     advance(&mut other, &mut object, ms(10));
-    let first = other.step(ms(3_010), 0, None);
+    let first = other.step(ms(3_010), || 0, None);
     other.written(ms(3_110), WriteEnd::Lost);
     // It is read back as not done, and tried again; then the first arrives.
     advance(&mut other, &mut object, ms(3_310));
-    let second = other.step(ms(3_320), 0, None);
+    let second = other.step(ms(3_320), || 0, None);
     object.apply(&first);
     let end = object.apply(&second);
     other.written(ms(3_330), end);
@@ -209,7 +209,7 @@
     let (mut a, mut b) = (contest(1), contest(2));
     advance(&mut a, &mut object, ms(0));
     advance(&mut b, &mut object, ms(0));
-    let (first, second) = (a.step(ms(1), 0, None), b.step(ms(1), 0, None));
+    let (first, second) = (a.step(ms(1), || 0, None), b.step(ms(1), || 0, None));
     let end = object.apply(&second);
     b.written(ms(2), end);
     let end = object.apply(&first);
@@ -225,11 +225,11 @@
     let mut other = contest(2);
     advance(&mut other, &mut object, ms(10));
     let entries = Some(BTreeSet::from(["vm-1/1".to_owned()]));
-    let step = held.step(ms(100), 0, Some(&entries));
+    let step = held.step(ms(100), || 0, Some(&entries));
     let end = object.apply(&step);
     held.written(ms(101), end);
     assert_eq!(token(&held), None);
-    assert_eq!(held.step(ms(5_000), 0, Some(&entries)), Step::Wait);
+    assert_eq!(held.step(ms(5_000), || 0, Some(&entries)), Step::Wait);
     other.observe(ms(102), object.read());
     advance(&mut other, &mut object, ms(102));
     let tenure = other.tenure().unwrap();
@@ -266,7 +266,7 @@
     holder(&mut object);
     let mut other = contest(2);
     advance(&mut other, &mut object, ms(10));
-    let step = other.step(ms(3_010), 0, None);
+    let step = other.step(ms(3_010), || 0, None);
     let end = object.apply(&step);
     other.observe(ms(3_011), object.read());
     let tenure = other.tenure().unwrap().clone();
@@ -289,7 +289,7 @@
         second.set_settled(Token(2));
     }
     let stop = Some(BTreeSet::new());
-    let step = second.step(ms(3_100), 0, Some(&stop));
+    let step = second.step(ms(3_100), || 0, Some(&stop));
     let end = object.apply(&step);
     second.written(ms(3_101), end);
     let mut third = contest(3);
@@ -329,7 +329,7 @@
     let mut object = Object::default();
     let mut c = holder(&mut object);
     for t in 1..100 {
-        if c.step(ms(t * 1_000), 0, None) != Step::Wait {
+        if c.step(ms(t * 1_000), || 0, None) != Step::Wait {
             c.written(ms(t * 1_000), WriteEnd::Nothing);
         }
     }
