--- a/lib/tests/test_owner_rig.rs
+++ b/lib/tests/test_owner_rig.rs
@@ -73,6 +73,7 @@
     pub(crate) controls: Vec<Option<Control>>,
     /// Each control's own way to the platform.
     pub(crate) wires: Vec<Wire>,
+    plan: Plan,
 }
 
 impl Rig {
@@ -116,6 +117,7 @@
             engines,
             controls,
             wires,
+            plan,
         }
     }
 
@@ -159,6 +161,19 @@
         .collect()
     }
 
+    /// Lists only some of the replicas, on every control, as a new revision.
+    pub(crate) fn list(&self, names: &[&str]) {
+        for control in self.controls.iter().flatten() {
+            let mut next = Catalog::clone(&control.shared.board.catalog.borrow());
+            let all = catalog(&self.plan, &self.engines);
+            let mut spec = all.pools[&pool()].clone();
+            spec.replicas.retain(|r| names.contains(&r.name.as_str()));
+            let pool = pool();
+            next.apply(&[Change::PutPool { pool, spec }]).unwrap();
+            assert!(config::accept(&control.shared, next, &[]));
+        }
+    }
+
     /// Opens a session at a control, waiting until it is the owner.
     pub(crate) async fn enter(&self, n: usize, entry: &str, held: &[wire::Grant]) -> Entry {
         let address = self.control(n).shared.address;
--- a/lib/tests/test_owner_takeover.rs
+++ b/lib/tests/test_owner_takeover.rs
@@ -65,6 +65,51 @@
     drop(silent);
 }
 
+#[tokio::test]
+async fn held_on_a_replica_that_is_listed_later() {
+    let mut rig = Rig::start(Plan {
+        engines: 2,
+        ..THREE
+    })
+    .await;
+    let first = rig.owner(1).await;
+    let mut entry = rig.enter(first, "e", &[]).await;
+    entry.acquire(1, "a", "").await;
+    let grant = entry.granted().await;
+    let (place, other) = match grant.replica.as_str() {
+        "r-0" => (0, "r-1"),
+        _ => (1, "r-0"),
+    };
+    // The next owner's catalog does not name the replica yet.
+    rig.list(&[other]);
+    rig.controls[first] = None;
+    let second = rig.owner(2).await;
+    let mut entry = rig.enter(second, "e", std::slice::from_ref(&grant)).await;
+    rig.list(&["r-0", "r-1"]);
+    // Two adapters for the other slot: one of them wants this one.
+    entry.acquire(2, "b", "").await;
+    entry.acquire(3, "c", "").await;
+    let mut held = vec![grant.grant];
+    let mut after = 0;
+    for _ in 0..400 {
+        after += usize::from(held.len() == 2);
+        if after > 20 {
+            break;
+        }
+        entry.renew(&held).await;
+        let next = tokio::time::timeout(Duration::from_millis(100), entry.granted());
+        if let Ok(next) = next.await {
+            assert_eq!(next.replica, other);
+            held.push(next.grant);
+        }
+        assert_eq!(rig.orders(place, "unload").await, []);
+    }
+    // One had the other slot; the last one gets this one now.
+    assert_eq!(held.len(), 2);
+    entry.release(&grant, 0, "").await;
+    assert_eq!(entry.granted().await.replica, grant.replica);
+}
+
 #[tokio::test]
 async fn hello_after_the_response_head() {
     let rig = Rig::start(THREE).await;
