--- a/lib/src/control/peers.rs
+++ b/lib/src/control/peers.rs
@@ -338,7 +338,7 @@
         let targets = peers.targets(fanout);
         channels.retain(|a, _| peers.shared.peers.contains(a) || targets.contains(a));
         for target in targets {
-            let Some(client) = client_for(&mut channels, target) else {
+            let Some(client) = client_for(&peers.shared, &mut channels, target) else {
                 continue;
             };
             tokio::spawn(exchange(Arc::clone(&peers), target, client));
@@ -350,17 +350,18 @@
 }
 
 fn client_for(
+    shared: &Shared,
     channels: &mut BTreeMap<SocketAddr, PeersClient<Channel>>,
     target: SocketAddr,
 ) -> Option<PeersClient<Channel>> {
     if let Some(client) = channels.get(&target) {
         return Some(client.clone());
     }
-    let endpoint = Endpoint::from_shared(format!("http://{target}")).ok()?;
-    let channel = endpoint
-        .connect_timeout(EXCHANGE_TIMEOUT)
-        .timeout(EXCHANGE_TIMEOUT)
-        .connect_lazy();
+    let limits = |e: Endpoint| {
+        e.connect_timeout(EXCHANGE_TIMEOUT)
+            .timeout(EXCHANGE_TIMEOUT)
+    };
+    let channel = shared.board.link().open_lazy(target, limits).ok()?;
     let client = PeersClient::new(channel);
     channels.insert(target, client.clone());
     Some(client)
--- a/lib/src/control/run.rs
+++ b/lib/src/control/run.rs
@@ -13,10 +13,8 @@
 use tokio::signal::unix::signal;
 use tokio::sync::watch;
 use tonic::transport::server::Router;
-use tonic::transport::server::TcpIncoming;
 use wire::feed_server::FeedServer;
 use wire::grants_server::GrantsServer;
-use wire::operator_server::OperatorServer;
 use wire::peers_server::PeersServer;
 use wire::timeline_server::TimelineServer;
 
@@ -39,6 +37,8 @@
 use crate::control::vms;
 use crate::ids::IdError;
 use crate::ids::Incarnation;
+use crate::link::Link;
+use crate::link::LinkError;
 use crate::platform::Platform;
 use crate::telemetry;
 use crate::timeline::About;
@@ -74,6 +74,8 @@
     Metrics(String),
     /// The VM's name.
     Name(IdError),
+    /// The keys for connections between our processes.
+    Link(LinkError),
 }
 
 impl fmt::Display for ControlError {
@@ -82,6 +84,7 @@
             Self::System { what, error } => write!(f, "{what}: {error}"),
             Self::Metrics(e) => write!(f, "metrics: {e}"),
             Self::Name(e) => write!(f, "vm: {e}"),
+            Self::Link(e) => write!(f, "link: {e}"),
         }
     }
 }
@@ -175,12 +178,18 @@
         log: slog::Logger,
     ) -> Result<Self, ControlError> {
         settings.listen = listener.local_addr().map_err(system("listen"))?;
+        let link = match &settings.link {
+            Some(keys) => Link::load(keys).map_err(ControlError::Link)?,
+            None => Link::plain(),
+        };
         let mut control = Self {
             shared: shared(&settings, log),
             local: Arc::new(Local::new(settings)),
             ended: watch::Sender::new(false),
             last: Vec::new(),
         };
+        // Nobody has set it: the board is a moment old.
+        let _ = control.shared.board.link.set(link);
         control.start_duties(listener)?;
         Ok(control)
     }
@@ -216,10 +225,14 @@
         let usage = self.duty("usage", usage::run(self.own(), store, every))?;
         let keys = self.local.settings.operators.clone();
         let router = services(&self.own(), registry, members, keys);
+        let link = self.shared.board.link();
+        let log = self.shared.log.clone();
         self.duty("listen", async move {
-            let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
-            // Ends with the process.
-            let _ = router.serve_with_incoming(incoming).await;
+            // Both end with the process.
+            tokio::select! {
+                _ = link.serve(router, listener) => {}
+                () = link.follow(&log) => {}
+            }
         })?;
         self.last.push(usage);
         Ok(())
@@ -280,10 +293,7 @@
         .add_service(GrantsServer::new(grants))
         .add_service(PeersServer::new(peers))
         .add_service(FeedServer::new(FeedService::new(shared.clone())))
-        .add_service(OperatorServer::new(OperatorService::new(
-            shared.clone(),
-            keys,
-        )))
+        .add_service(OperatorService::new(shared.clone(), keys).server())
         .add_service(TimelineServer::new(TimelineService::new(Arc::clone(
             &shared.recorder,
         ))))
--- a/lib/src/control/settings.rs
+++ b/lib/src/control/settings.rs
@@ -11,6 +11,7 @@
 use crate::ids::VmName;
 use crate::ids::ZoneName;
 use crate::lease;
+use crate::link::LinkSettings;
 use crate::pool::Span;
 use crate::settings::BadValue;
 use crate::settings::Settings;
@@ -38,6 +39,8 @@
     /// SHA-256 of each operator's key, as lower-case hex.
     #[serde(default)]
     pub operators: BTreeMap<String, String>,
+    /// Keys for connections between our processes; plain when left out.
+    pub link: Option<LinkSettings>,
     /// How the log is written.
     #[serde(default)]
     pub log: LogFormat,
--- a/lib/src/entry/feed.rs
+++ b/lib/src/entry/feed.rs
@@ -54,7 +54,7 @@
 }
 
 async fn subscribe(state: &State, address: SocketAddr) -> Result<(), String> {
-    let mut client = client(address).await?;
+    let mut client = client(state, address).await?;
     let request = wire::FeedRequest {
         entry: state.settings.vm.to_string(),
         incarnation: state.incarnation.0,
@@ -71,8 +71,8 @@
     Ok(())
 }
 
-async fn client(address: SocketAddr) -> Result<FeedClient<Channel>, String> {
-    let client = FeedClient::new(channel(address).await?);
+async fn client(state: &State, address: SocketAddr) -> Result<FeedClient<Channel>, String> {
+    let client = FeedClient::new(channel(&state.link, address).await?);
     Ok(client.max_decoding_message_size(MAX_SNAPSHOT))
 }
 
@@ -222,7 +222,7 @@
         let work = async {
             let mut client = match self.client.take() {
                 Some(client) => client,
-                None => client(self.state.settings.controls[self.at]).await?,
+                None => client(&self.state, self.state.settings.controls[self.at]).await?,
             };
             let reply = client.report_usage(message).await;
             reply.map_err(|e| e.to_string())?;
--- a/lib/src/entry/program.rs
+++ b/lib/src/entry/program.rs
@@ -12,13 +12,13 @@
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 use tokio::sync::watch;
-use tokio_stream::wrappers::TcpListenerStream;
 
 use super::EntrySettings;
 use super::feed;
 use super::server;
 use super::state::State;
 use crate::ids::Incarnation;
+use crate::link::Link;
 use crate::telemetry;
 use crate::timeline::About;
 use crate::timeline::Kind;
@@ -69,12 +69,20 @@
         let address = listener
             .local_addr()
             .map_err(|e| EntryError::Listen(settings.listen, e))?;
-        let state = Arc::new(State::new(settings, incarnation(), log));
+        let link = match &settings.link {
+            Some(keys) => Link::load(keys).map_err(|e| EntryError::Start(e.to_string()))?,
+            None => Link::plain(),
+        };
+        let state = State::new(settings, incarnation(), link.clone(), log);
+        let state = Arc::new(state);
         let (stopping, stopped) = watch::channel(false);
         let timeline = TimelineService::new(state.recorder.clone());
         let timeline = TimelineServer::new(timeline);
-        let incoming = TcpListenerStream::new(internal);
-        tokio::spawn(tonic::transport::Server::builder().serve_with_incoming(timeline, incoming));
+        let router = tonic::transport::Server::builder().add_service(timeline);
+        let events = link.clone();
+        tokio::spawn(async move { events.serve(router, internal).await });
+        let keys = state.clone();
+        tokio::spawn(async move { keys.link.follow(&keys.log).await });
         tokio::spawn(feed::follow(state.clone()));
         tokio::spawn(feed::report(state.clone()));
         let accepting = tokio::spawn(server::accept(state.clone(), listener, stopped));
--- a/lib/src/entry/session.rs
+++ b/lib/src/entry/session.rs
@@ -28,6 +28,7 @@
 use super::ledger::Waiting;
 use crate::control::Owner;
 use crate::ids::PoolName;
+use crate::link;
 
 /// Grants last some seconds; a renewal a second outlives two lost ones.
 const RENEW_EVERY: Duration = Duration::from_secs(1);
@@ -59,6 +60,8 @@
     pub owners: watch::Receiver<BTreeMap<PoolName, Owner>>,
     /// Requests in flight at the most.
     pub requests: usize,
+    /// Connections to our other processes.
+    pub trust: link::Link,
     /// The log.
     pub log: slog::Logger,
 }
@@ -283,7 +286,9 @@
     /// Connects and says hello, taking commands meanwhile; `None` when the
     /// process ends.
     async fn connect(&mut self, address: SocketAddr) -> Result<Option<Link>, String> {
-        let Some(channel) = self.attend(channel(address), None).await else {
+        let trust = self.identity.trust.clone();
+        let opening = channel(&trust, address);
+        let Some(channel) = self.attend(opening, None).await else {
             return Ok(None);
         };
         let (outbox, messages) = mpsc::channel(OUTBOX);
@@ -405,16 +410,15 @@
 /// # Errors
 ///
 /// When it cannot be reached in time.
-pub(super) async fn channel(address: SocketAddr) -> Result<Channel, String> {
-    Endpoint::from_shared(format!("http://{address}"))
-        .map_err(|e| e.to_string())?
-        .connect_timeout(CONNECT_TIMEOUT)
-        .tcp_nodelay(true)
-        // A peer that vanished without a word is noticed within three seconds.
-        .http2_keep_alive_interval(Duration::from_secs(1))
-        .keep_alive_timeout(Duration::from_secs(2))
-        .keep_alive_while_idle(true)
-        .connect()
-        .await
-        .map_err(|e| e.to_string())
+pub(super) async fn channel(link: &link::Link, address: SocketAddr) -> Result<Channel, String> {
+    let limits = |e: Endpoint| {
+        e.connect_timeout(CONNECT_TIMEOUT)
+            .tcp_nodelay(true)
+            // A peer that vanished without a word is noticed within three
+            // seconds.
+            .http2_keep_alive_interval(Duration::from_secs(1))
+            .keep_alive_timeout(Duration::from_secs(2))
+            .keep_alive_while_idle(true)
+    };
+    link.open(address, limits).await.map_err(|e| e.to_string())
 }
--- a/lib/src/entry/settings.rs
+++ b/lib/src/entry/settings.rs
@@ -7,6 +7,7 @@
 
 use crate::ids::VmName;
 use crate::ids::ZoneName;
+use crate::link::LinkSettings;
 use crate::settings::BadValue;
 use crate::settings::Settings;
 use crate::telemetry::LogFormat;
@@ -48,6 +49,8 @@
     #[serde(default = "default_threads")]
     #[builder(default = default_threads())]
     pub threads: usize,
+    /// Keys for connections between our processes; plain when left out.
+    pub link: Option<LinkSettings>,
     /// How logs are written.
     #[serde(default)]
     #[builder(default)]
--- a/lib/src/entry/state.rs
+++ b/lib/src/entry/state.rs
@@ -21,6 +21,7 @@
 use crate::ids::Fingerprint;
 use crate::ids::Incarnation;
 use crate::ids::PoolName;
+use crate::link::Link;
 use crate::timeline::Recorder;
 use crate::upstream::Upstreams;
 
@@ -40,6 +41,8 @@
     pub recorder: Arc<Recorder>,
     /// Requests that may still come in.
     pub room: Arc<Semaphore>,
+    /// Connections to our other processes.
+    pub link: Link,
     /// The log.
     pub log: slog::Logger,
     view: RwLock<Arc<View>>,
@@ -51,7 +54,12 @@
 
 impl State {
     /// A process that has no catalog yet.
-    pub fn new(settings: EntrySettings, incarnation: Incarnation, log: slog::Logger) -> Self {
+    pub fn new(
+        settings: EntrySettings,
+        incarnation: Incarnation,
+        link: Link,
+        log: slog::Logger,
+    ) -> Self {
         let recorder = Recorder::new(&format!("entry {}", settings.vm), settings.limits.events);
         Self {
             room: Arc::new(Semaphore::new(settings.limits.requests)),
@@ -61,6 +69,7 @@
             upstreams: Upstreams::new(),
             usage: Usage::default(),
             recorder: Arc::new(recorder),
+            link,
             log,
             view: RwLock::default(),
             verdicts: RwLock::default(),
@@ -128,6 +137,7 @@
             controls: self.settings.controls.clone(),
             owners: self.owners.subscribe(),
             requests: self.settings.limits.requests,
+            trust: self.link.clone(),
             log: self.log.clone(),
         }
     }
--- a/lib/tests/test_entry_input.rs
+++ b/lib/tests/test_entry_input.rs
@@ -8,6 +8,7 @@
 use banyangauge::entry::apply;
 use banyangauge::ids::Fingerprint;
 use banyangauge::ids::Incarnation;
+use banyangauge::link::Link;
 use banyangauge_proto as wire;
 use rstest::rstest;
 use tokio::io::AsyncReadExt;
@@ -233,7 +234,7 @@
 fn feed_never_reverts() {
     let settings = toml::from_str(include_str!("../../settings/entry.toml")).unwrap();
     let log = slog::Logger::root(slog::Discard, slog::o!());
-    let state = State::new(settings, Incarnation(1), log);
+    let state = State::new(settings, Incarnation(1), Link::plain(), log);
     let mut newer = catalog();
     apply(&state, snapshot(&newer)).unwrap();
     newer.revision.0 = 4;
--- a/lib/tests/test_link_tls.rs
+++ b/lib/tests/test_link_tls.rs
@@ -4,6 +4,11 @@
 use std::path::Path;
 use std::time::Duration;
 
+use banyangauge::catalog::Catalog;
+use banyangauge::catalog::Ledger;
+use banyangauge::control::Control;
+use banyangauge::control::ControlSettings;
+use banyangauge::entry::Entry;
 use banyangauge::link::Link;
 use banyangauge::link::LinkError;
 use banyangauge::link::LinkSettings;
@@ -24,6 +29,8 @@
 use wire::timeline_client::TimelineClient;
 use wire::timeline_server::TimelineServer;
 
+use crate::rig;
+
 const LIMIT: Duration = Duration::from_secs(5);
 
 /// An authority that makes certificates for tests.
@@ -168,3 +175,79 @@
     std::fs::write(&settings.certificate, "").unwrap();
     assert!(matches!(Link::load(&settings), Err(LinkError::Form { .. })));
 }
+
+/// Two control processes and an entry with keys find each other and spread a
+/// change; one with the keys of another authority is heard by nobody.
+#[tokio::test]
+async fn processes_only_ours() {
+    let (running, platform) = rig::platform().await;
+    let (ours, theirs) = (Authority::new(), Authority::new());
+    let (folder, foreign) = (TempDir::new().unwrap(), TempDir::new().unwrap());
+    ours.write(folder.path(), PROCESS_NAME);
+    theirs.write(foreign.path(), PROCESS_NAME);
+    let mut listeners = Vec::new();
+    for _ in 0..3 {
+        listeners.push(TcpListener::bind("127.0.0.1:0").await.unwrap());
+    }
+    let addresses: Vec<_> = listeners.iter().map(|l| l.local_addr().unwrap()).collect();
+    let platform_at = running.address;
+    let log = slog::Logger::root(slog::Discard, slog::o!());
+    let mut controls = Vec::new();
+    for (n, listener) in listeners.into_iter().enumerate() {
+        let keys = [folder.path(), folder.path(), foreign.path()][n];
+        let peers = addresses.iter().filter(|a| **a != addresses[n]);
+        let peers: Vec<_> = peers.map(SocketAddr::to_string).collect();
+        let text = format!(
+            "vm = \"vm-{n}\"\nzone = \"suva-a\"\norganisation = \"tavuki\"\n\
+             listen = \"{}\"\nmetrics = \"127.0.0.1:1\"\nplatform = \"{platform_at}\"\n\
+             peers = {peers:?}\n{}",
+            addresses[n],
+            link_table(keys)
+        );
+        let settings: ControlSettings = toml::from_str(&text).unwrap();
+        controls.push(Control::start_on(listener, settings, log.clone()).unwrap());
+    }
+    let text = format!(
+        "vm = \"vm-0\"\nzone = \"suva-a\"\norganisation = \"tavuki\"\nlisten = \"127.0.0.1:0\"\n\
+         internal = \"127.0.0.1:0\"\ncontrols = [\"{}\"]\n{}",
+        addresses[0],
+        link_table(folder.path())
+    );
+    let entry = Entry::start(toml::from_str(&text).unwrap(), log)
+        .await
+        .unwrap();
+    let plan = rig::plan(&Catalog::default(), rig::basics());
+    let ledger = Ledger::new(platform.clone());
+    ledger
+        .confirm(&plan, "ana", &Catalog::default())
+        .await
+        .unwrap();
+    rig::until(|| entry.state.view().revision().0 == 1).await;
+    let live = |n: usize| {
+        let members = controls[n].shared.board.members.borrow();
+        let live = members.values().filter(|m| m.state == 0);
+        live.map(|m| m.vm.clone()).collect::<Vec<_>>()
+    };
+    rig::until(|| live(0) == ["vm-0", "vm-1"] && live(1) == ["vm-0", "vm-1"]).await;
+    assert_eq!(live(2), ["vm-2"]);
+    let link = Link::load(&settings_of(folder.path())).unwrap();
+    let stranger = Link::load(&settings_of(foreign.path())).unwrap();
+    assert!(reaches(&link, addresses[0]).await);
+    assert!(!reaches(&stranger, addresses[0]).await);
+}
+
+fn settings_of(folder: &Path) -> LinkSettings {
+    LinkSettings {
+        authority: folder.join("authority.pem"),
+        certificate: folder.join("certificate.pem"),
+        key: folder.join("key.pem"),
+    }
+}
+
+fn link_table(folder: &Path) -> String {
+    let s = settings_of(folder);
+    format!(
+        "[link]\nauthority = {:?}\ncertificate = {:?}\nkey = {:?}\n",
+        s.authority, s.certificate, s.key
+    )
+}
