--- a/lib/src/lease/types.rs
+++ b/lib/src/lease/types.rs
@@ -78,11 +78,11 @@
 pub enum Step {
     /// Nothing.
     Wait,
-    /// Read the object and pass it to [`Contest::observe`].
+    /// Read the object and pass it to [`super::Contest::observe`].
     Read,
-    /// Create the object, then call [`Contest::written`].
+    /// Create the object, then call [`super::Contest::written`].
     Create(Record),
-    /// Replace the object at this version, then call [`Contest::written`].
+    /// Replace the object at this version, then call [`super::Contest::written`].
     Replace(String, Record),
 }
 
