--- a/lib/tests/test_claims_owner.rs
+++ b/lib/tests/test_claims_owner.rs
@@ -31,10 +31,7 @@
     let rig = Rig::start(TWO).await;
     let first = rig.owner(1).await;
     let mut entry = rig.enter(first, "e", &[]).await;
-    until(async || rig.object("claims", "p-1").await).await;
-    tokio::time::sleep(std::time::Duration::from_millis(100)).await;
-    entry.acquire(1, "a", "k").await;
-    let grant = entry.granted().await;
+    let grant = entry.granted_keyed(1, "a", "k").await;
     assert_eq!(recorded(&rig).await, ["r"]);
     // The same key again, from elsewhere.
     let mut other = rig.enter(first, "f", &[]).await;
@@ -55,10 +52,7 @@
     let mut rig = Rig::start(TWO).await;
     let first = rig.owner(1).await;
     let mut entry = rig.enter(first, "e", &[]).await;
-    until(async || rig.object("claims", "p-1").await).await;
-    tokio::time::sleep(std::time::Duration::from_millis(100)).await;
-    entry.acquire(1, "a", "k").await;
-    entry.granted().await;
+    entry.granted_keyed(1, "a", "k").await;
     rig.controls[first] = None;
     let second = rig.owner(2).await;
     let mut other = rig.enter(second, "f", &[]).await;
@@ -83,10 +77,7 @@
     let mut rig = Rig::start(TWO).await;
     let first = rig.owner(1).await;
     let mut entry = rig.enter(first, "e", &[]).await;
-    until(async || rig.object("claims", "p-1").await).await;
-    tokio::time::sleep(std::time::Duration::from_millis(100)).await;
-    entry.acquire(1, "a", "k").await;
-    let grant = entry.granted().await;
+    let grant = entry.granted_keyed(1, "a", "k").await;
     rig.controls[first] = None;
     let second = rig.owner(2).await;
     let entry = rig.enter(second, "e", std::slice::from_ref(&grant)).await;
@@ -102,8 +93,8 @@
     let rig = Rig::start(TWO).await;
     let first = rig.owner(1).await;
     let mut entry = rig.enter(first, "e", &[]).await;
-    until(async || rig.object("claims", "p-1").await).await;
-    tokio::time::sleep(std::time::Duration::from_millis(100)).await;
+    // The journal is read, so that what fails is the commit.
+    entry.granted_keyed(9, "a", "other").await;
     rig.faults(json!({"down": true})).await;
     entry.acquire(1, "a", "k").await;
     assert_eq!(entry.refused().await.reason, "platform_down");
@@ -113,7 +104,7 @@
     // It did not run, so its caller may try again.
     entry.acquire(3, "a", "k").await;
     entry.granted().await;
-    assert_eq!(recorded(&rig).await, ["r"]);
+    assert_eq!(recorded(&rig).await, ["r", "r"]);
 }
 
 #[tokio::test]
@@ -121,11 +112,10 @@
     let rig = Rig::start(TWO).await;
     let first = rig.owner(1).await;
     let mut entry = rig.enter(first, "e", &[]).await;
-    until(async || rig.object("claims", "p-1").await).await;
-    tokio::time::sleep(std::time::Duration::from_millis(100)).await;
+    entry.granted_keyed(9, "a", "other").await;
     // Renewals of the lease may lose theirs too; both are read back.
     rig.faults(json!({"lose_after_write": 3})).await;
     entry.acquire(1, "a", "k").await;
     entry.granted().await;
-    assert_eq!(recorded(&rig).await, ["r"]);
+    assert_eq!(recorded(&rig).await, ["r", "r"]);
 }
--- a/lib/tests/test_owner_rig.rs
+++ b/lib/tests/test_owner_rig.rs
@@ -318,6 +318,27 @@
         }
     }
 
+    /// Acquires with a key, again for as long as the owner reads the journal.
+    pub(crate) async fn granted_keyed(
+        &mut self,
+        request: u64,
+        adapter: &str,
+        claim: &str,
+    ) -> wire::Grant {
+        let work = async {
+            loop {
+                self.acquire(request, adapter, claim).await;
+                match self.next().await {
+                    Some(Answer::Granted(grant)) => return grant,
+                    Some(Answer::Refused(r)) if r.reason == "platform_down" => {}
+                    other => panic!("no grant but {other:?}"),
+                }
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        };
+        tokio::time::timeout(PATIENCE, work).await.unwrap()
+    }
+
     pub(crate) async fn refused(&mut self) -> wire::Refusal {
         loop {
             match self.next().await {
