--- a/lib/src/pool/admit.rs
+++ b/lib/src/pool/admit.rs
@@ -90,7 +90,9 @@
         let lane = Lane::of(a.class);
         let ticket = a.ticket;
         let target = a.adapter.clone();
-        let solo = self.verdicts.is_suspect(now, a.fingerprint);
+        let solo = self
+            .verdicts
+            .is_suspect(now, a.fingerprint, self.settings.strikes);
         self.note_demand(now, &a);
         let cost = u64::from(a.output / 2) + u64::from(a.prompt / 16) + 1;
         let share = self.share(&a);
@@ -108,6 +110,9 @@
         if !solo && self.place(now, &w) {
             return;
         }
+        if lane == Lane::Long {
+            self.note_gathering(now, &w.arrival);
+        }
         self.queue.insert(w);
         let entry = self.adapters.entry(&target);
         if entry.waiting() == 0 {
@@ -122,11 +127,6 @@
                 entry.lists[lane.index()].insert((tag, ticket));
             }
         }
-        let first = entry.waiting() == 1;
-        if first && lane == Lane::Long {
-            self.note_gathering(now, &target);
-        }
-        let entry = self.adapters.entry(&target);
         if let Some(adapter) = &target {
             let held = entry.holders.iter().any(|r| {
                 let r = self.replicas.get(r);
@@ -152,7 +152,7 @@
         }
         if w.solo {
             self.solos.remove(&(w.since, ticket));
-            self.unreserve(now, ticket, target);
+            self.unreserve(ticket, target);
         }
         if let Some(adapter) = target {
             self.rewant(now, adapter);
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -26,6 +26,8 @@
 mod test_owner_rig;
 mod test_owner_safety;
 mod test_owner_takeover;
+mod test_pool_faults;
+mod test_pool_obey;
 mod test_pool_outcomes;
 mod test_pool_promises;
 mod test_pool_rig;
