--- a/lib/src/lease/types.rs
+++ b/lib/src/lease/types.rs
@@ -78,11 +78,11 @@
 pub enum Step {
     /// Nothing.
     Wait,
-    /// Read the object and pass it to [`Contest::observe`].
+    /// Read the object and pass it to [`observe`](crate::lease::Contest::observe).
     Read,
-    /// Create the object, then call [`Contest::written`].
+    /// Create the object, then call [`written`](crate::lease::Contest::written).
     Create(Record),
-    /// Replace the object at this version, then call [`Contest::written`].
+    /// Replace the object at this version, then call [`written`](crate::lease::Contest::written).
     Replace(String, Record),
 }
 
