--- a/testutils/src/prove/load.rs
+++ b/testutils/src/prove/load.rs
@@ -11,6 +11,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::faults::Balancer;
+use super::schedule::Schedule;
 use crate::caller::Ask;
 use crate::caller::Call;
 use crate::caller::Caller;
@@ -35,19 +36,19 @@
     pub record: Record,
 }
 
-/// Sends `calls` calls; `begun` counts them as they begin.
+/// Sends the schedule's calls; `begun` counts them as they begin.
 pub async fn send_all(
-    seed: u64,
-    calls: usize,
+    schedule: &Schedule,
     caller: &Caller,
     balancer: &Balancer,
     begun: &Arc<AtomicUsize>,
 ) -> Vec<Sent> {
+    let (seed, plan) = (schedule.seed, (schedule.calls, schedule.tokens));
     let mut workers = Vec::new();
     for worker in 0..CALLERS {
         let (caller, balancer, begun) = (caller.clone(), balancer.clone(), begun.clone());
         let rng = ChaCha8Rng::seed_from_u64(seed.wrapping_mul(1_000).wrapping_add(worker as u64));
-        workers.push(tokio::spawn(work(rng, calls, caller, balancer, begun)));
+        workers.push(tokio::spawn(work(rng, plan, caller, balancer, begun)));
     }
     let mut all = Vec::new();
     for w in workers {
@@ -58,7 +59,7 @@
 
 async fn work(
     mut rng: ChaCha8Rng,
-    calls: usize,
+    (calls, tokens): (usize, u32),
     caller: Caller,
     balancer: Balancer,
     begun: Arc<AtomicUsize>,
@@ -69,7 +70,7 @@
         if number >= calls {
             return done;
         }
-        let call = draw(&mut rng, number);
+        let call = draw(&mut rng, number, tokens);
         let first = send(&mut rng, &caller, &balancer, call).await;
         let mut last = first.record.told.clone();
         done.push(first);
@@ -100,10 +101,10 @@
     Sent { entry, record }
 }
 
-fn draw(rng: &mut ChaCha8Rng, number: usize) -> Call {
+fn draw(rng: &mut ChaCha8Rng, number: usize, tokens: u32) -> Call {
     let team = TEAMS[rng.random_range(0..TEAMS.len())];
     let ask = match rng.random_range(0..10) {
-        0..6 => completion(rng),
+        0..6 => completion(rng, tokens),
         6..8 => Ask::Booking {
             path: format!("/booking/confirm/{number}"),
             key: Some(format!("key-{number}")),
@@ -121,7 +122,7 @@
     }
 }
 
-fn completion(rng: &mut ChaCha8Rng) -> Ask {
+fn completion(rng: &mut ChaCha8Rng, most: u32) -> Ask {
     // Two draws make the low adapters more popular than the high ones.
     let i = rng
         .random_range(0..ADAPTERS)
@@ -130,7 +131,7 @@
     Ask::Completion {
         model: format!("{}@{version}", adapter_name(i)),
         stream: rng.random_range(0..2) == 0,
-        tokens: rng.random_range(1..60),
+        tokens: rng.random_range(1..most),
     }
 }
 
--- a/testutils/src/prove/run.rs
+++ b/testutils/src/prove/run.rs
@@ -78,9 +78,8 @@
     let looking = tokio::spawn(look(clients(&rig)?, rig.start, ended.clone()));
     let caller = Caller::new(rig.start);
     let load = {
-        let (seed, calls) = (schedule.seed, schedule.calls);
-        let (balancer, begun) = (balancer.clone(), begun.clone());
-        tokio::spawn(async move { send_all(seed, calls, &caller, &balancer, &begun).await })
+        let (schedule, balancer, begun) = (schedule.clone(), balancer.clone(), begun.clone());
+        tokio::spawn(async move { send_all(&schedule, &caller, &balancer, &begun).await })
     };
     let mut notes = Notes::default();
     let mut rng = ChaCha8Rng::seed_from_u64(schedule.seed ^ 0xFA17);
--- a/testutils/src/prove/schedule.rs
+++ b/testutils/src/prove/schedule.rs
@@ -13,6 +13,15 @@
 /// Calls of one run.
 const CALLS: usize = 240;
 
+/// Calls of a run in which an upstream leaves: they go on for longer than it
+/// may get new work.
+const CALLS_LEAVING: usize = 700;
+
+/// The most tokens of a completion, and where streams must be under way when a
+/// program is told to stop.
+const TOKENS: u32 = 60;
+const TOKENS_STOPPING: u32 = 500;
+
 /// A promise of the brief.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Promise {
@@ -184,6 +193,8 @@
     pub seed: u64,
     /// Calls to send.
     pub calls: usize,
+    /// The most tokens of a completion.
+    pub tokens: u32,
     /// Faults, each with the number of calls begun before it.
     pub faults: Vec<(usize, Fault)>,
     /// Whether the engines honour fencing tokens.
@@ -205,7 +216,14 @@
         Self {
             promise,
             seed,
-            calls: CALLS,
+            calls: match promise {
+                Promise::LeavingDrains => CALLS_LEAVING,
+                _ => CALLS,
+            },
+            tokens: match promise {
+                Promise::GracefulStop => TOKENS_STOPPING,
+                _ => TOKENS,
+            },
             faults,
             honours_token: rng.random_range(0..3) > 0,
         }
