--- a/lib/src/claims/journal.rs
+++ b/lib/src/claims/journal.rs
@@ -308,16 +308,6 @@
         empty
     }
 
-    /// Claims in memory.
-    pub fn len(&self) -> usize {
-        self.claims.len()
-    }
-
-    /// Whether no claim is in memory.
-    pub fn is_empty(&self) -> bool {
-        self.claims.is_empty()
-    }
-
     fn is_full(&self) -> bool {
         self.claims.len() >= self.limits.segment * self.limits.segments
     }
--- a/lib/src/control/owner/book.rs
+++ b/lib/src/control/owner/book.rs
@@ -203,11 +203,6 @@
             .collect()
     }
 
-    /// Requests that wait.
-    pub fn waits(&self) -> Vec<Ticket> {
-        self.waiting.values().copied().collect()
-    }
-
     /// Entries with a stream or a grant.
     pub fn entries(&self) -> BTreeSet<String> {
         let holders = self.items.values().filter(|i| i.until.is_some());
@@ -220,9 +215,4 @@
     pub fn helloed(&self) -> &BTreeSet<String> {
         &self.helloed
     }
-
-    /// All streams.
-    pub fn sessions(&self) -> impl Iterator<Item = SessionId> {
-        self.sessions.keys().copied()
-    }
 }
