feed: say once that it is lost, not at each try

Without a control process an entry logged ten lines a second. Now one warning when the feed is lost and one line when it is there again; the tries between are at the trace level.

--- a/lib/src/entry/feed.rs
+++ b/lib/src/entry/feed.rs
@@ -39,21 +39,31 @@
 /// Follows the own VM's control process, or another one while that is down;
 /// runs until the process ends.
 pub(super) async fn follow(state: Arc<State>) {
+    let mut lost = false;
     for at in (0..state.settings.controls.len()).cycle() {
         let address = state.settings.controls[at];
-        let work = subscribe(&state, address);
+        let work = subscribe(&state, address, &mut lost);
         let ended = match at {
             0 => work.await,
             _ => tokio::time::timeout(BORROWED, work).await.unwrap_or(Ok(())),
         };
-        if let Err(e) = ended {
-            slog::debug!(state.log, "no feed"; "address" => %address, "error" => %e);
+        // One line when the feed is lost, not one for each try.
+        match ended {
+            Ok(()) => {}
+            Err(e) if lost => {
+                slog::trace!(state.log, "no feed"; "address" => %address, "error" => %e);
+            }
+            Err(e) => {
+                lost = true;
+                slog::warn!(state.log, "no feed"; "address" => %address, "error" => %e);
+            }
         }
         tokio::time::sleep(PAUSE).await;
     }
 }
 
-async fn subscribe(state: &State, address: SocketAddr) -> Result<(), String> {
+/// `lost` becomes false once the feed is there.
+async fn subscribe(state: &State, address: SocketAddr, lost: &mut bool) -> Result<(), String> {
     let mut client = client(address).await?;
     let request = wire::FeedRequest {
         entry: state.settings.vm.to_string(),
@@ -65,6 +75,8 @@
         .map_err(|_| "no answer in time".to_owned())?
         .map_err(|e| e.to_string())?
         .into_inner();
+    *lost = false;
+    slog::info!(state.log, "feed"; "address" => %address);
     while let Some(message) = stream.message().await.map_err(|e| e.to_string())? {
         apply(state, message)?;
     }
