--- a/lib/src/pool/dispatch.rs
+++ b/lib/src/pool/dispatch.rs
@@ -126,6 +126,11 @@
                 return;
             };
             self.grant(now, &w, name);
+            // Only now is it seen whether the replica is full again and those
+            // who still wait need another copy.
+            if let Some(adapter) = &w.arrival.adapter {
+                self.rewant(now, adapter);
+            }
         }
     }
 
--- a/lib/tests/test_pool_outcomes.rs
+++ b/lib/tests/test_pool_outcomes.rs
@@ -253,3 +253,21 @@
     rig.run_for(600);
     assert_eq!(rig.totals(|a| a.class == Class::Long).len(), 6);
 }
+
+#[test]
+fn second_copy_when_another_frees() {
+    let mut rig = Rig::new(settings(), 2, 1, 2);
+    for i in 0..2 {
+        let mut a = arrival(i, "t", "b@1");
+        a.output = 300;
+        rig.offer_in(0, a);
+    }
+    rig.run_for(700);
+    // All come while the other replica is full, none later.
+    for i in 10..60 {
+        rig.offer_in(0, arrival(i, "t", "a@1"));
+    }
+    rig.run_for(12_000);
+    assert_eq!(rig.loads.len(), 3, "{:?}", rig.loads);
+    assert_eq!(rig.totals(|_| true).len(), 52);
+}
