owner: leave the wait after a broken dispatch to the pool

Cause: three places kept an adapter from eviction after a broken, cancelled or crossed answer: the entry (it releases after the cancel), the pool (it counts the adapter as used for 6 s) and the owner, which held the unload, and with it the only load under way, for up to 6 s. The owner's is gone; the pool never chooses such an adapter, so no unload waited for it any more. eviction_waits_after (four outcomes, through an owner and an engine) passes as before; the test of the removed type went with it.

--- a/lib/src/control/owner/actor.rs
+++ b/lib/src/control/owner/actor.rs
@@ -23,7 +23,6 @@
 use crate::control::local::Local;
 use crate::control::owner::Book;
 use crate::control::owner::Facts;
-use crate::control::owner::Pins;
 use crate::control::owner::Safety;
 use crate::control::owner::SessionId;
 use crate::control::owner::entries::message;
@@ -155,7 +154,6 @@
     pub(super) facts: Facts,
     pub(super) journal: Journal,
     pub(super) held: BTreeMap<ClaimKey, (Ticket, wire::Grant)>,
-    pub(super) pins: Pins,
     // Grants on replicas that the catalog here does not name yet.
     pub(super) orphans: Vec<Held>,
     pub(super) outboxes: BTreeMap<SessionId, Outbox>,
@@ -222,7 +220,6 @@
             catalog: Arc::default(),
             facts: Facts::default(),
             held: BTreeMap::new(),
-            pins: Pins::default(),
             orphans: Vec::new(),
             outboxes: BTreeMap::new(),
             replicas: BTreeMap::new(),
--- a/lib/src/control/owner/dispatch.rs
+++ b/lib/src/control/owner/dispatch.rs
@@ -22,7 +22,6 @@
 use crate::pool::OrderEnd;
 use crate::pool::OrderId;
 use crate::pool::Reason;
-use crate::pool::Span;
 use crate::pool::Ticket;
 use crate::timeline::About;
 use crate::timeline::Kind;
@@ -40,7 +39,6 @@
     adapter: AdapterVersion,
     evict: Option<AdapterVersion>,
     // The engine may still run a request on what is to be unloaded.
-    wait: Span,
 }
 
 impl OwnerActor {
@@ -170,11 +168,7 @@
         else {
             return self.pool.order_end(now, order, OrderEnd::Failed);
         };
-        let wait = evict
-            .as_ref()
-            .map_or(Span(0), |e| self.pins.wait(now, replica, incarnation, e));
         let load = Load {
-            wait,
             local: Arc::clone(&self.local),
             orders: self.orders.clone(),
             pool: self.name.clone(),
@@ -245,7 +239,6 @@
     let Some(evict) = &load.evict else {
         return Ok(());
     };
-    tokio::time::sleep(clock::duration(load.wait)).await;
     check(load)?;
     load.orders.unload(load.address, load.token, evict).await
 }
--- a/lib/src/control/owner/entries.rs
+++ b/lib/src/control/owner/entries.rs
@@ -209,7 +209,6 @@
         let told = Some(&release.claim).filter(|c| !c.is_empty());
         let claim = item.claim.clone();
         let claim = claim.or_else(|| told.map(|c| ClaimKey::new(c)));
-        self.pin(now, ticket, outcome);
         if let Some(key) = claim {
             self.end_claim(now, &key, outcome, &release.claim_outcome);
         }
@@ -226,20 +225,6 @@
         );
     }
 
-    // Whatever ended but for an answer or a refusal may still run.
-    fn pin(&mut self, now: Moment, ticket: Ticket, outcome: Outcome) {
-        if matches!(outcome, Outcome::Answered | Outcome::NotRun) {
-            return;
-        }
-        let grant = self.book.item(ticket).and_then(|i| i.grant.as_ref());
-        let Some(grant) = grant else { return };
-        let adapter = adapter_of(&grant.adapter, grant.version);
-        if let (Ok(replica), Some(adapter)) = (ReplicaName::new(&grant.replica), adapter) {
-            let incarnation = Incarnation(grant.incarnation);
-            self.pins.pin(now, &replica, incarnation, &adapter);
-        }
-    }
-
     fn end_claim(&mut self, now: Moment, key: &ClaimKey, outcome: Outcome, told: &str) {
         match (told, outcome) {
             ("answered", _) | ("", Outcome::Answered) => {
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -21,7 +21,7 @@
 mod test_link_tls;
 mod test_members_table;
 mod test_owner_book;
-mod test_owner_pins;
+mod test_owner_evict;
 mod test_owner_rig;
 mod test_owner_safety;
 mod test_owner_takeover;
