--- a/bench/src/capacity/rows.rs
+++ b/bench/src/capacity/rows.rs
@@ -153,7 +153,7 @@
         row(
             "control, every VM",
             "heartbeats sent",
-            "`control/peers.rs`, at most 16 members each",
+            "`control/peers.rs`, at most 14 members each",
             "bytes/s",
             NODE_BYTES,
             &|s| 2.0 * rates.fanout.min(s.nodes - 1.0) * rates.beats * (digest(s) + FRAME),
--- a/lib/src/control/members.rs
+++ b/lib/src/control/members.rs
@@ -34,7 +34,7 @@
 
 /// Members that one digest carries. Today all fit; with more, each digest
 /// carries the ones heard of last, and the rest travel in later ones.
-pub const DIGEST_MEMBERS: usize = 16;
+pub const DIGEST_MEMBERS: usize = 14;
 
 /// How long after its start a process is young: what it tells and is told
 /// names everything, after that only what moves.
