--- a/cli/tests/runner.rs
+++ b/cli/tests/runner.rs
@@ -7,6 +7,7 @@
 
 mod proof;
 mod test_banyan;
+mod test_convicted;
 mod test_output;
 mod test_promise_at_most_once;
 mod test_promise_config_in_force;
