measure: what control costs a vm, and how fast it decides

scripts/measure control runs real control processes and prints idle bytes of heartbeats, processor time, memory, platform calls, in-force and takeover times.

--- a/bench/src/bin/banyan-measure.rs
+++ b/bench/src/bin/banyan-measure.rs
@@ -4,6 +4,7 @@
 
 use argh::FromArgs;
 use banyangauge_bench::capacity;
+use banyangauge_bench::control;
 use banyangauge_bench::path;
 use banyangauge_bench::policy;
 
@@ -18,6 +19,7 @@
 #[argh(subcommand)]
 enum Command {
     Capacity(capacity::CapacityArgs),
+    Control(control::ControlArgs),
     Path(path::PathArgs),
     Policy(policy::Args),
 }
@@ -29,6 +31,7 @@
             capacity::run(&args);
             Ok(())
         }
+        Command::Control(args) => control::run(&args).map_err(|e| e.to_string()),
         Command::Path(args) => path::run(&args).map_err(|e| e.to_string()),
         Command::Policy(args) => policy::run(&args).map_err(|e| e.to_string()),
     };
--- a/bench/src/path/mod.rs
+++ b/bench/src/path/mod.rs
@@ -3,7 +3,7 @@
 //! Both run the same closed-loop load in turns, in one run, so that whatever
 //! else the machine does falls on both.
 
-mod process;
+pub(crate) mod process;
 mod programs;
 mod rounds;
 
--- a/bench/src/path/process.rs
+++ b/bench/src/path/process.rs
@@ -4,15 +4,15 @@
 
 /// What a process has used so far.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct Usage {
+pub(crate) struct Usage {
     /// Resident memory now, in MiB.
-    pub(super) rss_mb: f64,
+    pub(crate) rss_mb: f64,
     /// Processor time since its start, in milliseconds.
-    pub(super) cpu_ms: f64,
+    pub(crate) cpu_ms: f64,
 }
 
 /// Reads the usage of a process.
-pub(super) fn usage(pid: u32) -> io::Result<Usage> {
+pub(crate) fn usage(pid: u32) -> io::Result<Usage> {
     let status = std::fs::read_to_string(format!("/proc/{pid}/status"))?;
     let stat = std::fs::read_to_string(format!("/proc/{pid}/stat"))?;
     let rss_kb = status
--- a/testutils/src/rig/configure.rs
+++ b/testutils/src/rig/configure.rs
@@ -147,14 +147,28 @@
     })
 }
 
+/// Changes in one plan; a plan takes 50,000.
+const PLAN_CHANGES: usize = 40_000;
+
 impl Rig {
     pub(super) async fn configure(&self) -> io::Result<()> {
-        let intent = first_intent(self, ADAPTERS).map_err(io::Error::other)?;
+        let intent = first_intent(self, self.size.adapters).map_err(io::Error::other)?;
+        for part in intent.changes.chunks(PLAN_CHANGES) {
+            let part = Intent {
+                changes: part.to_vec(),
+            };
+            self.confirm_in_time(&part).await?;
+        }
+        Ok(())
+    }
+
+    // Tries until the control processes are up.
+    async fn confirm_in_time(&self, intent: &Intent) -> io::Result<()> {
         let client = self.operator()?;
         let begin = Instant::now();
         let mut last = String::new();
         while begin.elapsed() < START_LIMIT {
-            match client.plan(&intent).await {
+            match client.plan(intent).await {
                 Ok(plan) => match client.confirm(&plan).await {
                     Ok(_) => return Ok(()),
                     Err(e) => last = e.to_string(),
--- a/testutils/src/rig/mod.rs
+++ b/testutils/src/rig/mod.rs
@@ -55,6 +55,8 @@
     pub services: usize,
     /// Whether the engines honour fencing tokens.
     pub honours_token: bool,
+    /// Adapters that are configured, each with two versions.
+    pub adapters: usize,
 }
 
 impl Default for Size {
@@ -66,6 +68,7 @@
             slots: 3,
             services: 2,
             honours_token: true,
+            adapters: ADAPTERS,
         }
     }
 }
@@ -152,7 +155,8 @@
         self.at(8_000 + i as u16)
     }
 
-    fn control_metrics(&self, i: usize) -> SocketAddr {
+    /// Where a control process's metrics are read.
+    pub fn control_metrics(&self, i: usize) -> SocketAddr {
         self.at(8_100 + i as u16)
     }
 
