--- a/bench/src/capacity/rows.rs
+++ b/bench/src/capacity/rows.rs
@@ -2,6 +2,8 @@
 
 use std::fmt::Write;
 
+use banyangauge::catalog::MAX_CHANGES;
+use banyangauge::catalog::MAX_SNAPSHOT;
 use banyangauge::control::ClaimSettings;
 use banyangauge::control::LeaseSettings;
 use banyangauge::control::MemberSettings;
@@ -27,6 +29,12 @@
 /// Framing of one message between processes: TCP, HTTP/2 and gRPC heads.
 const FRAME: f64 = 60.0;
 
+/// The part of all adapters that wakes or falls idle in an hour.
+const WAKING: f64 = 0.064;
+
+/// Loads a second of the slower weight store of today.
+const LOADS: f64 = 2.0;
+
 /// A day in seconds.
 const DAY: f64 = 86_400.0;
 
@@ -190,6 +198,33 @@
             NODE_BYTES,
             &|s| s.replicas / s.pools * rates.polls * first("poll"),
         ),
+        row(
+            "holder of the load queue",
+            "adapters that wake",
+            "`pool/loads.rs`, one queue a weight store",
+            "loads/s",
+            LOADS,
+            &|s| s.adapters * WAKING / 3_600.0 / s.pools,
+        ),
+        row(
+            "relay of configuration",
+            "changes passed on",
+            "`control/config/peers.rs`, from the VMs that watch the root",
+            "bytes/s",
+            NODE_BYTES,
+            &|s| {
+                let watchers = s.nodes.min(ROOT_WATCHERS * ZONES);
+                s.changes / DAY * (first("delta") + FRAME) * (s.nodes / watchers)
+            },
+        ),
+        row(
+            "operators' client",
+            "the largest plan",
+            "`operator/client.rs`, 50,000 changes at the most",
+            "bytes",
+            MAX_SNAPSHOT as f64,
+            &|_| MAX_CHANGES as f64 * last("delta"),
+        ),
         row(
             "holder of claims",
             "one journal object",
