--- a/bench/src/capacity/mod.rs
+++ b/bench/src/capacity/mod.rs
@@ -4,6 +4,7 @@
 //! programs run; [`rows`] works out every role's load from them and holds it
 //! against its limit.
 
+mod costs;
 mod decisions;
 pub mod rows;
 mod size;
