--- a/cli/tests/test_promise_graceful_stop.rs
+++ b/cli/tests/test_promise_graceful_stop.rs
@@ -9,6 +9,7 @@
 #[case::one_fault(1, false)]
 #[case::two_faults(2, true)]
 #[case::leaving_beside_a_stop(6, true)]
+#[case::leaving_beside_a_stop_of_control(3, true)]
 fn graceful_stop_under(#[case] seed: u64, #[case] pairs: bool) {
     assert_kept(Promise::GracefulStop, seed, pairs);
 }
