--- /dev/null
+++ b/cli/src/bin/banyan-serve.rs
@@ -0,0 +1,53 @@
+//! `banyan-serve`: serves callers on one VM of the users' platform.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use argh::FromArgs;
+use banyangauge::serving;
+use banyangauge::telemetry::stdout_logger;
+use banyangauge_platform::SETTINGS_VARIABLE;
+use banyangauge_platform::load_settings;
+
+/// Serves callers on one VM; its settings are named by BANYANGAUGE_CONFIG.
+#[derive(FromArgs)]
+struct Options {
+    /// settings file, in place of the one that the environment names
+    #[argh(option)]
+    settings: Option<PathBuf>,
+    /// check the settings, and stop
+    #[argh(switch)]
+    check: bool,
+}
+
+fn main() -> ExitCode {
+    let options: Options = argh::from_env();
+    match start(&options) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("banyan-serve: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn start(options: &Options) -> Result<(), Box<dyn std::error::Error>> {
+    let named = std::env::var_os(SETTINGS_VARIABLE).map(PathBuf::from);
+    let path = options.settings.clone().or(named);
+    let path = path.ok_or(format!("no settings file; {SETTINGS_VARIABLE} names none"))?;
+    let settings = load_settings(&path)?;
+    if options.check {
+        return Ok(());
+    }
+    let log = stdout_logger("banyan-serve");
+    let store = banyangauge_platform::store(settings.store);
+    let border = banyangauge_platform::border();
+    let reload = || load_settings(&path).map_err(|e| e.to_string());
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    let tasks = tokio::task::LocalSet::new();
+    let served = serving::run(settings, border, store, log, reload);
+    tasks.block_on(&runtime, served)?;
+    Ok(())
+}
--- a/lib/src/ids/mod.rs
+++ b/lib/src/ids/mod.rs
@@ -122,6 +122,14 @@
     /// One upstream process of a pool.
     ReplicaName
 );
+name_type!(
+    /// A base model.
+    ModelName
+);
+name_type!(
+    /// The replicas that serve one base model or run one application.
+    ServiceName
+);
 name_type!(
     /// A VM that runs the system or an upstream.
     VmName
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod operator;
 pub mod platform;
 pub mod pool;
+pub mod serving;
 pub mod settings;
 pub mod telemetry;
 pub mod timeline;
--- a/lib/src/platform/mod.rs
+++ b/lib/src/platform/mod.rs
@@ -302,7 +302,8 @@
     }
 }
 
-fn status_error(status: StatusCode) -> PlatformError {
+/// What a status that is no success means; the same for every store.
+pub fn status_error(status: StatusCode) -> PlatformError {
     match status {
         StatusCode::NOT_FOUND => PlatformError::NotFound,
         StatusCode::CONFLICT => PlatformError::Conflict,
--- a/lib/src/pool/demand.rs
+++ b/lib/src/pool/demand.rs
@@ -13,21 +13,21 @@
 /// time instead of decaying, so that the order of two of them never changes
 /// while nothing is asked for and an ordered index of them stays valid.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct Demand {
+pub(crate) struct Demand {
     log: f64,
     /// When it was last asked for.
-    pub(super) last: Moment,
+    pub(crate) last: Moment,
 }
 
 impl Demand {
     /// Nothing was asked for so far.
-    pub(super) const NONE: Self = Self {
+    pub(crate) const NONE: Self = Self {
         log: f64::NEG_INFINITY,
         last: Moment(0),
     };
 
     /// Counts `weight` requests at `now`.
-    pub(super) fn count(&mut self, now: Moment, half_us: f64, weight: f64) {
+    pub(crate) fn count(&mut self, now: Moment, half_us: f64, weight: f64) {
         let scale = now.0 as f64 / half_us;
         let old = (self.log - scale).exp2();
         self.log = scale + (old + weight).log2();
@@ -35,7 +35,7 @@
     }
 
     /// Requests a second, as far as the half-life can tell.
-    pub(super) fn rate(&self, now: Moment, half_us: f64) -> f64 {
+    pub(crate) fn rate(&self, now: Moment, half_us: f64) -> f64 {
         let count = (self.log - now.0 as f64 / half_us).exp2();
         count * std::f64::consts::LN_2 * 1e6 / half_us
     }
@@ -44,7 +44,7 @@
     /// likely. A count alone keeps yesterday's busiest adapter for many
     /// half-lives; an adapter of one request a second that was silent for
     /// `patience` seconds has most likely lost its callers.
-    pub(super) fn outlook(&self, now: Moment, half_us: f64, patience: f64) -> f64 {
+    pub(crate) fn outlook(&self, now: Moment, half_us: f64, patience: f64) -> f64 {
         let silence = now.since(self.last).0 as f64 / 1e6;
         self.rate(now, half_us).min(patience / silence.max(1e-3))
     }
@@ -52,13 +52,13 @@
     /// When silence since the last request means that the callers have gone:
     /// requests that come as often as these did leave so long a gap once in
     /// four hundred times.
-    pub(super) fn due(&self, half_us: f64) -> Moment {
+    pub(crate) fn due(&self, half_us: f64) -> Moment {
         let rate = self.rate(self.last, half_us).max(1e-6);
         self.last.after(Span((GAP / rate * 1e6) as u64))
     }
 
     /// A key that orders as the rate shared by `copies` does, at any time.
-    pub(super) fn key(&self, copies: usize) -> i64 {
+    pub(crate) fn key(&self, copies: usize) -> i64 {
         let log = self.log - (copies.max(1) as f64).log2();
         (log.max(-1e12) * KEY_STEPS) as i64
     }
--- a/lib/src/pool/mod.rs
+++ b/lib/src/pool/mod.rs
@@ -37,6 +37,7 @@
 mod types;
 mod verdicts;
 
+pub(crate) use demand::Demand;
 pub use settings::PoolSettings;
 pub use state::Pool;
 pub use state::PoolView;
--- /dev/null
+++ b/lib/src/serving/beliefs.rs
@@ -0,0 +1,138 @@
+//! All that one VM believes, in one place.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::rc::Rc;
+
+use super::books::Books;
+use super::budget::Budget;
+use super::fleet::Fleet;
+use super::fleet::Load;
+use super::members::Members;
+use super::model::Config;
+use super::model::Target;
+use super::routes::Routes;
+use super::settings::ServeSettings;
+use super::strikes::Strikes;
+use super::table::Ownership;
+use crate::ids::ReplicaName;
+use crate::ids::VmName;
+use crate::pool::Moment;
+use crate::pool::Span;
+
+/// A configuration that is in force.
+#[derive(Debug)]
+pub(super) struct Active {
+    pub(super) config: Config,
+    pub(super) routes: Routes,
+}
+
+/// Runs of one adapter at one replica, of this VM's requests.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct OwnUse {
+    pub(super) running: u32,
+    pub(super) begun: u32,
+}
+
+/// The beliefs of one VM; tasks take them for a moment at a time.
+#[derive(Debug)]
+pub(super) struct Beliefs {
+    pub(super) active: Option<Rc<Active>>,
+    pub(super) fleet: Fleet,
+    pub(super) budget: Budget,
+    pub(super) members: Members,
+    pub(super) ownership: Ownership,
+    pub(super) books: Books,
+    pub(super) strikes: Strikes,
+    pub(super) uses: BTreeMap<ReplicaName, BTreeMap<Target, OwnUse>>,
+    /// Whether the replicas were listed once.
+    pub(super) listed: bool,
+}
+
+impl Beliefs {
+    pub(super) fn new(settings: &ServeSettings, now: Moment) -> Self {
+        let lease = Span(u64::try_from(settings.lease.as_micros()).unwrap_or(u64::MAX));
+        Self {
+            active: None,
+            fleet: Fleet::new(settings.zone.clone()),
+            budget: Budget::new(settings.budget),
+            members: Members::new(settings.vm.clone(), now),
+            ownership: Ownership::new(settings.vm.clone(), lease),
+            books: Books::default(),
+            strikes: Strikes::default(),
+            uses: BTreeMap::new(),
+            listed: false,
+        }
+    }
+
+    /// Whether requests can be served.
+    pub(super) fn ready(&self) -> bool {
+        self.active.is_some() && self.listed
+    }
+
+    /// Takes a configuration if it is newer than the one in force.
+    pub(super) fn configure(&mut self, config: Config) -> bool {
+        let old = self.active.as_ref().map_or(0, |a| a.config.version);
+        if config.version <= old {
+            return false;
+        }
+        self.fleet.configure(&config);
+        let routes = Routes::new(&config.routes);
+        self.active = Some(Rc::new(Active { config, routes }));
+        true
+    }
+
+    /// Whether somebody can load adapters at a replica now.
+    pub(super) fn loadable(&self, now: Moment, own: &VmName, name: &ReplicaName) -> bool {
+        match self.ownership.owner(name) {
+            Some(vm) if vm == own => self.ownership.token(now, name).is_some(),
+            Some(vm) => self.members.lives(now, vm),
+            None => false,
+        }
+    }
+
+    /// A run begins at a replica.
+    pub(super) fn begin(&mut self, name: &ReplicaName, target: Option<&Target>, cost: Load) {
+        self.fleet.begin(name, cost);
+        if let Some(target) = target.filter(|t| t.adapter.is_some()) {
+            let uses = self.uses.entry(name.clone()).or_default();
+            let entry = uses.entry(target.clone()).or_default();
+            entry.running += 1;
+            entry.begun += 1;
+        }
+    }
+
+    /// It ended there.
+    pub(super) fn end(&mut self, name: &ReplicaName, target: Option<&Target>, cost: Load) {
+        self.fleet.end(name, cost);
+        let target = target.filter(|t| t.adapter.is_some());
+        let uses = target.and_then(|t| self.uses.get_mut(name)?.get_mut(t));
+        if let Some(entry) = uses {
+            entry.running = entry.running.saturating_sub(1);
+        }
+    }
+
+    /// The uses to tell the owners; what was begun is told once.
+    pub(super) fn take_uses(&mut self) -> BTreeMap<ReplicaName, BTreeMap<Target, OwnUse>> {
+        let told = self.uses.clone();
+        for uses in self.uses.values_mut() {
+            uses.retain(|_, u| u.running > 0);
+            uses.values_mut().for_each(|u| u.begun = 0);
+        }
+        self.uses.retain(|_, uses| !uses.is_empty());
+        told
+    }
+
+    /// Brings the books in step with what we own.
+    pub(super) fn open_books(&mut self, now: Moment) {
+        let active = self.ownership.active(now);
+        let ours: BTreeSet<_> = active.map(|(name, _)| name.clone()).collect();
+        for name in &ours {
+            if let Some(listing) = self.fleet.listing(name) {
+                let most = self.fleet.engine_slots(listing);
+                self.books.open(now, listing, most);
+            }
+        }
+        self.books.keep(&ours);
+    }
+}
--- /dev/null
+++ b/lib/src/serving/books.rs
@@ -0,0 +1,505 @@
+//! What an owner knows of its replicas' adapters, and the next order to each.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use super::fleet::Held;
+use super::fleet::Versions;
+use super::model::Listing;
+use super::model::Target;
+use crate::ids::ReplicaName;
+use crate::ids::VmName;
+use crate::pool::Demand;
+use crate::pool::Moment;
+use crate::pool::Span;
+
+/// Adapters that may be on their way to one replica at a time; the replica
+/// takes no more.
+const MOST_COMING: usize = 4;
+
+/// Half-life of the demand by which an adapter keeps its place, in
+/// microseconds: demand moves on within some ten seconds, and an adapter that
+/// comes back soon loads from the replica's own disk.
+const DEMAND_HALF: f64 = 8e6;
+
+/// How long after its last use an adapter is not unloaded: two beacons, so
+/// that requests of other VMs on their way to it are known.
+const USED_KEPT: Span = Span::from_millis(900);
+
+/// How long a wish stands without being renewed.
+const WISH_KEPT: Span = Span::from_millis(700);
+
+/// The first guess of how long an adapter loads, and the bounds of what is
+/// learned later.
+const LOAD_GUESS: Span = Span::from_millis(250);
+
+/// How long after a check that found it still loading the next one follows.
+const CHECK_AGAIN: Span = Span::from_millis(60);
+
+/// After this long a load that was accepted has failed.
+const LOAD_LOST: Span = Span::from_millis(8_000);
+
+/// How long an unload that waits for runs is let be before it is asked about.
+const UNLOAD_CHECK: Span = Span::from_millis(300);
+
+/// How long an owner waits after an order went wrong before it looks again:
+/// a report is some hundred ms old.
+const RESYNC_PAUSE: Span = Span::from_millis(250);
+
+/// What to do at a replica.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Step {
+    /// Read its report.
+    Look,
+    /// Load an adapter, or replace it by a newer version.
+    Load {
+        /// Which.
+        target: Target,
+        /// The version; the newest where none was announced.
+        version: Option<u32>,
+        /// Orders that the replica is expected to have accepted.
+        expected: u64,
+    },
+    /// Unload an adapter that nothing uses.
+    Unload {
+        /// Which.
+        target: Target,
+        /// Orders that the replica is expected to have accepted.
+        expected: u64,
+    },
+}
+
+/// What became of an order.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum OrderEnd {
+    /// It is being carried out.
+    Accepted,
+    /// What it asks for holds already.
+    Holds,
+    /// Another order is under way, or others came in between.
+    Conflict,
+    /// The replica has seen a higher fencing token.
+    Fenced,
+    /// Another replica has the address.
+    Gone,
+    /// It was not taken.
+    Refused,
+    /// No answer: it may be carried out later.
+    Unknown,
+}
+
+/// A replica's report of itself; it lags some hundred ms.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Report {
+    /// Orders that it has accepted.
+    pub accepted: u64,
+    /// Adapters that it holds.
+    pub here: BTreeMap<Target, u32>,
+    /// Adapters on their way to it.
+    pub coming: BTreeSet<Target>,
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Phase {
+    Here,
+    /// Being loaded or replaced: since when, and when it is looked at next.
+    Coming(Moment, Moment),
+    /// Being unloaded once its runs have ended; when it is looked at next.
+    Leaving(Moment),
+}
+
+#[derive(Debug)]
+struct Slot {
+    version: u32,
+    phase: Phase,
+}
+
+#[derive(Debug)]
+struct Use {
+    demand: Demand,
+    running: BTreeMap<VmName, (Moment, u32)>,
+}
+
+/// One owned replica.
+#[derive(Debug)]
+struct Book {
+    most: usize,
+    /// Orders that it has accepted, if known.
+    accepted: Option<u64>,
+    /// When it may be looked at next.
+    look_from: Moment,
+    slots: BTreeMap<Target, Slot>,
+    uses: BTreeMap<Target, Use>,
+    wishes: BTreeMap<Target, (Moment, Moment)>,
+    busy: bool,
+    changed: bool,
+}
+
+/// The books of the replicas that this VM owns.
+#[derive(Debug, Default)]
+pub struct Books {
+    books: BTreeMap<ReplicaName, Book>,
+    load_time: Option<f64>,
+}
+
+impl Books {
+    /// Opens a book for a replica that we came to own; what its entry in the
+    /// store says is a start, its report decides.
+    pub fn open(&mut self, now: Moment, listing: &Listing, most: u32) {
+        let book = self.books.entry(listing.name.clone());
+        book.or_insert_with(|| {
+            let here = listing.adapters.iter();
+            let slots = here.map(|(t, v)| (t.clone(), Slot::here(*v)));
+            Book {
+                most: most as usize,
+                accepted: None,
+                look_from: now,
+                slots: slots.collect(),
+                uses: BTreeMap::new(),
+                wishes: BTreeMap::new(),
+                busy: false,
+                changed: true,
+            }
+        });
+    }
+
+    /// Closes the books of replicas that are not ours any more.
+    pub fn keep(&mut self, ours: &BTreeSet<ReplicaName>) {
+        self.books.retain(|name, _| ours.contains(name));
+    }
+
+    /// The replicas with a book.
+    pub fn names(&self) -> impl Iterator<Item = &ReplicaName> {
+        self.books.keys()
+    }
+
+    /// Somebody wants an adapter loaded there; the wish lapses unless renewed.
+    pub fn wish(&mut self, now: Moment, name: &ReplicaName, target: &Target) -> bool {
+        let Some(book) = self.books.get_mut(name) else {
+            return false;
+        };
+        let wish = book.wishes.entry(target.clone()).or_insert((now, now));
+        wish.1 = now;
+        true
+    }
+
+    /// A VM has begun `begun` runs of an adapter and has `running` under way.
+    pub fn used(
+        &mut self,
+        now: Moment,
+        name: &ReplicaName,
+        vm: &VmName,
+        target: &Target,
+        running: u32,
+        begun: u32,
+    ) {
+        let Some(book) = self.books.get_mut(name) else {
+            return;
+        };
+        let entry = book.uses.entry(target.clone()).or_insert_with(|| Use {
+            demand: Demand::NONE,
+            running: BTreeMap::new(),
+        });
+        if begun > 0 || running > 0 {
+            entry.demand.count(now, DEMAND_HALF, f64::from(begun) + 0.01);
+        }
+        entry.running.insert(vm.clone(), (now, running));
+    }
+
+    /// What a replica holds, for the other VMs.
+    pub fn held(&self, name: &ReplicaName) -> Option<Held> {
+        let book = self.books.get(name)?;
+        let here = book.slots.iter().filter(|(_, s)| s.phase == Phase::Here);
+        let coming = book.slots.iter();
+        let coming = coming.filter(|(_, s)| matches!(s.phase, Phase::Coming(..)));
+        Some(Held {
+            here: here.map(|(t, s)| (t.clone(), s.version)).collect(),
+            coming: coming.map(|(t, _)| t.clone()).collect(),
+        })
+    }
+
+    /// The replicas whose books changed since the last call.
+    pub fn take_changed(&mut self) -> Vec<ReplicaName> {
+        let changed = self.books.iter_mut().filter(|(_, b)| b.changed);
+        let changed = changed.map(|(name, b)| {
+            b.changed = false;
+            name.clone()
+        });
+        changed.collect()
+    }
+
+    /// Adapters on their way to our replicas.
+    pub fn coming(&self) -> usize {
+        self.books.values().map(Book::coming).sum()
+    }
+
+    /// The next thing to do at a replica, if any; its end is told by
+    /// [`Books::ended`] or [`Books::looked`] before the next is asked for.
+    ///
+    /// Made for many requests for adapters that are nowhere, at full slots.
+    /// Wishes are served in the order in which they came, so none starves;
+    /// what gives way is the adapter with the least demand that nothing uses,
+    /// and an adapter that is wished for never gives way to another wish.
+    pub fn next(&mut self, now: Moment, name: &ReplicaName, versions: &Versions) -> Option<Step> {
+        let book = self.books.get_mut(name)?;
+        if book.busy {
+            return None;
+        }
+        let step = book.next(now, versions);
+        book.busy = step.is_some();
+        step
+    }
+
+    /// When [`Books::next`] is worth asking again, at the latest.
+    pub fn next_wake(&self, now: Moment) -> Option<Moment> {
+        let books = self.books.values().filter(|b| !b.busy);
+        books.filter_map(|b| b.next_wake(now)).min()
+    }
+
+    /// A report was read, or could not be.
+    pub fn looked(&mut self, now: Moment, name: &ReplicaName, report: Option<Report>) {
+        let Some(book) = self.books.get_mut(name) else {
+            return;
+        };
+        book.busy = false;
+        let Some(report) = report else {
+            book.look_from = now.after(RESYNC_PAUSE);
+            return;
+        };
+        book.accepted = Some(report.accepted);
+        book.take_report(now, &report);
+    }
+
+    /// An order ended; gives how long an adapter took to load, if one came.
+    pub fn ended(&mut self, now: Moment, name: &ReplicaName, step: &Step, end: OrderEnd) -> Option<Span> {
+        let time = self.load_time();
+        let book = self.books.get_mut(name)?;
+        book.busy = false;
+        let took = book.ended(now, step, end, time);
+        if let Some(took) = took {
+            let seen = took.0 as f64;
+            let old = self.load_time.unwrap_or(seen);
+            self.load_time = Some(old + 0.2 * (seen - old));
+        }
+        took
+    }
+
+    fn load_time(&self) -> Span {
+        let guess = LOAD_GUESS.0 as f64;
+        let time = self.load_time.unwrap_or(guess);
+        Span(time.clamp(guess / 10.0, guess * 8.0) as u64)
+    }
+}
+
+impl Slot {
+    fn here(version: u32) -> Self {
+        Self {
+            version,
+            phase: Phase::Here,
+        }
+    }
+}
+
+impl Book {
+    fn coming(&self) -> usize {
+        let slots = self.slots.values();
+        slots.filter(|s| matches!(s.phase, Phase::Coming(..))).count()
+    }
+
+    fn next(&mut self, now: Moment, versions: &Versions) -> Option<Step> {
+        let Some(expected) = self.accepted else {
+            return (now >= self.look_from).then_some(Step::Look);
+        };
+        self.wishes.retain(|_, (_, renewed)| now.since(*renewed) < WISH_KEPT);
+        if self.lost(now) {
+            self.accepted = None;
+            return Some(Step::Look);
+        }
+        let load = |target: Target| {
+            let version = versions.newest(&target);
+            Step::Load {
+                target,
+                version,
+                expected,
+            }
+        };
+        if let Some((target, loading)) = self.overdue(now) {
+            return Some(match loading {
+                true => load(target),
+                false => Step::Unload { target, expected },
+            });
+        }
+        if let Some(target) = self.outdated(versions) {
+            return Some(load(target));
+        }
+        let target = self.next_wish(versions)?;
+        if self.coming() >= MOST_COMING {
+            return None;
+        }
+        if self.slots.len() < self.most {
+            return Some(load(target));
+        }
+        // One that is leaving makes room soon; a second need not go.
+        let leaving = self.slots.values().filter(|s| matches!(s.phase, Phase::Leaving(_)));
+        if leaving.count() >= self.wishes.len() {
+            return None;
+        }
+        let target = self.victim(now)?;
+        Some(Step::Unload { target, expected })
+    }
+
+    /// Whether a load was accepted so long ago that it has failed.
+    fn lost(&self, now: Moment) -> bool {
+        let over = |s: &Slot| matches!(s.phase, Phase::Coming(since, _) if now.since(since) > LOAD_LOST);
+        self.slots.values().any(over)
+    }
+
+    /// What should have happened by now, and whether it is a load.
+    fn overdue(&self, now: Moment) -> Option<(Target, bool)> {
+        self.slots.iter().find_map(|(t, s)| match s.phase {
+            Phase::Coming(_, at) if at <= now => Some((t.clone(), true)),
+            Phase::Leaving(at) if at <= now => Some((t.clone(), false)),
+            _ => None,
+        })
+    }
+
+    /// An adapter of which a newer version was announced.
+    fn outdated(&self, versions: &Versions) -> Option<Target> {
+        let here = self.slots.iter().filter(|(_, s)| s.phase == Phase::Here);
+        let mut old = here.filter(|(t, s)| versions.newest(t).is_some_and(|v| v > s.version));
+        old.next().map(|(t, _)| t.clone())
+    }
+
+    fn next_wish(&mut self, versions: &Versions) -> Option<Target> {
+        let slots = &self.slots;
+        let met = |t: &Target| {
+            let newest = versions.newest(t).unwrap_or(0);
+            let slot = slots.get(t);
+            slot.is_some_and(|s| s.phase != Phase::Here || s.version >= newest)
+        };
+        self.wishes.retain(|t, _| !met(t));
+        let first = self.wishes.iter().min_by_key(|(_, (since, _))| *since);
+        first.map(|(t, _)| t.clone())
+    }
+
+    fn victim(&self, now: Moment) -> Option<Target> {
+        let here = self.slots.iter().filter(|(_, s)| s.phase == Phase::Here);
+        let idle = here.filter(|(t, _)| !self.wishes.contains_key(*t) && self.idle(now, t));
+        let least = idle.min_by_key(|(t, _)| self.uses.get(*t).map_or(i64::MIN, |u| u.demand.key(1)));
+        least.map(|(t, _)| t.clone())
+    }
+
+    fn idle(&self, now: Moment, target: &Target) -> bool {
+        let Some(uses) = self.uses.get(target) else {
+            return true;
+        };
+        let running = uses.running.values();
+        let mut running = running.filter(|(heard, n)| *n > 0 && now.since(*heard) < Span::from_millis(2_000));
+        running.next().is_none() && now.since(uses.demand.last) >= USED_KEPT
+    }
+
+    fn next_wake(&self, now: Moment) -> Option<Moment> {
+        if self.accepted.is_none() {
+            return Some(self.look_from);
+        }
+        let slots = self.slots.values().filter_map(|s| match s.phase {
+            Phase::Coming(_, at) | Phase::Leaving(at) => Some(at),
+            Phase::Here => None,
+        });
+        let wished = (!self.wishes.is_empty()).then(|| now.after(CHECK_AGAIN));
+        slots.chain(wished).min()
+    }
+
+    fn take_report(&mut self, now: Moment, report: &Report) {
+        let slots = &mut self.slots;
+        slots.retain(|t, s| {
+            let told = report.here.contains_key(t) || report.coming.contains(t);
+            // What was ordered just now is not in the report yet.
+            let new = matches!(s.phase, Phase::Coming(since, _) if now.since(since) < RESYNC_PAUSE);
+            told || new
+        });
+        for (t, version) in &report.here {
+            let slot = slots.entry(t.clone()).or_insert(Slot::here(*version));
+            if slot.phase == Phase::Here {
+                slot.version = *version;
+            }
+        }
+        for t in &report.coming {
+            let slot = slots.entry(t.clone()).or_insert(Slot::here(0));
+            if slot.phase == Phase::Here {
+                slot.phase = Phase::Coming(now, now.after(CHECK_AGAIN));
+            }
+        }
+        self.changed = true;
+    }
+
+    fn ended(&mut self, now: Moment, step: &Step, end: OrderEnd, time: Span) -> Option<Span> {
+        match end {
+            OrderEnd::Accepted => {
+                self.accepted = self.accepted.map(|n| n + 1);
+                self.accepted_order(now, step, time);
+                None
+            }
+            OrderEnd::Holds => self.holds(now, step),
+            OrderEnd::Conflict | OrderEnd::Unknown | OrderEnd::Refused => {
+                self.accepted = None;
+                self.look_from = now.after(RESYNC_PAUSE);
+                None
+            }
+            OrderEnd::Fenced | OrderEnd::Gone => {
+                self.look_from = now.after(Span(RESYNC_PAUSE.0 * 4));
+                self.accepted = None;
+                None
+            }
+        }
+    }
+
+    fn accepted_order(&mut self, now: Moment, step: &Step, time: Span) {
+        self.changed = true;
+        match step {
+            Step::Load { target, .. } => {
+                let next = now.after(time);
+                let slot = self.slots.entry(target.clone()).or_insert(Slot {
+                    version: 0,
+                    phase: Phase::Coming(now, next),
+                });
+                slot.phase = match slot.phase {
+                    Phase::Coming(since, _) if since != now => {
+                        Phase::Coming(since, now.after(CHECK_AGAIN))
+                    }
+                    _ => Phase::Coming(now, next),
+                };
+            }
+            Step::Unload { target, .. } => {
+                if let Some(slot) = self.slots.get_mut(target) {
+                    slot.phase = Phase::Leaving(now.after(UNLOAD_CHECK));
+                }
+            }
+            Step::Look => {}
+        }
+    }
+
+    fn holds(&mut self, now: Moment, step: &Step) -> Option<Span> {
+        self.changed = true;
+        match step {
+            Step::Load {
+                target, version, ..
+            } => {
+                self.wishes.remove(target);
+                let slot = self.slots.entry(target.clone()).or_insert(Slot::here(0));
+                let took = match slot.phase {
+                    Phase::Coming(since, _) => Some(now.since(since)),
+                    _ => None,
+                };
+                slot.phase = Phase::Here;
+                slot.version = version.unwrap_or(slot.version);
+                took
+            }
+            Step::Unload { target, .. } => {
+                self.slots.remove(target);
+                None
+            }
+            Step::Look => None,
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/serving/border.rs
@@ -0,0 +1,132 @@
+//! What a border to the outside gives: bytes into our types and back.
+
+use std::fmt;
+use std::time::Duration;
+
+use hyper::HeaderMap;
+use hyper::Request;
+use hyper::StatusCode;
+
+use super::books::OrderEnd;
+use super::books::Report;
+use super::model::Announced;
+use super::model::Ask;
+use super::model::Config;
+use super::model::Listing;
+use super::model::Target;
+use super::store::Item;
+use crate::ids::ReplicaName;
+use crate::ids::Token;
+use crate::ids::VmName;
+use crate::upstream::Parts;
+
+/// A record that is not of the published form.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct BadRecord(pub String);
+
+impl fmt::Display for BadRecord {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl std::error::Error for BadRecord {}
+
+/// The kinds of objects in the store.
+#[derive(Clone, Copy, Debug)]
+pub struct Kinds {
+    /// The configuration.
+    pub config: &'static str,
+    /// The replicas.
+    pub replicas: &'static str,
+    /// Announced versions of adapters.
+    pub versions: &'static str,
+    /// Our own: VMs and owners.
+    pub own: &'static str,
+}
+
+/// What we set on a request that goes to a replica.
+#[derive(Clone, Copy, Debug)]
+pub struct Sending<'a> {
+    /// How long the answer is worth waiting for.
+    pub left: Duration,
+    /// The replica that it is meant for.
+    pub replica: &'a ReplicaName,
+    /// The version of the adapter that it must begin on.
+    pub version: Option<u32>,
+    /// The event after which a broken stream goes on.
+    pub resume_at: Option<u64>,
+}
+
+/// Why a replica did not run a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum NotRun {
+    /// Another replica has the address now.
+    Gone,
+    /// It does not hold the adapter, or not in this version.
+    Lacks,
+    /// It is full, or leaving.
+    Full,
+}
+
+/// What the head of an answer says.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Reply {
+    /// The replica's answer to this request.
+    Answer,
+    /// The same, and it says that the replica failed.
+    Failed,
+    /// The replica did not run it and will not.
+    NotRun(NotRun),
+    /// Another request's answer, or not an answer that may be passed on.
+    Spoilt(&'static str),
+}
+
+/// An order to a replica.
+#[derive(Clone, Copy, Debug)]
+pub struct Order<'a> {
+    /// Whether to load; else to unload.
+    pub load: bool,
+    /// The adapter.
+    pub target: &'a Target,
+    /// The version to load; the newest if none is named.
+    pub version: Option<u32>,
+    /// Orders that the replica is expected to have accepted.
+    pub expected: u64,
+    /// Who orders.
+    pub vm: &'a VmName,
+    /// The fencing token.
+    pub token: Token,
+    /// The replica that it is meant for.
+    pub replica: &'a ReplicaName,
+}
+
+/// The functions of a border. None of them waits, repeats or chooses.
+#[derive(Clone, Copy)]
+pub struct Border {
+    /// Kinds of objects.
+    pub kinds: Kinds,
+    /// The path on which the balancer asks whether we are ready.
+    pub ready_path: &'static str,
+    /// Reads what a caller's request says of itself.
+    pub read_ask: fn(&HeaderMap) -> Ask,
+    /// Takes out what only we may set, and sets it.
+    pub write_head: fn(&mut HeaderMap, &Sending<'_>),
+    /// Reads the head of an answer to the request with this id from this
+    /// replica.
+    pub read_reply: fn(StatusCode, &HeaderMap, &str, &ReplicaName) -> Reply,
+    /// Reads the configuration.
+    pub read_config: fn(&Item) -> Result<Config, BadRecord>,
+    /// Reads a replica's entry.
+    pub read_listing: fn(&Item) -> Result<Listing, BadRecord>,
+    /// Reads an announced version.
+    pub read_announced: fn(&Item) -> Result<Announced, BadRecord>,
+    /// Writes an order.
+    pub write_order: fn(&Order<'_>) -> Result<Request<Parts>, BadRecord>,
+    /// Reads its answer.
+    pub read_order: fn(StatusCode) -> OrderEnd,
+    /// Asks for a report.
+    pub write_look: fn() -> Result<Request<Parts>, BadRecord>,
+    /// Reads a report.
+    pub read_report: fn(&[u8]) -> Result<Report, BadRecord>,
+}
--- /dev/null
+++ b/lib/src/serving/decide.rs
@@ -0,0 +1,150 @@
+//! What follows a failed try: another one, or the final answer.
+//!
+//! Load: replicas that crash, refuse or fail under many requests at once. Harm
+//! prevented: a second run of what may run once, and a "not run" that is not
+//! true.
+
+use std::time::Duration;
+
+use hyper::StatusCode;
+
+use super::border::NotRun;
+
+/// Sends of one request that were refused or did not arrive, at the most: the
+/// picture of the replicas is wrong in at most a few places at a time.
+const MOST_SENDS: u32 = 4;
+
+/// When to come back while there is no configuration or no replica: about the
+/// time in which a watch is renewed or a replica is listed.
+pub const COME_BACK: Duration = Duration::from_millis(500);
+
+/// How a try ended without an answer to pass on.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Ended {
+    /// Not a byte was sent.
+    NotSent,
+    /// The replica refused it.
+    NotRun(NotRun),
+    /// The connection broke before an answer.
+    Broken,
+    /// What came is not this request's answer.
+    Spoilt(&'static str),
+    /// The replica answered with a failure of its own.
+    Failed,
+    /// No answer came in time.
+    Overdue,
+}
+
+impl Ended {
+    /// Whether the request may have run.
+    pub fn may_have_run(self) -> bool {
+        !matches!(self, Self::NotSent | Self::NotRun(_))
+    }
+
+    /// Whether the replica got it, so that another send is a repeat.
+    pub fn arrived(self) -> bool {
+        self != Self::NotSent
+    }
+
+    /// A word for logs and metrics.
+    pub fn word(self) -> &'static str {
+        match self {
+            Self::NotSent => "not_sent",
+            Self::NotRun(NotRun::Gone) => "replica_gone",
+            Self::NotRun(NotRun::Lacks) => "not_loaded",
+            Self::NotRun(NotRun::Full) => "replica_full",
+            Self::Broken => "broken",
+            Self::Spoilt(_) => "spoilt",
+            Self::Failed => "failed",
+            Self::Overdue => "overdue",
+        }
+    }
+}
+
+/// What has been tried of one request.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Tries {
+    /// Sends so far.
+    pub sends: u32,
+    /// Those in which it may have run.
+    pub runs: u32,
+    /// Replicas that may run it.
+    pub most_runs: u32,
+    /// Whether it may run more than once.
+    pub idempotent: bool,
+}
+
+impl Tries {
+    /// Notes how a send ended.
+    pub fn note(&mut self, ended: Ended) {
+        self.sends += 1;
+        self.runs += u32::from(ended.may_have_run());
+    }
+
+    /// Whether another replica may be tried after this end, which is noted
+    /// already. The retry budget has its own word.
+    ///
+    /// ```
+    /// use banyangauge::serving::decide::{Ended, Tries};
+    /// let mut t = Tries { most_runs: 2, ..Tries::default() };
+    /// t.note(Ended::NotSent);
+    /// assert!(t.again(Ended::NotSent));
+    /// t.note(Ended::Broken);
+    /// assert!(!t.again(Ended::Broken)); // it may have run, and runs once
+    /// ```
+    pub fn again(&self, ended: Ended) -> bool {
+        let allowed = self.idempotent || self.runs == 0;
+        allowed
+            && ended != Ended::Overdue
+            && self.sends < MOST_SENDS
+            && self.runs < self.most_runs.max(1)
+    }
+}
+
+/// The final answer to a request that was not served.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Refusal {
+    /// Its status; 429 and 503 promise that it did not run.
+    pub status: StatusCode,
+    /// When to come back.
+    pub retry_after: Option<Duration>,
+    /// Why, in a word.
+    pub reason: &'static str,
+}
+
+impl Refusal {
+    /// It did not run; come back after `after`.
+    pub fn not_run(reason: &'static str, after: Duration) -> Self {
+        Self {
+            status: StatusCode::SERVICE_UNAVAILABLE,
+            retry_after: Some(after),
+            reason,
+        }
+    }
+
+    /// What the caller sent is not allowed.
+    pub fn denied(status: StatusCode, reason: &'static str) -> Self {
+        Self {
+            status,
+            retry_after: None,
+            reason,
+        }
+    }
+
+    /// The final answer after tries of which the last ended so.
+    pub fn after(tries: &Tries, ended: Ended) -> Self {
+        let reason = ended.word();
+        if tries.runs == 0 && !ended.may_have_run() {
+            return Self::not_run(reason, COME_BACK);
+        }
+        let status = match ended {
+            Ended::Overdue => StatusCode::GATEWAY_TIMEOUT,
+            _ => StatusCode::BAD_GATEWAY,
+        };
+        Self {
+            status,
+            retry_after: None,
+            reason,
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/serving/fleet/mod.rs
@@ -0,0 +1,291 @@
+//! What a VM believes of the replicas, and the decisions made of it.
+//!
+//! [`Fleet`] has no I/O and no clock: news comes in by plain calls with time
+//! as an argument.
+//!
+//! | module | decides |
+//! |---|---|
+//! | `place` | where a request runs, or where its adapter is loaded |
+//! | `health` | what ends and silences of runs mean |
+//! | `versions` | which version of an adapter a run may begin on |
+
+mod health;
+mod place;
+mod versions;
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+pub use health::End;
+pub use place::Place;
+pub use place::Want;
+pub use versions::Versions;
+
+use self::health::Health;
+use super::model::Config;
+use super::model::Listing;
+use super::model::Service;
+use super::model::Target;
+use crate::ids::ReplicaName;
+use crate::ids::ServiceName;
+use crate::ids::VmName;
+use crate::ids::ZoneName;
+use crate::pool::Moment;
+use crate::pool::Span;
+
+/// How long a peer's counts stand for it: five of its beacons. Older ones
+/// would keep a dead VM's requests on a replica.
+const PEER_COUNTS_KEPT: Span = Span::from_millis(2_000);
+
+/// How long an owner's word on what its replica holds goes before the entry
+/// in the store, which lags a heartbeat behind.
+const BOOK_KEPT: Span = Span::from_millis(3_000);
+
+/// How long a replica that refused an adapter is not asked for it again,
+/// unless its owner says that it came: about a load and a beacon.
+const MISSING_KEPT: Span = Span::from_millis(600);
+
+/// How long an entry that lapsed while the store was away may come back.
+const LAPSED_KEPT: Span = Span::from_millis(2_000);
+
+/// Requests under way and the tokens that they hold.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Load {
+    /// Requests.
+    pub requests: u32,
+    /// Tokens of prompt and expected answer.
+    pub tokens: u64,
+}
+
+impl Load {
+    fn add(&mut self, other: Self) {
+        self.requests += other.requests;
+        self.tokens += other.tokens;
+    }
+
+    fn remove(&mut self, other: Self) {
+        self.requests = self.requests.saturating_sub(other.requests);
+        self.tokens = self.tokens.saturating_sub(other.tokens);
+    }
+}
+
+/// What a replica holds, by the word of its owner.
+#[derive(Clone, Debug, Default)]
+pub struct Held {
+    /// Adapters that it holds, with their versions.
+    pub here: BTreeMap<Target, u32>,
+    /// Adapters on their way to it.
+    pub coming: BTreeSet<Target>,
+}
+
+/// One replica, as this VM believes it to be.
+#[derive(Debug)]
+struct Replica {
+    listing: Listing,
+    own: Load,
+    peers: BTreeMap<VmName, (Moment, Load)>,
+    book: Option<(Moment, Held)>,
+    missing: BTreeMap<Target, Moment>,
+    health: Health,
+    /// Since when it is missing from the store's list.
+    lapsed: Option<Moment>,
+}
+
+impl Replica {
+    fn new(listing: Listing) -> Self {
+        Self {
+            listing,
+            own: Load::default(),
+            peers: BTreeMap::new(),
+            book: None,
+            missing: BTreeMap::new(),
+            health: Health::default(),
+            lapsed: None,
+        }
+    }
+
+    /// Requests of all VMs there.
+    fn load(&self, now: Moment) -> Load {
+        let mut load = self.own;
+        let fresh = self.peers.values();
+        for (heard, peer) in fresh.filter(|(heard, _)| now.since(*heard) < PEER_COUNTS_KEPT) {
+            debug_assert!(*heard <= now);
+            load.add(*peer);
+        }
+        load
+    }
+
+    /// The version in which it holds a target; 0 where versions do not matter.
+    fn holds(&self, now: Moment, target: &Target) -> Option<u32> {
+        if self.missing.get(target).is_some_and(|until| *until > now) {
+            return None;
+        }
+        if target.adapter.is_none() {
+            return self.listing.models.contains(&target.model).then_some(0);
+        }
+        match &self.book {
+            Some((heard, held)) if now.since(*heard) < BOOK_KEPT => held.here.get(target).copied(),
+            _ => self.listing.adapters.get(target).copied(),
+        }
+    }
+
+    fn awaits(&self, now: Moment, target: &Target) -> bool {
+        let fresh = |(heard, _): &&(Moment, Held)| now.since(*heard) < BOOK_KEPT;
+        let book = self.book.as_ref().filter(fresh);
+        book.is_some_and(|(_, held)| held.coming.contains(target))
+    }
+
+    fn usable(&self) -> bool {
+        !self.listing.draining
+    }
+}
+
+/// All replicas, and what is known of their services and adapters.
+#[derive(Debug)]
+pub struct Fleet {
+    zone: ZoneName,
+    services: BTreeMap<ServiceName, Service>,
+    replicas: BTreeMap<ReplicaName, Replica>,
+    /// What was announced of adapters.
+    pub versions: Versions,
+}
+
+impl Fleet {
+    /// No replicas yet, seen from an availability zone.
+    pub fn new(zone: ZoneName) -> Self {
+        Self {
+            zone,
+            services: BTreeMap::new(),
+            replicas: BTreeMap::new(),
+            versions: Versions::default(),
+        }
+    }
+
+    /// Takes the services of a configuration.
+    pub fn configure(&mut self, config: &Config) {
+        self.services = config.services.clone();
+    }
+
+    /// Takes a replica's entry in the store; gives whether it changed what
+    /// requests may use.
+    pub fn list(&mut self, listing: Listing) -> bool {
+        match self.replicas.get_mut(&listing.name) {
+            Some(r) => {
+                r.lapsed = None;
+                let changed = r.listing.draining != listing.draining;
+                r.listing = listing;
+                changed
+            }
+            None => {
+                let name = listing.name.clone();
+                self.replicas.insert(name, Replica::new(listing));
+                true
+            }
+        }
+    }
+
+    /// A replica's entry was removed: it gets nothing new.
+    pub fn unlist(&mut self, name: &ReplicaName) -> bool {
+        self.replicas.remove(name).is_some()
+    }
+
+    /// Takes the whole list of the store. After an outage, entries that lapsed
+    /// meanwhile may come back within two seconds, so what is missing then is
+    /// kept as long; otherwise it is gone.
+    pub fn relist(&mut self, now: Moment, all: Vec<Listing>, outage: bool) {
+        let names: BTreeSet<_> = all.iter().map(|l| l.name.clone()).collect();
+        for listing in all {
+            self.list(listing);
+        }
+        self.replicas.retain(|name, r| {
+            if names.contains(name) {
+                return true;
+            }
+            r.lapsed.get_or_insert(now);
+            outage
+        });
+    }
+
+    /// Drops replicas whose entries did not come back; gives their names.
+    pub fn drop_lapsed(&mut self, now: Moment) -> Vec<ReplicaName> {
+        let over = |r: &Replica| r.lapsed.is_some_and(|at| now.since(at) >= LAPSED_KEPT);
+        let gone = self.replicas.iter().filter(|(_, r)| over(r));
+        let gone: Vec<_> = gone.map(|(name, _)| name.clone()).collect();
+        for name in &gone {
+            self.replicas.remove(name);
+        }
+        gone
+    }
+
+    /// A replica's entry in the store, if it is listed.
+    pub fn listing(&self, name: &ReplicaName) -> Option<&Listing> {
+        self.replicas.get(name).map(|r| &r.listing)
+    }
+
+    /// The replicas that can hold adapters.
+    pub fn engines(&self) -> impl Iterator<Item = &Listing> {
+        let engine = |l: &&Listing| self.engine_slots(l) > 0;
+        self.replicas.values().map(|r| &r.listing).filter(engine)
+    }
+
+    /// How many adapters a replica may hold.
+    pub fn engine_slots(&self, listing: &Listing) -> u32 {
+        let service = self.services.get(&listing.service);
+        let engine = service.and_then(|s| s.engine.as_ref());
+        engine.map_or(0, |e| e.adapters)
+    }
+
+    /// Whether any replica is known.
+    pub fn is_empty(&self) -> bool {
+        self.replicas.is_empty()
+    }
+
+    /// A peer's counts for all replicas it uses.
+    pub fn hear_counts(&mut self, now: Moment, vm: &VmName, counts: &BTreeMap<ReplicaName, Load>) {
+        for (name, r) in &mut self.replicas {
+            match counts.get(name) {
+                Some(load) => {
+                    r.peers.insert(vm.clone(), (now, *load));
+                }
+                None => {
+                    r.peers.remove(vm);
+                }
+            }
+        }
+    }
+
+    /// An owner's word on what its replica holds.
+    pub fn hear_book(&mut self, now: Moment, name: &ReplicaName, held: Held) {
+        if let Some(r) = self.replicas.get_mut(name) {
+            r.missing.retain(|t, _| !held.here.contains_key(t));
+            r.book = Some((now, held));
+        }
+    }
+
+    /// A request is sent to a replica.
+    pub fn begin(&mut self, name: &ReplicaName, cost: Load) {
+        if let Some(r) = self.replicas.get_mut(name) {
+            r.own.add(cost);
+        }
+    }
+
+    /// A run there ended, however it did.
+    pub fn end(&mut self, name: &ReplicaName, cost: Load) {
+        if let Some(r) = self.replicas.get_mut(name) {
+            r.own.remove(cost);
+        }
+    }
+
+    /// A replica said that it does not hold a target.
+    pub fn lacks(&mut self, now: Moment, name: &ReplicaName, target: &Target) {
+        if let Some(r) = self.replicas.get_mut(name) {
+            r.missing.insert(target.clone(), now.after(MISSING_KEPT));
+        }
+    }
+
+    /// What runs where, of this VM's requests.
+    pub fn own_counts(&self) -> BTreeMap<ReplicaName, Load> {
+        let used = self.replicas.iter().filter(|(_, r)| r.own.requests > 0);
+        used.map(|(name, r)| (name.clone(), r.own)).collect()
+    }
+}
--- /dev/null
+++ b/lib/src/serving/fleet/place.rs
@@ -0,0 +1,207 @@
+//! Where a request runs, or where its adapter is loaded first.
+
+use std::collections::BTreeSet;
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::Fleet;
+use super::Load;
+use super::Replica;
+use crate::ids::ReplicaName;
+use crate::ids::ServiceName;
+use crate::pool::Moment;
+use crate::serving::model::Listing;
+use crate::serving::model::Target;
+
+/// Tokens that weigh as much as one request more in a batch: reading them
+/// takes an engine about as long as twenty of its steps.
+const TOKENS_A_REQUEST: f64 = 6_000.0;
+
+/// The part of an engine's KV memory that is filled: estimates are wrong, and
+/// an engine without room preempts the newest of its runs.
+const MEMORY_PART: f64 = 0.9;
+
+/// Requests that a plain replica may hold beyond its slots, in slots: a short
+/// queue there keeps it busy, a longer one could not be taken back.
+const QUEUE_PART: f64 = 1.0;
+
+/// How many requests more a replica in another zone seems to run: bytes
+/// between zones are dear, but dearer is a queue.
+const FAR: f64 = 0.6;
+
+/// The same for each kilobyte of body.
+const FAR_A_KB: f64 = 0.08;
+
+/// How many requests more a replica seems to run if all its runs failed
+/// lately: as many as keep it out unless the others are full.
+const FAILING: f64 = 24.0;
+
+/// A holder that seems to run more than this many requests above the least
+/// loaded replica asks for a second copy there.
+const COPY_ABOVE: f64 = 10.0;
+
+/// What a request needs.
+#[derive(Debug)]
+pub struct Want<'a> {
+    /// Its service.
+    pub service: &'a ServiceName,
+    /// Its model or adapter.
+    pub target: Option<&'a Target>,
+    /// What it will hold there.
+    pub cost: Load,
+    /// Kilobytes of body.
+    pub body_kb: f64,
+    /// Replicas that failed it.
+    pub avoid: &'a BTreeSet<ReplicaName>,
+}
+
+/// The decision.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Place {
+    /// Send it there.
+    Send {
+        /// Where.
+        at: ReplicaName,
+        /// Where a second copy of its adapter is wanted.
+        copy: Option<ReplicaName>,
+    },
+    /// Have its adapter loaded there, and wait.
+    Load {
+        /// Where.
+        at: ReplicaName,
+    },
+    /// Its adapter is on its way to this replica.
+    Coming {
+        /// Where.
+        at: ReplicaName,
+    },
+    /// Those that could run it are full.
+    Full,
+    /// No replica could run it now.
+    Nowhere,
+}
+
+impl Fleet {
+    /// Where a request runs.
+    ///
+    /// Made for thousands of adapters on a few dozen slots with skewed demand.
+    /// Requests of one adapter go where it is, as long as that replica is not
+    /// much busier than the others: there the shared parts of its prompts are
+    /// kept as well. An adapter that is nowhere is loaded at its home, the
+    /// first in the order of a hash over adapter and replica, so that all VMs
+    /// ask for it at the same place without a word between them. `loadable`
+    /// says whether somebody can load there now.
+    pub fn place(
+        &self,
+        now: Moment,
+        want: &Want<'_>,
+        loadable: impl Fn(&ReplicaName) -> bool,
+    ) -> Place {
+        let mut service = self.replicas.iter();
+        let member = |r: &Replica| r.listing.service == *want.service && r.usable();
+        let members: Vec<_> = service.by_ref().filter(|(_, r)| member(r)).collect();
+        let open = |name: &ReplicaName, r: &Replica| {
+            !want.avoid.contains(name) && r.health.open(now, r.own.requests)
+        };
+        let open: Vec<_> = members.iter().filter(|(n, r)| open(n, r)).collect();
+        if open.is_empty() {
+            return Place::Nowhere;
+        }
+        let score = |r: &Replica| self.score(now, want, r);
+        let best = |list: &mut dyn Iterator<Item = (&ReplicaName, &Replica)>| {
+            let scored = list.map(|(n, r)| (score(r), n.clone()));
+            scored.min_by(|a, b| a.0.total_cmp(&b.0))
+        };
+        let Some(target) = want.target else {
+            let mut fit = open.iter().filter(|(_, r)| self.has_room(now, want, r));
+            let fit = best(&mut fit.by_ref().map(|(n, r)| (*n, *r)));
+            return fit.map_or(Place::Full, |(_, at)| Place::Send { at, copy: None });
+        };
+        let holders = open.iter().filter(|(_, r)| self.serves(now, target, r));
+        let holders: Vec<_> = holders.collect();
+        let mut fit = holders.iter().filter(|(_, r)| self.has_room(now, want, r));
+        let fit = best(&mut fit.by_ref().map(|(n, r)| (*n, *r)));
+        if target.adapter.is_none() {
+            return fit.map_or(Place::Full, |(_, at)| Place::Send { at, copy: None });
+        }
+        let roomy = open.iter().filter(|(n, r)| {
+            loadable(n) && self.has_room(now, want, r) && !self.serves(now, target, r)
+        });
+        let roomy: Vec<_> = roomy.map(|(n, r)| (*n, *r)).collect();
+        if let Some((held, at)) = fit {
+            let least = best(&mut roomy.iter().copied()).map(|(s, _)| s);
+            let copy = least.filter(|least| held > least + COPY_ABOVE);
+            let copy = copy.and_then(|_| self.home(target, &roomy, score));
+            return Place::Send { at, copy };
+        }
+        let coming = open.iter().find(|(_, r)| r.awaits(now, target));
+        if let Some((at, _)) = coming {
+            let at = (*at).clone();
+            return Place::Coming { at };
+        }
+        match self.home(target, &roomy, score) {
+            Some(at) => Place::Load { at },
+            None if holders.is_empty() => Place::Nowhere,
+            None => Place::Full,
+        }
+    }
+
+    /// The first replica for an adapter in the order of the hash, of those
+    /// that are not much busier than the least loaded one.
+    fn home(
+        &self,
+        target: &Target,
+        list: &[(&ReplicaName, &Replica)],
+        score: impl Fn(&Replica) -> f64,
+    ) -> Option<ReplicaName> {
+        let least = list.iter().map(|(_, r)| score(r));
+        let least = least.min_by(f64::total_cmp)?;
+        let fit = list.iter().filter(|(_, r)| score(r) <= least + COPY_ABOVE);
+        let first = fit.max_by_key(|(_, r)| rank(target, &r.listing));
+        first.map(|(name, _)| (*name).clone())
+    }
+
+    /// Whether a run for this target may begin there.
+    fn serves(&self, now: Moment, target: &Target, r: &Replica) -> bool {
+        let Some(version) = r.holds(now, target) else {
+            return false;
+        };
+        let required = self.versions.required(now, target);
+        required.is_none_or(|v| target.adapter.is_none() || version >= v)
+    }
+
+    /// How busy a replica seems for a request, in requests.
+    fn score(&self, now: Moment, want: &Want<'_>, r: &Replica) -> f64 {
+        let load = r.load(now);
+        let far = match r.listing.zone == self.zone {
+            true => 0.0,
+            false => FAR + FAR_A_KB * want.body_kb,
+        };
+        let busy = f64::from(load.requests) + load.tokens as f64 / TOKENS_A_REQUEST;
+        busy + far + FAILING * r.health.failed
+    }
+
+    /// Whether a replica can begin a request soon.
+    fn has_room(&self, now: Moment, want: &Want<'_>, r: &Replica) -> bool {
+        let load = r.load(now);
+        let slots = f64::from(r.listing.slots);
+        let service = self.services.get(&r.listing.service);
+        match service.and_then(|s| s.engine.as_ref()) {
+            Some(engine) => {
+                let tokens = (load.tokens + want.cost.tokens) as f64;
+                let first = load.requests == 0;
+                let memory = first || tokens <= engine.memory as f64 * MEMORY_PART;
+                memory && f64::from(load.requests) < slots
+            }
+            None => f64::from(load.requests) < slots * (1.0 + QUEUE_PART),
+        }
+    }
+}
+
+/// The rank of a replica for an adapter. The address stands for the replica:
+/// after a restart there it still has the adapter's weights on its disk.
+fn rank(target: &Target, listing: &Listing) -> u64 {
+    let adapter = target.adapter.as_ref().map_or("", |a| a.as_str());
+    let seed = xxh3_64_with_seed(listing.address.to_string().as_bytes(), 0);
+    xxh3_64_with_seed(adapter.as_bytes(), seed)
+}
--- /dev/null
+++ b/lib/src/serving/forward.rs
@@ -0,0 +1,238 @@
+//! One send of a request to one replica.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::HeaderMap;
+use hyper::Method;
+use hyper::Request;
+use hyper::Uri;
+use hyper::header::CONNECTION;
+use hyper::header::CONTENT_LENGTH;
+use hyper::header::HeaderName;
+use hyper::header::TE;
+use hyper::header::TRAILER;
+use hyper::header::TRANSFER_ENCODING;
+use hyper::header::UPGRADE;
+
+use super::border::Reply;
+use super::border::Sending;
+use super::decide::Ended;
+use super::fleet::End;
+use super::fleet::Load;
+use super::model::Target;
+use super::node::Node;
+use super::node::now;
+use crate::ids::Fingerprint;
+use crate::ids::ReplicaName;
+use crate::pool::Moment;
+use crate::upstream::Answer;
+use crate::upstream::Parts;
+use crate::upstream::SendError;
+
+/// A caller's request, kept until its answer is whole.
+pub(super) struct Held {
+    pub(super) method: Method,
+    pub(super) path: Uri,
+    pub(super) headers: HeaderMap,
+    pub(super) body: Vec<Bytes>,
+    /// The caller's id of the attempt.
+    pub(super) id: String,
+    pub(super) target: Option<Target>,
+    /// What it is expected to hold at a replica.
+    pub(super) cost: Load,
+    pub(super) fingerprint: Fingerprint,
+    /// When the final answer is due.
+    pub(super) limit: Moment,
+}
+
+/// A run at a replica; when it is dropped, it counts no more.
+pub(super) struct Run {
+    node: Rc<Node>,
+    pub(super) replica: ReplicaName,
+    target: Option<Target>,
+    cost: Load,
+    number: u64,
+    heard: bool,
+}
+
+impl Run {
+    fn begin(node: &Rc<Node>, held: &Held, replica: &ReplicaName) -> Self {
+        let number = node.number();
+        let mut b = node.beliefs();
+        b.begin(replica, held.target.as_ref(), held.cost);
+        b.fleet.await_first(now(), replica, number);
+        Self {
+            node: node.clone(),
+            replica: replica.clone(),
+            target: held.target.clone(),
+            cost: held.cost,
+            number,
+            heard: false,
+        }
+    }
+
+    /// Bytes of the answer came.
+    pub(super) fn heard(&mut self) {
+        if !self.heard {
+            self.heard = true;
+            let mut b = self.node.beliefs();
+            b.fleet.heard(now(), &self.replica, self.number, true);
+        }
+    }
+
+    /// The run ended so.
+    pub(super) fn learn(&self, end: End) {
+        self.node.beliefs().fleet.learn(now(), &self.replica, end);
+    }
+}
+
+impl Drop for Run {
+    fn drop(&mut self) {
+        let mut b = self.node.beliefs();
+        b.end(&self.replica, self.target.as_ref(), self.cost);
+        if !self.heard {
+            b.fleet.heard(now(), &self.replica, self.number, false);
+        }
+        drop(b);
+        self.node.changed.notify_waiters();
+    }
+}
+
+/// An answer that may be passed on.
+pub(super) struct Begun {
+    pub(super) answer: Answer,
+    pub(super) run: Run,
+    /// Whether the replica says that it failed.
+    pub(super) failed: bool,
+}
+
+/// Sends a request to a replica and waits for the head of its answer.
+pub(super) async fn forward(
+    node: &Rc<Node>,
+    held: &Held,
+    replica: &ReplicaName,
+    resume_at: Option<u64>,
+) -> Result<Begun, Ended> {
+    let address = {
+        let b = node.beliefs();
+        let listing = b.fleet.listing(replica).ok_or(Ended::NotSent)?;
+        listing.address
+    };
+    let request = message(node, held, replica, resume_at);
+    let mut run = Run::begin(node, held, replica);
+    let left = Duration::from_micros(held.limit.since(now()).0);
+    let sent = tokio::time::timeout(left, node.upstreams.send(address, request)).await;
+    let answer = match sent {
+        Err(_) => return Err(Ended::Overdue),
+        Ok(Err(SendError::NotSent(_))) => {
+            run.learn(End::Unreached);
+            return Err(Ended::NotSent);
+        }
+        Ok(Err(SendError::Broken(_))) => {
+            run.learn(End::Broken);
+            strike(node, held, replica);
+            return Err(Ended::Broken);
+        }
+        Ok(Ok(answer)) => answer,
+    };
+    run.heard();
+    let read = node.border.read_reply;
+    match read(answer.head.status, &answer.head.headers, &held.id, replica) {
+        Reply::Answer => Ok(Begun {
+            answer,
+            run,
+            failed: false,
+        }),
+        Reply::Failed => Ok(Begun {
+            answer,
+            run,
+            failed: true,
+        }),
+        Reply::NotRun(why) => {
+            refused(node, held, &run, why);
+            Err(Ended::NotRun(why))
+        }
+        Reply::Spoilt(what) => {
+            run.learn(End::Broken);
+            Err(Ended::Spoilt(what))
+        }
+    }
+}
+
+fn refused(node: &Node, held: &Held, run: &Run, why: super::border::NotRun) {
+    use super::border::NotRun;
+    match why {
+        NotRun::Gone => run.learn(End::Gone),
+        NotRun::Full => run.learn(End::Full),
+        NotRun::Lacks => {
+            if let Some(target) = &held.target {
+                let mut b = node.beliefs();
+                b.fleet.lacks(now(), &run.replica, target);
+            }
+        }
+    }
+}
+
+/// Notes that an upstream broke while it ran this request.
+pub(super) fn strike(node: &Node, held: &Held, replica: &ReplicaName) {
+    let news = node.beliefs().strikes.note(now(), held.fingerprint, replica);
+    if news {
+        node.news.notify_one();
+    }
+}
+
+fn message(
+    node: &Node,
+    held: &Held,
+    replica: &ReplicaName,
+    resume_at: Option<u64>,
+) -> Request<Parts> {
+    let mut request = Request::new(Parts::new(held.body.iter().cloned()));
+    *request.method_mut() = held.method.clone();
+    *request.uri_mut() = held.path.clone();
+    let now = now();
+    let version = {
+        let b = node.beliefs();
+        let target = held.target.as_ref();
+        target.and_then(|t| b.fleet.versions.required(now, t))
+    };
+    let headers = request.headers_mut();
+    *headers = held.headers.clone();
+    let sending = Sending {
+        left: Duration::from_micros(held.limit.since(now).0),
+        replica,
+        version,
+        resume_at,
+    };
+    (node.border.write_head)(headers, &sending);
+    request
+}
+
+/// Takes out the headers that concern only one connection.
+pub(super) fn strip_hop(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|v| v.to_str().ok())
+        .flat_map(|v| v.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in named {
+        headers.remove(name);
+    }
+    for name in [CONNECTION, TE, TRAILER, TRANSFER_ENCODING, UPGRADE] {
+        headers.remove(name);
+    }
+    for name in ["keep-alive", "proxy-connection", "proxy-authenticate", "proxy-authorization"] {
+        headers.remove(name);
+    }
+}
+
+/// Takes out what the connection to a replica sets by itself.
+pub(super) fn strip_request(headers: &mut HeaderMap) {
+    strip_hop(headers);
+    headers.remove(CONTENT_LENGTH);
+    headers.remove("expect");
+}
--- /dev/null
+++ b/lib/src/serving/members.rs
@@ -0,0 +1,130 @@
+//! Which VMs there are, and which of them live.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+use crate::ids::Incarnation;
+use crate::ids::VmName;
+use crate::pool::Moment;
+use crate::pool::Span;
+
+/// A VM whose last beacon is older is taken for lost: five beacons, so a lossy
+/// link does not make it so.
+const LOST_AFTER: Span = Span::from_millis(2_000);
+
+/// How long a VM that hears nobody waits until it takes itself for the only
+/// one: a VM that is cut off must not take what the others own.
+const ALONE_AFTER: Span = Span::from_millis(6_000);
+
+#[derive(Clone, Copy, Debug)]
+struct Heard {
+    at: Moment,
+    incarnation: Incarnation,
+    number: u64,
+    stopping: bool,
+}
+
+/// The VMs by their entries in the store and their beacons.
+#[derive(Debug)]
+pub struct Members {
+    own: VmName,
+    since: Moment,
+    addresses: BTreeMap<VmName, SocketAddr>,
+    heard: BTreeMap<VmName, Heard>,
+}
+
+impl Members {
+    /// Only this VM, as of now.
+    pub fn new(own: VmName, now: Moment) -> Self {
+        Self {
+            own,
+            since: now,
+            addresses: BTreeMap::new(),
+            heard: BTreeMap::new(),
+        }
+    }
+
+    /// A VM's entry in the store.
+    pub fn list(&mut self, vm: VmName, address: SocketAddr) {
+        if vm != self.own {
+            self.addresses.insert(vm, address);
+        }
+    }
+
+    /// A VM's entry was removed.
+    pub fn unlist(&mut self, vm: &VmName) {
+        self.addresses.remove(vm);
+        self.heard.remove(vm);
+    }
+
+    /// A beacon came; gives whether it is newer than the last one, and whether
+    /// the VM was not heard of before.
+    pub fn hear(
+        &mut self,
+        now: Moment,
+        vm: &VmName,
+        stamp: (Incarnation, u64),
+        stopping: bool,
+    ) -> bool {
+        let (incarnation, number) = stamp;
+        let old = self.heard.get(vm);
+        if old.is_some_and(|h| (h.incarnation, h.number) >= stamp) {
+            return false;
+        }
+        let heard = Heard {
+            at: now,
+            incarnation,
+            number,
+            stopping,
+        };
+        self.heard.insert(vm.clone(), heard);
+        true
+    }
+
+    /// Where to send beacons.
+    pub fn addresses(&self) -> impl Iterator<Item = SocketAddr> {
+        self.addresses.values().copied()
+    }
+
+    /// Where a VM is.
+    pub fn address(&self, vm: &VmName) -> Option<SocketAddr> {
+        self.addresses.get(vm).copied()
+    }
+
+    /// Whether a VM's beacons come; this VM always lives.
+    pub fn lives(&self, now: Moment, vm: &VmName) -> bool {
+        if *vm == self.own {
+            return true;
+        }
+        let heard = self.heard.get(vm);
+        heard.is_some_and(|h| !h.stopping && now.since(h.at) < LOST_AFTER)
+    }
+
+    /// The VMs that live.
+    pub fn live(&self, now: Moment) -> BTreeSet<VmName> {
+        let others = self.heard.keys().filter(|vm| self.lives(now, vm));
+        others.cloned().chain([self.own.clone()]).collect()
+    }
+
+    /// Whether this VM may judge who is lost: it hears somebody, or has been
+    /// alone for so long that it is the only one.
+    pub fn may_judge(&self, now: Moment) -> bool {
+        let last = self.heard.values().map(|h| h.at).max();
+        let quiet = now.since(last.unwrap_or(self.since).max(self.since));
+        self.addresses.is_empty() || quiet < LOST_AFTER && last.is_some() || quiet >= ALONE_AFTER
+    }
+
+    /// How many VMs share the retry budget: those listed or heard.
+    pub fn count(&self) -> usize {
+        self.addresses.len() + 1
+    }
+
+    /// Listed VMs that have been silent for `span`.
+    pub fn silent(&self, now: Moment, span: Span) -> Vec<VmName> {
+        let heard = |vm: &VmName| self.heard.get(vm).map_or(self.since, |h| h.at);
+        let listed = self.addresses.keys();
+        let silent = listed.filter(|vm| now.since(heard(vm).max(self.since)) >= span);
+        silent.cloned().collect()
+    }
+}
--- /dev/null
+++ b/lib/src/serving/mod.rs
@@ -0,0 +1,63 @@
+//! The request path of a VM that decides and sends for itself.
+//!
+//! Start at `serve` to follow one request. What decides has no I/O: [`Fleet`]
+//! (where a request runs), [`decide`] (what follows a failed try), [`Budget`]
+//! (how often), [`Books`] (what a replica loads next), [`Ownership`] (who may
+//! order it), [`Strikes`] (which request crashes its upstream). How requests,
+//! replicas and the store speak is a [`Border`]'s and a [`Store`]'s matter.
+
+mod beliefs;
+mod books;
+mod border;
+mod budget;
+pub mod decide;
+mod fleet;
+mod follow;
+mod forward;
+mod members;
+mod model;
+mod node;
+mod ordering;
+mod pass;
+mod peers;
+mod program;
+mod routes;
+mod serve;
+mod server;
+mod settings;
+mod store;
+mod strikes;
+mod table;
+
+pub use books::Books;
+pub use books::OrderEnd;
+pub use books::Report;
+pub use books::Step;
+pub use border::BadRecord;
+pub use border::Border;
+pub use border::Kinds;
+pub use border::NotRun;
+pub use border::Order;
+pub use border::Reply;
+pub use border::Sending;
+pub use budget::Budget;
+pub use budget::BudgetLimits;
+pub use fleet::*;
+pub use members::Members;
+pub use model::*;
+pub use program::Program;
+pub use program::ServeError;
+pub use program::run;
+pub use routes::Routes;
+pub use routes::pick_service;
+pub use settings::ServeSettings;
+pub use store::Change;
+pub use store::Changes;
+pub use store::Item;
+pub use store::Page;
+pub use store::Pending;
+pub use store::Store;
+pub use strikes::Strikes;
+pub use table::Owner;
+pub use table::Ownership;
+pub use table::Table;
--- /dev/null
+++ b/lib/src/serving/model.rs
@@ -0,0 +1,198 @@
+//! What the request path speaks of: requests, routes, services, replicas.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::fmt;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::ids::AdapterName;
+use crate::ids::ModelName;
+use crate::ids::ReplicaName;
+use crate::ids::ServiceName;
+use crate::ids::ZoneName;
+
+/// A base model, or an adapter on it: what a request names.
+///
+/// ```
+/// use banyangauge::serving::Target;
+/// let t = Target::parse("base/rosters").unwrap();
+/// assert_eq!(t.to_string(), "base/rosters");
+/// assert!(Target::parse("base").unwrap().adapter.is_none());
+/// ```
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Target {
+    /// The base model.
+    pub model: ModelName,
+    /// The adapter, if one is named.
+    pub adapter: Option<AdapterName>,
+}
+
+impl Target {
+    /// Reads `MODEL` or `MODEL/ADAPTER`.
+    pub fn parse(text: &str) -> Option<Self> {
+        let (model, adapter) = match text.split_once('/') {
+            Some((model, adapter)) => (model, Some(AdapterName::new(adapter).ok()?)),
+            None => (text, None),
+        };
+        let model = ModelName::new(model).ok()?;
+        Some(Self { model, adapter })
+    }
+}
+
+impl fmt::Display for Target {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match &self.adapter {
+            Some(adapter) => write!(f, "{}/{adapter}", self.model),
+            None => write!(f, "{}", self.model),
+        }
+    }
+}
+
+/// What a caller's request says of itself.
+#[derive(Clone, Debug, Default)]
+pub struct Ask {
+    /// The caller's id of this attempt; empty if it sent none.
+    pub id: String,
+    /// The model or adapter; `None` for a plain service.
+    pub target: Option<Target>,
+    /// Tokens in the prompt.
+    pub prompt: u32,
+    /// The most tokens that it may generate.
+    pub output: u32,
+    /// How long the caller waits.
+    pub patience: Option<Duration>,
+    /// The last event that the caller has already.
+    pub resume_at: Option<u64>,
+}
+
+/// What may be repeated.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Kind {
+    /// It may run more than once.
+    Safe,
+    /// It runs at most once.
+    Unsafe,
+    /// A stream of events; it runs at most once, unless it may be resumed.
+    Stream,
+}
+
+/// Where requests of one host and path go.
+#[derive(Clone, Debug)]
+pub struct Route {
+    /// The operator's name for it.
+    pub name: String,
+    /// The host, in lower case.
+    pub host: String,
+    /// How the path begins; it ends with a slash.
+    pub prefix: String,
+    /// What may be repeated.
+    pub kind: Kind,
+    /// The longest time until the final answer.
+    pub timeout: Duration,
+    /// The latency objective.
+    pub objective: Duration,
+    /// Replicas that may run one request.
+    pub attempts: u32,
+    /// Rank; 0 is the most urgent.
+    pub rank: u32,
+    /// The services and their weights.
+    pub services: Vec<(ServiceName, u32)>,
+    /// Whether a stream may go on at another replica.
+    pub resumable: bool,
+    /// The longest pause between events that is in time.
+    pub pause: Option<Duration>,
+}
+
+impl Route {
+    /// Whether a request may run more than once.
+    pub fn idempotent(&self) -> bool {
+        match self.kind {
+            Kind::Safe => true,
+            Kind::Unsafe => false,
+            Kind::Stream => self.resumable,
+        }
+    }
+}
+
+/// The engine of a service that serves models.
+#[derive(Clone, Debug)]
+pub struct Engine {
+    /// Requests in a batch.
+    pub slots: u32,
+    /// Tokens that the KV memory holds.
+    pub memory: u64,
+    /// Adapters that a replica holds.
+    pub adapters: u32,
+    /// Tokens in one event of a stream.
+    pub stride: u32,
+    /// The models, with the number of their adapters.
+    pub models: BTreeMap<ModelName, u32>,
+}
+
+/// A service as the operator configured it.
+#[derive(Clone, Debug)]
+pub struct Service {
+    /// Its name.
+    pub name: ServiceName,
+    /// Connections that one replica accepts from all callers.
+    pub connections: u32,
+    /// Its engine; `None` for a plain application.
+    pub engine: Option<Engine>,
+}
+
+/// What a caller may send, and how slowly.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Limits {
+    /// Bytes of a request's head.
+    pub head: usize,
+    /// Bytes of its body.
+    pub body: usize,
+    /// Time for the head to come.
+    pub head_time: Duration,
+    /// Time that a connection may stay idle.
+    pub idle: Duration,
+}
+
+/// All that the operator configured, at one version.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// It only rises.
+    pub version: u64,
+    /// The routes.
+    pub routes: Vec<Route>,
+    /// The services.
+    pub services: BTreeMap<ServiceName, Service>,
+    /// What callers may send.
+    pub limits: Limits,
+}
+
+/// A replica as it is listed in the store.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Listing {
+    /// Its name; a restarted replica has another.
+    pub name: ReplicaName,
+    /// What it serves.
+    pub service: ServiceName,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// Requests that it runs at the same time.
+    pub slots: u32,
+    /// Whether it is leaving.
+    pub draining: bool,
+    /// The base models that it holds.
+    pub models: BTreeSet<ModelName>,
+    /// The adapters that it holds, with their versions.
+    pub adapters: BTreeMap<Target, u32>,
+}
+
+/// An adapter and a version of it that was announced.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Announced {
+    /// The adapter.
+    pub target: Target,
+    /// Its version.
+    pub version: u32,
+}
--- /dev/null
+++ b/lib/src/serving/node.rs
@@ -0,0 +1,144 @@
+//! What the tasks of the serving process share.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::cell::RefMut;
+use std::time::Duration;
+
+use tokio::net::UdpSocket;
+use tokio::sync::Notify;
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+use super::beliefs::Beliefs;
+use super::border::Border;
+use super::settings::ServeSettings;
+use super::store::Store;
+use crate::control;
+use crate::ids::Incarnation;
+use crate::pool::Moment;
+use crate::upstream::Upstreams;
+
+/// How far the process is in stopping.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(super) enum Phase {
+    /// It serves.
+    Serving,
+    /// It says that it is not ready, and serves what still comes.
+    Leaving,
+    /// It refuses what still comes and sees the rest through.
+    Closing,
+}
+
+/// One VM of the serving path.
+pub(super) struct Node {
+    pub(super) settings: ServeSettings,
+    pub(super) border: Border,
+    pub(super) store: Store,
+    pub(super) upstreams: Upstreams,
+    pub(super) log: slog::Logger,
+    pub(super) incarnation: Incarnation,
+    /// Wakes requests that wait for a place.
+    pub(super) changed: Notify,
+    /// Wakes the task that gives orders.
+    pub(super) orders: Notify,
+    /// Wakes the task that reads the owner table anew.
+    pub(super) reread: Notify,
+    /// Datagrams to and from the other VMs.
+    pub(super) socket: UdpSocket,
+    /// Wakes the task that tells the peers.
+    pub(super) news: Notify,
+    pub(super) phase: watch::Sender<Phase>,
+    beliefs: RefCell<Beliefs>,
+    numbers: Cell<u64>,
+    open: Cell<usize>,
+}
+
+impl Node {
+    pub(super) fn new(
+        settings: ServeSettings,
+        border: Border,
+        store: Store,
+        log: slog::Logger,
+        socket: UdpSocket,
+    ) -> Self {
+        let now = now();
+        let beliefs = Beliefs::new(&settings, now);
+        Self {
+            settings,
+            border,
+            store,
+            upstreams: Upstreams::with(CONNECT_TIMEOUT, IDLE_TIMEOUT),
+            log,
+            // A restarted process must be told from the one before it; the
+            // clock since the VM's start differs at each.
+            incarnation: Incarnation(now.0),
+            changed: Notify::new(),
+            orders: Notify::new(),
+            reread: Notify::new(),
+            socket,
+            news: Notify::new(),
+            phase: watch::Sender::new(Phase::Serving),
+            beliefs: RefCell::new(beliefs),
+            numbers: Cell::new(0),
+            open: Cell::new(0),
+        }
+    }
+
+    /// The beliefs; never held across an await.
+    pub(super) fn beliefs(&self) -> RefMut<'_, Beliefs> {
+        self.beliefs.borrow_mut()
+    }
+
+    /// A number that is used once.
+    pub(super) fn number(&self) -> u64 {
+        self.numbers.set(self.numbers.get() + 1);
+        self.numbers.get()
+    }
+
+    pub(super) fn phase(&self) -> Phase {
+        *self.phase.borrow()
+    }
+
+    /// Counts a request that is under way, until the guard is dropped.
+    pub(super) fn enter(self: &std::rc::Rc<Self>) -> Open {
+        self.open.set(self.open.get() + 1);
+        Open(self.clone())
+    }
+
+    /// Requests under way.
+    pub(super) fn open(&self) -> usize {
+        self.open.get()
+    }
+}
+
+/// A request that is under way.
+pub(super) struct Open(std::rc::Rc<Node>);
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.open.set(self.0.open.get().saturating_sub(1));
+    }
+}
+
+/// The longest wait for a connection to a replica: they are about a
+/// millisecond away, and one that is dark must not use up a caller's time.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// A connection unused for longer is closed, where the replica names no time.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
+
+/// Now, on the clock that counts suspension.
+pub(super) fn now() -> Moment {
+    control::now()
+}
+
+/// The timer's instant for a moment.
+pub(super) fn instant(at: Moment) -> Instant {
+    Instant::now() + Duration::from_micros(at.since(now()).0)
+}
+
+/// How long until a moment.
+pub(super) fn until(at: Moment) -> Duration {
+    Duration::from_micros(at.since(now()).0)
+}
--- /dev/null
+++ b/lib/src/serving/ordering.rs
@@ -0,0 +1,185 @@
+//! Carries out what the books say: reports are read, orders are given.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::Request;
+use hyper::StatusCode;
+
+use super::books::OrderEnd;
+use super::books::Report;
+use super::books::Step;
+use super::border::Order;
+use super::node::Node;
+use super::node::Phase;
+use super::node::now;
+use super::node::until;
+use crate::ids::ReplicaName;
+use crate::ids::Token;
+use crate::pool::Moment;
+use crate::pool::Span;
+use crate::upstream::Parts;
+use crate::upstream::collect;
+
+/// The longest wait for the answer to an order; replicas take one at once.
+const ORDER_TIME: Duration = Duration::from_millis(800);
+
+/// The longest report that is read.
+const MOST_REPORT: usize = 256 << 10;
+
+/// How often ownerships are looked through without any news.
+const TICK: Duration = Duration::from_millis(200);
+
+/// A loop that comes back later than this was suspended: what it owned may
+/// have been given to others meanwhile.
+const SUSPENDED: Span = Span::from_millis(1_200);
+
+/// Gives orders until the process ends.
+pub(super) async fn order(node: Rc<Node>) {
+    let mut last = now();
+    loop {
+        let at = now();
+        if at.since(last) > SUSPENDED {
+            slog::warn!(node.log, "was suspended"; "ms" => at.since(last).as_millis());
+            node.beliefs().ownership.suspend();
+            node.reread.notify_one();
+        }
+        last = at;
+        for (name, token, step) in due(&node, at) {
+            tokio::task::spawn_local(carry_out(node.clone(), name, token, step));
+        }
+        let wake = node.beliefs().books.next_wake(at);
+        let wait = wake.map_or(TICK, |w| until(w).min(TICK));
+        // Woken by news or by time, the books are asked anew.
+        let wait = wait.max(Duration::from_millis(5));
+        tokio::time::timeout(wait, node.orders.notified()).await.ok();
+    }
+}
+
+/// What is due at each of our replicas.
+fn due(node: &Node, at: Moment) -> Vec<(ReplicaName, Token, Step)> {
+    if node.phase() == Phase::Closing {
+        return Vec::new();
+    }
+    let mut b = node.beliefs();
+    b.open_books(at);
+    let b = &mut *b;
+    let active = b.ownership.active(at);
+    let active: Vec<_> = active.map(|(name, token)| (name.clone(), token)).collect();
+    let mut due = Vec::new();
+    for (name, token) in active {
+        if let Some(step) = b.books.next(at, &name, &b.fleet.versions) {
+            due.push((name, token, step));
+        }
+    }
+    due
+}
+
+async fn carry_out(node: Rc<Node>, name: ReplicaName, token: Token, step: Step) {
+    match &step {
+        Step::Look => {
+            let report = look(&node, &name).await;
+            let mut b = node.beliefs();
+            b.books.looked(now(), &name, report);
+        }
+        _ => {
+            let end = give(&node, &name, token, &step).await;
+            let mut b = node.beliefs();
+            let took = b.books.ended(now(), &name, &step, end);
+            if matches!(end, OrderEnd::Fenced) {
+                b.ownership.refused(&name, token);
+            }
+            drop(b);
+            log_order(&node, &name, token, &step, end, took);
+        }
+    }
+    node.news.notify_one();
+    node.orders.notify_one();
+    // Our own requests that wait for it learn of it with the news.
+    let mut b = node.beliefs();
+    if let Some(held) = b.books.held(&name) {
+        b.fleet.hear_book(now(), &name, held);
+    }
+    drop(b);
+    node.changed.notify_waiters();
+}
+
+fn log_order(
+    node: &Node,
+    name: &ReplicaName,
+    token: Token,
+    step: &Step,
+    end: OrderEnd,
+    took: Option<Span>,
+) {
+    let (what, target) = match step {
+        Step::Load { target, .. } => ("load", target.to_string()),
+        Step::Unload { target, .. } => ("unload", target.to_string()),
+        Step::Look => ("look", String::new()),
+    };
+    slog::info!(node.log, "order"; "what" => what, "replica" => name.as_str(),
+        "target" => target, "token" => token.0, "end" => ?end,
+        "took_ms" => took.map(Span::as_millis));
+}
+
+async fn look(node: &Node, name: &ReplicaName) -> Option<Report> {
+    let request = (node.border.write_look)().ok()?;
+    let (status, body) = call(node, name, request).await?;
+    if !status.is_success() {
+        return None;
+    }
+    match (node.border.read_report)(&body) {
+        Ok(report) => Some(report),
+        Err(e) => {
+            slog::warn!(node.log, "bad report"; "replica" => name.as_str(), "error" => %e);
+            None
+        }
+    }
+}
+
+async fn give(node: &Node, name: &ReplicaName, token: Token, step: &Step) -> OrderEnd {
+    let (load, target, version, expected) = match step {
+        Step::Load {
+            target,
+            version,
+            expected,
+        } => (true, target, *version, *expected),
+        Step::Unload { target, expected } => (false, target, None, *expected),
+        Step::Look => return OrderEnd::Refused,
+    };
+    let order = Order {
+        load,
+        target,
+        version,
+        expected,
+        vm: &node.settings.vm,
+        token,
+        replica: name,
+    };
+    let Ok(request) = (node.border.write_order)(&order) else {
+        return OrderEnd::Refused;
+    };
+    // The lease is looked at right before the order goes out.
+    if node.beliefs().ownership.token(now(), name) != Some(token) {
+        return OrderEnd::Refused;
+    }
+    match call(node, name, request).await {
+        Some((status, _)) => (node.border.read_order)(status),
+        None => OrderEnd::Unknown,
+    }
+}
+
+async fn call(
+    node: &Node,
+    name: &ReplicaName,
+    request: Request<Parts>,
+) -> Option<(StatusCode, Bytes)> {
+    let address = node.beliefs().fleet.listing(name)?.address;
+    let work = async {
+        let mut answer = node.upstreams.send(address, request).await.ok()?;
+        let body = collect(&mut answer, MOST_REPORT).await.ok()?;
+        Some((answer.head.status, body))
+    };
+    tokio::time::timeout(ORDER_TIME, work).await.ok().flatten()
+}
--- /dev/null
+++ b/lib/src/serving/pass.rs
@@ -0,0 +1,217 @@
+//! The answer on its way to the caller.
+
+use std::collections::BTreeSet;
+use std::collections::VecDeque;
+use std::convert::Infallible;
+use std::fmt;
+use std::pin::Pin;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use futures_util::stream::unfold;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::StreamBody;
+use hyper::body::Body;
+use hyper::body::Frame;
+
+use super::decide::Ended;
+use super::decide::Tries;
+use super::fleet::End;
+use super::forward::Begun;
+use super::forward::Held;
+use super::forward::strike;
+use super::node::Node;
+use super::node::Open;
+use super::node::instant;
+use super::node::now;
+use super::serve::Asked;
+use super::serve::again;
+use crate::ids::ReplicaName;
+use crate::upstream::Scanner;
+
+/// The longest pause within a stream that may be resumed, in parts of the
+/// pause that its route allows: longer than any step of a full engine, shorter
+/// than what makes callers leave.
+const PAUSES_BEFORE_RESUME: u32 = 2;
+
+/// Why an answer breaks off; the caller's connection ends with it.
+#[derive(Debug)]
+pub(super) struct Broken(&'static str);
+
+impl fmt::Display for Broken {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "the answer broke off: {}", self.0)
+    }
+}
+
+impl std::error::Error for Broken {}
+
+/// The body of an answer.
+pub(super) type AnswerBody = Pin<Box<dyn Body<Data = Bytes, Error = Broken>>>;
+
+/// A body that is here.
+pub(super) fn whole(bytes: Bytes) -> AnswerBody {
+    Box::pin(Full::new(bytes).map_err(|e: Infallible| match e {}))
+}
+
+/// A body that still comes.
+pub(super) fn passing(passing: Passing) -> AnswerBody {
+    let pieces = unfold(passing, |mut p| async move {
+        let piece = p.next().await?;
+        Some((piece.map(Frame::data), p))
+    });
+    Box::pin(StreamBody::new(pieces))
+}
+
+/// An answer that is passed on piece by piece.
+pub(super) struct Passing {
+    pub(super) node: Rc<Node>,
+    pub(super) asked: Rc<Asked>,
+    pub(super) held: Held,
+    pub(super) begun: Option<Begun>,
+    /// Pieces that were read already.
+    pub(super) ahead: VecDeque<Bytes>,
+    pub(super) tries: Tries,
+    pub(super) avoid: BTreeSet<ReplicaName>,
+    /// Cuts a stream into whole events; `None` for other bodies.
+    pub(super) events: Option<Events>,
+    pub(super) _open: Open,
+}
+
+/// Where a stream is.
+#[derive(Default)]
+pub(super) struct Events {
+    scanner: Scanner,
+    /// The last event that was passed on.
+    last: Option<u64>,
+}
+
+impl Passing {
+    /// The next piece; `None` at the proper end. After an error the caller's
+    /// connection is closed, so it cannot take the answer for complete.
+    async fn next(&mut self) -> Option<Result<Bytes, Broken>> {
+        if let Some(piece) = self.ahead.pop_front() {
+            return Some(Ok(piece));
+        }
+        loop {
+            let begun = self.begun.as_mut()?;
+            let piece = match self.events {
+                Some(_) if self.tries.idempotent => {
+                    let pause = self.asked.route.pause.unwrap_or(self.asked.route.objective);
+                    let soon = tokio::time::Instant::now() + pause * PAUSES_BEFORE_RESUME;
+                    let by = instant(self.held.limit).min(soon);
+                    tokio::time::timeout_at(by, begun.answer.data()).await
+                }
+                _ => tokio::time::timeout_at(instant(self.held.limit), begun.answer.data()).await,
+            };
+            let ended = match piece {
+                Err(_) if now() >= self.held.limit => {
+                    self.log("overdue");
+                    self.begun = None;
+                    return Some(Err(Broken("the time is over")));
+                }
+                Err(_) => {
+                    self.log("silent");
+                    Ended::Broken
+                }
+                Ok(Some(Ok(bytes))) => match self.take(bytes) {
+                    Ok(bytes) if bytes.is_empty() => continue,
+                    Ok(bytes) => return Some(Ok(bytes)),
+                    Err(what) => Ended::Spoilt(what),
+                },
+                Ok(Some(Err(_))) => Ended::Broken,
+                Ok(None) => match self.finish() {
+                    Ok(rest) => return rest.map(Ok),
+                    Err(what) => Ended::Spoilt(what),
+                },
+            };
+            if let Err(e) = self.go_on(ended).await {
+                return Some(Err(e));
+            }
+        }
+    }
+
+    fn take(&mut self, bytes: Bytes) -> Result<Bytes, &'static str> {
+        let Some(events) = &mut self.events else {
+            return Ok(bytes);
+        };
+        let whole = events.scanner.push(bytes).map_err(|_| "an event is too long")?;
+        events.check(&whole)?;
+        Ok(whole)
+    }
+
+    /// The answer came to its proper end.
+    fn finish(&mut self) -> Result<Option<Bytes>, &'static str> {
+        let rest = match &mut self.events {
+            Some(events) if !events.scanner.is_empty() => return Err("an event is cut off"),
+            _ => None,
+        };
+        if let Some(begun) = self.begun.take() {
+            begun.run.learn(End::Answered);
+            let mut b = self.node.beliefs();
+            b.strikes.clear(self.held.fingerprint);
+        }
+        Ok(rest)
+    }
+
+    /// Goes on at another replica after a break, where the route allows it.
+    async fn go_on(&mut self, ended: Ended) -> Result<(), Broken> {
+        let Some(begun) = self.begun.take() else {
+            return Err(Broken("no answer"));
+        };
+        begun.run.learn(End::Broken);
+        strike(&self.node, &self.held, &begun.run.replica);
+        self.avoid.insert(begun.run.replica.clone());
+        // Its connection is closed now, so the replica ends the run.
+        drop(begun);
+        self.log(ended.word());
+        let Some(events) = &mut self.events else {
+            return Err(Broken("the upstream broke off"));
+        };
+        events.scanner.reset();
+        self.tries.note(ended);
+        let resume_at = events.last;
+        let next = again(
+            &self.node,
+            &self.asked,
+            &self.held,
+            &mut self.tries,
+            &mut self.avoid,
+            ended,
+            resume_at,
+        );
+        match next.await {
+            Ok(begun) => {
+                self.begun = Some(begun);
+                Ok(())
+            }
+            Err(_) => Err(Broken("the upstream broke off")),
+        }
+    }
+
+    fn log(&self, what: &str) {
+        let last = self.events.as_ref().and_then(|e| e.last);
+        let replica = self.begun.as_ref().map(|b| b.run.replica.to_string());
+        slog::info!(self.node.log, "stream broken"; "id" => &self.held.id, "why" => what,
+            "last" => last, "replica" => replica, "route" => &self.asked.route.name);
+    }
+}
+
+impl Events {
+    /// Checks that a run of whole events goes on where the last one ended.
+    fn check(&mut self, whole: &[u8]) -> Result<(), &'static str> {
+        for line in whole.split(|b| *b == b'\n') {
+            let Some(id) = line.strip_prefix(b"id:") else {
+                continue;
+            };
+            let id = std::str::from_utf8(id).ok().and_then(|t| t.trim().parse().ok());
+            let id: u64 = id.ok_or("an event has no number")?;
+            if self.last.is_some_and(|last| id != last + 1) {
+                return Err("an event is missing");
+            }
+            self.last = Some(id);
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/lib/src/serving/peers.rs
@@ -0,0 +1,314 @@
+//! Datagrams between the VMs: beacons and wishes.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use banyangauge_proto as wire;
+use prost::Message;
+use wire::datagram::Body;
+
+use super::beliefs::Beliefs;
+use super::fleet::Held;
+use super::fleet::Load;
+use super::model::Target;
+use super::node::Node;
+use super::node::Phase;
+use super::node::now;
+use crate::ids::Fingerprint;
+use crate::ids::Incarnation;
+use crate::ids::ReplicaName;
+use crate::ids::VmName;
+use crate::pool::Moment;
+use crate::pool::Span;
+
+/// The pause between two beacons in a small fleet.
+const BEAT: Duration = Duration::from_millis(400);
+
+/// VMs up to which the pause stays so; with more it grows in proportion, so
+/// that a VM's cost does not grow with the fleet.
+const SMALL_FLEET: usize = 12;
+
+/// The least time between two beacons that carry news.
+const NEWS_PAUSE: Duration = Duration::from_millis(30);
+
+/// For how long a strike is told again: lost datagrams are made good.
+const STRIKES_TOLD: Span = Span::from_millis(5_000);
+
+/// The longest datagram that is read.
+const MOST_BYTES: usize = 16 << 10;
+
+/// Tells all others what this VM has under way, owns and has seen break.
+pub(super) async fn tell(node: Rc<Node>) {
+    let mut number = 0;
+    loop {
+        number += 1;
+        let (beacon, addresses, beat) = {
+            let mut b = node.beliefs();
+            let addresses: Vec<_> = b.members.addresses().collect();
+            let beat = BEAT * (b.members.count().div_ceil(SMALL_FLEET)) as u32;
+            (complete(&node, &mut b, number), addresses, beat)
+        };
+        send_all(&node, beacon, &addresses).await;
+        let next = tokio::time::Instant::now() + beat;
+        while tokio::time::timeout_at(next, node.news.notified()).await.is_ok() {
+            number += 1;
+            let (beacon, addresses) = {
+                let mut b = node.beliefs();
+                let addresses: Vec<_> = b.members.addresses().collect();
+                (news(&node, &mut b, number), addresses)
+            };
+            send_all(&node, beacon, &addresses).await;
+            tokio::time::sleep(NEWS_PAUSE).await;
+        }
+    }
+}
+
+async fn send_all(node: &Node, beacon: wire::Beacon, addresses: &[SocketAddr]) {
+    let datagram = wire::Datagram {
+        body: Some(Body::Beacon(beacon)),
+    };
+    let bytes = datagram.encode_to_vec();
+    for address in addresses {
+        send(node, &bytes, *address).await;
+    }
+}
+
+async fn send(node: &Node, bytes: &[u8], address: SocketAddr) {
+    if let Err(e) = node.socket.send_to(bytes, address).await {
+        // The next one makes it good.
+        slog::debug!(node.log, "datagram not sent"; "to" => %address, "error" => %e);
+    }
+}
+
+fn beacon(node: &Node, number: u64) -> wire::Beacon {
+    wire::Beacon {
+        vm: node.settings.vm.to_string(),
+        incarnation: node.incarnation.0,
+        number,
+        stopping: node.phase() != Phase::Serving,
+        ..wire::Beacon::default()
+    }
+}
+
+fn complete(node: &Node, b: &mut Beliefs, number: u64) -> wire::Beacon {
+    let now = now();
+    let names: Vec<_> = b.books.names().cloned().collect();
+    b.books.take_changed();
+    let mut told = beacon(node, number);
+    told.complete = true;
+    told.books = books(b, now, &names);
+    let uses = b.take_uses();
+    use_own(b, now, &node.settings.vm, &uses);
+    let mut counts = b.fleet.own_counts();
+    for name in uses.keys() {
+        counts.entry(name.clone()).or_default();
+    }
+    told.flights = counts
+        .iter()
+        .map(|(name, load)| wire::Flight {
+            replica: name.to_string(),
+            requests: load.requests,
+            tokens: load.tokens,
+            uses: uses.get(name).map(adapter_uses).unwrap_or_default(),
+        })
+        .collect();
+    let strikes = b.strikes.recent(now, STRIKES_TOLD);
+    told.strikes = strikes
+        .iter()
+        .map(|(f, replica)| wire::StrikeNote {
+            fingerprint: f.0,
+            replica: replica.to_string(),
+        })
+        .collect();
+    told
+}
+
+fn news(node: &Node, b: &mut Beliefs, number: u64) -> wire::Beacon {
+    let now = now();
+    let names = b.books.take_changed();
+    let mut told = beacon(node, number);
+    told.books = books(b, now, &names);
+    told
+}
+
+/// What the named replicas hold; this VM believes it as well.
+fn books(b: &mut Beliefs, now: Moment, names: &[ReplicaName]) -> Vec<wire::ReplicaBook> {
+    let mut told = Vec::new();
+    for name in names {
+        let (Some(held), Some(token)) = (b.books.held(name), b.ownership.token(now, name)) else {
+            continue;
+        };
+        let here = held.here.iter().map(|(t, v)| (t, *v, false));
+        let coming = held.coming.iter().map(|t| (t, 0, true));
+        let slots = here.chain(coming).map(|(t, version, coming)| wire::AdapterSlot {
+            target: t.to_string(),
+            version,
+            coming,
+        });
+        told.push(wire::ReplicaBook {
+            replica: name.to_string(),
+            token: token.0,
+            slots: slots.collect(),
+        });
+        b.fleet.hear_book(now, name, held);
+    }
+    told
+}
+
+fn adapter_uses(uses: &BTreeMap<Target, super::beliefs::OwnUse>) -> Vec<wire::AdapterUse> {
+    let uses = uses.iter().map(|(t, u)| wire::AdapterUse {
+        target: t.to_string(),
+        running: u.running,
+        begun: u.begun,
+    });
+    uses.collect()
+}
+
+fn use_own(
+    b: &mut Beliefs,
+    now: Moment,
+    vm: &VmName,
+    uses: &BTreeMap<ReplicaName, BTreeMap<Target, super::beliefs::OwnUse>>,
+) {
+    for (name, uses) in uses {
+        for (target, u) in uses {
+            b.books.used(now, name, vm, target, u.running, u.begun);
+        }
+    }
+}
+
+/// Takes in datagrams until the process ends.
+pub(super) async fn hear(node: Rc<Node>) {
+    let mut buffer = vec![0; MOST_BYTES];
+    loop {
+        let (length, from) = match node.socket.recv_from(&mut buffer).await {
+            Ok(read) => read,
+            Err(e) => {
+                slog::debug!(node.log, "datagram not read"; "error" => %e);
+                tokio::time::sleep(NEWS_PAUSE).await;
+                continue;
+            }
+        };
+        let datagram = wire::Datagram::decode(&buffer[..length]);
+        match datagram.map(|d| d.body) {
+            Ok(Some(Body::Beacon(beacon))) => take_beacon(&node, &beacon, from),
+            Ok(Some(Body::Wish(wish))) => take_wish(&node, &wish),
+            Ok(None) | Err(_) => slog::debug!(node.log, "unknown datagram"; "from" => %from),
+        }
+    }
+}
+
+fn take_beacon(node: &Node, beacon: &wire::Beacon, from: SocketAddr) {
+    let Ok(vm) = beacon.vm.parse::<VmName>() else {
+        return;
+    };
+    let now = now();
+    let mut b = node.beliefs();
+    let stamp = (Incarnation(beacon.incarnation), beacon.number);
+    if !b.members.hear(now, &vm, stamp, beacon.stopping) {
+        return;
+    }
+    b.members.list(vm.clone(), from);
+    for book in &beacon.books {
+        take_book(&mut b, now, &vm, book);
+    }
+    for note in &beacon.strikes {
+        if let Ok(replica) = note.replica.parse::<ReplicaName>() {
+            b.strikes.note(now, Fingerprint(note.fingerprint), &replica);
+        }
+    }
+    if beacon.complete {
+        take_flights(&mut b, now, &vm, &beacon.flights);
+    }
+    drop(b);
+    if !beacon.books.is_empty() {
+        node.changed.notify_waiters();
+    }
+}
+
+fn take_book(b: &mut Beliefs, now: Moment, vm: &VmName, book: &wire::ReplicaBook) {
+    let Ok(name) = book.replica.parse::<ReplicaName>() else {
+        return;
+    };
+    // One that lost the replica and has not heard of it speaks no more for it.
+    if b.ownership.owner(&name).is_some_and(|owner| owner != vm) {
+        return;
+    }
+    let mut held = Held::default();
+    for slot in &book.slots {
+        let Some(target) = Target::parse(&slot.target) else {
+            continue;
+        };
+        match slot.coming {
+            true => {
+                held.coming.insert(target);
+            }
+            false => {
+                held.here.insert(target, slot.version);
+            }
+        }
+    }
+    b.fleet.hear_book(now, &name, held);
+}
+
+fn take_flights(b: &mut Beliefs, now: Moment, vm: &VmName, flights: &[wire::Flight]) {
+    let mut counts = BTreeMap::new();
+    for flight in flights {
+        let Ok(name) = flight.replica.parse::<ReplicaName>() else {
+            continue;
+        };
+        for u in &flight.uses {
+            if let Some(target) = Target::parse(&u.target) {
+                b.books.used(now, &name, vm, &target, u.running, u.begun);
+            }
+        }
+        let load = Load {
+            requests: flight.requests,
+            tokens: flight.tokens,
+        };
+        counts.insert(name, load);
+    }
+    b.fleet.hear_counts(now, vm, &counts);
+}
+
+/// Asks the owner of a replica to load an adapter there.
+pub(super) async fn wish(node: &Node, replica: &ReplicaName, target: &Target) {
+    let address = {
+        let mut b = node.beliefs();
+        let Some(owner) = b.ownership.owner(replica).cloned() else {
+            return;
+        };
+        if owner == node.settings.vm {
+            b.books.wish(now(), replica, target);
+            node.orders.notify_one();
+            return;
+        }
+        b.members.address(&owner)
+    };
+    let Some(address) = address else {
+        return;
+    };
+    let wish = wire::Wish {
+        vm: node.settings.vm.to_string(),
+        replica: replica.to_string(),
+        target: target.to_string(),
+    };
+    let datagram = wire::Datagram {
+        body: Some(Body::Wish(wish)),
+    };
+    send(node, &datagram.encode_to_vec(), address).await;
+}
+
+fn take_wish(node: &Node, wish: &wire::Wish) {
+    let Ok(name) = wish.replica.parse::<ReplicaName>() else {
+        return;
+    };
+    let Some(target) = Target::parse(&wish.target) else {
+        return;
+    };
+    if node.beliefs().books.wish(now(), &name, &target) {
+        node.orders.notify_one();
+    }
+}
--- /dev/null
+++ b/lib/src/serving/program.rs
@@ -0,0 +1,438 @@
+//! Starts and stops the serving process.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+use serde_json::value::to_raw_value;
+use tokio::net::UdpSocket;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+
+use super::border::Border;
+use super::follow;
+use super::follow::News;
+use super::follow::follow;
+use super::follow::limited;
+use super::node::Node;
+use super::node::Phase;
+use super::node::now;
+use super::ordering;
+use super::peers;
+use super::server;
+use super::settings::ServeSettings;
+use super::store::Item;
+use super::store::Store;
+use super::table::Table;
+use crate::ids::ReplicaName;
+use crate::ids::VmName;
+use crate::platform::PlatformError;
+use crate::pool::Span;
+
+/// The name of the owner table in the store.
+const OWNERS: &str = "owners";
+
+/// What the names of VMs' entries begin with.
+const VM_PREFIX: &str = "vm.";
+
+/// How long changes of the configuration gather: less than they may take to be
+/// in force, and more than the pause between versions in a storm.
+const CONFIG_PACE: Duration = Duration::from_millis(250);
+
+/// How long changes of the replicas gather: a leaving one may get requests for
+/// seconds more.
+const REPLICA_PACE: Duration = Duration::from_millis(500);
+
+/// How long announced versions gather.
+const VERSION_PACE: Duration = Duration::from_millis(400);
+
+/// How long changes of owners and VMs gather.
+const OWN_PACE: Duration = Duration::from_millis(300);
+
+/// How often the owner table is looked through.
+const UPKEEP: Duration = Duration::from_millis(300);
+
+/// How long after its start a VM proposes owners: all VMs of a first start
+/// know each other by then.
+const SETTLED: Span = Span::from_millis(2_000);
+
+/// How long a VM is silent until its entry is removed.
+const VM_GONE: Span = Span::from_millis(30_000);
+
+/// How long a stopping process takes new connections: the balancer asks once a
+/// second and believes the second refusal.
+const LEAVE_TIME: Duration = Duration::from_millis(3_000);
+
+/// The part of the grace that is kept for the end of the process.
+const END_TIME: Duration = Duration::from_millis(500);
+
+/// How often a stopping process looks whether all requests have ended.
+const END_POLL: Duration = Duration::from_millis(50);
+
+/// Why the process could not run.
+#[derive(Debug)]
+pub enum ServeError {
+    /// An address cannot be listened on.
+    Listen(SocketAddr, std::io::Error),
+    /// Signals cannot be set up.
+    Signals(std::io::Error),
+}
+
+impl fmt::Display for ServeError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Listen(address, e) => write!(f, "cannot listen on {address}: {e}"),
+            Self::Signals(e) => write!(f, "cannot take signals: {e}"),
+        }
+    }
+}
+
+impl std::error::Error for ServeError {}
+
+/// A VM's entry in the store.
+#[derive(Deserialize, Serialize)]
+struct VmEntry {
+    vm: VmName,
+    address: SocketAddr,
+}
+
+/// A serving process inside this one.
+pub struct Program {
+    node: Rc<Node>,
+}
+
+impl Program {
+    /// Listens and serves; must be called within a `LocalSet`.
+    ///
+    /// # Errors
+    ///
+    /// When an address cannot be listened on.
+    pub async fn start(
+        settings: ServeSettings,
+        border: Border,
+        store: Store,
+        log: slog::Logger,
+    ) -> Result<Self, ServeError> {
+        let at = |address: SocketAddr| move |e| ServeError::Listen(address, e);
+        let callers = server::listen(settings.callers).map_err(at(settings.callers))?;
+        let readiness = server::listen(settings.readiness).map_err(at(settings.readiness))?;
+        let socket = UdpSocket::bind(settings.peers).await;
+        let socket = socket.map_err(at(settings.peers))?;
+        slog::info!(log, "started"; "vm" => settings.vm.as_str(),
+            "zone" => settings.zone.as_str(), "callers" => %settings.callers,
+            "version" => env!("CARGO_PKG_VERSION"));
+        let node = Rc::new(Node::new(settings, border, store, log, socket));
+        spawn_followers(&node);
+        tokio::task::spawn_local(server::callers(node.clone(), callers));
+        tokio::task::spawn_local(server::readiness(node.clone(), readiness));
+        tokio::task::spawn_local(peers::tell(node.clone()));
+        tokio::task::spawn_local(peers::hear(node.clone()));
+        tokio::task::spawn_local(ordering::order(node.clone()));
+        tokio::task::spawn_local(register(node.clone()));
+        tokio::task::spawn_local(reread(node.clone()));
+        tokio::task::spawn_local(upkeep(node.clone()));
+        Ok(Self { node })
+    }
+
+    /// Says that it is not ready, sees requests through, and ends within the
+    /// grace of the settings.
+    pub async fn stop(&self) {
+        let node = &self.node;
+        slog::info!(node.log, "stopping"; "open" => node.open());
+        let began = tokio::time::Instant::now();
+        let end = began + node.settings.grace.saturating_sub(END_TIME);
+        node.phase.send_replace(Phase::Leaving);
+        node.news.notify_one();
+        tokio::time::sleep(LEAVE_TIME).await;
+        node.phase.send_replace(Phase::Closing);
+        // Connections that are idle are closed first.
+        tokio::time::sleep(END_POLL).await;
+        while node.open() > 0 && tokio::time::Instant::now() < end {
+            tokio::time::sleep(END_POLL).await;
+        }
+        let name = vm_name(node);
+        let removed = limited(END_TIME / 2, (node.store.delete)(node.border.kinds.own, &name));
+        if let Err(e) = removed.await {
+            slog::info!(node.log, "entry not removed"; "error" => %e);
+        }
+        slog::info!(node.log, "stopped"; "open" => node.open());
+    }
+}
+
+/// Runs a serving process until SIGTERM or SIGINT; a second one ends it at
+/// once. `reload` is called at SIGHUP.
+///
+/// # Errors
+///
+/// When it cannot start.
+pub async fn run(
+    settings: ServeSettings,
+    border: Border,
+    store: Store,
+    log: slog::Logger,
+    reload: impl Fn() -> Result<ServeSettings, String>,
+) -> Result<(), ServeError> {
+    let take = |kind| signal(kind).map_err(ServeError::Signals);
+    let mut term = take(SignalKind::terminate())?;
+    let mut interrupt = take(SignalKind::interrupt())?;
+    let mut hangup = take(SignalKind::hangup())?;
+    let old = settings.clone();
+    let program = Program::start(settings, border, store, log.clone()).await?;
+    loop {
+        tokio::select! {
+            _ = term.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = hangup.recv() => log_reload(&log, &old, reload()),
+        }
+    }
+    tokio::select! {
+        () = program.stop() => {}
+        _ = interrupt.recv() => slog::warn!(log, "stopped at once"),
+    }
+    Ok(())
+}
+
+/// Addresses and names hold until the process is started again; what else
+/// changed is said.
+fn log_reload(log: &slog::Logger, old: &ServeSettings, new: Result<ServeSettings, String>) {
+    match new {
+        Ok(new) => {
+            let same = new.callers == old.callers && new.vm == old.vm;
+            slog::info!(log, "settings read again"; "addresses_kept" => same);
+        }
+        Err(e) => slog::warn!(log, "settings refused"; "error" => e),
+    }
+}
+
+fn spawn_followers(node: &Rc<Node>) {
+    let kinds = node.border.kinds;
+    let config = follow(node.clone(), kinds.config, CONFIG_PACE, take_config);
+    tokio::task::spawn_local(config);
+    let replicas = follow(node.clone(), kinds.replicas, REPLICA_PACE, take_replicas);
+    tokio::task::spawn_local(replicas);
+    let versions = follow(node.clone(), kinds.versions, VERSION_PACE, take_versions);
+    tokio::task::spawn_local(versions);
+    let own = follow(node.clone(), kinds.own, OWN_PACE, take_own);
+    tokio::task::spawn_local(own);
+}
+
+fn take_config(node: &Node, news: News<'_>) {
+    let items = match news {
+        News::All(items, _) => items,
+        News::One(item, false) => std::slice::from_ref(item),
+        // The operator replaces it and never takes it away.
+        News::One(_, true) => return,
+    };
+    for item in items {
+        match (node.border.read_config)(item) {
+            Ok(config) => {
+                let version = config.version;
+                let taken = node.beliefs().configure(config);
+                slog::info!(node.log, "configuration"; "version" => version,
+                    "revision" => item.revision, "in_force" => taken);
+            }
+            Err(e) => slog::error!(node.log, "bad configuration"; "error" => %e),
+        }
+    }
+}
+
+fn take_replicas(node: &Node, news: News<'_>) {
+    let at = now();
+    let read = |item: &Item| {
+        let listing = (node.border.read_listing)(item);
+        listing.map_err(|e| {
+            slog::error!(node.log, "bad replica"; "name" => &item.name, "error" => %e);
+        })
+    };
+    match news {
+        News::All(items, outage) => {
+            let all: Vec<_> = items.iter().filter_map(|i| read(i).ok()).collect();
+            slog::info!(node.log, "replicas"; "count" => all.len(), "after_outage" => outage);
+            let mut b = node.beliefs();
+            b.fleet.relist(at, all, outage);
+            b.listed = true;
+        }
+        News::One(item, true) => {
+            if let Ok(name) = item.name.parse::<ReplicaName>() {
+                node.beliefs().fleet.unlist(&name);
+                slog::info!(node.log, "replica gone"; "replica" => name.as_str(),
+                    "why" => "removed", "revision" => item.revision);
+            }
+        }
+        News::One(item, false) => {
+            if let Ok(listing) = read(item) {
+                let (name, draining) = (listing.name.clone(), listing.draining);
+                if node.beliefs().fleet.list(listing) {
+                    slog::info!(node.log, "replica"; "replica" => name.as_str(),
+                        "draining" => draining, "revision" => item.revision);
+                }
+            }
+        }
+    }
+}
+
+fn take_versions(node: &Node, news: News<'_>) {
+    let items = match news {
+        News::All(items, _) => items,
+        News::One(item, false) => std::slice::from_ref(item),
+        News::One(_, true) => return,
+    };
+    for item in items {
+        match (node.border.read_announced)(item) {
+            Ok(a) => {
+                if node.beliefs().fleet.versions.announce(now(), &a) {
+                    slog::info!(node.log, "version announced"; "target" => %a.target,
+                        "version" => a.version, "revision" => item.revision);
+                }
+            }
+            Err(e) => slog::error!(node.log, "bad version"; "name" => &item.name, "error" => %e),
+        }
+    }
+    node.orders.notify_one();
+}
+
+fn take_own(node: &Node, news: News<'_>) {
+    match news {
+        News::All(items, _) => items.iter().for_each(|i| take_own_item(node, i)),
+        News::One(item, false) => take_own_item(node, item),
+        News::One(item, true) => {
+            let vm = item.name.strip_prefix(VM_PREFIX);
+            if let Some(vm) = vm.and_then(|v| v.parse::<VmName>().ok()) {
+                node.beliefs().members.unlist(&vm);
+                slog::info!(node.log, "vm gone"; "vm" => vm.as_str());
+            }
+        }
+    }
+}
+
+fn take_own_item(node: &Node, item: &Item) {
+    let bad = |e: serde_json::Error| {
+        slog::error!(node.log, "bad entry"; "name" => &item.name, "error" => %e);
+    };
+    if item.name == OWNERS {
+        match serde_json::from_str::<Table>(item.spec.get()) {
+            Ok(table) => {
+                let term = table.term.0;
+                if node.beliefs().ownership.take(now(), table, item.revision) {
+                    slog::info!(node.log, "owners"; "term" => term, "revision" => item.revision);
+                    node.orders.notify_one();
+                }
+            }
+            Err(e) => bad(e),
+        }
+        return;
+    }
+    match serde_json::from_str::<VmEntry>(item.spec.get()) {
+        Ok(entry) => node.beliefs().members.list(entry.vm, entry.address),
+        Err(e) => bad(e),
+    }
+}
+
+fn vm_name(node: &Node) -> String {
+    format!("{VM_PREFIX}{}", node.settings.vm)
+}
+
+/// Writes this VM's entry, as often as it takes.
+async fn register(node: Rc<Node>) {
+    let entry = VmEntry {
+        vm: node.settings.vm.clone(),
+        address: node.settings.peers,
+    };
+    let Ok(spec) = to_raw_value(&entry) else {
+        return;
+    };
+    let name = vm_name(&node);
+    loop {
+        let call = (node.store.create)(node.border.kinds.own, &name, &spec);
+        match limited(follow::SHORT_CALL, call).await {
+            // An earlier start wrote the same.
+            Ok(_) | Err(PlatformError::Conflict) => return,
+            Err(e) => slog::warn!(node.log, "entry not written"; "error" => %e),
+        }
+        tokio::time::sleep(UPKEEP).await;
+    }
+}
+
+/// Reads the owner table anew after a suspension.
+async fn reread(node: Rc<Node>) {
+    loop {
+        node.reread.notified().await;
+        loop {
+            match follow::list(&node, node.border.kinds.own).await {
+                Ok((items, _)) => {
+                    take_own(&node, News::All(&items, false));
+                    break;
+                }
+                Err(e) => slog::warn!(node.log, "owners not read"; "error" => %e),
+            }
+            tokio::time::sleep(UPKEEP).await;
+        }
+    }
+}
+
+/// Repairs the owner table and forgets what is over.
+async fn upkeep(node: Rc<Node>) {
+    let began = now();
+    loop {
+        tokio::time::sleep(UPKEEP).await;
+        follow::drop_lapsed(&node);
+        if now().since(began) >= SETTLED && node.phase() == Phase::Serving {
+            repair(&node).await;
+        }
+    }
+}
+
+async fn repair(node: &Node) {
+    let at = now();
+    let (table, revision) = {
+        let mut b = node.beliefs();
+        let b = &mut *b;
+        if !b.listed || !b.members.may_judge(at) {
+            return;
+        }
+        let live = b.members.live(at);
+        let engines = b.fleet.engines().filter(|l| !l.draining);
+        let replicas = engines.map(|l| l.name.clone()).collect();
+        let Some(table) = b.ownership.proposal(at, &live, &replicas) else {
+            return;
+        };
+        b.ownership.proposed(at);
+        (table, b.ownership.revision)
+    };
+    let Ok(spec) = to_raw_value(&table) else {
+        return;
+    };
+    let kind = node.border.kinds.own;
+    let call = match revision {
+        0 => (node.store.create)(kind, OWNERS, &spec),
+        _ => (node.store.replace)(kind, OWNERS, revision, &spec),
+    };
+    match limited(follow::SHORT_CALL, call).await {
+        Ok(revision) => {
+            let term = table.term.0;
+            node.beliefs().ownership.take(now(), table, revision);
+            slog::info!(node.log, "owners changed"; "term" => term, "revision" => revision);
+            node.orders.notify_one();
+        }
+        // Another VM was first; the watch brings its table.
+        Err(PlatformError::Conflict) => {}
+        Err(e) => slog::warn!(node.log, "owners not changed"; "error" => %e),
+    }
+    let gone = {
+        let b = node.beliefs();
+        let first = b.members.live(at).first() == Some(&node.settings.vm);
+        match first {
+            true => b.members.silent(at, VM_GONE),
+            false => Vec::new(),
+        }
+    };
+    for vm in gone {
+        let call = (node.store.delete)(kind, &format!("{VM_PREFIX}{vm}"));
+        if let Err(e) = limited(follow::SHORT_CALL, call).await {
+            slog::info!(node.log, "entry not removed"; "vm" => vm.as_str(), "error" => %e);
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/serving/routes.rs
@@ -0,0 +1,65 @@
+//! Which route a request takes, and which of its services.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::model::Route;
+use crate::ids::ServiceName;
+
+/// The routes of one configuration, by host.
+#[derive(Debug, Default)]
+pub struct Routes {
+    /// The routes of a host, the longest prefix first.
+    hosts: BTreeMap<String, Vec<Rc<Route>>>,
+}
+
+impl Routes {
+    /// Indexes the routes of a configuration.
+    pub fn new(routes: &[Route]) -> Self {
+        let mut hosts: BTreeMap<String, Vec<_>> = BTreeMap::new();
+        for route in routes {
+            let list = hosts.entry(route.host.clone()).or_default();
+            list.push(Rc::new(route.clone()));
+        }
+        for list in hosts.values_mut() {
+            list.sort_by_key(|r| std::cmp::Reverse(r.prefix.len()));
+        }
+        Self { hosts }
+    }
+
+    /// The route with the longest prefix that begins the path.
+    pub fn find(&self, host: &str, path: &str) -> Option<&Rc<Route>> {
+        let host = host_name(host);
+        let list = self.hosts.get(&host)?;
+        list.iter().find(|r| path.starts_with(&r.prefix))
+    }
+}
+
+/// A host in lower case and without its port.
+fn host_name(host: &str) -> String {
+    let name = match host.rsplit_once(':') {
+        Some((name, port)) if port.bytes().all(|b| b.is_ascii_digit()) => name,
+        _ => host,
+    };
+    name.to_ascii_lowercase()
+}
+
+/// The service that a request goes to: its part of the weights by a hash of
+/// its id, so that each VM sends it to the same one.
+pub fn pick_service<'a>(route: &'a Route, id: &str) -> Option<&'a ServiceName> {
+    let total: u64 = route.services.iter().map(|(_, w)| u64::from(*w)).sum();
+    if total == 0 {
+        return route.services.first().map(|(s, _)| s);
+    }
+    let mut at = xxh3_64(id.as_bytes()) % total;
+    for (service, weight) in &route.services {
+        let weight = u64::from(*weight);
+        if at < weight {
+            return Some(service);
+        }
+        at -= weight;
+    }
+    None
+}
--- /dev/null
+++ b/lib/src/serving/serve.rs
@@ -0,0 +1,453 @@
+//! One request of a caller, from its head to the head of its answer.
+
+use std::collections::BTreeSet;
+use std::collections::VecDeque;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::LengthLimitError;
+use http_body_util::Limited;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::Uri;
+use hyper::body::Body;
+use hyper::body::Incoming;
+use hyper::header::CONNECTION;
+use hyper::header::HOST;
+use hyper::header::HeaderValue;
+use hyper::header::RETRY_AFTER;
+use xxhash_rust::xxh3::Xxh3;
+
+use super::beliefs::Active;
+use super::decide::COME_BACK;
+use super::decide::Ended;
+use super::decide::Refusal;
+use super::decide::Tries;
+use super::fleet::End;
+use super::fleet::Load;
+use super::fleet::Place;
+use super::fleet::Want;
+use super::forward::Begun;
+use super::forward::Held;
+use super::forward::forward;
+use super::forward::strip_hop;
+use super::forward::strip_request;
+use super::model::Ask;
+use super::model::Kind;
+use super::model::Route;
+use super::node::Node;
+use super::node::Open;
+use super::node::Phase;
+use super::node::instant;
+use super::node::now;
+use super::pass::AnswerBody;
+use super::pass::Events;
+use super::pass::Passing;
+use super::pass::passing;
+use super::pass::whole;
+use super::peers;
+use super::routes::pick_service;
+use crate::ids::Fingerprint;
+use crate::ids::ReplicaName;
+use crate::ids::ServiceName;
+use crate::pool::Moment;
+use crate::pool::Span;
+
+/// The longest time that a caller waits who names none.
+const DEFAULT_PATIENCE: Duration = Duration::from_secs(30);
+
+/// Bytes of an answer that are read before its head is passed on: a short one
+/// is then whole, and can be asked for again where it breaks off.
+const READ_AHEAD: usize = 64 << 10;
+
+/// How often a wish for an adapter is repeated: datagrams get lost.
+const WISH_AGAIN: Duration = Duration::from_millis(150);
+
+/// The part of the time that is left in which a request waits for a place;
+/// later than that it is refused while its caller can still go elsewhere.
+const WAIT_PART: u64 = 3;
+
+/// When those may come back who found all replicas full: about the time in
+/// which a short run ends.
+const FULL_COME_BACK: Duration = Duration::from_millis(300);
+
+/// When a request that crashes its upstreams may come back.
+const CONVICTED_COME_BACK: Duration = Duration::from_secs(30);
+
+/// The part of the most tokens that an answer takes on average.
+const OUTPUT_PART: f64 = 0.6;
+
+/// A request with its route.
+pub(super) struct Asked {
+    pub(super) route: Rc<Route>,
+    pub(super) service: ServiceName,
+}
+
+/// Answers one request; refusals become answers too.
+pub(super) async fn serve(node: Rc<Node>, request: Request<Incoming>) -> Response<AnswerBody> {
+    let open = node.enter();
+    let ask = (node.border.read_ask)(request.headers());
+    let id = ask.id.clone();
+    let mut answer = match answer(&node, request, ask, open).await {
+        Ok(answer) => answer,
+        Err(refusal) => refuse(&node, &id, &refusal),
+    };
+    if node.phase() != Phase::Serving {
+        let close = HeaderValue::from_static("close");
+        answer.headers_mut().insert(CONNECTION, close);
+    }
+    answer
+}
+
+fn refuse(node: &Node, id: &str, refusal: &Refusal) -> Response<AnswerBody> {
+    slog::info!(node.log, "refused"; "id" => id, "why" => refusal.reason,
+        "status" => refusal.status.as_u16());
+    let mut answer = Response::new(whole(Bytes::new()));
+    *answer.status_mut() = refusal.status;
+    if let Some(after) = refusal.retry_after {
+        let text = format!("{:.2}", after.as_secs_f64());
+        if let Ok(value) = HeaderValue::from_str(&text) {
+            answer.headers_mut().insert(RETRY_AFTER, value);
+        }
+    }
+    answer
+}
+
+async fn answer(
+    node: &Rc<Node>,
+    request: Request<Incoming>,
+    ask: Ask,
+    open: Open,
+) -> Result<Response<AnswerBody>, Refusal> {
+    let arrived = now();
+    if node.phase() == Phase::Closing {
+        return Err(Refusal::not_run("stopping", Duration::ZERO));
+    }
+    let active = {
+        let b = node.beliefs();
+        b.active.clone().filter(|_| b.listed)
+    };
+    let active = active.ok_or(Refusal::not_run("no_configuration", COME_BACK))?;
+    let (head, body) = request.into_parts();
+    let asked = find_route(&active, &head.uri, &head.headers, &ask)?;
+    let patience = ask.patience.unwrap_or(DEFAULT_PATIENCE);
+    let time = patience.min(asked.route.timeout);
+    let limit = arrived.after(span(time));
+    let body = read_body(body, active.config.limits.body, limit).await?;
+    let mut headers = head.headers;
+    strip_request(&mut headers);
+    let held = Held {
+        method: head.method,
+        fingerprint: fingerprint(&head.uri, &body),
+        path: origin_form(&head.uri),
+        headers,
+        cost: cost(&active, &asked.service, &ask),
+        body,
+        id: ask.id,
+        target: ask.target,
+        limit,
+    };
+    check_convicted(node, &held)?;
+    run(node, Rc::new(asked), held, open).await
+}
+
+/// The route of a request and the service that it goes to.
+fn find_route(
+    active: &Active,
+    uri: &Uri,
+    headers: &hyper::HeaderMap,
+    ask: &Ask,
+) -> Result<Asked, Refusal> {
+    let host = headers.get(HOST).and_then(|h| h.to_str().ok());
+    let host = host.or(uri.host()).unwrap_or_default();
+    let route = active.routes.find(host, uri.path());
+    let unknown = Refusal::denied(StatusCode::NOT_FOUND, "no_route");
+    let route = route.ok_or(unknown)?;
+    let service = pick_service(route, &ask.id).ok_or(unknown)?;
+    Ok(Asked {
+        route: route.clone(),
+        service: service.clone(),
+    })
+}
+
+async fn read_body(body: Incoming, most: usize, limit: Moment) -> Result<Vec<Bytes>, Refusal> {
+    let too_large = Refusal::denied(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large");
+    // A length that is told is judged before a byte is read.
+    if body.size_hint().lower() > most as u64 {
+        return Err(too_large);
+    }
+    let mut body = Limited::new(body, most);
+    let mut pieces = Vec::new();
+    loop {
+        let frame = tokio::time::timeout_at(instant(limit), body.frame()).await;
+        match frame {
+            Err(_) => return Err(Refusal::denied(StatusCode::REQUEST_TIMEOUT, "slow_body")),
+            Ok(None) => return Ok(pieces),
+            Ok(Some(Err(e))) if e.is::<LengthLimitError>() => return Err(too_large),
+            Ok(Some(Err(_))) => return Err(Refusal::denied(StatusCode::BAD_REQUEST, "bad_body")),
+            // Trailers concern the connection only.
+            Ok(Some(Ok(frame))) => pieces.extend(frame.into_data()),
+        }
+    }
+}
+
+fn fingerprint(uri: &Uri, body: &[Bytes]) -> Fingerprint {
+    let mut hash = Xxh3::new();
+    hash.update(uri.path().as_bytes());
+    hash.update(uri.query().unwrap_or_default().as_bytes());
+    body.iter().for_each(|piece| hash.update(piece));
+    Fingerprint(hash.digest())
+}
+
+fn origin_form(uri: &Uri) -> Uri {
+    let path = uri.path_and_query().cloned();
+    path.map(Uri::from).unwrap_or_default()
+}
+
+/// What a request is expected to hold of an engine's memory.
+fn cost(active: &Active, service: &ServiceName, ask: &Ask) -> Load {
+    let service = active.config.services.get(service);
+    let tokens = match service.and_then(|s| s.engine.as_ref()) {
+        Some(_) => u64::from(ask.prompt) + (f64::from(ask.output) * OUTPUT_PART) as u64,
+        None => 0,
+    };
+    Load {
+        requests: 1,
+        tokens,
+    }
+}
+
+fn check_convicted(node: &Node, held: &Held) -> Result<(), Refusal> {
+    let b = node.beliefs();
+    let now = now();
+    let down = |name: &ReplicaName| b.fleet.standing(now, name) != "live";
+    match b.strikes.convicted(now, held.fingerprint, down) {
+        true => Err(Refusal::not_run("crashes_upstreams", CONVICTED_COME_BACK)),
+        false => Ok(()),
+    }
+}
+
+async fn run(
+    node: &Rc<Node>,
+    asked: Rc<Asked>,
+    held: Held,
+    open: Open,
+) -> Result<Response<AnswerBody>, Refusal> {
+    let mut tries = Tries {
+        most_runs: asked.route.attempts,
+        idempotent: asked.route.idempotent(),
+        ..Tries::default()
+    };
+    let mut avoid = BTreeSet::new();
+    node.beliefs().budget.first(now(), &asked.service);
+    let mut begun = first(node, &asked, &held, &mut tries, &mut avoid).await?;
+    let mut ahead = VecDeque::new();
+    let stream = asked.route.kind == Kind::Stream;
+    while !stream || begun.failed {
+        match read_ahead(&mut begun, &held, &mut ahead).await {
+            Ok(()) if begun.failed && tries.idempotent => {
+                begun.run.learn(End::Failed);
+                tries.note(Ended::Failed);
+                let pieces = std::mem::take(&mut ahead);
+                avoid.insert(begun.run.replica.clone());
+                let next = again(node, &asked, &held, &mut tries, &mut avoid, Ended::Failed, None);
+                match next.await {
+                    Ok(next) => begun = next,
+                    // The replica's own failure is the answer.
+                    Err(_) => {
+                        ahead = pieces;
+                        break;
+                    }
+                }
+                if stream && !begun.failed {
+                    break;
+                }
+            }
+            Ok(()) => break,
+            Err(ended) => {
+                begun.run.learn(End::Broken);
+                super::forward::strike(node, &held, &begun.run.replica);
+                tries.note(ended);
+                avoid.insert(begun.run.replica.clone());
+                drop(begun);
+                ahead.clear();
+                begun = again(node, &asked, &held, &mut tries, &mut avoid, ended, None).await?;
+            }
+        }
+    }
+    let mut response = Response::new(());
+    *response.status_mut() = begun.answer.head.status;
+    let mut headers = std::mem::take(&mut begun.answer.head.headers);
+    strip_hop(&mut headers);
+    *response.headers_mut() = headers;
+    let events = (stream && !begun.failed).then(Events::default);
+    let body = passing(Passing {
+        node: node.clone(),
+        asked,
+        held,
+        begun: Some(begun),
+        ahead,
+        tries,
+        avoid,
+        events,
+        _open: open,
+    });
+    Ok(response.map(|()| body))
+}
+
+/// Reads a short answer whole; of a longer one, the beginning.
+async fn read_ahead(
+    begun: &mut Begun,
+    held: &Held,
+    ahead: &mut VecDeque<Bytes>,
+) -> Result<(), Ended> {
+    let mut read = 0;
+    while read < READ_AHEAD {
+        match tokio::time::timeout_at(instant(held.limit), begun.answer.data()).await {
+            Err(_) => return Err(Ended::Overdue),
+            Ok(None) => return Ok(()),
+            Ok(Some(Err(_))) => return Err(Ended::Broken),
+            Ok(Some(Ok(piece))) => {
+                read += piece.len();
+                ahead.push_back(piece);
+            }
+        }
+    }
+    Ok(())
+}
+
+/// The first try, and those that follow it until an answer begins.
+async fn first(
+    node: &Rc<Node>,
+    asked: &Asked,
+    held: &Held,
+    tries: &mut Tries,
+    avoid: &mut BTreeSet<ReplicaName>,
+) -> Result<Begun, Refusal> {
+    let at = find_place(node, asked, held, avoid).await?;
+    match forward(node, held, &at, None).await {
+        Ok(begun) => Ok(begun),
+        Err(ended) => {
+            log_try(node, held, &at, ended);
+            tries.note(ended);
+            avoid.insert(at);
+            again(node, asked, held, tries, avoid, ended, None).await
+        }
+    }
+}
+
+/// Tries other replicas after a try that ended so, and is noted already.
+pub(super) async fn again(
+    node: &Rc<Node>,
+    asked: &Asked,
+    held: &Held,
+    tries: &mut Tries,
+    avoid: &mut BTreeSet<ReplicaName>,
+    ended: Ended,
+    resume_at: Option<u64>,
+) -> Result<Begun, Refusal> {
+    let mut ended = ended;
+    loop {
+        if !tries.again(ended) {
+            return Err(Refusal::after(tries, ended));
+        }
+        if ended == Ended::NotRun(super::border::NotRun::Lacks) {
+            // Only a replica's word on an adapter was wrong, not the replica.
+            avoid.clear();
+        }
+        let at = match find_place(node, asked, held, avoid).await {
+            Ok(at) => at,
+            Err(refusal) if tries.runs == 0 => return Err(refusal),
+            Err(_) => return Err(Refusal::after(tries, ended)),
+        };
+        if ended.arrived() && !spend(node, asked) {
+            return Err(Refusal::after(tries, ended));
+        }
+        match forward(node, held, &at, resume_at).await {
+            Ok(begun) => return Ok(begun),
+            Err(next) => {
+                log_try(node, held, &at, next);
+                tries.note(next);
+                avoid.insert(at);
+                ended = next;
+            }
+        }
+    }
+}
+
+fn spend(node: &Node, asked: &Asked) -> bool {
+    let mut b = node.beliefs();
+    let vms = b.members.count();
+    b.budget.spend(now(), &asked.service, vms)
+}
+
+fn log_try(node: &Node, held: &Held, at: &ReplicaName, ended: Ended) {
+    slog::info!(node.log, "try ended"; "id" => &held.id, "replica" => at.as_str(),
+        "why" => ended.word());
+}
+
+/// Waits for a replica that can run a request.
+///
+/// Made for adapters that have to be loaded first and for replicas that are
+/// full for a moment. A request waits at most a third of the time that it has,
+/// so that a caller who is refused can still be served elsewhere.
+async fn find_place(
+    node: &Rc<Node>,
+    asked: &Asked,
+    held: &Held,
+    avoid: &BTreeSet<ReplicaName>,
+) -> Result<ReplicaName, Refusal> {
+    let began = now();
+    let left = held.limit.since(began);
+    let load_limit = began.after(Span(left.0 / WAIT_PART));
+    let full_limit = began.after(span(asked.route.objective / 4)).min(load_limit);
+    let kb: usize = held.body.iter().map(Bytes::len).sum();
+    let mut wished: Option<Moment> = None;
+    loop {
+        let at = now();
+        let changed = node.changed.notified();
+        let place = {
+            let b = node.beliefs();
+            let want = Want {
+                service: &asked.service,
+                target: held.target.as_ref(),
+                cost: held.cost,
+                body_kb: kb as f64 / 1024.0,
+                avoid,
+            };
+            let own = &node.settings.vm;
+            b.fleet.place(at, &want, |name| b.loadable(at, own, name))
+        };
+        let (limit, refusal) = match place {
+            Place::Send { at, copy } => {
+                if let (Some(copy), Some(target)) = (copy, &held.target) {
+                    peers::wish(node, &copy, target).await;
+                }
+                return Ok(at);
+            }
+            Place::Load { at: replica } | Place::Coming { at: replica } => {
+                let again = wished.is_none_or(|w| at.since(w) >= span(WISH_AGAIN));
+                if let (true, Some(target)) = (again, &held.target) {
+                    wished = Some(at);
+                    peers::wish(node, &replica, target).await;
+                }
+                (load_limit, Refusal::not_run("not_loaded_in_time", COME_BACK))
+            }
+            Place::Full => (full_limit, Refusal::not_run("replicas_full", FULL_COME_BACK)),
+            Place::Nowhere => (full_limit, Refusal::not_run("no_replica", COME_BACK)),
+        };
+        if at >= limit {
+            return Err(refusal);
+        }
+        let wait = Duration::from_micros(limit.since(at).0).min(WISH_AGAIN);
+        // Whether news or the time wakes us, the place is looked for anew.
+        tokio::time::timeout(wait, changed).await.ok();
+    }
+}
+
+fn span(d: Duration) -> Span {
+    Span(u64::try_from(d.as_micros()).unwrap_or(u64::MAX))
+}
--- /dev/null
+++ b/lib/src/serving/settings.rs
@@ -0,0 +1,35 @@
+//! What a serving process is told at its start.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bon::Builder;
+
+use super::budget::BudgetLimits;
+use crate::ids::VmName;
+use crate::ids::ZoneName;
+
+/// The settings of the serving process.
+#[derive(Builder, Clone, Debug)]
+pub struct ServeSettings {
+    /// This VM; unlike a host name, never another machine's.
+    pub vm: VmName,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where the balancer asks whether we are ready.
+    pub readiness: SocketAddr,
+    /// Where datagrams of the other VMs come in.
+    pub peers: SocketAddr,
+    /// The store.
+    pub store: SocketAddr,
+    /// Time from the signal to stop until the process is killed.
+    pub grace: Duration,
+    /// How long an ownership of a replica outlives its last use.
+    pub lease: Duration,
+    /// Whether replicas refuse orders with a lower fencing token.
+    pub fenced: bool,
+    /// How many requests may be sent again.
+    pub budget: BudgetLimits,
+}
--- a/lib/src/telemetry/mod.rs
+++ b/lib/src/telemetry/mod.rs
@@ -54,6 +54,20 @@
     slog::Logger::root(drain.fuse(), slog::o!("program" => program))
 }
 
+/// A logger that writes one JSON object a line to standard output, by a thread
+/// of its own; lines that do not fit the ring are dropped and counted, so a
+/// blocked output never holds up a request.
+///
+/// ```
+/// let log = banyangauge::telemetry::stdout_logger("banyan-serve");
+/// slog::info!(log, "started"; "vm" => "vm-1");
+/// ```
+pub fn stdout_logger(program: &'static str) -> slog::Logger {
+    let drain = slog_json::Json::default(std::io::stdout()).fuse();
+    let drain = slog_async::Async::new(drain).chan_size(LOG_RING).build();
+    slog::Logger::root(drain.fuse(), slog::o!("program" => program))
+}
+
 /// Installs the process's metrics recorder.
 ///
 /// # Errors
--- a/lib/src/upstream/connections.rs
+++ b/lib/src/upstream/connections.rs
@@ -34,6 +34,10 @@
 /// some tens of seconds, and a stale one costs a try.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 
+/// An upstream that names the time for which it keeps an idle connection
+/// closes it around then; a request sent so shortly before may get lost.
+const CLOSE_MARGIN: Duration = Duration::from_millis(700);
+
 /// Idle connections an upstream; an engine's batch is a few dozen.
 const MAX_IDLE: usize = 128;
 
@@ -48,15 +52,23 @@
 
 struct Idle {
     sender: SendRequest<Parts>,
-    since: Instant,
+    until: Instant,
 }
 
 type Shelf = Arc<Mutex<BTreeMap<SocketAddr, Vec<Idle>>>>;
 
 /// Connections to all upstreams; clones share them.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub struct Upstreams {
     idle: Shelf,
+    connect: Duration,
+    keep: Duration,
+}
+
+impl Default for Upstreams {
+    fn default() -> Self {
+        Self::with(CONNECT_TIMEOUT, IDLE_TIMEOUT)
+    }
 }
 
 impl Upstreams {
@@ -65,6 +77,16 @@
         Self::default()
     }
 
+    /// No connections yet; one is waited for as long as `connect`, and kept
+    /// unused as long as `keep` where the upstream names no shorter time.
+    pub fn with(connect: Duration, keep: Duration) -> Self {
+        Self {
+            idle: Shelf::default(),
+            connect,
+            keep,
+        }
+    }
+
     /// Sends a request once and waits for the head of its answer.
     ///
     /// # Errors
@@ -82,7 +104,9 @@
                 Err((None, e)) => return Err(SendError::Broken(e)),
             }
         }
-        let sender = connect(address).await.map_err(SendError::NotSent)?;
+        let sender = connect(address, self.connect)
+            .await
+            .map_err(SendError::NotSent)?;
         self.send_on(address, sender, request)
             .await
             .map_err(|(back, e)| match back {
@@ -100,10 +124,16 @@
         match sender.try_send_request(request).await {
             Ok(response) => {
                 let (head, body) = response.into_parts();
+                let kept = Kept {
+                    sender,
+                    address,
+                    shelf: self.idle.clone(),
+                    time: idle_time(&head).map_or(self.keep, |t| t.min(self.keep)),
+                };
                 Ok(Answer {
                     head,
                     body,
-                    kept: Some((sender, address, self.idle.clone())),
+                    kept: Some(kept),
                 })
             }
             Err(mut e) => {
@@ -117,16 +147,25 @@
     fn take(&self, address: SocketAddr) -> Option<SendRequest<Parts>> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let list = idle.get_mut(&address)?;
-        // They stand in the order of their last use.
-        let old = list.partition_point(|i| i.since.elapsed() >= IDLE_TIMEOUT);
-        list.drain(..old);
+        let now = Instant::now();
+        list.retain(|i| i.until > now);
         // One that has just been given back may not be ready yet.
         let at = list.iter().rposition(|i| i.sender.is_ready())?;
         Some(list.remove(at).sender)
     }
 }
 
-async fn connect(address: SocketAddr) -> Result<SendRequest<Parts>, String> {
+/// How long the upstream keeps the connection, less the time in which it may
+/// close it while a request is on its way.
+fn idle_time(head: &response::Parts) -> Option<Duration> {
+    let value = head.headers.get("keep-alive")?.to_str().ok()?;
+    let mut fields = value.split(',').map(str::trim);
+    let seconds = fields.find_map(|f| f.strip_prefix("timeout="))?;
+    let time = Duration::from_secs(seconds.trim().parse().ok()?);
+    Some(time.saturating_sub(CLOSE_MARGIN))
+}
+
+async fn connect(address: SocketAddr, longest: Duration) -> Result<SendRequest<Parts>, String> {
     let work = async {
         let stream = TcpStream::connect(address).await.map_err(text)?;
         stream.set_nodelay(true).map_err(text)?;
@@ -137,7 +176,7 @@
         sender.ready().await.map_err(text)?;
         Ok(sender)
     };
-    tokio::time::timeout(CONNECT_TIMEOUT, work)
+    tokio::time::timeout(longest, work)
         .await
         .unwrap_or_else(|_| Err("no connection in time".to_owned()))
 }
@@ -152,7 +191,15 @@
     /// Status and headers.
     pub head: response::Parts,
     body: Incoming,
-    kept: Option<(SendRequest<Parts>, SocketAddr, Shelf)>,
+    kept: Option<Kept>,
+}
+
+/// A connection that goes back to the shelf after the answer's end.
+struct Kept {
+    sender: SendRequest<Parts>,
+    address: SocketAddr,
+    shelf: Shelf,
+    time: Duration,
 }
 
 impl Answer {
@@ -194,15 +241,15 @@
     }
 
     fn keep(&mut self) {
-        let Some((sender, address, shelf)) = self.kept.take() else {
+        let Some(kept) = self.kept.take() else {
             return;
         };
-        let mut idle = shelf.lock().unwrap_or_else(PoisonError::into_inner);
-        let list = idle.entry(address).or_default();
-        if list.len() < MAX_IDLE && !sender.is_closed() {
+        let mut idle = kept.shelf.lock().unwrap_or_else(PoisonError::into_inner);
+        let list = idle.entry(kept.address).or_default();
+        if list.len() < MAX_IDLE && !kept.sender.is_closed() {
             list.push(Idle {
-                sender,
-                since: Instant::now(),
+                sender: kept.sender,
+                until: Instant::now() + kept.time,
             });
         }
     }
--- a/lib/src/upstream/sse.rs
+++ b/lib/src/upstream/sse.rs
@@ -52,6 +52,11 @@
         Ok(self.rest.split_to(end).freeze())
     }
 
+    /// Whether no event is begun.
+    pub fn is_empty(&self) -> bool {
+        self.rest.is_empty()
+    }
+
     /// Forgets the beginning of an event that broke off.
     pub fn reset(&mut self) {
         self.rest.clear();
