books: count unloads that drop at once, keep what was just loaded

Cause: a replica counts an unload that it answers with 200 as an accepted order, so the next order had a wrong expected count (601 of 2514 refused, each followed by 250 ms without orders); and an adapter that had just come gave way before its first use was known.

--- a/lib/src/serving/books.rs
+++ b/lib/src/serving/books.rs
@@ -196,10 +196,7 @@
         let Some(book) = self.books.get_mut(name) else {
             return;
         };
-        let entry = book.uses.entry(target.clone()).or_insert_with(|| Use {
-            demand: Demand::NONE,
-            running: BTreeMap::new(),
-        });
+        let entry = book.use_of(target);
         if begun > 0 || running > 0 {
             entry.demand.count(now, DEMAND_HALF, f64::from(begun) + 0.01);
         }
@@ -301,6 +298,14 @@
 }
 
 impl Book {
+    fn use_of(&mut self, target: &Target) -> &mut Use {
+        let new = || Use {
+            demand: Demand::NONE,
+            running: BTreeMap::new(),
+        };
+        self.uses.entry(target.clone()).or_insert_with(new)
+    }
+
     fn coming(&self) -> usize {
         let slots = self.slots.values();
         slots.filter(|s| matches!(s.phase, Phase::Coming(..))).count()
@@ -493,10 +498,16 @@
                 };
                 slot.phase = Phase::Here;
                 slot.version = version.unwrap_or(slot.version);
+                self.use_of(target).demand.count(now, DEMAND_HALF, 1.0);
                 took
             }
             Step::Unload { target, .. } => {
-                self.slots.remove(target);
+                let slot = self.slots.remove(target);
+                // Dropped at once, which counts as an order; one that had to
+                // wait for its runs was counted when it was accepted.
+                if slot.is_some_and(|s| s.phase == Phase::Here) {
+                    self.accepted = self.accepted.map(|n| n + 1);
+                }
                 None
             }
             Step::Look => None,
