--- a/lib/src/serving/beliefs.rs
+++ b/lib/src/serving/beliefs.rs
@@ -15,6 +15,7 @@
 use super::settings::ServeSettings;
 use super::strikes::Strikes;
 use super::table::Ownership;
+use super::table::Table;
 use crate::ids::ReplicaName;
 use crate::ids::VmName;
 use crate::pool::Moment;
@@ -86,11 +87,26 @@
     pub(super) fn loadable(&self, now: Moment, own: &VmName, name: &ReplicaName) -> bool {
         match self.ownership.owner(name) {
             Some(vm) if vm == own => self.ownership.token(now, name).is_some(),
-            Some(vm) => self.members.lives(now, vm),
+            // One that waits out the lease before it tells nothing yet.
+            Some(vm) => self.members.lives(now, vm) && self.fleet.has_word(now, name),
             None => false,
         }
     }
 
+    /// Takes the owner table; gives whether it is news.
+    pub(super) fn take_owners(&mut self, now: Moment, table: Table, revision: u64) -> bool {
+        let old = self.ownership.table.owners.clone();
+        if !self.ownership.take(now, table, revision) {
+            return false;
+        }
+        for (name, owner) in &self.ownership.table.owners {
+            if old.get(name).is_some_and(|o| o.token != owner.token) {
+                self.fleet.forget_book(name);
+            }
+        }
+        true
+    }
+
     /// A run begins at a replica.
     pub(super) fn begin(&mut self, name: &ReplicaName, target: Option<&Target>, cost: Load) {
         self.fleet.begin(name, cost);
--- a/lib/src/serving/decide.rs
+++ b/lib/src/serving/decide.rs
@@ -72,6 +72,8 @@
     pub most_runs: u32,
     /// Whether it may run more than once.
     pub idempotent: bool,
+    /// Whether the caller has the head of an answer already.
+    pub answered: bool,
 }
 
 impl Tries {
--- a/lib/src/serving/fleet/health.rs
+++ b/lib/src/serving/fleet/health.rs
@@ -100,6 +100,12 @@
         }
     }
 
+    /// Whether a replica has sent nothing to anybody here for a while.
+    pub fn silent(&self, now: Moment, name: &ReplicaName) -> bool {
+        let r = self.replicas.get(name);
+        r.is_none_or(|r| now.since(r.health.heard) > SILENCE)
+    }
+
     /// Learns from the end of a run.
     ///
     /// Made for replicas that crash, go dark, or fail a part of their requests
--- a/lib/src/serving/fleet/mod.rs
+++ b/lib/src/serving/fleet/mod.rs
@@ -262,6 +262,20 @@
         }
     }
 
+    /// Whether a replica's owner has told lately what it holds.
+    pub fn has_word(&self, now: Moment, name: &ReplicaName) -> bool {
+        let r = self.replicas.get(name);
+        let book = r.and_then(|r| r.book.as_ref());
+        book.is_some_and(|(heard, _)| now.since(*heard) < BOOK_KEPT)
+    }
+
+    /// A replica has another owner: the word of the one before is void.
+    pub fn forget_book(&mut self, name: &ReplicaName) {
+        if let Some(r) = self.replicas.get_mut(name) {
+            r.book = None;
+        }
+    }
+
     /// A request is sent to a replica.
     pub fn begin(&mut self, name: &ReplicaName, cost: Load) {
         if let Some(r) = self.replicas.get_mut(name) {
--- a/lib/src/serving/forward.rs
+++ b/lib/src/serving/forward.rs
@@ -75,11 +75,9 @@
 
     /// Bytes of the answer came.
     pub(super) fn heard(&mut self) {
-        if !self.heard {
-            self.heard = true;
-            let mut b = self.node.beliefs();
-            b.fleet.heard(now(), &self.replica, self.number, true);
-        }
+        self.heard = true;
+        let mut b = self.node.beliefs();
+        b.fleet.heard(now(), &self.replica, self.number, true);
     }
 
     /// The run ended so.
--- a/lib/src/serving/pass.rs
+++ b/lib/src/serving/pass.rs
@@ -27,13 +27,13 @@
 use super::node::now;
 use super::serve::Asked;
 use super::serve::again;
+use super::serve::has_other_place;
 use crate::ids::ReplicaName;
 use crate::upstream::Scanner;
 
-/// The longest pause within a stream that may be resumed, in parts of the
-/// pause that its route allows: longer than any step of a full engine, shorter
-/// than what makes callers leave.
-const PAUSES_BEFORE_RESUME: u32 = 2;
+/// After a silence of so many pauses that the route allows, a stream that may
+/// be resumed is looked after: callers leave after eight.
+const PAUSES_BEFORE_LOOK: u32 = 4;
 
 /// Why an answer breaks off; the caller's connection ends with it.
 #[derive(Debug)]
@@ -99,7 +99,7 @@
             let piece = match self.events {
                 Some(_) if self.tries.idempotent => {
                     let pause = self.asked.route.pause.unwrap_or(self.asked.route.objective);
-                    let soon = tokio::time::Instant::now() + pause * PAUSES_BEFORE_RESUME;
+                    let soon = tokio::time::Instant::now() + pause * PAUSES_BEFORE_LOOK;
                     let by = instant(self.held.limit).min(soon);
                     tokio::time::timeout_at(by, begun.answer.data()).await
                 }
@@ -111,6 +111,7 @@
                     self.begun = None;
                     return Some(Err(Broken("the time is over")));
                 }
+                Err(_) if !self.better_elsewhere() => continue,
                 Err(_) => {
                     self.log("silent");
                     Ended::Broken
@@ -132,7 +133,27 @@
         }
     }
 
+    /// Whether a silent stream should go on elsewhere: only where its replica
+    /// is silent to all, and another one can go on at once. A replica that is
+    /// only busy ends the run sooner than one that begins anew.
+    fn better_elsewhere(&self) -> bool {
+        let Some(begun) = &self.begun else {
+            return false;
+        };
+        let replica = &begun.run.replica;
+        if !self.node.beliefs().fleet.silent(now(), replica) {
+            return false;
+        }
+        let mut avoid = self.avoid.clone();
+        avoid.insert(replica.clone());
+        self.tries.runs + 1 < self.tries.most_runs
+            && has_other_place(&self.node, &self.asked, &self.held, &avoid)
+    }
+
     fn take(&mut self, bytes: Bytes) -> Result<Bytes, &'static str> {
+        if let Some(begun) = &mut self.begun {
+            begun.run.heard();
+        }
         let Some(events) = &mut self.events else {
             return Ok(bytes);
         };
--- a/lib/src/serving/program.rs
+++ b/lib/src/serving/program.rs
@@ -316,7 +316,7 @@
         match serde_json::from_str::<Table>(item.spec.get()) {
             Ok(table) => {
                 let term = table.term.0;
-                if node.beliefs().ownership.take(now(), table, item.revision) {
+                if node.beliefs().take_owners(now(), table, item.revision) {
                     slog::info!(node.log, "owners"; "term" => term, "revision" => item.revision);
                     node.orders.notify_one();
                 }
@@ -413,7 +413,7 @@
     match limited(follow::SHORT_CALL, call).await {
         Ok(revision) => {
             let term = table.term.0;
-            node.beliefs().ownership.take(now(), table, revision);
+            node.beliefs().take_owners(now(), table, revision);
             slog::info!(node.log, "owners changed"; "term" => term, "revision" => revision);
             node.orders.notify_one();
         }
--- a/lib/src/serving/serve.rs
+++ b/lib/src/serving/serve.rs
@@ -9,6 +9,7 @@
 use http_body_util::BodyExt;
 use http_body_util::LengthLimitError;
 use http_body_util::Limited;
+use hyper::HeaderMap;
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
@@ -16,6 +17,7 @@
 use hyper::body::Body;
 use hyper::body::Incoming;
 use hyper::header::CONNECTION;
+use hyper::header::CONTENT_TYPE;
 use hyper::header::HOST;
 use hyper::header::HeaderValue;
 use hyper::header::RETRY_AFTER;
@@ -158,7 +160,7 @@
 fn find_route(
     active: &Active,
     uri: &Uri,
-    headers: &hyper::HeaderMap,
+    headers: &HeaderMap,
     ask: &Ask,
 ) -> Result<Asked, Refusal> {
     let host = headers.get(HOST).and_then(|h| h.to_str().ok());
@@ -283,7 +285,8 @@
     let mut headers = std::mem::take(&mut begun.answer.head.headers);
     strip_hop(&mut headers);
     *response.headers_mut() = headers;
-    let events = (stream && !begun.failed).then(Events::default);
+    let events = (stream && has_events(response.headers())).then(Events::default);
+    tries.answered = true;
     let body = passing(Passing {
         node: node.clone(),
         asked,
@@ -298,6 +301,11 @@
     Ok(response.map(|()| body))
 }
 
+fn has_events(headers: &HeaderMap) -> bool {
+    let kind = headers.get(CONTENT_TYPE).and_then(|v| v.to_str().ok());
+    kind.is_some_and(|k| k.starts_with("text/event-stream"))
+}
+
 /// Reads a short answer whole; of a longer one, the beginning.
 async fn read_ahead(
     begun: &mut Begun,
@@ -366,15 +374,18 @@
         if ended.arrived() && !spend(node, asked) {
             return Err(Refusal::after(tries, ended));
         }
-        match forward(node, held, &at, resume_at).await {
-            Ok(begun) => return Ok(begun),
-            Err(next) => {
-                log_try(node, held, &at, next);
-                tries.note(next);
-                avoid.insert(at);
-                ended = next;
+        ended = match forward(node, held, &at, resume_at).await {
+            // A failure cannot go on an answer that has begun.
+            Ok(begun) if tries.answered && !begun.answer.head.status.is_success() => {
+                begun.run.learn(End::Failed);
+                Ended::Failed
             }
-        }
+            Ok(begun) => return Ok(begun),
+            Err(next) => next,
+        };
+        log_try(node, held, &at, ended);
+        tries.note(ended);
+        avoid.insert(at);
     }
 }
 
@@ -404,23 +415,11 @@
     let left = held.limit.since(began);
     let load_limit = began.after(Span(left.0 / WAIT_PART));
     let full_limit = began.after(span(asked.route.objective / 4)).min(load_limit);
-    let kb: usize = held.body.iter().map(Bytes::len).sum();
     let mut wished: Option<Moment> = None;
     loop {
         let at = now();
         let changed = node.changed.notified();
-        let place = {
-            let b = node.beliefs();
-            let want = Want {
-                service: &asked.service,
-                target: held.target.as_ref(),
-                cost: held.cost,
-                body_kb: kb as f64 / 1024.0,
-                avoid,
-            };
-            let own = &node.settings.vm;
-            b.fleet.place(at, &want, |name| b.loadable(at, own, name))
-        };
+        let place = place(node, asked, held, avoid, at);
         let (limit, refusal) = match place {
             Place::Send { at, copy } => {
                 if let (Some(copy), Some(target)) = (copy, &held.target) {
@@ -448,6 +447,38 @@
     }
 }
 
+/// Where a request would run now.
+fn place(
+    node: &Node,
+    asked: &Asked,
+    held: &Held,
+    avoid: &BTreeSet<ReplicaName>,
+    at: Moment,
+) -> Place {
+    let bytes: usize = held.body.iter().map(Bytes::len).sum();
+    let b = node.beliefs();
+    let want = Want {
+        service: &asked.service,
+        target: held.target.as_ref(),
+        cost: held.cost,
+        body_kb: bytes as f64 / 1024.0,
+        avoid,
+    };
+    let own = &node.settings.vm;
+    b.fleet.place(at, &want, |name| b.loadable(at, own, name))
+}
+
+/// Whether another replica could go on with a request at once.
+pub(super) fn has_other_place(
+    node: &Node,
+    asked: &Asked,
+    held: &Held,
+    avoid: &BTreeSet<ReplicaName>,
+) -> bool {
+    let place = place(node, asked, held, avoid, now());
+    matches!(place, Place::Send { .. })
+}
+
 fn span(d: Duration) -> Span {
     Span(u64::try_from(d.as_micros()).unwrap_or(u64::MAX))
 }
