books: load the model of a replica that restarted empty

Ruled out: a wrong count of accepted orders (reports agreed). Change: an empty replica loads its service's model first, from its own disk at once, from the weight store at a VM's part of the rate; adapters go only where their model is.

--- a/lib/src/serving/books.rs
+++ b/lib/src/serving/books.rs
@@ -7,6 +7,7 @@
 use super::fleet::Versions;
 use super::model::Listing;
 use super::model::Target;
+use crate::ids::ModelName;
 use crate::ids::ReplicaName;
 use crate::ids::VmName;
 use crate::pool::Demand;
@@ -37,7 +38,10 @@
 const CHECK_AGAIN: Span = Span::from_millis(60);
 
 /// After this long a load that was accepted has failed.
-const LOAD_LOST: Span = Span::from_millis(8_000);
+const LOAD_LOST: Span = Span::from_millis(20_000);
+
+/// How often it is asked whether a model has come.
+const MODEL_CHECK: Span = Span::from_millis(200);
 
 /// How long an unload that waits for runs is let be before it is asked about.
 const UNLOAD_CHECK: Span = Span::from_millis(300);
@@ -97,6 +101,8 @@
     pub here: BTreeMap<Target, u32>,
     /// Adapters on their way to it.
     pub coming: BTreeSet<Target>,
+    /// Whether it has weights in its own memory or on its disk.
+    pub weights_near: bool,
 }
 
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -133,6 +139,9 @@
     wishes: BTreeMap<Target, (Moment, Moment)>,
     busy: bool,
     changed: bool,
+    /// Whether weights are in the replica's own memory or on its disk, so that
+    /// loading them costs the weight store nothing.
+    weights_near: bool,
 }
 
 /// The books of the replicas that this VM owns.
@@ -140,6 +149,20 @@
 pub struct Books {
     books: BTreeMap<ReplicaName, Book>,
     load_time: Option<f64>,
+    ceiling: Ceiling,
+}
+
+/// How often weights are loaded from the weight store, which all VMs share.
+#[derive(Clone, Copy, Debug, Default)]
+struct Ceiling {
+    pause: Span,
+    last: Option<Moment>,
+}
+
+impl Ceiling {
+    fn allows(&self, now: Moment) -> bool {
+        self.last.is_none_or(|at| now.since(at) >= self.pause)
+    }
 }
 
 impl Books {
@@ -149,7 +172,9 @@
         let book = self.books.entry(listing.name.clone());
         book.or_insert_with(|| {
             let here = listing.adapters.iter();
-            let slots = here.map(|(t, v)| (t.clone(), Slot::here(*v)));
+            let here = here.map(|(t, v)| (t.clone(), Slot::here(*v)));
+            let models = listing.models.iter().map(|m| (m.target(), Slot::here(0)));
+            let slots = here.chain(models);
             Book {
                 most: most as usize,
                 accepted: None,
@@ -159,6 +184,7 @@
                 wishes: BTreeMap::new(),
                 busy: false,
                 changed: true,
+                weights_near: false,
             }
         });
     }
@@ -237,16 +263,40 @@
     /// Wishes are served in the order in which they came, so none starves;
     /// what gives way is the adapter with the least demand that nothing uses,
     /// and an adapter that is wished for never gives way to another wish.
-    pub fn next(&mut self, now: Moment, name: &ReplicaName, versions: &Versions) -> Option<Step> {
+    ///
+    /// A replica that restarted holds nothing: `model` is what it loads then.
+    pub fn next(
+        &mut self,
+        now: Moment,
+        name: &ReplicaName,
+        versions: &Versions,
+        model: Option<&ModelName>,
+    ) -> Option<Step> {
+        let ceiling = self.ceiling;
         let book = self.books.get_mut(name)?;
         if book.busy {
             return None;
         }
         let step = book.next(now, versions);
+        let step = match (step, model, book.empty()) {
+            (Some(step), ..) => Some(step),
+            (None, Some(model), true) if book.weights_near || ceiling.allows(now) => {
+                if !book.weights_near {
+                    self.ceiling.last = Some(now);
+                }
+                book.load_model(model)
+            }
+            _ => None,
+        };
         book.busy = step.is_some();
         step
     }
 
+    /// Sets how often this VM may have weights loaded from the weight store.
+    pub fn set_pause(&mut self, pause: Span) {
+        self.ceiling.pause = pause;
+    }
+
     /// When [`Books::next`] is worth asking again, at the latest.
     pub fn next_wake(&self, now: Moment) -> Option<Moment> {
         let books = self.books.values().filter(|b| !b.busy);
@@ -273,7 +323,8 @@
         let book = self.books.get_mut(name)?;
         book.busy = false;
         let took = book.ended(now, step, end, time);
-        if let Some(took) = took {
+        let adapter = matches!(step, Step::Load { target, .. } if target.adapter.is_some());
+        if let Some(took) = took.filter(|_| adapter) {
             let seen = took.0 as f64;
             let old = self.load_time.unwrap_or(seen);
             self.load_time = Some(old + 0.2 * (seen - old));
@@ -307,8 +358,34 @@
     }
 
     fn coming(&self) -> usize {
-        let slots = self.slots.values();
-        slots.filter(|s| matches!(s.phase, Phase::Coming(..))).count()
+        let adapters = self.slots.iter().filter(|(t, _)| t.adapter.is_some());
+        let coming = adapters.filter(|(_, s)| matches!(s.phase, Phase::Coming(..)));
+        coming.count()
+    }
+
+    /// Whether it holds no model, and none is on its way.
+    fn empty(&self) -> bool {
+        self.accepted.is_some() && self.slots.keys().all(|t| t.adapter.is_some())
+    }
+
+    fn load_model(&self, model: &ModelName) -> Option<Step> {
+        let expected = self.accepted?;
+        Some(Step::Load {
+            target: model.target(),
+            version: None,
+            expected,
+        })
+    }
+
+    /// Whether adapters of a model can be loaded.
+    fn has_model(&self, model: &ModelName) -> bool {
+        let slot = self.slots.get(&model.target());
+        slot.is_some_and(|s| s.phase == Phase::Here)
+    }
+
+    /// Adapters that it holds or waits for.
+    fn adapters(&self) -> usize {
+        self.slots.keys().filter(|t| t.adapter.is_some()).count()
     }
 
     fn next(&mut self, now: Moment, versions: &Versions) -> Option<Step> {
@@ -341,7 +418,7 @@
         if self.coming() >= MOST_COMING {
             return None;
         }
-        if self.slots.len() < self.most {
+        if self.adapters() < self.most {
             return Some(load(target));
         }
         // One that is leaving makes room soon; a second need not go.
@@ -370,11 +447,16 @@
 
     /// An adapter of which a newer version was announced.
     fn outdated(&self, versions: &Versions) -> Option<Target> {
-        let here = self.slots.iter().filter(|(_, s)| s.phase == Phase::Here);
+        let here = self.adapters_here();
         let mut old = here.filter(|(t, s)| versions.newest(t).is_some_and(|v| v > s.version));
         old.next().map(|(t, _)| t.clone())
     }
 
+    fn adapters_here(&self) -> impl Iterator<Item = (&Target, &Slot)> {
+        let adapters = self.slots.iter().filter(|(t, _)| t.adapter.is_some());
+        adapters.filter(|(_, s)| s.phase == Phase::Here)
+    }
+
     fn next_wish(&mut self, versions: &Versions) -> Option<Target> {
         let slots = &self.slots;
         let met = |t: &Target| {
@@ -383,12 +465,13 @@
             slot.is_some_and(|s| s.phase != Phase::Here || s.version >= newest)
         };
         self.wishes.retain(|t, _| !met(t));
-        let first = self.wishes.iter().min_by_key(|(_, (since, _))| *since);
+        let fit = self.wishes.iter().filter(|(t, _)| self.has_model(&t.model));
+        let first = fit.min_by_key(|(_, (since, _))| *since);
         first.map(|(t, _)| t.clone())
     }
 
     fn victim(&self, now: Moment) -> Option<Target> {
-        let here = self.slots.iter().filter(|(_, s)| s.phase == Phase::Here);
+        let here = self.adapters_here();
         let idle = here.filter(|(t, _)| !self.wishes.contains_key(*t) && self.idle(now, t));
         let least = idle.min_by_key(|(t, _)| self.uses.get(*t).map_or(i64::MIN, |u| u.demand.key(1)));
         least.map(|(t, _)| t.clone())
@@ -435,6 +518,7 @@
                 slot.phase = Phase::Coming(now, now.after(CHECK_AGAIN));
             }
         }
+        self.weights_near = report.weights_near;
         self.changed = true;
     }
 
@@ -463,6 +547,11 @@
         self.changed = true;
         match step {
             Step::Load { target, .. } => {
+                // A model takes seconds, and is worth a question less often.
+                let (time, again) = match target.adapter {
+                    Some(_) => (time, CHECK_AGAIN),
+                    None => (MODEL_CHECK, MODEL_CHECK),
+                };
                 let next = now.after(time);
                 let slot = self.slots.entry(target.clone()).or_insert(Slot {
                     version: 0,
@@ -470,7 +559,7 @@
                 });
                 slot.phase = match slot.phase {
                     Phase::Coming(since, _) if since != now => {
-                        Phase::Coming(since, now.after(CHECK_AGAIN))
+                        Phase::Coming(since, now.after(again))
                     }
                     _ => Phase::Coming(now, next),
                 };
--- a/lib/src/serving/fleet/mod.rs
+++ b/lib/src/serving/fleet/mod.rs
@@ -26,6 +26,7 @@
 use super::model::Listing;
 use super::model::Service;
 use super::model::Target;
+use crate::ids::ModelName;
 use crate::ids::ReplicaName;
 use crate::ids::ServiceName;
 use crate::ids::VmName;
@@ -120,12 +121,12 @@
         if self.missing.get(target).is_some_and(|until| *until > now) {
             return None;
         }
-        if target.adapter.is_none() {
-            return self.listing.models.contains(&target.model).then_some(0);
-        }
-        match &self.book {
-            Some((heard, held)) if now.since(*heard) < BOOK_KEPT => held.here.get(target).copied(),
-            _ => self.listing.adapters.get(target).copied(),
+        match (&self.book, target.adapter.is_some()) {
+            (Some((heard, held)), _) if now.since(*heard) < BOOK_KEPT => {
+                held.here.get(target).copied()
+            }
+            (_, true) => self.listing.adapters.get(target).copied(),
+            (_, false) => self.listing.models.contains(&target.model).then_some(0),
         }
     }
 
@@ -235,6 +236,24 @@
         engine.map_or(0, |e| e.adapters)
     }
 
+    /// What a replica that holds nothing should load: the model of its service
+    /// that the fewest replicas hold.
+    pub fn missing_model(&self, listing: &Listing) -> Option<&ModelName> {
+        let service = self.services.get(&listing.service)?;
+        let models = service.engine.as_ref()?.models.keys();
+        let holders = |m: &ModelName| {
+            let all = self.replicas.values().map(|r| &r.listing);
+            all.filter(|l| l.models.contains(m)).count()
+        };
+        models.min_by_key(|m| holders(m))
+    }
+
+    /// Loads of weights a second that the weight store allows.
+    pub fn weight_loads(&self) -> f64 {
+        let engines = self.services.values().filter_map(|s| s.engine.as_ref());
+        engines.map(|e| e.loads).fold(0.0, f64::max)
+    }
+
     /// Whether any replica is known.
     pub fn is_empty(&self) -> bool {
         self.replicas.is_empty()
--- a/lib/src/serving/fleet/place.rs
+++ b/lib/src/serving/fleet/place.rs
@@ -125,7 +125,11 @@
             return fit.map_or(Place::Full, |(_, at)| Place::Send { at, copy: None });
         }
         let roomy = open.iter().filter(|(n, r)| {
-            loadable(n) && self.has_room(now, want, r) && !self.serves(now, target, r)
+            let base = target.model.target();
+            loadable(n)
+                && r.holds(now, &base).is_some()
+                && self.has_room(now, want, r)
+                && !self.serves(now, target, r)
         });
         let roomy: Vec<_> = roomy.map(|(n, r)| (*n, *r)).collect();
         if let Some((held, at)) = fit {
--- a/lib/src/serving/fleet/versions.rs
+++ b/lib/src/serving/fleet/versions.rs
@@ -38,9 +38,11 @@
         self.newest.get(target).map(|(version, _)| *version)
     }
 
-    /// The version that a run must begin on now; `None` while an older one may
-    /// serve as well.
+    /// The version of an adapter that a run must begin on now; `None` while an
+    /// older one may serve as well. New weights of a base model are taken as
+    /// replicas load them.
     pub fn required(&self, now: Moment, target: &Target) -> Option<u32> {
+        target.adapter.as_ref()?;
         let (version, at) = self.newest.get(target)?;
         (now.since(*at) >= FORERUNNER_SERVES).then_some(*version)
     }
--- a/lib/src/serving/model.rs
+++ b/lib/src/serving/model.rs
@@ -40,6 +40,16 @@
     }
 }
 
+impl ModelName {
+    /// The model itself, without an adapter.
+    pub fn target(&self) -> Target {
+        Target {
+            model: self.clone(),
+            adapter: None,
+        }
+    }
+}
+
 impl fmt::Display for Target {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match &self.adapter {
@@ -128,6 +138,9 @@
     pub stride: u32,
     /// The models, with the number of their adapters.
     pub models: BTreeMap<ModelName, u32>,
+    /// Loads of weights a second that the weight store allows, over all
+    /// replicas.
+    pub loads: f64,
 }
 
 /// A service as the operator configured it.
--- a/lib/src/serving/ordering.rs
+++ b/lib/src/serving/ordering.rs
@@ -28,6 +28,16 @@
 /// The longest report that is read.
 const MOST_REPORT: usize = 256 << 10;
 
+/// Loads of weights a second where the configuration names no rate.
+const LEAST_LOADS: f64 = 0.1;
+
+/// How much longer a VM pauses between loads from the weight store than its
+/// part of the rate: all VMs may begin at the same moment.
+const WEIGHT_SHARE: f64 = 2.0;
+
+/// The least such pause: the window over which the weight store counts.
+const WEIGHT_PAUSE: Span = Span::from_millis(5_000);
+
 /// How often ownerships are looked through without any news.
 const TICK: Duration = Duration::from_millis(200);
 
@@ -65,11 +75,16 @@
     let mut b = node.beliefs();
     b.open_books(at);
     let b = &mut *b;
+    let loads = b.fleet.weight_loads().max(LEAST_LOADS);
+    let pause = Span((b.members.count() as f64 / loads * WEIGHT_SHARE * 1e6) as u64);
+    b.books.set_pause(pause.max(WEIGHT_PAUSE));
     let active = b.ownership.active(at);
     let active: Vec<_> = active.map(|(name, token)| (name.clone(), token)).collect();
     let mut due = Vec::new();
     for (name, token) in active {
-        if let Some(step) = b.books.next(at, &name, &b.fleet.versions) {
+        let listing = b.fleet.listing(&name);
+        let model = listing.and_then(|l| b.fleet.missing_model(l));
+        if let Some(step) = b.books.next(at, &name, &b.fleet.versions, model) {
             due.push((name, token, step));
         }
     }
@@ -113,13 +128,15 @@
     end: OrderEnd,
     took: Option<Span>,
 ) {
-    let (what, target) = match step {
-        Step::Load { target, .. } => ("load", target.to_string()),
-        Step::Unload { target, .. } => ("unload", target.to_string()),
-        Step::Look => ("look", String::new()),
+    let (what, target, expected) = match step {
+        Step::Load {
+            target, expected, ..
+        } => ("load", target.to_string(), *expected),
+        Step::Unload { target, expected } => ("unload", target.to_string(), *expected),
+        Step::Look => ("look", String::new(), 0),
     };
     slog::info!(node.log, "order"; "what" => what, "replica" => name.as_str(),
-        "target" => target, "token" => token.0, "end" => ?end,
+        "target" => target, "expected" => expected, "token" => token.0, "end" => ?end,
         "took_ms" => took.map(Span::as_millis));
 }
 
@@ -130,7 +147,12 @@
         return None;
     }
     match (node.border.read_report)(&body) {
-        Ok(report) => Some(report),
+        Ok(report) => {
+            slog::info!(node.log, "report"; "replica" => name.as_str(),
+                "accepted" => report.accepted, "here" => report.here.len(),
+                "coming" => report.coming.len());
+            Some(report)
+        }
         Err(e) => {
             slog::warn!(node.log, "bad report"; "replica" => name.as_str(), "error" => %e);
             None
