--- /dev/null
+++ b/lib/tests/test_serving_books.rs
@@ -0,0 +1,223 @@
+//! Which order a replica gets next: loads on demand, evictions, new versions.
+
+use banyangauge::ids::ModelName;
+use banyangauge::ids::ReplicaName;
+use banyangauge::pool::Moment;
+use banyangauge::pool::Span;
+use banyangauge::serving::Announced;
+use banyangauge::serving::Books;
+use banyangauge::serving::Listing;
+use banyangauge::serving::OrderEnd;
+use banyangauge::serving::Report;
+use banyangauge::serving::Step;
+use banyangauge::serving::Target;
+use banyangauge::serving::Versions;
+
+use super::test_serving_place::listing;
+
+fn ms(ms: u64) -> Moment {
+    Moment(10_000_000).after(Span::from_millis(ms))
+}
+
+fn target(text: &str) -> Target {
+    Target::parse(text).unwrap()
+}
+
+struct Desk {
+    books: Books,
+    versions: Versions,
+    name: ReplicaName,
+    model: ModelName,
+}
+
+impl Desk {
+    /// The owner of one replica with two slots, which reports `held`.
+    fn new(held: &[&str], accepted: u64) -> Self {
+        let listing: Listing = listing("i-1", "llm", "z-a", held);
+        let mut books = Books::default();
+        books.open(ms(0), &listing, 2);
+        let mut desk = Self {
+            books,
+            versions: Versions::default(),
+            name: listing.name,
+            model: ModelName::new("base").unwrap(),
+        };
+        assert_eq!(desk.next(0), Some(Step::Look));
+        let here = held.iter().map(|t| (target(t), 1)).collect();
+        let report = Report {
+            accepted,
+            here,
+            weights_near: true,
+            ..Report::default()
+        };
+        desk.books.looked(ms(0), &desk.name, Some(report));
+        desk
+    }
+
+    fn next(&mut self, at: u64) -> Option<Step> {
+        let model = Some(&self.model);
+        self.books.next(ms(at), &self.name, &self.versions, model)
+    }
+
+    fn wish(&mut self, at: u64, adapter: &str) {
+        self.books.wish(ms(at), &self.name, &target(adapter));
+    }
+
+    fn end(&mut self, at: u64, step: &Step, end: OrderEnd) {
+        self.books.ended(ms(at), &self.name, step, end);
+    }
+
+    /// Loads an adapter that is wished for.
+    fn load(&mut self, at: u64, adapter: &str) {
+        self.wish(at, adapter);
+        let step = self.next(at).unwrap();
+        self.end(at, &step, OrderEnd::Accepted);
+        self.end(at + 250, &step, OrderEnd::Holds);
+    }
+}
+
+fn load(text: &str, expected: u64) -> Option<Step> {
+    Some(Step::Load {
+        target: target(text),
+        version: None,
+        expected,
+    })
+}
+
+fn unload(text: &str, expected: u64) -> Option<Step> {
+    Some(Step::Unload {
+        target: target(text),
+        expected,
+    })
+}
+
+#[test]
+fn wish_for_a_free_slot_loads() {
+    let mut desk = Desk::new(&["base"], 3);
+    desk.wish(0, "base/a1");
+    assert_eq!(desk.next(0), load("base/a1", 3));
+}
+
+/// One order at a time: the count that the next one expects depends on it.
+#[test]
+fn order_under_way_lets_the_next_wait() {
+    let mut desk = Desk::new(&["base"], 3);
+    desk.wish(0, "base/a1");
+    desk.wish(0, "base/a2");
+    let first = desk.next(0).unwrap();
+    assert_eq!(desk.next(1), None);
+    desk.end(2, &first, OrderEnd::Accepted);
+    assert_eq!(desk.next(2), load("base/a2", 4));
+}
+
+/// Full slots under many wishes: the least wanted gives way, never one in use
+/// or one that has just come.
+#[test]
+fn wish_for_a_full_replica_unloads_the_least_wanted() {
+    let mut desk = Desk::new(&["base", "base/a1", "base/a2"], 0);
+    let vm = "vm-2".parse().unwrap();
+    let name = desk.name.clone();
+    desk.books.used(ms(0), &name, &vm, &target("base/a1"), 0, 5);
+    desk.books.used(ms(0), &name, &vm, &target("base/a2"), 0, 1);
+    desk.wish(500, "base/a3");
+    assert_eq!(desk.next(500), None, "both were used just now");
+    desk.wish(1_000, "base/a3");
+    assert_eq!(desk.next(1_000), unload("base/a2", 0));
+}
+
+#[test]
+fn adapter_in_use_does_not_give_way() {
+    let mut desk = Desk::new(&["base", "base/a1", "base/a2"], 0);
+    let vm = "vm-2".parse().unwrap();
+    let name = desk.name.clone();
+    for adapter in ["base/a1", "base/a2"] {
+        desk.books.used(ms(0), &name, &vm, &target(adapter), 0, 1);
+        desk.books.used(ms(1_500), &name, &vm, &target(adapter), 1, 0);
+    }
+    desk.wish(2_500, "base/a3");
+    assert_eq!(desk.next(2_500), None);
+}
+
+/// An unload that drops its adapter at once is an accepted order.
+#[test]
+fn unload_at_once_counts_as_an_order() {
+    let mut desk = Desk::new(&["base", "base/a1", "base/a2"], 7);
+    desk.wish(0, "base/a3");
+    let step = desk.next(0).unwrap();
+    assert_eq!(Some(step.clone()), unload("base/a1", 7));
+    desk.end(1, &step, OrderEnd::Holds);
+    assert_eq!(desk.next(1), load("base/a3", 8));
+}
+
+#[test]
+fn unload_that_waited_counts_once() {
+    let mut desk = Desk::new(&["base", "base/a1", "base/a2"], 7);
+    desk.wish(0, "base/a3");
+    let step = desk.next(0).unwrap();
+    desk.end(1, &step, OrderEnd::Accepted);
+    desk.wish(400, "base/a3");
+    let again = desk.next(400).unwrap();
+    assert_eq!(Some(again.clone()), unload("base/a1", 8));
+    desk.end(400, &again, OrderEnd::Holds);
+    assert_eq!(desk.next(400), load("base/a3", 8));
+}
+
+#[test]
+fn adapter_that_has_just_come_stays() {
+    let mut desk = Desk::new(&["base"], 0);
+    desk.load(0, "base/a1");
+    desk.load(300, "base/a2");
+    desk.wish(600, "base/a3");
+    assert_eq!(desk.next(600), None);
+}
+
+/// An order without an answer may be carried out later; no other order goes
+/// out before the replica was looked at.
+#[test]
+fn order_without_answer_is_looked_after() {
+    let mut desk = Desk::new(&["base"], 3);
+    desk.wish(0, "base/a1");
+    let step = desk.next(0).unwrap();
+    desk.end(800, &step, OrderEnd::Unknown);
+    desk.wish(800, "base/a1");
+    assert_eq!(desk.next(800), None);
+    assert_eq!(desk.next(1_100), Some(Step::Look));
+}
+
+/// A restarted replica holds nothing: its model goes before any adapter.
+#[test]
+fn empty_replica_loads_its_model_first() {
+    let mut desk = Desk::new(&[], 0);
+    desk.wish(0, "base/a1");
+    let step = desk.next(0);
+    assert_eq!(step, load("base", 0));
+    desk.end(0, &step.unwrap(), OrderEnd::Accepted);
+    desk.wish(100, "base/a1");
+    assert_eq!(desk.next(100), None);
+    desk.end(900, &load("base", 1).unwrap(), OrderEnd::Holds);
+    desk.wish(900, "base/a1");
+    assert_eq!(desk.next(900), load("base/a1", 1));
+}
+
+#[test]
+fn new_version_replaces_the_old_one() {
+    let mut desk = Desk::new(&["base", "base/a1"], 0);
+    let news = Announced {
+        target: target("base/a1"),
+        version: 2,
+    };
+    assert!(desk.versions.announce(ms(0), &news));
+    let step = desk.next(0).unwrap();
+    let Step::Load {
+        target: t, version, ..
+    } = &step
+    else {
+        panic!("{step:?}");
+    };
+    assert_eq!((t.to_string().as_str(), *version), ("base/a1", Some(2)));
+    desk.end(0, &step, OrderEnd::Accepted);
+    desk.end(250, &step, OrderEnd::Holds);
+    assert_eq!(desk.next(251), None);
+    let held = desk.books.held(&desk.name).unwrap();
+    assert_eq!(held.here.get(&target("base/a1")), Some(&2));
+}
--- /dev/null
+++ b/lib/tests/test_serving_budget.rs
@@ -0,0 +1,83 @@
+//! How many requests may be sent again, and which are not sent at all.
+
+use banyangauge::ids::Fingerprint;
+use banyangauge::ids::ServiceName;
+use banyangauge::pool::Moment;
+use banyangauge::pool::Span;
+use banyangauge::serving::Budget;
+use banyangauge::serving::BudgetLimits;
+use banyangauge::serving::Strikes;
+use banyangauge::serving::decide::Ended;
+use banyangauge::serving::decide::Refusal;
+use banyangauge::serving::decide::Tries;
+use rstest::rstest;
+
+const LIMITS: BudgetLimits = BudgetLimits {
+    ratio: 0.2,
+    window_us: 10_000_000,
+    slack: 60.0,
+};
+
+fn at(ms: u64) -> Moment {
+    Moment(100_000_000).after(Span::from_millis(ms))
+}
+
+/// Every request of ten VMs fails for half a minute: in no window do all
+/// repeats together exceed what the limits allow.
+#[test]
+fn budget_holds_over_all_vms() {
+    let service: ServiceName = "llm".parse().unwrap();
+    let mut vms: Vec<_> = (0..10).map(|_| Budget::new(LIMITS)).collect();
+    let mut repeats = Vec::new();
+    for ms in (0..30_000).step_by(20) {
+        let vm = ms as usize / 20 % 10;
+        vms[vm].first(at(ms), &service);
+        for _ in 0..3 {
+            if vms[vm].spend(at(ms), &service, 10) {
+                repeats.push(ms);
+            }
+        }
+    }
+    let allowed = 0.2 * 500.0 + 60.0;
+    for end in (0..30_000).step_by(500) {
+        let window = repeats.iter().filter(|ms| **ms <= end && **ms + 10_000 > end);
+        let count = window.count() as f64;
+        assert!(count <= allowed, "{count} repeats in the window to {end} ms");
+    }
+    assert!(repeats.len() > 200);
+}
+
+#[rstest]
+#[case::not_sent(Ended::NotSent, 503)]
+#[case::broken(Ended::Broken, 502)]
+#[case::overdue(Ended::Overdue, 504)]
+fn refusal_tells_the_truth(#[case] ended: Ended, #[case] status: u16) {
+    let mut tries = Tries::default();
+    tries.note(ended);
+    assert_eq!(Refusal::after(&tries, ended).status, status);
+}
+
+/// It may have run in an earlier try, whatever the last one was refused for.
+#[test]
+fn refusal_after_a_run_promises_nothing() {
+    let mut tries = Tries::default();
+    tries.note(Ended::Broken);
+    tries.note(Ended::NotSent);
+    let refusal = Refusal::after(&tries, Ended::NotSent);
+    assert_eq!((refusal.status.as_u16(), refusal.retry_after), (502, None));
+}
+
+#[test]
+fn strikes_convict_what_crashes_three() {
+    let mut strikes = Strikes::default();
+    let request = Fingerprint(1);
+    for name in ["i-1", "i-2"] {
+        strikes.note(at(0), request, &name.parse().unwrap());
+    }
+    assert!(!strikes.convicted(at(0), request, |_| true));
+    strikes.note(at(0), request, &"i-3".parse().unwrap());
+    assert!(strikes.convicted(at(0), request, |_| true));
+    assert!(!strikes.convicted(at(0), request, |n| n.as_str() != "i-1"));
+    strikes.clear(request);
+    assert!(!strikes.convicted(at(0), request, |_| true));
+}
--- /dev/null
+++ b/lib/tests/test_serving_place.rs
@@ -0,0 +1,301 @@
+//! Where a request runs: affinity, load, failures, versions.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use banyangauge::ids::ModelName;
+use banyangauge::ids::ReplicaName;
+use banyangauge::ids::ServiceName;
+use banyangauge::ids::VmName;
+use banyangauge::pool::Moment;
+use banyangauge::pool::Span;
+use banyangauge::serving::Announced;
+use banyangauge::serving::Config;
+use banyangauge::serving::End;
+use banyangauge::serving::Engine;
+use banyangauge::serving::Fleet;
+use banyangauge::serving::Limits;
+use banyangauge::serving::Listing;
+use banyangauge::serving::Load;
+use banyangauge::serving::Place;
+use banyangauge::serving::Service;
+use banyangauge::serving::Target;
+use banyangauge::serving::Want;
+use rstest::rstest;
+
+/// A replica's entry that holds models and adapters in version 1.
+pub(crate) fn listing(name: &str, service: &str, zone: &str, held: &[&str]) -> Listing {
+    let held: Vec<Target> = held.iter().map(|t| Target::parse(t).unwrap()).collect();
+    let number = name.bytes().fold(0_u16, |n, b| n.wrapping_mul(31) + u16::from(b));
+    Listing {
+        name: name.parse().unwrap(),
+        service: service.parse().unwrap(),
+        address: ([127, 0, 0, 1], 1_024 + number % 40_000).into(),
+        zone: zone.parse().unwrap(),
+        slots: 8,
+        draining: false,
+        models: held.iter().map(|t| t.model.clone()).collect(),
+        adapters: held
+            .into_iter()
+            .filter(|t| t.adapter.is_some())
+            .map(|t| (t, 1))
+            .collect(),
+    }
+}
+
+fn at(ms: u64) -> Moment {
+    Moment(10_000_000).after(Span::from_millis(ms))
+}
+
+fn config() -> Config {
+    let engine = Engine {
+        slots: 8,
+        memory: 100_000,
+        adapters: 2,
+        stride: 1,
+        models: BTreeMap::from([(ModelName::new("base").unwrap(), 100)]),
+        loads: 1.0,
+    };
+    let service = |name: &str, engine: Option<Engine>| {
+        let name: ServiceName = name.parse().unwrap();
+        let service = Service {
+            name: name.clone(),
+            connections: 100,
+            engine,
+        };
+        (name, service)
+    };
+    Config {
+        version: 1,
+        routes: Vec::new(),
+        services: BTreeMap::from([service("llm", Some(engine)), service("app", None)]),
+        limits: Limits {
+            head: 1,
+            body: 1,
+            head_time: Duration::ZERO,
+            idle: Duration::ZERO,
+        },
+    }
+}
+
+struct Scene {
+    fleet: Fleet,
+    avoid: BTreeSet<ReplicaName>,
+    loadable: BTreeSet<ReplicaName>,
+}
+
+impl Scene {
+    fn new(listings: &[Listing]) -> Self {
+        let mut fleet = Fleet::new("z-a".parse().unwrap());
+        fleet.configure(&config());
+        let mut loadable = BTreeSet::new();
+        for l in listings {
+            fleet.list(l.clone());
+            loadable.insert(l.name.clone());
+        }
+        Self {
+            fleet,
+            avoid: BTreeSet::new(),
+            loadable,
+        }
+    }
+
+    fn place(&self, now: Moment, service: &str, target: Option<&str>) -> Place {
+        let service = service.parse().unwrap();
+        let target = target.map(|t| Target::parse(t).unwrap());
+        let want = Want {
+            service: &service,
+            target: target.as_ref(),
+            cost: COST,
+            body_kb: 1.0,
+            avoid: &self.avoid,
+        };
+        self.fleet.place(now, &want, |n| self.loadable.contains(n))
+    }
+
+    fn sent(&self, now: Moment, service: &str, target: Option<&str>) -> String {
+        match self.place(now, service, target) {
+            Place::Send { at, .. } => at.to_string(),
+            other => format!("{other:?}"),
+        }
+    }
+}
+
+const COST: Load = Load {
+    requests: 1,
+    tokens: 1_000,
+};
+
+#[test]
+fn request_goes_where_its_adapter_is() {
+    let a = listing("i-a", "llm", "z-a", &["base"]);
+    let b = listing("i-b", "llm", "z-b", &["base", "base/x"]);
+    let scene = Scene::new(&[a, b]);
+    assert_eq!(scene.sent(at(0), "llm", Some("base/x")), "i-b");
+}
+
+/// All VMs load an adapter at the same place, whichever replicas they see
+/// first, and hardly any adapter moves when a replica comes.
+#[test]
+fn adapter_has_one_home() {
+    let all: Vec<_> = (0..6)
+        .map(|n| listing(&format!("i-{n}"), "llm", "z-a", &["base"]))
+        .collect();
+    let reversed: Vec<_> = all.iter().rev().cloned().collect();
+    let (one, other, fewer) = (Scene::new(&all), Scene::new(&reversed), Scene::new(&all[..5]));
+    let mut moved = 0;
+    for n in 0..60 {
+        let adapter = format!("base/a{n}");
+        let home = one.place(at(0), "llm", Some(&adapter));
+        assert!(matches!(home, Place::Load { .. }));
+        assert_eq!(home, other.place(at(0), "llm", Some(&adapter)));
+        moved += usize::from(home != fewer.place(at(0), "llm", Some(&adapter)));
+    }
+    assert!(moved <= 20, "{moved} of 60 moved");
+}
+
+/// A replica whose owner cannot order, or that holds no model, is no home.
+#[rstest]
+#[case::no_owner(&["base"], false)]
+#[case::no_model(&[], true)]
+fn home_must_be_able_to_load(#[case] held: &[&str], #[case] loadable: bool) {
+    let a = listing("i-a", "llm", "z-a", held);
+    let b = listing("i-b", "llm", "z-a", &["base"]);
+    let mut scene = Scene::new(&[a.clone(), b]);
+    if !loadable {
+        scene.loadable.remove(&a.name);
+    }
+    for n in 0..20 {
+        let place = scene.place(at(0), "llm", Some(&format!("base/a{n}")));
+        let at = "i-b".parse().unwrap();
+        assert_eq!(place, Place::Load { at });
+    }
+}
+
+/// A burst within one beacon: what this VM has sent itself counts at once.
+#[test]
+fn burst_spreads_by_own_count() {
+    let held: Vec<_> = ["i-a", "i-b", "i-c"]
+        .iter()
+        .map(|n| listing(n, "app", "z-a", &[]))
+        .collect();
+    let mut scene = Scene::new(&held);
+    let mut counts = BTreeMap::<String, u32>::new();
+    for _ in 0..12 {
+        let name = scene.sent(at(0), "app", None);
+        scene.fleet.begin(&name.parse().unwrap(), COST);
+        *counts.entry(name).or_default() += 1;
+    }
+    assert!(counts.values().all(|n| *n == 4), "{counts:?}");
+}
+
+#[test]
+fn peers_counts_are_seen_and_lapse() {
+    let a = listing("i-a", "app", "z-a", &[]);
+    let b = listing("i-b", "app", "z-a", &[]);
+    let mut scene = Scene::new(&[a, b]);
+    let vm: VmName = "vm-2".parse().unwrap();
+    let load = Load {
+        requests: 5,
+        tokens: 0,
+    };
+    let counts = BTreeMap::from([("i-a".parse().unwrap(), load)]);
+    scene.fleet.hear_counts(at(0), &vm, &counts);
+    assert_eq!(scene.sent(at(100), "app", None), "i-b");
+    assert_eq!(scene.sent(at(5_000), "app", None), "i-a");
+}
+
+/// Saturation: full replicas get nothing that would only wait there.
+#[test]
+fn full_replicas_are_full() {
+    let a = listing("i-a", "app", "z-a", &[]);
+    let mut scene = Scene::new(&[a]);
+    for _ in 0..16 {
+        assert_eq!(scene.sent(at(0), "app", None), "i-a");
+        scene.fleet.begin(&"i-a".parse().unwrap(), COST);
+    }
+    assert_eq!(scene.place(at(0), "app", None), Place::Full);
+}
+
+#[test]
+fn memory_limits_an_engine() {
+    let a = listing("i-a", "llm", "z-a", &["base"]);
+    let mut scene = Scene::new(&[a]);
+    let large = Load {
+        requests: 1,
+        tokens: 89_500,
+    };
+    scene.fleet.begin(&"i-a".parse().unwrap(), large);
+    assert_eq!(scene.place(at(0), "llm", Some("base")), Place::Full);
+}
+
+/// A crashed replica refuses at once and would seem the least loaded.
+#[rstest]
+#[case::unreached(End::Unreached)]
+#[case::broken(End::Broken)]
+#[case::gone(End::Gone)]
+fn failing_replica_is_left_alone(#[case] end: End) {
+    let a = listing("i-a", "app", "z-a", &[]);
+    let b = listing("i-b", "app", "z-b", &[]);
+    let mut scene = Scene::new(&[a, b]);
+    let name: ReplicaName = "i-a".parse().unwrap();
+    assert_eq!(scene.sent(at(0), "app", None), "i-a");
+    scene.fleet.learn(at(0), &name, end);
+    assert_eq!(scene.sent(at(100), "app", None), "i-b");
+}
+
+/// After its pause one request at a time tries it.
+#[test]
+fn failed_replica_is_tried_by_one() {
+    let a = listing("i-a", "app", "z-a", &[]);
+    let b = listing("i-b", "app", "z-b", &[]);
+    let mut scene = Scene::new(&[a, b]);
+    let name: ReplicaName = "i-a".parse().unwrap();
+    scene.fleet.learn(at(0), &name, End::Unreached);
+    assert_eq!(scene.sent(at(5_000), "app", None), "i-a");
+    scene.fleet.begin(&name, COST);
+    assert_eq!(scene.sent(at(5_000), "app", None), "i-b");
+    scene.fleet.learn(at(5_010), &name, End::Answered);
+    scene.fleet.end(&name, COST);
+    assert_eq!(scene.sent(at(5_010), "app", None), "i-a");
+}
+
+/// A replica that takes requests and says nothing more to anybody.
+#[test]
+fn dark_replica_is_left_alone() {
+    let a = listing("i-a", "app", "z-a", &[]);
+    let b = listing("i-b", "app", "z-b", &[]);
+    let mut scene = Scene::new(&[a, b]);
+    scene.fleet.await_first(at(0), &"i-a".parse().unwrap(), 1);
+    assert_eq!(scene.sent(at(1_000), "app", None), "i-a");
+    assert_eq!(scene.sent(at(1_700), "app", None), "i-b");
+}
+
+#[test]
+fn old_version_serves_until_the_new_one_can_have_come() {
+    let a = listing("i-a", "llm", "z-a", &["base", "base/x"]);
+    let mut scene = Scene::new(&[a]);
+    let news = Announced {
+        target: Target::parse("base/x").unwrap(),
+        version: 2,
+    };
+    scene.fleet.versions.announce(at(0), &news);
+    assert_eq!(scene.sent(at(1_000), "llm", Some("base/x")), "i-a");
+    assert_eq!(scene.fleet.versions.required(at(1_000), &news.target), None);
+    assert_ne!(scene.sent(at(3_000), "llm", Some("base/x")), "i-a");
+    assert_eq!(scene.fleet.versions.required(at(3_000), &news.target), Some(2));
+}
+
+/// Entries that lapsed while the store was away may come back for two seconds.
+#[rstest]
+#[case::after_outage(true, 1_000, true)]
+#[case::too_late(true, 2_100, false)]
+#[case::without_outage(false, 0, false)]
+fn missing_replica_is_kept(#[case] outage: bool, #[case] ms: u64, #[case] kept: bool) {
+    let a = listing("i-a", "app", "z-a", &[]);
+    let mut scene = Scene::new(&[a]);
+    scene.fleet.relist(at(0), Vec::new(), outage);
+    scene.fleet.drop_lapsed(at(ms));
+    assert_eq!(scene.sent(at(ms), "app", None) == "i-a", kept);
+}
--- /dev/null
+++ b/lib/tests/test_serving_table.rs
@@ -0,0 +1,125 @@
+//! Who owns which replica, and from when.
+
+use std::collections::BTreeSet;
+
+use banyangauge::ids::Incarnation;
+use banyangauge::ids::ReplicaName;
+use banyangauge::ids::VmName;
+use banyangauge::pool::Moment;
+use banyangauge::pool::Span;
+use banyangauge::serving::Members;
+use banyangauge::serving::Ownership;
+use banyangauge::serving::Table;
+use rstest::rstest;
+
+const LEASE: Span = Span::from_millis(3_000);
+
+fn at(ms: u64) -> Moment {
+    Moment(10_000_000).after(Span::from_millis(ms))
+}
+
+fn vms(names: &[&str]) -> BTreeSet<VmName> {
+    names.iter().map(|n| n.parse().unwrap()).collect()
+}
+
+fn replicas(names: &[&str]) -> BTreeSet<ReplicaName> {
+    names.iter().map(|n| n.parse().unwrap()).collect()
+}
+
+#[test]
+fn table_spreads_and_keeps() {
+    let first = Table::default()
+        .repaired(&vms(&["a", "b"]), &replicas(&["1", "2", "3", "4"]))
+        .unwrap();
+    let count = |vm: &str| first.owners.values().filter(|o| o.vm.as_str() == vm).count();
+    assert_eq!((count("a"), count("b")), (2, 2));
+    assert_eq!(first.repaired(&vms(&["a", "b"]), &replicas(&["1", "2", "3", "4"])), None);
+    let lost = first.repaired(&vms(&["b"]), &replicas(&["1", "2", "3", "4"])).unwrap();
+    for (name, owner) in &lost.owners {
+        let old = &first.owners[name];
+        assert_eq!(owner.vm.as_str(), "b");
+        let kept = old.vm.as_str() == "b";
+        assert_eq!(owner.token == old.token, kept, "a change of owner takes a new token");
+        assert_eq!(owner.inherited, !kept);
+    }
+}
+
+/// The one before may not have heard of its loss yet.
+#[test]
+fn new_owner_waits_out_the_lease() {
+    let first = Table::default().repaired(&vms(&["a"]), &replicas(&["1"])).unwrap();
+    let second = first.repaired(&vms(&["b"]), &replicas(&["1"])).unwrap();
+    let name: ReplicaName = "1".parse().unwrap();
+    let mut a = Ownership::new("a".parse().unwrap(), LEASE);
+    let mut b = Ownership::new("b".parse().unwrap(), LEASE);
+    assert!(a.take(at(0), first, 1));
+    assert!(a.token(at(0), &name).is_some(), "a new replica needs no wait");
+    assert!(a.take(at(10), second.clone(), 2));
+    assert!(b.take(at(10), second, 2));
+    assert_eq!(a.token(at(10), &name), None);
+    assert_eq!(b.token(at(3_010), &name), None);
+    assert!(b.token(at(5_000), &name).is_some());
+}
+
+#[test]
+fn refused_token_is_used_no_more() {
+    let table = Table::default().repaired(&vms(&["a"]), &replicas(&["1"])).unwrap();
+    let name: ReplicaName = "1".parse().unwrap();
+    let mut a = Ownership::new("a".parse().unwrap(), LEASE);
+    a.take(at(0), table, 1);
+    let token = a.token(at(0), &name).unwrap();
+    a.refused(&name, token);
+    assert_eq!(a.token(at(9_000), &name), None);
+}
+
+/// A VM that was suspended may have lost what it owned.
+#[test]
+fn suspended_owner_orders_nothing() {
+    let table = Table::default().repaired(&vms(&["a"]), &replicas(&["1"])).unwrap();
+    let name: ReplicaName = "1".parse().unwrap();
+    let mut a = Ownership::new("a".parse().unwrap(), LEASE);
+    a.take(at(0), table.clone(), 1);
+    a.suspend();
+    assert_eq!(a.token(at(1), &name), None);
+    a.take(at(2), table, 1);
+    assert!(a.token(at(2), &name).is_some());
+}
+
+#[test]
+fn older_table_is_dropped() {
+    let first = Table::default().repaired(&vms(&["a"]), &replicas(&["1"])).unwrap();
+    let second = first.repaired(&vms(&["b"]), &replicas(&["1"])).unwrap();
+    let mut a = Ownership::new("a".parse().unwrap(), LEASE);
+    assert!(a.take(at(0), second, 2));
+    assert!(!a.take(at(1), first, 1));
+}
+
+/// The first live VM repairs at once, the next one a step later.
+#[rstest]
+#[case::first("a", 0, true)]
+#[case::second("b", 0, false)]
+#[case::second_later("b", 1_300, true)]
+fn proposers_take_turns(#[case] vm: &str, #[case] ms: u64, #[case] proposes: bool) {
+    let mut o = Ownership::new(vm.parse().unwrap(), LEASE);
+    let (live, all) = (vms(&["a", "b"]), replicas(&["1"]));
+    let now = o.proposal(at(0), &live, &all);
+    let later = o.proposal(at(ms), &live, &all);
+    assert_eq!(now.or(later).is_some(), proposes);
+}
+
+#[test]
+fn members_by_beacons() {
+    let mut m = Members::new("a".parse().unwrap(), at(0));
+    let b: VmName = "b".parse().unwrap();
+    m.list(b.clone(), ([127, 0, 0, 1], 1).into());
+    assert!(!m.may_judge(at(100)), "it has heard nobody yet");
+    assert!(m.hear(at(100), &b, (Incarnation(1), 1), false));
+    assert!(!m.hear(at(101), &b, (Incarnation(1), 1), false), "a beacon that came twice");
+    assert!(m.may_judge(at(200)));
+    assert_eq!(m.live(at(200)).len(), 2);
+    assert_eq!(m.live(at(2_200)).len(), 1);
+    assert!(!m.may_judge(at(2_200)), "cut off, it judges nobody");
+    assert!(m.may_judge(at(7_000)));
+    assert!(m.hear(at(7_000), &b, (Incarnation(2), 1), true));
+    assert!(!m.lives(at(7_000), &b), "a stopping VM gives up what it owns");
+}
