--- a/lib/src/serving/serve.rs
+++ b/lib/src/serving/serve.rs
@@ -416,6 +416,7 @@
     let load_limit = began.after(Span(left.0 / WAIT_PART));
     let full_limit = began.after(span(asked.route.objective / 4)).min(load_limit);
     let mut wished: Option<Moment> = None;
+    let mut why = "";
     loop {
         let at = now();
         let changed = node.changed.notified();
@@ -425,6 +426,11 @@
                 if let (Some(copy), Some(target)) = (copy, &held.target) {
                     peers::wish(node, &copy, target).await;
                 }
+                let waited = now().since(began).as_millis();
+                if waited > 0 {
+                    slog::info!(node.log, "placed"; "id" => &held.id, "replica" => at.as_str(),
+                        "waited_ms" => waited, "why" => why);
+                }
                 return Ok(at);
             }
             Place::Load { at: replica } | Place::Coming { at: replica } => {
@@ -441,6 +447,7 @@
         if at >= limit {
             return Err(refusal);
         }
+        why = refusal.reason;
         let wait = Duration::from_micros(limit.since(at).0).min(WISH_AGAIN);
         // Whether news or the time wakes us, the place is looked for anew.
         tokio::time::timeout(wait, changed).await.ok();
