--- a/lib/src/serving/fleet/mod.rs
+++ b/lib/src/serving/fleet/mod.rs
@@ -6,11 +6,9 @@
 //! | module | decides |
 //! |---|---|
 //! | `place` | where a request runs, or where its adapter is loaded |
-//! | `apart` | whether long prompts are kept away from short streams |
 //! | `health` | what ends and silences of runs mean |
 //! | `versions` | which version of an adapter a run may begin on |
 
-mod apart;
 mod health;
 mod place;
 mod versions;
@@ -18,7 +16,6 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
-pub use apart::Apart;
 pub use health::End;
 pub use place::Place;
 pub use place::Want;
@@ -154,8 +151,6 @@
     word_kept: Span,
     /// What was announced of adapters.
     pub versions: Versions,
-    /// Whether long prompts are kept apart.
-    pub apart: Apart,
 }
 
 impl Fleet {
@@ -167,7 +162,6 @@
             replicas: BTreeMap::new(),
             word_kept: WORD_KEPT,
             versions: Versions::default(),
-            apart: Apart::default(),
         }
     }
 
--- a/lib/src/serving/fleet/place.rs
+++ b/lib/src/serving/fleet/place.rs
@@ -4,7 +4,6 @@
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use super::Apart;
 use super::Fleet;
 use super::Load;
 use super::Replica;
@@ -107,50 +106,13 @@
         want: &Want<'_>,
         loadable: impl Fn(&ReplicaName) -> bool,
     ) -> Place {
+        let mut service = self.replicas.iter();
         let member = |r: &Replica| r.listing.service == *want.service && r.usable();
-        let members: Vec<_> = self.replicas.iter().filter(|(_, r)| member(r)).collect();
+        let members: Vec<_> = service.by_ref().filter(|(_, r)| member(r)).collect();
         let open = |name: &ReplicaName, r: &Replica| {
             !want.avoid.contains(name) && r.health.open(now, r.own.requests)
         };
-        let is_open = |(n, r): &(&ReplicaName, &Replica)| open(n, r);
-        if let Some(own) = self.own_group(now, want, &members) {
-            let own: Vec<_> = own.into_iter().filter(is_open).collect();
-            let place = self.place_among(now, want, &own, &loadable);
-            if !matches!(place, Place::Full | Place::Nowhere) {
-                return place;
-            }
-        }
-        let all: Vec<_> = members.into_iter().filter(is_open).collect();
-        self.place_among(now, want, &all, &loadable)
-    }
-
-    /// The replicas for prompts like this one, where long and short ones are
-    /// kept apart. All VMs divide them alike, but for what they know of demand.
-    fn own_group<'a>(
-        &self,
-        now: Moment,
-        want: &Want<'_>,
-        members: &[(&'a ReplicaName, &'a Replica)],
-    ) -> Option<Vec<(&'a ReplicaName, &'a Replica)>> {
-        want.target?;
-        let short = self.apart.short_replicas(now, members.len())?;
-        let mut ordered = members.to_vec();
-        ordered.sort_by_key(|(_, r)| address_hash(&r.listing));
-        let long = ordered.split_off(short);
-        Some(match Apart::is_long(want.cost.unread) {
-            true => long,
-            false => ordered,
-        })
-    }
-
-    /// Where a request runs, of these replicas.
-    fn place_among(
-        &self,
-        now: Moment,
-        want: &Want<'_>,
-        open: &[(&ReplicaName, &Replica)],
-        loadable: &impl Fn(&ReplicaName) -> bool,
-    ) -> Place {
+        let open: Vec<_> = members.iter().filter(|(n, r)| open(n, r)).collect();
         if open.is_empty() {
             return Place::Nowhere;
         }
@@ -269,13 +231,10 @@
     xxh3_64_with_seed(address.as_bytes(), shared.key)
 }
 
-fn address_hash(listing: &Listing) -> u64 {
-    xxh3_64_with_seed(listing.address.to_string().as_bytes(), 0)
-}
-
 /// The rank of a replica for an adapter. The address stands for the replica:
 /// after a restart there it still has the adapter's weights on its disk.
 fn rank(target: &Target, listing: &Listing) -> u64 {
     let adapter = target.adapter.as_ref().map_or("", |a| a.as_str());
-    xxh3_64_with_seed(adapter.as_bytes(), address_hash(listing))
+    let seed = xxh3_64_with_seed(listing.address.to_string().as_bytes(), 0);
+    xxh3_64_with_seed(adapter.as_bytes(), seed)
 }
--- a/lib/src/serving/peers.rs
+++ b/lib/src/serving/peers.rs
@@ -91,7 +91,6 @@
     b.books.take_changed();
     let mut told = beacon(node, number);
     told.complete = true;
-    told.apart_ms = b.fleet.apart.left(now).as_millis();
     told.books = books(b, now, &names);
     let uses = b.take_uses();
     use_own(b, now, &node.settings.vm, &uses);
@@ -221,9 +220,6 @@
                 "told_by" => vm.as_str());
         }
     }
-    if beacon.apart_ms > 0 {
-        b.fleet.apart.told(now, Span::from_millis(beacon.apart_ms));
-    }
     for note in &beacon.strikes {
         if let Ok(replica) = note.replica.parse::<ReplicaName>() {
             b.strikes.note(now, Fingerprint(note.fingerprint), &replica);
--- a/lib/src/serving/serve.rs
+++ b/lib/src/serving/serve.rs
@@ -48,7 +48,6 @@
 use super::pass::AnswerBody;
 use super::pass::Events;
 use super::pass::Passing;
-use super::pass::Timing;
 use super::pass::passing;
 use super::pass::whole;
 use super::peers;
@@ -155,7 +154,7 @@
         limit,
     };
     check_convicted(node, &held)?;
-    run(node, Rc::new(asked), held, arrived, open).await
+    run(node, Rc::new(asked), held, open).await
 }
 
 /// The route of a request and the service that it goes to.
@@ -239,7 +238,6 @@
     node: &Rc<Node>,
     asked: Rc<Asked>,
     held: Held,
-    arrived: Moment,
     open: Open,
 ) -> Result<Response<AnswerBody>, Refusal> {
     let mut tries = Tries {
@@ -248,13 +246,7 @@
         ..Tries::default()
     };
     let mut avoid = BTreeSet::new();
-    {
-        let mut b = node.beliefs();
-        b.budget.first(now(), &asked.service);
-        if held.target.is_some() {
-            b.fleet.apart.arrived(now(), held.cost.unread);
-        }
-    }
+    node.beliefs().budget.first(now(), &asked.service);
     let mut begun = first(node, &asked, &held, &mut tries, &mut avoid).await?;
     let mut ahead = VecDeque::new();
     let stream = asked.route.kind == Kind::Stream;
@@ -306,7 +298,6 @@
         tries,
         avoid,
         events,
-        timing: Timing::new(arrived),
         _open: open,
     });
     Ok(response.map(|()| body))
