table, stop: keep owners over planned restarts, refuse what waits at a stop

Changes: a VM that was stopped as planned keeps its replicas for 6 s and orders until it ends; an owner notes that its wait is over; at a stop a request waits half a second at most.

--- a/lib/src/serving/books.rs
+++ b/lib/src/serving/books.rs
@@ -235,7 +235,9 @@
         };
         let entry = book.use_of(target);
         if begun > 0 || running > 0 {
-            entry.demand.count(now, DEMAND_HALF, f64::from(begun) + 0.01);
+            entry
+                .demand
+                .count(now, DEMAND_HALF, f64::from(begun) + 0.01);
         }
         entry.running.insert(vm.clone(), (now, running));
     }
@@ -340,11 +342,18 @@
     }
 
     /// An order ended; gives how long an adapter took to load, if one came.
-    pub fn ended(&mut self, now: Moment, name: &ReplicaName, step: &Step, end: OrderEnd) -> Option<Span> {
+    pub fn ended(
+        &mut self,
+        now: Moment,
+        name: &ReplicaName,
+        step: &Step,
+        end: OrderEnd,
+    ) -> Option<Span> {
         let time = self.pace.expected();
         let book = self.books.get_mut(name)?;
         book.busy = false;
-        let fetched = matches!(step, Step::Load { target, .. } if book.is_near(target) == Some(false));
+        let fetched =
+            matches!(step, Step::Load { target, .. } if book.is_near(target) == Some(false));
         let took = book.ended(now, step, end, time);
         if let Some(took) = took.filter(|_| fetched) {
             self.pace.learn(took, self.under_way);
@@ -411,7 +420,10 @@
 
     /// Whether a load that is not under way yet takes from the weight store.
     fn is_fetch(&self, target: &Target) -> bool {
-        let new = self.slots.get(target).is_none_or(|s| s.phase == Phase::Here);
+        let new = self
+            .slots
+            .get(target)
+            .is_none_or(|s| s.phase == Phase::Here);
         new && self.is_near(target) == Some(false)
     }
 
@@ -429,7 +441,8 @@
         let Some(expected) = self.accepted else {
             return (now >= self.look_from).then_some(Step::Look);
         };
-        self.wishes.retain(|_, (_, renewed)| now.since(*renewed) < WISH_KEPT);
+        self.wishes
+            .retain(|_, (_, renewed)| now.since(*renewed) < WISH_KEPT);
         if self.lost(now) {
             self.accepted = None;
             return Some(Step::Look);
@@ -459,7 +472,10 @@
             return Some(load(target));
         }
         // One that is leaving makes room soon; a second need not go.
-        let leaving = self.slots.values().filter(|s| matches!(s.phase, Phase::Leaving(_)));
+        let leaving = self
+            .slots
+            .values()
+            .filter(|s| matches!(s.phase, Phase::Leaving(_)));
         if leaving.count() >= self.wishes.len() {
             return None;
         }
@@ -469,7 +485,8 @@
 
     /// Whether a load was accepted so long ago that it has failed.
     fn lost(&self, now: Moment) -> bool {
-        let over = |s: &Slot| matches!(s.phase, Phase::Coming(since, _) if now.since(since) > LOAD_LOST);
+        let over =
+            |s: &Slot| matches!(s.phase, Phase::Coming(since, _) if now.since(since) > LOAD_LOST);
         self.slots.values().any(over)
     }
 
@@ -514,7 +531,8 @@
     fn victim(&self, now: Moment) -> Option<Target> {
         let here = self.adapters_here();
         let idle = here.filter(|(t, _)| !self.wishes.contains_key(*t) && self.idle(now, t));
-        let least = idle.min_by_key(|(t, _)| self.uses.get(*t).map_or(i64::MIN, |u| u.demand.key(1)));
+        let least =
+            idle.min_by_key(|(t, _)| self.uses.get(*t).map_or(i64::MIN, |u| u.demand.key(1)));
         least.map(|(t, _)| t.clone())
     }
 
@@ -523,7 +541,8 @@
             return true;
         };
         let running = uses.running.values();
-        let mut running = running.filter(|(heard, n)| *n > 0 && now.since(*heard) < Span::from_millis(2_000));
+        let mut running =
+            running.filter(|(heard, n)| *n > 0 && now.since(*heard) < Span::from_millis(2_000));
         running.next().is_none() && now.since(uses.demand.last) >= USED_KEPT
     }
 
--- a/lib/src/serving/fleet/place.rs
+++ b/lib/src/serving/fleet/place.rs
@@ -130,14 +130,18 @@
         let holders: Vec<_> = holders.collect();
         let mut fit = holders.iter().filter(|(_, r)| self.has_room(now, want, r));
         let kept = want.shared.and_then(|shared| {
-            let first = holders.iter().max_by_key(|(_, r)| prefix_rank(shared, &r.listing));
+            let first = holders
+                .iter()
+                .max_by_key(|(_, r)| prefix_rank(shared, &r.listing));
             first.map(|(name, _)| (*name, f64::from(shared.tokens) / READ_A_MS))
         });
         let saved = |n: &ReplicaName| match kept {
             Some((name, saved)) if name == n => saved,
             _ => 0.0,
         };
-        let fit = fit.by_ref().map(|(n, r)| (score(r) - saved(n), score(r), (*n).clone()));
+        let fit = fit
+            .by_ref()
+            .map(|(n, r)| (score(r) - saved(n), score(r), (*n).clone()));
         let fit = fit.min_by(|a, b| a.0.total_cmp(&b.0));
         let fit = fit.map(|(_, score, name)| (score, name));
         if target.adapter.is_none() {
@@ -179,7 +183,9 @@
     ) -> Option<ReplicaName> {
         let least = list.iter().map(|(_, r)| score(r));
         let least = least.min_by(f64::total_cmp)?;
-        let fit = list.iter().filter(|(_, r)| score(r) <= least + COPY_ABOVE_MS);
+        let fit = list
+            .iter()
+            .filter(|(_, r)| score(r) <= least + COPY_ABOVE_MS);
         let first = fit.max_by_key(|(_, r)| rank(target, &r.listing));
         first.map(|(name, _)| (*name).clone())
     }
--- a/lib/src/serving/forward.rs
+++ b/lib/src/serving/forward.rs
@@ -197,7 +197,10 @@
 
 /// Notes that an upstream broke while it ran this request.
 pub(super) fn strike(node: &Node, held: &Held, replica: &ReplicaName) {
-    let news = node.beliefs().strikes.note(now(), held.fingerprint, replica);
+    let news = node
+        .beliefs()
+        .strikes
+        .note(now(), held.fingerprint, replica);
     if news {
         node.news.notify_one();
     }
@@ -245,7 +248,12 @@
     for name in [CONNECTION, TE, TRAILER, TRANSFER_ENCODING, UPGRADE] {
         headers.remove(name);
     }
-    for name in ["keep-alive", "proxy-connection", "proxy-authenticate", "proxy-authorization"] {
+    for name in [
+        "keep-alive",
+        "proxy-connection",
+        "proxy-authenticate",
+        "proxy-authorization",
+    ] {
         headers.remove(name);
     }
 }
--- a/lib/src/serving/members.rs
+++ b/lib/src/serving/members.rs
@@ -21,6 +21,10 @@
 /// make it so.
 const MISSED: u64 = 5;
 
+/// How long a VM that was stopped as planned keeps what it owns: it is usually
+/// back before others could order in its place.
+const STOPPED_KEPT: Span = Span::from_millis(6_000);
+
 /// How long a VM that hears nobody waits until it takes itself for the only
 /// one: a VM that is cut off must not take what the others own.
 const ALONE_AFTER: Span = Span::from_millis(6_000);
@@ -63,7 +67,6 @@
     /// A VM's entry was removed.
     pub fn unlist(&mut self, vm: &VmName) {
         self.addresses.remove(vm);
-        self.heard.remove(vm);
     }
 
     /// A beacon came; gives whether it is newer than the last one, and whether
@@ -106,7 +109,7 @@
             return true;
         }
         let heard = self.heard.get(vm);
-        heard.is_some_and(|h| !h.stopping && now.since(h.at) < self.lost_after())
+        heard.is_some_and(|h| now.since(h.at) < self.lost_after())
     }
 
     /// The pause between two beacons of a VM.
@@ -119,10 +122,16 @@
         Span(self.beat().0 * MISSED)
     }
 
-    /// The VMs that live.
+    /// The VMs that keep what they own: those that live, and those that were
+    /// stopped as planned a short while ago.
     pub fn live(&self, now: Moment) -> BTreeSet<VmName> {
-        let others = self.heard.keys().filter(|vm| self.lives(now, vm));
-        others.cloned().chain([self.own.clone()]).collect()
+        let keeps = |h: &Heard| match h.stopping {
+            true => now.since(h.at) < STOPPED_KEPT,
+            false => now.since(h.at) < self.lost_after(),
+        };
+        let others = self.heard.iter().filter(|(_, h)| keeps(h));
+        let others = others.map(|(vm, _)| vm.clone());
+        others.chain([self.own.clone()]).collect()
     }
 
     /// Whether this VM may judge who is lost: it hears somebody, or has been
@@ -130,7 +139,9 @@
     pub fn may_judge(&self, now: Moment) -> bool {
         let last = self.heard.values().map(|h| h.at).max();
         let quiet = now.since(last.unwrap_or(self.since).max(self.since));
-        self.addresses.is_empty() || quiet < self.lost_after() && last.is_some() || quiet >= ALONE_AFTER
+        self.addresses.is_empty()
+            || quiet < self.lost_after() && last.is_some()
+            || quiet >= ALONE_AFTER
     }
 
     /// How many VMs share the retry budget: those listed or heard.
--- a/lib/src/serving/ordering.rs
+++ b/lib/src/serving/ordering.rs
@@ -63,7 +63,9 @@
         let wait = wake.map_or(TICK, |w| until(w).min(TICK));
         // Woken by news or by time, the books are asked anew.
         let wait = wait.max(Duration::from_millis(5));
-        tokio::time::timeout(wait, node.orders.notified()).await.ok();
+        tokio::time::timeout(wait, node.orders.notified())
+            .await
+            .ok();
     }
 }
 
--- a/lib/src/serving/pass.rs
+++ b/lib/src/serving/pass.rs
@@ -189,7 +189,10 @@
         let Some(events) = &mut self.events else {
             return Ok(bytes);
         };
-        let whole = events.scanner.push(bytes).map_err(|_| "an event is too long")?;
+        let whole = events
+            .scanner
+            .push(bytes)
+            .map_err(|_| "an event is too long")?;
         events.check(&whole)?;
         Ok(whole)
     }
@@ -283,7 +286,9 @@
             let Some(id) = line.strip_prefix(b"id:") else {
                 continue;
             };
-            let id = std::str::from_utf8(id).ok().and_then(|t| t.trim().parse().ok());
+            let id = std::str::from_utf8(id)
+                .ok()
+                .and_then(|t| t.trim().parse().ok());
             let id: u64 = id.ok_or("an event has no number")?;
             if self.last.is_some_and(|last| id != last + 1) {
                 return Err("an event is missing");
--- a/lib/src/serving/peers.rs
+++ b/lib/src/serving/peers.rs
@@ -46,7 +46,10 @@
         };
         send_all(&node, beacon, &addresses).await;
         let next = tokio::time::Instant::now() + beat;
-        while tokio::time::timeout_at(next, node.news.notified()).await.is_ok() {
+        while tokio::time::timeout_at(next, node.news.notified())
+            .await
+            .is_ok()
+        {
             number += 1;
             let (beacon, addresses) = {
                 let mut b = node.beliefs();
@@ -140,11 +143,13 @@
         };
         let here = held.here.iter().map(|(t, v)| (t, *v, false));
         let coming = held.coming.iter().map(|t| (t, 0, true));
-        let slots = here.chain(coming).map(|(t, version, coming)| wire::AdapterSlot {
-            target: t.to_string(),
-            version,
-            coming,
-        });
+        let slots = here
+            .chain(coming)
+            .map(|(t, version, coming)| wire::AdapterSlot {
+                target: t.to_string(),
+                version,
+                coming,
+            });
         told.push(wire::ReplicaBook {
             replica: name.to_string(),
             token: token.0,
--- a/lib/src/serving/program.rs
+++ b/lib/src/serving/program.rs
@@ -171,7 +171,10 @@
             tokio::time::sleep(END_POLL).await;
         }
         let name = vm_name(node);
-        let removed = limited(END_TIME / 2, (node.store.delete)(node.border.kinds.own, &name));
+        let removed = limited(
+            END_TIME / 2,
+            (node.store.delete)(node.border.kinds.own, &name),
+        );
         if let Err(e) = removed.await {
             slog::info!(node.log, "entry not removed"; "error" => %e);
         }
--- a/lib/src/serving/reading.rs
+++ b/lib/src/serving/reading.rs
@@ -122,7 +122,9 @@
         }
         let wait = wake.map_or(IDLE, |w| until(w).max(Duration::from_millis(1)));
         // Woken by news or by time, the turns are looked through anew.
-        tokio::time::timeout(wait, node.turn_news.notified()).await.ok();
+        tokio::time::timeout(wait, node.turn_news.notified())
+            .await
+            .ok();
     }
 }
 
--- a/lib/src/serving/serve.rs
+++ b/lib/src/serving/serve.rs
@@ -73,6 +73,10 @@
 /// later than that it is refused while its caller can still go elsewhere.
 const WAIT_PART: u64 = 3;
 
+/// How long a request waits for a place while the process stops: it must have
+/// its answer before the process ends.
+const STOPPING_WAIT: Duration = Duration::from_millis(500);
+
 /// When those may come back who found all replicas full: about the time in
 /// which a short run ends.
 const FULL_COME_BACK: Duration = Duration::from_millis(300);
@@ -259,7 +263,15 @@
                 tries.note(Ended::Failed);
                 let pieces = std::mem::take(&mut ahead);
                 avoid.insert(begun.run.replica.clone());
-                let next = again(node, &asked, &held, &mut tries, &mut avoid, Ended::Failed, None);
+                let next = again(
+                    node,
+                    &asked,
+                    &held,
+                    &mut tries,
+                    &mut avoid,
+                    Ended::Failed,
+                    None,
+                );
                 match next.await {
                     Ok(next) => begun = next,
                     // The replica's own failure is the answer.
@@ -421,6 +433,7 @@
     let load_limit = began.after(Span(left.0 / WAIT_PART));
     let full_limit = began.after(span(asked.route.objective / 4)).min(load_limit);
     let mut wished: Option<Moment> = None;
+    let mut stop_limit: Option<Moment> = None;
     let mut why = "";
     loop {
         let at = now();
@@ -444,11 +457,22 @@
                     wished = Some(at);
                     peers::wish(node, &replica, target).await;
                 }
-                (load_limit, Refusal::not_run("not_loaded_in_time", COME_BACK))
+                (
+                    load_limit,
+                    Refusal::not_run("not_loaded_in_time", COME_BACK),
+                )
             }
-            Place::Full => (full_limit, Refusal::not_run("replicas_full", FULL_COME_BACK)),
+            Place::Full => (
+                full_limit,
+                Refusal::not_run("replicas_full", FULL_COME_BACK),
+            ),
             Place::Nowhere => (full_limit, Refusal::not_run("no_replica", COME_BACK)),
         };
+        let stopping = node.phase() != Phase::Serving;
+        let limit = match stopping {
+            true => limit.min(*stop_limit.get_or_insert(at.after(span(STOPPING_WAIT)))),
+            false => limit,
+        };
         if at >= limit {
             return Err(refusal);
         }
--- a/lib/src/serving/server.rs
+++ b/lib/src/serving/server.rs
@@ -120,7 +120,10 @@
             });
             // The balancer asks again on another connection.
             let server = http1::Builder::new();
-            server.serve_connection(TokioIo::new(stream), service).await.ok();
+            server
+                .serve_connection(TokioIo::new(stream), service)
+                .await
+                .ok();
         });
     }
 }
--- a/lib/src/serving/strikes.rs
+++ b/lib/src/serving/strikes.rs
@@ -55,7 +55,9 @@
         let Some(strikes) = self.known.get(&request) else {
             return false;
         };
-        let recent = strikes.iter().filter(|(_, at)| now.since(**at) < STRIKE_KEPT);
+        let recent = strikes
+            .iter()
+            .filter(|(_, at)| now.since(**at) < STRIKE_KEPT);
         recent.filter(|(name, _)| down(name)).count() >= MOST_CRASHES
     }
 
--- a/lib/src/serving/table.rs
+++ b/lib/src/serving/table.rs
@@ -27,7 +27,9 @@
     pub vm: VmName,
     /// The fencing token of this ownership.
     pub token: Token,
-    /// Whether another VM owned the replica before.
+    /// Whether another VM owned the replica before and may not know yet that
+    /// it lost it. The owner clears this once it has waited, so that it need
+    /// not wait again when it is restarted.
     pub inherited: bool,
 }
 
@@ -44,7 +46,11 @@
     /// The table after replicas came and went and VMs were lost; `None` if
     /// nothing is to change. Replicas of live owners stay where they are: each
     /// change of owner stops loads there for a lease.
-    pub fn repaired(&self, live: &BTreeSet<VmName>, replicas: &BTreeSet<ReplicaName>) -> Option<Self> {
+    pub fn repaired(
+        &self,
+        live: &BTreeSet<VmName>,
+        replicas: &BTreeSet<ReplicaName>,
+    ) -> Option<Self> {
         if live.is_empty() {
             return None;
         }
@@ -146,9 +152,8 @@
     /// Our replicas that may get orders now, with their tokens.
     pub fn active(&self, now: Moment) -> impl Iterator<Item = (&ReplicaName, Token)> {
         let from = self.from.iter();
-        let usable = from.filter(move |(name, (token, at))| {
-            *at <= now && self.fenced.get(*name) != Some(token)
-        });
+        let usable = from
+            .filter(move |(name, (token, at))| *at <= now && self.fenced.get(*name) != Some(token));
         usable.map(|(name, (token, _))| (name, *token))
     }
 
@@ -187,13 +192,23 @@
     ) -> Option<Table> {
         let Some(table) = self.table.repaired(live, replicas) else {
             self.due = None;
-            return None;
+            return self.settled(now);
         };
         let since = *self.due.get_or_insert(now);
         let rank = live.iter().position(|vm| *vm == self.vm)? as u64;
         (now.since(since).0 >= PROPOSER_STEP.0 * rank).then_some(table)
     }
 
+    /// The table with the waits of our replicas that are over.
+    fn settled(&self, now: Moment) -> Option<Table> {
+        let mut table = self.table.clone();
+        let over = |name: &ReplicaName| self.from.get(name).is_some_and(|(_, at)| *at <= now);
+        for (name, owner) in &mut table.owners {
+            owner.inherited &= owner.vm != self.vm || !over(name);
+        }
+        (table != self.table).then_some(table)
+    }
+
     /// A proposal was sent: the next one waits its turn again.
     pub fn proposed(&mut self, now: Moment) {
         self.due = Some(now);
--- a/lib/src/serving/turns.rs
+++ b/lib/src/serving/turns.rs
@@ -100,7 +100,8 @@
                 grants.push((name.clone(), turn));
             }
         }
-        self.desks.retain(|_, d| !d.reading.is_empty() || !d.waiting.is_empty() || d.free_from > now);
+        self.desks
+            .retain(|_, d| !d.reading.is_empty() || !d.waiting.is_empty() || d.free_from > now);
         grants
     }
 
