--- a/cli/src/bin/banyan-serve.rs
+++ b/cli/src/bin/banyan-serve.rs
@@ -1,10 +1,12 @@
 //! `banyan-serve`: serves callers on one VM of the users' platform.
 
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
 use argh::FromArgs;
 use banyangauge::serving;
+use banyangauge::telemetry::start_metrics;
 use banyangauge::telemetry::stdout_logger;
 use banyangauge_platform::SETTINGS_VARIABLE;
 use banyangauge_platform::load_settings;
@@ -15,6 +17,9 @@
     /// settings file, in place of the one that the environment names
     #[argh(option)]
     settings: Option<PathBuf>,
+    /// where to serve metrics; nowhere when left out
+    #[argh(option)]
+    metrics: Option<SocketAddr>,
     /// check the settings, and stop
     #[argh(switch)]
     check: bool,
@@ -47,7 +52,13 @@
         .enable_all()
         .build()?;
     let tasks = tokio::task::LocalSet::new();
-    let served = serving::run(settings, border, store, log, reload);
+    let served = async {
+        if let Some(address) = options.metrics {
+            start_metrics(address, &log)?;
+        }
+        let served = serving::run(settings, border, store, log.clone(), reload);
+        served.await.map_err(|e| e.to_string())
+    };
     tasks.block_on(&runtime, served)?;
     Ok(())
 }
--- a/cli/src/commands/mod.rs
+++ b/cli/src/commands/mod.rs
@@ -9,6 +9,7 @@
 mod status;
 mod timeline;
 mod usage;
+mod why;
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -65,6 +66,7 @@
     Usage(usage::Usage),
     Timeline(timeline::Timeline),
     CheckSettings(check_settings::CheckSettings),
+    Why(why::Why),
 }
 
 /// Why a command failed.
@@ -107,8 +109,10 @@
     ///
     /// Why it failed; the error tells the exit code.
     pub(crate) async fn run(self) -> Result<(), CommandError> {
-        if let Command::CheckSettings(command) = &self.command {
-            return command.run();
+        match &self.command {
+            Command::CheckSettings(command) => return command.run(),
+            Command::Why(command) => return command.run(),
+            _ => {}
         }
         let client = self.client()?;
         match &self.command {
@@ -120,6 +124,7 @@
             Command::Usage(c) => c.run(&client).await,
             Command::Timeline(c) => c.run(&client).await,
             Command::CheckSettings(c) => c.run(),
+            Command::Why(c) => c.run(),
         }
     }
 
--- /dev/null
+++ b/cli/src/commands/why.rs
@@ -0,0 +1,41 @@
+//! `banyan why`.
+
+use std::io::Read;
+use std::path::PathBuf;
+
+use argh::FromArgs;
+use banyangauge::operator::Story;
+
+use super::CommandError;
+
+/// Tell one request's story from the log lines of all VMs.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "why")]
+pub(super) struct Why {
+    /// the request's id, as its caller sent it
+    #[argh(positional)]
+    id: String,
+    /// files of log lines; standard input when left out
+    #[argh(positional)]
+    files: Vec<PathBuf>,
+}
+
+impl Why {
+    pub(super) fn run(&self) -> Result<(), CommandError> {
+        let mut story = Story::new(&self.id);
+        for file in &self.files {
+            let text = std::fs::read_to_string(file)
+                .map_err(|e| CommandError::Usage(format!("{}: {e}", file.display())))?;
+            story.read(&text);
+        }
+        if self.files.is_empty() {
+            let mut text = String::new();
+            std::io::stdin()
+                .read_to_string(&mut text)
+                .map_err(|e| CommandError::Usage(format!("standard input: {e}")))?;
+            story.read(&text);
+        }
+        print!("{}", story.tell());
+        Ok(())
+    }
+}
--- a/lib/src/entry/program.rs
+++ b/lib/src/entry/program.rs
@@ -3,7 +3,6 @@
 use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
@@ -24,9 +23,6 @@
 use crate::timeline::Kind;
 use crate::timeline::TimelineService;
 
-/// How often recorded samples are folded into their summaries.
-const METRICS_UPKEEP: Duration = Duration::from_secs(5);
-
 /// Why the process could not run.
 #[derive(Debug)]
 pub enum EntryError {
@@ -137,7 +133,7 @@
     let mut term = signal(SignalKind::terminate()).map_err(start)?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(start)?;
     if let Some(address) = settings.metrics {
-        start_metrics(address, &log)?;
+        telemetry::start_metrics(address, &log).map_err(EntryError::Start)?;
     }
     let entry = Entry::start(settings, log.clone()).await?;
     slog::info!(log, "started"; "listen" => %entry.address, "vm" => %entry.state.settings.vm);
@@ -153,22 +149,3 @@
     }
     Ok(())
 }
-
-fn start_metrics(address: SocketAddr, log: &slog::Logger) -> Result<(), EntryError> {
-    let handle = telemetry::install_metrics().map_err(EntryError::Start)?;
-    let upkeep = handle.clone();
-    tokio::spawn(async move {
-        let mut tick = tokio::time::interval(METRICS_UPKEEP);
-        loop {
-            tick.tick().await;
-            upkeep.run_upkeep();
-        }
-    });
-    let log = log.clone();
-    tokio::spawn(async move {
-        if let Err(e) = telemetry::serve_metrics(address, handle).await {
-            slog::error!(log, "no metrics"; "address" => %address, "error" => %e);
-        }
-    });
-    Ok(())
-}
--- a/lib/src/serving/books.rs
+++ b/lib/src/serving/books.rs
@@ -98,6 +98,21 @@
     Unknown,
 }
 
+impl OrderEnd {
+    /// A word for logs and metrics.
+    pub fn word(self) -> &'static str {
+        match self {
+            Self::Accepted => "accepted",
+            Self::Holds => "holds",
+            Self::Conflict => "conflict",
+            Self::Fenced => "fenced",
+            Self::Gone => "gone",
+            Self::Refused => "refused",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
 /// A replica's report of itself; it lags some hundred ms.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Report {
@@ -150,6 +165,8 @@
     /// Whether weights are in the replica's own memory or on its disk, so that
     /// loading them costs the weight store nothing.
     weights_near: bool,
+    /// Since when it is ours.
+    opened: Moment,
 }
 
 /// The books of the replicas that this VM owns.
@@ -180,7 +197,7 @@
     /// store says is a start, its report decides.
     pub fn open(&mut self, now: Moment, listing: &Listing, most: u32) {
         let book = self.books.entry(listing.name.clone());
-        book.or_insert_with(|| {
+        let book = book.or_insert_with(|| {
             let here = listing.adapters.iter();
             let here = here.map(|(t, v)| (t.clone(), Slot::here(*v)));
             let models = listing.models.iter().map(|m| (m.target(), Slot::here(0)));
@@ -196,8 +213,11 @@
                 changed: true,
                 near: VecDeque::new(),
                 weights_near: false,
+                opened: now,
             }
         });
+        // The configuration may come after the replica.
+        book.most = most as usize;
     }
 
     /// Closes the books of replicas that are not ours any more.
@@ -461,6 +481,14 @@
                 false => Step::Unload { target, expected },
             });
         }
+        // An unload that waits for its runs holds up every other order.
+        if self
+            .slots
+            .values()
+            .any(|s| matches!(s.phase, Phase::Leaving(_)))
+        {
+            return None;
+        }
         if let Some(target) = self.outdated(versions) {
             return Some(load(target));
         }
@@ -471,14 +499,6 @@
         if self.adapters() < self.most {
             return Some(load(target));
         }
-        // One that is leaving makes room soon; a second need not go.
-        let leaving = self
-            .slots
-            .values()
-            .filter(|s| matches!(s.phase, Phase::Leaving(_)));
-        if leaving.count() >= self.wishes.len() {
-            return None;
-        }
         let target = self.victim(now)?;
         Some(Step::Unload { target, expected })
     }
@@ -528,7 +548,12 @@
         first.map(|(t, _)| t.clone())
     }
 
+    /// What gives way: nothing that may be in use, as its unload would wait for
+    /// its runs. A new owner learns from the others' beacons what is in use.
     fn victim(&self, now: Moment) -> Option<Target> {
+        if now.since(self.opened) < USED_KEPT {
+            return None;
+        }
         let here = self.adapters_here();
         let idle = here.filter(|(t, _)| !self.wishes.contains_key(*t) && self.idle(now, t));
         let least =
--- a/lib/src/serving/fleet/mod.rs
+++ b/lib/src/serving/fleet/mod.rs
@@ -72,6 +72,21 @@
     }
 }
 
+/// What a VM sees of a service, for the log.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Survey {
+    /// Replicas that are listed and not leaving.
+    pub listed: usize,
+    /// Those that take requests.
+    pub live: usize,
+    /// Those that hold the adapter.
+    pub holders: usize,
+    /// Those whose owner has told lately what they hold.
+    pub words: usize,
+    /// Requests of all VMs there.
+    pub requests: u32,
+}
+
 /// What a replica holds, by the word of its owner.
 #[derive(Clone, Debug, Default)]
 pub struct Held {
@@ -253,6 +268,23 @@
         engine.map_or(0, |e| e.adapters)
     }
 
+    /// What is believed of a service's replicas.
+    pub fn survey(&self, now: Moment, service: &ServiceName, target: Option<&Target>) -> Survey {
+        let mut seen = Survey::default();
+        let members = self
+            .replicas
+            .iter()
+            .filter(|(_, r)| r.listing.service == *service);
+        for (name, r) in members.filter(|(_, r)| r.usable()) {
+            seen.listed += 1;
+            seen.live += usize::from(r.health.open(now, r.own.requests));
+            seen.holders += usize::from(target.is_some_and(|t| r.holds(now, t).is_some()));
+            seen.words += usize::from(self.has_word(now, name));
+            seen.requests += r.load(now).requests;
+        }
+        seen
+    }
+
     /// What a replica that holds nothing should load: the model of its service
     /// that the fewest replicas hold.
     pub fn missing_model(&self, listing: &Listing) -> Option<&ModelName> {
--- a/lib/src/serving/follow.rs
+++ b/lib/src/serving/follow.rs
@@ -69,7 +69,9 @@
         };
         loop {
             let call = (node.store.changes)(kind, revision, rhythm.wait);
-            match limited(rhythm.wait + CALL_MARGIN, call).await {
+            let answer = limited(rhythm.wait + CALL_MARGIN, call).await;
+            count_call(kind, answer.is_ok());
+            match answer {
                 Ok(changes) => {
                     revision = changes.revision.max(revision);
                     if changes.changes.is_empty() {
@@ -103,7 +105,9 @@
     loop {
         let after = items.last().map(|i| i.name.clone());
         let call = (node.store.list)(kind, after.as_deref());
-        let page = limited(CALL_MARGIN, call).await?;
+        let page = limited(CALL_MARGIN, call).await;
+        count_call(kind, page.is_ok());
+        let page = page?;
         // What changes while pages are read comes again with the watch.
         let first = *revision.get_or_insert(page.revision);
         let more = page.more && !page.items.is_empty();
@@ -114,6 +118,11 @@
     }
 }
 
+fn count_call(kind: &'static str, done: bool) {
+    let outcome = if done { "done" } else { "failed" };
+    metrics::counter!("serve_store_calls_total", "kind" => kind, "outcome" => outcome).increment(1);
+}
+
 /// A call with a time limit; what it did is not known after it.
 pub(super) async fn limited<T>(
     time: Duration,
--- a/lib/src/serving/mod.rs
+++ b/lib/src/serving/mod.rs
@@ -32,6 +32,7 @@
 mod strikes;
 mod table;
 mod turns;
+mod waiting;
 
 pub use books::Books;
 pub use books::OrderEnd;
--- a/lib/src/serving/ordering.rs
+++ b/lib/src/serving/ordering.rs
@@ -138,8 +138,12 @@
         Step::Unload { target, expected } => ("unload", target.to_string(), *expected),
         Step::Look => ("look", String::new(), 0),
     };
+    metrics::counter!("serve_orders_total", "what" => what, "end" => end.word()).increment(1);
+    if let Some(took) = took {
+        metrics::histogram!("serve_load_seconds").record(took.0 as f64 / 1e6);
+    }
     slog::info!(node.log, "order"; "what" => what, "replica" => name.as_str(),
-        "target" => target, "expected" => expected, "token" => token.0, "end" => ?end,
+        "target" => target, "expected" => expected, "token" => token.0, "end" => end.word(),
         "took_ms" => took.map(Span::as_millis));
 }
 
--- a/lib/src/serving/pass.rs
+++ b/lib/src/serving/pass.rs
@@ -28,7 +28,8 @@
 use super::node::now;
 use super::serve::Asked;
 use super::serve::again;
-use super::serve::has_other_place;
+use super::serve::count;
+use super::waiting::has_other_place;
 use crate::ids::ReplicaName;
 use crate::pool::Moment;
 use crate::pool::Span;
@@ -139,6 +140,7 @@
             let ended = match piece {
                 Err(_) if now() >= self.held.limit => {
                     self.log("overdue");
+                    count("broken_off");
                     self.begun = None;
                     return Some(Err(Broken("the time is over")));
                 }
@@ -204,6 +206,13 @@
             _ => None,
         };
         self.log_late();
+        let outcome = match &self.begun {
+            Some(begun) if begun.failed => "upstream_failed",
+            _ => "answered",
+        };
+        count(outcome);
+        let first = self.timing.first.0 as f64 / 1e6;
+        metrics::histogram!("serve_first_byte_seconds").record(first);
         if let Some(begun) = self.begun.take() {
             begun.run.learn(End::Answered);
             let mut b = self.node.beliefs();
@@ -224,6 +233,7 @@
         drop(begun);
         self.log(ended.word());
         let Some(events) = &mut self.events else {
+            count("broken_off");
             return Err(Broken("the upstream broke off"));
         };
         events.scanner.reset();
@@ -243,7 +253,10 @@
                 self.begun = Some(begun);
                 Ok(())
             }
-            Err(_) => Err(Broken("the upstream broke off")),
+            Err(_) => {
+                count("broken_off");
+                Err(Broken("the upstream broke off"))
+            }
         }
     }
 
@@ -271,7 +284,7 @@
         }
     }
 
-    fn log(&self, what: &str) {
+    fn log(&self, what: &'static str) {
         let last = self.events.as_ref().and_then(|e| e.last);
         let replica = self.begun.as_ref().map(|b| b.run.replica.to_string());
         slog::info!(self.node.log, "stream broken"; "id" => &self.held.id, "why" => what,
--- a/lib/src/serving/program.rs
+++ b/lib/src/serving/program.rs
@@ -137,8 +137,7 @@
         let readiness = server::listen(settings.readiness).map_err(at(settings.readiness))?;
         let socket = UdpSocket::bind(settings.peers).await;
         let socket = socket.map_err(at(settings.peers))?;
-        slog::info!(log, "started"; "vm" => settings.vm.as_str(),
-            "zone" => settings.zone.as_str(), "callers" => %settings.callers,
+        slog::info!(log, "started"; "zone" => settings.zone.as_str(), "callers" => %settings.callers,
             "version" => env!("CARGO_PKG_VERSION"));
         let node = Rc::new(Node::new(settings, border, store, log, socket));
         spawn_followers(&node);
@@ -200,6 +199,7 @@
     let mut interrupt = take(SignalKind::interrupt())?;
     let mut hangup = take(SignalKind::hangup())?;
     let old = settings.clone();
+    let log = log.new(slog::o!("vm" => settings.vm.to_string()));
     let program = Program::start(settings, border, store, log.clone()).await?;
     loop {
         tokio::select! {
--- a/lib/src/serving/serve.rs
+++ b/lib/src/serving/serve.rs
@@ -30,8 +30,6 @@
 use super::decide::Tries;
 use super::fleet::End;
 use super::fleet::Load;
-use super::fleet::Place;
-use super::fleet::Want;
 use super::forward::Begun;
 use super::forward::Held;
 use super::forward::forward;
@@ -51,8 +49,8 @@
 use super::pass::Timing;
 use super::pass::passing;
 use super::pass::whole;
-use super::peers;
 use super::routes::pick_service;
+use super::waiting::find_place;
 use crate::ids::Fingerprint;
 use crate::ids::ReplicaName;
 use crate::ids::ServiceName;
@@ -66,21 +64,6 @@
 /// is then whole, and can be asked for again where it breaks off.
 const READ_AHEAD: usize = 64 << 10;
 
-/// How often a wish for an adapter is repeated: datagrams get lost.
-const WISH_AGAIN: Duration = Duration::from_millis(150);
-
-/// The part of the time that is left in which a request waits for a place;
-/// later than that it is refused while its caller can still go elsewhere.
-const WAIT_PART: u64 = 3;
-
-/// How long a request waits for a place while the process stops: it must have
-/// its answer before the process ends.
-const STOPPING_WAIT: Duration = Duration::from_millis(500);
-
-/// When those may come back who found all replicas full: about the time in
-/// which a short run ends.
-const FULL_COME_BACK: Duration = Duration::from_millis(300);
-
 /// When a request that crashes its upstreams may come back.
 const CONVICTED_COME_BACK: Duration = Duration::from_secs(30);
 
@@ -96,11 +79,12 @@
 /// Answers one request; refusals become answers too.
 pub(super) async fn serve(node: Rc<Node>, request: Request<Incoming>) -> Response<AnswerBody> {
     let open = node.enter();
+    let arrived = now();
     let ask = (node.border.read_ask)(request.headers());
     let id = ask.id.clone();
-    let mut answer = match answer(&node, request, ask, open).await {
+    let mut answer = match answer(&node, request, ask, arrived, open).await {
         Ok(answer) => answer,
-        Err(refusal) => refuse(&node, &id, &refusal),
+        Err(refusal) => refuse(&node, &id, arrived, &refusal),
     };
     if node.phase() != Phase::Serving {
         let close = HeaderValue::from_static("close");
@@ -109,9 +93,13 @@
     answer
 }
 
-fn refuse(node: &Node, id: &str, refusal: &Refusal) -> Response<AnswerBody> {
+fn refuse(node: &Node, id: &str, arrived: Moment, refusal: &Refusal) -> Response<AnswerBody> {
+    let config = node.beliefs().active.as_ref().map(|a| a.config.version);
+    let after = refusal.retry_after.map(|after| after.as_millis());
     slog::info!(node.log, "refused"; "id" => id, "why" => refusal.reason,
-        "status" => refusal.status.as_u16());
+        "status" => refusal.status.as_u16(), "retry_after_ms" => after,
+        "held_ms" => now().since(arrived).as_millis(), "config" => config);
+    count(refusal.reason);
     let mut answer = Response::new(whole(Bytes::new()));
     *answer.status_mut() = refusal.status;
     if let Some(after) = refusal.retry_after {
@@ -127,9 +115,9 @@
     node: &Rc<Node>,
     request: Request<Incoming>,
     ask: Ask,
+    arrived: Moment,
     open: Open,
 ) -> Result<Response<AnswerBody>, Refusal> {
-    let arrived = now();
     if node.phase() == Phase::Closing {
         return Err(Refusal::not_run("stopping", Duration::ZERO));
     }
@@ -356,8 +344,8 @@
     match forward(node, held, &at, None).await {
         Ok(begun) => Ok(begun),
         Err(ended) => {
-            log_try(node, held, &at, ended);
             tries.note(ended);
+            log_try(node, held, &at, tries, ended);
             avoid.insert(at);
             again(node, asked, held, tries, avoid, ended, None).await
         }
@@ -400,8 +388,8 @@
             Ok(begun) => return Ok(begun),
             Err(next) => next,
         };
-        log_try(node, held, &at, ended);
         tries.note(ended);
+        log_try(node, held, &at, tries, ended);
         avoid.insert(at);
     }
 }
@@ -412,110 +400,19 @@
     b.budget.spend(now(), &asked.service, vms)
 }
 
-fn log_try(node: &Node, held: &Held, at: &ReplicaName, ended: Ended) {
+fn log_try(node: &Node, held: &Held, at: &ReplicaName, tries: &Tries, ended: Ended) {
+    let standing = node.beliefs().fleet.standing(now(), at);
     slog::info!(node.log, "try ended"; "id" => &held.id, "replica" => at.as_str(),
-        "why" => ended.word());
+        "why" => ended.word(), "standing" => standing, "sends" => tries.sends,
+        "runs" => tries.runs, "left_ms" => held.limit.since(now()).as_millis());
+    metrics::counter!("serve_tries_total", "end" => ended.word()).increment(1);
 }
 
-/// Waits for a replica that can run a request.
-///
-/// Made for adapters that have to be loaded first and for replicas that are
-/// full for a moment. A request waits at most a third of the time that it has,
-/// so that a caller who is refused can still be served elsewhere.
-async fn find_place(
-    node: &Rc<Node>,
-    asked: &Asked,
-    held: &Held,
-    avoid: &BTreeSet<ReplicaName>,
-) -> Result<ReplicaName, Refusal> {
-    let began = now();
-    let left = held.limit.since(began);
-    let load_limit = began.after(Span(left.0 / WAIT_PART));
-    let full_limit = began.after(span(asked.route.objective / 4)).min(load_limit);
-    let mut wished: Option<Moment> = None;
-    let mut stop_limit: Option<Moment> = None;
-    let mut why = "";
-    loop {
-        let at = now();
-        let changed = node.changed.notified();
-        let place = place(node, asked, held, avoid, at);
-        let (limit, refusal) = match place {
-            Place::Send { at, copy } => {
-                if let (Some(copy), Some(target)) = (copy, &held.target) {
-                    peers::wish(node, &copy, target).await;
-                }
-                let waited = now().since(began).as_millis();
-                if waited > 0 {
-                    slog::info!(node.log, "placed"; "id" => &held.id, "replica" => at.as_str(),
-                        "waited_ms" => waited, "why" => why);
-                }
-                return Ok(at);
-            }
-            Place::Load { at: replica } | Place::Coming { at: replica } => {
-                let again = wished.is_none_or(|w| at.since(w) >= span(WISH_AGAIN));
-                if let (true, Some(target)) = (again, &held.target) {
-                    wished = Some(at);
-                    peers::wish(node, &replica, target).await;
-                }
-                (
-                    load_limit,
-                    Refusal::not_run("not_loaded_in_time", COME_BACK),
-                )
-            }
-            Place::Full => (
-                full_limit,
-                Refusal::not_run("replicas_full", FULL_COME_BACK),
-            ),
-            Place::Nowhere => (full_limit, Refusal::not_run("no_replica", COME_BACK)),
-        };
-        let stopping = node.phase() != Phase::Serving;
-        let limit = match stopping {
-            true => limit.min(*stop_limit.get_or_insert(at.after(span(STOPPING_WAIT)))),
-            false => limit,
-        };
-        if at >= limit {
-            return Err(refusal);
-        }
-        why = refusal.reason;
-        let wait = Duration::from_micros(limit.since(at).0).min(WISH_AGAIN);
-        // Whether news or the time wakes us, the place is looked for anew.
-        tokio::time::timeout(wait, changed).await.ok();
-    }
-}
-
-/// Where a request would run now.
-fn place(
-    node: &Node,
-    asked: &Asked,
-    held: &Held,
-    avoid: &BTreeSet<ReplicaName>,
-    at: Moment,
-) -> Place {
-    let bytes: usize = held.body.iter().map(Bytes::len).sum();
-    let b = node.beliefs();
-    let want = Want {
-        service: &asked.service,
-        target: held.target.as_ref(),
-        cost: held.cost,
-        shared: held.shared,
-        body_kb: bytes as f64 / 1024.0,
-        avoid,
-    };
-    let own = &node.settings.vm;
-    b.fleet.place(at, &want, |name| b.loadable(at, own, name))
-}
-
-/// Whether another replica could go on with a request at once.
-pub(super) fn has_other_place(
-    node: &Node,
-    asked: &Asked,
-    held: &Held,
-    avoid: &BTreeSet<ReplicaName>,
-) -> bool {
-    let place = place(node, asked, held, avoid, now());
-    matches!(place, Place::Send { .. })
+/// Counts the end of a request.
+pub(super) fn count(outcome: &'static str) {
+    metrics::counter!("serve_requests_total", "outcome" => outcome).increment(1);
 }
 
-fn span(d: Duration) -> Span {
+pub(super) fn span(d: Duration) -> Span {
     Span(u64::try_from(d.as_micros()).unwrap_or(u64::MAX))
 }
--- /dev/null
+++ b/lib/src/serving/waiting.rs
@@ -0,0 +1,153 @@
+//! Waits for a replica that can run a request.
+
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+
+use super::decide::COME_BACK;
+use super::decide::Refusal;
+use super::fleet::Place;
+use super::fleet::Want;
+use super::forward::Held;
+use super::node::Node;
+use super::node::Phase;
+use super::node::now;
+use super::peers;
+use super::serve::Asked;
+use super::serve::span;
+use crate::ids::ReplicaName;
+use crate::pool::Moment;
+use crate::pool::Span;
+
+/// How often a wish for an adapter is repeated: datagrams get lost.
+const WISH_AGAIN: Duration = Duration::from_millis(150);
+
+/// The part of the time that is left in which a request waits for a place;
+/// later than that it is refused while its caller can still go elsewhere.
+const WAIT_PART: u64 = 3;
+
+/// How long a request waits for a place while the process stops: it must have
+/// its answer before the process ends.
+const STOPPING_WAIT: Duration = Duration::from_millis(500);
+
+/// When those may come back who found all replicas full: about the time in
+/// which a short run ends.
+const FULL_COME_BACK: Duration = Duration::from_millis(300);
+
+/// A wait that is worth a line.
+const WAIT_TOLD: Span = Span::from_millis(20);
+
+/// Waits for a replica that can run a request.
+///
+/// Made for adapters that have to be loaded first and for replicas that are
+/// full for a moment. A request waits at most a third of the time that it has,
+/// so that a caller who is refused can still be served elsewhere.
+pub(super) async fn find_place(
+    node: &Rc<Node>,
+    asked: &Asked,
+    held: &Held,
+    avoid: &BTreeSet<ReplicaName>,
+) -> Result<ReplicaName, Refusal> {
+    let began = now();
+    let left = held.limit.since(began);
+    let load_limit = began.after(Span(left.0 / WAIT_PART));
+    let full_limit = began.after(span(asked.route.objective / 4)).min(load_limit);
+    let mut wished: Option<Moment> = None;
+    let mut stop_limit: Option<Moment> = None;
+    let mut why = "";
+    loop {
+        let at = now();
+        let changed = node.changed.notified();
+        let place = place(node, asked, held, avoid, at);
+        let (limit, refusal) = match place {
+            Place::Send { at, copy } => {
+                if let (Some(copy), Some(target)) = (copy, &held.target) {
+                    peers::wish(node, &copy, target).await;
+                }
+                let waited = now().since(began);
+                metrics::histogram!("serve_wait_seconds").record(waited.0 as f64 / 1e6);
+                if waited >= WAIT_TOLD {
+                    slog::info!(node.log, "placed"; "id" => &held.id, "replica" => at.as_str(),
+                        "waited_ms" => waited.as_millis(), "why" => why);
+                }
+                return Ok(at);
+            }
+            Place::Load { at: replica } | Place::Coming { at: replica } => {
+                let again = wished.is_none_or(|w| at.since(w) >= span(WISH_AGAIN));
+                if let (true, Some(target)) = (again, &held.target) {
+                    wished = Some(at);
+                    peers::wish(node, &replica, target).await;
+                }
+                (
+                    load_limit,
+                    Refusal::not_run("not_loaded_in_time", COME_BACK),
+                )
+            }
+            Place::Full => (
+                full_limit,
+                Refusal::not_run("replicas_full", FULL_COME_BACK),
+            ),
+            Place::Nowhere => (full_limit, Refusal::not_run("no_replica", COME_BACK)),
+        };
+        let stopping = node.phase() != Phase::Serving;
+        let limit = match stopping {
+            true => limit.min(*stop_limit.get_or_insert(at.after(span(STOPPING_WAIT)))),
+            false => limit,
+        };
+        if at >= limit {
+            log_no_place(node, asked, held, refusal.reason, at.since(began));
+            return Err(refusal);
+        }
+        why = refusal.reason;
+        let wait = Duration::from_micros(limit.since(at).0).min(WISH_AGAIN);
+        // Whether news or the time wakes us, the place is looked for anew.
+        tokio::time::timeout(wait, changed).await.ok();
+    }
+}
+
+fn log_no_place(node: &Node, asked: &Asked, held: &Held, why: &'static str, waited: Span) {
+    let at = now();
+    let b = node.beliefs();
+    let seen = b.fleet.survey(at, &asked.service, held.target.as_ref());
+    slog::info!(node.log, "no place"; "id" => &held.id, "why" => why,
+        "target" => held.target.as_ref().map(ToString::to_string),
+        "service" => asked.service.as_str(), "waited_ms" => waited.as_millis(),
+        "replicas" => seen.listed, "live" => seen.live, "holders" => seen.holders,
+        "words" => seen.words, "requests" => seen.requests,
+        "owners_term" => b.ownership.table.term.0);
+}
+
+/// Where a request would run now.
+fn place(
+    node: &Node,
+    asked: &Asked,
+    held: &Held,
+    avoid: &BTreeSet<ReplicaName>,
+    at: Moment,
+) -> Place {
+    let bytes: usize = held.body.iter().map(Bytes::len).sum();
+    let b = node.beliefs();
+    let want = Want {
+        service: &asked.service,
+        target: held.target.as_ref(),
+        cost: held.cost,
+        shared: held.shared,
+        body_kb: bytes as f64 / 1024.0,
+        avoid,
+    };
+    let own = &node.settings.vm;
+    b.fleet.place(at, &want, |name| b.loadable(at, own, name))
+}
+
+/// Whether another replica could go on with a request at once.
+pub(super) fn has_other_place(
+    node: &Node,
+    asked: &Asked,
+    held: &Held,
+    avoid: &BTreeSet<ReplicaName>,
+) -> bool {
+    let place = place(node, asked, held, avoid, now());
+    matches!(place, Place::Send { .. })
+}
--- a/lib/src/telemetry/mod.rs
+++ b/lib/src/telemetry/mod.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use http_body_util::Full;
 use hyper::Request;
@@ -105,3 +106,30 @@
         });
     }
 }
+
+/// How often recorded samples are folded into their summaries.
+const METRICS_UPKEEP: Duration = Duration::from_secs(5);
+
+/// Installs the recorder and serves it on an address, in tasks of their own.
+///
+/// # Errors
+///
+/// When a recorder is installed already.
+pub fn start_metrics(address: SocketAddr, log: &slog::Logger) -> Result<(), String> {
+    let handle = install_metrics()?;
+    let upkeep = handle.clone();
+    tokio::spawn(async move {
+        let mut tick = tokio::time::interval(METRICS_UPKEEP);
+        loop {
+            tick.tick().await;
+            upkeep.run_upkeep();
+        }
+    });
+    let log = log.clone();
+    tokio::spawn(async move {
+        if let Err(e) = serve_metrics(address, handle).await {
+            slog::error!(log, "no metrics"; "address" => %address, "error" => %e);
+        }
+    });
+    Ok(())
+}
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -20,6 +20,7 @@
 mod test_lease_contest;
 mod test_link_tls;
 mod test_members_table;
+mod test_operator_story;
 mod test_owner_book;
 mod test_owner_evict;
 mod test_owner_rig;
--- /dev/null
+++ b/lib/tests/test_operator_story.rs
@@ -0,0 +1,36 @@
+//! A request's story from log lines alone.
+
+use banyangauge::operator::Story;
+
+const LINES: &str = r#"
+  1.0 vm-a {"msg":"owners","ts":"2026-01-01T10:00:01.000Z","vm":"a","term":4,"revision":9}
+  1.1 vm-b {"msg":"order","ts":"2026-01-01T10:00:01.100Z","vm":"b","what":"load","target":"base/a7","replica":"i-1","end":"accepted"}
+  1.2 vm-b {"msg":"order","ts":"2026-01-01T10:00:01.200Z","vm":"b","what":"load","target":"base/a8","replica":"i-2","end":"accepted"}
+no line of ours
+  1.3 vm-a {"msg":"placed","ts":"2026-01-01T10:00:01.300Z","vm":"a","id":"r1","target":"base/a7","replica":"i-1","waited_ms":200,"why":"not_loaded_in_time"}
+  1.3 vm-a {"msg":"placed","ts":"2026-01-01T10:00:01.310Z","vm":"a","id":"r2","replica":"i-1","waited_ms":200}
+  1.4 vm-b {"msg":"replica gone","ts":"2026-01-01T10:00:01.390Z","vm":"b","replica":"i-1","why":"removed"}
+  1.5 vm-a {"msg":"try ended","ts":"2026-01-01T10:00:01.400Z","vm":"a","id":"r1","replica":"i-1","why":"broken","sends":1,"runs":1}
+  1.5 vm-a {"msg":"refused","ts":"2026-01-01T10:00:01.401Z","vm":"a","id":"r1","why":"broken","status":502,"retry_after_ms":null}
+"#;
+
+#[test]
+fn story_has_its_lines_and_what_bears_on_them() {
+    let mut story = Story::new("r1");
+    story.read(LINES);
+    insta::assert_snapshot!(story.tell(), @r"
+    10:00:01.000 a owners revision=9 term=4
+    10:00:01.100 b order end=accepted replica=i-1 target=base/a7 what=load
+    10:00:01.300 a placed replica=i-1 target=base/a7 waited_ms=200 why=not_loaded_in_time
+    10:00:01.390 b replica gone replica=i-1 why=removed
+    10:00:01.400 a try ended replica=i-1 runs=1 sends=1 why=broken
+    10:00:01.401 a refused status=502 why=broken
+    ");
+}
+
+#[test]
+fn story_of_nobody_says_so() {
+    let mut story = Story::new("r9");
+    story.read(LINES);
+    assert_eq!(story.tell(), "no line names r9\n");
+}
