--- a/lib/src/serving/books.rs
+++ b/lib/src/serving/books.rs
@@ -636,11 +636,11 @@
             Step::Look => return false,
         };
         let slot = self.slots.get(target);
-        match (slot.map(|s| s.phase), step) {
-            (Some(Phase::Coming(..)), Step::Load { .. }) => true,
-            (Some(Phase::Leaving(_)), Step::Unload { .. }) => true,
-            _ => false,
-        }
+        matches!(
+            (slot.map(|s| s.phase), step),
+            (Some(Phase::Coming(..)), Step::Load { .. })
+                | (Some(Phase::Leaving(_)), Step::Unload { .. })
+        )
     }
 
     fn accepted_order(&mut self, now: Moment, step: &Step, time: Span) {
--- a/lib/src/serving/store.rs
+++ b/lib/src/serving/store.rs
@@ -51,16 +51,32 @@
     pub revision: u64,
 }
 
+/// Reads the objects of a kind after a name.
+pub type List = Box<dyn Fn(&str, Option<&str>) -> Pending<Page>>;
+
+/// Reads the changes of a kind after a revision, waiting for one so long.
+pub type Watch = Box<dyn Fn(&str, u64, Duration) -> Pending<Changes>>;
+
+/// Creates an object (kind, name, content); gives its revision.
+pub type Create = Box<dyn Fn(&str, &str, &RawValue) -> Pending<u64>>;
+
+/// Replaces an object (kind, name, content) if it has this revision; gives the
+/// new one.
+pub type Replace = Box<dyn Fn(&str, &str, u64, &RawValue) -> Pending<u64>>;
+
+/// Deletes an object (kind, name).
+pub type Delete = Box<dyn Fn(&str, &str) -> Pending<()>>;
+
 /// The calls of the store, each a single try without a time limit of its own.
 pub struct Store {
-    /// The objects of a kind after a name.
-    pub list: Box<dyn Fn(&str, Option<&str>) -> Pending<Page>>,
-    /// The changes of a kind after a revision, waiting for one so long.
-    pub changes: Box<dyn Fn(&str, u64, Duration) -> Pending<Changes>>,
-    /// Creates an object (kind, name, content); gives its revision.
-    pub create: Box<dyn Fn(&str, &str, &RawValue) -> Pending<u64>>,
-    /// Replaces an object if it has this revision; gives the new one.
-    pub replace: Box<dyn Fn(&str, &str, u64, &RawValue) -> Pending<u64>>,
+    /// Lists objects.
+    pub list: List,
+    /// Follows changes.
+    pub changes: Watch,
+    /// Creates an object.
+    pub create: Create,
+    /// Replaces an object.
+    pub replace: Replace,
     /// Deletes an object.
-    pub delete: Box<dyn Fn(&str, &str) -> Pending<()>>,
+    pub delete: Delete,
 }
--- a/lib/src/serving/table.rs
+++ b/lib/src/serving/table.rs
@@ -69,9 +69,7 @@
                 continue;
             }
             let inherited = old.is_some();
-            let Some((vm, count)) = counts.iter_mut().min_by_key(|(_, count)| **count) else {
-                return None;
-            };
+            let (vm, count) = counts.iter_mut().min_by_key(|(_, count)| **count)?;
             *count += 1;
             let vm = (*vm).clone();
             let owner = Owner {
