--- a/lib/src/serving/books.rs
+++ b/lib/src/serving/books/book.rs
@@ -1,20 +1,20 @@
-//! What an owner knows of its replicas' adapters, and the next order to each.
+//! What an owner knows of one replica's adapters, and its next order.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::collections::VecDeque;
 
-use super::fleet::Held;
-use super::fleet::Versions;
-use super::model::Listing;
-use super::model::Target;
-use super::pace::Pace;
+use super::OrderEnd;
+use super::Report;
+use super::Step;
 use crate::ids::ModelName;
-use crate::ids::ReplicaName;
 use crate::ids::VmName;
 use crate::pool::Demand;
 use crate::pool::Moment;
 use crate::pool::Span;
+use crate::serving::fleet::Held;
+use crate::serving::fleet::Versions;
+use crate::serving::model::Listing;
+use crate::serving::model::Target;
 
 /// Adapters that may be on their way to one replica at a time; the replica
 /// takes no more.
@@ -25,6 +25,10 @@
 /// comes back soon loads from the replica's own disk.
 const DEMAND_HALF: f64 = 8e6;
 
+/// What a run under way counts beside those that begin: it only tells that the
+/// adapter is in use.
+const RUNNING_WEIGHT: f64 = 0.01;
+
 /// How long after its last use an adapter is not unloaded: two beacons, so
 /// that requests of other VMs on their way to it are known.
 const USED_KEPT: Span = Span::from_millis(900);
@@ -56,76 +60,6 @@
 /// a report is some hundred ms old.
 const RESYNC_PAUSE: Span = Span::from_millis(250);
 
-/// What to do at a replica.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum Step {
-    /// Read its report.
-    Look,
-    /// Load an adapter, or replace it by a newer version.
-    Load {
-        /// Which.
-        target: Target,
-        /// The version; the newest where none was announced.
-        version: Option<u32>,
-        /// Orders that the replica is expected to have accepted.
-        expected: u64,
-    },
-    /// Unload an adapter that nothing uses.
-    Unload {
-        /// Which.
-        target: Target,
-        /// Orders that the replica is expected to have accepted.
-        expected: u64,
-    },
-}
-
-/// What became of an order.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum OrderEnd {
-    /// It is being carried out.
-    Accepted,
-    /// What it asks for holds already.
-    Holds,
-    /// Another order is under way, or others came in between.
-    Conflict,
-    /// The replica has seen a higher fencing token.
-    Fenced,
-    /// Another replica has the address.
-    Gone,
-    /// It was not taken.
-    Refused,
-    /// No answer: it may be carried out later.
-    Unknown,
-}
-
-impl OrderEnd {
-    /// A word for logs and metrics.
-    pub fn word(self) -> &'static str {
-        match self {
-            Self::Accepted => "accepted",
-            Self::Holds => "holds",
-            Self::Conflict => "conflict",
-            Self::Fenced => "fenced",
-            Self::Gone => "gone",
-            Self::Refused => "refused",
-            Self::Unknown => "unknown",
-        }
-    }
-}
-
-/// A replica's report of itself; it lags some hundred ms.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub struct Report {
-    /// Orders that it has accepted.
-    pub accepted: u64,
-    /// Adapters that it holds.
-    pub here: BTreeMap<Target, u32>,
-    /// Adapters on their way to it.
-    pub coming: BTreeSet<Target>,
-    /// Whether it has weights in its own memory or on its disk.
-    pub weights_near: bool,
-}
-
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Phase {
     Here,
@@ -149,8 +83,8 @@
 
 /// One owned replica.
 #[derive(Debug)]
-struct Book {
-    most: usize,
+pub(super) struct Book {
+    pub(super) most: usize,
     /// Orders that it has accepted, if known.
     accepted: Option<u64>,
     /// When it may be looked at next.
@@ -158,240 +92,79 @@
     slots: BTreeMap<Target, Slot>,
     uses: BTreeMap<Target, Use>,
     wishes: BTreeMap<Target, (Moment, Moment)>,
-    busy: bool,
-    changed: bool,
+    pub(super) busy: bool,
+    pub(super) changed: bool,
     /// Adapters that it had lately, the latest last.
     near: VecDeque<Target>,
     /// Whether weights are in the replica's own memory or on its disk, so that
     /// loading them costs the weight store nothing.
-    weights_near: bool,
+    pub(super) weights_near: bool,
     /// Since when it is ours.
     opened: Moment,
 }
 
-/// The books of the replicas that this VM owns.
-#[derive(Debug, Default)]
-pub struct Books {
-    books: BTreeMap<ReplicaName, Book>,
-    pace: Pace,
-    ceiling: Ceiling,
-    /// Fetches under way at all replicas, as far as known.
-    under_way: usize,
-}
-
-/// How often weights are loaded from the weight store, which all VMs share.
-#[derive(Clone, Copy, Debug, Default)]
-struct Ceiling {
-    pause: Span,
-    last: Option<Moment>,
-}
-
-impl Ceiling {
-    fn allows(&self, now: Moment) -> bool {
-        self.last.is_none_or(|at| now.since(at) >= self.pause)
+impl Slot {
+    fn here(version: u32) -> Self {
+        Self {
+            version,
+            phase: Phase::Here,
+        }
     }
 }
 
-impl Books {
-    /// Opens a book for a replica that we came to own; what its entry in the
-    /// store says is a start, its report decides.
-    pub fn open(&mut self, now: Moment, listing: &Listing, most: u32) {
-        let book = self.books.entry(listing.name.clone());
-        let book = book.or_insert_with(|| {
-            let here = listing.adapters.iter();
-            let here = here.map(|(t, v)| (t.clone(), Slot::here(*v)));
-            let models = listing.models.iter().map(|m| (m.target(), Slot::here(0)));
-            let slots = here.chain(models);
-            Book {
-                most: most as usize,
-                accepted: None,
-                look_from: now,
-                slots: slots.collect(),
-                uses: BTreeMap::new(),
-                wishes: BTreeMap::new(),
-                busy: false,
-                changed: true,
-                near: VecDeque::new(),
-                weights_near: false,
-                opened: now,
-            }
-        });
-        // The configuration may come after the replica.
-        book.most = most as usize;
-    }
-
-    /// Closes the books of replicas that are not ours any more.
-    pub fn keep(&mut self, ours: &BTreeSet<ReplicaName>) {
-        self.books.retain(|name, _| ours.contains(name));
-    }
-
-    /// The replicas with a book.
-    pub fn names(&self) -> impl Iterator<Item = &ReplicaName> {
-        self.books.keys()
+impl Book {
+    pub(super) fn new(now: Moment, listing: &Listing) -> Self {
+        let here = listing.adapters.iter();
+        let here = here.map(|(t, v)| (t.clone(), Slot::here(*v)));
+        let models = listing.models.iter().map(|m| (m.target(), Slot::here(0)));
+        Self {
+            most: 0,
+            accepted: None,
+            look_from: now,
+            slots: here.chain(models).collect(),
+            uses: BTreeMap::new(),
+            wishes: BTreeMap::new(),
+            busy: false,
+            changed: true,
+            near: VecDeque::new(),
+            weights_near: false,
+            opened: now,
+        }
     }
 
-    /// Somebody wants an adapter loaded there; the wish lapses unless renewed.
-    pub fn wish(&mut self, now: Moment, name: &ReplicaName, target: &Target) -> bool {
-        let Some(book) = self.books.get_mut(name) else {
-            return false;
-        };
-        let wish = book.wishes.entry(target.clone()).or_insert((now, now));
+    pub(super) fn wish(&mut self, now: Moment, target: &Target) {
+        let wish = self.wishes.entry(target.clone()).or_insert((now, now));
         wish.1 = now;
-        true
     }
 
-    /// A VM has begun `begun` runs of an adapter and has `running` under way.
-    pub fn used(
-        &mut self,
-        now: Moment,
-        name: &ReplicaName,
-        vm: &VmName,
-        target: &Target,
-        running: u32,
-        begun: u32,
-    ) {
-        let Some(book) = self.books.get_mut(name) else {
-            return;
-        };
-        let entry = book.use_of(target);
+    pub(super) fn used(&mut self, now: Moment, vm: &VmName, t: &Target, running: u32, begun: u32) {
+        let entry = self.use_of(t);
         if begun > 0 || running > 0 {
-            entry
-                .demand
-                .count(now, DEMAND_HALF, f64::from(begun) + 0.01);
+            let weight = f64::from(begun) + RUNNING_WEIGHT;
+            entry.demand.count(now, DEMAND_HALF, weight);
         }
         entry.running.insert(vm.clone(), (now, running));
     }
 
-    /// What a replica holds, for the other VMs.
-    pub fn held(&self, name: &ReplicaName) -> Option<Held> {
-        let book = self.books.get(name)?;
-        let here = book.slots.iter().filter(|(_, s)| s.phase == Phase::Here);
-        let coming = book.slots.iter();
+    pub(super) fn held(&self) -> Held {
+        let here = self.slots.iter().filter(|(_, s)| s.phase == Phase::Here);
+        let coming = self.slots.iter();
         let coming = coming.filter(|(_, s)| matches!(s.phase, Phase::Coming(..)));
-        Some(Held {
+        Held {
             here: here.map(|(t, s)| (t.clone(), s.version)).collect(),
             coming: coming.map(|(t, _)| t.clone()).collect(),
-        })
-    }
-
-    /// The replicas whose books changed since the last call.
-    pub fn take_changed(&mut self) -> Vec<ReplicaName> {
-        let changed = self.books.iter_mut().filter(|(_, b)| b.changed);
-        let changed = changed.map(|(name, b)| {
-            b.changed = false;
-            name.clone()
-        });
-        changed.collect()
-    }
-
-    /// Adapters on their way to our replicas.
-    pub fn coming(&self) -> usize {
-        self.books.values().map(Book::coming).sum()
-    }
-
-    /// The next thing to do at a replica, if any; its end is told by
-    /// [`Books::ended`] or [`Books::looked`] before the next is asked for.
-    ///
-    /// Made for many requests for adapters that are nowhere, at full slots.
-    /// Wishes are served in the order in which they came, so none starves;
-    /// what gives way is the adapter with the least demand that nothing uses,
-    /// and an adapter that is wished for never gives way to another wish.
-    ///
-    /// A replica that restarted holds nothing: `model` is what it loads then.
-    pub fn next(
-        &mut self,
-        now: Moment,
-        name: &ReplicaName,
-        versions: &Versions,
-        model: Option<&ModelName>,
-    ) -> Option<Step> {
-        let ceiling = self.ceiling;
-        let fetch = self.under_way < self.pace.capacity();
-        let book = self.books.get_mut(name)?;
-        if book.busy {
-            return None;
-        }
-        let step = book.next(now, versions, fetch);
-        if let Some(Step::Load { target, .. }) = &step
-            && book.is_fetch(target)
-        {
-            self.under_way += 1;
         }
-        let step = match (step, model, book.empty()) {
-            (Some(step), ..) => Some(step),
-            (None, Some(model), true) if book.weights_near || ceiling.allows(now) => {
-                if !book.weights_near {
-                    self.ceiling.last = Some(now);
-                }
-                book.load_model(model)
-            }
-            _ => None,
-        };
-        book.busy = step.is_some();
-        step
     }
 
-    /// Sets how many fetches are under way at all replicas.
-    pub fn set_under_way(&mut self, under_way: usize) {
-        self.under_way = under_way;
-    }
-
-    /// Sets how often this VM may have weights loaded from the weight store.
-    pub fn set_pause(&mut self, pause: Span) {
-        self.ceiling.pause = pause;
-    }
-
-    /// When [`Books::next`] is worth asking again, at the latest.
-    pub fn next_wake(&self, now: Moment) -> Option<Moment> {
-        let books = self.books.values().filter(|b| !b.busy);
-        books.filter_map(|b| b.next_wake(now)).min()
-    }
-
-    /// A report was read, or could not be.
-    pub fn looked(&mut self, now: Moment, name: &ReplicaName, report: Option<Report>) {
-        let Some(book) = self.books.get_mut(name) else {
-            return;
-        };
-        book.busy = false;
+    pub(super) fn looked(&mut self, now: Moment, report: Option<Report>) {
         let Some(report) = report else {
-            book.look_from = now.after(RESYNC_PAUSE);
+            self.look_from = now.after(RESYNC_PAUSE);
             return;
         };
-        book.accepted = Some(report.accepted);
-        book.take_report(now, &report);
-    }
-
-    /// An order ended; gives how long an adapter took to load, if one came.
-    pub fn ended(
-        &mut self,
-        now: Moment,
-        name: &ReplicaName,
-        step: &Step,
-        end: OrderEnd,
-    ) -> Option<Span> {
-        let time = self.pace.expected();
-        let book = self.books.get_mut(name)?;
-        book.busy = false;
-        let fetched =
-            matches!(step, Step::Load { target, .. } if book.is_near(target) == Some(false));
-        let took = book.ended(now, step, end, time);
-        if let Some(took) = took.filter(|_| fetched) {
-            self.pace.learn(took, self.under_way);
-        }
-        took
+        self.accepted = Some(report.accepted);
+        self.take_report(now, &report);
     }
-}
 
-impl Slot {
-    fn here(version: u32) -> Self {
-        Self {
-            version,
-            phase: Phase::Here,
-        }
-    }
-}
-
-impl Book {
     fn use_of(&mut self, target: &Target) -> &mut Use {
         let new = || Use {
             demand: Demand::NONE,
@@ -400,18 +173,18 @@
         self.uses.entry(target.clone()).or_insert_with(new)
     }
 
-    fn coming(&self) -> usize {
+    pub(super) fn coming(&self) -> usize {
         let adapters = self.slots.iter().filter(|(t, _)| t.adapter.is_some());
         let coming = adapters.filter(|(_, s)| matches!(s.phase, Phase::Coming(..)));
         coming.count()
     }
 
     /// Whether it holds no model, and none is on its way.
-    fn empty(&self) -> bool {
+    pub(super) fn empty(&self) -> bool {
         self.accepted.is_some() && self.slots.keys().all(|t| t.adapter.is_some())
     }
 
-    fn load_model(&self, model: &ModelName) -> Option<Step> {
+    pub(super) fn load_model(&self, model: &ModelName) -> Option<Step> {
         let expected = self.accepted?;
         Some(Step::Load {
             target: model.target(),
@@ -433,13 +206,13 @@
 
     /// Whether an adapter's load would be, or is, from the replica's own
     /// memory; `None` for a model.
-    fn is_near(&self, target: &Target) -> Option<bool> {
+    pub(super) fn is_near(&self, target: &Target) -> Option<bool> {
         target.adapter.as_ref()?;
         Some(self.near.contains(target))
     }
 
     /// Whether a load that is not under way yet takes from the weight store.
-    fn is_fetch(&self, target: &Target) -> bool {
+    pub(super) fn is_fetch(&self, target: &Target) -> bool {
         let new = self
             .slots
             .get(target)
@@ -457,7 +230,7 @@
     }
 
     /// The next step; `fetch` says whether the weight store has room.
-    fn next(&mut self, now: Moment, versions: &Versions, fetch: bool) -> Option<Step> {
+    pub(super) fn next(&mut self, now: Moment, versions: &Versions, fetch: bool) -> Option<Step> {
         let Some(expected) = self.accepted else {
             return (now >= self.look_from).then_some(Step::Look);
         };
@@ -571,7 +344,7 @@
         running.next().is_none() && now.since(uses.demand.last) >= USED_KEPT
     }
 
-    fn next_wake(&self, now: Moment) -> Option<Moment> {
+    pub(super) fn next_wake(&self, now: Moment) -> Option<Moment> {
         if self.accepted.is_none() {
             return Some(self.look_from);
         }
@@ -607,7 +380,13 @@
         self.changed = true;
     }
 
-    fn ended(&mut self, now: Moment, step: &Step, end: OrderEnd, time: Span) -> Option<Span> {
+    pub(super) fn ended(
+        &mut self,
+        now: Moment,
+        step: &Step,
+        end: OrderEnd,
+        time: Span,
+    ) -> Option<Span> {
         match end {
             OrderEnd::Accepted => {
                 // A question about an order under way is no new order.
--- /dev/null
+++ b/lib/src/serving/books/mod.rs
@@ -0,0 +1,200 @@
+//! What an owner knows of its replicas' adapters, and the next order to each.
+
+mod book;
+mod step;
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use super::fleet::Held;
+use super::fleet::Versions;
+use super::model::Listing;
+use super::model::Target;
+use super::pace::Pace;
+use crate::ids::ModelName;
+use crate::ids::ReplicaName;
+use crate::ids::VmName;
+use crate::pool::Moment;
+use crate::pool::Span;
+
+pub use step::OrderEnd;
+pub use step::Report;
+pub use step::Step;
+
+use self::book::Book;
+
+/// The books of the replicas that this VM owns.
+#[derive(Debug, Default)]
+pub struct Books {
+    books: BTreeMap<ReplicaName, Book>,
+    pace: Pace,
+    ceiling: Ceiling,
+    /// Fetches under way at all replicas, as far as known.
+    under_way: usize,
+}
+
+/// How often weights are loaded from the weight store, which all VMs share.
+#[derive(Clone, Copy, Debug, Default)]
+struct Ceiling {
+    pause: Span,
+    last: Option<Moment>,
+}
+
+impl Ceiling {
+    fn allows(&self, now: Moment) -> bool {
+        self.last.is_none_or(|at| now.since(at) >= self.pause)
+    }
+}
+
+impl Books {
+    /// Opens a book for a replica that we came to own; what its entry in the
+    /// store says is a start, its report decides.
+    pub fn open(&mut self, now: Moment, listing: &Listing, most: u32) {
+        let book = self.books.entry(listing.name.clone());
+        let book = book.or_insert_with(|| Book::new(now, listing));
+        // The configuration may come after the replica.
+        book.most = most as usize;
+    }
+
+    /// Closes the books of replicas that are not ours any more.
+    pub fn keep(&mut self, ours: &BTreeSet<ReplicaName>) {
+        self.books.retain(|name, _| ours.contains(name));
+    }
+
+    /// The replicas with a book.
+    pub fn names(&self) -> impl Iterator<Item = &ReplicaName> {
+        self.books.keys()
+    }
+
+    /// Somebody wants an adapter loaded there; the wish lapses unless renewed.
+    pub fn wish(&mut self, now: Moment, name: &ReplicaName, target: &Target) -> bool {
+        let Some(book) = self.books.get_mut(name) else {
+            return false;
+        };
+        book.wish(now, target);
+        true
+    }
+
+    /// A VM has begun `begun` runs of an adapter and has `running` under way.
+    pub fn used(
+        &mut self,
+        now: Moment,
+        name: &ReplicaName,
+        vm: &VmName,
+        target: &Target,
+        running: u32,
+        begun: u32,
+    ) {
+        let Some(book) = self.books.get_mut(name) else {
+            return;
+        };
+        book.used(now, vm, target, running, begun);
+    }
+
+    /// What a replica holds, for the other VMs.
+    pub fn held(&self, name: &ReplicaName) -> Option<Held> {
+        self.books.get(name).map(Book::held)
+    }
+
+    /// The replicas whose books changed since the last call.
+    pub fn take_changed(&mut self) -> Vec<ReplicaName> {
+        let changed = self.books.iter_mut().filter(|(_, b)| b.changed);
+        let changed = changed.map(|(name, b)| {
+            b.changed = false;
+            name.clone()
+        });
+        changed.collect()
+    }
+
+    /// Adapters on their way to our replicas.
+    pub fn coming(&self) -> usize {
+        self.books.values().map(Book::coming).sum()
+    }
+
+    /// The next thing to do at a replica, if any; its end is told by
+    /// [`Books::ended`] or [`Books::looked`] before the next is asked for.
+    ///
+    /// Made for many requests for adapters that are nowhere, at full slots.
+    /// Wishes are served in the order in which they came, so none starves;
+    /// what gives way is the adapter with the least demand that nothing uses,
+    /// and an adapter that is wished for never gives way to another wish.
+    ///
+    /// A replica that restarted holds nothing: `model` is what it loads then.
+    pub fn next(
+        &mut self,
+        now: Moment,
+        name: &ReplicaName,
+        versions: &Versions,
+        model: Option<&ModelName>,
+    ) -> Option<Step> {
+        let ceiling = self.ceiling;
+        let fetch = self.under_way < self.pace.capacity();
+        let book = self.books.get_mut(name)?;
+        if book.busy {
+            return None;
+        }
+        let step = book.next(now, versions, fetch);
+        if let Some(Step::Load { target, .. }) = &step
+            && book.is_fetch(target)
+        {
+            self.under_way += 1;
+        }
+        let step = match (step, model, book.empty()) {
+            (Some(step), ..) => Some(step),
+            (None, Some(model), true) if book.weights_near || ceiling.allows(now) => {
+                if !book.weights_near {
+                    self.ceiling.last = Some(now);
+                }
+                book.load_model(model)
+            }
+            _ => None,
+        };
+        book.busy = step.is_some();
+        step
+    }
+
+    /// Sets how many fetches are under way at all replicas.
+    pub fn set_under_way(&mut self, under_way: usize) {
+        self.under_way = under_way;
+    }
+
+    /// Sets how often this VM may have weights loaded from the weight store.
+    pub fn set_pause(&mut self, pause: Span) {
+        self.ceiling.pause = pause;
+    }
+
+    /// When [`Books::next`] is worth asking again, at the latest.
+    pub fn next_wake(&self, now: Moment) -> Option<Moment> {
+        let books = self.books.values().filter(|b| !b.busy);
+        books.filter_map(|b| b.next_wake(now)).min()
+    }
+
+    /// A report was read, or could not be.
+    pub fn looked(&mut self, now: Moment, name: &ReplicaName, report: Option<Report>) {
+        let Some(book) = self.books.get_mut(name) else {
+            return;
+        };
+        book.busy = false;
+        book.looked(now, report);
+    }
+
+    /// An order ended; gives how long an adapter took to load, if one came.
+    pub fn ended(
+        &mut self,
+        now: Moment,
+        name: &ReplicaName,
+        step: &Step,
+        end: OrderEnd,
+    ) -> Option<Span> {
+        let time = self.pace.expected();
+        let book = self.books.get_mut(name)?;
+        book.busy = false;
+        let fetched =
+            matches!(step, Step::Load { target, .. } if book.is_near(target) == Some(false));
+        let took = book.ended(now, step, end, time);
+        if let Some(took) = took.filter(|_| fetched) {
+            self.pace.learn(took, self.under_way);
+        }
+        took
+    }
+}
--- /dev/null
+++ b/lib/src/serving/books/step.rs
@@ -0,0 +1,76 @@
+//! Orders to a replica, their ends, and its reports.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use crate::serving::model::Target;
+
+/// What to do at a replica.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Step {
+    /// Read its report.
+    Look,
+    /// Load an adapter, or replace it by a newer version.
+    Load {
+        /// Which.
+        target: Target,
+        /// The version; the newest where none was announced.
+        version: Option<u32>,
+        /// Orders that the replica is expected to have accepted.
+        expected: u64,
+    },
+    /// Unload an adapter that nothing uses.
+    Unload {
+        /// Which.
+        target: Target,
+        /// Orders that the replica is expected to have accepted.
+        expected: u64,
+    },
+}
+
+/// What became of an order.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum OrderEnd {
+    /// It is being carried out.
+    Accepted,
+    /// What it asks for holds already.
+    Holds,
+    /// Another order is under way, or others came in between.
+    Conflict,
+    /// The replica has seen a higher fencing token.
+    Fenced,
+    /// Another replica has the address.
+    Gone,
+    /// It was not taken.
+    Refused,
+    /// No answer: it may be carried out later.
+    Unknown,
+}
+
+impl OrderEnd {
+    /// A word for logs and metrics.
+    pub fn word(self) -> &'static str {
+        match self {
+            Self::Accepted => "accepted",
+            Self::Holds => "holds",
+            Self::Conflict => "conflict",
+            Self::Fenced => "fenced",
+            Self::Gone => "gone",
+            Self::Refused => "refused",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
+/// A replica's report of itself; it lags some hundred ms.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Report {
+    /// Orders that it has accepted.
+    pub accepted: u64,
+    /// Adapters that it holds.
+    pub here: BTreeMap<Target, u32>,
+    /// Adapters on their way to it.
+    pub coming: BTreeSet<Target>,
+    /// Whether it has weights in its own memory or on its disk.
+    pub weights_near: bool,
+}
--- a/lib/src/serving/mod.rs
+++ b/lib/src/serving/mod.rs
@@ -16,6 +16,7 @@
 mod forward;
 mod members;
 mod model;
+mod news;
 mod node;
 mod ordering;
 mod pace;
