books: keep adapters that others may be using by the size of the fleet

Cause: an adapter counted as unused 0.9 s after its last known use, but with 71 VMs a use is told after up to 1.2 s, so adapters in use were unloaded; such an unload waits for its runs and holds up every other order there. Change: the time is two beacons and a margin, set from the members' beat. Test: adapter_in_use_stays_until_news_would_have_come, failing before.

--- a/lib/src/serving/books/book.rs
+++ b/lib/src/serving/books/book.rs
@@ -29,9 +29,12 @@
 /// adapter is in use.
 const RUNNING_WEIGHT: f64 = 0.01;
 
-/// How long after its last use an adapter is not unloaded: two beacons, so
-/// that requests of other VMs on their way to it are known.
-const USED_KEPT: Span = Span::from_millis(900);
+/// Within how long uses by other VMs are known here, before it is set for the
+/// size of the fleet.
+const DEFAULT_NEWS: Span = Span::from_millis(900);
+
+/// How long a VM's word on runs under way stands, in times of the news.
+const RUNS_KEPT: u64 = 2;
 
 /// How long a wish stands without being renewed.
 const WISH_KEPT: Span = Span::from_millis(700);
@@ -101,6 +104,8 @@
     pub(super) weights_near: bool,
     /// Since when it is ours.
     opened: Moment,
+    /// Within how long uses by other VMs are known here.
+    pub(super) news: Span,
 }
 
 impl Slot {
@@ -129,6 +134,7 @@
             near: VecDeque::new(),
             weights_near: false,
             opened: now,
+            news: DEFAULT_NEWS,
         }
     }
 
@@ -324,7 +330,7 @@
     /// What gives way: nothing that may be in use, as its unload would wait for
     /// its runs. A new owner learns from the others' beacons what is in use.
     fn victim(&self, now: Moment) -> Option<Target> {
-        if now.since(self.opened) < USED_KEPT {
+        if now.since(self.opened) < self.news {
             return None;
         }
         let here = self.adapters_here();
@@ -338,10 +344,10 @@
         let Some(uses) = self.uses.get(target) else {
             return true;
         };
+        let kept = Span(self.news.0 * RUNS_KEPT);
         let running = uses.running.values();
-        let mut running =
-            running.filter(|(heard, n)| *n > 0 && now.since(*heard) < Span::from_millis(2_000));
-        running.next().is_none() && now.since(uses.demand.last) >= USED_KEPT
+        let mut running = running.filter(|(heard, n)| *n > 0 && now.since(*heard) < kept);
+        running.next().is_none() && now.since(uses.demand.last) >= self.news
     }
 
     pub(super) fn next_wake(&self, now: Moment) -> Option<Moment> {
--- a/lib/src/serving/books/mod.rs
+++ b/lib/src/serving/books/mod.rs
@@ -163,6 +163,14 @@
         self.ceiling.pause = pause;
     }
 
+    /// Sets within how long uses by other VMs are known here. An adapter that
+    /// was used within that time is not unloaded: a request on its way to it
+    /// would be refused, and an unload that waits for a run holds up every
+    /// other order there.
+    pub fn set_news(&mut self, news: Span) {
+        self.books.values_mut().for_each(|b| b.news = news);
+    }
+
     /// When [`Books::next`] is worth asking again, at the latest.
     pub fn next_wake(&self, now: Moment) -> Option<Moment> {
         let books = self.books.values().filter(|b| !b.busy);
--- a/lib/src/serving/members.rs
+++ b/lib/src/serving/members.rs
@@ -20,6 +20,9 @@
 /// make it so.
 const MISSED: u64 = 5;
 
+/// How late a beacon may come on a busy VM.
+const NEWS_MARGIN: Span = Span::from_millis(100);
+
 /// How long a VM that was stopped as planned keeps what it owns: it is usually
 /// back before others could order in its place.
 const STOPPED_KEPT: Span = Span::from_millis(6_000);
@@ -116,6 +119,12 @@
         Span(BEAT.0 * self.count().div_ceil(SMALL_FLEET) as u64)
     }
 
+    /// Within how long what a VM does is known to the others: a beacon that is
+    /// lost is made good by the next one.
+    pub fn news(&self) -> Span {
+        Span(self.beat().0 * 2 + NEWS_MARGIN.0)
+    }
+
     /// A VM that was silent for so long is lost.
     pub fn lost_after(&self) -> Span {
         Span(self.beat().0 * MISSED)
--- a/lib/src/serving/ordering.rs
+++ b/lib/src/serving/ordering.rs
@@ -81,6 +81,7 @@
     let pause = Span((b.members.count() as f64 / loads * WEIGHT_SHARE * 1e6) as u64);
     b.books.set_pause(pause.max(WEIGHT_PAUSE));
     b.books.set_under_way(b.fleet.coming(at));
+    b.books.set_news(b.members.news());
     let active = b.ownership.active(at);
     let active: Vec<_> = active.map(|(name, token)| (name.clone(), token)).collect();
     let mut due = Vec::new();
--- a/lib/tests/test_serving_books.rs
+++ b/lib/tests/test_serving_books.rs
@@ -318,3 +318,21 @@
     let held = desk.books.held(&desk.name).unwrap();
     assert_eq!(held.here.get(&target("base/a1")), Some(&2));
 }
+
+/// In a large fleet the beacons are further apart, and a use is known later: an
+/// adapter that others may be using must not be taken from them meanwhile.
+#[test]
+fn adapter_in_use_stays_until_news_would_have_come() {
+    let mut desk = Desk::new(&["base", "base/a1", "base/a2"], 0);
+    desk.books.set_news(Span::from_millis(2_500));
+    let vm = "vm-2".parse().unwrap();
+    let name = desk.name.clone();
+    for adapter in ["base/a1", "base/a2"] {
+        let used = target(adapter);
+        desk.books.used(ms(1_000), &name, &vm, &used, 0, 1);
+    }
+    desk.wish(2_900, "base/a3");
+    assert_eq!(desk.next(2_900), None);
+    desk.wish(3_600, "base/a3");
+    assert_eq!(desk.next(3_600), unload("base/a1", 0));
+}
