--- a/testutils/src/process.rs
+++ b/testutils/src/process.rs
@@ -83,6 +83,11 @@
         self.signal(Signal::TERM);
     }
 
+    /// Tells it that its settings may have changed.
+    pub fn hangup(&self) {
+        self.signal(Signal::HUP);
+    }
+
     /// Stops its clock, as a paused VM would.
     pub fn freeze(&mut self) {
         self.frozen = true;
--- a/testutils/src/rig/mod.rs
+++ b/testutils/src/rig/mod.rs
@@ -341,9 +341,9 @@
     SocketAddr::new(address.ip(), address.port() + 1)
 }
 
-// Each run has a loopback address of its own, so that fixed ports of runs side
-// by side do not meet.
-fn own_address(process: u32, number: u32) -> IpAddr {
+/// A loopback address of a run's own, so that fixed ports of runs side by side
+/// do not meet.
+pub fn own_address(process: u32, number: u32) -> IpAddr {
     let second = 64 + (process % 128) as u8;
     let third = (process / 128 % 250) as u8;
     let fourth = 1 + (number % 250) as u8;
