fleet: sum the peers' counts as they come

Cause: each look for a place summed the counts of all peers at each replica, and ranked replicas by hashes over addresses written out each time.

--- /dev/null
+++ b/bench/benches/placement.rs
@@ -0,0 +1,121 @@
+//! What it costs to choose a replica in a large fleet.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::hint::black_box;
+use std::time::Duration;
+
+use banyangauge::ids::ModelName;
+use banyangauge::ids::ReplicaName;
+use banyangauge::ids::ServiceName;
+use banyangauge::ids::VmName;
+use banyangauge::pool::Moment;
+use banyangauge::serving::*;
+use criterion::Criterion;
+use criterion::criterion_group;
+use criterion::criterion_main;
+
+/// Replicas, adapters that each holds, and the other VMs.
+const REPLICAS: usize = 140;
+const ADAPTERS: usize = 6;
+const VMS: usize = 70;
+
+/// Replicas at which one VM has requests under way.
+const USED: usize = 30;
+
+const NOW: Moment = Moment(10_000_000);
+
+fn name(i: usize) -> Option<ReplicaName> {
+    format!("i-{i}").parse().ok()
+}
+
+fn config(service: &ServiceName, model: &ModelName) -> Config {
+    let engine = Engine {
+        slots: 64,
+        memory: 265_000,
+        adapters: ADAPTERS as u32,
+        stride: 8,
+        models: BTreeMap::from([(model.clone(), 10_000)]),
+        loads: 40.0,
+    };
+    let service = Service {
+        name: service.clone(),
+        connections: 750,
+        engine: Some(engine),
+    };
+    Config {
+        version: 1,
+        routes: Vec::new(),
+        services: BTreeMap::from([(service.name.clone(), service)]),
+        limits: Limits {
+            head: 1,
+            body: 1,
+            head_time: Duration::ZERO,
+            idle: Duration::ZERO,
+        },
+    }
+}
+
+fn fleet(service: &ServiceName, model: &ModelName) -> Option<Fleet> {
+    let mut fleet = Fleet::new("z-0".parse().ok()?);
+    fleet.configure(&config(service, model));
+    for i in 0..REPLICAS {
+        let held = (0..ADAPTERS).filter_map(|a| {
+            let target = Target::parse(&format!("{model}/a{}", i * ADAPTERS + a))?;
+            Some((target, 1))
+        });
+        fleet.list(Listing {
+            name: name(i)?,
+            service: service.clone(),
+            address: ([127, 0, 0, 1], 1_024 + i as u16).into(),
+            zone: format!("z-{}", i % 4).parse().ok()?,
+            slots: 64,
+            draining: false,
+            models: BTreeSet::from([model.clone()]),
+            adapters: held.collect(),
+        });
+    }
+    for vm in 0..VMS {
+        let used = (0..USED).filter_map(|i| name((vm * 7 + i * 3) % REPLICAS));
+        let load = Load {
+            requests: 1,
+            tokens: 2_000,
+            unread: 0,
+        };
+        let counts = used.map(|name| (name, load)).collect();
+        let vm: VmName = format!("vm-{vm}").parse().ok()?;
+        fleet.hear_counts(NOW, &vm, &counts);
+    }
+    Some(fleet)
+}
+
+fn place(c: &mut Criterion) {
+    let (Ok(service), Ok(model)) = ("llm".parse::<ServiceName>(), ModelName::new("base")) else {
+        return;
+    };
+    let Some(fleet) = fleet(&service, &model) else {
+        return;
+    };
+    let avoid = BTreeSet::new();
+    for (case, adapter) in [("held", "base/a7"), ("nowhere", "base/a9999")] {
+        let target = Target::parse(adapter);
+        let want = Want {
+            service: &service,
+            target: target.as_ref(),
+            cost: Load {
+                requests: 1,
+                tokens: 2_000,
+                unread: 1_000,
+            },
+            shared: None,
+            body_kb: 2.0,
+            avoid: &avoid,
+        };
+        c.bench_function(&format!("place/{case}"), |b| {
+            b.iter(|| black_box(fleet.place(NOW, &want, |_| true)));
+        });
+    }
+}
+
+criterion_group!(benches, place);
+criterion_main!(benches);
--- a/lib/src/serving/fleet/mod.rs
+++ b/lib/src/serving/fleet/mod.rs
@@ -65,6 +65,11 @@
         self.unread += other.unread;
     }
 
+    fn plus(mut self, other: Self) -> Self {
+        self.add(other);
+        self
+    }
+
     fn remove(&mut self, other: Self) {
         self.requests = self.requests.saturating_sub(other.requests);
         self.tokens = self.tokens.saturating_sub(other.tokens);
@@ -100,9 +105,11 @@
 #[derive(Debug)]
 struct Replica {
     listing: Listing,
+    /// The hash of its address, by which homes of adapters are ranked.
+    seed: u64,
     own: Load,
-    /// Until when each peer's count holds.
-    peers: BTreeMap<VmName, (Moment, Load)>,
+    /// The sum of the peers' counts.
+    told: Load,
     /// Until when its owner's word holds.
     book: Option<(Moment, Held)>,
     missing: BTreeMap<Target, Moment>,
@@ -112,11 +119,12 @@
 }
 
 impl Replica {
-    fn new(listing: Listing) -> Self {
+    fn new(listing: Listing, told: Load) -> Self {
         Self {
+            seed: place::address_seed(&listing),
             listing,
             own: Load::default(),
-            peers: BTreeMap::new(),
+            told,
             book: None,
             missing: BTreeMap::new(),
             health: Health::default(),
@@ -124,17 +132,6 @@
         }
     }
 
-    /// Requests of all VMs there.
-    fn load(&self, now: Moment) -> Load {
-        let mut load = self.own;
-        for (until, peer) in self.peers.values() {
-            if *until > now {
-                load.add(*peer);
-            }
-        }
-        load
-    }
-
     /// The version in which it holds a target; 0 where versions do not matter.
     fn holds(&self, now: Moment, target: &Target) -> Option<u32> {
         if self.missing.get(target).is_some_and(|until| *until > now) {
@@ -163,6 +160,10 @@
     zone: ZoneName,
     services: BTreeMap<ServiceName, Service>,
     replicas: BTreeMap<ReplicaName, Replica>,
+    /// What each peer has under way where, and until when that holds.
+    peers: BTreeMap<VmName, (Moment, BTreeMap<ReplicaName, Load>)>,
+    /// When the first of these lapses.
+    lapse_at: Moment,
     word_kept: Span,
     /// What was announced of adapters.
     pub versions: Versions,
@@ -175,6 +176,8 @@
             zone,
             services: BTreeMap::new(),
             replicas: BTreeMap::new(),
+            peers: BTreeMap::new(),
+            lapse_at: Moment(u64::MAX),
             word_kept: WORD_KEPT,
             versions: Versions::default(),
         }
@@ -201,11 +204,14 @@
                 listing.draining |= r.listing.draining;
                 let changed = r.listing.draining != listing.draining;
                 r.listing = listing;
+                r.seed = place::address_seed(&r.listing);
                 changed
             }
             None => {
                 let name = listing.name.clone();
-                self.replicas.insert(name, Replica::new(listing));
+                let told = self.peers.values().filter_map(|(_, c)| c.get(&name));
+                let told = told.fold(Load::default(), |sum, load| sum.plus(*load));
+                self.replicas.insert(name, Replica::new(listing, told));
                 true
             }
         }
@@ -280,7 +286,7 @@
             seen.live += usize::from(r.health.open(now, r.own.requests));
             seen.holders += usize::from(target.is_some_and(|t| r.holds(now, t).is_some()));
             seen.words += usize::from(self.has_word(now, name));
-            seen.requests += r.load(now).requests;
+            seen.requests += self.load(now, name, r).requests;
         }
         seen
     }
@@ -325,19 +331,44 @@
 
     /// A peer's counts for all replicas it uses.
     pub fn hear_counts(&mut self, now: Moment, vm: &VmName, counts: &BTreeMap<ReplicaName, Load>) {
+        let lapsed = self.peers.iter().filter(|(_, (until, _))| *until <= now);
+        let lapsed: Vec<_> = lapsed.map(|(vm, _)| vm.clone()).collect();
+        lapsed.iter().for_each(|vm| self.forget_counts(vm));
+        self.forget_counts(vm);
+        for (name, load) in counts {
+            if let Some(r) = self.replicas.get_mut(name) {
+                r.told.add(*load);
+            }
+        }
         let until = now.after(self.word_kept);
-        for (name, r) in &mut self.replicas {
-            match counts.get(name) {
-                Some(load) => {
-                    r.peers.insert(vm.clone(), (until, *load));
-                }
-                None => {
-                    r.peers.remove(vm);
-                }
+        self.peers.insert(vm.clone(), (until, counts.clone()));
+        let first = self.peers.values().map(|(until, _)| *until).min();
+        self.lapse_at = first.unwrap_or(Moment(u64::MAX));
+    }
+
+    fn forget_counts(&mut self, vm: &VmName) {
+        let Some((_, counts)) = self.peers.remove(vm) else {
+            return;
+        };
+        for (name, load) in counts {
+            if let Some(r) = self.replicas.get_mut(&name) {
+                r.told.remove(load);
             }
         }
     }
 
+    /// Requests of all VMs at a replica. The peers' counts are summed as they
+    /// come, as each request looks at all replicas; only while some of them
+    /// have lapsed are they summed anew.
+    fn load(&self, now: Moment, name: &ReplicaName, r: &Replica) -> Load {
+        if now < self.lapse_at {
+            return r.own.plus(r.told);
+        }
+        let fresh = self.peers.values().filter(|(until, _)| *until > now);
+        let counts = fresh.filter_map(|(_, counts)| counts.get(name));
+        counts.fold(r.own, |sum, load| sum.plus(*load))
+    }
+
     /// An owner's word on what its replica holds.
     pub fn hear_book(&mut self, now: Moment, name: &ReplicaName, held: Held) {
         let until = now.after(self.word_kept);
--- a/lib/src/serving/fleet/place.rs
+++ b/lib/src/serving/fleet/place.rs
@@ -116,23 +116,23 @@
         if open.is_empty() {
             return Place::Nowhere;
         }
-        let score = |r: &Replica| self.score(now, want, r);
-        let best = |list: &mut dyn Iterator<Item = (&ReplicaName, &Replica)>| {
-            let scored = list.map(|(n, r)| (score(r), n.clone()));
-            scored.min_by(|a, b| a.0.total_cmp(&b.0))
-        };
+        let score = |n: &ReplicaName, r: &Replica| self.score(now, want, n, r);
         let Some(target) = want.target else {
-            let mut fit = open.iter().filter(|(_, r)| self.has_room(now, want, r));
-            let fit = best(&mut fit.by_ref().map(|(n, r)| (*n, *r)));
-            return fit.map_or(Place::Full, |(_, at)| Place::Send { at, copy: None });
+            let fit = open.iter().filter(|(n, r)| self.has_room(now, want, n, r));
+            let fit = fit.map(|(n, r)| (score(n, r), *n));
+            let fit = fit.min_by(|a, b| a.0.total_cmp(&b.0));
+            let fit = fit.map(|(_, at)| at.clone());
+            return fit.map_or(Place::Full, |at| Place::Send { at, copy: None });
         };
         let holders = open.iter().filter(|(_, r)| self.serves(now, target, r));
         let holders: Vec<_> = holders.collect();
-        let mut fit = holders.iter().filter(|(_, r)| self.has_room(now, want, r));
+        let mut fit = holders
+            .iter()
+            .filter(|(n, r)| self.has_room(now, want, n, r));
         let kept = want.shared.and_then(|shared| {
             let first = holders
                 .iter()
-                .max_by_key(|(_, r)| prefix_rank(shared, &r.listing));
+                .max_by_key(|(_, r)| prefix_rank(shared, r.seed));
             first.map(|(name, _)| (*name, f64::from(shared.tokens) / READ_A_MS))
         });
         let saved = |n: &ReplicaName| match kept {
@@ -141,24 +141,33 @@
         };
         let fit = fit
             .by_ref()
-            .map(|(n, r)| (score(r) - saved(n), score(r), (*n).clone()));
+            .map(|(n, r)| (score(n, r), *n))
+            .map(|(score, n)| (score - saved(n), score, n));
         let fit = fit.min_by(|a, b| a.0.total_cmp(&b.0));
-        let fit = fit.map(|(_, score, name)| (score, name));
+        let fit = fit.map(|(_, score, name)| (score, name.clone()));
         if target.adapter.is_none() {
             return fit.map_or(Place::Full, |(_, at)| Place::Send { at, copy: None });
         }
-        let roomy = open.iter().filter(|(n, r)| {
-            let base = target.model.target();
-            loadable(n)
-                && r.holds(now, &base).is_some()
-                && self.has_room(now, want, r)
-                && !self.serves(now, target, r)
-        });
-        let roomy: Vec<_> = roomy.map(|(n, r)| (*n, *r)).collect();
+        let base = target.model.target();
+        let roomy = || -> Vec<_> {
+            let roomy = open.iter().filter(|(n, r)| {
+                self.has_room(now, want, n, r)
+                    && !self.serves(now, target, r)
+                    && r.holds(now, &base).is_some()
+                    && loadable(n)
+            });
+            roomy.map(|(n, r)| (*n, *r, score(n, r))).collect()
+        };
         if let Some((held, at)) = fit {
-            let least = best(&mut roomy.iter().copied()).map(|(s, _)| s);
+            // No replica seems less busy than not at all.
+            if held <= COPY_ABOVE_MS {
+                return Place::Send { at, copy: None };
+            }
+            let roomy = roomy();
+            let least = roomy.iter().map(|(_, _, score)| *score);
+            let least = least.min_by(f64::total_cmp);
             let copy = least.filter(|least| held > least + COPY_ABOVE_MS);
-            let copy = copy.and_then(|_| self.home(target, &roomy, score));
+            let copy = copy.and_then(|_| home(target, &roomy));
             return Place::Send { at, copy };
         }
         let coming = open.iter().find(|(_, r)| r.awaits(now, target));
@@ -166,30 +175,13 @@
             let at = (*at).clone();
             return Place::Coming { at };
         }
-        match self.home(target, &roomy, score) {
+        match home(target, &roomy()) {
             Some(at) => Place::Load { at },
             None if holders.is_empty() => Place::Nowhere,
             None => Place::Full,
         }
     }
 
-    /// The first replica for an adapter in the order of the hash, of those
-    /// that are not much busier than the least loaded one.
-    fn home(
-        &self,
-        target: &Target,
-        list: &[(&ReplicaName, &Replica)],
-        score: impl Fn(&Replica) -> f64,
-    ) -> Option<ReplicaName> {
-        let least = list.iter().map(|(_, r)| score(r));
-        let least = least.min_by(f64::total_cmp)?;
-        let fit = list
-            .iter()
-            .filter(|(_, r)| score(r) <= least + COPY_ABOVE_MS);
-        let first = fit.max_by_key(|(_, r)| rank(target, &r.listing));
-        first.map(|(name, _)| (*name).clone())
-    }
-
     /// Whether a run for this target may begin there.
     fn serves(&self, now: Moment, target: &Target, r: &Replica) -> bool {
         let Some(version) = r.holds(now, target) else {
@@ -200,8 +192,8 @@
     }
 
     /// How busy a replica seems for a request, in milliseconds of its engine.
-    fn score(&self, now: Moment, want: &Want<'_>, r: &Replica) -> f64 {
-        let load = r.load(now);
+    fn score(&self, now: Moment, want: &Want<'_>, name: &ReplicaName, r: &Replica) -> f64 {
+        let load = self.load(now, name, r);
         let far = match r.listing.zone == self.zone {
             true => 0.0,
             false => FAR_MS + FAR_MS_A_KB * want.body_kb,
@@ -213,8 +205,8 @@
     }
 
     /// Whether a replica can begin a request soon.
-    fn has_room(&self, now: Moment, want: &Want<'_>, r: &Replica) -> bool {
-        let load = r.load(now);
+    fn has_room(&self, now: Moment, want: &Want<'_>, name: &ReplicaName, r: &Replica) -> bool {
+        let load = self.load(now, name, r);
         let slots = f64::from(r.listing.slots);
         let service = self.services.get(&r.listing.service);
         match service.and_then(|s| s.engine.as_ref()) {
@@ -229,17 +221,32 @@
     }
 }
 
+/// The first replica for an adapter in the order of the hash, of those that
+/// are not much busier than the least loaded one; each with how busy it seems.
+fn home(target: &Target, list: &[(&ReplicaName, &Replica, f64)]) -> Option<ReplicaName> {
+    let least = list.iter().map(|(_, _, score)| *score);
+    let least = least.min_by(f64::total_cmp)?;
+    let fit = list
+        .iter()
+        .filter(|(_, _, score)| *score <= least + COPY_ABOVE_MS);
+    let first = fit.max_by_key(|(_, r, _)| rank(target, r.seed));
+    first.map(|(name, _, _)| (*name).clone())
+}
+
+/// The hash of a replica's address, which stands for the replica: after a
+/// restart there it still has the adapter's weights on its disk.
+pub(super) fn address_seed(listing: &Listing) -> u64 {
+    xxh3_64_with_seed(listing.address.to_string().as_bytes(), 0)
+}
+
 /// The rank of a replica for a shared beginning: requests that share it meet
 /// where it is kept, as far as several replicas hold their adapter.
-fn prefix_rank(shared: Shared, listing: &Listing) -> u64 {
-    let address = listing.address.to_string();
-    xxh3_64_with_seed(address.as_bytes(), shared.key)
+fn prefix_rank(shared: Shared, seed: u64) -> u64 {
+    xxh3_64_with_seed(&seed.to_le_bytes(), shared.key)
 }
 
-/// The rank of a replica for an adapter. The address stands for the replica:
-/// after a restart there it still has the adapter's weights on its disk.
-fn rank(target: &Target, listing: &Listing) -> u64 {
+/// The rank of a replica for an adapter.
+fn rank(target: &Target, seed: u64) -> u64 {
     let adapter = target.adapter.as_ref().map_or("", |a| a.as_str());
-    let seed = xxh3_64_with_seed(listing.address.to_string().as_bytes(), 0);
     xxh3_64_with_seed(adapter.as_bytes(), seed)
 }
