peers: tell news of loads to those who wait; waits pause between looks

Cause: each of 60 loads a second changes what its replica holds five times or so, and each change was told to all 70 other VMs, where it woke all that waited. Change: news goes to the VMs that wished for something there; the others hear with the next beacon. One who wishes for what is there is told at once.

--- a/lib/src/serving/beliefs.rs
+++ b/lib/src/serving/beliefs.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeSet;
 use std::rc::Rc;
 
+use super::audience::Audience;
 use super::books::Books;
 use super::budget::Budget;
 use super::fleet::Fleet;
@@ -52,6 +53,8 @@
     pub(super) uses: BTreeMap<ReplicaName, BTreeMap<Target, OwnUse>>,
     /// Leaving replicas that the other VMs are to be told of.
     pub(super) leaving: BTreeSet<ReplicaName>,
+    /// Who waits for news of which of our replicas.
+    pub(super) audience: Audience,
     /// Whether the replicas were listed once.
     pub(super) listed: bool,
 }
@@ -71,6 +74,7 @@
             turns: Turns::default(),
             uses: BTreeMap::new(),
             leaving: BTreeSet::new(),
+            audience: Audience::default(),
             listed: false,
         }
     }
--- a/lib/src/serving/books/mod.rs
+++ b/lib/src/serving/books/mod.rs
@@ -91,6 +91,11 @@
         book.used(now, vm, target, running, begun);
     }
 
+    /// Whether a replica holds no model, and none is on its way.
+    pub fn is_empty(&self, name: &ReplicaName) -> bool {
+        self.books.get(name).is_some_and(Book::empty)
+    }
+
     /// What a replica holds, for the other VMs.
     pub fn held(&self, name: &ReplicaName) -> Option<Held> {
         self.books.get(name).map(Book::held)
--- a/lib/src/serving/mod.rs
+++ b/lib/src/serving/mod.rs
@@ -6,6 +6,7 @@
 //! order it), [`Strikes`] (which request crashes its upstream). How requests,
 //! replicas and the store speak is a [`Border`]'s and a [`Store`]'s matter.
 
+mod audience;
 mod beliefs;
 mod books;
 mod border;
@@ -35,6 +36,7 @@
 mod turns;
 mod waiting;
 
+pub use audience::Audience;
 pub use books::Books;
 pub use books::OrderEnd;
 pub use books::Report;
--- a/lib/src/serving/ordering.rs
+++ b/lib/src/serving/ordering.rs
@@ -86,7 +86,8 @@
     let active: Vec<_> = active.map(|(name, token)| (name.clone(), token)).collect();
     let mut due = Vec::new();
     for (name, token) in active {
-        let listing = b.fleet.listing(&name);
+        let empty = b.books.is_empty(&name);
+        let listing = b.fleet.listing(&name).filter(|_| empty);
         let model = listing.and_then(|l| b.fleet.missing_model(l));
         if let Some(step) = b.books.next(at, &name, &b.fleet.versions, model) {
             due.push((name, token, step));
--- a/lib/src/serving/peers.rs
+++ b/lib/src/serving/peers.rs
@@ -50,18 +50,47 @@
             .await
             .is_ok()
         {
-            number += 1;
-            let (beacon, addresses) = {
-                let mut b = node.beliefs();
-                let addresses: Vec<_> = b.members.addresses().collect();
-                (news(&node, &mut b, number), addresses)
-            };
-            send_all(&node, beacon, &addresses).await;
+            tell_news(&node, &mut number).await;
             tokio::time::sleep(NEWS_PAUSE).await;
         }
     }
 }
 
+/// Tells the VMs that wait what our replicas hold, and all which are leaving.
+async fn tell_news(node: &Node, number: &mut u64) {
+    let mut sendings = Vec::new();
+    {
+        let mut b = node.beliefs();
+        let b = &mut *b;
+        let now = now();
+        for name in b.books.take_changed() {
+            b.audience.changed(now, &name);
+            // This VM believes it as well.
+            if let Some(held) = b.books.held(&name) {
+                b.fleet.hear_book(now, &name, held);
+            }
+        }
+        for (vm, names) in b.audience.take_owed() {
+            if let Some(address) = b.members.address(&vm) {
+                *number += 1;
+                let mut told = beacon(node, *number);
+                told.books = names.iter().filter_map(|n| book(b, now, n)).collect();
+                sendings.push((told, vec![address]));
+            }
+        }
+        let leaving = std::mem::take(&mut b.leaving);
+        if !leaving.is_empty() || node.phase() != Phase::Serving {
+            *number += 1;
+            let mut told = beacon(node, *number);
+            told.leaving = leaving.iter().map(ToString::to_string).collect();
+            sendings.push((told, b.members.addresses().collect()));
+        }
+    }
+    for (told, addresses) in sendings {
+        send_all(node, told, &addresses).await;
+    }
+}
+
 async fn send_all(node: &Node, beacon: wire::Beacon, addresses: &[SocketAddr]) {
     let datagram = wire::Datagram {
         body: Some(Body::Beacon(beacon)),
@@ -96,7 +125,12 @@
     let mut told = beacon(node, number);
     told.complete = true;
     told.turns_ms = b.strain.left(now).as_millis();
-    told.books = books(b, now, &names);
+    told.books = names.iter().filter_map(|n| book(b, now, n)).collect();
+    for name in &names {
+        if let Some(held) = b.books.held(name) {
+            b.fleet.hear_book(now, name, held);
+        }
+    }
     let uses = b.take_uses();
     use_own(b, now, &node.settings.vm, &uses);
     let mut counts = b.fleet.own_counts();
@@ -124,40 +158,24 @@
     told
 }
 
-fn news(node: &Node, b: &mut Beliefs, number: u64) -> wire::Beacon {
-    let now = now();
-    let names = b.books.take_changed();
-    let mut told = beacon(node, number);
-    told.books = books(b, now, &names);
-    let leaving = std::mem::take(&mut b.leaving);
-    told.leaving = leaving.iter().map(ToString::to_string).collect();
-    told
-}
-
-/// What the named replicas hold; this VM believes it as well.
-fn books(b: &mut Beliefs, now: Moment, names: &[ReplicaName]) -> Vec<wire::ReplicaBook> {
-    let mut told = Vec::new();
-    for name in names {
-        let (Some(held), Some(token)) = (b.books.held(name), b.ownership.token(now, name)) else {
-            continue;
-        };
-        let here = held.here.iter().map(|(t, v)| (t, *v, false));
-        let coming = held.coming.iter().map(|t| (t, 0, true));
-        let slots = here
-            .chain(coming)
-            .map(|(t, version, coming)| wire::AdapterSlot {
-                target: t.to_string(),
-                version,
-                coming,
-            });
-        told.push(wire::ReplicaBook {
-            replica: name.to_string(),
-            token: token.0,
-            slots: slots.collect(),
+/// What a replica of ours holds.
+fn book(b: &Beliefs, now: Moment, name: &ReplicaName) -> Option<wire::ReplicaBook> {
+    let held = b.books.held(name)?;
+    let token = b.ownership.token(now, name)?;
+    let here = held.here.iter().map(|(t, v)| (t, *v, false));
+    let coming = held.coming.iter().map(|t| (t, 0, true));
+    let slots = here
+        .chain(coming)
+        .map(|(t, version, coming)| wire::AdapterSlot {
+            target: t.to_string(),
+            version,
+            coming,
         });
-        b.fleet.hear_book(now, name, held);
-    }
-    told
+    Some(wire::ReplicaBook {
+        replica: name.to_string(),
+        token: token.0,
+        slots: slots.collect(),
+    })
 }
 
 fn adapter_uses(uses: &BTreeMap<Target, super::beliefs::OwnUse>) -> Vec<wire::AdapterUse> {
@@ -328,7 +346,20 @@
     let Some(target) = Target::parse(&wish.target) else {
         return;
     };
-    if node.beliefs().books.wish(now(), &name, &target) {
-        node.orders.notify_one();
+    let Ok(vm) = wish.vm.parse::<VmName>() else {
+        return;
+    };
+    let now = now();
+    let mut b = node.beliefs();
+    if !b.books.wish(now, &name, &target) {
+        return;
+    }
+    let held = b.books.held(&name).unwrap_or_default();
+    let known = held.here.contains_key(&target) || held.coming.contains(&target);
+    b.audience.ask(now, &vm, &name, known);
+    drop(b);
+    node.orders.notify_one();
+    if known {
+        node.news.notify_one();
     }
 }
--- a/lib/src/serving/waiting.rs
+++ b/lib/src/serving/waiting.rs
@@ -13,6 +13,7 @@
 use super::forward::Held;
 use super::node::Node;
 use super::node::Phase;
+use super::node::instant;
 use super::node::now;
 use super::peers;
 use super::serve::Asked;
@@ -36,6 +37,11 @@
 /// which a short run ends.
 const FULL_COME_BACK: Duration = Duration::from_millis(300);
 
+/// The least time between two looks for a place. Under high load some hundred
+/// ends of runs and pieces of news a second wake all that wait, and each look
+/// goes through all replicas; a load takes some twenty times as long.
+const LOOK_PAUSE: Span = Span::from_millis(15);
+
 /// A wait that is worth a line.
 const WAIT_TOLD: Span = Span::from_millis(20);
 
@@ -104,6 +110,7 @@
         let wait = Duration::from_micros(limit.since(at).0).min(WISH_AGAIN);
         // Whether news or the time wakes us, the place is looked for anew.
         tokio::time::timeout(wait, changed).await.ok();
+        tokio::time::sleep_until(instant(at.after(LOOK_PAUSE))).await;
     }
 }
 
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -31,6 +31,7 @@
 mod test_pool_outcomes;
 mod test_pool_promises;
 mod test_pool_rig;
+mod test_serving_audience;
 mod test_serving_books;
 mod test_serving_budget;
 mod test_serving_place;
