strikes: tell what this VM saw, and no more than fits a datagram

Cause: a strike that was heard of counted as seen now and was told on, so each went around among all VMs for ever. Change: a VM tells the strikes that it saw, 64 of the newest at the most; what it heard of convicts as before and is not told on. Tests: strikes_heard_are_not_told_on, strikes_told_fit_a_datagram.

--- a/lib/src/serving/strikes.rs
+++ b/lib/src/serving/strikes.rs
@@ -17,6 +17,18 @@
 /// broken requests must not fill the memory.
 const MOST_KEPT: usize = 2_048;
 
+/// Strikes that are told in one beacon at the most: a crash of many replicas
+/// leaves one for each request that ran there, and a beacon must fit a datagram.
+const MOST_TOLD: usize = 64;
+
+/// One replica that broke while it ran a request.
+#[derive(Clone, Copy, Debug)]
+struct Strike {
+    at: Moment,
+    /// Whether this VM saw it, or heard of it from another.
+    own: bool,
+}
+
 /// Requests in whose run an upstream broke.
 ///
 /// Made for the one request that crashes each replica that begins to run it
@@ -25,18 +37,35 @@
 /// are not refused for it.
 #[derive(Debug, Default)]
 pub struct Strikes {
-    known: BTreeMap<Fingerprint, BTreeMap<ReplicaName, Moment>>,
+    known: BTreeMap<Fingerprint, BTreeMap<ReplicaName, Strike>>,
 }
 
 impl Strikes {
     /// An upstream broke while it ran this request; gives whether that is news.
     pub fn note(&mut self, now: Moment, request: Fingerprint, replica: &ReplicaName) -> bool {
+        let strikes = self.strikes(now, request);
+        let strike = Strike { at: now, own: true };
+        strikes.insert(replica.clone(), strike).is_none()
+    }
+
+    /// Another VM saw that. It is not told on: whoever saw it tells all, and
+    /// strikes that are told on go around for ever.
+    pub fn hear(&mut self, now: Moment, request: Fingerprint, replica: &ReplicaName) {
+        let strikes = self.strikes(now, request);
+        let strike = Strike {
+            at: now,
+            own: false,
+        };
+        strikes.entry(replica.clone()).or_insert(strike);
+    }
+
+    fn strikes(&mut self, now: Moment, request: Fingerprint) -> &mut BTreeMap<ReplicaName, Strike> {
         if self.known.len() >= MOST_KEPT && !self.known.contains_key(&request) {
             self.known.pop_first();
         }
         let strikes = self.known.entry(request).or_default();
-        strikes.retain(|_, at| now.since(*at) < STRIKE_KEPT);
-        strikes.insert(replica.clone(), now).is_none()
+        strikes.retain(|_, s| now.since(s.at) < STRIKE_KEPT);
+        strikes
     }
 
     /// It was answered, so it does not crash its upstream.
@@ -57,15 +86,18 @@
         };
         let recent = strikes
             .iter()
-            .filter(|(_, at)| now.since(**at) < STRIKE_KEPT);
+            .filter(|(_, s)| now.since(s.at) < STRIKE_KEPT);
         recent.filter(|(name, _)| down(name)).count() >= MOST_CRASHES
     }
 
-    /// The strikes of the last `span`, for the other VMs.
+    /// What this VM saw in the last `span`, the newest first, for the others.
     pub fn recent(&self, now: Moment, span: Span) -> Vec<(Fingerprint, ReplicaName)> {
         let all = self.known.iter();
-        let all = all.flat_map(|(f, strikes)| strikes.iter().map(move |(r, at)| (*f, r, *at)));
-        let recent = all.filter(|(_, _, at)| now.since(*at) < span);
-        recent.map(|(f, r, _)| (f, r.clone())).collect()
+        let all = all.flat_map(|(f, strikes)| strikes.iter().map(move |(r, s)| (*f, r, *s)));
+        let recent = all.filter(|(_, _, s)| s.own && now.since(s.at) < span);
+        let mut recent: Vec<_> = recent.collect();
+        recent.sort_by_key(|(_, _, s)| std::cmp::Reverse(s.at));
+        recent.truncate(MOST_TOLD);
+        recent.into_iter().map(|(f, r, _)| (f, r.clone())).collect()
     }
 }
--- a/lib/tests/test_serving_budget.rs
+++ b/lib/tests/test_serving_budget.rs
@@ -86,3 +86,45 @@
     strikes.clear(request);
     assert!(!strikes.convicted(at(0), request, |_| true));
 }
+
+/// A crash of many replicas leaves a strike for each request that ran there.
+/// Each VM tells its own; what is told on goes around for ever, and grew the
+/// beacons until they filled the links.
+#[test]
+fn strikes_heard_are_not_told_on() {
+    let mut strikes = Strikes::default();
+    let replica = "i-1".parse().unwrap();
+    strikes.hear(at(0), Fingerprint(1), &replica);
+    strikes.note(at(0), Fingerprint(2), &replica);
+    let told = |strikes: &Strikes| -> Vec<u64> {
+        let recent = strikes.recent(at(10), Span::from_millis(5_000));
+        recent.iter().map(|(f, _)| f.0).collect()
+    };
+    assert_eq!(told(&strikes), [2]);
+    // Hearing of its own from another VM keeps it its own, and no younger.
+    strikes.hear(at(9), Fingerprint(2), &replica);
+    assert_eq!(told(&strikes), [2]);
+    assert!(strikes.recent(at(10), Span::from_millis(5)).is_empty());
+}
+
+#[test]
+fn strikes_told_fit_a_datagram() {
+    let mut strikes = Strikes::default();
+    let replica = "i-1".parse().unwrap();
+    for i in 0..1_000 {
+        strikes.note(at(i), Fingerprint(i), &replica);
+    }
+    let told = strikes.recent(at(1_000), Span::from_millis(5_000));
+    assert_eq!(told.len(), 64);
+    assert_eq!(told[0].0, Fingerprint(999));
+}
+
+/// Strikes that other VMs saw count as much.
+#[test]
+fn strikes_heard_convict() {
+    let mut strikes = Strikes::default();
+    for name in ["i-1", "i-2", "i-3"] {
+        strikes.hear(at(0), Fingerprint(1), &name.parse().unwrap());
+    }
+    assert!(strikes.convicted(at(0), Fingerprint(1), |_| true));
+}
