telemetry: count lost lines right, write what waits in one go

Cause: under a flood on a blocked output slog-async said 91,807 lost lines where 45,904 were lost: each line whose report found no room counted twice. Change: JSON lines go through a bounded ring of our own; what waits is written at once. Lines for a terminal stay with slog-async.

--- a/lib/src/telemetry/mod.rs
+++ b/lib/src/telemetry/mod.rs
@@ -1,5 +1,7 @@
 //! Logs by `slog` and metrics by `metrics`, with a Prometheus endpoint.
 
+mod ring;
+
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -18,6 +20,9 @@
 use slog::Drain;
 use tokio::net::TcpListener;
 
+use self::ring::LOG_RING;
+use self::ring::Ring;
+
 /// How logs are written.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -29,10 +34,6 @@
     Json,
 }
 
-/// Records that may wait for the writing thread; more are dropped and counted,
-/// so that a stuck terminal never holds up a request.
-const LOG_RING: usize = 4_096;
-
 /// A logger for a program, writing to standard error.
 ///
 /// ```
@@ -47,10 +48,7 @@
             let drain = slog_term::FullFormat::new(decorator).build().fuse();
             slog_async::Async::new(drain).chan_size(LOG_RING).build()
         }
-        LogFormat::Json => {
-            let drain = slog_json::Json::default(std::io::stderr()).fuse();
-            slog_async::Async::new(drain).chan_size(LOG_RING).build()
-        }
+        LogFormat::Json => return json_logger(program, std::io::stderr()),
     };
     slog::Logger::root(drain.fuse(), slog::o!("program" => program))
 }
@@ -64,9 +62,27 @@
 /// slog::info!(log, "started"; "vm" => "vm-1");
 /// ```
 pub fn stdout_logger(program: &'static str) -> slog::Logger {
-    let drain = slog_json::Json::default(std::io::stdout()).fuse();
-    let drain = slog_async::Async::new(drain).chan_size(LOG_RING).build();
-    slog::Logger::root(drain.fuse(), slog::o!("program" => program))
+    json_logger(program, std::io::stdout())
+}
+
+/// The same, to any output.
+///
+/// ```
+/// let log = banyangauge::telemetry::json_logger("banyan-serve", std::io::sink());
+/// slog::info!(log, "started"; "vm" => "vm-1");
+/// ```
+pub fn json_logger(
+    program: &'static str,
+    output: impl std::io::Write + Send + 'static,
+) -> slog::Logger {
+    match Ring::new(output) {
+        Ok(ring) => slog::Logger::root(ring.fuse(), slog::o!("program" => program)),
+        Err(e) => {
+            let log = logger(program, LogFormat::Terminal);
+            slog::error!(log, "no thread for the log"; "error" => %e);
+            log
+        }
+    }
 }
 
 /// Installs the process's metrics recorder.
