peers: owners count the requests at their replicas, beacons every 0.4 s

Cause: a VM told all others what it had under way at each replica. With 71 VMs that was once in 1.2 s, and the age of a VM's picture is what misplaces requests: all of them send to what looked idle a second ago. Told more often, its size grows with load, and links of 10 Mbit/s fill. Change: each VM tells the owner of a replica within 60 ms what changed of its requests there; the owner tells all the sum with its beacon, every 0.4 s up to 96 VMs, to VMs of other zones with each third. Plain services' replicas get owners for that as well; a VM's entry in the store names its zone.

--- a/lib/src/serving/beliefs.rs
+++ b/lib/src/serving/beliefs.rs
@@ -19,6 +19,7 @@
 use super::table::Ownership;
 use super::table::Table;
 use super::turns::Turns;
+use crate::ids::Incarnation;
 use crate::ids::ReplicaName;
 use crate::ids::VmName;
 use crate::pool::Moment;
@@ -55,6 +56,8 @@
     pub(super) leaving: BTreeSet<ReplicaName>,
     /// Who waits for news of which of our replicas.
     pub(super) audience: Audience,
+    /// The newest report of each VM on its requests.
+    pub(super) reports: BTreeMap<VmName, (Incarnation, u64)>,
     /// Whether the replicas were listed once.
     pub(super) listed: bool,
 }
@@ -66,7 +69,7 @@
             active: None,
             fleet: Fleet::new(settings.zone.clone()),
             budget: Budget::new(settings.budget),
-            members: Members::new(settings.vm.clone(), now),
+            members: Members::new(settings.vm.clone(), settings.zone.clone(), now),
             ownership: Ownership::new(settings.vm.clone(), lease),
             books: Books::default(),
             strikes: Strikes::default(),
@@ -75,6 +78,7 @@
             uses: BTreeMap::new(),
             leaving: BTreeSet::new(),
             audience: Audience::default(),
+            reports: BTreeMap::new(),
             listed: false,
         }
     }
@@ -141,14 +145,17 @@
         }
     }
 
-    /// The uses to tell the owners; what was begun is told once.
-    pub(super) fn take_uses(&mut self) -> BTreeMap<ReplicaName, BTreeMap<Target, OwnUse>> {
-        let told = self.uses.clone();
-        for uses in self.uses.values_mut() {
-            uses.retain(|_, u| u.running > 0);
-            uses.values_mut().for_each(|u| u.begun = 0);
+    /// The uses at a replica to tell its owner; what was begun is told once.
+    pub(super) fn take_uses(&mut self, name: &ReplicaName) -> BTreeMap<Target, OwnUse> {
+        let Some(uses) = self.uses.get_mut(name) else {
+            return BTreeMap::new();
+        };
+        let told = uses.clone();
+        uses.retain(|_, u| u.running > 0);
+        uses.values_mut().for_each(|u| u.begun = 0);
+        if uses.is_empty() {
+            self.uses.remove(name);
         }
-        self.uses.retain(|_, uses| !uses.is_empty());
         told
     }
 
@@ -159,7 +166,10 @@
         for name in &ours {
             if let Some(listing) = self.fleet.listing(name) {
                 let most = self.fleet.engine_slots(listing);
-                self.books.open(now, listing, most);
+                // Plain replicas are owned for the count of their requests.
+                if most > 0 {
+                    self.books.open(now, listing, most);
+                }
             }
         }
         self.books.keep(&ours);
--- a/lib/src/serving/fleet/mod.rs
+++ b/lib/src/serving/fleet/mod.rs
@@ -108,8 +108,13 @@
     /// The hash of its address, by which homes of adapters are ranked.
     seed: u64,
     own: Load,
-    /// The sum of the peers' counts.
+    /// The sum of the peers' counts, where this VM owns the replica.
     told: Load,
+    /// What the others have under way by its owner's word, and until when that
+    /// holds; none where this VM owns it.
+    word: Option<(Moment, Load)>,
+    /// What its owner was told of this VM's requests.
+    reported: Load,
     /// Until when its owner's word holds.
     book: Option<(Moment, Held)>,
     missing: BTreeMap<Target, Moment>,
@@ -125,6 +130,8 @@
             listing,
             own: Load::default(),
             told,
+            word: None,
+            reported: Load::default(),
             book: None,
             missing: BTreeMap::new(),
             health: Health::default(),
@@ -261,10 +268,14 @@
         self.replicas.get(name).map(|r| &r.listing)
     }
 
+    /// The replicas as the store lists them.
+    pub fn listings(&self) -> impl Iterator<Item = &Listing> {
+        self.replicas.values().map(|r| &r.listing)
+    }
+
     /// The replicas that can hold adapters.
     pub fn engines(&self) -> impl Iterator<Item = &Listing> {
-        let engine = |l: &&Listing| self.engine_slots(l) > 0;
-        self.replicas.values().map(|r| &r.listing).filter(engine)
+        self.listings().filter(|l| self.engine_slots(l) > 0)
     }
 
     /// How many adapters a replica may hold.
@@ -346,6 +357,47 @@
         self.lapse_at = first.unwrap_or(Moment(u64::MAX));
     }
 
+    /// A peer's count for one replica.
+    pub fn hear_count(&mut self, now: Moment, vm: &VmName, name: &ReplicaName, load: Load) {
+        let until = now.after(self.word_kept);
+        let (_, counts) = self
+            .peers
+            .entry(vm.clone())
+            .or_insert((until, BTreeMap::new()));
+        let old = counts.insert(name.clone(), load).unwrap_or_default();
+        if let Some(r) = self.replicas.get_mut(name) {
+            r.told.remove(old);
+            r.told.add(load);
+        }
+        self.lapse_at = self.lapse_at.min(until);
+    }
+
+    /// What all VMs have under way at a replica that this VM owns.
+    pub fn total(&self, now: Moment, name: &ReplicaName) -> Option<Load> {
+        let r = self.replicas.get(name)?;
+        Some(self.load(now, name, r))
+    }
+
+    /// An owner's count of all requests at its replica. What it was told of
+    /// this VM's is in it, and known better here.
+    pub fn hear_total(&mut self, now: Moment, name: &ReplicaName, total: Load) {
+        let until = now.after(self.word_kept);
+        if let Some(r) = self.replicas.get_mut(name) {
+            let mut others = total;
+            others.remove(r.reported);
+            r.word = Some((until, others));
+        }
+    }
+
+    /// The owner of a replica is told of this VM's requests there.
+    pub fn report(&mut self, name: &ReplicaName) -> Load {
+        let Some(r) = self.replicas.get_mut(name) else {
+            return Load::default();
+        };
+        r.reported = r.own;
+        r.own
+    }
+
     fn forget_counts(&mut self, vm: &VmName) {
         let Some((_, counts)) = self.peers.remove(vm) else {
             return;
@@ -361,6 +413,12 @@
     /// come, as each request looks at all replicas; only while some of them
     /// have lapsed are they summed anew.
     fn load(&self, now: Moment, name: &ReplicaName, r: &Replica) -> Load {
+        if let Some((until, others)) = r.word {
+            return match until > now {
+                true => r.own.plus(others),
+                false => r.own,
+            };
+        }
         if now < self.lapse_at {
             return r.own.plus(r.told);
         }
@@ -389,6 +447,8 @@
     pub fn forget_book(&mut self, name: &ReplicaName) {
         if let Some(r) = self.replicas.get_mut(name) {
             r.book = None;
+            r.word = None;
+            r.reported = Load::default();
         }
     }
 
@@ -420,9 +480,18 @@
         }
     }
 
-    /// What runs where, of this VM's requests.
-    pub fn own_counts(&self) -> BTreeMap<ReplicaName, Load> {
-        let used = self.replicas.iter().filter(|(_, r)| r.own.requests > 0);
-        used.map(|(name, r)| (name.clone(), r.own)).collect()
+    /// The replicas at which this VM's requests changed since their owner was
+    /// told.
+    pub fn unreported(&self) -> impl Iterator<Item = &ReplicaName> {
+        let changed = self.replicas.iter().filter(|(_, r)| r.own != r.reported);
+        changed.map(|(name, _)| name)
+    }
+
+    /// The replicas of which an owner is to be told: those that run requests
+    /// of this VM, and those of which it was told so before.
+    pub fn to_report(&self) -> impl Iterator<Item = &ReplicaName> {
+        let counts = |r: &Replica| r.own.requests + r.reported.requests > 0;
+        let used = self.replicas.iter().filter(move |(_, r)| counts(r));
+        used.map(|(name, _)| name)
     }
 }
--- a/lib/src/serving/peers.rs
+++ b/lib/src/serving/peers.rs
@@ -1,6 +1,7 @@
 //! Datagrams between the VMs: beacons and wishes.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -27,24 +28,32 @@
 /// The least time between two beacons that carry news.
 const NEWS_PAUSE: Duration = Duration::from_millis(30);
 
+/// The pause between two reports to the owners of replicas: a few engine steps,
+/// so that what is sent in one moment is told at once.
+const REPORT_PAUSE: Duration = Duration::from_millis(60);
+
 /// For how long a strike is told again: lost datagrams are made good.
 const STRIKES_TOLD: Span = Span::from_millis(5_000);
 
 /// The longest datagram that is read.
 const MOST_BYTES: usize = 16 << 10;
 
-/// Tells all others what this VM has under way, owns and has seen break.
+/// Tells all others what this VM owns and has seen break, and the owners of
+/// replicas what it has under way there.
 pub(super) async fn tell(node: Rc<Node>) {
     let mut number = 0;
+    let mut beats = 0;
     loop {
         number += 1;
-        let (beacon, addresses, beat) = {
+        beats += 1;
+        let (sendings, beat) = {
             let mut b = node.beliefs();
-            let addresses: Vec<_> = b.members.addresses().collect();
             let beat = Duration::from_micros(b.members.beat().0);
-            (complete(&node, &mut b, number), addresses, beat)
+            (complete(&node, &mut b, number, beats), beat)
         };
-        send_all(&node, beacon, &addresses).await;
+        for (bytes, address) in sendings {
+            send(&node, &bytes, address).await;
+        }
         let next = tokio::time::Instant::now() + beat;
         while tokio::time::timeout_at(next, node.news.notified())
             .await
@@ -92,10 +101,7 @@
 }
 
 async fn send_all(node: &Node, beacon: wire::Beacon, addresses: &[SocketAddr]) {
-    let datagram = wire::Datagram {
-        body: Some(Body::Beacon(beacon)),
-    };
-    let bytes = datagram.encode_to_vec();
+    let bytes = encode(beacon);
     for address in addresses {
         send(node, &bytes, *address).await;
     }
@@ -118,7 +124,9 @@
     }
 }
 
-fn complete(node: &Node, b: &mut Beliefs, number: u64) -> wire::Beacon {
+/// The beacons of one beat. What is the same for all is encoded once; each
+/// receiver's own part follows it, as messages can be joined.
+fn complete(node: &Node, b: &mut Beliefs, number: u64, beats: u64) -> Vec<(Vec<u8>, SocketAddr)> {
     let now = now();
     let names: Vec<_> = b.books.names().cloned().collect();
     b.books.take_changed();
@@ -131,22 +139,8 @@
             b.fleet.hear_book(now, name, held);
         }
     }
-    let uses = b.take_uses();
-    use_own(b, now, &node.settings.vm, &uses);
-    let mut counts = b.fleet.own_counts();
-    for name in uses.keys() {
-        counts.entry(name.clone()).or_default();
-    }
-    told.flights = counts
-        .iter()
-        .map(|(name, load)| wire::Flight {
-            replica: name.to_string(),
-            requests: load.requests,
-            tokens: load.tokens,
-            unread: load.unread,
-            uses: uses.get(name).map(adapter_uses).unwrap_or_default(),
-        })
-        .collect();
+    let owned = b.ownership.owned();
+    told.loads = owned.filter_map(|n| load(b, now, n)).collect();
     let strikes = b.strikes.recent(now, STRIKES_TOLD);
     told.strikes = strikes
         .iter()
@@ -155,7 +149,115 @@
             replica: replica.to_string(),
         })
         .collect();
-    told
+    let due = b.members.audience(beats);
+    let due: Vec<_> = due.map(|(vm, at)| (vm.clone(), at)).collect();
+    let names = b.uses.keys().chain(b.fleet.to_report());
+    let names = names.cloned().collect();
+    let told_now: BTreeSet<&VmName> = due.iter().map(|(vm, _)| vm).collect();
+    let mut flights = flights(node, b, now, names, |vm| told_now.contains(vm));
+    let common = encode(told);
+    let mut sendings = Vec::new();
+    for (vm, address) in due {
+        let mut bytes = common.clone();
+        if let Some(flights) = flights.remove(&vm) {
+            bytes.extend(encode(wire::Beacon {
+                flights,
+                ..wire::Beacon::default()
+            }));
+        }
+        sendings.push((bytes, address));
+    }
+    sendings
+}
+
+fn encode(beacon: wire::Beacon) -> Vec<u8> {
+    let datagram = wire::Datagram {
+        body: Some(Body::Beacon(beacon)),
+    };
+    datagram.encode_to_vec()
+}
+
+/// Tells the owners of replicas soon what changed there of this VM's requests,
+/// until the process ends. What an owner tells all others is then older by its
+/// own beat only, and a burst at one VM is not added to by the others.
+pub(super) async fn report(node: Rc<Node>) {
+    let mut numbers = 0;
+    loop {
+        tokio::time::sleep(REPORT_PAUSE).await;
+        let mut sendings = Vec::new();
+        {
+            let mut b = node.beliefs();
+            let b = &mut *b;
+            let names: BTreeSet<_> = b.fleet.unreported().cloned().collect();
+            for (vm, flights) in flights(&node, b, now(), names, |_| true) {
+                if let Some(address) = b.members.address(&vm) {
+                    numbers += 1;
+                    let vm = node.settings.vm.to_string();
+                    let report = wire::FlightReport {
+                        vm,
+                        incarnation: node.incarnation.0,
+                        number: numbers,
+                        flights,
+                    };
+                    sendings.push((report, address));
+                }
+            }
+        }
+        for (report, address) in sendings {
+            let datagram = wire::Datagram {
+                body: Some(Body::Report(report)),
+            };
+            send(&node, &datagram.encode_to_vec(), address).await;
+        }
+    }
+}
+
+/// What this VM has under way at some replicas, by those of their owners that
+/// are told now.
+fn flights(
+    node: &Node,
+    b: &mut Beliefs,
+    now: Moment,
+    names: BTreeSet<ReplicaName>,
+    told: impl Fn(&VmName) -> bool,
+) -> BTreeMap<VmName, Vec<wire::Flight>> {
+    let own = &node.settings.vm;
+    let mut flights: BTreeMap<VmName, Vec<wire::Flight>> = BTreeMap::new();
+    for name in names {
+        let Some(owner) = b.ownership.owner(&name).cloned() else {
+            continue;
+        };
+        if owner != *own && !told(&owner) {
+            continue;
+        }
+        let uses = b.take_uses(&name);
+        let load = b.fleet.report(&name);
+        if owner == *own {
+            for (target, u) in uses {
+                b.books.used(now, &name, own, &target, u.running, u.begun);
+            }
+            continue;
+        }
+        flights.entry(owner).or_default().push(wire::Flight {
+            replica: name.to_string(),
+            requests: load.requests,
+            tokens: load.tokens,
+            unread: load.unread,
+            uses: adapter_uses(&uses),
+        });
+    }
+    flights
+}
+
+/// What all VMs have under way at a replica of ours.
+fn load(b: &Beliefs, now: Moment, name: &ReplicaName) -> Option<wire::ReplicaLoad> {
+    let load = b.fleet.total(now, name)?;
+    Some(wire::ReplicaLoad {
+        replica: name.to_string(),
+        requests: load.requests,
+        tokens: load.tokens,
+        unread: load.unread,
+    })
 }
 
 /// What a replica of ours holds.
@@ -187,19 +289,6 @@
     uses.collect()
 }
 
-fn use_own(
-    b: &mut Beliefs,
-    now: Moment,
-    vm: &VmName,
-    uses: &BTreeMap<ReplicaName, BTreeMap<Target, super::beliefs::OwnUse>>,
-) {
-    for (name, uses) in uses {
-        for (target, u) in uses {
-            b.books.used(now, name, vm, target, u.running, u.begun);
-        }
-    }
-}
-
 /// Takes in datagrams until the process ends.
 pub(super) async fn hear(node: Rc<Node>) {
     let mut buffer = vec![0; MOST_BYTES];
@@ -216,6 +305,7 @@
         match datagram.map(|d| d.body) {
             Ok(Some(Body::Beacon(beacon))) => take_beacon(&node, &beacon, from),
             Ok(Some(Body::Wish(wish))) => take_wish(&node, &wish),
+            Ok(Some(Body::Report(report))) => take_report(&node, &report),
             Ok(Some(Body::TurnAsk(ask))) => reading::take_ask(&node, &ask),
             Ok(Some(Body::TurnGrant(grant))) => node.grant_turn(grant.number),
             Ok(Some(Body::TurnEnd(end))) => reading::take_end(&node, &end),
@@ -236,7 +326,7 @@
     if !b.members.hear(now, &vm, stamp, beacon.stopping) {
         return;
     }
-    b.members.list(vm.clone(), from);
+    b.members.meet(vm.clone(), from);
     for book in &beacon.books {
         take_book(&mut b, now, &vm, book);
     }
@@ -253,12 +343,15 @@
     }
     for note in &beacon.strikes {
         if let Ok(replica) = note.replica.parse::<ReplicaName>() {
-            b.strikes.note(now, Fingerprint(note.fingerprint), &replica);
+            b.strikes.hear(now, Fingerprint(note.fingerprint), &replica);
         }
     }
     if beacon.complete {
         take_flights(&mut b, now, &vm, &beacon.flights);
     }
+    for load in &beacon.loads {
+        take_load(&mut b, now, &vm, load);
+    }
     drop(b);
     if !beacon.books.is_empty() {
         node.changed.notify_waiters();
@@ -290,7 +383,48 @@
     b.fleet.hear_book(now, &name, held);
 }
 
+fn take_load(b: &mut Beliefs, now: Moment, vm: &VmName, load: &wire::ReplicaLoad) {
+    let Ok(name) = load.replica.parse::<ReplicaName>() else {
+        return;
+    };
+    if b.ownership.owner(&name) == Some(vm) {
+        let total = Load {
+            requests: load.requests,
+            tokens: load.tokens,
+            unread: load.unread,
+        };
+        b.fleet.hear_total(now, &name, total);
+    }
+}
+
+fn take_report(node: &Node, report: &wire::FlightReport) {
+    let Ok(vm) = report.vm.parse::<VmName>() else {
+        return;
+    };
+    let now = now();
+    let mut b = node.beliefs();
+    let stamp = (Incarnation(report.incarnation), report.number);
+    if b.reports.get(&vm).is_some_and(|old| *old >= stamp) {
+        return;
+    }
+    b.reports.insert(vm.clone(), stamp);
+    for (name, load) in read_flights(&mut b, now, &vm, &report.flights) {
+        b.fleet.hear_count(now, &vm, &name, load);
+    }
+}
+
 fn take_flights(b: &mut Beliefs, now: Moment, vm: &VmName, flights: &[wire::Flight]) {
+    let counts = read_flights(b, now, vm, flights);
+    b.fleet.hear_counts(now, vm, &counts);
+}
+
+/// A VM's loads at replicas of ours; the books learn of its uses.
+fn read_flights(
+    b: &mut Beliefs,
+    now: Moment,
+    vm: &VmName,
+    flights: &[wire::Flight],
+) -> BTreeMap<ReplicaName, Load> {
     let mut counts = BTreeMap::new();
     for flight in flights {
         let Ok(name) = flight.replica.parse::<ReplicaName>() else {
@@ -308,7 +442,7 @@
         };
         counts.insert(name, load);
     }
-    b.fleet.hear_counts(now, vm, &counts);
+    counts
 }
 
 /// Asks the owner of a replica to load an adapter there.
--- a/lib/src/serving/program.rs
+++ b/lib/src/serving/program.rs
@@ -133,6 +133,7 @@
         tokio::task::spawn_local(server::callers(node.clone(), callers));
         tokio::task::spawn_local(server::readiness(node.clone(), readiness));
         tokio::task::spawn_local(peers::tell(node.clone()));
+        tokio::task::spawn_local(peers::report(node.clone()));
         tokio::task::spawn_local(peers::hear(node.clone()));
         tokio::task::spawn_local(reading::keep(node.clone()));
         tokio::task::spawn_local(ordering::order(node.clone()));
@@ -241,6 +242,7 @@
     let entry = VmEntry {
         vm: node.settings.vm.clone(),
         address: node.settings.peers,
+        zone: node.settings.zone.clone(),
     };
     let Ok(spec) = to_raw_value(&entry) else {
         return;
@@ -295,8 +297,8 @@
             return;
         }
         let live = b.members.live(at);
-        let engines = b.fleet.engines().filter(|l| !l.draining);
-        let replicas = engines.map(|l| l.name.clone()).collect();
+        let usable = b.fleet.listings().filter(|l| !l.draining);
+        let replicas = usable.map(|l| l.name.clone()).collect();
         let Some(table) = b.ownership.proposal(at, &live, &replicas) else {
             return;
         };
--- a/lib/src/serving/table.rs
+++ b/lib/src/serving/table.rs
@@ -155,6 +155,11 @@
         usable.map(|(name, (token, _))| (name, *token))
     }
 
+    /// Our replicas, whether they may get orders yet or not.
+    pub fn owned(&self) -> impl Iterator<Item = &ReplicaName> {
+        self.from.keys()
+    }
+
     /// Our token for a replica, if it may get orders now.
     pub fn token(&self, now: Moment, name: &ReplicaName) -> Option<Token> {
         let (token, at) = self.from.get(name)?;
