members: tell all VMs with each beat

Callers go before bytes, and a VM's zone need not be known. The tests of the far beats go with them.

--- a/lib/src/serving/beliefs.rs
+++ b/lib/src/serving/beliefs.rs
@@ -69,7 +69,7 @@
             active: None,
             fleet: Fleet::new(settings.zone.clone()),
             budget: Budget::new(settings.budget),
-            members: Members::new(settings.vm.clone(), settings.zone.clone(), now),
+            members: Members::new(settings.vm.clone(), now),
             ownership: Ownership::new(settings.vm.clone(), lease),
             books: Books::default(),
             strikes: Strikes::default(),
--- a/lib/src/serving/news.rs
+++ b/lib/src/serving/news.rs
@@ -12,7 +12,6 @@
 use super::table::Table;
 use crate::ids::ReplicaName;
 use crate::ids::VmName;
-use crate::ids::ZoneName;
 
 /// The name of the owner table in the store.
 pub(super) const OWNERS: &str = "owners";
@@ -25,7 +24,6 @@
 pub(super) struct VmEntry {
     pub(super) vm: VmName,
     pub(super) address: SocketAddr,
-    pub(super) zone: ZoneName,
 }
 
 pub(super) fn take_config(node: &Node, news: News<'_>) {
@@ -146,10 +144,7 @@
         return;
     }
     match serde_json::from_str::<VmEntry>(item.spec.get()) {
-        Ok(entry) => node
-            .beliefs()
-            .members
-            .list(entry.vm, entry.address, entry.zone),
+        Ok(entry) => node.beliefs().members.list(entry.vm, entry.address),
         Err(e) => bad(e),
     }
 }
--- a/lib/src/serving/peers.rs
+++ b/lib/src/serving/peers.rs
@@ -42,14 +42,12 @@
 /// replicas what it has under way there.
 pub(super) async fn tell(node: Rc<Node>) {
     let mut number = 0;
-    let mut beats = 0;
     loop {
         number += 1;
-        beats += 1;
         let (sendings, beat) = {
             let mut b = node.beliefs();
             let beat = Duration::from_micros(b.members.beat().0);
-            (complete(&node, &mut b, number, beats), beat)
+            (complete(&node, &mut b, number), beat)
         };
         for (bytes, address) in sendings {
             send(&node, &bytes, address).await;
@@ -92,7 +90,7 @@
             *number += 1;
             let mut told = beacon(node, *number);
             told.leaving = leaving.iter().map(ToString::to_string).collect();
-            sendings.push((told, b.members.addresses().collect()));
+            sendings.push((told, b.members.peers().map(|(_, at)| at).collect()));
         }
     }
     for (told, addresses) in sendings {
@@ -126,7 +124,7 @@
 
 /// The beacons of one beat. What is the same for all is encoded once; each
 /// receiver's own part follows it, as messages can be joined.
-fn complete(node: &Node, b: &mut Beliefs, number: u64, beats: u64) -> Vec<(Vec<u8>, SocketAddr)> {
+fn complete(node: &Node, b: &mut Beliefs, number: u64) -> Vec<(Vec<u8>, SocketAddr)> {
     let now = now();
     let names: Vec<_> = b.books.names().cloned().collect();
     b.books.take_changed();
@@ -149,15 +147,14 @@
             replica: replica.to_string(),
         })
         .collect();
-    let due = b.members.audience(beats);
-    let due: Vec<_> = due.map(|(vm, at)| (vm.clone(), at)).collect();
+    let peers = b.members.peers();
+    let peers: Vec<_> = peers.map(|(vm, at)| (vm.clone(), at)).collect();
     let names = b.uses.keys().chain(b.fleet.to_report());
     let names = names.cloned().collect();
-    let told_now: BTreeSet<&VmName> = due.iter().map(|(vm, _)| vm).collect();
-    let mut flights = flights(node, b, now, names, |vm| told_now.contains(vm));
+    let mut flights = flights(node, b, now, names);
     let common = encode(told);
     let mut sendings = Vec::new();
-    for (vm, address) in due {
+    for (vm, address) in peers {
         let mut bytes = common.clone();
         if let Some(flights) = flights.remove(&vm) {
             bytes.extend(encode(wire::Beacon {
@@ -189,7 +186,7 @@
             let mut b = node.beliefs();
             let b = &mut *b;
             let names: BTreeSet<_> = b.fleet.unreported().cloned().collect();
-            for (vm, flights) in flights(&node, b, now(), names, |_| true) {
+            for (vm, flights) in flights(&node, b, now(), names) {
                 if let Some(address) = b.members.address(&vm) {
                     numbers += 1;
                     let vm = node.settings.vm.to_string();
@@ -212,14 +209,12 @@
     }
 }
 
-/// What this VM has under way at some replicas, by those of their owners that
-/// are told now.
+/// What this VM has under way at some replicas, by their owners.
 fn flights(
     node: &Node,
     b: &mut Beliefs,
     now: Moment,
     names: BTreeSet<ReplicaName>,
-    told: impl Fn(&VmName) -> bool,
 ) -> BTreeMap<VmName, Vec<wire::Flight>> {
     let own = &node.settings.vm;
     let mut flights: BTreeMap<VmName, Vec<wire::Flight>> = BTreeMap::new();
@@ -227,9 +222,6 @@
         let Some(owner) = b.ownership.owner(&name).cloned() else {
             continue;
         };
-        if owner != *own && !told(&owner) {
-            continue;
-        }
         let uses = b.take_uses(&name);
         let load = b.fleet.report(&name);
         if owner == *own {
@@ -326,7 +318,7 @@
     if !b.members.hear(now, &vm, stamp, beacon.stopping) {
         return;
     }
-    b.members.meet(vm.clone(), from);
+    b.members.list(vm.clone(), from);
     for book in &beacon.books {
         take_book(&mut b, now, &vm, book);
     }
--- a/lib/src/serving/program.rs
+++ b/lib/src/serving/program.rs
@@ -242,7 +242,6 @@
     let entry = VmEntry {
         vm: node.settings.vm.clone(),
         address: node.settings.peers,
-        zone: node.settings.zone.clone(),
     };
     let Ok(spec) = to_raw_value(&entry) else {
         return;
--- a/lib/tests/test_serving_table.rs
+++ b/lib/tests/test_serving_table.rs
@@ -135,9 +135,9 @@
 
 #[test]
 fn members_by_beacons() {
-    let mut m = Members::new("a".parse().unwrap(), "z".parse().unwrap(), at(0));
+    let mut m = Members::new("a".parse().unwrap(), at(0));
     let b: VmName = "b".parse().unwrap();
-    m.list(b.clone(), ([127, 0, 0, 1], 1).into(), "z".parse().unwrap());
+    m.list(b.clone(), ([127, 0, 0, 1], 1).into());
     assert!(!m.may_judge(at(100)), "it has heard nobody yet");
     assert!(m.hear(at(100), &b, (Incarnation(1), 1), false));
     assert!(
