--- /dev/null
+++ b/lib/src/serving/flights.rs
@@ -0,0 +1,179 @@
+//! What VMs have under way at which replica: reported to the owners, summed
+//! by them, told to all.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::time::Duration;
+
+use banyangauge_proto as wire;
+use prost::Message;
+use wire::datagram::Body;
+
+use super::beliefs::Beliefs;
+use super::beliefs::OwnUse;
+use super::fleet::Load;
+use super::model::Target;
+use super::node::Node;
+use super::node::now;
+use super::peers::send;
+use crate::ids::Incarnation;
+use crate::ids::ReplicaName;
+use crate::ids::VmName;
+use crate::pool::Moment;
+
+/// The pause between two reports to the owners of replicas: a few engine steps,
+/// so that what is sent in one moment is told at once.
+const REPORT_PAUSE: Duration = Duration::from_millis(60);
+
+/// Tells the owners of replicas soon what changed there of this VM's requests,
+/// until the process ends. What an owner tells all others is then older by its
+/// own beat only, and a burst at one VM is not added to by the others.
+pub(super) async fn report(node: Rc<Node>) {
+    let mut numbers = 0;
+    loop {
+        tokio::time::sleep(REPORT_PAUSE).await;
+        let mut sendings = Vec::new();
+        {
+            let mut b = node.beliefs();
+            let b = &mut *b;
+            let names: BTreeSet<_> = b.fleet.unreported().cloned().collect();
+            for (vm, flights) in by_owner(&node, b, now(), names) {
+                if let Some(address) = b.members.address(&vm) {
+                    numbers += 1;
+                    let vm = node.settings.vm.to_string();
+                    let report = wire::FlightReport {
+                        vm,
+                        incarnation: node.incarnation.0,
+                        number: numbers,
+                        flights,
+                    };
+                    sendings.push((report, address));
+                }
+            }
+        }
+        for (report, address) in sendings {
+            let datagram = wire::Datagram {
+                body: Some(Body::Report(report)),
+            };
+            send(&node, &datagram.encode_to_vec(), address).await;
+        }
+    }
+}
+
+/// What this VM has under way at some replicas, by their owners.
+pub(super) fn by_owner(
+    node: &Node,
+    b: &mut Beliefs,
+    now: Moment,
+    names: BTreeSet<ReplicaName>,
+) -> BTreeMap<VmName, Vec<wire::Flight>> {
+    let own = &node.settings.vm;
+    let mut flights: BTreeMap<VmName, Vec<wire::Flight>> = BTreeMap::new();
+    for name in names {
+        let Some(owner) = b.ownership.owner(&name).cloned() else {
+            continue;
+        };
+        let uses = b.take_uses(&name);
+        let load = b.fleet.report(&name);
+        if owner == *own {
+            for (target, u) in uses {
+                b.books.used(now, &name, own, &target, u.running, u.begun);
+            }
+            continue;
+        }
+        flights.entry(owner).or_default().push(wire::Flight {
+            replica: name.to_string(),
+            requests: load.requests,
+            tokens: load.tokens,
+            unread: load.unread,
+            uses: adapter_uses(&uses),
+        });
+    }
+    flights
+}
+
+/// What all VMs have under way at a replica of ours.
+pub(super) fn load(b: &Beliefs, now: Moment, name: &ReplicaName) -> Option<wire::ReplicaLoad> {
+    let load = b.fleet.total(now, name)?;
+    Some(wire::ReplicaLoad {
+        replica: name.to_string(),
+        requests: load.requests,
+        tokens: load.tokens,
+        unread: load.unread,
+    })
+}
+
+fn adapter_uses(uses: &BTreeMap<Target, OwnUse>) -> Vec<wire::AdapterUse> {
+    let uses = uses.iter().map(|(t, u)| wire::AdapterUse {
+        target: t.to_string(),
+        running: u.running,
+        begun: u.begun,
+    });
+    uses.collect()
+}
+
+/// An owner tells what all VMs have under way at its replica.
+pub(super) fn take_load(b: &mut Beliefs, now: Moment, vm: &VmName, load: &wire::ReplicaLoad) {
+    let Ok(name) = load.replica.parse::<ReplicaName>() else {
+        return;
+    };
+    if b.ownership.owner(&name) == Some(vm) {
+        let total = Load {
+            requests: load.requests,
+            tokens: load.tokens,
+            unread: load.unread,
+        };
+        b.fleet.hear_total(now, &name, total);
+    }
+}
+
+/// A VM tells what changed of its requests at replicas of ours.
+pub(super) fn take_report(node: &Node, report: &wire::FlightReport) {
+    let Ok(vm) = report.vm.parse::<VmName>() else {
+        return;
+    };
+    let now = now();
+    let mut b = node.beliefs();
+    let stamp = (Incarnation(report.incarnation), report.number);
+    if b.reports.get(&vm).is_some_and(|old| *old >= stamp) {
+        return;
+    }
+    b.reports.insert(vm.clone(), stamp);
+    for (name, load) in read_flights(&mut b, now, &vm, &report.flights) {
+        b.fleet.hear_count(now, &vm, &name, load);
+    }
+}
+
+/// A VM tells all that it has under way at replicas of ours.
+pub(super) fn take_all(b: &mut Beliefs, now: Moment, vm: &VmName, flights: &[wire::Flight]) {
+    let counts = read_flights(b, now, vm, flights);
+    b.fleet.hear_counts(now, vm, &counts);
+}
+
+/// A VM's loads at replicas of ours; the books learn of its uses.
+fn read_flights(
+    b: &mut Beliefs,
+    now: Moment,
+    vm: &VmName,
+    flights: &[wire::Flight],
+) -> BTreeMap<ReplicaName, Load> {
+    let mut counts = BTreeMap::new();
+    for flight in flights {
+        let Ok(name) = flight.replica.parse::<ReplicaName>() else {
+            continue;
+        };
+        for u in &flight.uses {
+            if let Some(target) = Target::parse(&u.target) {
+                b.books.used(now, &name, vm, &target, u.running, u.begun);
+            }
+        }
+        let load = Load {
+            requests: flight.requests,
+            tokens: flight.tokens,
+            unread: flight.unread,
+        };
+        counts.insert(name, load);
+    }
+    counts
+}
--- a/lib/src/serving/mod.rs
+++ b/lib/src/serving/mod.rs
@@ -13,6 +13,7 @@
 mod budget;
 pub mod decide;
 mod fleet;
+mod flights;
 mod follow;
 mod forward;
 mod members;
--- a/lib/src/serving/peers.rs
+++ b/lib/src/serving/peers.rs
@@ -1,7 +1,6 @@
-//! Datagrams between the VMs: beacons and wishes.
+//! Datagrams between the VMs: beacons and wishes; [`super::flights`] has what
+//! they say of requests under way.
 
-use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -12,7 +11,7 @@
 
 use super::beliefs::Beliefs;
 use super::fleet::Held;
-use super::fleet::Load;
+use super::flights;
 use super::model::Target;
 use super::node::Node;
 use super::node::Phase;
@@ -28,10 +27,6 @@
 /// The least time between two beacons that carry news.
 const NEWS_PAUSE: Duration = Duration::from_millis(30);
 
-/// The pause between two reports to the owners of replicas: a few engine steps,
-/// so that what is sent in one moment is told at once.
-const REPORT_PAUSE: Duration = Duration::from_millis(60);
-
 /// For how long a strike is told again: lost datagrams are made good.
 const STRIKES_TOLD: Span = Span::from_millis(5_000);
 
@@ -138,7 +133,7 @@
         }
     }
     let owned = b.ownership.owned();
-    told.loads = owned.filter_map(|n| load(b, now, n)).collect();
+    told.loads = owned.filter_map(|n| flights::load(b, now, n)).collect();
     let strikes = b.strikes.recent(now, STRIKES_TOLD);
     told.strikes = strikes
         .iter()
@@ -151,7 +146,7 @@
     let peers: Vec<_> = peers.map(|(vm, at)| (vm.clone(), at)).collect();
     let names = b.uses.keys().chain(b.fleet.to_report());
     let names = names.cloned().collect();
-    let mut flights = flights(node, b, now, names);
+    let mut flights = flights::by_owner(node, b, now, names);
     let common = encode(told);
     let mut sendings = Vec::new();
     for (vm, address) in peers {
@@ -174,84 +169,6 @@
     datagram.encode_to_vec()
 }
 
-/// Tells the owners of replicas soon what changed there of this VM's requests,
-/// until the process ends. What an owner tells all others is then older by its
-/// own beat only, and a burst at one VM is not added to by the others.
-pub(super) async fn report(node: Rc<Node>) {
-    let mut numbers = 0;
-    loop {
-        tokio::time::sleep(REPORT_PAUSE).await;
-        let mut sendings = Vec::new();
-        {
-            let mut b = node.beliefs();
-            let b = &mut *b;
-            let names: BTreeSet<_> = b.fleet.unreported().cloned().collect();
-            for (vm, flights) in flights(&node, b, now(), names) {
-                if let Some(address) = b.members.address(&vm) {
-                    numbers += 1;
-                    let vm = node.settings.vm.to_string();
-                    let report = wire::FlightReport {
-                        vm,
-                        incarnation: node.incarnation.0,
-                        number: numbers,
-                        flights,
-                    };
-                    sendings.push((report, address));
-                }
-            }
-        }
-        for (report, address) in sendings {
-            let datagram = wire::Datagram {
-                body: Some(Body::Report(report)),
-            };
-            send(&node, &datagram.encode_to_vec(), address).await;
-        }
-    }
-}
-
-/// What this VM has under way at some replicas, by their owners.
-fn flights(
-    node: &Node,
-    b: &mut Beliefs,
-    now: Moment,
-    names: BTreeSet<ReplicaName>,
-) -> BTreeMap<VmName, Vec<wire::Flight>> {
-    let own = &node.settings.vm;
-    let mut flights: BTreeMap<VmName, Vec<wire::Flight>> = BTreeMap::new();
-    for name in names {
-        let Some(owner) = b.ownership.owner(&name).cloned() else {
-            continue;
-        };
-        let uses = b.take_uses(&name);
-        let load = b.fleet.report(&name);
-        if owner == *own {
-            for (target, u) in uses {
-                b.books.used(now, &name, own, &target, u.running, u.begun);
-            }
-            continue;
-        }
-        flights.entry(owner).or_default().push(wire::Flight {
-            replica: name.to_string(),
-            requests: load.requests,
-            tokens: load.tokens,
-            unread: load.unread,
-            uses: adapter_uses(&uses),
-        });
-    }
-    flights
-}
-
-/// What all VMs have under way at a replica of ours.
-fn load(b: &Beliefs, now: Moment, name: &ReplicaName) -> Option<wire::ReplicaLoad> {
-    let load = b.fleet.total(now, name)?;
-    Some(wire::ReplicaLoad {
-        replica: name.to_string(),
-        requests: load.requests,
-        tokens: load.tokens,
-        unread: load.unread,
-    })
-}
-
 /// What a replica of ours holds.
 fn book(b: &Beliefs, now: Moment, name: &ReplicaName) -> Option<wire::ReplicaBook> {
     let held = b.books.held(name)?;
@@ -272,15 +189,6 @@
     })
 }
 
-fn adapter_uses(uses: &BTreeMap<Target, super::beliefs::OwnUse>) -> Vec<wire::AdapterUse> {
-    let uses = uses.iter().map(|(t, u)| wire::AdapterUse {
-        target: t.to_string(),
-        running: u.running,
-        begun: u.begun,
-    });
-    uses.collect()
-}
-
 /// Takes in datagrams until the process ends.
 pub(super) async fn hear(node: Rc<Node>) {
     let mut buffer = vec![0; MOST_BYTES];
@@ -297,7 +205,7 @@
         match datagram.map(|d| d.body) {
             Ok(Some(Body::Beacon(beacon))) => take_beacon(&node, &beacon, from),
             Ok(Some(Body::Wish(wish))) => take_wish(&node, &wish),
-            Ok(Some(Body::Report(report))) => take_report(&node, &report),
+            Ok(Some(Body::Report(report))) => flights::take_report(&node, &report),
             Ok(Some(Body::TurnAsk(ask))) => reading::take_ask(&node, &ask),
             Ok(Some(Body::TurnGrant(grant))) => node.grant_turn(grant.number),
             Ok(Some(Body::TurnEnd(end))) => reading::take_end(&node, &end),
@@ -339,10 +247,10 @@
         }
     }
     if beacon.complete {
-        take_flights(&mut b, now, &vm, &beacon.flights);
+        flights::take_all(&mut b, now, &vm, &beacon.flights);
     }
     for load in &beacon.loads {
-        take_load(&mut b, now, &vm, load);
+        flights::take_load(&mut b, now, &vm, load);
     }
     drop(b);
     if !beacon.books.is_empty() {
@@ -375,68 +283,6 @@
     b.fleet.hear_book(now, &name, held);
 }
 
-fn take_load(b: &mut Beliefs, now: Moment, vm: &VmName, load: &wire::ReplicaLoad) {
-    let Ok(name) = load.replica.parse::<ReplicaName>() else {
-        return;
-    };
-    if b.ownership.owner(&name) == Some(vm) {
-        let total = Load {
-            requests: load.requests,
-            tokens: load.tokens,
-            unread: load.unread,
-        };
-        b.fleet.hear_total(now, &name, total);
-    }
-}
-
-fn take_report(node: &Node, report: &wire::FlightReport) {
-    let Ok(vm) = report.vm.parse::<VmName>() else {
-        return;
-    };
-    let now = now();
-    let mut b = node.beliefs();
-    let stamp = (Incarnation(report.incarnation), report.number);
-    if b.reports.get(&vm).is_some_and(|old| *old >= stamp) {
-        return;
-    }
-    b.reports.insert(vm.clone(), stamp);
-    for (name, load) in read_flights(&mut b, now, &vm, &report.flights) {
-        b.fleet.hear_count(now, &vm, &name, load);
-    }
-}
-
-fn take_flights(b: &mut Beliefs, now: Moment, vm: &VmName, flights: &[wire::Flight]) {
-    let counts = read_flights(b, now, vm, flights);
-    b.fleet.hear_counts(now, vm, &counts);
-}
-
-/// A VM's loads at replicas of ours; the books learn of its uses.
-fn read_flights(
-    b: &mut Beliefs,
-    now: Moment,
-    vm: &VmName,
-    flights: &[wire::Flight],
-) -> BTreeMap<ReplicaName, Load> {
-    let mut counts = BTreeMap::new();
-    for flight in flights {
-        let Ok(name) = flight.replica.parse::<ReplicaName>() else {
-            continue;
-        };
-        for u in &flight.uses {
-            if let Some(target) = Target::parse(&u.target) {
-                b.books.used(now, &name, vm, &target, u.running, u.begun);
-            }
-        }
-        let load = Load {
-            requests: flight.requests,
-            tokens: flight.tokens,
-            unread: flight.unread,
-        };
-        counts.insert(name, load);
-    }
-    counts
-}
-
 /// Asks the owner of a replica to load an adapter there.
 pub(super) async fn wish(node: &Node, replica: &ReplicaName, target: &Target) {
     let address = {
--- a/lib/src/serving/program.rs
+++ b/lib/src/serving/program.rs
@@ -11,6 +11,7 @@
 use tokio::signal::unix::signal;
 
 use super::border::Border;
+use super::flights;
 use super::follow;
 use super::follow::News;
 use super::follow::Rhythm;
@@ -133,7 +134,7 @@
         tokio::task::spawn_local(server::callers(node.clone(), callers));
         tokio::task::spawn_local(server::readiness(node.clone(), readiness));
         tokio::task::spawn_local(peers::tell(node.clone()));
-        tokio::task::spawn_local(peers::report(node.clone()));
+        tokio::task::spawn_local(flights::report(node.clone()));
         tokio::task::spawn_local(peers::hear(node.clone()));
         tokio::task::spawn_local(reading::keep(node.clone()));
         tokio::task::spawn_local(ordering::order(node.clone()));
