follow: look for new versions once a second

Cause: versions of adapters are announced by the dozen, and each VM asked for them 2.5 times a second meanwhile: most of the store's calls of a large fleet. Change: the pace is one second. A version is required 2.9 s after it was announced at the latest, of the five that it may take.

--- a/lib/src/serving/program.rs
+++ b/lib/src/serving/program.rs
@@ -53,10 +53,11 @@
 /// 6,432 with a pace of a second.
 const REPLICA_PACE_PART: f64 = 0.75;
 
-/// Versions: they may take seconds to be in force.
+/// Versions: they may take seconds to be in force, and come by the dozen. With
+/// this pace a version is required 2.9 s after its announcement at the latest.
 const VERSION_RHYTHM: Rhythm = Rhythm {
     wait: Duration::from_secs(8),
-    pace: Duration::from_millis(400),
+    pace: Duration::from_millis(1_000),
 };
 
 /// Owners and VMs: beacons tell the rest.
