serve: note the end of answers whose length is told; a line for callers that left

Cause: the connection to a caller asks for no end of a body whose length it was told, so the end of plain answers was never noted: they were not counted, and a plain service's replica that once broke stayed on trial, with one request at a time, until it was restarted. A failure that was passed on counted as answered. Change: an answer that was read ahead whole is noted when it is passed on; a replica's own failure counts as one.

--- a/lib/src/serving/pass.rs
+++ b/lib/src/serving/pass.rs
@@ -199,6 +199,14 @@
         Ok(whole)
     }
 
+    /// All of the answer was read ahead. The connection to the caller asks for
+    /// no end of a body whose length it was told, so it is noted here.
+    pub(super) fn finish_read(&mut self) {
+        if self.events.is_none() && self.finish().is_err() {
+            slog::error!(self.node.log, "an answer without events was cut"; "id" => &self.held.id);
+        }
+    }
+
     /// The answer came to its proper end.
     fn finish(&mut self) -> Result<Option<Bytes>, &'static str> {
         let rest = match &mut self.events {
@@ -214,7 +222,11 @@
         let first = self.timing.first.0 as f64 / 1e6;
         metrics::histogram!("serve_first_byte_seconds").record(first);
         if let Some(begun) = self.begun.take() {
-            begun.run.learn(End::Answered);
+            let end = match begun.failed {
+                true => End::Failed,
+                false => End::Answered,
+            };
+            begun.run.learn(end);
             let mut b = self.node.beliefs();
             b.strikes.clear(self.held.fingerprint);
         }
@@ -292,6 +304,20 @@
     }
 }
 
+impl Drop for Passing {
+    fn drop(&mut self) {
+        // An answer that ended, or broke off, has its own line.
+        if let Some(begun) = &self.begun {
+            let last = self.events.as_ref().and_then(|e| e.last);
+            slog::info!(self.node.log, "caller left"; "id" => &self.held.id,
+                "replica" => begun.run.replica.as_str(), "last" => last,
+                "route" => &self.asked.route.name, "first_ms" => self.timing.first.as_millis(),
+                "held_ms" => now().since(self.timing.arrived).as_millis());
+            count("caller_left");
+        }
+    }
+}
+
 impl Events {
     /// Checks that a run of whole events goes on where the last one ended.
     fn check(&mut self, whole: &[u8]) -> Result<(), &'static str> {
--- a/lib/src/serving/serve.rs
+++ b/lib/src/serving/serve.rs
@@ -81,11 +81,17 @@
     let open = node.enter();
     let arrived = now();
     let ask = (node.border.read_ask)(request.headers());
-    let id = ask.id.clone();
+    let mut waiting = Waiting {
+        node: node.clone(),
+        id: ask.id.clone(),
+        arrived,
+        ended: false,
+    };
     let mut answer = match answer(&node, request, ask, arrived, open).await {
         Ok(answer) => answer,
-        Err(refusal) => refuse(&node, &id, arrived, &refusal),
+        Err(refusal) => refuse(&node, &waiting.id, arrived, &refusal),
     };
+    waiting.ended = true;
     if node.phase() != Phase::Serving {
         let close = HeaderValue::from_static("close");
         answer.headers_mut().insert(CONNECTION, close);
@@ -93,6 +99,25 @@
     answer
 }
 
+/// A request without an answer yet; when it is dropped before it has one, its
+/// caller has left.
+struct Waiting {
+    node: Rc<Node>,
+    id: String,
+    arrived: Moment,
+    ended: bool,
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        if !self.ended {
+            slog::info!(self.node.log, "caller left"; "id" => &self.id,
+                "held_ms" => now().since(self.arrived).as_millis());
+            count("caller_left");
+        }
+    }
+}
+
 fn refuse(node: &Node, id: &str, arrived: Moment, refusal: &Refusal) -> Response<AnswerBody> {
     let config = node.beliefs().active.as_ref().map(|a| a.config.version);
     let after = refusal.retry_after.map(|after| after.as_millis());
@@ -243,10 +268,12 @@
     node.beliefs().budget.first(now(), &asked.service);
     let mut begun = first(node, &asked, &held, &mut tries, &mut avoid).await?;
     let mut ahead = VecDeque::new();
+    let mut whole = false;
     let stream = asked.route.kind == Kind::Stream;
     while !stream || begun.failed {
         match read_ahead(&mut begun, &held, &mut ahead).await {
-            Ok(()) if begun.failed && tries.idempotent => {
+            Ok(read) if begun.failed && tries.idempotent => {
+                whole = read;
                 begun.run.learn(End::Failed);
                 tries.note(Ended::Failed);
                 let pieces = std::mem::take(&mut ahead);
@@ -261,7 +288,7 @@
                     None,
                 );
                 match next.await {
-                    Ok(next) => begun = next,
+                    Ok(next) => (begun, whole) = (next, false),
                     // The replica's own failure is the answer.
                     Err(_) => {
                         ahead = pieces;
@@ -272,7 +299,10 @@
                     break;
                 }
             }
-            Ok(()) => break,
+            Ok(read) => {
+                whole = read;
+                break;
+            }
             Err(ended) => {
                 begun.run.learn(End::Broken);
                 super::forward::strike(node, &held, &begun.run.replica);
@@ -291,7 +321,7 @@
     *response.headers_mut() = headers;
     let events = (stream && has_events(response.headers())).then(Events::default);
     tries.answered = true;
-    let body = passing(Passing {
+    let mut passed = Passing {
         node: node.clone(),
         asked,
         held,
@@ -302,8 +332,11 @@
         events,
         timing: Timing::new(arrived),
         _open: open,
-    });
-    Ok(response.map(|()| body))
+    };
+    if whole {
+        passed.finish_read();
+    }
+    Ok(response.map(|()| passing(passed)))
 }
 
 fn has_events(headers: &HeaderMap) -> bool {
@@ -311,17 +344,18 @@
     kind.is_some_and(|k| k.starts_with("text/event-stream"))
 }
 
-/// Reads a short answer whole; of a longer one, the beginning.
+/// Reads a short answer whole; of a longer one, the beginning. Gives whether
+/// it came to its end.
 async fn read_ahead(
     begun: &mut Begun,
     held: &Held,
     ahead: &mut VecDeque<Bytes>,
-) -> Result<(), Ended> {
+) -> Result<bool, Ended> {
     let mut read = 0;
     while read < READ_AHEAD {
         match tokio::time::timeout_at(instant(held.limit), begun.answer.data()).await {
             Err(_) => return Err(Ended::Overdue),
-            Ok(None) => return Ok(()),
+            Ok(None) => return Ok(true),
             Ok(Some(Err(_))) => return Err(Ended::Broken),
             Ok(Some(Ok(piece))) => {
                 read += piece.len();
@@ -329,7 +363,7 @@
             }
         }
     }
-    Ok(())
+    Ok(false)
 }
 
 /// The first try, and those that follow it until an answer begins.
