--- a/lib/src/serving/beliefs.rs
+++ b/lib/src/serving/beliefs.rs
@@ -11,12 +11,14 @@
 use super::fleet::Load;
 use super::members::Members;
 use super::model::Config;
+use super::model::Instance;
+use super::model::Listing;
 use super::model::Target;
+use super::ownership::Ownership;
 use super::routes::Routes;
 use super::settings::ServeSettings;
 use super::strain::Strain;
 use super::strikes::Strikes;
-use super::table::Ownership;
 use super::table::Table;
 use super::turns::Turns;
 use crate::ids::Incarnation;
@@ -53,7 +55,7 @@
     pub(super) turns: Turns,
     pub(super) uses: BTreeMap<ReplicaName, BTreeMap<Target, OwnUse>>,
     /// Leaving replicas that the other VMs are to be told of.
-    pub(super) leaving: BTreeSet<ReplicaName>,
+    pub(super) leaving: BTreeSet<Instance>,
     /// Who waits for news of which of our replicas.
     pub(super) audience: Audience,
     /// The newest report of each VM on its requests.
@@ -70,7 +72,7 @@
             fleet: Fleet::new(settings.zone.clone()),
             budget: Budget::new(settings.budget),
             members: Members::new(settings.vm.clone(), now),
-            ownership: Ownership::new(settings.vm.clone(), lease),
+            ownership: Ownership::new(settings.vm.clone(), lease, settings.fenced),
             books: Books::default(),
             strikes: Strikes::default(),
             strain: Strain::default(),
@@ -100,6 +102,26 @@
         true
     }
 
+    /// Takes a replica's entry in the store; gives whether it changed what
+    /// requests may use.
+    pub(super) fn take_listing(&mut self, listing: Listing) -> bool {
+        let (name, born) = (listing.name.clone(), listing.born);
+        if self.fleet.born(&name).is_some_and(|old| old != born) {
+            self.uses.remove(&name);
+        }
+        self.fleet.list(listing)
+    }
+
+    /// Takes the whole list of replicas.
+    pub(super) fn relist(&mut self, now: Moment, all: Vec<Listing>, outage: bool) {
+        for l in &all {
+            if self.fleet.born(&l.name).is_some_and(|old| old != l.born) {
+                self.uses.remove(&l.name);
+            }
+        }
+        self.fleet.relist(now, all, outage);
+    }
+
     /// Whether somebody can load adapters at a replica now.
     pub(super) fn loadable(&self, now: Moment, own: &VmName, name: &ReplicaName) -> bool {
         match self.ownership.owner(name) {
@@ -136,7 +158,12 @@
     }
 
     /// It ended there.
-    pub(super) fn end(&mut self, name: &ReplicaName, target: Option<&Target>, cost: Load) {
+    pub(super) fn end(&mut self, at: &Instance, target: Option<&Target>, cost: Load) {
+        // A replica that has started anew does not count it.
+        if !self.fleet.is_current(at) {
+            return;
+        }
+        let name = &at.name;
         self.fleet.end(name, cost);
         let target = target.filter(|t| t.adapter.is_some());
         let uses = target.and_then(|t| self.uses.get_mut(name)?.get_mut(t));
--- a/lib/src/serving/books/book.rs
+++ b/lib/src/serving/books/book.rs
@@ -88,6 +88,10 @@
 #[derive(Debug)]
 pub(super) struct Book {
     pub(super) most: usize,
+    /// The start of the replica that this is about.
+    pub(super) born: u64,
+    /// The start that its entry in the store told last.
+    pub(super) listed: u64,
     /// Orders that it has accepted, if known.
     accepted: Option<u64>,
     /// When it may be looked at next.
@@ -124,6 +128,8 @@
         let models = listing.models.iter().map(|m| (m.target(), Slot::here(0)));
         Self {
             most: 0,
+            born: listing.born,
+            listed: listing.born,
             accepted: None,
             look_from: now,
             slots: here.chain(models).collect(),
@@ -167,10 +173,23 @@
             self.look_from = now.after(RESYNC_PAUSE);
             return;
         };
+        if report.born != self.born {
+            self.restarted(now, report.born);
+        }
         self.accepted = Some(report.accepted);
         self.take_report(now, &report);
     }
 
+    /// The replica started anew: it holds nothing, and its runs are over.
+    fn restarted(&mut self, now: Moment, born: u64) {
+        self.born = born;
+        self.opened = now;
+        self.slots.clear();
+        self.near.clear();
+        self.weights_near = false;
+        self.uses.values_mut().for_each(|u| u.running.clear());
+    }
+
     fn use_of(&mut self, target: &Target) -> &mut Use {
         let new = || Use {
             demand: Demand::NONE,
--- a/lib/src/serving/books/mod.rs
+++ b/lib/src/serving/books/mod.rs
@@ -52,6 +52,12 @@
     pub fn open(&mut self, now: Moment, listing: &Listing, most: u32) {
         let book = self.books.entry(listing.name.clone());
         let book = book.or_insert_with(|| Book::new(now, listing));
+        if book.listed != listing.born {
+            book.listed = listing.born;
+            if book.born != listing.born {
+                *book = Book::new(now, listing);
+            }
+        }
         // The configuration may come after the replica.
         book.most = most as usize;
     }
@@ -61,6 +67,11 @@
         self.books.retain(|name, _| ours.contains(name));
     }
 
+    /// The start of a replica whose book this is.
+    pub fn born(&self, name: &ReplicaName) -> Option<u64> {
+        self.books.get(name).map(|b| b.born)
+    }
+
     /// The replicas with a book.
     pub fn names(&self) -> impl Iterator<Item = &ReplicaName> {
         self.books.keys()
--- a/lib/src/serving/books/step.rs
+++ b/lib/src/serving/books/step.rs
@@ -65,6 +65,8 @@
 /// A replica's report of itself; it lags some hundred ms.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Report {
+    /// When the replica started, in Unix milliseconds; 0 where it does not say.
+    pub born: u64,
     /// Orders that it has accepted.
     pub accepted: u64,
     /// Adapters that it holds.
--- a/lib/src/serving/fleet/mod.rs
+++ b/lib/src/serving/fleet/mod.rs
@@ -23,6 +23,7 @@
 
 use self::health::Health;
 use super::model::Config;
+use super::model::Instance;
 use super::model::Listing;
 use super::model::Service;
 use super::model::Target;
@@ -204,16 +205,25 @@
     /// requests may use.
     pub fn list(&mut self, listing: Listing) -> bool {
         match self.replicas.get_mut(&listing.name) {
-            Some(r) => {
+            Some(r) if r.listing.born == listing.born => {
                 r.lapsed = None;
                 let mut listing = listing;
-                // A replica that leaves does not come back under its name.
+                // One that leaves does not stay after all.
                 listing.draining |= r.listing.draining;
                 let changed = r.listing.draining != listing.draining;
                 r.listing = listing;
                 r.seed = place::address_seed(&r.listing);
                 changed
             }
+            Some(r) => {
+                // Nothing that was said of its last start holds for this one.
+                let counts = self.peers.values_mut();
+                for (_, counts) in counts {
+                    counts.remove(&listing.name);
+                }
+                *r = Replica::new(listing, Load::default());
+                true
+            }
             None => {
                 let name = listing.name.clone();
                 let told = self.peers.values().filter_map(|(_, c)| c.get(&name));
@@ -225,8 +235,9 @@
     }
 
     /// Another VM has read that a replica is leaving; gives whether it is news.
-    pub fn leave(&mut self, name: &ReplicaName) -> bool {
-        let r = self.replicas.get_mut(name);
+    pub fn leave(&mut self, replica: &Instance) -> bool {
+        let r = self.replicas.get_mut(&replica.name);
+        let r = r.filter(|r| r.listing.born == replica.born);
         r.is_some_and(|r| !std::mem::replace(&mut r.listing.draining, true))
     }
 
@@ -268,11 +279,26 @@
         self.replicas.get(name).map(|r| &r.listing)
     }
 
+    /// The start of a replica that is listed.
+    pub fn born(&self, name: &ReplicaName) -> Option<u64> {
+        self.listing(name).map(|l| l.born)
+    }
+
+    /// Whether a replica has not started anew since.
+    pub fn is_current(&self, replica: &Instance) -> bool {
+        self.born(&replica.name) == Some(replica.born)
+    }
+
     /// The replicas as the store lists them.
     pub fn listings(&self) -> impl Iterator<Item = &Listing> {
         self.replicas.values().map(|r| &r.listing)
     }
 
+    /// Whether a replica is of a service that is configured.
+    pub fn is_configured(&self, listing: &Listing) -> bool {
+        self.services.contains_key(&listing.service)
+    }
+
     /// The replicas that can hold adapters.
     pub fn engines(&self) -> impl Iterator<Item = &Listing> {
         self.listings().filter(|l| self.engine_slots(l) > 0)
--- a/lib/src/serving/flights.rs
+++ b/lib/src/serving/flights.rs
@@ -16,6 +16,7 @@
 use super::model::Target;
 use super::node::Node;
 use super::node::now;
+use super::peers::current;
 use super::peers::send;
 use crate::ids::Incarnation;
 use crate::ids::ReplicaName;
@@ -88,6 +89,7 @@
             tokens: load.tokens,
             unread: load.unread,
             uses: adapter_uses(&uses),
+            born: b.fleet.born(&name).unwrap_or_default(),
         });
     }
     flights
@@ -101,6 +103,7 @@
         requests: load.requests,
         tokens: load.tokens,
         unread: load.unread,
+        born: b.fleet.born(name)?,
     })
 }
 
@@ -160,7 +163,7 @@
 ) -> BTreeMap<ReplicaName, Load> {
     let mut counts = BTreeMap::new();
     for flight in flights {
-        let Ok(name) = flight.replica.parse::<ReplicaName>() else {
+        let Some(name) = current(b, &flight.replica, flight.born) else {
             continue;
         };
         for u in &flight.uses {
--- a/lib/src/serving/follow.rs
+++ b/lib/src/serving/follow.rs
@@ -7,6 +7,7 @@
 use super::node::now;
 use super::store::Item;
 use crate::platform::PlatformError;
+use crate::pool::Moment;
 
 /// How often a kind is asked about.
 #[derive(Clone, Copy, Debug)]
@@ -47,9 +48,11 @@
     let mut outage = false;
     let mut pause = FIRST_PAUSE;
     loop {
+        let asked = now();
         let mut revision = match list(&node, kind).await {
             Ok((items, revision)) => {
                 take(&node, News::All(&items, outage));
+                confirm(&node, kind, asked);
                 node.changed.notify_waiters();
                 if outage {
                     slog::info!(node.log, "store regained"; "kind" => kind, "revision" => revision);
@@ -68,18 +71,21 @@
             }
         };
         loop {
+            let asked = now();
             let call = (node.store.changes)(kind, revision, rhythm.wait);
             let answer = limited(rhythm.wait + CALL_MARGIN, call).await;
             count_call(kind, answer.is_ok());
             match answer {
                 Ok(changes) => {
                     revision = changes.revision.max(revision);
-                    if changes.changes.is_empty() {
-                        continue;
-                    }
+                    log_unread(&node, kind, changes.unread);
                     for c in &changes.changes {
                         take(&node, News::One(&c.item, c.removed));
                     }
+                    confirm(&node, kind, asked);
+                    if changes.changes.is_empty() {
+                        continue;
+                    }
                     node.changed.notify_waiters();
                     tokio::time::sleep(rhythm.pace).await;
                 }
@@ -95,6 +101,13 @@
     }
 }
 
+/// All that was in the store of a kind when it was asked is known now.
+fn confirm(node: &Node, kind: &str, asked: Moment) {
+    if kind == node.border.kinds.own {
+        node.beliefs().ownership.confirm(asked);
+    }
+}
+
 /// Reads a kind whole.
 pub(super) async fn list(
     node: &Node,
@@ -111,6 +124,7 @@
         // What changes while pages are read comes again with the watch.
         let first = *revision.get_or_insert(page.revision);
         let more = page.more && !page.items.is_empty();
+        log_unread(node, kind, page.unread);
         items.extend(page.items);
         if !more {
             return Ok((items, first));
@@ -118,7 +132,14 @@
     }
 }
 
-fn count_call(kind: &'static str, done: bool) {
+/// What is no object names nothing; the others hold.
+fn log_unread(node: &Node, kind: &str, count: usize) {
+    if count > 0 {
+        slog::warn!(node.log, "objects not read"; "kind" => kind, "count" => count);
+    }
+}
+
+pub(super) fn count_call(kind: &'static str, done: bool) {
     let outcome = if done { "done" } else { "failed" };
     metrics::counter!("serve_store_calls_total", "kind" => kind, "outcome" => outcome).increment(1);
 }
--- a/lib/src/serving/forward.rs
+++ b/lib/src/serving/forward.rs
@@ -21,6 +21,7 @@
 use super::decide::Ended;
 use super::fleet::End;
 use super::fleet::Load;
+use super::model::Instance;
 use super::model::Shared;
 use super::model::Target;
 use super::node::Node;
@@ -56,6 +57,7 @@
 pub(super) struct Run {
     node: Rc<Node>,
     pub(super) replica: ReplicaName,
+    born: u64,
     target: Option<Target>,
     cost: Load,
     number: u64,
@@ -69,9 +71,11 @@
         let number = node.number();
         let mut b = node.beliefs();
         b.begin(replica, held.target.as_ref(), held.cost);
+        let born = b.fleet.born(replica).unwrap_or_default();
         Self {
             node: node.clone(),
             replica: replica.clone(),
+            born,
             target: held.target.clone(),
             cost: held.cost,
             number,
@@ -96,21 +100,34 @@
         self.heard = true;
         self.turn = None;
         let mut b = self.node.beliefs();
-        b.fleet.read(&self.replica, self.cost.unread);
+        if b.fleet.is_current(&self.instance()) {
+            b.fleet.read(&self.replica, self.cost.unread);
+            b.fleet.heard(now(), &self.replica, self.number, true);
+        }
         self.cost.unread = 0;
-        b.fleet.heard(now(), &self.replica, self.number, true);
     }
 
     /// The run ended so.
     pub(super) fn learn(&self, end: End) {
-        self.node.beliefs().fleet.learn(now(), &self.replica, end);
+        let mut b = self.node.beliefs();
+        if b.fleet.is_current(&self.instance()) {
+            b.fleet.learn(now(), &self.replica, end);
+        }
+    }
+
+    /// The start of the replica that runs it.
+    pub(super) fn instance(&self) -> Instance {
+        Instance {
+            name: self.replica.clone(),
+            born: self.born,
+        }
     }
 }
 
 impl Drop for Run {
     fn drop(&mut self) {
         let mut b = self.node.beliefs();
-        b.end(&self.replica, self.target.as_ref(), self.cost);
+        b.end(&self.instance(), self.target.as_ref(), self.cost);
         if !self.heard {
             b.fleet.heard(now(), &self.replica, self.number, false);
         }
@@ -152,7 +169,7 @@
         }
         Ok(Err(SendError::Broken(_))) => {
             run.learn(End::Broken);
-            strike(node, held, replica);
+            strike(node, held, &run.instance());
             return Err(Ended::Broken);
         }
         Ok(Ok(answer)) => answer,
@@ -196,7 +213,7 @@
 }
 
 /// Notes that an upstream broke while it ran this request.
-pub(super) fn strike(node: &Node, held: &Held, replica: &ReplicaName) {
+pub(super) fn strike(node: &Node, held: &Held, replica: &Instance) {
     let news = node
         .beliefs()
         .strikes
@@ -219,7 +236,7 @@
     let version = {
         let b = node.beliefs();
         let target = held.target.as_ref();
-        target.and_then(|t| b.fleet.versions.required(now, t))
+        target.and_then(|t| b.fleet.expected_version(now, replica, t))
     };
     let headers = request.headers_mut();
     *headers = held.headers.clone();
--- a/lib/src/serving/members.rs
+++ b/lib/src/serving/members.rs
@@ -34,12 +34,30 @@
 /// one: a VM that is cut off must not take what the others own.
 const ALONE_AFTER: Span = Span::from_millis(6_000);
 
+/// How long after its start a VM takes no VM for lost that it has not heard of:
+/// longer than one stays in office without the store because all that it knows
+/// of hear it. Only where replicas check no fences.
+const UNHEARD_KEPT: Span = Span::from_millis(20_000);
+
 #[derive(Clone, Copy, Debug)]
 struct Heard {
     at: Moment,
     incarnation: Incarnation,
     number: u64,
     stopping: bool,
+    /// When it was sent, on the other VM's clock.
+    sent: Moment,
+}
+
+/// What a beacon says of itself.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Stamp {
+    /// The incarnation of the sender.
+    pub incarnation: Incarnation,
+    /// Its number; it rises.
+    pub number: u64,
+    /// When it was sent, on the sender's clock.
+    pub sent: Moment,
 }
 
 /// The VMs by their entries in the store and their beacons.
@@ -49,6 +67,8 @@
     since: Moment,
     addresses: BTreeMap<VmName, SocketAddr>,
     heard: BTreeMap<VmName, Heard>,
+    /// When the newest of our beacons that each VM heard was sent.
+    echoes: BTreeMap<VmName, Moment>,
 }
 
 impl Members {
@@ -59,6 +79,7 @@
             since: now,
             addresses: BTreeMap::new(),
             heard: BTreeMap::new(),
+            echoes: BTreeMap::new(),
         }
     }
 
@@ -72,20 +93,19 @@
     /// A VM's entry was removed.
     pub fn unlist(&mut self, vm: &VmName) {
         self.addresses.remove(vm);
+        self.echoes.remove(vm);
     }
 
     /// A beacon came; gives whether it is newer than the last one, and whether
     /// the VM was not heard of before.
-    pub fn hear(
-        &mut self,
-        now: Moment,
-        vm: &VmName,
-        stamp: (Incarnation, u64),
-        stopping: bool,
-    ) -> bool {
-        let (incarnation, number) = stamp;
+    pub fn hear(&mut self, now: Moment, vm: &VmName, stamp: Stamp, stopping: bool) -> bool {
+        let Stamp {
+            incarnation,
+            number,
+            sent,
+        } = stamp;
         let old = self.heard.get(vm);
-        if old.is_some_and(|h| (h.incarnation, h.number) >= stamp) {
+        if old.is_some_and(|h| (h.incarnation, h.number) >= (incarnation, number)) {
             return false;
         }
         let heard = Heard {
@@ -93,11 +113,46 @@
             incarnation,
             number,
             stopping,
+            sent,
         };
         self.heard.insert(vm.clone(), heard);
         true
     }
 
+    /// What was heard of a VM last: its incarnation, when that was sent on its
+    /// clock, and when it came.
+    pub fn last_heard(&self, vm: &VmName) -> Option<(Incarnation, Moment, Moment)> {
+        let heard = self.heard.get(vm)?;
+        Some((heard.incarnation, heard.sent, heard.at))
+    }
+
+    /// A VM heard our beacon that was sent at `sent`.
+    pub fn echoed(&mut self, vm: &VmName, sent: Moment) {
+        let echo = self.echoes.entry(vm.clone()).or_insert(sent);
+        *echo = sent.max(*echo);
+    }
+
+    /// Until when no other VM takes this one for lost: each that is known
+    /// heard it, and judges nobody whom it heard that lately. `None` if one of
+    /// them has not said so.
+    pub fn vouched(&self) -> Option<Moment> {
+        let echoes = self.addresses.keys().map(|vm| self.echoes.get(vm));
+        let echoes: Option<Vec<_>> = echoes.collect();
+        let first = echoes?.into_iter().min()?;
+        Some(first.after(self.lost_after()))
+    }
+
+    /// The VMs that were not heard of since this one started, which it may not
+    /// take for lost yet.
+    pub fn unjudged(&self, now: Moment) -> BTreeSet<VmName> {
+        if now.since(self.since) >= UNHEARD_KEPT {
+            return BTreeSet::new();
+        }
+        let listed = self.addresses.keys();
+        let unheard = listed.filter(|vm| !self.heard.contains_key(*vm));
+        unheard.cloned().collect()
+    }
+
     /// The others, and where they are.
     pub fn peers(&self) -> impl Iterator<Item = (&VmName, SocketAddr)> {
         self.addresses.iter().map(|(vm, address)| (vm, *address))
--- a/lib/src/serving/model.rs
+++ b/lib/src/serving/model.rs
@@ -191,11 +191,23 @@
     pub limits: Limits,
 }
 
+/// One start of a replica: a replica may start again under its name, and then
+/// holds and knows nothing of before.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Instance {
+    /// The name of the replica.
+    pub name: ReplicaName,
+    /// When it started, in Unix milliseconds; 0 where replicas do not say.
+    pub born: u64,
+}
+
 /// A replica as it is listed in the store.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Listing {
-    /// Its name; a restarted replica has another.
+    /// Its name; a restarted replica may have another.
     pub name: ReplicaName,
+    /// When it started, in Unix milliseconds; 0 where replicas do not say.
+    pub born: u64,
     /// What it serves.
     pub service: ServiceName,
     /// Where it listens.
--- a/lib/src/serving/news.rs
+++ b/lib/src/serving/news.rs
@@ -6,6 +6,8 @@
 use serde::Serialize;
 
 use super::follow::News;
+use super::model::Instance;
+use super::model::Listing;
 use super::node::Node;
 use super::node::now;
 use super::store::Item;
@@ -59,36 +61,52 @@
             let all: Vec<_> = items.iter().filter_map(|i| read(i).ok()).collect();
             slog::info!(node.log, "replicas"; "count" => all.len(), "after_outage" => outage);
             let mut b = node.beliefs();
-            b.fleet.relist(at, all, outage);
+            b.relist(at, all, outage);
             b.listed = true;
         }
-        News::One(item, true) => {
-            if let Ok(name) = item.name.parse::<ReplicaName>() {
-                tell_leaving(node, &name);
-                node.beliefs().fleet.unlist(&name);
-                slog::info!(node.log, "replica gone"; "replica" => name.as_str(),
-                    "why" => "removed", "revision" => item.revision);
-            }
-        }
+        News::One(item, true) => unlist(node, item, "removed"),
         News::One(item, false) => {
-            if let Ok(listing) = read(item) {
-                let (name, draining) = (listing.name.clone(), listing.draining);
-                let changed = node.beliefs().fleet.list(listing);
-                if changed && draining {
-                    tell_leaving(node, &name);
-                }
-                if changed {
-                    slog::info!(node.log, "replica"; "replica" => name.as_str(),
-                        "draining" => draining, "revision" => item.revision);
-                }
+            match read(item) {
+                Ok(listing) => take_replica(node, item, listing),
+                // It names no replica to use, whatever it named before.
+                Err(()) => unlist(node, item, "unreadable"),
             }
         }
     }
 }
 
+fn take_replica(node: &Node, item: &Item, listing: Listing) {
+    let (name, draining) = (listing.name.clone(), listing.draining);
+    let born = listing.born;
+    let changed = node.beliefs().take_listing(listing);
+    if changed && draining {
+        tell_leaving(node, &name);
+    }
+    if changed {
+        slog::info!(node.log, "replica"; "replica" => name.as_str(),
+                        "draining" => draining, "born" => born, "revision" => item.revision);
+    }
+}
+
+fn unlist(node: &Node, item: &Item, why: &'static str) {
+    let Ok(name) = item.name.parse::<ReplicaName>() else {
+        return;
+    };
+    tell_leaving(node, &name);
+    if node.beliefs().fleet.unlist(&name) {
+        slog::info!(node.log, "replica gone"; "replica" => name.as_str(),
+            "why" => why, "revision" => item.revision);
+    }
+}
+
 /// The other VMs hear of a leaving replica before they read of it.
 fn tell_leaving(node: &Node, name: &ReplicaName) {
-    node.beliefs().leaving.insert(name.clone());
+    let mut b = node.beliefs();
+    if let Some(born) = b.fleet.born(name) {
+        let name = name.clone();
+        b.leaving.insert(Instance { name, born });
+    }
+    drop(b);
     node.news.notify_one();
 }
 
--- /dev/null
+++ b/lib/src/serving/ownership.rs
@@ -0,0 +1,309 @@
+//! Which replicas this VM may give orders to, and until when.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use super::table::Table;
+use crate::ids::ReplicaName;
+use crate::ids::Token;
+use crate::ids::VmName;
+use crate::pool::Moment;
+use crate::pool::Span;
+
+/// How much later each further VM proposes a change than the one before it by
+/// name: a proposal is in force everywhere within about a second.
+const PROPOSER_STEP: Span = Span::from_millis(1_200);
+
+/// How long an owner whose replicas check fences may not have heard of its
+/// loss: the pace of the watch and one slow call.
+const NEWS_LAG: Span = Span::from_millis(1_500);
+
+/// How long a VM owns its replicas after the table was known to be the newest.
+/// It is confirmed each 0.6 s by one VM and told with the beacons, each 0.4 s:
+/// two lost beacons in a row leave it in office.
+pub const HOLD: Span = Span::from_millis(2_400);
+
+/// How old the first VM by name lets the confirmation become: with a beat and
+/// one lost beacon on top, the others still learn of it in time.
+const FIRST_ASKS: Span = Span::from_millis(600);
+
+/// The same for the others, which hear of it from the first one: about two of
+/// its questions and a beat.
+const OTHERS_ASK: Span = Span::from_millis(1_600);
+
+/// How much later each further VM asks, so that not all ask at once when the
+/// first one is lost.
+const ASK_STEP: Span = Span::from_millis(120);
+
+/// VMs by name after which the step grows no more: the last one must ask
+/// before it is out of office.
+const MOST_STEPS: usize = 4;
+
+/// How long an order may take to its replica after the lease was looked at:
+/// the time that an answer is waited for, and a third as much on the way.
+const ORDER_REACH: Span = Span::from_millis(1_100);
+
+/// How long after the last confirmation a VM stays in office because all
+/// others hear it. A VM that never heard an owner takes it for lost later than
+/// that, see [`Members`](super::Members).
+const MOST_VOUCHED: Span = Span::from_millis(15_000);
+
+/// Our ownership of one replica.
+#[derive(Clone, Debug, Eq, PartialEq)]
+struct Term {
+    token: Token,
+    /// From when it may be used.
+    from: Moment,
+    /// The revision of the table that gave it to us.
+    since: u64,
+    /// Who has not said yet that it knows of its loss.
+    unaware: BTreeSet<VmName>,
+}
+
+/// What a VM holds of the table: its own ownerships, since when, and whether
+/// they may be used.
+///
+/// Made for VMs that are killed, frozen or cut off while they own replicas. A
+/// replica's orders must come from one VM at a time, with a lease between two.
+/// Where replicas check fences, a VM that lost one is stopped by the replica.
+/// Elsewhere the ownership ends by itself, [`HOLD`] after the store was last
+/// known to hold no newer table, and a new owner waits until that is over and
+/// a lease has passed, or until the ones before it say that they know.
+#[derive(Clone, Debug)]
+pub struct Ownership {
+    vm: VmName,
+    lease: Span,
+    fenced: bool,
+    /// The table and its revision in the store.
+    pub table: Table,
+    /// The revision; 0 while there is no table.
+    pub revision: u64,
+    terms: BTreeMap<ReplicaName, Term>,
+    /// Tokens that a replica refused.
+    refused: BTreeMap<ReplicaName, Token>,
+    /// Since when a change has been due.
+    due: Option<Moment>,
+    /// When no table newer than this one was in the store yet.
+    confirmed: Option<Moment>,
+    /// Until when no other VM can take this one for lost.
+    vouched: Option<Moment>,
+    /// The newest revision that another VM told of.
+    told: u64,
+}
+
+impl Ownership {
+    /// No table yet; `fenced` says whether replicas check tokens.
+    pub fn new(vm: VmName, lease: Span, fenced: bool) -> Self {
+        Self {
+            vm,
+            lease,
+            fenced,
+            table: Table::default(),
+            revision: 0,
+            terms: BTreeMap::new(),
+            refused: BTreeMap::new(),
+            due: None,
+            confirmed: None,
+            vouched: None,
+            told: 0,
+        }
+    }
+
+    /// Takes the table as the store has it; older revisions are dropped.
+    pub fn take(&mut self, now: Moment, table: Table, revision: u64) -> bool {
+        if revision <= self.revision {
+            return false;
+        }
+        let wait = self.longest_wait();
+        let mine = table.owners.iter().filter(|(_, o)| o.vm == self.vm);
+        let mut terms = BTreeMap::new();
+        for (name, owner) in mine {
+            let old = self.terms.remove(name).filter(|t| t.token == owner.token);
+            let term = old.unwrap_or_else(|| Term {
+                token: owner.token,
+                from: match owner.former.is_empty() {
+                    true => now,
+                    false => now.after(wait),
+                },
+                since: revision,
+                unaware: owner.former.clone(),
+            });
+            terms.insert(name.clone(), term);
+        }
+        self.terms = terms;
+        self.table = table;
+        self.revision = revision;
+        self.due = None;
+        true
+    }
+
+    /// How long a new owner waits that hears nothing of the one before.
+    fn longest_wait(&self) -> Span {
+        match self.fenced {
+            true => Span(self.lease.0 + NEWS_LAG.0),
+            false => Span(HOLD.0 + self.lease.0 + ORDER_REACH.0),
+        }
+    }
+
+    /// The store showed in answer to a call sent at `asked` that our table is
+    /// the newest.
+    pub fn confirm(&mut self, asked: Moment) {
+        if self.revision > 0 {
+            self.confirmed = self.confirmed.max(Some(asked));
+        }
+    }
+
+    /// How many microseconds after another VM's beacon was heard the table was
+    /// last known to be the newest; before it if negative. It is told that VM.
+    pub fn confirmed_after(&self, heard: Moment) -> Option<i64> {
+        let confirmed = i64::try_from(self.confirmed?.0).ok()?;
+        confirmed.checked_sub_unsigned(heard.0)
+    }
+
+    /// Another VM knew the table of `revision` to be the newest `after`
+    /// microseconds after it heard the beacon that we sent at `sent`.
+    ///
+    /// It heard that after we sent it. So what it knew some time after it heard
+    /// it was so at least as long after we sent it, however long either
+    /// datagram was on its way.
+    pub fn confirmed_by(&mut self, revision: u64, sent: Moment, after: i64) {
+        let at = sent.0.checked_add_signed(after);
+        if let Some(at) = at.filter(|_| revision <= self.revision) {
+            self.confirm(Moment(at));
+        }
+    }
+
+    /// When the table was last known to be the newest.
+    pub fn confirmed(&self) -> Option<Moment> {
+        self.confirmed
+    }
+
+    /// Whether this VM, the `rank`th by name, is to ask the store now whether
+    /// the table is the newest.
+    pub fn asks(&self, now: Moment, rank: usize) -> bool {
+        let Some(confirmed) = self.confirmed.filter(|_| !self.fenced) else {
+            return false;
+        };
+        let steps = rank.min(MOST_STEPS) as u64;
+        let after = match rank {
+            0 => FIRST_ASKS,
+            _ if self.terms.is_empty() => return false,
+            _ => Span(OTHERS_ASK.0 + ASK_STEP.0 * steps),
+        };
+        now.since(confirmed) >= after
+    }
+
+    /// Until `until` no other VM can take this one for lost.
+    pub fn vouch(&mut self, until: Option<Moment>) {
+        self.vouched = until;
+    }
+
+    /// A VM told which table it holds: those before it that lost a replica to
+    /// us know it. Gives whether its table is newer than ours.
+    pub fn hear(&mut self, now: Moment, vm: &VmName, revision: u64) -> bool {
+        self.told = self.told.max(revision);
+        let after = now.after(Span(self.lease.0 + ORDER_REACH.0));
+        let known = self.terms.values_mut().filter(|t| t.since <= revision);
+        for term in known {
+            if term.unaware.remove(vm) && term.unaware.is_empty() {
+                term.from = term.from.min(after);
+            }
+        }
+        revision > self.revision
+    }
+
+    /// Whether this VM is still in office.
+    ///
+    /// It is as long as the table is known to be the newest not longer ago
+    /// than [`HOLD`]. While the store is away for all it cannot be changed
+    /// either: the VM then stays as long as each VM that could propose it
+    /// hears this one, and so does not take it for lost.
+    pub fn holds(&self, now: Moment) -> bool {
+        if self.fenced {
+            return true;
+        }
+        let (Some(confirmed), true) = (self.confirmed, self.told <= self.revision) else {
+            return false;
+        };
+        let vouched = self.vouched.unwrap_or(Moment(0));
+        now < confirmed.after(HOLD) || now < vouched.min(confirmed.after(MOST_VOUCHED))
+    }
+
+    /// Our replicas that may get orders now, with their tokens.
+    pub fn active(&self, now: Moment) -> impl Iterator<Item = (&ReplicaName, Token)> {
+        let holds = self.holds(now);
+        let terms = self.terms.iter().filter(move |_| holds);
+        let usable = terms.filter(move |(name, t)| t.from <= now && !self.is_refused(name, t));
+        usable.map(|(name, t)| (name, t.token))
+    }
+
+    fn is_refused(&self, name: &ReplicaName, term: &Term) -> bool {
+        self.refused.get(name) == Some(&term.token)
+    }
+
+    /// Our replicas, whether they may get orders yet or not.
+    pub fn owned(&self) -> impl Iterator<Item = &ReplicaName> {
+        self.terms.keys()
+    }
+
+    /// Our token for a replica, if it may get orders now.
+    pub fn token(&self, now: Moment, name: &ReplicaName) -> Option<Token> {
+        let term = self.terms.get(name)?;
+        let usable = self.holds(now) && term.from <= now && !self.is_refused(name, term);
+        usable.then_some(term.token)
+    }
+
+    /// A replica has seen a higher token than ours: no order more with it.
+    pub fn refused(&mut self, name: &ReplicaName, token: Token) {
+        self.refused.insert(name.clone(), token);
+    }
+
+    /// The VM was suspended or cut off: its ownerships are used again only
+    /// after the table was read anew.
+    pub fn suspend(&mut self) {
+        self.terms.clear();
+        self.revision = 0;
+        self.confirmed = None;
+    }
+
+    /// The owner of a replica.
+    pub fn owner(&self, name: &ReplicaName) -> Option<&VmName> {
+        self.table.owners.get(name).map(|o| &o.vm)
+    }
+
+    /// The change that this VM proposes now. The first live VM by name
+    /// proposes at once, each further one a step later, so that a lost
+    /// proposer delays a repair and does not prevent it.
+    pub fn proposal(
+        &mut self,
+        now: Moment,
+        live: &BTreeSet<VmName>,
+        unjudged: &BTreeSet<VmName>,
+        replicas: &BTreeSet<ReplicaName>,
+    ) -> Option<Table> {
+        let Some(table) = self.table.repaired(live, unjudged, replicas) else {
+            self.due = None;
+            return self.settled(now);
+        };
+        let since = *self.due.get_or_insert(now);
+        let rank = live.iter().position(|vm| *vm == self.vm)? as u64;
+        (now.since(since).0 >= PROPOSER_STEP.0 * rank).then_some(table)
+    }
+
+    /// The table with the waits of our replicas that are over.
+    fn settled(&self, now: Moment) -> Option<Table> {
+        let mut table = self.table.clone();
+        let over = |name: &ReplicaName| self.terms.get(name).is_some_and(|t| t.from <= now);
+        for (name, owner) in &mut table.owners {
+            if owner.vm == self.vm && over(name) {
+                owner.former.clear();
+            }
+        }
+        (table != self.table).then_some(table)
+    }
+
+    /// A proposal was sent: the next one waits its turn again.
+    pub fn proposed(&mut self, now: Moment) {
+        self.due = Some(now);
+    }
+}
--- a/lib/src/serving/pass.rs
+++ b/lib/src/serving/pass.rs
@@ -239,7 +239,7 @@
             return Err(Broken("no answer"));
         };
         begun.run.learn(End::Broken);
-        strike(&self.node, &self.held, &begun.run.replica);
+        strike(&self.node, &self.held, &begun.run.instance());
         self.avoid.insert(begun.run.replica.clone());
         // Its connection is closed now, so the replica ends the run.
         drop(begun);
--- a/lib/src/serving/peers.rs
+++ b/lib/src/serving/peers.rs
@@ -12,11 +12,14 @@
 use super::beliefs::Beliefs;
 use super::fleet::Held;
 use super::flights;
+use super::members::Stamp;
+use super::model::Instance;
 use super::model::Target;
 use super::node::Node;
 use super::node::Phase;
 use super::node::now;
 use super::reading;
+use super::renewal;
 use crate::ids::Fingerprint;
 use crate::ids::Incarnation;
 use crate::ids::ReplicaName;
@@ -84,7 +87,7 @@
         if !leaving.is_empty() || node.phase() != Phase::Serving {
             *number += 1;
             let mut told = beacon(node, *number);
-            told.leaving = leaving.iter().map(ToString::to_string).collect();
+            told.leaving = leaving.iter().map(write_leaving).collect();
             sendings.push((told, b.members.peers().map(|(_, at)| at).collect()));
         }
     }
@@ -113,6 +116,7 @@
         incarnation: node.incarnation.0,
         number,
         stopping: node.phase() != Phase::Serving,
+        sent_us: now().0,
         ..wire::Beacon::default()
     }
 }
@@ -125,6 +129,7 @@
     b.books.take_changed();
     let mut told = beacon(node, number);
     told.complete = true;
+    told.owners = b.ownership.revision;
     told.turns_ms = b.strain.left(now).as_millis();
     told.books = names.iter().filter_map(|n| book(b, now, n)).collect();
     for name in &names {
@@ -139,7 +144,8 @@
         .iter()
         .map(|(f, replica)| wire::StrikeNote {
             fingerprint: f.0,
-            replica: replica.to_string(),
+            replica: replica.name.to_string(),
+            born: replica.born,
         })
         .collect();
     let peers = b.members.peers();
@@ -151,12 +157,11 @@
     let mut sendings = Vec::new();
     for (vm, address) in peers {
         let mut bytes = common.clone();
-        if let Some(flights) = flights.remove(&vm) {
-            bytes.extend(encode(wire::Beacon {
-                flights,
-                ..wire::Beacon::default()
-            }));
-        }
+        bytes.extend(encode(wire::Beacon {
+            flights: flights.remove(&vm).unwrap_or_default(),
+            echo: renewal::echo(node, b, &vm),
+            ..wire::Beacon::default()
+        }));
         sendings.push((bytes, address));
     }
     sendings
@@ -186,6 +191,7 @@
         replica: name.to_string(),
         token: token.0,
         slots: slots.collect(),
+        born: b.books.born(name)?,
     })
 }
 
@@ -222,19 +228,24 @@
     let mut b = node.beliefs();
     let kept = b.members.lost_after();
     b.fleet.set_word_kept(kept);
-    let stamp = (Incarnation(beacon.incarnation), beacon.number);
+    let stamp = Stamp {
+        incarnation: Incarnation(beacon.incarnation),
+        number: beacon.number,
+        sent: Moment(beacon.sent_us),
+    };
     if !b.members.hear(now, &vm, stamp, beacon.stopping) {
         return;
     }
     b.members.list(vm.clone(), from);
+    renewal::take(node, &mut b, now, &vm, beacon);
     for book in &beacon.books {
         take_book(&mut b, now, &vm, book);
     }
-    for name in &beacon.leaving {
-        if let Ok(name) = name.parse::<ReplicaName>()
-            && b.fleet.leave(&name)
+    for l in &beacon.leaving {
+        if let Some(replica) = instance(&l.replica, l.born)
+            && b.fleet.leave(&replica)
         {
-            slog::info!(node.log, "replica"; "replica" => name.as_str(), "draining" => true,
+            slog::info!(node.log, "replica"; "replica" => &l.replica, "draining" => true,
                 "told_by" => vm.as_str());
         }
     }
@@ -242,7 +253,7 @@
         b.strain.told(now, Span::from_millis(beacon.turns_ms));
     }
     for note in &beacon.strikes {
-        if let Ok(replica) = note.replica.parse::<ReplicaName>() {
+        if let Some(replica) = instance(&note.replica, note.born) {
             b.strikes.hear(now, Fingerprint(note.fingerprint), &replica);
         }
     }
@@ -258,8 +269,27 @@
     }
 }
 
+fn write_leaving(replica: &Instance) -> wire::Leaving {
+    wire::Leaving {
+        replica: replica.name.to_string(),
+        born: replica.born,
+    }
+}
+
+/// A start of a replica by its parts; `None` if that is no name.
+pub(super) fn instance(name: &str, born: u64) -> Option<Instance> {
+    let name = name.parse().ok()?;
+    Some(Instance { name, born })
+}
+
+/// The replica that a word is about, if it has not started anew since.
+pub(super) fn current(b: &Beliefs, name: &str, born: u64) -> Option<ReplicaName> {
+    let replica = instance(name, born)?;
+    b.fleet.is_current(&replica).then_some(replica.name)
+}
+
 fn take_book(b: &mut Beliefs, now: Moment, vm: &VmName, book: &wire::ReplicaBook) {
-    let Ok(name) = book.replica.parse::<ReplicaName>() else {
+    let Some(name) = current(b, &book.replica, book.born) else {
         return;
     };
     // One that lost the replica and has not heard of it speaks no more for it.
--- a/lib/src/serving/program.rs
+++ b/lib/src/serving/program.rs
@@ -1,5 +1,6 @@
 //! Starts and stops the serving process.
 
+use std::collections::BTreeSet;
 use std::fmt;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -30,6 +31,7 @@
 use super::ordering;
 use super::peers;
 use super::reading;
+use super::renewal;
 use super::server;
 use super::settings::ServeSettings;
 use super::store::Store;
@@ -141,6 +143,7 @@
         tokio::task::spawn_local(ordering::order(node.clone()));
         tokio::task::spawn_local(register(node.clone()));
         tokio::task::spawn_local(reread(node.clone()));
+        tokio::task::spawn_local(renewal::renew(node.clone()));
         tokio::task::spawn_local(upkeep(node.clone()));
         Ok(Self { node })
     }
@@ -265,9 +268,11 @@
     loop {
         node.reread.notified().await;
         loop {
+            let asked = now();
             match follow::list(&node, node.border.kinds.own).await {
                 Ok((items, _)) => {
                     take_own(&node, News::All(&items, false));
+                    node.beliefs().ownership.confirm(asked);
                     break;
                 }
                 Err(e) => slog::warn!(node.log, "owners not read"; "error" => %e),
@@ -294,13 +299,21 @@
     let (table, revision) = {
         let mut b = node.beliefs();
         let b = &mut *b;
-        if !b.listed || !b.members.may_judge(at) {
+        if !b.ready() || !b.members.may_judge(at) {
             return;
         }
         let live = b.members.live(at);
-        let usable = b.fleet.listings().filter(|l| !l.draining);
+        // A fence stops an owner that was judged too early.
+        let unjudged = match node.settings.fenced {
+            true => BTreeSet::new(),
+            false => b.members.unjudged(at),
+        };
+        let usable = b
+            .fleet
+            .listings()
+            .filter(|l| !l.draining && b.fleet.is_configured(l));
         let replicas = usable.map(|l| l.name.clone()).collect();
-        let Some(table) = b.ownership.proposal(at, &live, &replicas) else {
+        let Some(table) = b.ownership.proposal(at, &live, &unjudged, &replicas) else {
             return;
         };
         b.ownership.proposed(at);
@@ -310,6 +323,7 @@
         return;
     };
     let kind = node.border.kinds.own;
+    let asked = now();
     let call = match revision {
         0 => (node.store.create)(kind, OWNERS, &spec),
         _ => (node.store.replace)(kind, OWNERS, revision, &spec),
@@ -317,7 +331,10 @@
     match limited(follow::SHORT_CALL, call).await {
         Ok(revision) => {
             let term = table.term.0;
-            node.beliefs().take_owners(now(), table, revision);
+            let mut b = node.beliefs();
+            b.take_owners(now(), table, revision);
+            b.ownership.confirm(asked);
+            drop(b);
             slog::info!(node.log, "owners changed"; "term" => term, "revision" => revision);
             node.orders.notify_one();
         }
--- /dev/null
+++ b/lib/src/serving/renewal.rs
@@ -0,0 +1,134 @@
+//! Keeps this VM in office where replicas check no fences: asks the store
+//! whether the owner table is still the newest, and tells the others.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use banyangauge_proto as wire;
+
+use super::beliefs::Beliefs;
+use super::follow;
+use super::follow::News;
+use super::follow::limited;
+use super::news::take_own;
+use super::node::Node;
+use super::node::now;
+use crate::ids::VmName;
+use crate::platform::PlatformError;
+use crate::pool::Moment;
+
+/// How often it is looked whether to ask.
+const LOOK: Duration = Duration::from_millis(100);
+
+/// The pause after a question that had no answer.
+const FAILED_PAUSE: Duration = Duration::from_millis(300);
+
+/// How long the store waits for news before it answers: it is only asked for
+/// what is there.
+const NO_WAIT: Duration = Duration::from_millis(1);
+
+/// Asks the store as long as the process lives.
+pub(super) async fn renew(node: Rc<Node>) {
+    if node.settings.fenced {
+        return;
+    }
+    let mut office = Office::default();
+    let mut since = 0;
+    loop {
+        tokio::time::sleep(LOOK).await;
+        office.look(&node);
+        if !due(&node) {
+            continue;
+        }
+        if let Err(e) = ask(&node, &mut since).await {
+            slog::info!(node.log, "owners not confirmed"; "error" => %e);
+            tokio::time::sleep(FAILED_PAUSE).await;
+        }
+    }
+}
+
+/// Whether the confirmation is so old that this VM asks itself.
+fn due(node: &Node) -> bool {
+    let b = node.beliefs();
+    let at = now();
+    let live = b.members.live(at);
+    let rank = live.iter().position(|vm| *vm == node.settings.vm);
+    b.ownership.asks(at, rank.unwrap_or(0))
+}
+
+/// Asks for what changed since the last answer.
+async fn ask(node: &Node, since: &mut u64) -> Result<(), PlatformError> {
+    let kind = node.border.kinds.own;
+    let asked = now();
+    if *since == 0 {
+        let (items, revision) = follow::list(node, kind).await?;
+        take_own(node, News::All(&items, false));
+        *since = revision;
+    } else {
+        let call = (node.store.changes)(kind, *since, NO_WAIT);
+        let answer = limited(follow::SHORT_CALL, call).await;
+        follow::count_call(kind, answer.is_ok());
+        if answer.is_err() {
+            *since = 0;
+        }
+        let answer = answer?;
+        for c in &answer.changes {
+            take_own(node, News::One(&c.item, c.removed));
+        }
+        *since = answer.revision.max(*since);
+    }
+    node.beliefs().ownership.confirm(asked);
+    Ok(())
+}
+
+/// Whether the VM was in office when it was last looked; a change is worth a
+/// line.
+#[derive(Default)]
+struct Office(bool);
+
+impl Office {
+    fn look(&mut self, node: &Node) {
+        let mut b = node.beliefs();
+        let vouched = b.members.vouched();
+        b.ownership.vouch(vouched);
+        let at = now();
+        let holds = b.ownership.holds(at);
+        if std::mem::replace(&mut self.0, holds) != holds {
+            let age = b.ownership.confirmed().map(|c| at.since(c).as_millis());
+            let vouched = vouched.map(|until| until.since(at).as_millis());
+            slog::info!(node.log, "office"; "holds" => holds, "confirmed_ms" => age,
+                "vouched_ms" => vouched, "revision" => b.ownership.revision);
+        }
+    }
+}
+
+/// What is told a VM of its last beacon.
+pub(super) fn echo(node: &Node, b: &Beliefs, vm: &VmName) -> Option<wire::Echo> {
+    if node.settings.fenced {
+        return None;
+    }
+    let (incarnation, sent, heard) = b.members.last_heard(vm)?;
+    Some(wire::Echo {
+        incarnation: incarnation.0,
+        sent_us: sent.0,
+        confirmed_us: b.ownership.confirmed_after(heard),
+    })
+}
+
+/// Takes what a beacon says of the owner table and of our own beacons.
+pub(super) fn take(node: &Node, b: &mut Beliefs, at: Moment, vm: &VmName, beacon: &wire::Beacon) {
+    if beacon.owners > 0 && b.ownership.hear(at, vm, beacon.owners) {
+        node.reread.notify_one();
+    }
+    let Some(echo) = &beacon.echo else {
+        return;
+    };
+    if echo.incarnation != node.incarnation.0 || echo.sent_us > at.0 {
+        return;
+    }
+    let sent = Moment(echo.sent_us);
+    b.members.echoed(vm, sent);
+    if let Some(after) = echo.confirmed_us {
+        b.ownership.confirmed_by(beacon.owners, sent, after);
+    }
+}
--- a/lib/src/serving/serve.rs
+++ b/lib/src/serving/serve.rs
@@ -36,6 +36,7 @@
 use super::forward::strip_hop;
 use super::forward::strip_request;
 use super::model::Ask;
+use super::model::Instance;
 use super::model::Kind;
 use super::model::Route;
 use super::node::Node;
@@ -245,7 +246,7 @@
 fn check_convicted(node: &Node, held: &Held) -> Result<(), Refusal> {
     let b = node.beliefs();
     let now = now();
-    let down = |name: &ReplicaName| b.fleet.standing(now, name) != "live";
+    let down = |r: &Instance| !b.fleet.is_current(r) || b.fleet.standing(now, &r.name) != "live";
     match b.strikes.convicted(now, held.fingerprint, down) {
         true => Err(Refusal::not_run("crashes_upstreams", CONVICTED_COME_BACK)),
         false => Ok(()),
@@ -305,7 +306,7 @@
             }
             Err(ended) => {
                 begun.run.learn(End::Broken);
-                super::forward::strike(node, &held, &begun.run.replica);
+                super::forward::strike(node, &held, &begun.run.instance());
                 tries.note(ended);
                 avoid.insert(begun.run.replica.clone());
                 drop(begun);
--- a/lib/src/serving/store.rs
+++ b/lib/src/serving/store.rs
@@ -27,6 +27,8 @@
 pub struct Page {
     /// The objects, in the order of their names.
     pub items: Vec<Item>,
+    /// Objects that could not be read.
+    pub unread: usize,
     /// Whether more follow the last name.
     pub more: bool,
     /// The revision of the list, to watch from.
@@ -47,6 +49,8 @@
 pub struct Changes {
     /// The changes, in order.
     pub changes: Vec<Change>,
+    /// Changes that could not be read.
+    pub unread: usize,
     /// The revision to watch from next.
     pub revision: u64,
 }
--- a/lib/src/serving/strikes.rs
+++ b/lib/src/serving/strikes.rs
@@ -2,8 +2,8 @@
 
 use std::collections::BTreeMap;
 
+use super::model::Instance;
 use crate::ids::Fingerprint;
-use crate::ids::ReplicaName;
 use crate::pool::Moment;
 use crate::pool::Span;
 
@@ -37,12 +37,12 @@
 /// are not refused for it.
 #[derive(Debug, Default)]
 pub struct Strikes {
-    known: BTreeMap<Fingerprint, BTreeMap<ReplicaName, Strike>>,
+    known: BTreeMap<Fingerprint, BTreeMap<Instance, Strike>>,
 }
 
 impl Strikes {
     /// An upstream broke while it ran this request; gives whether that is news.
-    pub fn note(&mut self, now: Moment, request: Fingerprint, replica: &ReplicaName) -> bool {
+    pub fn note(&mut self, now: Moment, request: Fingerprint, replica: &Instance) -> bool {
         let strikes = self.strikes(now, request);
         let strike = Strike { at: now, own: true };
         strikes.insert(replica.clone(), strike).is_none()
@@ -50,7 +50,7 @@
 
     /// Another VM saw that. It is not told on: whoever saw it tells all, and
     /// strikes that are told on go around for ever.
-    pub fn hear(&mut self, now: Moment, request: Fingerprint, replica: &ReplicaName) {
+    pub fn hear(&mut self, now: Moment, request: Fingerprint, replica: &Instance) {
         let strikes = self.strikes(now, request);
         let strike = Strike {
             at: now,
@@ -59,7 +59,7 @@
         strikes.entry(replica.clone()).or_insert(strike);
     }
 
-    fn strikes(&mut self, now: Moment, request: Fingerprint) -> &mut BTreeMap<ReplicaName, Strike> {
+    fn strikes(&mut self, now: Moment, request: Fingerprint) -> &mut BTreeMap<Instance, Strike> {
         if self.known.len() >= MOST_KEPT && !self.known.contains_key(&request) {
             self.known.pop_first();
         }
@@ -79,7 +79,7 @@
         &self,
         now: Moment,
         request: Fingerprint,
-        down: impl Fn(&ReplicaName) -> bool,
+        down: impl Fn(&Instance) -> bool,
     ) -> bool {
         let Some(strikes) = self.known.get(&request) else {
             return false;
@@ -87,11 +87,11 @@
         let recent = strikes
             .iter()
             .filter(|(_, s)| now.since(s.at) < STRIKE_KEPT);
-        recent.filter(|(name, _)| down(name)).count() >= MOST_CRASHES
+        recent.filter(|(replica, _)| down(replica)).count() >= MOST_CRASHES
     }
 
     /// What this VM saw in the last `span`, the newest first, for the others.
-    pub fn recent(&self, now: Moment, span: Span) -> Vec<(Fingerprint, ReplicaName)> {
+    pub fn recent(&self, now: Moment, span: Span) -> Vec<(Fingerprint, Instance)> {
         let all = self.known.iter();
         let all = all.flat_map(|(f, strikes)| strikes.iter().map(move |(r, s)| (*f, r, *s)));
         let recent = all.filter(|(_, _, s)| s.own && now.since(s.at) < span);
--- a/lib/tests/test_serving_budget.rs
+++ b/lib/tests/test_serving_budget.rs
@@ -6,6 +6,7 @@
 use banyangauge::pool::Span;
 use banyangauge::serving::Budget;
 use banyangauge::serving::BudgetLimits;
+use banyangauge::serving::Instance;
 use banyangauge::serving::Strikes;
 use banyangauge::serving::decide::Ended;
 use banyangauge::serving::decide::Refusal;
@@ -72,17 +73,36 @@
     assert_eq!((refusal.status.as_u16(), refusal.retry_after), (502, None));
 }
 
+fn instance(name: &str) -> Instance {
+    Instance {
+        name: name.parse().unwrap(),
+        born: 0,
+    }
+}
+
+/// One replica that starts again under its name is brought down three times.
+#[test]
+fn strikes_convict_what_crashes_one_replica_thrice() {
+    let mut strikes = Strikes::default();
+    for born in 1..=3 {
+        let name = "i-1".parse().unwrap();
+        strikes.note(at(0), Fingerprint(1), &Instance { name, born });
+    }
+    assert!(strikes.convicted(at(0), Fingerprint(1), |r| r.born < 4));
+    assert!(!strikes.convicted(at(0), Fingerprint(1), |r| r.born < 3));
+}
+
 #[test]
 fn strikes_convict_what_crashes_three() {
     let mut strikes = Strikes::default();
     let request = Fingerprint(1);
     for name in ["i-1", "i-2"] {
-        strikes.note(at(0), request, &name.parse().unwrap());
+        strikes.note(at(0), request, &instance(name));
     }
     assert!(!strikes.convicted(at(0), request, |_| true));
-    strikes.note(at(0), request, &"i-3".parse().unwrap());
+    strikes.note(at(0), request, &instance("i-3"));
     assert!(strikes.convicted(at(0), request, |_| true));
-    assert!(!strikes.convicted(at(0), request, |n| n.as_str() != "i-1"));
+    assert!(!strikes.convicted(at(0), request, |r| r.name.as_str() != "i-1"));
     strikes.clear(request);
     assert!(!strikes.convicted(at(0), request, |_| true));
 }
@@ -93,7 +113,7 @@
 #[test]
 fn strikes_heard_are_not_told_on() {
     let mut strikes = Strikes::default();
-    let replica = "i-1".parse().unwrap();
+    let replica = instance("i-1");
     strikes.hear(at(0), Fingerprint(1), &replica);
     strikes.note(at(0), Fingerprint(2), &replica);
     let told = |strikes: &Strikes| -> Vec<u64> {
@@ -110,7 +130,7 @@
 #[test]
 fn strikes_told_fit_a_datagram() {
     let mut strikes = Strikes::default();
-    let replica = "i-1".parse().unwrap();
+    let replica = instance("i-1");
     for i in 0..1_000 {
         strikes.note(at(i), Fingerprint(i), &replica);
     }
@@ -124,7 +144,7 @@
 fn strikes_heard_convict() {
     let mut strikes = Strikes::default();
     for name in ["i-1", "i-2", "i-3"] {
-        strikes.hear(at(0), Fingerprint(1), &name.parse().unwrap());
+        strikes.hear(at(0), Fingerprint(1), &instance(name));
     }
     assert!(strikes.convicted(at(0), Fingerprint(1), |_| true));
 }
--- /dev/null
+++ b/lib/tests/test_serving_instances.rs
@@ -0,0 +1,150 @@
+//! A replica that starts again under its name is another one: nothing that was
+//! said of its last start holds for it.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use banyangauge::pool::Moment;
+use banyangauge::pool::Span;
+use banyangauge::serving::Books;
+use banyangauge::serving::End;
+use banyangauge::serving::Fleet;
+use banyangauge::serving::Instance;
+use banyangauge::serving::Listing;
+use banyangauge::serving::Load;
+use banyangauge::serving::Report;
+use banyangauge::serving::Step;
+use banyangauge::serving::Target;
+use banyangauge::serving::Versions;
+
+use super::test_serving_place::listing;
+
+fn at(ms: u64) -> Moment {
+    Moment(10_000_000).after(Span::from_millis(ms))
+}
+
+fn started(born: u64, held: &[&str]) -> Listing {
+    Listing {
+        born,
+        ..listing("i-1", "llm", "z-a", held)
+    }
+}
+
+fn instance(born: u64) -> Instance {
+    Instance {
+        name: "i-1".parse().unwrap(),
+        born,
+    }
+}
+
+#[test]
+fn draining_ends_with_its_start() {
+    let mut fleet = Fleet::new("z-a".parse().unwrap());
+    fleet.list(Listing {
+        draining: true,
+        ..started(1, &["base"])
+    });
+    fleet.list(started(1, &["base"]));
+    let name = "i-1".parse().unwrap();
+    assert!(
+        fleet.listing(&name).unwrap().draining,
+        "it does not stay after all"
+    );
+    assert!(
+        fleet.list(started(2, &["base"])),
+        "that is news for requests"
+    );
+    assert!(!fleet.listing(&name).unwrap().draining);
+    assert!(
+        !fleet.leave(&instance(1)),
+        "that was said of its last start"
+    );
+    assert!(!fleet.listing(&name).unwrap().draining);
+    assert!(fleet.leave(&instance(2)));
+}
+
+#[test]
+fn standing_and_counts_end_with_its_start() {
+    let mut fleet = Fleet::new("z-a".parse().unwrap());
+    fleet.list(started(1, &["base"]));
+    let name = "i-1".parse().unwrap();
+    let load = Load {
+        requests: 3,
+        tokens: 30,
+        unread: 3,
+    };
+    fleet.begin(&name, load);
+    fleet.hear_counts(
+        at(0),
+        &"vm".parse().unwrap(),
+        &BTreeMap::from([(name.clone(), load)]),
+    );
+    fleet.learn(at(0), &name, End::Broken);
+    assert_eq!(fleet.standing(at(10), &name), "paused");
+    fleet.list(started(2, &[]));
+    assert_eq!(fleet.standing(at(10), &name), "live");
+    assert_eq!(fleet.total(at(10), &name), Some(Load::default()));
+    assert!(!fleet.is_current(&instance(1)));
+}
+
+fn report(born: u64, accepted: u64, held: &[&str]) -> Report {
+    let here = held.iter().map(|t| (Target::parse(t).unwrap(), 1));
+    Report {
+        born,
+        accepted,
+        here: here.collect(),
+        coming: BTreeSet::new(),
+        weights_near: true,
+    }
+}
+
+/// The next order expects the count that the new start has.
+#[test]
+fn book_ends_with_its_start() {
+    let mut books = Books::default();
+    let name = "i-1".parse().unwrap();
+    let versions = Versions::default();
+    let held = ["base", "base/a1"];
+    books.open(at(0), &started(1, &held), 2);
+    assert_eq!(books.next(at(0), &name, &versions, None), Some(Step::Look));
+    books.looked(at(0), &name, Some(report(1, 9, &held)));
+    books.open(at(10), &started(2, &[]), 2);
+    let here = books.held(&name).unwrap().here;
+    assert!(here.is_empty(), "{here:?}");
+    assert_eq!(books.next(at(10), &name, &versions, None), Some(Step::Look));
+    books.looked(at(10), &name, Some(report(2, 0, &["base"])));
+    books.wish(at(20), &name, &Target::parse("base/a2").unwrap());
+    let next = books.next(at(20), &name, &versions, None);
+    assert!(
+        matches!(next, Some(Step::Load { expected: 0, .. })),
+        "{next:?}"
+    );
+}
+
+/// Its report may come before its entry in the store, and that entry then ends
+/// nothing.
+#[test]
+fn book_learns_of_a_start_from_a_report() {
+    let mut books = Books::default();
+    let name = "i-1".parse().unwrap();
+    let versions = Versions::default();
+    books.open(at(0), &started(1, &["base", "base/a1"]), 2);
+    books.next(at(0), &name, &versions, None);
+    books.looked(at(0), &name, Some(report(2, 4, &["base"])));
+    assert_eq!(books.born(&name), Some(2));
+    assert!(
+        !books
+            .held(&name)
+            .unwrap()
+            .here
+            .contains_key(&Target::parse("base/a1").unwrap())
+    );
+    books.open(at(10), &started(1, &["base", "base/a1"]), 2);
+    books.open(at(20), &started(2, &["base"]), 2);
+    books.wish(at(30), &name, &Target::parse("base/a2").unwrap());
+    let next = books.next(at(30), &name, &versions, None);
+    assert!(
+        matches!(next, Some(Step::Load { expected: 4, .. })),
+        "{next:?}"
+    );
+}
--- /dev/null
+++ b/lib/tests/test_serving_office.rs
@@ -0,0 +1,370 @@
+//! Two VMs never give orders to a replica within a lease, whatever the links
+//! and the store do: all schedules of faults over a few seconds are played on
+//! the plain state.
+
+use std::collections::BTreeSet;
+
+use banyangauge::ids::Incarnation;
+use banyangauge::ids::ReplicaName;
+use banyangauge::ids::VmName;
+use banyangauge::pool::Moment;
+use banyangauge::pool::Span;
+use banyangauge::serving::Members;
+use banyangauge::serving::Ownership;
+use banyangauge::serving::Stamp;
+use banyangauge::serving::Table;
+use rstest::rstest;
+
+const LEASE: Span = Span::from_millis(3_000);
+/// The pace of the world.
+const TICK: u64 = 100;
+/// How long one fault lasts.
+const PHASE: u64 = 3_300;
+/// How long an order may be on its way.
+const FLIGHT: u64 = 1_000;
+/// Orders that come so soon after a VM woke are not counted.
+const THAW: u64 = 300;
+/// How late answers of the store are where it is slow.
+const LATE: u64 = 700;
+
+/// What ails a VM for a while.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Ail {
+    Nothing,
+    /// The store turns it away.
+    NoStore,
+    /// It is cut off from the other VMs.
+    NoPeers,
+    /// Both; it still reaches the replicas.
+    Alone,
+    Frozen,
+    /// The store's answers come late.
+    LateStore,
+}
+
+const OWNER_AILS: [Ail; 6] = [
+    Ail::Nothing,
+    Ail::NoStore,
+    Ail::NoPeers,
+    Ail::Alone,
+    Ail::Frozen,
+    Ail::LateStore,
+];
+const OTHER_AILS: [Ail; 4] = [Ail::Nothing, Ail::NoStore, Ail::NoPeers, Ail::Frozen];
+
+/// Which guards are in place.
+#[derive(Clone, Copy)]
+struct Guards {
+    /// An ownership ends by itself, and the next owner waits for that.
+    lease: bool,
+    /// Without the store a VM stays only while all others hear it.
+    echoes: bool,
+}
+
+struct Vm {
+    name: VmName,
+    own: Ownership,
+    members: Members,
+    number: u64,
+    ail: Ail,
+    woke: u64,
+    /// Answers of the store under way: when they come, what they hold.
+    answers: Vec<(u64, Moment, Table, u64)>,
+}
+
+struct World {
+    vms: Vec<Vm>,
+    table: Table,
+    revision: u64,
+    replica: ReplicaName,
+    guards: Guards,
+    /// Who ordered when.
+    orders: Vec<(u64, usize)>,
+}
+
+fn at(ms: u64) -> Moment {
+    Moment(1_000_000).after(Span::from_millis(ms))
+}
+
+impl World {
+    fn new(count: usize, guards: Guards) -> Self {
+        let name = |i: usize| -> VmName { format!("vm-{i}").parse().unwrap() };
+        let vms = (0..count).map(|i| {
+            let mut members = Members::new(name(i), at(0));
+            for j in (0..count).filter(|j| *j != i) {
+                members.list(name(j), ([127, 0, 0, 1], j as u16 + 1).into());
+            }
+            Vm {
+                name: name(i),
+                own: Ownership::new(name(i), LEASE, !guards.lease),
+                members,
+                number: 0,
+                ail: Ail::Nothing,
+                woke: 0,
+                answers: Vec::new(),
+            }
+        });
+        let replica: ReplicaName = "i-1".parse().unwrap();
+        let all = BTreeSet::from([replica.clone()]);
+        let first = BTreeSet::from([name(0)]);
+        Self {
+            vms: vms.collect(),
+            table: Table::default()
+                .repaired(&first, &BTreeSet::new(), &all)
+                .unwrap(),
+            revision: 1,
+            replica,
+            guards,
+            orders: Vec::new(),
+        }
+    }
+
+    fn tick(&mut self, ms: u64) {
+        for i in 0..self.vms.len() {
+            if self.vms[i].ail == Ail::Frozen {
+                continue;
+            }
+            self.take_answers(i, ms);
+            if ms.is_multiple_of(400) {
+                self.beacon(i, ms);
+            }
+            self.ask(i, ms);
+            if ms.is_multiple_of(300) && ms >= 2_000 {
+                self.repair(i, ms);
+            }
+            self.order(i, ms);
+        }
+    }
+
+    fn reaches_store(&self, i: usize) -> bool {
+        !matches!(self.vms[i].ail, Ail::NoStore | Ail::Alone | Ail::Frozen)
+    }
+
+    fn reaches(&self, i: usize, j: usize) -> bool {
+        let cut = |i: usize| matches!(self.vms[i].ail, Ail::NoPeers | Ail::Alone);
+        !cut(i) && !cut(j) && self.vms[j].ail != Ail::Frozen
+    }
+
+    fn take_answers(&mut self, i: usize, ms: u64) {
+        let vm = &mut self.vms[i];
+        let (due, later) = std::mem::take(&mut vm.answers)
+            .into_iter()
+            .partition(|(when, ..)| *when <= ms);
+        vm.answers = later;
+        let due: Vec<(u64, Moment, Table, u64)> = due;
+        for (_, asked, table, revision) in due {
+            vm.own.take(at(ms), table, revision);
+            vm.own.confirm(asked);
+        }
+    }
+
+    fn beacon(&mut self, i: usize, ms: u64) {
+        self.vms[i].number += 1;
+        let (name, number) = (self.vms[i].name.clone(), self.vms[i].number);
+        let revision = self.vms[i].own.revision;
+        for j in (0..self.vms.len()).filter(|j| *j != i) {
+            if !self.reaches(i, j) {
+                continue;
+            }
+            let heard = self.vms[i].members.last_heard(&self.vms[j].name);
+            let after = heard.and_then(|(_, _, h)| self.vms[i].own.confirmed_after(h));
+            let to = &mut self.vms[j];
+            let stamp = Stamp {
+                incarnation: Incarnation(1),
+                number,
+                sent: at(ms),
+            };
+            to.members.hear(at(ms), &name, stamp, false);
+            to.own.hear(at(ms), &name, revision);
+            if let Some((_, sent, _)) = heard {
+                to.members.echoed(&name, sent);
+                if let Some(after) = after {
+                    to.own.confirmed_by(revision, sent, after);
+                }
+            }
+        }
+    }
+
+    /// The watch and the questions of a VM.
+    fn ask(&mut self, i: usize, ms: u64) {
+        let rank = {
+            let vm = &self.vms[i];
+            let live = vm.members.live(at(ms));
+            live.iter().position(|n| *n == vm.name).unwrap()
+        };
+        let first = ms == 0;
+        let asks = self.vms[i].own.asks(at(ms), rank);
+        let news = ms.is_multiple_of(500) && self.vms[i].own.revision < self.revision;
+        let waits = !self.vms[i].answers.is_empty();
+        if !(first || asks || news) || waits || !self.reaches_store(i) {
+            return;
+        }
+        let late = if self.vms[i].ail == Ail::LateStore {
+            LATE
+        } else {
+            0
+        };
+        let answer = (ms + late, at(ms), self.table.clone(), self.revision);
+        self.vms[i].answers.push(answer);
+        self.take_answers(i, ms);
+    }
+
+    fn repair(&mut self, i: usize, ms: u64) {
+        let vm = &mut self.vms[i];
+        if !vm.members.may_judge(at(ms)) {
+            return;
+        }
+        let live = vm.members.live(at(ms));
+        let unjudged = vm.members.unjudged(at(ms));
+        let all = BTreeSet::from([self.replica.clone()]);
+        let Some(table) = vm.own.proposal(at(ms), &live, &unjudged, &all) else {
+            return;
+        };
+        vm.own.proposed(at(ms));
+        let expected = vm.own.revision;
+        if expected == self.revision && self.reaches_store(i) {
+            self.revision += 1;
+            self.table = table.clone();
+            let vm = &mut self.vms[i];
+            vm.own.take(at(ms), table, self.revision);
+            vm.own.confirm(at(ms));
+        }
+    }
+
+    fn order(&mut self, i: usize, ms: u64) {
+        let vouched = match self.guards.echoes {
+            true => self.vms[i].members.vouched(),
+            false => Some(at(u64::MAX / 2_000_000)),
+        };
+        let vm = &mut self.vms[i];
+        vm.own.vouch(vouched);
+        if ms >= vm.woke + THAW && vm.own.token(at(ms), &self.replica).is_some() {
+            self.orders.push((ms, i));
+        }
+    }
+
+    /// Plays faults, one after the other for each VM; gives two orders that
+    /// came within a lease, if any.
+    fn play(&mut self, schedule: &[Vec<Ail>]) -> Option<(u64, u64)> {
+        let calm = 2_400;
+        let end = calm + PHASE * schedule.len() as u64 + 14_000;
+        for ms in (0..end).step_by(TICK as usize) {
+            let phase = ms.checked_sub(calm).map(|since| (since / PHASE) as usize);
+            for (i, vm) in self.vms.iter_mut().enumerate() {
+                let ails = phase.and_then(|p| schedule.get(p));
+                let ail = ails.and_then(|a| a.get(i)).copied();
+                let ail = ail.unwrap_or(Ail::Nothing);
+                if vm.ail == Ail::Frozen && ail != Ail::Frozen {
+                    vm.woke = ms;
+                }
+                vm.ail = ail;
+            }
+            self.tick(ms);
+        }
+        let pairs = self.orders.windows(2);
+        let mut broken =
+            pairs.filter(|w| w[0].1 != w[1].1 && w[1].0 < w[0].0 + FLIGHT + LEASE.as_millis());
+        broken.next().map(|w| (w[0].0, w[1].0))
+    }
+}
+
+/// All schedules of two faults in a row, each for the owner and for another VM.
+fn schedules() -> impl Iterator<Item = Vec<Vec<Ail>>> {
+    let pairs = || {
+        OWNER_AILS
+            .iter()
+            .flat_map(|a| OTHER_AILS.map(|b| vec![*a, b]))
+    };
+    pairs().flat_map(move |first| {
+        let later = pairs().flat_map(move |second| {
+            [Ail::Nothing, Ail::NoStore, Ail::Alone].map(|third| vec![second.clone(), vec![third]])
+        });
+        later.map(move |rest| [vec![first.clone()], rest].concat())
+    })
+}
+
+/// A schedule, and when the two orders came.
+type Broken = (Vec<Vec<Ail>>, (u64, u64));
+
+fn broken(count: usize, guards: Guards) -> Vec<Broken> {
+    let played = schedules().filter_map(|schedule| {
+        let found = World::new(count, guards).play(&schedule)?;
+        Some((schedule, found))
+    });
+    played.collect()
+}
+
+#[rstest]
+#[case::two(2)]
+#[case::three(3)]
+fn orders_come_from_one_vm_at_a_time(#[case] count: usize) {
+    let guards = Guards {
+        lease: true,
+        echoes: true,
+    };
+    let broken = broken(count, guards);
+    assert!(
+        broken.is_empty(),
+        "{} of {}: {:?}",
+        broken.len(),
+        schedules().count(),
+        broken[0]
+    );
+}
+
+/// Without a guard the search finds two givers of orders.
+#[rstest]
+#[case::no_lease(Guards { lease: false, echoes: true })]
+#[case::no_echoes(Guards { lease: true, echoes: false })]
+fn search_finds_what_a_guard_prevents(#[case] guards: Guards) {
+    assert!(!broken(3, guards).is_empty());
+}
+
+/// A VM stays in office while the store is away for all and all hear it, and
+/// is out of it when it is alone.
+#[rstest]
+#[case::store_away(Ail::NoStore, Ail::NoStore, true)]
+#[case::alone(Ail::Alone, Ail::NoStore, false)]
+#[case::other_cut(Ail::NoStore, Ail::NoPeers, false)]
+fn office_without_the_store(#[case] owner: Ail, #[case] other: Ail, #[case] stays: bool) {
+    let guards = Guards {
+        lease: true,
+        echoes: true,
+    };
+    let mut world = World::new(2, guards);
+    let phase = vec![owner, other];
+    world.play(&[phase.clone(), phase]);
+    let late = 2_400 + 2 * PHASE - TICK;
+    assert_eq!(world.orders.contains(&(late, 0)), stays);
+}
+
+/// The VM that says that it knows of its loss is waited for no longer.
+#[test]
+fn former_owner_that_knows_shortens_the_wait() {
+    let all = BTreeSet::from(["i-1".parse::<ReplicaName>().unwrap()]);
+    let none = BTreeSet::new();
+    let (a, b): (VmName, VmName) = ("a".parse().unwrap(), "b".parse().unwrap());
+    let table = Table::default().repaired(&[a.clone()].into(), &none, &all);
+    let table = table
+        .unwrap()
+        .repaired(&[b.clone()].into(), &none, &all)
+        .unwrap();
+    let name = all.first().unwrap();
+    let mut own = Ownership::new(b, LEASE, false);
+    own.take(at(0), table, 7);
+    let mut token = |ms: u64| {
+        own.confirm(at(ms));
+        own.token(at(ms), name)
+    };
+    assert_eq!(token(4_200), None);
+    assert!(token(6_500).is_some());
+    let mut own = own.clone();
+    own.suspend();
+    let table = own.table.clone();
+    own.take(at(0), table, 7);
+    own.hear(at(50), &a, 6);
+    own.confirm(at(4_200));
+    assert_eq!(own.token(at(4_200), name), None, "its table is older");
+    own.hear(at(60), &a, 7);
+    assert!(own.token(at(4_200), name).is_some());
+}
--- a/lib/tests/test_serving_place.rs
+++ b/lib/tests/test_serving_place.rs
@@ -22,6 +22,7 @@
 use banyangauge::serving::Service;
 use banyangauge::serving::Shared;
 use banyangauge::serving::Target;
+use banyangauge::serving::Versions;
 use banyangauge::serving::Want;
 use rstest::rstest;
 
@@ -33,6 +34,7 @@
         .fold(0_u16, |n, b| n.wrapping_mul(31) + u16::from(b));
     Listing {
         name: name.parse().unwrap(),
+        born: 0,
         service: service.parse().unwrap(),
         address: ([127, 0, 0, 1], 1_024 + number % 40_000).into(),
         zone: zone.parse().unwrap(),
@@ -447,3 +449,50 @@
     // Without its owner's word only our own are known.
     assert_eq!(only(&scene, at(9_000)), 10);
 }
+
+/// Each version counts from its own news: one that is announced again and
+/// again would otherwise serve its first version for ever.
+#[test]
+fn required_while_versions_follow_each_other() {
+    let mut versions = Versions::default();
+    let target = Target::parse("base/a1").unwrap();
+    for version in 2..12 {
+        let news = Announced {
+            target: target.clone(),
+            version,
+        };
+        let ms = u64::from(version) * 1_000;
+        assert!(versions.announce(at(ms), &news));
+        assert!(!versions.announce(at(ms + 10), &news));
+        let required = versions.required(at(ms + 900), &target);
+        let due = (version > 2).then(|| version - 1);
+        assert_eq!(
+            required, due,
+            "{version} is 0.9 s old, the one before 1.9 s"
+        );
+        assert_eq!(versions.newest(&target), Some(version));
+    }
+}
+
+/// A replica that has the newest one already must not be asked for the one
+/// that is required.
+#[test]
+fn expected_version_is_the_one_that_is_held() {
+    let mut scene = Scene::new(&[]);
+    let target = Target::parse("base/a1").unwrap();
+    for (ms, version) in [(0, 2), (2_000, 3)] {
+        let news = Announced {
+            target: target.clone(),
+            version,
+        };
+        scene.fleet.versions.announce(at(ms), &news);
+    }
+    let name: ReplicaName = "i-1".parse().unwrap();
+    let mut entry = listing("i-1", "llm", "z-a", &["base", "base/a1"]);
+    for (held, expected) in [(1, 2), (2, 2), (3, 3)] {
+        entry.adapters.insert(target.clone(), held);
+        scene.fleet.list(entry.clone());
+        let version = scene.fleet.expected_version(at(2_100), &name, &target);
+        assert_eq!(version, Some(expected));
+    }
+}
--- a/lib/tests/test_serving_table.rs
+++ b/lib/tests/test_serving_table.rs
@@ -9,6 +9,7 @@
 use banyangauge::pool::Span;
 use banyangauge::serving::Members;
 use banyangauge::serving::Ownership;
+use banyangauge::serving::Stamp;
 use banyangauge::serving::Table;
 use rstest::rstest;
 
@@ -22,6 +23,14 @@
     names.iter().map(|n| n.parse().unwrap()).collect()
 }
 
+fn stamp(incarnation: u64, number: u64) -> Stamp {
+    Stamp {
+        incarnation: Incarnation(incarnation),
+        number,
+        sent: at(0),
+    }
+}
+
 fn replicas(names: &[&str]) -> BTreeSet<ReplicaName> {
     names.iter().map(|n| n.parse().unwrap()).collect()
 }
@@ -29,7 +38,11 @@
 #[test]
 fn table_spreads_and_keeps() {
     let first = Table::default()
-        .repaired(&vms(&["a", "b"]), &replicas(&["1", "2", "3", "4"]))
+        .repaired(
+            &vms(&["a", "b"]),
+            &vms(&[]),
+            &replicas(&["1", "2", "3", "4"]),
+        )
         .unwrap();
     let count = |vm: &str| {
         first
@@ -40,11 +53,15 @@
     };
     assert_eq!((count("a"), count("b")), (2, 2));
     assert_eq!(
-        first.repaired(&vms(&["a", "b"]), &replicas(&["1", "2", "3", "4"])),
+        first.repaired(
+            &vms(&["a", "b"]),
+            &vms(&[]),
+            &replicas(&["1", "2", "3", "4"])
+        ),
         None
     );
     let lost = first
-        .repaired(&vms(&["b"]), &replicas(&["1", "2", "3", "4"]))
+        .repaired(&vms(&["b"]), &vms(&[]), &replicas(&["1", "2", "3", "4"]))
         .unwrap();
     for (name, owner) in &lost.owners {
         let old = &first.owners[name];
@@ -55,7 +72,8 @@
             kept,
             "a change of owner takes a new token"
         );
-        assert_eq!(owner.inherited, !kept);
+        let former = if kept { vms(&[]) } else { vms(&["a"]) };
+        assert_eq!(owner.former, former);
     }
 }
 
@@ -63,12 +81,14 @@
 #[test]
 fn new_owner_waits_out_the_lease() {
     let first = Table::default()
-        .repaired(&vms(&["a"]), &replicas(&["1"]))
+        .repaired(&vms(&["a"]), &vms(&[]), &replicas(&["1"]))
+        .unwrap();
+    let second = first
+        .repaired(&vms(&["b"]), &vms(&[]), &replicas(&["1"]))
         .unwrap();
-    let second = first.repaired(&vms(&["b"]), &replicas(&["1"])).unwrap();
     let name: ReplicaName = "1".parse().unwrap();
-    let mut a = Ownership::new("a".parse().unwrap(), LEASE);
-    let mut b = Ownership::new("b".parse().unwrap(), LEASE);
+    let mut a = Ownership::new("a".parse().unwrap(), LEASE, true);
+    let mut b = Ownership::new("b".parse().unwrap(), LEASE, true);
     assert!(a.take(at(0), first, 1));
     assert!(
         a.token(at(0), &name).is_some(),
@@ -84,10 +104,10 @@
 #[test]
 fn refused_token_is_used_no_more() {
     let table = Table::default()
-        .repaired(&vms(&["a"]), &replicas(&["1"]))
+        .repaired(&vms(&["a"]), &vms(&[]), &replicas(&["1"]))
         .unwrap();
     let name: ReplicaName = "1".parse().unwrap();
-    let mut a = Ownership::new("a".parse().unwrap(), LEASE);
+    let mut a = Ownership::new("a".parse().unwrap(), LEASE, true);
     a.take(at(0), table, 1);
     let token = a.token(at(0), &name).unwrap();
     a.refused(&name, token);
@@ -98,10 +118,10 @@
 #[test]
 fn suspended_owner_orders_nothing() {
     let table = Table::default()
-        .repaired(&vms(&["a"]), &replicas(&["1"]))
+        .repaired(&vms(&["a"]), &vms(&[]), &replicas(&["1"]))
         .unwrap();
     let name: ReplicaName = "1".parse().unwrap();
-    let mut a = Ownership::new("a".parse().unwrap(), LEASE);
+    let mut a = Ownership::new("a".parse().unwrap(), LEASE, true);
     a.take(at(0), table.clone(), 1);
     a.suspend();
     assert_eq!(a.token(at(1), &name), None);
@@ -112,10 +132,12 @@
 #[test]
 fn older_table_is_dropped() {
     let first = Table::default()
-        .repaired(&vms(&["a"]), &replicas(&["1"]))
+        .repaired(&vms(&["a"]), &vms(&[]), &replicas(&["1"]))
         .unwrap();
-    let second = first.repaired(&vms(&["b"]), &replicas(&["1"])).unwrap();
-    let mut a = Ownership::new("a".parse().unwrap(), LEASE);
+    let second = first
+        .repaired(&vms(&["b"]), &vms(&[]), &replicas(&["1"]))
+        .unwrap();
+    let mut a = Ownership::new("a".parse().unwrap(), LEASE, true);
     assert!(a.take(at(0), second, 2));
     assert!(!a.take(at(1), first, 1));
 }
@@ -126,10 +148,10 @@
 #[case::second("b", 0, false)]
 #[case::second_later("b", 1_300, true)]
 fn proposers_take_turns(#[case] vm: &str, #[case] ms: u64, #[case] proposes: bool) {
-    let mut o = Ownership::new(vm.parse().unwrap(), LEASE);
+    let mut o = Ownership::new(vm.parse().unwrap(), LEASE, true);
     let (live, all) = (vms(&["a", "b"]), replicas(&["1"]));
-    let now = o.proposal(at(0), &live, &all);
-    let later = o.proposal(at(ms), &live, &all);
+    let now = o.proposal(at(0), &live, &vms(&[]), &all);
+    let later = o.proposal(at(ms), &live, &vms(&[]), &all);
     assert_eq!(now.or(later).is_some(), proposes);
 }
 
@@ -139,9 +161,9 @@
     let b: VmName = "b".parse().unwrap();
     m.list(b.clone(), ([127, 0, 0, 1], 1).into());
     assert!(!m.may_judge(at(100)), "it has heard nobody yet");
-    assert!(m.hear(at(100), &b, (Incarnation(1), 1), false));
+    assert!(m.hear(at(100), &b, stamp(1, 1), false));
     assert!(
-        !m.hear(at(101), &b, (Incarnation(1), 1), false),
+        !m.hear(at(101), &b, stamp(1, 1), false),
         "a beacon that came twice"
     );
     assert!(m.may_judge(at(200)));
@@ -149,7 +171,7 @@
     assert_eq!(m.live(at(2_200)).len(), 1);
     assert!(!m.may_judge(at(2_200)), "cut off, it judges nobody");
     assert!(m.may_judge(at(7_000)));
-    assert!(m.hear(at(7_000), &b, (Incarnation(2), 1), true));
+    assert!(m.hear(at(7_000), &b, stamp(2, 1), true));
     assert_eq!(
         m.live(at(12_000)).len(),
         2,
@@ -162,17 +184,61 @@
 #[test]
 fn restarted_owner_does_not_wait_twice() {
     let first = Table::default()
-        .repaired(&vms(&["a"]), &replicas(&["1"]))
+        .repaired(&vms(&["a"]), &vms(&[]), &replicas(&["1"]))
+        .unwrap();
+    let second = first
+        .repaired(&vms(&["b"]), &vms(&[]), &replicas(&["1"]))
         .unwrap();
-    let second = first.repaired(&vms(&["b"]), &replicas(&["1"])).unwrap();
     let name: ReplicaName = "1".parse().unwrap();
     let (live, all) = (vms(&["b"]), replicas(&["1"]));
-    let mut b = Ownership::new("b".parse().unwrap(), LEASE);
+    let mut b = Ownership::new("b".parse().unwrap(), LEASE, true);
     b.take(at(0), second.clone(), 2);
-    assert_eq!(b.proposal(at(4_000), &live, &all), None);
-    let settled = b.proposal(at(5_000), &live, &all).unwrap();
+    assert_eq!(b.proposal(at(4_000), &live, &vms(&[]), &all), None);
+    let settled = b.proposal(at(5_000), &live, &vms(&[]), &all).unwrap();
     assert_eq!(settled.owners[&name].token, second.owners[&name].token);
-    let mut again = Ownership::new("b".parse().unwrap(), LEASE);
+    let mut again = Ownership::new("b".parse().unwrap(), LEASE, true);
     again.take(at(60_000), settled, 3);
     assert!(again.token(at(60_000), &name).is_some());
 }
+
+/// A replica whose entry lapsed and came back may still get orders of the VM
+/// that had it before.
+#[test]
+fn owners_of_replicas_that_left_are_remembered() {
+    let none = vms(&[]);
+    let first = Table::default();
+    let first = first.repaired(&vms(&["a", "b"]), &none, &replicas(&["1", "2"]));
+    let first = first.unwrap();
+    let left = first.repaired(&vms(&["a", "b"]), &none, &replicas(&["2"]));
+    let left = left.unwrap();
+    let name: ReplicaName = "1".parse().unwrap();
+    assert_eq!(left.owners.get(&name), None);
+    let back = left.repaired(&vms(&["a", "b"]), &none, &replicas(&["1", "2"]));
+    assert_eq!(back.unwrap().owners[&name], first.owners[&name]);
+    let lost = left.repaired(&vms(&["b"]), &none, &replicas(&["1", "2"]));
+    assert_eq!(lost.unwrap().owners[&name].former, vms(&["a"]));
+}
+
+/// One that lost it to a VM which lost it as well may know of neither.
+#[test]
+fn former_owners_add_up() {
+    let none = vms(&[]);
+    let all = replicas(&["1"]);
+    let table = Table::default().repaired(&vms(&["a"]), &none, &all);
+    let table = table.unwrap().repaired(&vms(&["b"]), &none, &all);
+    let table = table.unwrap().repaired(&vms(&["c"]), &none, &all).unwrap();
+    let owner = table.owners.values().next().unwrap();
+    assert_eq!(owner.former, vms(&["a", "b"]));
+}
+
+/// VMs that may not be judged keep what they own and get nothing more.
+#[test]
+fn unjudged_owner_keeps_and_gets_nothing() {
+    let none = vms(&[]);
+    let table = Table::default().repaired(&vms(&["a"]), &none, &replicas(&["1"]));
+    let table = table.unwrap();
+    let next = table.repaired(&vms(&["b"]), &vms(&["a"]), &replicas(&["1", "2", "3"]));
+    let next = next.unwrap();
+    let owner = |name: &str| next.owners[name].vm.to_string();
+    assert_eq!([owner("1"), owner("2"), owner("3")], ["a", "b", "b"]);
+}
