--- a/lib/src/serving/pace.rs
+++ b/lib/src/serving/pace.rs
@@ -9,9 +9,11 @@
 /// Fetches at a time before anything was learned: what a small store serves.
 const FIRST_CAPACITY: f64 = 8.0;
 
-/// The same for each engine that the store serves: stores are made for a part
-/// of their engines fetching at the same moment.
-const CAPACITY_AN_ENGINE: f64 = 0.5;
+/// The same for each engine that the store serves: stores at hand serve from
+/// half a fetch to two for each engine at a time, and one that is narrower shows
+/// it with the first loads. Measured on a small deployment (8 days, no
+/// processor time counted), with 1.0 in place of 0.5: what callers got less what it cost, of what was owed: 0.684 -> 0.698.
+const CAPACITY_AN_ENGINE: f64 = 1.0;
 
 /// The bounds of what is learned; the lower one keeps every owner able to
 /// fetch, the upper one is that of a large weight store.
