--- a/bench/tests/runner.rs
+++ b/bench/tests/runner.rs
@@ -5,4 +5,5 @@
 )]
 
 mod test_demo;
+mod test_experiment;
 mod test_load;
--- a/cli/src/bin/banyan-serve.rs
+++ b/cli/src/bin/banyan-serve.rs
@@ -6,6 +6,7 @@
 
 use argh::FromArgs;
 use banyangauge::serving;
+use banyangauge::serving::Experiment;
 use banyangauge::telemetry::start_metrics;
 use banyangauge::telemetry::stdout_logger;
 use banyangauge_platform::SETTINGS_VARIABLE;
@@ -20,6 +21,10 @@
     /// where to serve metrics; nowhere when left out
     #[argh(option)]
     metrics: Option<SocketAddr>,
+    /// a TOML file whose table `experiment` switches mechanisms off, to measure
+    /// what they are worth
+    #[argh(option)]
+    experiment: Option<PathBuf>,
     /// check the settings, and stop
     #[argh(switch)]
     check: bool,
@@ -40,7 +45,10 @@
     let named = std::env::var_os(SETTINGS_VARIABLE).map(PathBuf::from);
     let path = options.settings.clone().or(named);
     let path = path.ok_or(format!("no settings file; {SETTINGS_VARIABLE} names none"))?;
-    let settings = load_settings(&path)?;
+    let mut settings = load_settings(&path)?;
+    if let Some(file) = &options.experiment {
+        settings.experiment = Experiment::parse(&std::fs::read_to_string(file)?)?;
+    }
     if options.check {
         return Ok(());
     }
--- a/lib/src/serving/beliefs.rs
+++ b/lib/src/serving/beliefs.rs
@@ -67,7 +67,7 @@
 impl Beliefs {
     pub(super) fn new(settings: &ServeSettings, now: Moment) -> Self {
         let lease = Span(u64::try_from(settings.lease.as_micros()).unwrap_or(u64::MAX));
-        Self {
+        let mut beliefs = Self {
             active: None,
             fleet: Fleet::new(settings.zone.clone()),
             budget: Budget::new(settings.budget),
@@ -82,7 +82,10 @@
             audience: Audience::default(),
             reports: BTreeMap::new(),
             listed: false,
-        }
+        };
+        beliefs.fleet.set_experiment(&settings.experiment);
+        beliefs.books.set_experiment(&settings.experiment);
+        beliefs
     }
 
     /// Whether requests can be served.
--- a/lib/src/serving/books/mod.rs
+++ b/lib/src/serving/books/mod.rs
@@ -6,6 +6,7 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
+use super::experiment::Experiment;
 use super::fleet::Held;
 use super::fleet::Versions;
 use super::model::Listing;
@@ -48,6 +49,11 @@
 }
 
 impl Books {
+    /// Sets what is switched off.
+    pub fn set_experiment(&mut self, experiment: &Experiment) {
+        self.pace.set_experiment(experiment);
+    }
+
     /// Opens a book for a replica that we came to own; what its entry in the
     /// store says is a start, its report decides.
     pub fn open(&mut self, now: Moment, listing: &Listing, most: u32) {
--- a/lib/src/serving/fleet/mod.rs
+++ b/lib/src/serving/fleet/mod.rs
@@ -22,6 +22,7 @@
 pub use versions::Versions;
 
 use self::health::Health;
+use super::experiment::Experiment;
 use super::model::Config;
 use super::model::Instance;
 use super::model::Listing;
@@ -175,6 +176,7 @@
     word_kept: Span,
     /// What was announced of adapters.
     pub versions: Versions,
+    experiment: Experiment,
 }
 
 impl Fleet {
@@ -188,9 +190,15 @@
             lapse_at: Moment(u64::MAX),
             word_kept: WORD_KEPT,
             versions: Versions::default(),
+            experiment: Experiment::default(),
         }
     }
 
+    /// Sets what is switched off.
+    pub fn set_experiment(&mut self, experiment: &Experiment) {
+        self.experiment = experiment.clone();
+    }
+
     /// Takes the services of a configuration.
     pub fn configure(&mut self, config: &Config) {
         self.services = config.services.clone();
--- a/lib/src/serving/fleet/place.rs
+++ b/lib/src/serving/fleet/place.rs
@@ -10,6 +10,7 @@
 use crate::ids::ReplicaName;
 use crate::ids::ServiceName;
 use crate::pool::Moment;
+use crate::serving::experiment::Mechanism;
 use crate::serving::model::Listing;
 use crate::serving::model::Shared;
 use crate::serving::model::Target;
@@ -138,7 +139,10 @@
         let mut fit = holders
             .iter()
             .filter(|(n, r)| self.has_room(now, want, n, r));
-        let kept = want.shared.and_then(|shared| {
+        let shared = want
+            .shared
+            .filter(|_| self.experiment.runs(Mechanism::KeptPrompts));
+        let kept = shared.and_then(|shared| {
             let first = holders
                 .iter()
                 .max_by_key(|(_, r)| prefix_rank(shared, r.seed));
@@ -169,15 +173,16 @@
         };
         if let Some((held, at)) = fit {
             // No replica seems less busy than not at all.
-            if held <= COPY_ABOVE_MS {
+            if held <= COPY_ABOVE_MS || !self.experiment.runs(Mechanism::SecondCopies) {
                 return Place::Send { at, copy: None };
             }
             let roomy = roomy();
             let least = roomy.iter().map(|(_, _, score)| *score);
             let least = least.min_by(f64::total_cmp);
             let copy = least.filter(|least| held > least + COPY_ABOVE_MS);
-            let copy = copy.and_then(|_| home(target, &roomy));
-            let wait = want.patient && least.is_some_and(|least| held > least + WAIT_ABOVE_MS);
+            let copy = copy.and_then(|_| self.home(target, &roomy));
+            let patient = want.patient && self.experiment.runs(Mechanism::CopyWaits);
+            let wait = patient && least.is_some_and(|least| held > least + WAIT_ABOVE_MS);
             return match copy {
                 Some(at) if wait => Place::Load { at },
                 copy => Place::Send { at, copy },
@@ -188,7 +193,7 @@
             let at = (*at).clone();
             return Place::Coming { at };
         }
-        match home(target, &roomy()) {
+        match self.home(target, &roomy()) {
             Some(at) => Place::Load { at },
             None if holders.is_empty() => Place::Nowhere,
             None => Place::Full,
@@ -207,14 +212,19 @@
     /// How busy a replica seems for a request, in milliseconds of its engine.
     fn score(&self, now: Moment, want: &Want<'_>, name: &ReplicaName, r: &Replica) -> f64 {
         let load = self.load(now, name, r);
-        let far = match r.listing.zone == self.zone {
+        let near = r.listing.zone == self.zone || !self.experiment.runs(Mechanism::NearZone);
+        let far = match near {
             true => 0.0,
             false => FAR_MS + FAR_MS_A_KB * want.body_kb,
         };
         let busy = f64::from(load.requests) * REQUEST_MS
             + load.unread as f64 / READ_A_MS
             + load.tokens as f64 / 1e3 * HELD_MS;
-        busy + far + FAILING_MS * r.health.failed
+        let failing = match self.experiment.runs(Mechanism::FailureWeight) {
+            true => FAILING_MS * r.health.failed,
+            false => 0.0,
+        };
+        busy + far + failing
     }
 
     /// Whether a replica can begin a request soon.
@@ -232,18 +242,20 @@
             None => f64::from(load.requests) < slots * (1.0 + QUEUE_PART),
         }
     }
-}
 
-/// The first replica for an adapter in the order of the hash, of those that
-/// are not much busier than the least loaded one; each with how busy it seems.
-fn home(target: &Target, list: &[(&ReplicaName, &Replica, f64)]) -> Option<ReplicaName> {
-    let least = list.iter().map(|(_, _, score)| *score);
-    let least = least.min_by(f64::total_cmp)?;
-    let fit = list
-        .iter()
-        .filter(|(_, _, score)| *score <= least + COPY_ABOVE_MS);
-    let first = fit.max_by_key(|(_, r, _)| rank(target, r.seed));
-    first.map(|(name, _, _)| (*name).clone())
+    /// The first replica for an adapter in the order of the hash, of those that
+    /// are not much busier than the least loaded one; each with how busy it seems.
+    fn home(&self, target: &Target, list: &[(&ReplicaName, &Replica, f64)]) -> Option<ReplicaName> {
+        let least = list.iter().map(|(_, _, score)| *score);
+        let least = least.min_by(f64::total_cmp)?;
+        let above = match self.experiment.runs(Mechanism::Homes) {
+            true => COPY_ABOVE_MS,
+            false => 0.0,
+        };
+        let fit = list.iter().filter(|(_, _, score)| *score <= least + above);
+        let first = fit.max_by_key(|(_, r, _)| rank(target, r.seed));
+        first.map(|(name, _, _)| (*name).clone())
+    }
 }
 
 /// The hash of a replica's address, which stands for the replica: after a
--- a/lib/src/serving/flights.rs
+++ b/lib/src/serving/flights.rs
@@ -12,6 +12,7 @@
 
 use super::beliefs::Beliefs;
 use super::beliefs::OwnUse;
+use super::experiment::Mechanism;
 use super::fleet::Load;
 use super::model::Target;
 use super::node::Node;
@@ -31,6 +32,9 @@
 /// until the process ends. What an owner tells all others is then older by its
 /// own beat only, and a burst at one VM is not added to by the others.
 pub(super) async fn report(node: Rc<Node>) {
+    if !node.settings.experiment.runs(Mechanism::EarlyReports) {
+        return;
+    }
     let mut numbers = 0;
     loop {
         tokio::time::sleep(REPORT_PAUSE).await;
--- a/lib/src/serving/ordering.rs
+++ b/lib/src/serving/ordering.rs
@@ -12,6 +12,7 @@
 use super::books::Step;
 use super::books::Took;
 use super::border::Order;
+use super::experiment::Mechanism;
 use super::node::Node;
 use super::node::Phase;
 use super::node::now;
@@ -208,7 +209,10 @@
         return OrderEnd::Refused;
     }
     let unanswered = node.beliefs().books.unanswered(name).min(MOST_DOUBLED);
-    let wait = (FIRST_ANSWER * (1 << unanswered)).min(LONGEST_ANSWER);
+    let wait = match node.settings.experiment.runs(Mechanism::OrderRepeats) {
+        true => (FIRST_ANSWER * (1 << unanswered)).min(LONGEST_ANSWER),
+        false => LONGEST_ANSWER,
+    };
     match call(node, name, request, wait).await {
         Some((status, _)) => (node.border.read_order)(status),
         None => OrderEnd::Unknown,
--- a/lib/src/serving/pace.rs
+++ b/lib/src/serving/pace.rs
@@ -1,6 +1,8 @@
 //! How many adapters are fetched from the weight store at a time.
 
 use super::books::Took;
+use super::experiment::Experiment;
+use super::experiment::Mechanism;
 use crate::pool::Span;
 
 /// The first guess of how long a fetch takes alone.
@@ -49,6 +51,9 @@
     learned: bool,
     /// Whether a fetch was ever slowed down by others.
     slowed: bool,
+    /// Whether what the store serves is learned, and fetches are held to it.
+    learns: bool,
+    holds: bool,
 }
 
 impl Default for Pace {
@@ -58,11 +63,19 @@
             capacity: FIRST_CAPACITY,
             learned: false,
             slowed: false,
+            learns: true,
+            holds: true,
         }
     }
 }
 
 impl Pace {
+    /// Sets what is switched off.
+    pub fn set_experiment(&mut self, experiment: &Experiment) {
+        self.learns = experiment.runs(Mechanism::FetchWidth);
+        self.holds = experiment.runs(Mechanism::FetchPace);
+    }
+
     /// Expects a weight store that fits so many engines, until a fetch has
     /// shown what it serves.
     pub fn expect(&mut self, engines: usize) {
@@ -75,6 +88,9 @@
     /// whose end was seen late, as the replica left orders unanswered, may have
     /// been slow or not, and tells nothing.
     pub fn learn(&mut self, took: Took, under_way: usize) {
+        if !self.learns {
+            return;
+        }
         let (least, most) = (took.least.0 as f64, (took.most.0 as f64).max(1.0));
         self.alone = (self.alone * CREEP).min(most);
         let slowed = self.alone * SLOWED;
@@ -107,7 +123,10 @@
 
     /// How many fetches may be under way over all replicas.
     pub fn capacity(&self) -> usize {
-        self.capacity.round() as usize
+        match self.holds {
+            true => self.capacity.round() as usize,
+            false => usize::MAX,
+        }
     }
 
     /// When a fetch is first asked about.
--- a/lib/src/serving/peers.rs
+++ b/lib/src/serving/peers.rs
@@ -10,6 +10,7 @@
 use wire::datagram::Body;
 
 use super::beliefs::Beliefs;
+use super::experiment::Mechanism;
 use super::fleet::Held;
 use super::flights;
 use super::members::Stamp;
@@ -358,7 +359,9 @@
     }
     let held = b.books.held(&name).unwrap_or_default();
     let known = held.here.contains_key(&target) || held.coming.contains(&target);
-    b.audience.ask(now, &vm, &name, known);
+    if node.settings.experiment.runs(Mechanism::LoadNews) {
+        b.audience.ask(now, &vm, &name, known);
+    }
     drop(b);
     node.orders.notify_one();
     if known {
--- a/lib/src/serving/program.rs
+++ b/lib/src/serving/program.rs
@@ -11,6 +11,7 @@
 use tokio::signal::unix::signal;
 
 use super::border::Border;
+use super::experiment::Experiment;
 use super::flights;
 use super::follow;
 use super::follow::News;
@@ -131,6 +132,9 @@
         let socket = socket.map_err(at(settings.peers))?;
         slog::info!(log, "started"; "zone" => settings.zone.as_str(), "callers" => %settings.callers,
             "version" => env!("CARGO_PKG_VERSION"));
+        if settings.experiment != Experiment::default() {
+            slog::warn!(log, "experiment"; "off" => ?settings.experiment.off);
+        }
         let node = Rc::new(Node::new(settings, border, store, log, socket));
         spawn_followers(&node);
         tokio::task::spawn_local(server::callers(node.clone(), callers));
--- a/lib/src/serving/reading.rs
+++ b/lib/src/serving/reading.rs
@@ -7,6 +7,7 @@
 use prost::Message;
 use wire::datagram::Body;
 
+use super::experiment::Mechanism;
 use super::node::Node;
 use super::node::instant;
 use super::node::now;
@@ -40,7 +41,8 @@
     let at = now();
     let owner = {
         let b = node.beliefs();
-        let owner = b.ownership.owner(replica).cloned();
+        let turns = node.settings.experiment.runs(Mechanism::PromptTurns);
+        let owner = b.ownership.owner(replica).cloned().filter(|_| turns);
         owner.filter(|vm| b.strain.active(at) && b.members.lives(at, vm))?
     };
     let granted = node.await_turn(number);
--- a/lib/src/serving/settings.rs
+++ b/lib/src/serving/settings.rs
@@ -6,6 +6,7 @@
 use bon::Builder;
 
 use super::budget::BudgetLimits;
+use super::experiment::Experiment;
 use crate::ids::VmName;
 use crate::ids::ZoneName;
 
@@ -34,4 +35,7 @@
     pub fenced: bool,
     /// How many requests may be sent again.
     pub budget: BudgetLimits,
+    /// What is switched off to measure it; nothing in service.
+    #[builder(default)]
+    pub experiment: Experiment,
 }
--- /dev/null
+++ b/lib/tests/test_serving_experiment.rs
@@ -0,0 +1,56 @@
+//! Mechanisms that are switched off to measure them.
+
+use banyangauge::pool::Span;
+use banyangauge::serving::Experiment;
+use banyangauge::serving::Mechanism;
+use banyangauge::serving::Pace;
+use banyangauge::serving::Took;
+use rstest::rstest;
+
+/// Nothing is off unless it is named, and only that.
+#[rstest]
+#[case(Mechanism::CopyWaits, "copy_waits")]
+#[case(Mechanism::SecondCopies, "second_copies")]
+#[case(Mechanism::Homes, "homes")]
+#[case(Mechanism::KeptPrompts, "kept_prompts")]
+#[case(Mechanism::NearZone, "near_zone")]
+#[case(Mechanism::FailureWeight, "failure_weight")]
+#[case(Mechanism::FetchPace, "fetch_pace")]
+#[case(Mechanism::FetchWidth, "fetch_width")]
+#[case(Mechanism::LoadNews, "load_news")]
+#[case(Mechanism::EarlyReports, "early_reports")]
+#[case(Mechanism::PromptTurns, "prompt_turns")]
+#[case(Mechanism::OrderRepeats, "order_repeats")]
+fn switch_is_off_by_name(#[case] mechanism: Mechanism, #[case] word: &str) {
+    assert!(Experiment::default().runs(mechanism));
+    let text = format!("[experiment]\noff = [\"{word}\"]");
+    let named = Experiment::parse(&text).unwrap();
+    assert!(!named.runs(mechanism));
+    assert_eq!(named.off.len(), 1);
+}
+
+#[rstest]
+#[case::unknown("[experiment]\noff = [\"luck\"]")]
+#[case::other_table("[experiment]\noff = []\n[more]\n")]
+#[case::other_field("[experiment]\non = []")]
+fn experiment_refused(#[case] text: &str) {
+    assert!(Experiment::parse(text).is_err());
+}
+
+#[rstest]
+#[case::whole(&[], 1)]
+#[case::no_pace(&[Mechanism::FetchPace], usize::MAX)]
+#[case::no_width(&[Mechanism::FetchWidth], 8)]
+fn pace_without(#[case] off: &[Mechanism], #[case] capacity: usize) {
+    let mut pace = Pace::default();
+    pace.set_experiment(&Experiment {
+        off: off.iter().copied().collect(),
+    });
+    let took = |ms| Took {
+        least: Span::from_millis(ms),
+        most: Span::from_millis(ms),
+    };
+    // A store that serves one at a time: eight share its speed.
+    pace.learn(took(2_000), 8);
+    assert_eq!(pace.capacity(), capacity);
+}
--- a/lib/tests/test_serving_place.rs
+++ b/lib/tests/test_serving_place.rs
@@ -14,10 +14,12 @@
 use banyangauge::serving::Config;
 use banyangauge::serving::End;
 use banyangauge::serving::Engine;
+use banyangauge::serving::Experiment;
 use banyangauge::serving::Fleet;
 use banyangauge::serving::Limits;
 use banyangauge::serving::Listing;
 use banyangauge::serving::Load;
+use banyangauge::serving::Mechanism;
 use banyangauge::serving::Place;
 use banyangauge::serving::Service;
 use banyangauge::serving::Shared;
@@ -496,3 +498,45 @@
         assert_eq!(version, Some(expected));
     }
 }
+
+/// What a mechanism decides is decided otherwise without it.
+#[rstest]
+#[case::whole(&[], Place::Load { at: "i-b".parse().unwrap() })]
+#[case::copy_waits(&[Mechanism::CopyWaits], Place::Send {
+    at: "i-a".parse().unwrap(),
+    copy: Some("i-b".parse().unwrap()),
+})]
+#[case::second_copies(&[Mechanism::SecondCopies], Place::Send {
+    at: "i-a".parse().unwrap(),
+    copy: None,
+})]
+fn place_without(#[case] off: &[Mechanism], #[case] expected: Place) {
+    let a = listing("i-a", "llm", "z-a", &["base", "base/x"]);
+    let b = listing("i-b", "llm", "z-a", &["base"]);
+    let mut scene = Scene::new(&[a, b]);
+    scene.patient = true;
+    scene.fleet.set_experiment(&Experiment {
+        off: off.iter().copied().collect(),
+    });
+    let prompts = Load {
+        requests: 2,
+        tokens: 18_000,
+        unread: 18_000,
+    };
+    scene.fleet.begin(&"i-a".parse().unwrap(), prompts);
+    assert_eq!(scene.place(at(0), "llm", Some("base/x")), expected);
+}
+
+/// Without a preference for its own zone a VM uses all replicas alike.
+#[rstest]
+#[case::whole(&[], "i-near")]
+#[case::near_zone(&[Mechanism::NearZone], "i-far")]
+fn zone_without(#[case] off: &[Mechanism], #[case] expected: &str) {
+    let far = listing("i-far", "app", "z-b", &[]);
+    let near = listing("i-near", "app", "z-a", &[]);
+    let mut scene = Scene::new(&[far, near]);
+    scene.fleet.set_experiment(&Experiment {
+        off: off.iter().copied().collect(),
+    });
+    assert_eq!(scene.sent(at(0), "app", None), expected);
+}
