serving: a replica's owner is asked before a request is sent there

VMs that look between two beacons all choose the same replica.

Change: before a request for an adapter is sent, its VM asks the owner of the replica, with how busy it believes it to be. The owner, which hears of all requests within 60 ms and keeps the places that it just granted, says yes, or how busy it is, or that the adapter is not there; the VM looks again, three times at the most. No answer within 40 ms is a yes.

--- a/lib/src/serving/beliefs.rs
+++ b/lib/src/serving/beliefs.rs
@@ -21,6 +21,7 @@
 use super::model::Listing;
 use super::model::Target;
 use super::ownership::Ownership;
+use super::reserved::Reserved;
 use super::routes::Routes;
 use super::settings::ServeSettings;
 use super::strain::Strain;
@@ -60,6 +61,8 @@
     pub(super) strain: Strain,
     pub(super) turns: Turns,
     pub(super) uses: BTreeMap<ReplicaName, BTreeMap<Target, OwnUse>>,
+    /// Places at our replicas that were granted a moment ago.
+    pub(super) reserved: Reserved,
     /// Leaving replicas that the other VMs are to be told of.
     pub(super) leaving: BTreeSet<Instance>,
     /// Who waits for news of which of our replicas.
@@ -88,6 +91,7 @@
             strain: Strain::default(),
             turns: Turns::default(),
             uses: BTreeMap::new(),
+            reserved: Reserved::default(),
             leaving: BTreeSet::new(),
             audience: Audience::default(),
             reports: BTreeMap::new(),
--- a/lib/src/serving/experiment.rs
+++ b/lib/src/serving/experiment.rs
@@ -40,6 +40,8 @@
     OrderRepeats,
     /// One VM asks the store and tells the others; without it each asks.
     StoreNews,
+    /// A replica's owner is asked before a request is sent there.
+    PlaceAsks,
     /// Beacons cross once to each other availability zone and are passed on
     /// there; without it each VM sends its own to all.
     ZoneRelays,
--- a/lib/src/serving/fleet/mod.rs
+++ b/lib/src/serving/fleet/mod.rs
@@ -67,7 +67,8 @@
         self.unread += other.unread;
     }
 
-    fn plus(mut self, other: Self) -> Self {
+    /// Both together.
+    pub fn plus(mut self, other: Self) -> Self {
         self.add(other);
         self
     }
--- a/lib/src/serving/fleet/place.rs
+++ b/lib/src/serving/fleet/place.rs
@@ -100,6 +100,15 @@
     Nowhere,
 }
 
+impl Load {
+    /// How busy it makes an engine, in milliseconds.
+    pub fn busy_ms(&self) -> f64 {
+        f64::from(self.requests) * REQUEST_MS
+            + self.unread as f64 / READ_A_MS
+            + self.tokens as f64 / 1e3 * HELD_MS
+    }
+}
+
 impl Fleet {
     /// Where a request runs.
     ///
@@ -217,9 +226,7 @@
             true => 0.0,
             false => FAR_MS + FAR_MS_A_KB * want.body_kb,
         };
-        let busy = f64::from(load.requests) * REQUEST_MS
-            + load.unread as f64 / READ_A_MS
-            + load.tokens as f64 / 1e3 * HELD_MS;
+        let busy = load.busy_ms();
         let failing = match self.experiment.runs(Mechanism::FailureWeight) {
             true => FAILING_MS * r.health.failed,
             false => 0.0,
--- a/lib/src/serving/flights.rs
+++ b/lib/src/serving/flights.rs
@@ -119,6 +119,11 @@
 /// What all VMs have under way at a replica of ours.
 pub(super) fn load(b: &Beliefs, now: Moment, name: &ReplicaName) -> Option<wire::ReplicaLoad> {
     let load = b.fleet.total(now, name)?;
+    write_load(b, name, load)
+}
+
+/// A load at a replica, for other VMs.
+pub(super) fn write_load(b: &Beliefs, name: &ReplicaName, load: Load) -> Option<wire::ReplicaLoad> {
     Some(wire::ReplicaLoad {
         replica: name.to_string(),
         requests: load.requests,
@@ -139,10 +144,15 @@
 
 /// An owner tells what all VMs have under way at its replica.
 pub(super) fn take_load(b: &mut Beliefs, now: Moment, vm: &VmName, load: &wire::ReplicaLoad) {
-    let Ok(name) = load.replica.parse::<ReplicaName>() else {
-        return;
-    };
-    if b.ownership.owner(&name) == Some(vm) {
+    let name = load.replica.parse::<ReplicaName>();
+    if name.is_ok_and(|name| b.ownership.owner(&name) == Some(vm)) {
+        take_total(b, now, load);
+    }
+}
+
+/// The owner of a replica says what all VMs have under way there.
+pub(super) fn take_total(b: &mut Beliefs, now: Moment, load: &wire::ReplicaLoad) {
+    if let Some(name) = current(b, &load.replica, load.born) {
         let total = Load {
             requests: load.requests,
             tokens: load.tokens,
--- a/lib/src/serving/node.rs
+++ b/lib/src/serving/node.rs
@@ -6,6 +6,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use banyangauge_proto as wire;
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
@@ -58,6 +59,8 @@
     open: Cell<usize>,
     /// Runs that wait for their turn, by number.
     turns: RefCell<BTreeMap<u64, oneshot::Sender<()>>>,
+    /// Questions to owners of replicas that wait for an answer, by number.
+    answers: RefCell<BTreeMap<u64, oneshot::Sender<wire::PlaceAnswer>>>,
     /// Wakes the task that gives turns.
     pub(super) turn_news: Notify,
 }
@@ -92,6 +95,7 @@
             numbers: Cell::new(0),
             open: Cell::new(0),
             turns: RefCell::default(),
+            answers: RefCell::default(),
             turn_news: Notify::new(),
         }
     }
@@ -130,6 +134,23 @@
         self.turns.borrow_mut().remove(&number);
     }
 
+    /// An answer of a replica's owner goes to this sender.
+    pub(super) fn await_answer(&self, number: u64, sender: oneshot::Sender<wire::PlaceAnswer>) {
+        self.answers.borrow_mut().insert(number, sender);
+    }
+
+    /// A replica's owner answered; one that came too late is dropped.
+    pub(super) fn take_answer(&self, answer: wire::PlaceAnswer) {
+        if let Some(sender) = self.answers.borrow_mut().remove(&answer.number) {
+            sender.send(answer).ok();
+        }
+    }
+
+    /// An answer is waited for no more.
+    pub(super) fn forget_answer(&self, number: u64) {
+        self.answers.borrow_mut().remove(&number);
+    }
+
     /// Counts a request that is under way, until the guard is dropped.
     pub(super) fn enter(self: &std::rc::Rc<Self>) -> Open {
         self.open.set(self.open.get() + 1);
--- a/lib/src/serving/peers.rs
+++ b/lib/src/serving/peers.rs
@@ -20,6 +20,7 @@
 use super::node::Node;
 use super::node::Phase;
 use super::node::now;
+use super::places;
 use super::reading;
 use super::relay;
 use super::renewal;
@@ -238,6 +239,8 @@
             }
             Ok(Some(Body::Wish(wish))) => take_wish(&node, &wish),
             Ok(Some(Body::Report(report))) => flights::take_report(&node, &report),
+            Ok(Some(Body::PlaceAsk(ask))) => places::take_ask(&node, &ask).await,
+            Ok(Some(Body::PlaceAnswer(answer))) => node.take_answer(answer),
             Ok(Some(Body::TurnAsk(ask))) => reading::take_ask(&node, &ask),
             Ok(Some(Body::TurnGrant(grant))) => node.grant_turn(grant.number),
             Ok(Some(Body::TurnEnd(end))) => reading::take_end(&node, &end),
--- /dev/null
+++ b/lib/src/serving/places.rs
@@ -0,0 +1,132 @@
+//! Asks the owner of a replica whether a request may be sent there.
+
+use std::time::Duration;
+
+use banyangauge_proto as wire;
+use prost::Message;
+use tokio::sync::oneshot;
+use wire::datagram::Body;
+
+use super::experiment::Mechanism;
+use super::fleet::Load;
+use super::flights;
+use super::forward::Held;
+use super::node::Node;
+use super::node::now;
+use super::peers::send;
+use crate::ids::ReplicaName;
+use crate::ids::VmName;
+
+/// How long an answer is waited for: owners are a millisecond or two away, and
+/// one that is lost or busy must not hold a request up.
+const ANSWER_WAIT: Duration = Duration::from_millis(40);
+
+/// Whether a request may go to a replica, by its owner's word.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Word {
+    /// It may, or there is nobody to ask.
+    Go,
+    /// The replica is busier than was believed, or lacks the adapter; what is
+    /// believed is mended.
+    LookAgain,
+}
+
+/// Asks whether a request may be sent to a replica.
+pub(super) async fn ask(node: &Node, held: &Held, replica: &ReplicaName) -> Word {
+    let Some(target) = held.target.as_ref().filter(|t| t.adapter.is_some()) else {
+        return Word::Go;
+    };
+    let number = node.number();
+    let (address, ask) = {
+        let b = node.beliefs();
+        let at = now();
+        let owner = b.ownership.owner(replica);
+        let owner = owner.filter(|vm| **vm != node.settings.vm && b.members.lives(at, vm));
+        let address = owner.and_then(|vm| b.members.address(vm));
+        let asks = node.settings.experiment.runs(Mechanism::PlaceAsks);
+        let Some(address) = address.filter(|_| asks) else {
+            return Word::Go;
+        };
+        let believed = b.fleet.total(at, replica).unwrap_or_default();
+        let ask = wire::PlaceAsk {
+            vm: node.settings.vm.to_string(),
+            number,
+            replica: replica.to_string(),
+            target: target.to_string(),
+            tokens: held.cost.tokens,
+            unread: held.cost.unread,
+            believed_ms: believed.busy_ms() as u64,
+        };
+        (address, ask)
+    };
+    let (sender, receiver) = oneshot::channel();
+    node.await_answer(number, sender);
+    let datagram = wire::Datagram {
+        body: Some(Body::PlaceAsk(ask)),
+    };
+    send(node, &datagram.encode_to_vec(), address).await;
+    let answer = tokio::time::timeout(ANSWER_WAIT, receiver).await;
+    node.forget_answer(number);
+    let outcome = match &answer {
+        Ok(Ok(answer)) if answer.granted => "granted",
+        Ok(Ok(answer)) if answer.lacks => "lacks",
+        Ok(Ok(_)) => "busy",
+        Err(_) | Ok(Err(_)) => "unanswered",
+    };
+    metrics::counter!("serve_place_asks_total", "outcome" => outcome).increment(1);
+    let Ok(Ok(answer)) = answer else {
+        return Word::Go;
+    };
+    let mut b = node.beliefs();
+    if answer.lacks {
+        b.fleet.lacks(now(), replica, target);
+    }
+    if let Some(load) = &answer.load {
+        flights::take_total(&mut b, now(), load);
+    }
+    match answer.granted {
+        true => Word::Go,
+        false => Word::LookAgain,
+    }
+}
+
+/// A VM asks about a replica of ours.
+pub(super) async fn take_ask(node: &Node, ask: &wire::PlaceAsk) {
+    let (Ok(name), Ok(vm)) = (ask.replica.parse::<ReplicaName>(), ask.vm.parse::<VmName>()) else {
+        return;
+    };
+    let (answer, address) = {
+        let mut b = node.beliefs();
+        let b = &mut *b;
+        let at = now();
+        let Some(address) = b.members.address(&vm) else {
+            return;
+        };
+        // One that lost the replica knows no more than the one who asks.
+        if b.ownership.owner(&name) != Some(&node.settings.vm) {
+            return;
+        }
+        let reported = b.fleet.total(at, &name).unwrap_or_default();
+        let held = b.books.held(&name);
+        let lacks = held.is_some_and(|h| !h.here.keys().any(|t| t.to_string() == ask.target));
+        let cost = Load {
+            requests: 1,
+            tokens: ask.tokens,
+            unread: ask.unread,
+        };
+        let believed = ask.believed_ms as f64;
+        let total = reported.plus(b.reserved.load(at, &name));
+        let granted = !lacks && b.reserved.grant(at, &name, reported, believed, cost);
+        let answer = wire::PlaceAnswer {
+            number: ask.number,
+            granted,
+            lacks,
+            load: flights::write_load(b, &name, total),
+        };
+        (answer, address)
+    };
+    let datagram = wire::Datagram {
+        body: Some(Body::PlaceAnswer(answer)),
+    };
+    send(node, &datagram.encode_to_vec(), address).await;
+}
--- a/lib/src/serving/waiting.rs
+++ b/lib/src/serving/waiting.rs
@@ -16,6 +16,8 @@
 use super::node::instant;
 use super::node::now;
 use super::peers;
+use super::places;
+use super::places::Word;
 use super::serve::Asked;
 use super::serve::span;
 use crate::ids::ReplicaName;
@@ -46,6 +48,10 @@
 /// goes through all replicas; a load takes some twenty times as long.
 const LOOK_PAUSE: Span = Span::from_millis(15);
 
+/// Owners of replicas that are asked about one request at the most: each one
+/// mends what is believed of its replica, and the last choice stands.
+const MOST_ASKS: u32 = 3;
+
 /// A wait that is worth a line.
 const WAIT_TOLD: Span = Span::from_millis(20);
 
@@ -67,6 +73,7 @@
     let mut wished: Option<Moment> = None;
     let mut stop_limit: Option<Moment> = None;
     let mut why = "";
+    let mut asks = 0;
     loop {
         let at = now();
         let changed = node.changed.notified();
@@ -77,6 +84,10 @@
                 if let (Some(copy), Some(target)) = (copy, &held.target) {
                     peers::wish(node, &copy, target).await;
                 }
+                if asks < MOST_ASKS && places::ask(node, held, &at).await == Word::LookAgain {
+                    asks += 1;
+                    continue;
+                }
                 let waited = now().since(began);
                 metrics::histogram!("serve_wait_seconds").record(waited.0 as f64 / 1e6);
                 if waited >= WAIT_TOLD {
--- a/lib/tests/test_serving_experiment.rs
+++ b/lib/tests/test_serving_experiment.rs
@@ -22,6 +22,7 @@
 #[case(Mechanism::PromptTurns, "prompt_turns")]
 #[case(Mechanism::OrderRepeats, "order_repeats")]
 #[case(Mechanism::StoreNews, "store_news")]
+#[case(Mechanism::PlaceAsks, "place_asks")]
 #[case(Mechanism::ZoneRelays, "zone_relays")]
 fn switch_is_off_by_name(#[case] mechanism: Mechanism, #[case] word: &str) {
     assert!(Experiment::default().runs(mechanism));
