place: no old version behind a queue; a longer wait for a copy behind a longer queue

Sent requests waited in engines' queues for seconds, where nothing can take them back.

Change: a version that is required when a request would begin, after what the engine has yet to read, is required of it now. A request waits for a copy of its adapter for up to half of what the copy is expected to spare it (0.45 s at least, as before), so that it doesn't join a queue of seconds.

Tests: old_version_is_not_queued_for fails without the change (sent to the crowded holder); waits of 460 ms behind 0.45 s and behind 1.5 s of prompts.

--- a/bench/benches/placement.rs
+++ b/bench/benches/placement.rs
@@ -10,6 +10,7 @@
 use banyangauge::ids::ServiceName;
 use banyangauge::ids::VmName;
 use banyangauge::pool::Moment;
+use banyangauge::pool::Span;
 use banyangauge::serving::*;
 use criterion::Criterion;
 use criterion::criterion_group;
@@ -110,7 +111,7 @@
             },
             shared: None,
             body_kb: 2.0,
-            patient: true,
+            waited: Some(Span::from_millis(0)),
             avoid: &avoid,
         };
         c.bench_function(&format!("place/{case}"), |b| {
--- a/lib/src/serving/fleet/place.rs
+++ b/lib/src/serving/fleet/place.rs
@@ -10,6 +10,7 @@
 use crate::ids::ReplicaName;
 use crate::ids::ServiceName;
 use crate::pool::Moment;
+use crate::pool::Span;
 use crate::serving::experiment::Mechanism;
 use crate::serving::model::Listing;
 use crate::serving::model::Shared;
@@ -55,6 +56,22 @@
 /// 0.807 -> 0.825 and 0.693 -> 0.697 of what was owed.
 const WAIT_ABOVE_MS: f64 = 400.0;
 
+/// How long a request waits for a copy while another replica could run it,
+/// later: about a load and the news of it.
+const COPY_WAIT: Span = Span::from_millis(450);
+
+/// The part of what a copy is expected to spare a request that it waits for it
+/// at the most: behind a queue of seconds it waits longer than behind a short
+/// one, and keeps out of the queue of an engine, where nothing can take it back.
+const SPARED_PART: f64 = 0.5;
+
+/// Whether a copy that spares a request so many milliseconds is worth waiting
+/// for still.
+fn is_worth_a_wait(spared: f64, waited: Span) -> bool {
+    let longest = Span::from_millis((spared.max(0.0) * SPARED_PART) as u64);
+    spared > WAIT_ABOVE_MS && (waited < COPY_WAIT || waited < longest)
+}
+
 /// What a request needs.
 #[derive(Debug)]
 pub struct Want<'a> {
@@ -68,8 +85,8 @@
     pub shared: Option<Shared>,
     /// Kilobytes of body.
     pub body_kb: f64,
-    /// Whether it has the time to wait for a load.
-    pub patient: bool,
+    /// How long it has waited for a load; none where it has no time to.
+    pub waited: Option<Span>,
     /// Replicas that failed it.
     pub avoid: &'a BTreeSet<ReplicaName>,
 }
@@ -143,7 +160,7 @@
             let fit = fit.map(|(_, at)| at.clone());
             return fit.map_or(Place::Full, |at| Place::Send { at, copy: None });
         };
-        let holders = open.iter().filter(|(_, r)| self.serves(now, target, r));
+        let holders = open.iter().filter(|(n, r)| self.serves(now, target, n, r));
         let holders: Vec<_> = holders.collect();
         let mut fit = holders
             .iter()
@@ -174,7 +191,7 @@
         let roomy = || -> Vec<_> {
             let roomy = open.iter().filter(|(n, r)| {
                 self.has_room(now, want, n, r)
-                    && !self.serves(now, target, r)
+                    && !self.serves(now, target, n, r)
                     && r.holds(now, &base).is_some()
                     && loadable(n)
             });
@@ -190,8 +207,11 @@
             let least = least.min_by(f64::total_cmp);
             let copy = least.filter(|least| held > least + COPY_ABOVE_MS);
             let copy = copy.and_then(|_| self.home(target, &roomy));
-            let patient = want.patient && self.experiment.runs(Mechanism::CopyWaits);
-            let wait = patient && least.is_some_and(|least| held > least + WAIT_ABOVE_MS);
+            let waited = want
+                .waited
+                .filter(|_| self.experiment.runs(Mechanism::CopyWaits));
+            let wait = waited.zip(least);
+            let wait = wait.is_some_and(|(waited, least)| is_worth_a_wait(held - least, waited));
             return match copy {
                 Some(at) if wait => Place::Load { at },
                 copy => Place::Send { at, copy },
@@ -209,12 +229,15 @@
         }
     }
 
-    /// Whether a run for this target may begin there.
-    fn serves(&self, now: Moment, target: &Target, r: &Replica) -> bool {
+    /// Whether a run for this target may begin there, once those before it have
+    /// been read: one that waits in the queue of a crowded engine begins on the
+    /// version that is there then.
+    fn serves(&self, now: Moment, target: &Target, name: &ReplicaName, r: &Replica) -> bool {
         let Some(version) = r.holds(now, target) else {
             return false;
         };
-        let required = self.versions.required(now, target);
+        let wait = Span::from_millis(self.load(now, name, r).busy_ms() as u64);
+        let required = self.versions.required(now.after(wait), target);
         required.is_none_or(|v| target.adapter.is_none() || version >= v)
     }
 
--- a/lib/src/serving/waiting.rs
+++ b/lib/src/serving/waiting.rs
@@ -39,10 +39,6 @@
 /// which a short run ends.
 const FULL_COME_BACK: Duration = Duration::from_millis(300);
 
-/// How long a request waits for a copy while another replica could run it,
-/// later: about a load and the news of it.
-const COPY_WAIT: Span = Span::from_millis(450);
-
 /// The least time between two looks for a place. Under high load some hundred
 /// ends of runs and pieces of news a second wake all that wait, and each look
 /// goes through all replicas; a load takes some twenty times as long.
@@ -77,8 +73,8 @@
     loop {
         let at = now();
         let changed = node.changed.notified();
-        let patient = at.since(began) < COPY_WAIT;
-        let place = place(node, asked, held, avoid, patient, at);
+        let waited = (at < load_limit).then(|| at.since(began));
+        let place = place(node, asked, held, avoid, waited, at);
         let (limit, refusal) = match place {
             Place::Send { at, copy } => {
                 if let (Some(copy), Some(target)) = (copy, &held.target) {
@@ -148,7 +144,7 @@
     asked: &Asked,
     held: &Held,
     avoid: &BTreeSet<ReplicaName>,
-    patient: bool,
+    waited: Option<Span>,
     at: Moment,
 ) -> Place {
     let bytes: usize = held.body.iter().map(Bytes::len).sum();
@@ -159,7 +155,7 @@
         cost: held.cost,
         shared: held.shared,
         body_kb: bytes as f64 / 1024.0,
-        patient,
+        waited,
         avoid,
     };
     let own = &node.settings.vm;
@@ -173,6 +169,6 @@
     held: &Held,
     avoid: &BTreeSet<ReplicaName>,
 ) -> bool {
-    let place = place(node, asked, held, avoid, false, now());
+    let place = place(node, asked, held, avoid, None, now());
     matches!(place, Place::Send { .. })
 }
--- a/lib/tests/test_serving_place.rs
+++ b/lib/tests/test_serving_place.rs
@@ -90,7 +90,7 @@
     fleet: Fleet,
     avoid: BTreeSet<ReplicaName>,
     loadable: BTreeSet<ReplicaName>,
-    patient: bool,
+    waited: Option<Span>,
 }
 
 impl Scene {
@@ -106,7 +106,7 @@
             fleet,
             avoid: BTreeSet::new(),
             loadable,
-            patient: false,
+            waited: None,
         }
     }
 
@@ -119,7 +119,7 @@
             cost: COST,
             shared: None,
             body_kb: 1.0,
-            patient: self.patient,
+            waited: self.waited,
             avoid: &self.avoid,
         };
         self.fleet.place(now, &want, |n| self.loadable.contains(n))
@@ -293,24 +293,29 @@
 /// time waits for the copy, as whoever is sent there is late and makes the
 /// others late; who has not is sent there all the same.
 #[rstest]
-#[case::has_time(true, 18_000, Place::Load { at: "i-b".parse().unwrap() })]
-#[case::has_none(false, 18_000, Place::Send {
+#[case::has_time(Some(0), 18_000, Place::Load { at: "i-b".parse().unwrap() })]
+#[case::has_none(None, 18_000, Place::Send {
     at: "i-a".parse().unwrap(),
     copy: Some("i-b".parse().unwrap()),
 })]
-#[case::holder_soon_free(true, 12_000, Place::Send {
+#[case::waited_for_a_load(Some(460), 18_000, Place::Send {
+    at: "i-a".parse().unwrap(),
+    copy: Some("i-b".parse().unwrap()),
+})]
+#[case::behind_seconds(Some(460), 60_000, Place::Load { at: "i-b".parse().unwrap() })]
+#[case::holder_soon_free(Some(0), 12_000, Place::Send {
     at: "i-a".parse().unwrap(),
     copy: Some("i-b".parse().unwrap()),
 })]
 fn overloaded_holder_is_worth_a_wait(
-    #[case] patient: bool,
+    #[case] waited: Option<u64>,
     #[case] unread: u64,
     #[case] expected: Place,
 ) {
     let a = listing("i-a", "llm", "z-a", &["base", "base/x"]);
     let b = listing("i-b", "llm", "z-a", &["base"]);
     let mut scene = Scene::new(&[a, b]);
-    scene.patient = patient;
+    scene.waited = waited.map(Span::from_millis);
     let prompts = Load {
         requests: 2,
         tokens: unread,
@@ -337,7 +342,7 @@
             cost: COST,
             shared: Some(Shared { key, tokens: 6_000 }),
             body_kb: 1.0,
-            patient: false,
+            waited: None,
             avoid: &scene.avoid,
         };
         scene.fleet.place(at(0), &want, |_| true)
@@ -514,7 +519,7 @@
     let a = listing("i-a", "llm", "z-a", &["base", "base/x"]);
     let b = listing("i-b", "llm", "z-a", &["base"]);
     let mut scene = Scene::new(&[a, b]);
-    scene.patient = true;
+    scene.waited = Some(Span::from_millis(0));
     scene.fleet.set_experiment(&Experiment {
         off: off.iter().copied().collect(),
     });
@@ -540,3 +545,28 @@
     });
     assert_eq!(scene.sent(at(0), "app", None), expected);
 }
+
+/// A request that waits in the queue of a crowded engine begins later than it
+/// is sent: on an old version it would begin when that may serve no more.
+#[rstest]
+#[case::free(0, "i-a")]
+#[case::crowded(4_000, "Load { at: ReplicaName(\"i-b\") }")]
+fn old_version_is_not_queued_for(#[case] wait_ms: u64, #[case] expected: &str) {
+    let a = listing("i-a", "llm", "z-a", &["base", "base/x"]);
+    let b = listing("i-b", "llm", "z-a", &["base"]);
+    let mut scene = Scene::new(&[a, b]);
+    let announced = Announced {
+        target: Target::parse("base/x").unwrap(),
+        version: 2,
+    };
+    scene.fleet.versions.announce(at(0), &announced);
+    let prompts = Load {
+        requests: 1,
+        tokens: 0,
+        unread: wait_ms * 40,
+    };
+    if wait_ms > 0 {
+        scene.fleet.begin(&"i-a".parse().unwrap(), prompts);
+    }
+    assert_eq!(scene.sent(at(1_500), "llm", Some("base/x")), expected);
+}
