usage: a stopping process hands its last counters to its peer

Cause: on a stop the task that hands copies to the peer was cancelled, up to half a second after its last report, and the last write went to the platform alone. With the platform away both were lost: the counters of the last half second.

Change: a stopping process hands all counters that it took to its peer beside the last write, within the same two seconds; what failed is a line in the log.

Test: run_stopping_process_hands_over_its_last_report fails without the change (3 requests in place of 5).

--- a/lib/src/control/usage/mod.rs
+++ b/lib/src/control/usage/mod.rs
@@ -49,6 +49,9 @@
 /// The longest that a stopping process waits for its last write.
 const LAST_FLUSH: Duration = Duration::from_secs(2);
 
+/// The pause of a stopping process after a peer did not take its counters.
+const LAST_PAUSE: Duration = Duration::from_millis(50);
+
 /// Tries of one object when others write it as well.
 const WRITE_TRIES: u32 = 3;
 
@@ -62,8 +65,24 @@
         () = hold_all(&shared, &store) => {}
         () = flush_all(&shared, &store, every) => {}
     }
-    // What the last write could not bring to the platform, the peer holds.
-    let _ = timeout(LAST_FLUSH, flush(&shared, &store, SILENCE)).await;
+    // What the last write cannot bring to the platform, the peer holds: also
+    // what was reported since it last heard.
+    let last = async { tokio::join!(flush(&shared, &store, SILENCE), hold_last(&shared, &store)) };
+    if timeout(LAST_FLUSH, last).await.is_err() {
+        warn!(shared.log, "last usage not written or not held");
+    }
+}
+
+/// Hands all counters taken here to the peer, as often as it takes.
+async fn hold_last(shared: &Shared, store: &Store) {
+    while let Some(address) = holder(shared) {
+        let reports = store.to_hold(true);
+        if hold(shared, None, address, &reports).await.is_some() {
+            return;
+        }
+        store.not_held(reports);
+        tokio::time::sleep(LAST_PAUSE).await;
+    }
 }
 
 async fn flush_all(shared: &Shared, store: &Store, every: Duration) {
--- a/lib/tests/test_usage_store.rs
+++ b/lib/tests/test_usage_store.rs
@@ -165,3 +165,28 @@
 fn usage_every() -> Duration {
     Duration::from_secs(10)
 }
+
+/// A process is stopped while the platform is away, right after a report: its
+/// peer has what cannot be written, and writes it later.
+#[tokio::test]
+async fn run_stopping_process_hands_over_its_last_report() {
+    let (running, platform) = rig::platform().await;
+    let holder = rig::shared("vm-2", &platform, &[]);
+    let shared = rig::shared("vm-1", &platform, &[]);
+    let member = rig::member(&holder, rig::serve_peer(&holder).await, "suva-b");
+    shared.board.members.send_modify(|all| {
+        all.insert(member.vm.parse().unwrap(), member);
+    });
+    rig::fault(&running, json!({"down": true})).await;
+    let store = shared.board.usage.clone();
+    let ends = usage::run(shared.clone(), store.clone(), Duration::from_secs(60));
+    let ends = tokio::spawn(ends);
+    store.take(report("vm-1", 1, &[("rosters", 3)]));
+    rig::until(|| !holder.board.usage.counts().is_empty()).await;
+    store.take(report("vm-1", 2, &[("rosters", 5)]));
+    shared.board.stopping.send_replace(true);
+    ends.await.unwrap();
+    rig::fault(&running, json!({"down": false})).await;
+    usage::flush(&holder, &holder.board.usage, Duration::ZERO).await;
+    assert_eq!(sum(&platform, "rosters").await, 5);
+}
