--- a/lib/src/serving/feed.rs
+++ b/lib/src/serving/beliefs/feed.rs
@@ -5,10 +5,10 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use super::pack::pack;
-use super::store::Item;
 use crate::pool::Moment;
 use crate::pool::Span;
+use crate::serving::peers::pack::pack;
+use crate::serving::store::port::Item;
 
 /// A kind of objects that every VM follows.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
--- a/lib/src/serving/members.rs
+++ b/lib/src/serving/beliefs/members.rs
@@ -6,12 +6,12 @@
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use super::ownership::UNAWARE_KEPT;
 use crate::ids::Incarnation;
 use crate::ids::VmName;
 use crate::ids::ZoneName;
 use crate::pool::Moment;
 use crate::pool::Span;
+use crate::serving::beliefs::ownership::UNAWARE_KEPT;
 
 /// The pause between two beacons of a VM in a small fleet.
 const BEAT: Span = Span::from_millis(400);
--- /dev/null
+++ b/lib/src/serving/beliefs/mod.rs
@@ -0,0 +1,8 @@
+//! What a VM believes: of the store, of the other VMs, of who owns what.
+
+pub(super) mod audience;
+pub(super) mod feed;
+pub(super) mod members;
+pub(super) mod ownership;
+pub(super) mod state;
+pub(super) mod table;
--- a/lib/src/serving/ownership.rs
+++ b/lib/src/serving/beliefs/ownership.rs
@@ -3,12 +3,12 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
-use super::table::Table;
 use crate::ids::ReplicaName;
 use crate::ids::Token;
 use crate::ids::VmName;
 use crate::pool::Moment;
 use crate::pool::Span;
+use crate::serving::beliefs::table::Table;
 
 /// How much later each further VM proposes a change than the one before it by
 /// name: a proposal is in force everywhere within about a second.
@@ -49,7 +49,7 @@
 
 /// How long a new member takes no VM for lost that does not know of it: longer
 /// than one stays in office without the store.
-pub(super) const UNAWARE_KEPT: Span = Span::from_millis(20_000);
+pub(in crate::serving) const UNAWARE_KEPT: Span = Span::from_millis(20_000);
 
 /// Our ownership of one replica.
 #[derive(Clone, Debug, Eq, PartialEq)]
--- a/lib/src/serving/beliefs.rs
+++ b/lib/src/serving/beliefs/state.rs
@@ -6,79 +6,79 @@
 
 use banyangauge_proto as wire;
 
-use super::audience::Audience;
-use super::books::Books;
-use super::budget::Budget;
-use super::experiment::Mechanism;
-use super::feed::Feeds;
-use super::feed::Topic;
-use super::fleet::Fleet;
-use super::fleet::Load;
-use super::follow;
-use super::members::Members;
-use super::model::Config;
-use super::model::Instance;
-use super::model::Listing;
-use super::model::Target;
-use super::ownership::Ownership;
-use super::reserved::Reserved;
-use super::routes::Routes;
-use super::settings::ServeSettings;
-use super::strain::Strain;
-use super::strikes::Strikes;
-use super::table::Table;
-use super::turns::Turns;
 use crate::ids::Incarnation;
 use crate::ids::ReplicaName;
 use crate::ids::VmName;
 use crate::pool::Moment;
 use crate::pool::Span;
+use crate::serving::beliefs::audience::Audience;
+use crate::serving::beliefs::feed::Feeds;
+use crate::serving::beliefs::feed::Topic;
+use crate::serving::beliefs::members::Members;
+use crate::serving::beliefs::ownership::Ownership;
+use crate::serving::beliefs::table::Table;
+use crate::serving::decisions::books::Books;
+use crate::serving::decisions::budget::Budget;
+use crate::serving::decisions::fleet::Fleet;
+use crate::serving::decisions::fleet::Load;
+use crate::serving::decisions::reserved::Reserved;
+use crate::serving::decisions::strain::Strain;
+use crate::serving::decisions::strikes::Strikes;
+use crate::serving::decisions::turns::Turns;
+use crate::serving::path::model::Config;
+use crate::serving::path::model::Instance;
+use crate::serving::path::model::Listing;
+use crate::serving::path::model::Target;
+use crate::serving::path::routes::Routes;
+use crate::serving::program::experiment::Mechanism;
+use crate::serving::program::settings::ServeSettings;
+use crate::serving::store::follow;
 
 /// A configuration that is in force.
 #[derive(Debug)]
-pub(super) struct Active {
-    pub(super) config: Config,
-    pub(super) routes: Routes,
+pub(in crate::serving) struct Active {
+    pub(in crate::serving) config: Config,
+    pub(in crate::serving) routes: Routes,
 }
 
 /// Runs of one adapter at one replica, of this VM's requests.
 #[derive(Clone, Copy, Debug, Default)]
-pub(super) struct OwnUse {
-    pub(super) running: u32,
-    pub(super) begun: u32,
+pub(in crate::serving) struct OwnUse {
+    pub(in crate::serving) running: u32,
+    pub(in crate::serving) begun: u32,
 }
 
 /// The beliefs of one VM; tasks take them for a moment at a time.
 #[derive(Debug)]
-pub(super) struct Beliefs {
-    pub(super) active: Option<Rc<Active>>,
-    pub(super) fleet: Fleet,
-    pub(super) budget: Budget,
-    pub(super) members: Members,
-    pub(super) ownership: Ownership,
-    pub(super) books: Books,
-    pub(super) strikes: Strikes,
-    pub(super) strain: Strain,
-    pub(super) turns: Turns,
-    pub(super) uses: BTreeMap<ReplicaName, BTreeMap<Target, OwnUse>>,
+pub(in crate::serving) struct Beliefs {
+    pub(in crate::serving) active: Option<Rc<Active>>,
+    pub(in crate::serving) fleet: Fleet,
+    pub(in crate::serving) budget: Budget,
+    pub(in crate::serving) members: Members,
+    pub(in crate::serving) ownership: Ownership,
+    pub(in crate::serving) books: Books,
+    pub(in crate::serving) strikes: Strikes,
+    pub(in crate::serving) strain: Strain,
+    pub(in crate::serving) turns: Turns,
+    pub(in crate::serving) uses: BTreeMap<ReplicaName, BTreeMap<Target, OwnUse>>,
     /// Places at our replicas that were granted a moment ago.
-    pub(super) reserved: Reserved,
+    pub(in crate::serving) reserved: Reserved,
     /// Leaving replicas that the other VMs are to be told of.
-    pub(super) leaving: BTreeSet<Instance>,
+    pub(in crate::serving) leaving: BTreeSet<Instance>,
     /// Who waits for news of which of our replicas.
-    pub(super) audience: Audience,
+    pub(in crate::serving) audience: Audience,
     /// The newest report of each VM on its requests.
-    pub(super) reports: BTreeMap<VmName, (Incarnation, u64)>,
+    pub(in crate::serving) reports: BTreeMap<VmName, (Incarnation, u64)>,
     /// What is known of the store.
-    pub(super) feeds: Feeds,
+    pub(in crate::serving) feeds: Feeds,
     /// Beacons from other availability zones that are to be passed on.
-    pub(super) passing: BTreeMap<VmName, wire::Beacon>,
+    pub(in crate::serving) passing: BTreeMap<VmName, wire::Beacon>,
     /// Whether the replicas were listed once.
-    pub(super) listed: bool,
+    pub(in crate::serving) listed: bool,
 }
 
 impl Beliefs {
-    pub(super) fn new(settings: &ServeSettings, now: Moment) -> Self {
+    pub(in crate::serving) fn new(settings: &ServeSettings, now: Moment) -> Self {
         let lease = Span(u64::try_from(settings.lease.as_micros()).unwrap_or(u64::MAX));
         let mut beliefs = Self {
             active: None,
@@ -110,7 +110,7 @@
 
     /// Our place in the order in which VMs ask the store about a topic; `None`
     /// where each asks for itself.
-    pub(super) fn asking_rank(
+    pub(in crate::serving) fn asking_rank(
         &self,
         now: Moment,
         settings: &ServeSettings,
@@ -121,12 +121,12 @@
     }
 
     /// Whether requests can be served.
-    pub(super) fn ready(&self) -> bool {
+    pub(in crate::serving) fn ready(&self) -> bool {
         self.active.is_some() && self.listed
     }
 
     /// Takes a configuration if it is newer than the one in force.
-    pub(super) fn configure(&mut self, config: Config) -> bool {
+    pub(in crate::serving) fn configure(&mut self, config: Config) -> bool {
         let old = self.active.as_ref().map_or(0, |a| a.config.version);
         if config.version <= old {
             return false;
@@ -139,7 +139,7 @@
 
     /// Takes a replica's entry in the store; gives whether it changed what
     /// requests may use.
-    pub(super) fn take_listing(&mut self, listing: Listing) -> bool {
+    pub(in crate::serving) fn take_listing(&mut self, listing: Listing) -> bool {
         let (name, born) = (listing.name.clone(), listing.born);
         if self.fleet.born(&name).is_some_and(|old| old != born) {
             self.uses.remove(&name);
@@ -148,7 +148,7 @@
     }
 
     /// Takes the whole list of replicas.
-    pub(super) fn relist(&mut self, now: Moment, all: Vec<Listing>) {
+    pub(in crate::serving) fn relist(&mut self, now: Moment, all: Vec<Listing>) {
         for l in &all {
             if self.fleet.born(&l.name).is_some_and(|old| old != l.born) {
                 self.uses.remove(&l.name);
@@ -158,7 +158,12 @@
     }
 
     /// Whether somebody can load adapters at a replica now.
-    pub(super) fn loadable(&self, now: Moment, own: &VmName, name: &ReplicaName) -> bool {
+    pub(in crate::serving) fn loadable(
+        &self,
+        now: Moment,
+        own: &VmName,
+        name: &ReplicaName,
+    ) -> bool {
         match self.ownership.owner(name) {
             Some(vm) if vm == own => self.ownership.token(now, name).is_some(),
             // One that waits out the lease before it tells nothing yet.
@@ -168,7 +173,12 @@
     }
 
     /// Takes the owner table; gives whether it is news.
-    pub(super) fn take_owners(&mut self, now: Moment, table: Table, revision: u64) -> bool {
+    pub(in crate::serving) fn take_owners(
+        &mut self,
+        now: Moment,
+        table: Table,
+        revision: u64,
+    ) -> bool {
         let old = self.ownership.table.owners.clone();
         if !self.ownership.take(now, table, revision) {
             return false;
@@ -182,7 +192,12 @@
     }
 
     /// A run begins at a replica.
-    pub(super) fn begin(&mut self, name: &ReplicaName, target: Option<&Target>, cost: Load) {
+    pub(in crate::serving) fn begin(
+        &mut self,
+        name: &ReplicaName,
+        target: Option<&Target>,
+        cost: Load,
+    ) {
         self.fleet.begin(name, cost);
         if let Some(target) = target.filter(|t| t.adapter.is_some()) {
             let uses = self.uses.entry(name.clone()).or_default();
@@ -193,7 +208,7 @@
     }
 
     /// It ended there.
-    pub(super) fn end(&mut self, at: &Instance, target: Option<&Target>, cost: Load) {
+    pub(in crate::serving) fn end(&mut self, at: &Instance, target: Option<&Target>, cost: Load) {
         // A replica that has started anew does not count it.
         if !self.fleet.is_current(at) {
             return;
@@ -208,7 +223,7 @@
     }
 
     /// The uses at a replica to tell its owner; what was begun is told once.
-    pub(super) fn take_uses(&mut self, name: &ReplicaName) -> BTreeMap<Target, OwnUse> {
+    pub(in crate::serving) fn take_uses(&mut self, name: &ReplicaName) -> BTreeMap<Target, OwnUse> {
         let Some(uses) = self.uses.get_mut(name) else {
             return BTreeMap::new();
         };
@@ -222,7 +237,7 @@
     }
 
     /// Brings the books in step with what we own.
-    pub(super) fn open_books(&mut self, now: Moment) {
+    pub(in crate::serving) fn open_books(&mut self, now: Moment) {
         let active = self.ownership.active(now);
         let ours: BTreeSet<_> = active.map(|(name, _)| name.clone()).collect();
         for name in &ours {
--- a/lib/src/serving/books/book.rs
+++ b/lib/src/serving/decisions/books/book.rs
@@ -12,10 +12,10 @@
 use crate::pool::Demand;
 use crate::pool::Moment;
 use crate::pool::Span;
-use crate::serving::fleet::Held;
-use crate::serving::fleet::Versions;
-use crate::serving::model::Listing;
-use crate::serving::model::Target;
+use crate::serving::decisions::fleet::Held;
+use crate::serving::decisions::fleet::Versions;
+use crate::serving::path::model::Listing;
+use crate::serving::path::model::Target;
 
 /// Adapters that may be on their way to one replica at a time; the replica
 /// takes no more.
--- a/lib/src/serving/books/mod.rs
+++ b/lib/src/serving/decisions/books/mod.rs
@@ -6,17 +6,17 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
-use super::experiment::Experiment;
-use super::fleet::Held;
-use super::fleet::Versions;
-use super::model::Listing;
-use super::model::Target;
-use super::pace::Pace;
 use crate::ids::ModelName;
 use crate::ids::ReplicaName;
 use crate::ids::VmName;
 use crate::pool::Moment;
 use crate::pool::Span;
+use crate::serving::decisions::fleet::Held;
+use crate::serving::decisions::fleet::Versions;
+use crate::serving::decisions::pace::Pace;
+use crate::serving::path::model::Listing;
+use crate::serving::path::model::Target;
+use crate::serving::program::experiment::Experiment;
 
 pub use step::OrderEnd;
 pub use step::Report;
--- a/lib/src/serving/fleet/mod.rs
+++ b/lib/src/serving/decisions/fleet/mod.rs
@@ -22,12 +22,6 @@
 pub use versions::Versions;
 
 use self::health::Health;
-use super::experiment::Experiment;
-use super::model::Config;
-use super::model::Instance;
-use super::model::Listing;
-use super::model::Service;
-use super::model::Target;
 use crate::ids::ModelName;
 use crate::ids::ReplicaName;
 use crate::ids::ServiceName;
@@ -35,6 +29,12 @@
 use crate::ids::ZoneName;
 use crate::pool::Moment;
 use crate::pool::Span;
+use crate::serving::path::model::Config;
+use crate::serving::path::model::Instance;
+use crate::serving::path::model::Listing;
+use crate::serving::path::model::Service;
+use crate::serving::path::model::Target;
+use crate::serving::program::experiment::Experiment;
 
 /// How long a peer's word stands without being renewed, before it is set for
 /// the size of the fleet. Older counts would keep a dead VM's requests on a
--- a/lib/src/serving/fleet/place.rs
+++ b/lib/src/serving/decisions/fleet/place.rs
@@ -11,10 +11,10 @@
 use crate::ids::ServiceName;
 use crate::pool::Moment;
 use crate::pool::Span;
-use crate::serving::experiment::Mechanism;
-use crate::serving::model::Listing;
-use crate::serving::model::Shared;
-use crate::serving::model::Target;
+use crate::serving::path::model::Listing;
+use crate::serving::path::model::Shared;
+use crate::serving::path::model::Target;
+use crate::serving::program::experiment::Mechanism;
 
 /// Prompt tokens that an engine reads in a millisecond, about: what waits to
 /// be read is what holds up those who come next and those who run.
--- a/lib/src/serving/fleet/versions.rs
+++ b/lib/src/serving/decisions/fleet/versions.rs
@@ -6,8 +6,8 @@
 use crate::ids::ReplicaName;
 use crate::pool::Moment;
 use crate::pool::Span;
-use crate::serving::model::Announced;
-use crate::serving::model::Target;
+use crate::serving::path::model::Announced;
+use crate::serving::path::model::Target;
 
 /// How long after the news of a version its forerunner still serves. Owners
 /// load the new one in about a third of a second meanwhile; the promise is
--- /dev/null
+++ b/lib/src/serving/decisions/mod.rs
@@ -0,0 +1,11 @@
+//! What is decided, on plain state with time as an argument: no I/O, no clock.
+
+pub(super) mod books;
+pub(super) mod budget;
+pub mod decide;
+pub(super) mod fleet;
+pub(super) mod pace;
+pub(super) mod reserved;
+pub(super) mod strain;
+pub(super) mod strikes;
+pub(super) mod turns;
--- a/lib/src/serving/pace.rs
+++ b/lib/src/serving/decisions/pace.rs
@@ -1,9 +1,9 @@
 //! How many adapters are fetched from the weight store at a time.
 
-use super::books::Took;
-use super::experiment::Experiment;
-use super::experiment::Mechanism;
 use crate::pool::Span;
+use crate::serving::decisions::books::Took;
+use crate::serving::program::experiment::Experiment;
+use crate::serving::program::experiment::Mechanism;
 
 /// The first guess of how long a fetch takes alone.
 const FETCH_GUESS: f64 = 250e3;
--- a/lib/src/serving/reserved.rs
+++ b/lib/src/serving/decisions/reserved.rs
@@ -3,10 +3,10 @@
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
 
-use super::fleet::Load;
 use crate::ids::ReplicaName;
 use crate::pool::Moment;
 use crate::pool::Span;
+use crate::serving::decisions::fleet::Load;
 
 /// How long a granted place counts: by then its VM has sent the request and
 /// reported it.
--- a/lib/src/serving/strikes.rs
+++ b/lib/src/serving/decisions/strikes.rs
@@ -2,10 +2,10 @@
 
 use std::collections::BTreeMap;
 
-use super::model::Instance;
 use crate::ids::Fingerprint;
 use crate::pool::Moment;
 use crate::pool::Span;
+use crate::serving::path::model::Instance;
 
 /// Replicas that a request may bring down before it is refused.
 const MOST_CRASHES: usize = 3;
--- a/lib/src/serving/mod.rs
+++ b/lib/src/serving/mod.rs
@@ -1,107 +1,82 @@
 //! The request path of a VM that decides and sends for itself.
 //!
-//! Start at `serve` to follow one request. What decides has no I/O: [`Fleet`]
-//! (where a request runs), [`decide`] (what follows a failed try), [`Budget`]
-//! (how often), [`Books`] (what a replica loads next), [`Ownership`] (who may
-//! order it), [`Strikes`] (which request crashes its upstream). How requests,
-//! replicas and the store speak is a [`Border`]'s and a [`Store`]'s matter.
+//! | folder | what is in it |
+//! |---|---|
+//! | `path` | the path of a request; start at `path/serve.rs` |
+//! | `decisions` | what is decided, without I/O: [`Fleet`] (where a request runs), [`decide`] (what follows a failed try), [`Budget`] (how often), [`Books`] (what a replica loads next), [`Strikes`] (which request crashes its upstream) |
+//! | `beliefs` | what is believed: [`Feed`] (of the store), [`Members`] (of the VMs), [`Ownership`] (of who may order what) |
+//! | `peers` | what VMs tell each other |
+//! | `store` | the store's port, and who follows it |
+//! | `program` | settings, start and stop |
+//!
+//! How requests, replicas and the store speak is a [`Border`]'s and a
+//! [`Store`]'s matter.
 
-mod audience;
 mod beliefs;
-mod books;
-mod border;
-mod budget;
-pub mod decide;
-mod experiment;
-mod feed;
-mod fleet;
-mod flights;
-mod follow;
-mod forward;
-mod members;
-mod model;
-mod news;
-mod node;
-mod ordering;
-mod ownership;
-mod pace;
-mod pack;
-mod pass;
+mod decisions;
+mod path;
 mod peers;
-mod places;
 mod program;
-mod reading;
-mod relay;
-mod renewal;
-mod reserved;
-mod routes;
-mod serve;
-mod server;
-mod settings;
 mod store;
-mod strain;
-mod strikes;
-mod table;
-mod turns;
-mod waiting;
 
-pub use audience::Audience;
-pub use books::Books;
-pub use books::OrderEnd;
-pub use books::Report;
-pub use books::Step;
-pub use books::Took;
-pub use border::BadRecord;
-pub use border::Border;
-pub use border::Kinds;
-pub use border::NotRun;
-pub use border::Order;
-pub use border::Reply;
-pub use border::Sending;
-pub use budget::Budget;
-pub use budget::BudgetLimits;
-pub use experiment::BadExperiment;
-pub use experiment::Experiment;
-pub use experiment::Mechanism;
-pub use feed::Feed;
-pub use feed::Feeds;
-pub use feed::Next;
-pub use feed::Rhythm;
-pub use feed::Said;
-pub use feed::Told;
-pub use feed::Topic;
-pub use fleet::*;
-pub use members::Members;
-pub use members::Stamp;
-pub use model::*;
-pub use ownership::HOLD;
-pub use ownership::Ownership;
-pub use pace::Pace;
-pub use pack::pack;
-pub use pack::unpack;
-pub use program::Program;
-pub use program::ServeError;
-pub use program::run;
-pub use reserved::Reserved;
-pub use routes::Routes;
-pub use routes::pick_service;
-pub use settings::ServeSettings;
-pub use store::Change;
-pub use store::Changes;
-pub use store::Create;
-pub use store::Delete;
-pub use store::Freshness;
-pub use store::Item;
-pub use store::List;
-pub use store::Page;
-pub use store::Pending;
-pub use store::Replace;
-pub use store::Store;
-pub use store::Watch;
-pub use strain::Strain;
-pub use strikes::Strikes;
-pub use table::Owner;
-pub use table::Table;
-pub use turns::LONGEST_WAIT;
-pub use turns::TurnId;
-pub use turns::Turns;
+pub use beliefs::audience::Audience;
+pub use beliefs::feed::Feed;
+pub use beliefs::feed::Feeds;
+pub use beliefs::feed::Next;
+pub use beliefs::feed::Rhythm;
+pub use beliefs::feed::Said;
+pub use beliefs::feed::Told;
+pub use beliefs::feed::Topic;
+pub use beliefs::members::Members;
+pub use beliefs::members::Stamp;
+pub use beliefs::ownership::HOLD;
+pub use beliefs::ownership::Ownership;
+pub use beliefs::table::Owner;
+pub use beliefs::table::Table;
+pub use decisions::books::Books;
+pub use decisions::books::OrderEnd;
+pub use decisions::books::Report;
+pub use decisions::books::Step;
+pub use decisions::books::Took;
+pub use decisions::budget::Budget;
+pub use decisions::budget::BudgetLimits;
+pub use decisions::decide;
+pub use decisions::fleet::*;
+pub use decisions::pace::Pace;
+pub use decisions::reserved::Reserved;
+pub use decisions::strain::Strain;
+pub use decisions::strikes::Strikes;
+pub use decisions::turns::LONGEST_WAIT;
+pub use decisions::turns::TurnId;
+pub use decisions::turns::Turns;
+pub use path::border::BadRecord;
+pub use path::border::Border;
+pub use path::border::Kinds;
+pub use path::border::NotRun;
+pub use path::border::Order;
+pub use path::border::Reply;
+pub use path::border::Sending;
+pub use path::model::*;
+pub use path::routes::Routes;
+pub use path::routes::pick_service;
+pub use peers::pack::pack;
+pub use peers::pack::unpack;
+pub use program::experiment::BadExperiment;
+pub use program::experiment::Experiment;
+pub use program::experiment::Mechanism;
+pub use program::run::Program;
+pub use program::run::ServeError;
+pub use program::run::run;
+pub use program::settings::ServeSettings;
+pub use store::port::Change;
+pub use store::port::Changes;
+pub use store::port::Create;
+pub use store::port::Delete;
+pub use store::port::Freshness;
+pub use store::port::Item;
+pub use store::port::List;
+pub use store::port::Page;
+pub use store::port::Pending;
+pub use store::port::Replace;
+pub use store::port::Store;
+pub use store::port::Watch;
--- a/lib/src/serving/border.rs
+++ b/lib/src/serving/path/border.rs
@@ -7,17 +7,17 @@
 use hyper::Request;
 use hyper::StatusCode;
 
-use super::books::OrderEnd;
-use super::books::Report;
-use super::model::Announced;
-use super::model::Ask;
-use super::model::Config;
-use super::model::Listing;
-use super::model::Target;
-use super::store::Item;
 use crate::ids::ReplicaName;
 use crate::ids::Token;
 use crate::ids::VmName;
+use crate::serving::decisions::books::OrderEnd;
+use crate::serving::decisions::books::Report;
+use crate::serving::path::model::Announced;
+use crate::serving::path::model::Ask;
+use crate::serving::path::model::Config;
+use crate::serving::path::model::Listing;
+use crate::serving::path::model::Target;
+use crate::serving::store::port::Item;
 use crate::upstream::Parts;
 
 /// A record that is not of the published form.
--- a/lib/src/serving/forward.rs
+++ b/lib/src/serving/path/forward.rs
@@ -16,47 +16,47 @@
 use hyper::header::TRANSFER_ENCODING;
 use hyper::header::UPGRADE;
 
-use super::border::Reply;
-use super::border::Sending;
-use super::decide::Ended;
-use super::fleet::End;
-use super::fleet::Load;
-use super::model::Instance;
-use super::model::Shared;
-use super::model::Target;
-use super::node::Node;
-use super::node::now;
-use super::reading::Turn;
-use super::reading::take_turn;
-use super::turns::LONG_PROMPT;
 use crate::ids::Fingerprint;
 use crate::ids::ReplicaName;
 use crate::pool::Moment;
+use crate::serving::decisions::decide::Ended;
+use crate::serving::decisions::fleet::End;
+use crate::serving::decisions::fleet::Load;
+use crate::serving::decisions::turns::LONG_PROMPT;
+use crate::serving::path::border::Reply;
+use crate::serving::path::border::Sending;
+use crate::serving::path::model::Instance;
+use crate::serving::path::model::Shared;
+use crate::serving::path::model::Target;
+use crate::serving::path::reading::Turn;
+use crate::serving::path::reading::take_turn;
+use crate::serving::program::node::Node;
+use crate::serving::program::node::now;
 use crate::upstream::Answer;
 use crate::upstream::Parts;
 use crate::upstream::SendError;
 
 /// A caller's request, kept until its answer is whole.
-pub(super) struct Held {
-    pub(super) method: Method,
-    pub(super) path: Uri,
-    pub(super) headers: HeaderMap,
-    pub(super) body: Vec<Bytes>,
+pub(in crate::serving) struct Held {
+    pub(in crate::serving) method: Method,
+    pub(in crate::serving) path: Uri,
+    pub(in crate::serving) headers: HeaderMap,
+    pub(in crate::serving) body: Vec<Bytes>,
     /// The caller's id of the attempt.
-    pub(super) id: String,
-    pub(super) target: Option<Target>,
+    pub(in crate::serving) id: String,
+    pub(in crate::serving) target: Option<Target>,
     /// What it is expected to hold at a replica.
-    pub(super) cost: Load,
-    pub(super) shared: Option<Shared>,
-    pub(super) fingerprint: Fingerprint,
+    pub(in crate::serving) cost: Load,
+    pub(in crate::serving) shared: Option<Shared>,
+    pub(in crate::serving) fingerprint: Fingerprint,
     /// When the final answer is due.
-    pub(super) limit: Moment,
+    pub(in crate::serving) limit: Moment,
 }
 
 /// A run at a replica; when it is dropped, it counts no more.
-pub(super) struct Run {
+pub(in crate::serving) struct Run {
     node: Rc<Node>,
-    pub(super) replica: ReplicaName,
+    pub(in crate::serving) replica: ReplicaName,
     born: u64,
     target: Option<Target>,
     cost: Load,
@@ -96,7 +96,7 @@
     }
 
     /// Bytes of the answer came.
-    pub(super) fn heard(&mut self) {
+    pub(in crate::serving) fn heard(&mut self) {
         self.heard = true;
         self.turn = None;
         let mut b = self.node.beliefs();
@@ -108,7 +108,7 @@
     }
 
     /// The run ended so.
-    pub(super) fn learn(&self, end: End) {
+    pub(in crate::serving) fn learn(&self, end: End) {
         let mut b = self.node.beliefs();
         if b.fleet.is_current(&self.instance()) {
             b.fleet.learn(now(), &self.replica, end);
@@ -116,7 +116,7 @@
     }
 
     /// The start of the replica that runs it.
-    pub(super) fn instance(&self) -> Instance {
+    pub(in crate::serving) fn instance(&self) -> Instance {
         Instance {
             name: self.replica.clone(),
             born: self.born,
@@ -137,15 +137,15 @@
 }
 
 /// An answer that may be passed on.
-pub(super) struct Begun {
-    pub(super) answer: Answer,
-    pub(super) run: Run,
+pub(in crate::serving) struct Begun {
+    pub(in crate::serving) answer: Answer,
+    pub(in crate::serving) run: Run,
     /// Whether the replica says that it failed.
-    pub(super) failed: bool,
+    pub(in crate::serving) failed: bool,
 }
 
 /// Sends a request to a replica and waits for the head of its answer.
-pub(super) async fn forward(
+pub(in crate::serving) async fn forward(
     node: &Rc<Node>,
     held: &Held,
     replica: &ReplicaName,
@@ -198,8 +198,8 @@
     }
 }
 
-fn refused(node: &Node, held: &Held, run: &Run, why: super::border::NotRun) {
-    use super::border::NotRun;
+fn refused(node: &Node, held: &Held, run: &Run, why: crate::serving::path::border::NotRun) {
+    use crate::serving::path::border::NotRun;
     match why {
         NotRun::Gone => run.learn(End::Gone),
         NotRun::Full => run.learn(End::Full),
@@ -213,7 +213,7 @@
 }
 
 /// Notes that an upstream broke while it ran this request.
-pub(super) fn strike(node: &Node, held: &Held, replica: &Instance) {
+pub(in crate::serving) fn strike(node: &Node, held: &Held, replica: &Instance) {
     let news = node
         .beliefs()
         .strikes
@@ -251,7 +251,7 @@
 }
 
 /// Takes out the headers that concern only one connection.
-pub(super) fn strip_hop(headers: &mut HeaderMap) {
+pub(in crate::serving) fn strip_hop(headers: &mut HeaderMap) {
     let named: Vec<HeaderName> = headers
         .get_all(CONNECTION)
         .iter()
@@ -276,7 +276,7 @@
 }
 
 /// Takes out what the connection to a replica sets by itself.
-pub(super) fn strip_request(headers: &mut HeaderMap) {
+pub(in crate::serving) fn strip_request(headers: &mut HeaderMap) {
     strip_hop(headers);
     headers.remove(CONTENT_LENGTH);
     headers.remove("expect");
--- /dev/null
+++ b/lib/src/serving/path/mod.rs
@@ -0,0 +1,12 @@
+//! The path of a request: from its connection to the last byte of its answer.
+
+pub(super) mod border;
+pub(super) mod forward;
+pub(super) mod model;
+pub(super) mod pass;
+pub(super) mod places;
+pub(super) mod reading;
+pub(super) mod routes;
+pub(super) mod serve;
+pub(super) mod server;
+pub(super) mod waiting;
--- a/lib/src/serving/pass.rs
+++ b/lib/src/serving/path/pass.rs
@@ -16,23 +16,23 @@
 use hyper::body::Body;
 use hyper::body::Frame;
 
-use super::decide::Ended;
-use super::decide::Tries;
-use super::fleet::End;
-use super::forward::Begun;
-use super::forward::Held;
-use super::forward::strike;
-use super::node::Node;
-use super::node::Open;
-use super::node::instant;
-use super::node::now;
-use super::serve::Asked;
-use super::serve::again;
-use super::serve::count;
-use super::waiting::has_other_place;
 use crate::ids::ReplicaName;
 use crate::pool::Moment;
 use crate::pool::Span;
+use crate::serving::decisions::decide::Ended;
+use crate::serving::decisions::decide::Tries;
+use crate::serving::decisions::fleet::End;
+use crate::serving::path::forward::Begun;
+use crate::serving::path::forward::Held;
+use crate::serving::path::forward::strike;
+use crate::serving::path::serve::Asked;
+use crate::serving::path::serve::again;
+use crate::serving::path::serve::count;
+use crate::serving::path::waiting::has_other_place;
+use crate::serving::program::node::Node;
+use crate::serving::program::node::Open;
+use crate::serving::program::node::instant;
+use crate::serving::program::node::now;
 use crate::upstream::Scanner;
 
 /// After a silence of so many pauses that the route allows, a stream that may
@@ -41,7 +41,7 @@
 
 /// Why an answer breaks off; the caller's connection ends with it.
 #[derive(Debug)]
-pub(super) struct Broken(&'static str);
+pub(in crate::serving) struct Broken(&'static str);
 
 impl fmt::Display for Broken {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
@@ -52,15 +52,15 @@
 impl std::error::Error for Broken {}
 
 /// The body of an answer.
-pub(super) type AnswerBody = Pin<Box<dyn Body<Data = Bytes, Error = Broken>>>;
+pub(in crate::serving) type AnswerBody = Pin<Box<dyn Body<Data = Bytes, Error = Broken>>>;
 
 /// A body that is here.
-pub(super) fn whole(bytes: Bytes) -> AnswerBody {
+pub(in crate::serving) fn whole(bytes: Bytes) -> AnswerBody {
     Box::pin(Full::new(bytes).map_err(|e: Infallible| match e {}))
 }
 
 /// A body that still comes.
-pub(super) fn passing(passing: Passing) -> AnswerBody {
+pub(in crate::serving) fn passing(passing: Passing) -> AnswerBody {
     let pieces = unfold(passing, |mut p| async move {
         let piece = p.next().await?;
         Some((piece.map(Frame::data), p))
@@ -69,31 +69,31 @@
 }
 
 /// An answer that is passed on piece by piece.
-pub(super) struct Passing {
-    pub(super) node: Rc<Node>,
-    pub(super) asked: Rc<Asked>,
-    pub(super) held: Held,
-    pub(super) begun: Option<Begun>,
+pub(in crate::serving) struct Passing {
+    pub(in crate::serving) node: Rc<Node>,
+    pub(in crate::serving) asked: Rc<Asked>,
+    pub(in crate::serving) held: Held,
+    pub(in crate::serving) begun: Option<Begun>,
     /// Pieces that were read already.
-    pub(super) ahead: VecDeque<Bytes>,
-    pub(super) tries: Tries,
-    pub(super) avoid: BTreeSet<ReplicaName>,
+    pub(in crate::serving) ahead: VecDeque<Bytes>,
+    pub(in crate::serving) tries: Tries,
+    pub(in crate::serving) avoid: BTreeSet<ReplicaName>,
     /// Cuts a stream into whole events; `None` for other bodies.
-    pub(super) events: Option<Events>,
-    pub(super) timing: Timing,
-    pub(super) _open: Open,
+    pub(in crate::serving) events: Option<Events>,
+    pub(in crate::serving) timing: Timing,
+    pub(in crate::serving) _open: Open,
 }
 
 /// When the parts of an answer came.
-pub(super) struct Timing {
-    pub(super) arrived: Moment,
+pub(in crate::serving) struct Timing {
+    pub(in crate::serving) arrived: Moment,
     last: Option<Moment>,
     first: Span,
     longest: Span,
 }
 
 impl Timing {
-    pub(super) fn new(arrived: Moment) -> Self {
+    pub(in crate::serving) fn new(arrived: Moment) -> Self {
         Self {
             arrived,
             last: None,
@@ -113,7 +113,7 @@
 
 /// Where a stream is.
 #[derive(Default)]
-pub(super) struct Events {
+pub(in crate::serving) struct Events {
     scanner: Scanner,
     /// The last event that was passed on.
     last: Option<u64>,
@@ -201,7 +201,7 @@
 
     /// All of the answer was read ahead. The connection to the caller asks for
     /// no end of a body whose length it was told, so it is noted here.
-    pub(super) fn finish_read(&mut self) {
+    pub(in crate::serving) fn finish_read(&mut self) {
         if self.events.is_none() && self.finish().is_err() {
             slog::error!(self.node.log, "an answer without events was cut"; "id" => &self.held.id);
         }
--- a/lib/src/serving/places.rs
+++ b/lib/src/serving/path/places.rs
@@ -7,15 +7,15 @@
 use tokio::sync::oneshot;
 use wire::datagram::Body;
 
-use super::experiment::Mechanism;
-use super::fleet::Load;
-use super::flights;
-use super::forward::Held;
-use super::node::Node;
-use super::node::now;
-use super::peers::send;
 use crate::ids::ReplicaName;
 use crate::ids::VmName;
+use crate::serving::decisions::fleet::Load;
+use crate::serving::path::forward::Held;
+use crate::serving::peers::beacons::send;
+use crate::serving::peers::flights;
+use crate::serving::program::experiment::Mechanism;
+use crate::serving::program::node::Node;
+use crate::serving::program::node::now;
 
 /// How long an answer is waited for: owners are a millisecond or two away, and
 /// one that is lost or busy must not hold a request up.
@@ -23,7 +23,7 @@
 
 /// Whether a request may go to a replica, by its owner's word.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) enum Word {
+pub(in crate::serving) enum Word {
     /// It may, or there is nobody to ask.
     Go,
     /// The replica is busier than was believed, or lacks the adapter; what is
@@ -32,7 +32,7 @@
 }
 
 /// Asks whether a request may be sent to a replica.
-pub(super) async fn ask(node: &Node, held: &Held, replica: &ReplicaName) -> Word {
+pub(in crate::serving) async fn ask(node: &Node, held: &Held, replica: &ReplicaName) -> Word {
     let Some(target) = held.target.as_ref().filter(|t| t.adapter.is_some()) else {
         return Word::Go;
     };
@@ -91,7 +91,7 @@
 }
 
 /// A VM asks about a replica of ours.
-pub(super) async fn take_ask(node: &Node, ask: &wire::PlaceAsk) {
+pub(in crate::serving) async fn take_ask(node: &Node, ask: &wire::PlaceAsk) {
     let (Ok(name), Ok(vm)) = (ask.replica.parse::<ReplicaName>(), ask.vm.parse::<VmName>()) else {
         return;
     };
--- a/lib/src/serving/reading.rs
+++ b/lib/src/serving/path/reading.rs
@@ -7,23 +7,23 @@
 use prost::Message;
 use wire::datagram::Body;
 
-use super::experiment::Mechanism;
-use super::node::Node;
-use super::node::instant;
-use super::node::now;
-use super::node::until;
-use super::peers;
-use super::turns::LONGEST_WAIT;
-use super::turns::TurnId;
 use crate::ids::ReplicaName;
 use crate::ids::VmName;
 use crate::pool::Moment;
+use crate::serving::decisions::turns::LONGEST_WAIT;
+use crate::serving::decisions::turns::TurnId;
+use crate::serving::peers::beacons;
+use crate::serving::program::experiment::Mechanism;
+use crate::serving::program::node::Node;
+use crate::serving::program::node::instant;
+use crate::serving::program::node::now;
+use crate::serving::program::node::until;
 
 /// How long the task that gives turns sleeps without any to give.
 const IDLE: Duration = Duration::from_secs(1);
 
 /// A turn that was asked for; its owner hears of its end when it is dropped.
-pub(super) struct Turn {
+pub(in crate::serving) struct Turn {
     node: Rc<Node>,
     replica: ReplicaName,
     number: u64,
@@ -31,7 +31,7 @@
 
 /// Asks for a turn and waits for it, where prompts take turns and the replica
 /// has an owner that lives. After the longest wait the prompt is sent anyway.
-pub(super) async fn take_turn(
+pub(in crate::serving) async fn take_turn(
     node: &Rc<Node>,
     replica: &ReplicaName,
     number: u64,
@@ -104,11 +104,11 @@
         return;
     };
     let datagram = wire::Datagram { body: Some(body) };
-    peers::send(node, &datagram.encode_to_vec(), address).await;
+    beacons::send(node, &datagram.encode_to_vec(), address).await;
 }
 
 /// Gives turns at our replicas until the process ends.
-pub(super) async fn keep(node: Rc<Node>) {
+pub(in crate::serving) async fn keep(node: Rc<Node>) {
     loop {
         let (grants, wake) = {
             let mut b = node.beliefs();
@@ -131,7 +131,7 @@
 }
 
 /// A VM asks for a turn at one of our replicas.
-pub(super) fn take_ask(node: &Node, ask: &wire::TurnAsk) {
+pub(in crate::serving) fn take_ask(node: &Node, ask: &wire::TurnAsk) {
     let (Ok(vm), Ok(replica)) = (ask.vm.parse(), ask.replica.parse()) else {
         return;
     };
@@ -144,7 +144,7 @@
 }
 
 /// A VM's prompt was read.
-pub(super) fn take_end(node: &Node, end: &wire::TurnEnd) {
+pub(in crate::serving) fn take_end(node: &Node, end: &wire::TurnEnd) {
     let (Ok(vm), Ok(replica)) = (end.vm.parse(), end.replica.parse()) else {
         return;
     };
--- a/lib/src/serving/routes.rs
+++ b/lib/src/serving/path/routes.rs
@@ -5,8 +5,8 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::model::Route;
 use crate::ids::ServiceName;
+use crate::serving::path::model::Route;
 
 /// The routes of one configuration, by host.
 #[derive(Debug, Default)]
--- a/lib/src/serving/serve.rs
+++ b/lib/src/serving/path/serve.rs
@@ -23,40 +23,40 @@
 use hyper::header::RETRY_AFTER;
 use xxhash_rust::xxh3::Xxh3;
 
-use super::beliefs::Active;
-use super::decide::COME_BACK;
-use super::decide::Ended;
-use super::decide::Refusal;
-use super::decide::Tries;
-use super::fleet::End;
-use super::fleet::Load;
-use super::forward::Begun;
-use super::forward::Held;
-use super::forward::forward;
-use super::forward::strip_hop;
-use super::forward::strip_request;
-use super::model::Ask;
-use super::model::Instance;
-use super::model::Kind;
-use super::model::Route;
-use super::node::Node;
-use super::node::Open;
-use super::node::Phase;
-use super::node::instant;
-use super::node::now;
-use super::pass::AnswerBody;
-use super::pass::Events;
-use super::pass::Passing;
-use super::pass::Timing;
-use super::pass::passing;
-use super::pass::whole;
-use super::routes::pick_service;
-use super::waiting::find_place;
 use crate::ids::Fingerprint;
 use crate::ids::ReplicaName;
 use crate::ids::ServiceName;
 use crate::pool::Moment;
 use crate::pool::Span;
+use crate::serving::beliefs::state::Active;
+use crate::serving::decisions::decide::COME_BACK;
+use crate::serving::decisions::decide::Ended;
+use crate::serving::decisions::decide::Refusal;
+use crate::serving::decisions::decide::Tries;
+use crate::serving::decisions::fleet::End;
+use crate::serving::decisions::fleet::Load;
+use crate::serving::path::forward::Begun;
+use crate::serving::path::forward::Held;
+use crate::serving::path::forward::forward;
+use crate::serving::path::forward::strip_hop;
+use crate::serving::path::forward::strip_request;
+use crate::serving::path::model::Ask;
+use crate::serving::path::model::Instance;
+use crate::serving::path::model::Kind;
+use crate::serving::path::model::Route;
+use crate::serving::path::pass::AnswerBody;
+use crate::serving::path::pass::Events;
+use crate::serving::path::pass::Passing;
+use crate::serving::path::pass::Timing;
+use crate::serving::path::pass::passing;
+use crate::serving::path::pass::whole;
+use crate::serving::path::routes::pick_service;
+use crate::serving::path::waiting::find_place;
+use crate::serving::program::node::Node;
+use crate::serving::program::node::Open;
+use crate::serving::program::node::Phase;
+use crate::serving::program::node::instant;
+use crate::serving::program::node::now;
 
 /// The longest time that a caller waits who names none.
 const DEFAULT_PATIENCE: Duration = Duration::from_secs(30);
@@ -72,13 +72,16 @@
 const OUTPUT_PART: f64 = 0.6;
 
 /// A request with its route.
-pub(super) struct Asked {
-    pub(super) route: Rc<Route>,
-    pub(super) service: ServiceName,
+pub(in crate::serving) struct Asked {
+    pub(in crate::serving) route: Rc<Route>,
+    pub(in crate::serving) service: ServiceName,
 }
 
 /// Answers one request; refusals become answers too.
-pub(super) async fn serve(node: Rc<Node>, request: Request<Incoming>) -> Response<AnswerBody> {
+pub(in crate::serving) async fn serve(
+    node: Rc<Node>,
+    request: Request<Incoming>,
+) -> Response<AnswerBody> {
     let open = node.enter();
     let arrived = now();
     let ask = (node.border.read_ask)(request.headers());
@@ -306,7 +309,7 @@
             }
             Err(ended) => {
                 begun.run.learn(End::Broken);
-                super::forward::strike(node, &held, &begun.run.instance());
+                crate::serving::path::forward::strike(node, &held, &begun.run.instance());
                 tries.note(ended);
                 avoid.insert(begun.run.replica.clone());
                 drop(begun);
@@ -388,7 +391,7 @@
 }
 
 /// Tries other replicas after a try that ended so, and is noted already.
-pub(super) async fn again(
+pub(in crate::serving) async fn again(
     node: &Rc<Node>,
     asked: &Asked,
     held: &Held,
@@ -402,7 +405,7 @@
         if !tries.again(ended) {
             return Err(Refusal::after(tries, ended));
         }
-        if ended == Ended::NotRun(super::border::NotRun::Lacks) {
+        if ended == Ended::NotRun(crate::serving::path::border::NotRun::Lacks) {
             // Only a replica's word on an adapter was wrong, not the replica.
             avoid.clear();
         }
@@ -444,10 +447,10 @@
 }
 
 /// Counts the end of a request.
-pub(super) fn count(outcome: &'static str) {
+pub(in crate::serving) fn count(outcome: &'static str) {
     metrics::counter!("serve_requests_total", "outcome" => outcome).increment(1);
 }
 
-pub(super) fn span(d: Duration) -> Span {
+pub(in crate::serving) fn span(d: Duration) -> Span {
     Span(u64::try_from(d.as_micros()).unwrap_or(u64::MAX))
 }
--- a/lib/src/serving/server.rs
+++ b/lib/src/serving/path/server.rs
@@ -16,10 +16,10 @@
 use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 
-use super::node::Node;
-use super::node::Phase;
-use super::pass::whole;
-use super::serve::serve;
+use crate::serving::path::pass::whole;
+use crate::serving::path::serve::serve;
+use crate::serving::program::node::Node;
+use crate::serving::program::node::Phase;
 
 /// Connections that wait to be accepted.
 const BACKLOG: u32 = 1_024;
@@ -42,7 +42,7 @@
 /// # Errors
 ///
 /// When it cannot be listened on.
-pub(super) fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+pub(in crate::serving) fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
     let socket = match address {
         SocketAddr::V4(_) => TcpSocket::new_v4()?,
         SocketAddr::V6(_) => TcpSocket::new_v6()?,
@@ -53,7 +53,7 @@
 }
 
 /// Serves callers until the process ends.
-pub(super) async fn callers(node: Rc<Node>, listener: TcpListener) {
+pub(in crate::serving) async fn callers(node: Rc<Node>, listener: TcpListener) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
@@ -99,7 +99,7 @@
 }
 
 /// Answers the balancer until the process ends.
-pub(super) async fn readiness(node: Rc<Node>, listener: TcpListener) {
+pub(in crate::serving) async fn readiness(node: Rc<Node>, listener: TcpListener) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             tokio::time::sleep(ACCEPT_PAUSE).await;
--- a/lib/src/serving/waiting.rs
+++ b/lib/src/serving/path/waiting.rs
@@ -6,23 +6,23 @@
 
 use bytes::Bytes;
 
-use super::decide::COME_BACK;
-use super::decide::Refusal;
-use super::fleet::Place;
-use super::fleet::Want;
-use super::forward::Held;
-use super::node::Node;
-use super::node::Phase;
-use super::node::instant;
-use super::node::now;
-use super::peers;
-use super::places;
-use super::places::Word;
-use super::serve::Asked;
-use super::serve::span;
 use crate::ids::ReplicaName;
 use crate::pool::Moment;
 use crate::pool::Span;
+use crate::serving::decisions::decide::COME_BACK;
+use crate::serving::decisions::decide::Refusal;
+use crate::serving::decisions::fleet::Place;
+use crate::serving::decisions::fleet::Want;
+use crate::serving::path::forward::Held;
+use crate::serving::path::places;
+use crate::serving::path::places::Word;
+use crate::serving::path::serve::Asked;
+use crate::serving::path::serve::span;
+use crate::serving::peers::beacons;
+use crate::serving::program::node::Node;
+use crate::serving::program::node::Phase;
+use crate::serving::program::node::instant;
+use crate::serving::program::node::now;
 
 /// How often a wish for an adapter is repeated: datagrams get lost.
 const WISH_AGAIN: Duration = Duration::from_millis(150);
@@ -56,7 +56,7 @@
 /// Made for adapters that have to be loaded first and for replicas that are
 /// full for a moment. A request waits at most a third of the time that it has,
 /// so that a caller who is refused can still be served elsewhere.
-pub(super) async fn find_place(
+pub(in crate::serving) async fn find_place(
     node: &Rc<Node>,
     asked: &Asked,
     held: &Held,
@@ -78,7 +78,7 @@
         let (limit, refusal) = match place {
             Place::Send { at, copy } => {
                 if let (Some(copy), Some(target)) = (copy, &held.target) {
-                    peers::wish(node, &copy, target).await;
+                    beacons::wish(node, &copy, target).await;
                 }
                 if asks < MOST_ASKS && places::ask(node, held, &at).await == Word::LookAgain {
                     asks += 1;
@@ -96,7 +96,7 @@
                 let again = wished.is_none_or(|w| at.since(w) >= span(WISH_AGAIN));
                 if let (true, Some(target)) = (again, &held.target) {
                     wished = Some(at);
-                    peers::wish(node, &replica, target).await;
+                    beacons::wish(node, &replica, target).await;
                 }
                 (
                     load_limit,
@@ -164,7 +164,7 @@
 }
 
 /// Whether another replica could go on with a request at once.
-pub(super) fn has_other_place(
+pub(in crate::serving) fn has_other_place(
     node: &Node,
     asked: &Asked,
     held: &Held,
--- a/lib/src/serving/peers.rs
+++ b/lib/src/serving/peers/beacons.rs
@@ -1,4 +1,4 @@
-//! Datagrams between the VMs: beacons and wishes; [`super::flights`] has what
+//! Datagrams between the VMs: beacons and wishes; [`crate::serving::peers::flights`] has what
 //! they say of requests under way.
 
 use std::net::SocketAddr;
@@ -9,27 +9,27 @@
 use prost::Message;
 use wire::datagram::Body;
 
-use super::beliefs::Beliefs;
-use super::experiment::Mechanism;
-use super::fleet::Held;
-use super::flights;
-use super::follow;
-use super::members::Stamp;
-use super::model::Instance;
-use super::model::Target;
-use super::node::Node;
-use super::node::Phase;
-use super::node::now;
-use super::places;
-use super::reading;
-use super::relay;
-use super::renewal;
 use crate::ids::Fingerprint;
 use crate::ids::Incarnation;
 use crate::ids::ReplicaName;
 use crate::ids::VmName;
 use crate::pool::Moment;
 use crate::pool::Span;
+use crate::serving::beliefs::members::Stamp;
+use crate::serving::beliefs::state::Beliefs;
+use crate::serving::decisions::fleet::Held;
+use crate::serving::path::model::Instance;
+use crate::serving::path::model::Target;
+use crate::serving::path::places;
+use crate::serving::path::reading;
+use crate::serving::peers::flights;
+use crate::serving::peers::relay;
+use crate::serving::peers::renewal;
+use crate::serving::program::experiment::Mechanism;
+use crate::serving::program::node::Node;
+use crate::serving::program::node::Phase;
+use crate::serving::program::node::now;
+use crate::serving::store::follow;
 
 /// The least time between two beacons that carry news.
 const NEWS_PAUSE: Duration = Duration::from_millis(30);
@@ -42,7 +42,7 @@
 
 /// Tells all others what this VM owns and has seen break, and the owners of
 /// replicas what it has under way there.
-pub(super) async fn tell(node: Rc<Node>) {
+pub(in crate::serving) async fn tell(node: Rc<Node>) {
     let mut number = 0;
     let mut phase = node.phase();
     loop {
@@ -110,7 +110,7 @@
     }
 }
 
-pub(super) async fn send(node: &Node, bytes: &[u8], address: SocketAddr) {
+pub(in crate::serving) async fn send(node: &Node, bytes: &[u8], address: SocketAddr) {
     if let Err(e) = node.socket.send_to(bytes, address).await {
         // The next one makes it good.
         slog::debug!(node.log, "datagram not sent"; "to" => %address, "error" => %e);
@@ -190,7 +190,7 @@
     sendings
 }
 
-pub(super) fn encode(beacon: wire::Beacon) -> Vec<u8> {
+pub(in crate::serving) fn encode(beacon: wire::Beacon) -> Vec<u8> {
     let datagram = wire::Datagram {
         body: Some(Body::Beacon(Box::new(beacon))),
     };
@@ -219,7 +219,7 @@
 }
 
 /// Takes in datagrams until the process ends.
-pub(super) async fn hear(node: Rc<Node>) {
+pub(in crate::serving) async fn hear(node: Rc<Node>) {
     let mut buffer = vec![0; MOST_BYTES];
     loop {
         let (length, from) = match node.socket.recv_from(&mut buffer).await {
@@ -315,13 +315,13 @@
 }
 
 /// A start of a replica by its parts; `None` if that is no name.
-pub(super) fn instance(name: &str, born: u64) -> Option<Instance> {
+pub(in crate::serving) fn instance(name: &str, born: u64) -> Option<Instance> {
     let name = name.parse().ok()?;
     Some(Instance { name, born })
 }
 
 /// The replica that a word is about, if it has not started anew since.
-pub(super) fn current(b: &Beliefs, name: &str, born: u64) -> Option<ReplicaName> {
+pub(in crate::serving) fn current(b: &Beliefs, name: &str, born: u64) -> Option<ReplicaName> {
     let replica = instance(name, born)?;
     b.fleet.is_current(&replica).then_some(replica.name)
 }
@@ -352,7 +352,7 @@
 }
 
 /// Asks the owner of a replica to load an adapter there.
-pub(super) async fn wish(node: &Node, replica: &ReplicaName, target: &Target) {
+pub(in crate::serving) async fn wish(node: &Node, replica: &ReplicaName, target: &Target) {
     let address = {
         let mut b = node.beliefs();
         let Some(owner) = b.ownership.owner(replica).cloned() else {
--- a/lib/src/serving/flights.rs
+++ b/lib/src/serving/peers/flights.rs
@@ -11,19 +11,19 @@
 use prost::Message;
 use wire::datagram::Body;
 
-use super::beliefs::Beliefs;
-use super::beliefs::OwnUse;
-use super::experiment::Mechanism;
-use super::fleet::Load;
-use super::model::Target;
-use super::node::Node;
-use super::node::now;
-use super::peers::current;
-use super::peers::send;
 use crate::ids::Incarnation;
 use crate::ids::ReplicaName;
 use crate::ids::VmName;
 use crate::pool::Moment;
+use crate::serving::beliefs::state::Beliefs;
+use crate::serving::beliefs::state::OwnUse;
+use crate::serving::decisions::fleet::Load;
+use crate::serving::path::model::Target;
+use crate::serving::peers::beacons::current;
+use crate::serving::peers::beacons::send;
+use crate::serving::program::experiment::Mechanism;
+use crate::serving::program::node::Node;
+use crate::serving::program::node::now;
 
 /// The pause between two reports to the owners of replicas: a few engine steps,
 /// so that what is sent in one moment is told at once.
@@ -32,7 +32,7 @@
 /// Tells the owners of replicas soon what changed there of this VM's requests,
 /// until the process ends. What an owner tells all others is then older by its
 /// own beat only, and a burst at one VM is not added to by the others.
-pub(super) async fn report(node: Rc<Node>) {
+pub(in crate::serving) async fn report(node: Rc<Node>) {
     if !node.settings.experiment.runs(Mechanism::EarlyReports) {
         return;
     }
@@ -72,7 +72,11 @@
 
 /// All that this VM has under way, for each owner that it concerns; the counts
 /// of others lapse there.
-pub(super) fn all_reports(node: &Node, b: &mut Beliefs, now: Moment) -> Vec<(Vec<u8>, SocketAddr)> {
+pub(in crate::serving) fn all_reports(
+    node: &Node,
+    b: &mut Beliefs,
+    now: Moment,
+) -> Vec<(Vec<u8>, SocketAddr)> {
     let names = b.uses.keys().chain(b.fleet.to_report());
     let names = names.cloned().collect();
     let flights = by_owner(node, b, now, names);
@@ -84,7 +88,7 @@
 }
 
 /// What this VM has under way at some replicas, by their owners.
-pub(super) fn by_owner(
+pub(in crate::serving) fn by_owner(
     node: &Node,
     b: &mut Beliefs,
     now: Moment,
@@ -117,13 +121,21 @@
 }
 
 /// What all VMs have under way at a replica of ours.
-pub(super) fn load(b: &Beliefs, now: Moment, name: &ReplicaName) -> Option<wire::ReplicaLoad> {
+pub(in crate::serving) fn load(
+    b: &Beliefs,
+    now: Moment,
+    name: &ReplicaName,
+) -> Option<wire::ReplicaLoad> {
     let load = b.fleet.total(now, name)?;
     write_load(b, name, load)
 }
 
 /// A load at a replica, for other VMs.
-pub(super) fn write_load(b: &Beliefs, name: &ReplicaName, load: Load) -> Option<wire::ReplicaLoad> {
+pub(in crate::serving) fn write_load(
+    b: &Beliefs,
+    name: &ReplicaName,
+    load: Load,
+) -> Option<wire::ReplicaLoad> {
     Some(wire::ReplicaLoad {
         replica: name.to_string(),
         requests: load.requests,
@@ -143,7 +155,12 @@
 }
 
 /// An owner tells what all VMs have under way at its replica.
-pub(super) fn take_load(b: &mut Beliefs, now: Moment, vm: &VmName, load: &wire::ReplicaLoad) {
+pub(in crate::serving) fn take_load(
+    b: &mut Beliefs,
+    now: Moment,
+    vm: &VmName,
+    load: &wire::ReplicaLoad,
+) {
     let name = load.replica.parse::<ReplicaName>();
     if name.is_ok_and(|name| b.ownership.owner(&name) == Some(vm)) {
         take_total(b, now, load);
@@ -151,7 +168,7 @@
 }
 
 /// The owner of a replica says what all VMs have under way there.
-pub(super) fn take_total(b: &mut Beliefs, now: Moment, load: &wire::ReplicaLoad) {
+pub(in crate::serving) fn take_total(b: &mut Beliefs, now: Moment, load: &wire::ReplicaLoad) {
     if let Some(name) = current(b, &load.replica, load.born) {
         let total = Load {
             requests: load.requests,
@@ -163,7 +180,7 @@
 }
 
 /// A VM tells what changed of its requests at replicas of ours.
-pub(super) fn take_report(node: &Node, report: &wire::FlightReport) {
+pub(in crate::serving) fn take_report(node: &Node, report: &wire::FlightReport) {
     let Ok(vm) = report.vm.parse::<VmName>() else {
         return;
     };
@@ -184,7 +201,12 @@
 }
 
 /// A VM tells all that it has under way at replicas of ours.
-pub(super) fn take_all(b: &mut Beliefs, now: Moment, vm: &VmName, flights: &[wire::Flight]) {
+pub(in crate::serving) fn take_all(
+    b: &mut Beliefs,
+    now: Moment,
+    vm: &VmName,
+    flights: &[wire::Flight],
+) {
     let counts = read_flights(b, now, vm, flights);
     b.fleet.hear_counts(now, vm, &counts);
 }
--- a/lib/src/serving/relay.rs
+++ b/lib/src/serving/peers/relay.rs
@@ -6,14 +6,14 @@
 use prost::Message;
 use wire::datagram::Body;
 
-use super::beliefs::Beliefs;
-use super::peers::encode;
 use crate::ids::VmName;
 use crate::pool::Moment;
+use crate::serving::beliefs::state::Beliefs;
+use crate::serving::peers::beacons::encode;
 
 /// The datagrams of a beat: what this VM tells goes to each VM of its zone,
 /// with what is to be passed on there, and to one VM in each other zone.
-pub(super) fn sendings(
+pub(in crate::serving) fn sendings(
     b: &mut Beliefs,
     now: Moment,
     told: wire::Beacon,
@@ -37,7 +37,7 @@
 
 /// A beacon is to be passed on with our next beat; a newer one of the same VM
 /// takes its place.
-pub(super) fn keep(b: &mut Beliefs, vm: VmName, mut beacon: wire::Beacon) {
+pub(in crate::serving) fn keep(b: &mut Beliefs, vm: VmName, mut beacon: wire::Beacon) {
     beacon.pass_on = false;
     b.passing.insert(vm, beacon);
 }
--- a/lib/src/serving/renewal.rs
+++ b/lib/src/serving/peers/renewal.rs
@@ -6,18 +6,18 @@
 
 use banyangauge_proto as wire;
 
-use super::beliefs::Beliefs;
-use super::feed::Told;
-use super::follow;
-use super::follow::limited;
-use super::news::News;
-use super::news::take_own;
-use super::node::Node;
-use super::node::now;
-use super::store::Freshness;
 use crate::ids::VmName;
 use crate::platform::PlatformError;
 use crate::pool::Moment;
+use crate::serving::beliefs::feed::Told;
+use crate::serving::beliefs::state::Beliefs;
+use crate::serving::program::node::Node;
+use crate::serving::program::node::now;
+use crate::serving::store::follow;
+use crate::serving::store::follow::limited;
+use crate::serving::store::news::News;
+use crate::serving::store::news::take_own;
+use crate::serving::store::port::Freshness;
 
 /// How often it is looked whether to ask.
 const LOOK: Duration = Duration::from_millis(100);
@@ -30,7 +30,7 @@
 const NO_WAIT: Duration = Duration::from_millis(1);
 
 /// Asks the store as long as the process lives.
-pub(super) async fn renew(node: Rc<Node>) {
+pub(in crate::serving) async fn renew(node: Rc<Node>) {
     if node.settings.fenced {
         return;
     }
@@ -107,7 +107,7 @@
 }
 
 /// What is told a VM of its last beacon.
-pub(super) fn echo(node: &Node, b: &Beliefs, vm: &VmName) -> Option<wire::Echo> {
+pub(in crate::serving) fn echo(node: &Node, b: &Beliefs, vm: &VmName) -> Option<wire::Echo> {
     if node.settings.fenced {
         return None;
     }
@@ -120,7 +120,13 @@
 }
 
 /// Takes what a beacon says of the owner table and of our own beacons.
-pub(super) fn take(node: &Node, b: &mut Beliefs, at: Moment, vm: &VmName, beacon: &wire::Beacon) {
+pub(in crate::serving) fn take(
+    node: &Node,
+    b: &mut Beliefs,
+    at: Moment,
+    vm: &VmName,
+    beacon: &wire::Beacon,
+) {
     let newer = beacon.owners > 0 && b.ownership.hear(at, vm, beacon.owners);
     // Where replicas check fences the news of the store is soon enough.
     if newer && !node.settings.fenced {
--- a/lib/src/serving/node.rs
+++ b/lib/src/serving/program/node.rs
@@ -13,18 +13,18 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
-use super::beliefs::Beliefs;
-use super::border::Border;
-use super::settings::ServeSettings;
-use super::store::Store;
 use crate::control;
 use crate::ids::Incarnation;
 use crate::pool::Moment;
+use crate::serving::beliefs::state::Beliefs;
+use crate::serving::path::border::Border;
+use crate::serving::program::settings::ServeSettings;
+use crate::serving::store::port::Store;
 use crate::upstream::Upstreams;
 
 /// How far the process is in stopping.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub(super) enum Phase {
+pub(in crate::serving) enum Phase {
     /// It serves.
     Serving,
     /// It says that it is not ready, and serves what still comes.
@@ -34,26 +34,26 @@
 }
 
 /// One VM of the serving path.
-pub(super) struct Node {
-    pub(super) settings: ServeSettings,
-    pub(super) border: Border,
-    pub(super) store: Store,
-    pub(super) upstreams: Upstreams,
-    pub(super) log: slog::Logger,
-    pub(super) incarnation: Incarnation,
+pub(in crate::serving) struct Node {
+    pub(in crate::serving) settings: ServeSettings,
+    pub(in crate::serving) border: Border,
+    pub(in crate::serving) store: Store,
+    pub(in crate::serving) upstreams: Upstreams,
+    pub(in crate::serving) log: slog::Logger,
+    pub(in crate::serving) incarnation: Incarnation,
     /// Wakes requests that wait for a place.
-    pub(super) changed: Notify,
+    pub(in crate::serving) changed: Notify,
     /// Wakes the task that gives orders.
-    pub(super) orders: Notify,
+    pub(in crate::serving) orders: Notify,
     /// Wakes the followers of the store that miss changes.
-    pub(super) asks: Notify,
+    pub(in crate::serving) asks: Notify,
     /// Wakes the task that reads the owner table anew.
-    pub(super) reread: Notify,
+    pub(in crate::serving) reread: Notify,
     /// Datagrams to and from the other VMs.
-    pub(super) socket: UdpSocket,
+    pub(in crate::serving) socket: UdpSocket,
     /// Wakes the task that tells the peers.
-    pub(super) news: Notify,
-    pub(super) phase: watch::Sender<Phase>,
+    pub(in crate::serving) news: Notify,
+    pub(in crate::serving) phase: watch::Sender<Phase>,
     beliefs: RefCell<Beliefs>,
     numbers: Cell<u64>,
     open: Cell<usize>,
@@ -62,11 +62,11 @@
     /// Questions to owners of replicas that wait for an answer, by number.
     answers: RefCell<BTreeMap<u64, oneshot::Sender<wire::PlaceAnswer>>>,
     /// Wakes the task that gives turns.
-    pub(super) turn_news: Notify,
+    pub(in crate::serving) turn_news: Notify,
 }
 
 impl Node {
-    pub(super) fn new(
+    pub(in crate::serving) fn new(
         settings: ServeSettings,
         border: Border,
         store: Store,
@@ -101,70 +101,74 @@
     }
 
     /// The beliefs; never held across an await.
-    pub(super) fn beliefs(&self) -> RefMut<'_, Beliefs> {
+    pub(in crate::serving) fn beliefs(&self) -> RefMut<'_, Beliefs> {
         self.beliefs.borrow_mut()
     }
 
     /// A number that is used once.
-    pub(super) fn number(&self) -> u64 {
+    pub(in crate::serving) fn number(&self) -> u64 {
         self.numbers.set(self.numbers.get() + 1);
         self.numbers.get()
     }
 
-    pub(super) fn phase(&self) -> Phase {
+    pub(in crate::serving) fn phase(&self) -> Phase {
         *self.phase.borrow()
     }
 
     /// Waits for a turn; the receiver hears of it.
-    pub(super) fn await_turn(&self, number: u64) -> oneshot::Receiver<()> {
+    pub(in crate::serving) fn await_turn(&self, number: u64) -> oneshot::Receiver<()> {
         let (sender, receiver) = oneshot::channel();
         self.turns.borrow_mut().insert(number, sender);
         receiver
     }
 
     /// It is the turn of a run; one that waits no more is passed over.
-    pub(super) fn grant_turn(&self, number: u64) {
+    pub(in crate::serving) fn grant_turn(&self, number: u64) {
         if let Some(sender) = self.turns.borrow_mut().remove(&number) {
             sender.send(()).ok();
         }
     }
 
     /// A run waits no more.
-    pub(super) fn forget_turn(&self, number: u64) {
+    pub(in crate::serving) fn forget_turn(&self, number: u64) {
         self.turns.borrow_mut().remove(&number);
     }
 
     /// An answer of a replica's owner goes to this sender.
-    pub(super) fn await_answer(&self, number: u64, sender: oneshot::Sender<wire::PlaceAnswer>) {
+    pub(in crate::serving) fn await_answer(
+        &self,
+        number: u64,
+        sender: oneshot::Sender<wire::PlaceAnswer>,
+    ) {
         self.answers.borrow_mut().insert(number, sender);
     }
 
     /// A replica's owner answered; one that came too late is dropped.
-    pub(super) fn take_answer(&self, answer: wire::PlaceAnswer) {
+    pub(in crate::serving) fn take_answer(&self, answer: wire::PlaceAnswer) {
         if let Some(sender) = self.answers.borrow_mut().remove(&answer.number) {
             sender.send(answer).ok();
         }
     }
 
     /// An answer is waited for no more.
-    pub(super) fn forget_answer(&self, number: u64) {
+    pub(in crate::serving) fn forget_answer(&self, number: u64) {
         self.answers.borrow_mut().remove(&number);
     }
 
     /// Counts a request that is under way, until the guard is dropped.
-    pub(super) fn enter(self: &std::rc::Rc<Self>) -> Open {
+    pub(in crate::serving) fn enter(self: &std::rc::Rc<Self>) -> Open {
         self.open.set(self.open.get() + 1);
         Open(self.clone())
     }
 
     /// Requests under way.
-    pub(super) fn open(&self) -> usize {
+    pub(in crate::serving) fn open(&self) -> usize {
         self.open.get()
     }
 }
 
 /// A request that is under way.
-pub(super) struct Open(std::rc::Rc<Node>);
+pub(in crate::serving) struct Open(std::rc::Rc<Node>);
 
 impl Drop for Open {
     fn drop(&mut self) {
@@ -180,16 +184,16 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 
 /// Now, on the clock that counts suspension.
-pub(super) fn now() -> Moment {
+pub(in crate::serving) fn now() -> Moment {
     control::now()
 }
 
 /// The timer's instant for a moment.
-pub(super) fn instant(at: Moment) -> Instant {
+pub(in crate::serving) fn instant(at: Moment) -> Instant {
     Instant::now() + Duration::from_micros(at.since(now()).0)
 }
 
 /// How long until a moment.
-pub(super) fn until(at: Moment) -> Duration {
+pub(in crate::serving) fn until(at: Moment) -> Duration {
     Duration::from_micros(at.since(now()).0)
 }
--- a/lib/src/serving/ordering.rs
+++ b/lib/src/serving/program/ordering.rs
@@ -7,20 +7,20 @@
 use hyper::Request;
 use hyper::StatusCode;
 
-use super::books::OrderEnd;
-use super::books::Report;
-use super::books::Step;
-use super::books::Took;
-use super::border::Order;
-use super::experiment::Mechanism;
-use super::node::Node;
-use super::node::Phase;
-use super::node::now;
-use super::node::until;
 use crate::ids::ReplicaName;
 use crate::ids::Token;
 use crate::pool::Moment;
 use crate::pool::Span;
+use crate::serving::decisions::books::OrderEnd;
+use crate::serving::decisions::books::Report;
+use crate::serving::decisions::books::Step;
+use crate::serving::decisions::books::Took;
+use crate::serving::path::border::Order;
+use crate::serving::program::experiment::Mechanism;
+use crate::serving::program::node::Node;
+use crate::serving::program::node::Phase;
+use crate::serving::program::node::now;
+use crate::serving::program::node::until;
 use crate::upstream::Parts;
 use crate::upstream::collect;
 
@@ -58,7 +58,7 @@
 const SUSPENDED: Span = Span::from_millis(1_200);
 
 /// Gives orders until the process ends.
-pub(super) async fn order(node: Rc<Node>) {
+pub(in crate::serving) async fn order(node: Rc<Node>) {
     let mut last = now();
     loop {
         let at = now();
--- a/lib/src/serving/settings.rs
+++ b/lib/src/serving/program/settings.rs
@@ -5,10 +5,10 @@
 
 use bon::Builder;
 
-use super::budget::BudgetLimits;
-use super::experiment::Experiment;
 use crate::ids::VmName;
 use crate::ids::ZoneName;
+use crate::serving::decisions::budget::BudgetLimits;
+use crate::serving::program::experiment::Experiment;
 
 /// The settings of the serving process.
 #[derive(Builder, Clone, Debug)]
--- a/lib/src/serving/follow.rs
+++ b/lib/src/serving/store/follow.rs
@@ -7,25 +7,25 @@
 use banyangauge_proto as wire;
 use serde_json::value::RawValue;
 
-use super::beliefs::Beliefs;
-use super::feed::Next;
-use super::feed::Rhythm;
-use super::feed::Said;
-use super::feed::Told;
-use super::feed::Topic;
-use super::news;
-use super::news::News;
-use super::node::Node;
-use super::node::instant;
-use super::node::now;
-use super::pack::unpack;
-use super::settings::ServeSettings;
-use super::store::Freshness;
-use super::store::Item;
 use crate::ids::VmName;
 use crate::platform::PlatformError;
 use crate::pool::Moment;
 use crate::pool::Span;
+use crate::serving::beliefs::feed::Next;
+use crate::serving::beliefs::feed::Rhythm;
+use crate::serving::beliefs::feed::Said;
+use crate::serving::beliefs::feed::Told;
+use crate::serving::beliefs::feed::Topic;
+use crate::serving::beliefs::state::Beliefs;
+use crate::serving::peers::pack::unpack;
+use crate::serving::program::node::Node;
+use crate::serving::program::node::instant;
+use crate::serving::program::node::now;
+use crate::serving::program::settings::ServeSettings;
+use crate::serving::store::news;
+use crate::serving::store::news::News;
+use crate::serving::store::port::Freshness;
+use crate::serving::store::port::Item;
 
 /// How much longer than it should a call may take; the store answers in
 /// milliseconds.
@@ -48,7 +48,7 @@
 const OWN_BOUND: Span = Span::from_millis(6_000);
 
 /// How a topic is asked about.
-pub(super) fn rhythm(settings: &ServeSettings, topic: Topic) -> Rhythm {
+pub(in crate::serving) fn rhythm(settings: &ServeSettings, topic: Topic) -> Rhythm {
     let span = |d: Duration| Span(u64::try_from(d.as_micros()).unwrap_or(u64::MAX));
     let millis = Duration::from_millis;
     match topic {
@@ -108,7 +108,7 @@
 }
 
 /// Follows a topic until the process ends.
-pub(super) async fn follow(node: Rc<Node>, topic: Topic) {
+pub(in crate::serving) async fn follow(node: Rc<Node>, topic: Topic) {
     loop {
         let at = now();
         let (next, rank) = {
@@ -254,7 +254,7 @@
 }
 
 /// Takes what another VM tells of the store in its beacon.
-pub(super) fn hear(node: &Node, at: Moment, told: &[wire::StoreNews], vm: &VmName) {
+pub(in crate::serving) fn hear(node: &Node, at: Moment, told: &[wire::StoreNews], vm: &VmName) {
     for news in told {
         let Some(topic) = Topic::of_number(news.topic) else {
             continue;
@@ -306,7 +306,7 @@
 }
 
 /// What this VM tells the others of the store.
-pub(super) fn tell(node: &Node, b: &mut Beliefs, at: Moment) -> Vec<wire::StoreNews> {
+pub(in crate::serving) fn tell(node: &Node, b: &mut Beliefs, at: Moment) -> Vec<wire::StoreNews> {
     let said = |topic: Topic| {
         let rank = b.asking_rank(at, &node.settings, topic);
         let said = b.feeds.get(topic).tell(at, rank)?;
@@ -336,7 +336,7 @@
 }
 
 /// Reads a kind whole.
-pub(super) async fn list(
+pub(in crate::serving) async fn list(
     node: &Node,
     kind: &'static str,
     freshness: Freshness,
@@ -367,13 +367,13 @@
     }
 }
 
-pub(super) fn count_call(kind: &'static str, done: bool) {
+pub(in crate::serving) fn count_call(kind: &'static str, done: bool) {
     let outcome = if done { "done" } else { "failed" };
     metrics::counter!("serve_store_calls_total", "kind" => kind, "outcome" => outcome).increment(1);
 }
 
 /// A call with a time limit; what it did is not known after it.
-pub(super) async fn limited<T>(
+pub(in crate::serving) async fn limited<T>(
     time: Duration,
     call: impl Future<Output = Result<T, PlatformError>>,
 ) -> Result<T, PlatformError> {
@@ -382,10 +382,10 @@
 }
 
 /// The time limit of a short call.
-pub(super) const SHORT_CALL: Duration = CALL_MARGIN;
+pub(in crate::serving) const SHORT_CALL: Duration = CALL_MARGIN;
 
 /// Drops replicas that did not come back after an outage.
-pub(super) fn drop_lapsed(node: &Node) {
+pub(in crate::serving) fn drop_lapsed(node: &Node) {
     let gone = node.beliefs().fleet.drop_lapsed(now());
     for name in gone {
         slog::info!(node.log, "replica gone"; "replica" => name.as_str(), "why" => "lapsed");
--- a/lib/src/serving/news.rs
+++ b/lib/src/serving/store/news.rs
@@ -5,35 +5,35 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use super::feed::Told;
-use super::model::Instance;
-use super::model::Listing;
-use super::node::Node;
-use super::node::now;
-use super::store::Item;
-use super::table::Table;
 use crate::ids::ReplicaName;
 use crate::ids::VmName;
 use crate::ids::ZoneName;
+use crate::serving::beliefs::feed::Told;
+use crate::serving::beliefs::table::Table;
+use crate::serving::path::model::Instance;
+use crate::serving::path::model::Listing;
+use crate::serving::program::node::Node;
+use crate::serving::program::node::now;
+use crate::serving::store::port::Item;
 
 /// The name of the owner table in the store.
-pub(super) const OWNERS: &str = "owners";
+pub(in crate::serving) const OWNERS: &str = "owners";
 
 /// What the names of VMs' entries begin with.
-pub(super) const VM_PREFIX: &str = "vm.";
+pub(in crate::serving) const VM_PREFIX: &str = "vm.";
 
 /// A VM's entry in the store.
 #[derive(Deserialize, Serialize)]
-pub(super) struct VmEntry {
-    pub(super) vm: VmName,
-    pub(super) address: SocketAddr,
+pub(in crate::serving) struct VmEntry {
+    pub(in crate::serving) vm: VmName,
+    pub(in crate::serving) address: SocketAddr,
     /// Its availability zone; entries of before had none.
     #[serde(default)]
-    pub(super) zone: Option<ZoneName>,
+    pub(in crate::serving) zone: Option<ZoneName>,
 }
 
 /// What a follower hears of the store.
-pub(super) enum News<'a> {
+pub(in crate::serving) enum News<'a> {
     /// All objects of a topic.
     All(&'a [Item]),
     /// One object changed, or was removed.
@@ -52,7 +52,7 @@
 }
 
 /// Takes a configuration; the operator replaces it and never takes it away.
-pub(super) fn take_config(node: &Node, news: &News<'_>) -> bool {
+pub(in crate::serving) fn take_config(node: &Node, news: &News<'_>) -> bool {
     for item in news.items() {
         match (node.border.read_config)(item) {
             Ok(config) => {
@@ -70,7 +70,7 @@
 
 /// Takes entries of replicas; gives whether one says more than which adapters
 /// it holds.
-pub(super) fn take_replicas(node: &Node, news: &News<'_>) -> bool {
+pub(in crate::serving) fn take_replicas(node: &Node, news: &News<'_>) -> bool {
     let at = now();
     let read = |item: &Item| {
         let listing = (node.border.read_listing)(item);
@@ -133,7 +133,7 @@
 }
 
 /// The other VMs hear at once of a replica that this VM read to be leaving.
-pub(super) fn tell_leaving(node: &Node, told: &Told) {
+pub(in crate::serving) fn tell_leaving(node: &Node, told: &Told) {
     let Ok(name) = told.item.name.parse::<ReplicaName>() else {
         return;
     };
@@ -149,7 +149,7 @@
 }
 
 /// Takes announced versions.
-pub(super) fn take_versions(node: &Node, news: &News<'_>) -> bool {
+pub(in crate::serving) fn take_versions(node: &Node, news: &News<'_>) -> bool {
     for item in news.items() {
         match (node.border.read_announced)(item) {
             Ok(a) => {
@@ -166,7 +166,7 @@
 }
 
 /// Takes our own objects: VMs and the owner table.
-pub(super) fn take_own(node: &Node, news: &News<'_>) -> bool {
+pub(in crate::serving) fn take_own(node: &Node, news: &News<'_>) -> bool {
     news.items().iter().for_each(|i| take_own_item(node, i));
     if let News::One(told) = news
         && told.removed
