news: a replica that leaves is told to all, also by who was told before

A VM that reads of it tells all at once by datagram; the one that asks the store for all, told so before its own answer came, found nothing new in that answer and kept nothing to tell; whoever lost the one datagram never heard, though its knowledge passed for young.

Change: an entry that says that its replica is leaving is always told on.

--- a/lib/src/serving/decisions/fleet/mod.rs
+++ b/lib/src/serving/decisions/fleet/mod.rs
@@ -247,8 +247,13 @@
     }
 
     /// Whether an entry says more than is known, beside which adapters the
-    /// replica holds: of those its owner tells.
+    /// replica holds: of those its owner tells. One that says that its replica
+    /// is leaving always does: this VM may have heard that from another already,
+    /// which not all have.
     pub fn is_news(&self, listing: &Listing) -> bool {
+        if listing.draining {
+            return true;
+        }
         let Some(old) = self.listing(&listing.name) else {
             return true;
         };
--- a/lib/tests/test_serving_place.rs
+++ b/lib/tests/test_serving_place.rs
@@ -16,6 +16,7 @@
 use banyangauge::serving::Engine;
 use banyangauge::serving::Experiment;
 use banyangauge::serving::Fleet;
+use banyangauge::serving::Instance;
 use banyangauge::serving::Limits;
 use banyangauge::serving::Listing;
 use banyangauge::serving::Load;
@@ -575,3 +576,34 @@
     }
     assert_eq!(scene.sent(at(1_500), "llm", Some("base/x")), expected);
 }
+
+/// A VM that was told that a replica is leaving, before it reads so itself,
+/// tells all others all the same: not all have been told.
+#[rstest]
+#[case::told(true)]
+#[case::not_told(false)]
+fn leaving_is_news_to_the_others(#[case] told: bool) {
+    let mut a = listing("i-a", "llm", "z-a", &["base"]);
+    let mut scene = Scene::new(&[a.clone()]);
+    assert!(!scene.fleet.is_news(&a));
+    let replica = Instance {
+        name: a.name.clone(),
+        born: a.born,
+    };
+    if told {
+        assert!(scene.fleet.leave(&replica));
+    }
+    a.draining = true;
+    assert!(scene.fleet.is_news(&a));
+}
+
+/// What a replica holds is told by its owner, and is no news of the store.
+#[test]
+fn adapters_are_no_news_of_the_store() {
+    let a = listing("i-a", "llm", "z-a", &["base"]);
+    let scene = Scene::new(&[a]);
+    let loaded = listing("i-a", "llm", "z-a", &["base", "base/x"]);
+    assert!(!scene.fleet.is_news(&loaded));
+    let moved = listing("i-a", "llm", "z-b", &["base"]);
+    assert!(scene.fleet.is_news(&moved));
+}
