usage: a stopping process takes no more reports once its last copy goes out

Change: the store of counters is closed before the last copy goes out, with its lock held; a report that comes later is refused as unavailable, and its entry reports to another process.

Tests: take_refused_by_a_stopping_process (calls what is new, not run on the code before); the reply of `take` is optional now.

--- a/lib/src/control/feed.rs
+++ b/lib/src/control/feed.rs
@@ -56,6 +56,7 @@
         request: Request<wire::UsageReport>,
     ) -> Result<Response<wire::UsageReply>, Status> {
         let reply = self.shared.board.usage.take(request.into_inner());
+        let reply = reply.ok_or_else(|| Status::unavailable("stopping"))?;
         Ok(Response::new(reply))
     }
 }
--- a/lib/src/control/usage/mod.rs
+++ b/lib/src/control/usage/mod.rs
@@ -65,6 +65,7 @@
         () = hold_all(&shared, &store) => {}
         () = flush_all(&shared, &store, every) => {}
     }
+    store.close();
     // What the last write cannot bring to the platform, the peer holds: also
     // what was reported since it last heard.
     let last = async { tokio::join!(flush(&shared, &store, SILENCE), hold_last(&shared, &store)) };
--- a/lib/src/control/usage/store.rs
+++ b/lib/src/control/usage/store.rs
@@ -6,6 +6,8 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use banyangauge_proto as wire;
@@ -80,6 +82,8 @@
 #[derive(Clone, Debug)]
 pub struct Store {
     accounts: Arc<Mutex<Accounts>>,
+    /// Whether reports are taken no more; changed with the accounts locked.
+    closed: Arc<AtomicBool>,
     pub(super) wake: Arc<Notify>,
 }
 
@@ -87,6 +91,7 @@
     pub(in crate::control) fn new() -> Self {
         Self {
             accounts: Arc::default(),
+            closed: Arc::default(),
             wake: Arc::default(),
         }
     }
@@ -98,22 +103,38 @@
     /// Whoever takes a report writes it to the platform and has a peer hold a
     /// copy, also when the entry runs on another VM whose control process is
     /// down.
-    pub fn take(&self, report: wire::UsageReport) -> wire::UsageReply {
-        self.add(report, true)
+    ///
+    /// `None` once the process stops: what it would take now, nobody would write.
+    pub fn take(&self, report: wire::UsageReport) -> Option<wire::UsageReply> {
+        let accounts = self.lock();
+        if self.closed.load(Ordering::Relaxed) {
+            return None;
+        }
+        Some(self.add(accounts, report, true))
+    }
+
+    /// Takes no more reports: the last copy goes to the peer.
+    pub(super) fn close(&self) {
+        let _accounts = self.lock();
+        self.closed.store(true, Ordering::Relaxed);
     }
 
     /// Holds a copy for the peer that took the report; it is written here only
     /// when that peer falls silent.
     pub fn hold(&self, report: wire::UsageReport) -> wire::UsageReply {
-        self.add(report, false)
+        self.add(self.lock(), report, false)
     }
 
-    fn add(&self, report: wire::UsageReport, direct: bool) -> wire::UsageReply {
+    fn add(
+        &self,
+        mut accounts: MutexGuard<'_, Accounts>,
+        report: wire::UsageReport,
+        direct: bool,
+    ) -> wire::UsageReply {
         let source = Source {
             vm: report.vm,
             incarnation: report.incarnation,
         };
-        let mut accounts = self.lock();
         let account = accounts.entry(source).or_insert_with(Account::new);
         account.heard = Instant::now();
         account.direct |= direct;
--- a/lib/tests/test_usage_store.rs
+++ b/lib/tests/test_usage_store.rs
@@ -47,9 +47,27 @@
 async fn take_lower_sequence_changes_nothing() {
     let (_running, platform) = rig::platform().await;
     let store = rig::shared("vm-1", &platform, &[]).board.usage.clone();
-    assert_eq!(store.take(report("vm-1", 5, &[("rosters", 3)])).sequence, 5);
-    assert_eq!(store.take(report("vm-1", 5, &[("rosters", 9)])).sequence, 5);
-    assert_eq!(store.take(report("vm-1", 4, &[("rosters", 9)])).sequence, 5);
+    assert_eq!(
+        store
+            .take(report("vm-1", 5, &[("rosters", 3)]))
+            .unwrap()
+            .sequence,
+        5
+    );
+    assert_eq!(
+        store
+            .take(report("vm-1", 5, &[("rosters", 9)]))
+            .unwrap()
+            .sequence,
+        5
+    );
+    assert_eq!(
+        store
+            .take(report("vm-1", 4, &[("rosters", 9)]))
+            .unwrap()
+            .sequence,
+        5
+    );
     // A higher report may leave out what did not rise, and never lowers.
     store.take(report("vm-1", 6, &[("dryers", 1), ("rosters", 2)]));
     let sums = totals(&store.counts());
@@ -190,3 +208,17 @@
     usage::flush(&holder, &holder.board.usage, Duration::ZERO).await;
     assert_eq!(sum(&platform, "rosters").await, 5);
 }
+
+/// What a stopping process would take after its last copy went to the peer,
+/// nobody would write: its entry reports it to another.
+#[tokio::test]
+async fn take_refused_by_a_stopping_process() {
+    let (_running, platform) = rig::platform().await;
+    let shared = rig::shared("vm-1", &platform, &[]);
+    let store = shared.board.usage.clone();
+    assert!(store.take(report("vm-1", 1, &[("rosters", 3)])).is_some());
+    shared.board.stopping.send_replace(true);
+    usage::run(shared.clone(), store.clone(), usage_every()).await;
+    assert!(store.take(report("vm-1", 2, &[("rosters", 5)])).is_none());
+    assert_eq!(sum(&platform, "rosters").await, 3);
+}
