--- a/lib/src/serving/decisions/fleet/place.rs
+++ b/lib/src/serving/decisions/fleet/place.rs
@@ -50,7 +50,7 @@
 /// with less its requests are in time all the same, and a copy takes the place
 /// of another adapter and a fetch. Measured on three small deployments and a
 /// fifth of a large one, at high load and with trouble, ten runs each: what
-/// callers got less what it cost, of what was owed: 0.566 -> 0.593 with 0.6 s
+/// callers got less what it cost, of what was owed: 0.559 -> 0.593 with 0.6 s
 /// in place of 0.25 s and a longer slack of owners, 0.587 with 0.9 s.
 const COPY_PART: f64 = 0.75;
 
--- a/lib/src/serving/peers/pack.rs
+++ b/lib/src/serving/peers/pack.rs
@@ -11,8 +11,11 @@
 /// most.
 const MOST_BYTES: u64 = 1 << 20;
 
-/// Packs a text: the copies of a configuration of 13 KB for the 38 other VMs of
-/// a zone fill a link of 20 Mbit/s for 0.2 s, and were lost.
+/// Packs a text. Unpacked, the copies of a configuration of 6 KB for the 38
+/// other VMs of a zone take a link of 20 Mbit/s for 0.09 s, and most were lost
+/// beside all else: 175 of 195 VMs then read it from the store by themselves, in
+/// one day at that size; packed, the day's calls to the store fell from 2,366 to
+/// 1,589.
 ///
 /// ```
 /// use banyangauge::serving::{pack, unpack};
