--- a/lib/tests/test_serving_feed.rs
+++ b/lib/tests/test_serving_feed.rs
@@ -328,3 +328,27 @@
     feed.changed(at(10), at(10), Duration::ZERO, 1, Vec::new());
     assert_eq!(feed.tell(at(20), Some(rank)).is_some(), tells);
 }
+
+/// The store may give an object that is gone with the revision of its content,
+/// which the others know already: they must hear of its end all the same.
+#[test]
+fn removal_is_told_to_the_others() {
+    let mut teller = listed(0, 1, &["a"]);
+    let gone = vec![(item("a", 1), true)];
+    for change in teller.changed(at(100), at(90), Duration::ZERO, 5, gone) {
+        teller.keep(at(100), change);
+    }
+    let mut other = listed(0, 1, &["a"]);
+    let news = other.hear(at(200), teller.tell(at(200), Some(0)).unwrap());
+    assert!(news.iter().any(|c| c.removed), "the removal is lost");
+}
+
+/// In one answer an object goes and comes again: it is there.
+#[test]
+fn object_that_came_again_is_there() {
+    let mut feed = listed(0, 1, &["a"]);
+    let events = vec![(item("a", 1), true), (item("a", 4), false)];
+    let changes = feed.changed(at(100), at(90), Duration::ZERO, 5, events);
+    assert!(changes.iter().all(|c| !c.removed), "a was called removed");
+    assert_eq!(changes.len(), 1);
+}
