feed: an object that is gone is told as of the answer that says so

Cause: the store may give a removed object with the revision of its content, as the stand-in does. Who heard of the removal compared that with what it knew, and dropped it as old, while the revision heard moved past it: the object stayed there for it.

Callers: a VM or replica that left stays known until something else tells of it; for replicas the word of leaving (told by name) hid it.

Change: of the changes of an object in one answer the last counts, and a removal bears the revision of the answer.

Conclusion: holds wherever the store gives either revision: who knows a newer change of the same object has it from an answer that came after this one.

--- a/lib/src/serving/beliefs/feed.rs
+++ b/lib/src/serving/beliefs/feed.rs
@@ -318,11 +318,7 @@
                 .min(now),
             false => asked,
         };
-        let lapsed = self.outage;
-        let changes: Vec<_> = changes
-            .into_iter()
-            .map(|(item, removed)| Told::new(item, removed, removed && lapsed))
-            .collect();
+        let changes = self.newest(revision, changes);
         for c in &changes {
             self.note(c);
         }
@@ -330,6 +326,20 @@
         changes
     }
 
+    /// The last change of each object in an answer. The revision of one that is
+    /// gone may be that of its content: it is gone as of the answer.
+    fn newest(&self, revision: u64, changes: Vec<(Item, bool)>) -> Vec<Told> {
+        let mut last = BTreeMap::new();
+        for (mut item, removed) in changes {
+            if removed {
+                item.revision = revision;
+            }
+            let told = Told::new(item, removed, removed && self.outage);
+            last.insert(told.item.name.clone(), told);
+        }
+        last.into_values().collect()
+    }
+
     fn note(&mut self, change: &Told) {
         match change.removed {
             true => self.names.remove(&change.item.name),
