feed: a late list removes nothing that came after it

Cause: after a forgotten history a list is under way while another VM tells of a new object. The list, older, does not hold it, and `listed` called it removed; the revision known was past it, so that it did not come back.

Callers: a replica or a VM is lost to this one until its entry changes.

Change: a list that is no newer than what is known says when it was so, and nothing else.

Figures: listed_after_newer_news_removes_nothing failed before, passes now.

Conclusion: news is taken only if it follows on from what is known, so all up to the known revision is known and an older list has nothing to add.

--- a/lib/src/serving/beliefs/feed.rs
+++ b/lib/src/serving/beliefs/feed.rs
@@ -287,6 +287,12 @@
             self.answered = None;
             return Vec::new();
         };
+        // Another VM told of all up to a later revision since it was asked for:
+        // what is not in the list may have come after it.
+        if revision <= known.revision {
+            self.take_answer(now, asked, revision);
+            return Vec::new();
+        }
         let new = items.iter().filter(|i| i.revision > known.revision);
         let mut changes: Vec<_> = new
             .map(|item| Told::new(item.clone(), false, false))
