feed: a change is taken also where others before it were missed

Cause: a VM that missed a change took no news until the store filled the gap.

Callers: a VM that is turned away by the store, beside others that are served, keeps an old configuration for as long.

Change: each object's newest change is taken by itself; the revision known does not move past the gap, and what was taken ahead is remembered, so that what fills the gap later puts nothing older over it. All ways by which changes come in use one function.

Conclusion: the gap is still filled by the store only; what is told stays complete, as a change taken ahead is kept to be told like any other.

--- a/lib/src/serving/beliefs/feed.rs
+++ b/lib/src/serving/beliefs/feed.rs
@@ -178,6 +178,9 @@
     answered: Option<Moment>,
     /// Since when changes are missing that others know of.
     gap: Option<Moment>,
+    /// The revisions of changes that were taken beyond the one known, as
+    /// others before them are missing.
+    ahead: BTreeMap<String, u64>,
     /// Whether the store failed to answer since the last answer.
     outage: bool,
     failures: u32,
@@ -197,6 +200,7 @@
             since: 0,
             answered: None,
             gap: None,
+            ahead: BTreeMap::new(),
             outage: false,
             failures: 0,
             retry: None,
@@ -301,16 +305,15 @@
             self.take_answer(now, asked, revision);
             return Vec::new();
         }
-        let new = items.iter().filter(|i| i.revision > known.revision);
-        let mut changes: Vec<_> = new
-            .map(|item| Told::new(item.clone(), false, false))
-            .collect();
-        for name in self.names.difference(&names) {
+        let present = items
+            .iter()
+            .map(|item| Told::new(item.clone(), false, false));
+        let gone = self.names.difference(&names).map(|name| {
             let mut item = Item::empty(name);
             item.revision = revision;
-            changes.push(Told::new(item, true, self.outage));
-        }
-        self.names = names;
+            Told::new(item, true, self.outage)
+        });
+        let changes = self.admit(present.chain(gone).collect());
         self.take_answer(now, asked, revision);
         changes
     }
@@ -332,11 +335,8 @@
                 .min(now),
             false => asked,
         };
-        let changes = self.newest(revision, changes).into_iter();
-        let changes: Vec<_> = changes.filter(|c| self.is_new(c)).collect();
-        for c in &changes {
-            self.note(c);
-        }
+        let changes = self.newest(revision, changes);
+        let changes = self.admit(changes);
         self.take_answer(now, as_of, revision);
         changes
     }
@@ -355,27 +355,43 @@
         last.into_values().collect()
     }
 
+    /// Those changes that are news, which are known from now on.
+    fn admit(&mut self, changes: Vec<Told>) -> Vec<Told> {
+        let changes: Vec<_> = changes.into_iter().filter(|c| self.is_new(c)).collect();
+        for c in &changes {
+            let name = c.item.name.clone();
+            self.ahead.insert(name.clone(), c.item.revision);
+            match c.removed {
+                true => self.names.remove(&name),
+                false => self.names.insert(name),
+            };
+        }
+        changes
+    }
+
     /// Whether a change is newer than what is known of its object. A question
     /// may be answered after another VM told of something newer: taken late, an
     /// older change would be told on in place of the newer one, and whoever
     /// knows the older one would believe that it knows all.
     fn is_new(&self, change: &Told) -> bool {
-        change.item.revision > self.revision()
+        let revision = change.item.revision;
+        let ahead = self.ahead.get(&change.item.name);
+        revision > self.revision() && ahead.is_none_or(|known| revision > *known)
     }
 
-    fn note(&mut self, change: &Told) {
-        match change.removed {
-            true => self.names.remove(&change.item.name),
-            false => self.names.insert(change.item.name.clone()),
+    /// All changes up to a revision are known.
+    fn advance(&mut self, revision: u64, as_of: Moment) {
+        let old = self.known.unwrap_or(Known { revision, as_of });
+        let known = Known {
+            revision: old.revision.max(revision),
+            as_of: old.as_of.max(as_of),
         };
+        self.ahead.retain(|_, taken| *taken > known.revision);
+        self.known = Some(known);
     }
 
     fn take_answer(&mut self, now: Moment, as_of: Moment, revision: u64) {
-        let old = self.known;
-        self.known = Some(Known {
-            revision: old.map_or(0, |k| k.revision).max(revision),
-            as_of: old.map_or(as_of, |k| k.as_of.max(as_of)),
-        });
+        self.advance(revision, as_of);
         self.answered = Some(now);
         self.gap = None;
         self.outage = false;
@@ -412,6 +428,11 @@
     }
 
     /// Another VM tells what it knows. Gives the changes that are news.
+    ///
+    /// They are news also where others before them are missing: the newest
+    /// content of an object holds whatever was missed. A VM that the store
+    /// turns away is not left on an old configuration that way, though only the
+    /// store can fill its gap.
     pub fn hear(&mut self, now: Moment, said: Said) -> Vec<Told> {
         let Some(known) = &mut self.known else {
             return Vec::new();
@@ -420,22 +441,19 @@
             known.as_of = known.as_of.max(said.as_of);
             return Vec::new();
         }
-        if known.revision < said.since {
-            self.gap.get_or_insert(now);
-            return Vec::new();
-        }
-        let old = known.revision;
-        known.revision = said.revision;
-        known.as_of = known.as_of.max(said.as_of);
-        self.gap = None;
-        self.outage = false;
-        self.expired = false;
-        let changes = said.changes.into_iter();
-        let changes: Vec<_> = changes.filter(|c| c.item.revision > old).collect();
+        let follows = said.since <= known.revision;
+        let changes = self.admit(said.changes);
         for c in &changes {
-            self.note(c);
             self.keep(now, c.clone());
         }
+        if follows {
+            self.advance(said.revision, said.as_of);
+            self.gap = None;
+            self.outage = false;
+            self.expired = false;
+        } else {
+            self.gap.get_or_insert(now);
+        }
         changes
     }
 
