feed: a question of a VM that asks for itself ends within its bound

Cause: such a question waited 4.5 s for a change (4, 8 and 15 s for the other kinds) and was given up 0.9 s later, also where a change must be known within 3 s.

Change: the wait is at most the bound, less the margin of a call and the time for asking again.

Conclusion: holds for every kind, also for fleets of one VM.

--- a/lib/src/serving/beliefs/feed.rs
+++ b/lib/src/serving/beliefs/feed.rs
@@ -43,8 +43,8 @@
 pub struct Rhythm {
     /// Within how long a change is to be known everywhere.
     pub bound: Span,
-    /// How long a question of a VM that asks for itself alone waits for a
-    /// change: a connection that went silent shows no later than that.
+    /// The longest that a question of a VM that asks for itself alone waits for
+    /// a change; less where the bound asks for it.
     pub lone_wait: Duration,
     /// The pause after an answer with changes, of such a VM: changes in quick
     /// succession cost one call.
@@ -55,6 +55,14 @@
     pub removes: bool,
 }
 
+/// How much longer than it should a call may take; the store answers in
+/// milliseconds.
+pub(in crate::serving) const CALL_MARGIN: Duration = Duration::from_millis(900);
+
+/// The time for a question that is asked again after one that was given up:
+/// the pause before it, and its answer.
+const REPEAT_TIME: Duration = Duration::from_millis(200);
+
 /// The part of the bound that a question waits for a change. The one who asks
 /// for all tells with each answer that nothing else changed; with a beacon's
 /// pause and a lost one on top that is known everywhere before others ask.
@@ -238,7 +246,7 @@
             return Next::List;
         };
         let Some(rank) = rank else {
-            return Next::Watch(self.rhythm.lone_wait);
+            return Next::Watch(self.lone_wait());
         };
         if rank == 0 {
             return Next::Watch(self.wait());
@@ -262,6 +270,15 @@
         }
     }
 
+    /// How long a question of a VM that asks for itself waits: one that went
+    /// into a silent connection is given up and asked again within the bound.
+    fn lone_wait(&self) -> Duration {
+        let reserve = CALL_MARGIN + REPEAT_TIME;
+        let most = self.part(1.0).0.saturating_sub(reserve.as_micros() as u64);
+        let most = Duration::from_micros(most).max(self.wait());
+        self.rhythm.lone_wait.min(most)
+    }
+
     fn wait(&self) -> Duration {
         Duration::from_micros(self.part(WAIT_PART).0)
     }
--- a/lib/src/serving/store/follow.rs
+++ b/lib/src/serving/store/follow.rs
@@ -11,6 +11,7 @@
 use crate::platform::PlatformError;
 use crate::pool::Moment;
 use crate::pool::Span;
+use crate::serving::beliefs::feed::CALL_MARGIN;
 use crate::serving::beliefs::feed::Next;
 use crate::serving::beliefs::feed::Rhythm;
 use crate::serving::beliefs::feed::Said;
@@ -27,10 +28,6 @@
 use crate::serving::store::port::Freshness;
 use crate::serving::store::port::Item;
 
-/// How much longer than it should a call may take; the store answers in
-/// milliseconds.
-const CALL_MARGIN: Duration = Duration::from_millis(900);
-
 /// How often a VM that has nothing to ask looks whether it is its turn.
 const LOOK: Span = Span::from_millis(500);
 
