fleet: an entry that lapsed and came back is news to the other VMs

Cause: found by looking for the same fault elsewhere: whether a change is told is judged by what this VM believes of the replica, while the revision told moves past it either way. An entry that lapsed in an outage and came back unchanged was "no news"; the others, who had been told of the lapse, dropped the replica 2 s later.

Callers: a living replica gets nothing from those VMs until its entry changes.

Change: the entry of a replica that is missing or lapsed is always news.

Figures: return_of_a_lapsed_entry_is_news failed before, passes now.

--- a/lib/src/serving/decisions/fleet/mod.rs
+++ b/lib/src/serving/decisions/fleet/mod.rs
@@ -249,14 +249,17 @@
     /// Whether an entry says more than is known, beside which adapters the
     /// replica holds: of those its owner tells. One that says that its replica
     /// is leaving always does: this VM may have heard that from another already,
-    /// which not all have.
+    /// which not all have. So does one that had lapsed: who heard of that would
+    /// drop the replica.
     pub fn is_news(&self, listing: &Listing) -> bool {
         if listing.draining {
             return true;
         }
-        let Some(old) = self.listing(&listing.name) else {
+        let there = self.replicas.get(&listing.name);
+        let Some(there) = there.filter(|r| r.lapsed.is_none()) else {
             return true;
         };
+        let old = &there.listing;
         let same = Listing {
             adapters: old.adapters.clone(),
             ..listing.clone()
--- a/lib/tests/test_serving_place.rs
+++ b/lib/tests/test_serving_place.rs
@@ -607,3 +607,16 @@
     let moved = listing("i-a", "llm", "z-b", &["base"]);
     assert!(scene.fleet.is_news(&moved));
 }
+
+/// An entry that lapsed with an outage of the store is there again, unchanged:
+/// the others, who heard that it lapsed, would drop the replica two seconds
+/// later.
+#[test]
+fn return_of_a_lapsed_entry_is_news() {
+    let a = listing("i-a", "llm", "z-a", &["base"]);
+    let mut scene = Scene::new(&[a.clone()]);
+    scene.fleet.lapse(at(0), &a.name);
+    assert!(scene.fleet.is_news(&a));
+    scene.fleet.list(a.clone());
+    assert!(!scene.fleet.is_news(&a));
+}
