store: a list in parts is followed on from its oldest part

Cause: found by looking for the same fault elsewhere. A first list may be old, and its parts of different ages; it was followed on from the revision of the first part, so that what changed between an older second part and that was never read.

Callers: with more than some 500 objects of a kind, a replica or VM is missing, or one that left is still there, from the start of a process on until it changes.

Change: the least revision of the parts counts. What a part holds beyond comes again.

Figures: list_in_parts_is_as_old_as_its_oldest, older part last: failed before (the joined list kept the first revision), passes now.

--- a/lib/src/serving/store/follow.rs
+++ b/lib/src/serving/store/follow.rs
@@ -27,6 +27,7 @@
 use crate::serving::store::news::News;
 use crate::serving::store::port::Freshness;
 use crate::serving::store::port::Item;
+use crate::serving::store::port::Page;
 
 /// How often a VM that has nothing to ask looks whether it is its turn.
 const LOOK: Span = Span::from_millis(500);
@@ -341,23 +342,30 @@
     kind: &'static str,
     freshness: Freshness,
 ) -> Result<(Vec<Item>, u64), PlatformError> {
-    let mut items: Vec<Item> = Vec::new();
-    let mut revision = None;
-    loop {
-        let after = items.last().map(|i| i.name.clone());
-        let call = (node.store.list)(kind, after.as_deref(), freshness);
-        let page = limited(CALL_MARGIN, call).await;
-        count_call(kind, page.is_ok());
-        let page = page?;
-        // What changes while pages are read comes again with the watch.
-        let first = *revision.get_or_insert(page.revision);
-        let more = page.more && !page.items.is_empty();
-        log_unread(node, kind, page.unread);
-        items.extend(page.items);
-        if !more {
-            return Ok((items, first));
+    let mut list = list_page(node, kind, None, freshness).await?;
+    while list.more {
+        let after = list.items.last().map(|i| i.name.clone());
+        let page = list_page(node, kind, after.as_deref(), freshness).await?;
+        let empty = page.items.is_empty();
+        list.join(page);
+        if empty {
+            break;
         }
     }
+    Ok((list.items, list.revision))
+}
+
+async fn list_page(
+    node: &Node,
+    kind: &'static str,
+    after: Option<&str>,
+    freshness: Freshness,
+) -> Result<Page, PlatformError> {
+    let page = limited(CALL_MARGIN, (node.store.list)(kind, after, freshness)).await;
+    count_call(kind, page.is_ok());
+    let page = page?;
+    log_unread(node, kind, page.unread);
+    Ok(page)
 }
 
 /// What is no object names nothing; the others hold.
--- a/lib/src/serving/store/port.rs
+++ b/lib/src/serving/store/port.rs
@@ -46,6 +46,18 @@
     pub revision: u64,
 }
 
+impl Page {
+    /// Adds the next part of the list. Parts that may be old are of different
+    /// ages: the list is followed on from the oldest, or what changed between
+    /// them in that part would be missed.
+    pub fn join(&mut self, next: Self) {
+        self.items.extend(next.items);
+        self.unread += next.unread;
+        self.more = next.more;
+        self.revision = self.revision.min(next.revision);
+    }
+}
+
 /// One change of a kind.
 #[derive(Clone, Debug)]
 pub struct Change {
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -42,6 +42,7 @@
 mod test_serving_members;
 mod test_serving_office;
 mod test_serving_place;
+mod test_serving_port;
 mod test_serving_reserved;
 mod test_serving_routes;
 mod test_serving_table;
--- /dev/null
+++ b/lib/tests/test_serving_port.rs
@@ -0,0 +1,34 @@
+//! Lists of the store that come in parts.
+
+use banyangauge::serving::Item;
+use banyangauge::serving::Page;
+use rstest::rstest;
+
+fn page(revision: u64, names: &[&str], more: bool) -> Page {
+    Page {
+        items: names.iter().map(|n| Item::empty(n)).collect(),
+        unread: 1,
+        more,
+        revision,
+    }
+}
+
+/// Each part of a list that may be old is as old as the VM of the store that
+/// gave it: what changed since the oldest part is still to be read.
+#[rstest]
+#[case::newer_part_last(5, 9, 5)]
+#[case::older_part_last(9, 5, 5)]
+fn list_in_parts_is_as_old_as_its_oldest(
+    #[case] first: u64,
+    #[case] second: u64,
+    #[case] expected: u64,
+) {
+    let mut list = page(first, &["a"], true);
+    list.join(page(second, &["b"], false));
+    let names: Vec<_> = list.items.iter().map(|i| i.name.as_str()).collect();
+    assert_eq!(names, ["a", "b"]);
+    assert_eq!(
+        (list.revision, list.more, list.unread),
+        (expected, false, 2)
+    );
+}
