feed: each change of an object in one answer is told, in order

One that went and came again unchanged was no news to this VM, and was not told; a VM that had read in between that it was gone believed that for good.

Change: all changes are judged in order; a removal is dated right before the next change of its object, or as of the answer.

Tests: object_that_came_again_is_there asked that the removal isn't told at all, which was wrong for such a VM; it asks now that both are, in order, and that a VM that heard of the removal has the object again. It fails on the code before.

--- a/lib/src/serving/beliefs/feed.rs
+++ b/lib/src/serving/beliefs/feed.rs
@@ -352,24 +352,28 @@
                 .min(now),
             false => asked,
         };
-        let changes = self.newest(revision, changes);
+        let changes = self.dated(revision, changes);
         let changes = self.admit(changes);
         self.take_answer(now, as_of, revision);
         changes
     }
 
-    /// The last change of each object in an answer. The revision of one that is
-    /// gone may be that of its content: it is gone as of the answer.
-    fn newest(&self, revision: u64, changes: Vec<(Item, bool)>) -> Vec<Told> {
-        let mut last = BTreeMap::new();
-        for (mut item, removed) in changes {
+    /// The changes of an answer as they are told. The revision of an object that
+    /// is gone may be that of its content: it is gone as of the answer, or until
+    /// its next change.
+    fn dated(&self, revision: u64, changes: Vec<(Item, bool)>) -> Vec<Told> {
+        let mut next = BTreeMap::new();
+        let mut told = Vec::new();
+        for (mut item, removed) in changes.into_iter().rev() {
+            let after = next.get(&item.name).copied().unwrap_or(revision + 1);
             if removed {
-                item.revision = revision;
+                item.revision = after - 1;
             }
-            let told = Told::new(item, removed, removed && self.outage);
-            last.insert(told.item.name.clone(), told);
+            next.insert(item.name.clone(), item.revision);
+            told.push(Told::new(item, removed, removed && self.outage));
         }
-        last.into_values().collect()
+        told.reverse();
+        told
     }
 
     /// Those changes that are news, which are known from now on.
--- a/lib/tests/test_serving_feed.rs
+++ b/lib/tests/test_serving_feed.rs
@@ -343,12 +343,24 @@
     assert!(news.iter().any(|c| c.removed), "the removal is lost");
 }
 
-/// In one answer an object goes and comes again: it is there.
+/// In one answer an object goes and comes again: it is there, also for a VM
+/// that heard in between that it is gone.
 #[test]
 fn object_that_came_again_is_there() {
     let mut feed = listed(0, 1, &["a"]);
+    let mut other = listed(0, 1, &["a"]);
+    other.changed(
+        at(50),
+        at(40),
+        Duration::ZERO,
+        3,
+        vec![(item("a", 1), true)],
+    );
     let events = vec![(item("a", 1), true), (item("a", 4), false)];
     let changes = feed.changed(at(100), at(90), Duration::ZERO, 5, events);
-    assert!(changes.iter().all(|c| !c.removed), "a was called removed");
-    assert_eq!(changes.len(), 1);
+    let seen: Vec<_> = changes.iter().map(|c| c.removed).collect();
+    assert_eq!(seen, [true, false]);
+    changes.into_iter().for_each(|c| feed.keep(at(100), c));
+    let news = other.hear(at(200), feed.tell(at(200), Some(0)).unwrap());
+    assert!(news.last().is_some_and(|c| !c.removed), "it is not back");
 }
