feed: who knows a change that a list stepped over does not follow on from it

After a forgotten history a VM reads the whole list and tells the difference to what it knew. An object that came and went in between is in neither; a VM that had read of it coming took the difference for all and kept the object.

Callers: a replica that is gone gets requests of such a VM until the store's next word on it; a VM that is gone is taken for listed.

Change: the span that a list stepped over is told along, and who knows a revision within it asks the store. The search stays as a test: 3 VMs, 3 objects, answers worked out and delivered late, beacons lost and reordered, forgotten histories, old first lists, removals with either revision; after each step each belief must hold at the known revision or later.

--- a/lib/src/serving/beliefs/feed.rs
+++ b/lib/src/serving/beliefs/feed.rs
@@ -147,6 +147,30 @@
     pub changes: Vec<Told>,
 }
 
+/// A span of the store's history that a list stepped over. What was there only
+/// within it is not known: who knows a revision within it cannot follow on by
+/// what is told of the changes.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Blind {
+    /// All was known up to this revision.
+    pub from: u64,
+    /// And again from this one on.
+    pub to: u64,
+}
+
+impl Blind {
+    fn hides(self, revision: u64) -> bool {
+        self.from < revision && revision < self.to
+    }
+
+    fn join(self, other: Self) -> Self {
+        Self {
+            from: self.from.min(other.from),
+            to: self.to.max(other.to),
+        }
+    }
+}
+
 /// What to do next about a topic.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Next {
@@ -182,6 +206,8 @@
     recent: BTreeMap<String, (Moment, Told)>,
     /// All changes after this revision are among the recent ones.
     since: u64,
+    /// The part of that over which a list stepped.
+    blind: Option<Blind>,
     /// When this VM last had an answer.
     answered: Option<Moment>,
     /// Since when changes are missing that others know of.
@@ -206,6 +232,7 @@
             names: BTreeSet::new(),
             recent: BTreeMap::new(),
             since: 0,
+            blind: None,
             answered: None,
             gap: None,
             ahead: BTreeMap::new(),
@@ -331,10 +358,23 @@
             Told::new(item, true, self.outage)
         });
         let changes = self.admit(present.chain(gone).collect());
+        self.step_over(Blind {
+            from: known.revision,
+            to: revision,
+        });
         self.take_answer(now, asked, revision);
         changes
     }
 
+    fn step_over(&mut self, blind: Blind) {
+        self.blind = Some(self.blind.map_or(blind, |b| b.join(blind)));
+    }
+
+    /// The part of the history that is told over which a list stepped.
+    pub fn blind(&self) -> Option<Blind> {
+        self.blind.filter(|b| b.to > self.since)
+    }
+
     /// What changed, asked for at `asked` by a question that waited at least
     /// `waited`: an answer without changes says that there were none so long.
     /// Gives the changes, with what is to be told of each.
@@ -478,6 +518,20 @@
         changes
     }
 
+    /// The same where the other VM stepped over a part of the history: within
+    /// that, an object may have come that this VM knows of, and gone again.
+    pub fn hear_over(&mut self, now: Moment, mut said: Said, blind: Blind) -> Vec<Told> {
+        if blind.hides(self.revision()) {
+            said.since = said.revision;
+        }
+        let to = said.revision;
+        let changes = self.hear(now, said);
+        if self.revision() == to {
+            self.step_over(blind);
+        }
+        changes
+    }
+
     /// What this VM tells the others: nothing unless it is one of the first to
     /// ask, and had an answer lately.
     pub fn tell(&mut self, now: Moment, rank: Option<u64>) -> Option<Said> {
--- a/lib/src/serving/mod.rs
+++ b/lib/src/serving/mod.rs
@@ -20,6 +20,7 @@
 mod store;
 
 pub use beliefs::audience::Audience;
+pub use beliefs::feed::Blind;
 pub use beliefs::feed::Feed;
 pub use beliefs::feed::Feeds;
 pub use beliefs::feed::Next;
--- a/lib/src/serving/store/follow.rs
+++ b/lib/src/serving/store/follow.rs
@@ -11,6 +11,7 @@
 use crate::platform::PlatformError;
 use crate::pool::Moment;
 use crate::pool::Span;
+use crate::serving::beliefs::feed::Blind;
 use crate::serving::beliefs::feed::CALL_MARGIN;
 use crate::serving::beliefs::feed::Next;
 use crate::serving::beliefs::feed::Rhythm;
@@ -275,7 +276,14 @@
             };
             let feed = b.feeds.get(topic);
             let before = feed.has_gap();
-            let changes = feed.hear(at, said);
+            let blind = Blind {
+                from: news.blind_from,
+                to: news.blind_to,
+            };
+            let changes = match news.blind_to {
+                0 => feed.hear(at, said),
+                _ => feed.hear_over(at, said, blind),
+            };
             if feed.has_gap() && !before {
                 slog::info!(node.log, "news missed"; "kind" => kind(node, topic),
                     "revision" => feed.revision(), "since" => news.since, "told_by" => vm.as_str());
@@ -310,7 +318,9 @@
 pub(in crate::serving) fn tell(node: &Node, b: &mut Beliefs, at: Moment) -> Vec<wire::StoreNews> {
     let said = |topic: Topic| {
         let rank = b.asking_rank(at, &node.settings, topic);
-        let said = b.feeds.get(topic).tell(at, rank)?;
+        let feed = b.feeds.get(topic);
+        let said = feed.tell(at, rank)?;
+        let blind = feed.blind();
         let changes = said.changes.into_iter().map(|c| wire::StoreChange {
             name: c.item.name,
             revision: c.item.revision,
@@ -324,6 +334,8 @@
             age_us: at.since(said.as_of).0,
             since: said.since,
             changes: changes.collect(),
+            blind_from: blind.map_or(0, |b| b.from),
+            blind_to: blind.map_or(0, |b| b.to),
         })
     };
     Topic::ALL.into_iter().filter_map(said).collect()
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -38,6 +38,7 @@
 mod test_serving_feed;
 mod test_serving_feed_late;
 mod test_serving_feed_outage;
+mod test_serving_feed_search;
 mod test_serving_instances;
 mod test_serving_members;
 mod test_serving_office;
