usage: a stopping process holds no more copies for its peers

A process that stops refuses reports of entries once its last copy goes out, but still held copies for its peers: two that stop at the same time hand their last counters to each other, both are answered, and both end.

Callers: usage of the last half second of two processes is charged to no team.

Change: a copy is refused like a report; the peer asks again, or another one.

Figures: hold_refused_by_a_stopping_process failed before, passes now.

--- a/lib/src/control/usage/store.rs
+++ b/lib/src/control/usage/store.rs
@@ -106,11 +106,7 @@
     ///
     /// `None` once the process stops: what it would take now, nobody would write.
     pub fn take(&self, report: wire::UsageReport) -> Option<wire::UsageReply> {
-        let accounts = self.lock();
-        if self.closed.load(Ordering::Relaxed) {
-            return None;
-        }
-        Some(self.add(accounts, report, true))
+        self.add(report, true)
     }
 
     /// Takes no more reports: the last copy goes to the peer.
@@ -121,16 +117,18 @@
 
     /// Holds a copy for the peer that took the report; it is written here only
     /// when that peer falls silent.
-    pub fn hold(&self, report: wire::UsageReport) -> wire::UsageReply {
-        self.add(self.lock(), report, false)
+    ///
+    /// `None` once the process stops: the peer, which may stop as well, must not
+    /// take its counters for held.
+    pub fn hold(&self, report: wire::UsageReport) -> Option<wire::UsageReply> {
+        self.add(report, false)
     }
 
-    fn add(
-        &self,
-        mut accounts: MutexGuard<'_, Accounts>,
-        report: wire::UsageReport,
-        direct: bool,
-    ) -> wire::UsageReply {
+    fn add(&self, report: wire::UsageReport, direct: bool) -> Option<wire::UsageReply> {
+        let mut accounts = self.lock();
+        if self.closed.load(Ordering::Relaxed) {
+            return None;
+        }
         let source = Source {
             vm: report.vm,
             incarnation: report.incarnation,
@@ -142,7 +140,7 @@
         if let Some(last) = last
             && report.sequence <= last
         {
-            return wire::UsageReply { sequence: last };
+            return Some(wire::UsageReply { sequence: last });
         }
         account.sequence = Some(report.sequence);
         for line in report.counts {
@@ -151,9 +149,9 @@
         }
         drop(accounts);
         self.wake.notify_one();
-        wire::UsageReply {
+        Some(wire::UsageReply {
             sequence: report.sequence,
-        }
+        })
     }
 
     /// All counters held here, by source.
--- a/lib/tests/rig/mod.rs
+++ b/lib/tests/rig/mod.rs
@@ -209,6 +209,7 @@
         request: tonic::Request<wire::UsageReport>,
     ) -> Result<tonic::Response<wire::UsageReply>, tonic::Status> {
         let reply = self.0.board.usage.hold(request.into_inner());
+        let reply = reply.ok_or_else(|| tonic::Status::unavailable("stopping"))?;
         Ok(tonic::Response::new(reply))
     }
 }
--- a/lib/tests/test_usage_store.rs
+++ b/lib/tests/test_usage_store.rs
@@ -8,6 +8,7 @@
 use banyangauge::control::usage::totals;
 use banyangauge::platform::Platform;
 use banyangauge_proto as wire;
+use rstest::rstest;
 use serde_json::json;
 
 use crate::rig;
@@ -222,3 +223,70 @@
     assert!(store.take(report("vm-1", 2, &[("rosters", 5)])).is_none());
     assert_eq!(sum(&platform, "rosters").await, 3);
 }
+
+/// A copy that a stopping process would hold after its last write, nobody would
+/// write: the peer that hands it over, and may stop as well, must be refused.
+#[tokio::test]
+async fn hold_refused_by_a_stopping_process() {
+    let (_running, platform) = rig::platform().await;
+    let shared = rig::shared("vm-2", &platform, &[]);
+    let store = shared.board.usage.clone();
+    let held = store.hold(report("vm-1", 1, &[("rosters", 3)]));
+    assert!(held.is_some());
+    shared.board.stopping.send_replace(true);
+    usage::run(shared.clone(), store.clone(), usage_every()).await;
+    let held = store.hold(report("vm-1", 2, &[("rosters", 5)]));
+    assert!(held.is_none(), "it is held by who ends");
+}
+
+/// A process was stopped while the platform was away, and its peer, which holds
+/// its last counters, is stopped a few seconds later as well: by then the
+/// platform is back, or another peer takes them.
+#[rstest]
+#[case::platform_back(false)]
+#[case::platform_still_away(true)]
+#[tokio::test]
+async fn run_stopping_holder_hands_copies_on(#[case] away: bool) {
+    let (running, platform) = rig::platform().await;
+    let shared = rig::shared("vm-2", &platform, &[]);
+    let third = rig::shared("vm-3", &platform, &[]);
+    let member = rig::member(&third, rig::serve_peer(&third).await, "suva-b");
+    shared.board.members.send_modify(|all| {
+        all.insert(member.vm.parse().unwrap(), member);
+    });
+    let store = shared.board.usage.clone();
+    let _ = store.hold(report("vm-1", 1, &[("rosters", 3)]));
+    rig::fault(&running, json!({"down": away})).await;
+    shared.board.stopping.send_replace(true);
+    usage::run(shared.clone(), store.clone(), usage_every()).await;
+    rig::fault(&running, json!({"down": false})).await;
+    usage::flush(&third, &third.board.usage, Duration::ZERO).await;
+    assert_eq!(sum(&platform, "rosters").await, 3);
+}
+
+/// The peer that ranks first cannot be reached, and the platform is away: the
+/// next peer takes the last counters.
+#[tokio::test]
+async fn run_stopping_process_finds_another_peer() {
+    let (running, platform) = rig::platform().await;
+    let holder = rig::shared("vm-2", &platform, &[]);
+    let shared = rig::shared("vm-1", &platform, &[]);
+    let near = rig::member(&holder, rig::serve_peer(&holder).await, "suva-a");
+    let gone = rig::shared("vm-3", &platform, &[]);
+    let nobody = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    // It is silent: it takes connections and answers nothing.
+    let far = rig::member(&gone, nobody.local_addr().unwrap(), "suva-b");
+    shared.board.members.send_modify(|all| {
+        for member in [near, far] {
+            all.insert(member.vm.parse().unwrap(), member);
+        }
+    });
+    rig::fault(&running, json!({"down": true})).await;
+    let store = shared.board.usage.clone();
+    store.take(report("vm-1", 1, &[("rosters", 3)]));
+    shared.board.stopping.send_replace(true);
+    usage::run(shared.clone(), store.clone(), usage_every()).await;
+    rig::fault(&running, json!({"down": false})).await;
+    usage::flush(&holder, &holder.board.usage, Duration::ZERO).await;
+    assert_eq!(sum(&platform, "rosters").await, 3);
+}
