usage: a process that stops writes and hands on what it holds for others

The last write of a process left out the counters that it held for a peer which had stopped less than 15 s before, and handed on only what entries had reported to itself. A process that is stopped while the platform is away, and its peer a few seconds later (a rolling restart), lost the first one's last counters, also with the platform back by then.

Callers: usage is charged to no team, after a planned restart.

Change: the last write leaves nothing out, and the last copy holds what the platform may not have of others' counters. Writing or holding twice changes nothing.

--- a/lib/src/control/usage/mod.rs
+++ b/lib/src/control/usage/mod.rs
@@ -66,18 +66,24 @@
         () = flush_all(&shared, &store, every) => {}
     }
     store.close();
-    // What the last write cannot bring to the platform, the peer holds: also
-    // what was reported since it last heard.
-    let last = async { tokio::join!(flush(&shared, &store, SILENCE), hold_last(&shared, &store)) };
+    // What the last write cannot bring to the platform, a peer holds: also what
+    // was reported since it last heard, and the copies held for peers that may
+    // have ended before.
+    let last = async {
+        tokio::join!(
+            flush(&shared, &store, Duration::ZERO),
+            hold_last(&shared, &store)
+        )
+    };
     if timeout(LAST_FLUSH, last).await.is_err() {
         warn!(shared.log, "last usage not written or not held");
     }
 }
 
-/// Hands all counters taken here to the peer, as often as it takes.
+/// Hands all counters to the peer, as often as it takes.
 async fn hold_last(shared: &Shared, store: &Store) {
     while let Some(address) = holder(shared) {
-        let reports = store.to_hold(true);
+        let reports = store.to_hand_on();
         if hold(shared, None, address, &reports).await.is_some() {
             return;
         }
--- a/lib/src/control/usage/store.rs
+++ b/lib/src/control/usage/store.rs
@@ -69,6 +69,22 @@
         }
     }
 
+    /// A report of the wanted rows; `None` if there are none.
+    fn report(
+        &self,
+        source: &Source,
+        wanted: impl Fn(&Row, &Cell) -> bool,
+    ) -> Option<wire::UsageReport> {
+        let rows = self.rows.iter().filter(|(r, c)| wanted(r, c));
+        let counts: Vec<_> = rows.map(|(r, c)| to_wire(r, &c.count)).collect();
+        (!counts.is_empty()).then(|| wire::UsageReport {
+            vm: source.vm.clone(),
+            incarnation: source.incarnation,
+            sequence: self.sequence.unwrap_or(0),
+            counts,
+        })
+    }
+
     fn part(&self, part: usize) -> Counts {
         let rows = self.rows.iter().filter(|(_, c)| c.part == part);
         rows.map(|(r, c)| (r.clone(), c.count)).collect()
@@ -172,21 +188,23 @@
         let mut accounts = self.lock();
         for (source, account) in accounts.iter_mut().filter(|(_, a)| a.direct) {
             let unheld = std::mem::take(&mut account.unheld);
-            let wanted = |r: &Row| whole || unheld.contains(r);
-            let rows = account.rows.iter().filter(|(r, _)| wanted(r));
-            let counts: Vec<_> = rows.map(|(r, c)| to_wire(r, &c.count)).collect();
-            if !counts.is_empty() {
-                reports.push(wire::UsageReport {
-                    vm: source.vm.clone(),
-                    incarnation: source.incarnation,
-                    sequence: account.sequence.unwrap_or(0),
-                    counts,
-                });
-            }
+            reports.extend(account.report(source, |r, _| whole || unheld.contains(r)));
         }
         reports
     }
 
+    /// What a process that ends hands on: all that was reported here, and what
+    /// it holds for others and the platform may not have.
+    pub(super) fn to_hand_on(&self) -> Vec<wire::UsageReport> {
+        let accounts = self.lock();
+        let reports = accounts.iter().filter_map(|(source, account)| {
+            account.report(source, |_, c| {
+                account.direct || account.dirty.contains(&c.part)
+            })
+        });
+        reports.collect()
+    }
+
     /// A report that the peer did not take goes with the next.
     pub(super) fn not_held(&self, reports: Vec<wire::UsageReport>) {
         let mut accounts = self.lock();
