usage: a stopping process hands its last counters to whichever peer takes them

The last copy went to the peer that ranks first only, again and again for 2 s. Where that one is cut off and the platform is away, the counters were lost beside peers that live.

Callers: usage is charged to no team.

Change: the live members are tried in their order, 0.4 s each.

--- a/lib/src/control/usage/mod.rs
+++ b/lib/src/control/usage/mod.rs
@@ -49,7 +49,11 @@
 /// The longest that a stopping process waits for its last write.
 const LAST_FLUSH: Duration = Duration::from_secs(2);
 
-/// The pause of a stopping process after a peer did not take its counters.
+/// The longest that a peer may take for the last copy: with one that is cut off
+/// there is time for others.
+const LAST_HOLD: Duration = Duration::from_millis(400);
+
+/// The pause of a stopping process after no peer took its counters.
 const LAST_PAUSE: Duration = Duration::from_millis(50);
 
 /// Tries of one object when others write it as well.
@@ -80,14 +84,21 @@
     }
 }
 
-/// Hands all counters to the peer, as often as it takes.
+/// Hands all counters to a peer, to the next one where one does not take them,
+/// as often as it takes.
 async fn hold_last(shared: &Shared, store: &Store) {
-    while let Some(address) = holder(shared) {
-        let reports = store.to_hand_on();
-        if hold(shared, None, address, &reports).await.is_some() {
+    let reports = store.to_hand_on();
+    loop {
+        let holders = holders(shared);
+        if holders.is_empty() {
             return;
         }
-        store.not_held(reports);
+        for address in holders {
+            let held = timeout(LAST_HOLD, hold(shared, None, address, &reports));
+            if held.await.is_ok_and(|link| link.is_some()) {
+                return;
+            }
+        }
         tokio::time::sleep(LAST_PAUSE).await;
     }
 }
@@ -187,7 +198,7 @@
     let mut link: Option<(String, PeersClient<Channel>)> = None;
     loop {
         store.wake.notified().await;
-        if let Some(address) = holder(shared) {
+        if let Some(address) = holders(shared).into_iter().next() {
             let known = link.take().filter(|(there, _)| *there == address);
             let whole = known.is_none();
             let reports = store.to_hold(whole);
@@ -227,17 +238,18 @@
     channel.ok().map(PeersClient::new)
 }
 
-/// The live member in another availability zone that ranks first for this VM
-/// (rendezvous hashing: each VM keeps its peer while that lives, and the work
-/// is spread); in the same zone when there is no other.
-fn holder(shared: &Shared) -> Option<String> {
+/// The live members in the order in which they hold this VM's counters: those
+/// in other availability zones first, by rendezvous hashing, so that each VM
+/// keeps its peer while that lives and the work is spread.
+fn holders(shared: &Shared) -> Vec<String> {
     let members = shared.board.members.borrow();
     let live = members
         .values()
         .filter(|m| m.state == 0 && m.vm != shared.vm.as_str());
-    let best = live.max_by_key(|m| {
+    let mut live: Vec<_> = live.collect();
+    live.sort_by_key(|m| {
         let rank = xxhash_rust::xxh3::xxh3_64(format!("{}/{}", shared.vm, m.vm).as_bytes());
-        (m.zone != shared.zone.as_str(), rank)
-    })?;
-    Some(best.address.clone())
+        std::cmp::Reverse((m.zone != shared.zone.as_str(), rank))
+    });
+    live.into_iter().map(|m| m.address.clone()).collect()
 }
