--- a/lib/src/serving/beliefs/state.rs
+++ b/lib/src/serving/beliefs/state.rs
@@ -109,17 +109,14 @@
     }
 
     /// Our place in the order in which VMs ask the store about a topic; `None`
-    /// where each asks for itself, as VMs do whose replicas check no fences: with
-    /// 89 of those, news of others left one on an old configuration.
+    /// where each asks for itself.
     pub(in crate::serving) fn asking_rank(
         &self,
         now: Moment,
         settings: &ServeSettings,
         topic: Topic,
     ) -> Option<u64> {
-        let shared = settings.experiment.runs(Mechanism::StoreNews)
-            && settings.fenced
-            && self.members.count() > 1;
+        let shared = settings.experiment.runs(Mechanism::StoreNews) && self.members.count() > 1;
         shared.then(|| self.members.rank(now, u64::from(topic.number())))
     }
 
--- a/lib/tests/test_serving_feed_search.rs
+++ b/lib/tests/test_serving_feed_search.rs
@@ -73,7 +73,8 @@
             .history
             .iter()
             .filter(|(r, n, _)| *n == name && *r <= revision);
-        of.last().map(|(r, _, state)| (*r, *state))
+        of.max_by_key(|(r, ..)| *r)
+            .map(|(r, _, state)| (*r, *state))
     }
 
     fn at(&self, revision: u64, name: &str) -> State {
--- a/lib/tests/test_serving_place.rs
+++ b/lib/tests/test_serving_place.rs
@@ -614,7 +614,7 @@
 #[test]
 fn return_of_a_lapsed_entry_is_news() {
     let a = listing("i-a", "llm", "z-a", &["base"]);
-    let mut scene = Scene::new(&[a.clone()]);
+    let mut scene = Scene::new(std::slice::from_ref(&a));
     scene.fleet.lapse(at(0), &a.name);
     assert!(scene.fleet.is_news(&a));
     scene.fleet.list(a.clone());
