beliefs: when a kind is asked about, and what is told of it, in files of their own

Topics with their rhythm go to topic.rs, what is told to told.rs; the waits and pauses are methods of the rhythm.

--- a/lib/src/serving/beliefs/feed.rs
+++ b/lib/src/serving/beliefs/feed.rs
@@ -7,78 +7,14 @@
 
 use crate::pool::Moment;
 use crate::pool::Span;
+use crate::serving::beliefs::told::Blind;
+use crate::serving::beliefs::told::Said;
+use crate::serving::beliefs::told::Told;
+use crate::serving::beliefs::topic::Rhythm;
+use crate::serving::beliefs::topic::Topic;
 use crate::serving::peers::pack::pack;
 use crate::serving::store::port::Item;
 
-/// A kind of objects that every VM follows.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub enum Topic {
-    /// The configuration.
-    Config,
-    /// The replicas' entries.
-    Replicas,
-    /// Announced adapter versions.
-    Versions,
-    /// Our own objects: VMs and the owner table.
-    Own,
-}
-
-impl Topic {
-    /// All of them.
-    pub const ALL: [Self; 4] = [Self::Config, Self::Replicas, Self::Versions, Self::Own];
-
-    /// Its number between VMs, and the seed of the order in which they ask.
-    pub fn number(self) -> u32 {
-        self as u32 + 1
-    }
-
-    /// The topic of a number.
-    pub fn of_number(number: u32) -> Option<Self> {
-        Self::ALL.into_iter().find(|t| t.number() == number)
-    }
-}
-
-/// How a topic is asked about.
-#[derive(Clone, Copy, Debug)]
-pub struct Rhythm {
-    /// Within how long a change is to be known everywhere.
-    pub bound: Span,
-    /// The longest that a question of a VM that asks for itself alone waits for
-    /// a change; less where the bound asks for it.
-    pub lone_wait: Duration,
-    /// The pause after an answer with changes, of such a VM: changes in quick
-    /// succession cost one call.
-    pub lone_pause: Duration,
-    /// The same, of a VM that asks for all.
-    pub pause: Duration,
-    /// Whether objects are ever removed.
-    pub removes: bool,
-}
-
-/// How much longer than it should a call may take; the store answers in
-/// milliseconds.
-pub(in crate::serving) const CALL_MARGIN: Duration = Duration::from_millis(900);
-
-/// The time for a question that is asked again after one that was given up:
-/// the pause before it, and its answer.
-const REPEAT_TIME: Duration = Duration::from_millis(200);
-
-/// The part of the bound that a question waits for a change. The one who asks
-/// for all tells with each answer that nothing else changed; with a beacon's
-/// pause and a lost one on top that is known everywhere before others ask.
-const WAIT_PART: f64 = 0.2;
-
-/// The part of the bound after which a VM that hears no news asks the store
-/// itself: the rest is for its call, and for one that has to be repeated.
-const LIMIT_PART: f64 = 0.6;
-
-/// The part of the bound over which the questions of VMs that hear nothing are
-/// spread: the first ones' answers spare the others theirs.
-const SPREAD_PART: f64 = 0.2;
-
-/// VMs in the order of asking after which the spread grows no more.
-const MOST_RANKS: u64 = 16;
-
 /// How long a change is told: three beacons.
 const TOLD_FOR: Span = Span::from_millis(1_300);
 
@@ -87,90 +23,11 @@
 /// more asks the store.
 const MOST_TOLD: usize = 8 << 10;
 
-/// The pause after a call that failed; it doubles up to the longest.
-const FIRST_PAUSE: Span = Span::from_millis(100);
-
-/// The longest pause of the first VMs in the order of asking: the store's
-/// return is noticed within it, and told to the others.
-const LONGEST_PAUSE: Span = Span::from_millis(800);
-
 /// The first VMs in the order of asking, which tell what they know. Others
 /// that ask, as they missed something, would all tell it again to all: with
 /// 195 VMs that filled their links (served 0.90 -> 0.76 of what was owed).
 const TELLERS: u64 = 3;
 
-/// VMs that look for the store's return so often: any of them may be cut off.
-const WATCHERS: u64 = 3;
-
-/// The part of the bound that the others pause, who mostly hear of its return:
-/// all of a large fleet asking in vain at the pace of the first ones would be
-/// most of what its calls cost. With the spread and the time that a call may
-/// take, a VM that the store turned away, and that hears nothing of use, still
-/// knows a change within its bound.
-const OTHERS_PART: f64 = 0.3;
-
-/// A change that VMs tell each other.
-#[derive(Clone, Debug)]
-pub struct Told {
-    /// The object, as it is or as it last was.
-    pub item: Item,
-    /// Whether it was removed.
-    pub removed: bool,
-    /// Whether that may be so because the store was away: it may come back.
-    pub lapsed: bool,
-    /// Its content as it is told, once it is kept to be told.
-    pub packed: Vec<u8>,
-}
-
-impl Told {
-    /// A change that is not told yet.
-    pub fn new(item: Item, removed: bool, lapsed: bool) -> Self {
-        Self {
-            item,
-            removed,
-            lapsed,
-            packed: Vec::new(),
-        }
-    }
-}
-
-/// What one VM tells of a topic.
-#[derive(Clone, Debug)]
-pub struct Said {
-    /// The store's revision up to which it knows all.
-    pub revision: u64,
-    /// When that was so, on our clock.
-    pub as_of: Moment,
-    /// The changes follow on from this revision.
-    pub since: u64,
-    /// The changes.
-    pub changes: Vec<Told>,
-}
-
-/// A span of the store's history that a list stepped over. What was there only
-/// within it is not known: who knows a revision within it cannot follow on by
-/// what is told of the changes.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Blind {
-    /// All was known up to this revision.
-    pub from: u64,
-    /// And again from this one on.
-    pub to: u64,
-}
-
-impl Blind {
-    fn hides(self, revision: u64) -> bool {
-        self.from < revision && revision < self.to
-    }
-
-    fn join(self, other: Self) -> Self {
-        Self {
-            from: self.from.min(other.from),
-            to: self.to.max(other.to),
-        }
-    }
-}
-
 /// What to do next about a topic.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Next {
@@ -273,15 +130,14 @@
             return Next::List;
         };
         let Some(rank) = rank else {
-            return Next::Watch(self.lone_wait());
+            return Next::Watch(self.rhythm.alone());
         };
         if rank == 0 {
-            return Next::Watch(self.wait());
+            return Next::Watch(self.rhythm.wait());
         }
-        let spread = self.spread(rank);
+        let spread = self.rhythm.spread(rank);
         let gap = self.gap.map(|at| at.after(Span(spread.0 / 2)));
-        let limit = Span(self.part(LIMIT_PART).0 + spread.0);
-        let due = known.as_of.after(limit);
+        let due = known.as_of.after(self.rhythm.limit(rank));
         let due = gap.map_or(due, |gap| gap.min(due));
         match due <= now {
             true => Next::Watch(Duration::ZERO),
@@ -297,28 +153,6 @@
         }
     }
 
-    /// How long a question of a VM that asks for itself waits: one that went
-    /// into a silent connection is given up and asked again within the bound.
-    fn lone_wait(&self) -> Duration {
-        let reserve = CALL_MARGIN + REPEAT_TIME;
-        let most = self.part(1.0).0.saturating_sub(reserve.as_micros() as u64);
-        let most = Duration::from_micros(most).max(self.wait());
-        self.rhythm.lone_wait.min(most)
-    }
-
-    fn wait(&self) -> Duration {
-        Duration::from_micros(self.part(WAIT_PART).0)
-    }
-
-    /// How much later than the first ones a VM asks.
-    fn spread(&self, rank: u64) -> Span {
-        Span(self.part(SPREAD_PART).0 * rank.min(MOST_RANKS) / MOST_RANKS)
-    }
-
-    fn part(&self, part: f64) -> Span {
-        Span((self.rhythm.bound.0 as f64 * part) as u64)
-    }
-
     /// The whole topic, asked for at `asked`. Gives what changed since what was
     /// known; the first time there is nothing that it could follow on from.
     pub fn listed(
@@ -474,11 +308,7 @@
     /// The store did not answer, or with a failure.
     pub fn failed(&mut self, now: Moment, rank: Option<u64>) {
         self.outage = true;
-        let shift = self.failures.min(8);
-        let pause = match rank {
-            Some(rank) if rank >= WATCHERS => Span(self.part(OTHERS_PART).0 + self.spread(rank).0),
-            _ => Span((FIRST_PAUSE.0 << shift).min(LONGEST_PAUSE.0)),
-        };
+        let pause = self.rhythm.retry_pause(rank, self.failures);
         self.failures += 1;
         self.retry = Some(now.after(pause));
     }
--- a/lib/src/serving/beliefs/mod.rs
+++ b/lib/src/serving/beliefs/mod.rs
@@ -6,3 +6,5 @@
 pub(super) mod ownership;
 pub(super) mod state;
 pub(super) mod table;
+pub(super) mod told;
+pub(super) mod topic;
--- /dev/null
+++ b/lib/src/serving/beliefs/topic.rs
@@ -0,0 +1,131 @@
+//! The kinds of objects in the store that VMs follow, and when each is asked about.
+
+use std::time::Duration;
+
+use crate::pool::Span;
+
+/// A kind of objects that every VM follows.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Topic {
+    /// The configuration.
+    Config,
+    /// The replicas' entries.
+    Replicas,
+    /// Announced adapter versions.
+    Versions,
+    /// Our own objects: VMs and the owner table.
+    Own,
+}
+
+impl Topic {
+    /// All of them.
+    pub const ALL: [Self; 4] = [Self::Config, Self::Replicas, Self::Versions, Self::Own];
+
+    /// Its number between VMs, and the seed of the order in which they ask.
+    pub fn number(self) -> u32 {
+        self as u32 + 1
+    }
+
+    /// The topic of a number.
+    pub fn of_number(number: u32) -> Option<Self> {
+        Self::ALL.into_iter().find(|t| t.number() == number)
+    }
+}
+
+/// How a topic is asked about.
+#[derive(Clone, Copy, Debug)]
+pub struct Rhythm {
+    /// Within how long a change is to be known everywhere.
+    pub bound: Span,
+    /// The longest that a question of a VM that asks for itself alone waits for
+    /// a change; less where the bound asks for it.
+    pub lone_wait: Duration,
+    /// The pause after an answer with changes, of such a VM: changes in quick
+    /// succession cost one call.
+    pub lone_pause: Duration,
+    /// The same, of a VM that asks for all.
+    pub pause: Duration,
+    /// Whether objects are ever removed.
+    pub removes: bool,
+}
+
+/// How much longer than it should a call may take; the store answers in
+/// milliseconds.
+pub(in crate::serving) const CALL_MARGIN: Duration = Duration::from_millis(900);
+
+/// The time for a question that is asked again after one that was given up:
+/// the pause before it, and its answer.
+const REPEAT_TIME: Duration = Duration::from_millis(200);
+
+/// The part of the bound that a question waits for a change. The one who asks
+/// for all tells with each answer that nothing else changed; with a beacon's
+/// pause and a lost one on top that is known everywhere before others ask.
+const WAIT_PART: f64 = 0.2;
+
+/// The part of the bound after which a VM that hears no news asks the store
+/// itself: the rest is for its call, and for one that has to be repeated.
+const LIMIT_PART: f64 = 0.6;
+
+/// The part of the bound over which the questions of VMs that hear nothing are
+/// spread: the first ones' answers spare the others theirs.
+const SPREAD_PART: f64 = 0.2;
+
+/// VMs in the order of asking after which the spread grows no more.
+const MOST_RANKS: u64 = 16;
+
+/// The pause after a call that failed; it doubles up to the longest.
+const FIRST_PAUSE: Span = Span::from_millis(100);
+
+/// Doublings after which that pause is the longest anyway.
+const MOST_DOUBLED: u32 = 8;
+
+/// The longest pause of the first VMs in the order of asking: the store's
+/// return is noticed within it, and told to the others.
+const LONGEST_PAUSE: Span = Span::from_millis(800);
+
+/// VMs that look for the store's return so often: any of them may be cut off.
+const WATCHERS: u64 = 3;
+
+/// The part of the bound that the others pause, who mostly hear of its return:
+/// all of a large fleet asking in vain at the pace of the first ones would be
+/// most of what its calls cost. With the spread and the time that a call may
+/// take, a VM that the store turned away, and that hears nothing of use, still
+/// knows a change within its bound.
+const OTHERS_PART: f64 = 0.3;
+
+impl Rhythm {
+    /// How long a question of the VM that asks for all waits for a change.
+    pub(super) fn wait(&self) -> Duration {
+        Duration::from_micros(self.part(WAIT_PART).0)
+    }
+
+    /// How long a question of a VM that asks for itself waits: one that went
+    /// into a silent connection is given up and asked again within the bound.
+    pub(super) fn alone(&self) -> Duration {
+        let reserve = CALL_MARGIN + REPEAT_TIME;
+        let most = Duration::from_micros(self.bound.0).saturating_sub(reserve);
+        self.lone_wait.min(most.max(self.wait()))
+    }
+
+    /// How old its knowledge is when the VM at this place in the order asks.
+    pub(super) fn limit(&self, rank: u64) -> Span {
+        Span(self.part(LIMIT_PART).0 + self.spread(rank).0)
+    }
+
+    /// How much later than the first ones a VM asks.
+    pub(super) fn spread(&self, rank: u64) -> Span {
+        Span(self.part(SPREAD_PART).0 * rank.min(MOST_RANKS) / MOST_RANKS)
+    }
+
+    /// The pause after the last of so many failed calls in a row.
+    pub(super) fn retry_pause(&self, rank: Option<u64>, failures: u32) -> Span {
+        match rank {
+            Some(rank) if rank >= WATCHERS => Span(self.part(OTHERS_PART).0 + self.spread(rank).0),
+            _ => Span((FIRST_PAUSE.0 << failures.min(MOST_DOUBLED)).min(LONGEST_PAUSE.0)),
+        }
+    }
+
+    fn part(&self, part: f64) -> Span {
+        Span((self.bound.0 as f64 * part) as u64)
+    }
+}
