--- a/lib/src/serving/beliefs/members.rs
+++ b/lib/src/serving/beliefs/members.rs
@@ -31,6 +31,9 @@
 /// hears a datagram from each VM of its zone, with what those passed on.
 const RELAYED_SMALL: usize = 240;
 
+/// VMs from which one asks the store for all where replicas check no fences.
+const NEWS_FLEET: usize = 16;
+
 /// Beats that a VM's beacons are missed where they are relayed: any of two
 /// datagrams may be lost.
 const MISSED_RELAYED: u64 = 7;
@@ -352,6 +355,15 @@
             || quiet >= ALONE_AFTER
     }
 
+    /// Whether VMs tell each other what they hear of the store, in place of each
+    /// asking for itself. In a small fleet whose replicas check no fences each
+    /// asks: its calls cost little, and its callers are served better so under
+    /// high load.
+    pub fn shares_news(&self, fenced: bool) -> bool {
+        let least = if fenced { 2 } else { NEWS_FLEET };
+        self.count() >= least
+    }
+
     /// How many VMs share the retry budget: those listed or heard.
     pub fn count(&self) -> usize {
         self.addresses.len() + 1
--- a/lib/src/serving/beliefs/state.rs
+++ b/lib/src/serving/beliefs/state.rs
@@ -116,7 +116,8 @@
         settings: &ServeSettings,
         topic: Topic,
     ) -> Option<u64> {
-        let shared = settings.experiment.runs(Mechanism::StoreNews) && self.members.count() > 1;
+        let shared = settings.experiment.runs(Mechanism::StoreNews)
+            && self.members.shares_news(settings.fenced);
         shared.then(|| self.members.rank(now, u64::from(topic.number())))
     }
 
--- a/lib/tests/test_serving_members.rs
+++ b/lib/tests/test_serving_members.rs
@@ -35,6 +35,16 @@
     assert_eq!(members.news(), Span::from_millis(ms + 100));
 }
 
+/// Who asks the store: one for all, or each for itself.
+#[rstest]
+#[case::alone(1, true, false)]
+#[case::small_fenced(9, true, true)]
+#[case::small(8, false, false)]
+#[case::grown(89, false, true)]
+fn shares_news_by_the_fleet(#[case] vms: u16, #[case] fenced: bool, #[case] shares: bool) {
+    assert_eq!(fleet(vms).shares_news(fenced), shares);
+}
+
 fn at(ms: u64) -> Moment {
     Moment(50_000_000).after(Span::from_millis(ms))
 }
