telemetry: lines that the writing thread took still count as waiting

Change: lines are counted from the moment they are taken in until they are written. Conclusion: what a stuck output costs in memory is bounded by LOG_RING, as it says.

--- a/lib/src/telemetry/ring.rs
+++ b/lib/src/telemetry/ring.rs
@@ -1,9 +1,11 @@
 //! Lines on their way to an output that may be slow or blocked.
 
 use std::io::Write;
+use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicU64;
+use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::sync::mpsc::Receiver;
 use std::sync::mpsc::SyncSender;
@@ -15,8 +17,8 @@
 use slog::OwnedKVList;
 use slog::Record;
 
-/// Lines that may wait for the writing thread; more are dropped and counted,
-/// so that a stuck output never holds up a request.
+/// Lines that may wait until they are written; more are dropped and counted, so
+/// that a stuck output never holds up a request.
 pub(super) const LOG_RING: usize = 4_096;
 
 /// A drain that writes one JSON object a line, by a thread of its own.
@@ -26,18 +28,24 @@
 /// What waits is written in one go, so a busy second costs few writes.
 pub(super) struct Ring {
     lines: Option<SyncSender<Vec<u8>>>,
+    /// Lines that are not written yet: those in the ring, and those that the
+    /// thread took out of it.
+    waiting: Arc<AtomicUsize>,
     lost: AtomicU64,
     writer: Mutex<Option<JoinHandle<()>>>,
 }
 
 impl Ring {
     pub(super) fn new(output: impl Write + Send + 'static) -> std::io::Result<Self> {
-        let (lines, waiting) = sync_channel(LOG_RING);
+        let (lines, taken) = sync_channel(LOG_RING);
+        let waiting = Arc::new(AtomicUsize::new(0));
+        let unwritten = waiting.clone();
         let writer = std::thread::Builder::new()
             .name("log".to_owned())
-            .spawn(move || write_all(&waiting, output))?;
+            .spawn(move || write_all(&taken, &unwritten, output))?;
         Ok(Self {
             lines: Some(lines),
+            waiting,
             lost: AtomicU64::new(0),
             writer: Mutex::new(Some(writer)),
         })
@@ -49,7 +57,19 @@
         let Some(lines) = &self.lines else {
             return false;
         };
-        json.log(record, values).is_ok() && lines.try_send(line).is_ok()
+        if json.log(record, values).is_err() {
+            return false;
+        }
+        let free = |waiting: usize| (waiting < LOG_RING).then_some(waiting + 1);
+        let order = Ordering::Relaxed;
+        if self.waiting.fetch_update(order, order, free).is_err() {
+            return false;
+        }
+        let sent = lines.try_send(line).is_ok();
+        if !sent {
+            self.waiting.fetch_sub(1, order);
+        }
+        sent
     }
 }
 
@@ -95,12 +115,15 @@
 }
 
 /// Writes lines as they come, all that wait at a time.
-fn write_all(waiting: &Receiver<Vec<u8>>, mut output: impl Write) {
-    while let Ok(mut lines) = waiting.recv() {
-        for line in waiting.try_iter().take(LOG_RING) {
+fn write_all(taken: &Receiver<Vec<u8>>, waiting: &AtomicUsize, mut output: impl Write) {
+    while let Ok(mut lines) = taken.recv() {
+        let mut count = 1;
+        for line in taken.try_iter().take(LOG_RING) {
             lines.extend_from_slice(&line);
+            count += 1;
         }
         let written = output.write_all(&lines).and_then(|()| output.flush());
+        waiting.fetch_sub(count, Ordering::Relaxed);
         if written.is_err() {
             // Nobody reads the output any more; there is no other place to
             // say so.
