--- a/bench/benches/placement.rs
+++ b/bench/benches/placement.rs
@@ -54,6 +54,7 @@
             head_time: Duration::ZERO,
             idle: Duration::ZERO,
         },
+        organisations: None,
     }
 }
 
--- a/lib/src/ids/mod.rs
+++ b/lib/src/ids/mod.rs
@@ -110,6 +110,10 @@
     /// A team that owns adapters and pays for their use.
     TeamName
 );
+name_type!(
+    /// A customer of the system: who holds keys and has a limit.
+    OrganisationName
+);
 name_type!(
     /// A LoRA adapter, without its version.
     AdapterName
--- a/lib/src/serving/beliefs/feed.rs
+++ b/lib/src/serving/beliefs/feed.rs
@@ -120,6 +120,11 @@
         self.outage
     }
 
+    /// Whether a call failed a moment ago, so that the next one waits.
+    pub fn rests(&self, now: Moment) -> bool {
+        self.retry.is_some_and(|at| at > now)
+    }
+
     /// What the VM at place `rank` in the order of asking does next; `None`
     /// where each VM asks for itself.
     pub fn next(&self, now: Moment, rank: Option<u64>) -> Next {
@@ -192,10 +197,13 @@
             Told::new(item, true, self.outage)
         });
         let changes = self.admit(present.chain(gone).collect());
-        self.step_over(Blind {
-            from: known.revision,
-            to: revision,
-        });
+        // What is never removed cannot have come and gone in between.
+        if self.rhythm.removes {
+            self.step_over(Blind {
+                from: known.revision,
+                to: revision,
+            });
+        }
         self.take_answer(now, asked, revision);
         changes
     }
--- a/lib/src/serving/beliefs/members.rs
+++ b/lib/src/serving/beliefs/members.rs
@@ -45,6 +45,15 @@
 /// make it so.
 const MISSED: u64 = 5;
 
+/// Beats that a VM's beacons are missed until others lend in its place: any of
+/// two datagrams, and of two more, may be lost.
+const LENDER_MISSED: u64 = 4;
+
+/// Beats that a VM's beacons are missed until it no longer counts among those
+/// that a lender hears: until then the VM may use its own part on top of what is
+/// lent.
+const PART_MISSED: u64 = 3;
+
 /// How late a beacon may come on a busy VM.
 const NEWS_MARGIN: Span = Span::from_millis(100);
 
@@ -80,6 +89,8 @@
     least: i64,
     /// Beacons of this incarnation.
     count: u32,
+    /// Whether it lends parts of organisations' limits.
+    lends: bool,
 }
 
 impl Heard {
@@ -128,6 +139,11 @@
         }
     }
 
+    /// This VM.
+    pub fn own(&self) -> &VmName {
+        &self.own
+    }
+
     /// Lets beacons be relayed between availability zones; ours is this one.
     pub fn allow_relays(&mut self, zone: ZoneName) {
         self.zone = Some(zone);
@@ -245,6 +261,7 @@
             sent,
             least: 0,
             count: same.map_or(0, |h| h.count).saturating_add(1),
+            lends: false,
         };
         heard.least = same.map_or(heard.way(), |h| h.least.min(heard.way()));
         self.heard.insert(vm.clone(), heard);
@@ -258,6 +275,60 @@
         Some((heard.incarnation, heard.sent, heard.at))
     }
 
+    /// All VMs that were heard within `span`: the incarnation of each, when its
+    /// last beacon was sent on its clock, and when that came.
+    pub fn heard_within(
+        &self,
+        now: Moment,
+        span: Span,
+    ) -> impl Iterator<Item = (&VmName, Incarnation, Moment, Moment)> {
+        let recent = self
+            .heard
+            .iter()
+            .filter(move |(_, h)| now.since(h.at) < span);
+        recent.map(|(vm, h)| (vm, h.incarnation, h.sent, h.at))
+    }
+
+    /// Whether a VM lends, by its last beacon.
+    pub fn set_lends(&mut self, vm: &VmName, lends: bool) {
+        if let Some(heard) = self.heard.get_mut(vm) {
+            heard.lends = lends;
+        }
+    }
+
+    /// The part of the VMs that this one hears, itself among them.
+    pub fn heard_part(&self, now: Moment) -> f64 {
+        let recent = self.heard_within(now, Span(self.beat().0 * PART_MISSED));
+        let listed = recent.filter(|(vm, ..)| self.addresses.contains_key(*vm));
+        (listed.count() + 1) as f64 / self.count() as f64
+    }
+
+    /// Whether this VM lends parts of organisations' limits: it hears most of
+    /// the others, so that no two sides of a cut do.
+    pub fn lends(&self, now: Moment) -> bool {
+        let new = !self.addresses.is_empty() && now.since(self.since) < ACQUAINTED;
+        !new && self.heard_part(now) > 0.5
+    }
+
+    /// Who lends, in the order of a hash with this seed: the first one, and
+    /// those that are asked in its place when it does not answer.
+    pub fn lenders(&self, now: Moment, seed: u64) -> Vec<&VmName> {
+        let kept = self.lender_kept();
+        let others = self.heard.iter().filter(|(vm, h)| {
+            h.lends && !h.stopping && now.since(h.at) < kept && self.addresses.contains_key(*vm)
+        });
+        let own = Some(&self.own).filter(|_| self.lends(now));
+        let mut all: Vec<_> = others.map(|(vm, _)| vm).chain(own).collect();
+        all.sort_by_key(|vm| order(vm, seed));
+        all
+    }
+
+    /// How long a VM that is silent is still asked to lend: each request of an
+    /// organisation waits for it in vain meanwhile.
+    fn lender_kept(&self) -> Span {
+        Span(self.beat().0 * LENDER_MISSED)
+    }
+
     /// A VM heard our beacon that was sent at `sent`.
     pub fn echoed(&mut self, vm: &VmName, sent: Moment) {
         let echo = self.echoes.entry(vm.clone()).or_insert(sent);
--- a/lib/src/serving/beliefs/mod.rs
+++ b/lib/src/serving/beliefs/mod.rs
@@ -4,6 +4,7 @@
 pub(super) mod feed;
 pub(super) mod members;
 pub(super) mod ownership;
+pub(super) mod recency;
 pub(super) mod state;
 pub(super) mod table;
 pub(super) mod told;
--- a/lib/src/serving/beliefs/state.rs
+++ b/lib/src/serving/beliefs/state.rs
@@ -5,22 +5,30 @@
 use std::rc::Rc;
 
 use banyangauge_proto as wire;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::ids::Incarnation;
+use crate::ids::OrganisationName;
 use crate::ids::ReplicaName;
 use crate::ids::VmName;
 use crate::pool::Moment;
-use crate::pool::Span;
 use crate::serving::beliefs::audience::Audience;
 use crate::serving::beliefs::feed::Feeds;
 use crate::serving::beliefs::members::Members;
 use crate::serving::beliefs::ownership::Ownership;
+use crate::serving::beliefs::recency::Recency;
+use crate::serving::beliefs::recency::Witnesses;
 use crate::serving::beliefs::table::Table;
 use crate::serving::beliefs::topic::Topic;
+use crate::serving::decisions::access::Bounds;
+use crate::serving::decisions::access::Freshness;
+use crate::serving::decisions::access::Keys;
 use crate::serving::decisions::books::Books;
 use crate::serving::decisions::budget::Budget;
 use crate::serving::decisions::fleet::Fleet;
 use crate::serving::decisions::fleet::Load;
+use crate::serving::decisions::quota::Borrower;
+use crate::serving::decisions::quota::Lender;
 use crate::serving::decisions::reserved::Reserved;
 use crate::serving::decisions::strain::Strain;
 use crate::serving::decisions::strikes::Strikes;
@@ -29,8 +37,10 @@
 use crate::serving::path::model::Instance;
 use crate::serving::path::model::Listing;
 use crate::serving::path::model::Target;
+use crate::serving::path::model::UseLimit;
 use crate::serving::path::routes::Routes;
 use crate::serving::program::experiment::Mechanism;
+use crate::serving::program::node::span;
 use crate::serving::program::settings::ServeSettings;
 use crate::serving::store::follow;
 
@@ -39,6 +49,25 @@
 pub(in crate::serving) struct Active {
     pub(in crate::serving) config: Config,
     pub(in crate::serving) routes: Routes,
+    /// Who calls with which key; `None` where callers need none.
+    pub(in crate::serving) keys: Option<Keys>,
+    /// The limits of organisations that have one.
+    pub(in crate::serving) use_limits: BTreeMap<OrganisationName, UseLimit>,
+}
+
+impl Active {
+    fn new(config: Config) -> Self {
+        let routes = Routes::new(&config.routes);
+        let all = config.organisations.as_deref();
+        let limits = all.unwrap_or_default().iter();
+        let limits = limits.filter_map(|o| Some((o.name.clone(), o.limit?)));
+        Self {
+            keys: all.map(Keys::new),
+            use_limits: limits.collect(),
+            routes,
+            config,
+        }
+    }
 }
 
 /// Runs of one adapter at one replica, of this VM's requests.
@@ -75,11 +104,25 @@
     pub(in crate::serving) passing: BTreeMap<VmName, wire::Beacon>,
     /// Whether the replicas were listed once.
     pub(in crate::serving) listed: bool,
+    /// Within how long changes of keys must be heeded.
+    pub(in crate::serving) key_bounds: Bounds,
+    /// When the configuration was surely the newest.
+    pub(in crate::serving) recency: Recency,
+    pub(in crate::serving) witnesses: Witnesses,
+    /// What this VM was lent of organisations' limits.
+    pub(in crate::serving) borrower: Borrower,
+    /// What it lends of them.
+    pub(in crate::serving) lender: Lender,
+}
+
+/// The seed of the order in which VMs lend for an organisation.
+pub(in crate::serving) fn lender_seed(name: &OrganisationName) -> u64 {
+    xxh3_64(name.as_str().as_bytes())
 }
 
 impl Beliefs {
     pub(in crate::serving) fn new(settings: &ServeSettings, now: Moment) -> Self {
-        let lease = Span(u64::try_from(settings.lease.as_micros()).unwrap_or(u64::MAX));
+        let lease = span(settings.lease);
         let mut beliefs = Self {
             active: None,
             fleet: Fleet::new(settings.zone.clone()),
@@ -98,6 +141,14 @@
             feeds: Feeds::new(|topic| follow::rhythm(settings, topic)),
             passing: BTreeMap::new(),
             listed: false,
+            key_bounds: Bounds {
+                revoke: settings.revoke.map(span),
+                apply: span(settings.apply),
+            },
+            recency: Recency::default(),
+            witnesses: Witnesses::default(),
+            borrower: Borrower::default(),
+            lender: Lender::new(settings.allowance),
         };
         // An owner whose replicas check no fences must be heard by each VM.
         if settings.fenced && settings.experiment.runs(Mechanism::ZoneRelays) {
@@ -121,6 +172,46 @@
         shared.then(|| self.members.rank(now, u64::from(topic.number())))
     }
 
+    /// How old what is known of the keys is.
+    pub(in crate::serving) fn key_freshness(&mut self, now: Moment) -> Freshness {
+        Freshness {
+            proven: self.recency.age(now),
+            believed: self.feeds.get(Topic::Config).age(now),
+        }
+    }
+
+    /// Whether this VM may serve callers who need a key.
+    pub(in crate::serving) fn keys_hold(&mut self, now: Moment) -> bool {
+        let needed = self.active.as_ref().is_some_and(|a| a.keys.is_some());
+        let freshness = self.key_freshness(now);
+        !needed || self.key_bounds.holds(&freshness)
+    }
+
+    /// Whether it is time to ask the store whether the keys still hold.
+    pub(in crate::serving) fn proof_due(&mut self, now: Moment, rank: Option<u64>) -> bool {
+        let Some(revoke) = self.key_bounds.revoke else {
+            return false;
+        };
+        let needed = self.active.as_ref().is_some_and(|a| a.keys.is_some());
+        let rests = self.feeds.get(Topic::Config).rests(now);
+        needed && !rests && self.recency.is_due(now, revoke, rank.unwrap_or(0))
+    }
+
+    /// Takes the time that passed into the limits that this VM lends.
+    pub(in crate::serving) fn keep_limits(&mut self, now: Moment) {
+        let Some(active) = self.active.clone() else {
+            return;
+        };
+        let part = self.members.heard_part(now);
+        let own = self.members.own();
+        let first = |name: &OrganisationName| {
+            let lenders = self.members.lenders(now, lender_seed(name));
+            lenders.first() == Some(&own)
+        };
+        let kept = active.use_limits.iter().filter(|(name, _)| first(name));
+        self.lender.keep(now, part, kept);
+    }
+
     /// Whether requests can be served.
     pub(in crate::serving) fn ready(&self) -> bool {
         self.active.is_some() && self.listed
@@ -133,8 +224,10 @@
             return false;
         }
         self.fleet.configure(&config);
-        let routes = Routes::new(&config.routes);
-        self.active = Some(Rc::new(Active { config, routes }));
+        let active = Active::new(config);
+        self.borrower
+            .retain(|name| active.use_limits.contains_key(name));
+        self.active = Some(Rc::new(active));
         true
     }
 
--- a/lib/src/serving/decisions/decide.rs
+++ b/lib/src/serving/decisions/decide.rs
@@ -8,6 +8,7 @@
 
 use hyper::StatusCode;
 
+use crate::serving::decisions::access::Denial;
 use crate::serving::path::border::NotRun;
 
 /// Sends of one request that were refused or did not arrive, at the most: the
@@ -33,17 +34,19 @@
     Failed,
     /// No answer came in time.
     Overdue,
+    /// It was not sent: its key was taken away, or may have been.
+    Denied(Denial),
 }
 
 impl Ended {
     /// Whether the request may have run.
     pub fn may_have_run(self) -> bool {
-        !matches!(self, Self::NotSent | Self::NotRun(_))
+        !matches!(self, Self::NotSent | Self::NotRun(_) | Self::Denied(_))
     }
 
     /// Whether the replica got it, so that another send is a repeat.
     pub fn arrived(self) -> bool {
-        self != Self::NotSent
+        !matches!(self, Self::NotSent | Self::Denied(_))
     }
 
     /// A word for logs and metrics.
@@ -57,6 +60,7 @@
             Self::Spoilt(_) => "spoilt",
             Self::Failed => "failed",
             Self::Overdue => "overdue",
+            Self::Denied(denial) => denial.word(),
         }
     }
 }
@@ -98,6 +102,7 @@
         let allowed = self.idempotent || self.runs == 0;
         allowed
             && ended != Ended::Overdue
+            && !matches!(ended, Ended::Denied(_))
             && self.sends < MOST_SENDS
             && self.runs < self.most_runs.max(1)
     }
@@ -133,9 +138,29 @@
         }
     }
 
+    /// A key is not known, or may not hold any more.
+    pub fn of_denial(denial: Denial) -> Self {
+        match denial {
+            Denial::UnknownKey => Self::denied(StatusCode::UNAUTHORIZED, denial.word()),
+            Denial::ConfigOld => Self::not_run(denial.word(), COME_BACK),
+        }
+    }
+
+    /// The organisation's limit is used up until then.
+    pub fn over_limit(after: Duration) -> Self {
+        Self {
+            status: StatusCode::TOO_MANY_REQUESTS,
+            retry_after: Some(after),
+            reason: "over_limit",
+        }
+    }
+
     /// The final answer after tries of which the last ended so.
     pub fn after(tries: &Tries, ended: Ended) -> Self {
         let reason = ended.word();
+        if let (0, Ended::Denied(denial)) = (tries.runs, ended) {
+            return Self::of_denial(denial);
+        }
         if tries.runs == 0 && !ended.may_have_run() {
             return Self::not_run(reason, COME_BACK);
         }
--- a/lib/src/serving/decisions/mod.rs
+++ b/lib/src/serving/decisions/mod.rs
@@ -1,10 +1,12 @@
 //! What is decided, on plain state with time as an argument: no I/O, no clock.
 
+pub mod access;
 pub(super) mod books;
 pub(super) mod budget;
 pub mod decide;
 pub(super) mod fleet;
 pub(super) mod pace;
+pub mod quota;
 pub(super) mod reserved;
 pub(super) mod strain;
 pub(super) mod strikes;
--- a/lib/src/serving/mod.rs
+++ b/lib/src/serving/mod.rs
@@ -3,7 +3,7 @@
 //! | folder | what is in it |
 //! |---|---|
 //! | `path` | the path of a request; start at `path/serve.rs` |
-//! | `decisions` | what is decided, without I/O: [`Fleet`] (where a request runs), [`decide`] (what follows a failed try), [`Budget`] (how often), [`Books`] (what a replica loads next), [`Strikes`] (which request crashes its upstream) |
+//! | `decisions` | what is decided, without I/O: [`Fleet`] (where a request runs), [`decide`] (what follows a failed try), [`Budget`] (how often), [`Books`] (what a replica loads next), [`Strikes`] (which request crashes its upstream), [`access`] (whose request it is), [`quota`] (whether its organisation may use more) |
 //! | `beliefs` | what is believed: [`Feed`] (of the store), [`Members`] (of the VMs), [`Ownership`] (of who may order what) |
 //! | `peers` | what VMs tell each other |
 //! | `store` | the store's port, and who follows it |
@@ -27,6 +27,10 @@
 pub use beliefs::members::Stamp;
 pub use beliefs::ownership::HOLD;
 pub use beliefs::ownership::Ownership;
+pub use beliefs::recency::Recency;
+pub use beliefs::recency::Witness;
+pub use beliefs::recency::Witnesses;
+pub use beliefs::recency::reader;
 pub use beliefs::table::Owner;
 pub use beliefs::table::Table;
 pub use beliefs::told::Blind;
@@ -34,6 +38,7 @@
 pub use beliefs::told::Told;
 pub use beliefs::topic::Rhythm;
 pub use beliefs::topic::Topic;
+pub use decisions::access;
 pub use decisions::books::Books;
 pub use decisions::books::OrderEnd;
 pub use decisions::books::Report;
@@ -44,6 +49,7 @@
 pub use decisions::decide;
 pub use decisions::fleet::*;
 pub use decisions::pace::Pace;
+pub use decisions::quota;
 pub use decisions::reserved::Reserved;
 pub use decisions::strain::Strain;
 pub use decisions::strikes::Strikes;
--- a/lib/src/serving/path/border.rs
+++ b/lib/src/serving/path/border.rs
@@ -7,6 +7,7 @@
 use hyper::Request;
 use hyper::StatusCode;
 
+use crate::ids::OrganisationName;
 use crate::ids::ReplicaName;
 use crate::ids::Token;
 use crate::ids::VmName;
@@ -56,6 +57,8 @@
     pub version: Option<u32>,
     /// The event after which a broken stream goes on.
     pub resume_at: Option<u64>,
+    /// On whose behalf it is sent; the caller's key is never passed on.
+    pub organisation: Option<&'a OrganisationName>,
 }
 
 /// Why a replica did not run a request.
--- /dev/null
+++ b/lib/src/serving/path/charge.rs
@@ -0,0 +1,237 @@
+//! Charges requests to the limits of their organisations.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use banyangauge_proto as wire;
+use prost::Message;
+use wire::datagram::Body;
+
+use crate::ids::OrganisationName;
+use crate::ids::VmName;
+use crate::pool::Span;
+use crate::serving::beliefs::state::lender_seed;
+use crate::serving::decisions::decide::COME_BACK;
+use crate::serving::decisions::decide::Refusal;
+use crate::serving::decisions::quota::Answer;
+use crate::serving::decisions::quota::Ask as LeaseAsk;
+use crate::serving::decisions::quota::Spend;
+use crate::serving::path::model::Ask;
+use crate::serving::path::model::Organisation;
+use crate::serving::path::model::UseLimit;
+use crate::serving::peers::beacons::send;
+use crate::serving::program::experiment::Mechanism;
+use crate::serving::program::node::Node;
+use crate::serving::program::node::now;
+
+/// How long the answer of a VM that lends is waited for: it is a millisecond or
+/// two away, and callers of plain services wait for a tenth of a second.
+const ANSWER_WAIT: Duration = Duration::from_millis(40);
+
+/// Questions for one request: the first VM in the order, again as a datagram may
+/// be lost, and the one after it.
+const QUESTIONS: [usize; 3] = [0, 0, 1];
+
+/// What a request took of its organisation's limit; if it did not run, that is
+/// given back when this is dropped.
+pub(in crate::serving) struct Charge {
+    node: Rc<Node>,
+    organisation: OrganisationName,
+    weight: f64,
+    ran: Cell<bool>,
+}
+
+impl Charge {
+    /// The request is sent, and may run from now on.
+    pub(in crate::serving) fn begin(&self) -> Sent<'_> {
+        let before = self.ran.replace(true);
+        Sent {
+            charge: self,
+            before,
+        }
+    }
+}
+
+/// A send of a charged request.
+pub(in crate::serving) struct Sent<'a> {
+    charge: &'a Charge,
+    before: bool,
+}
+
+impl Sent<'_> {
+    /// It did not run by this send.
+    pub(in crate::serving) fn undo(&self) {
+        self.charge.ran.set(self.before);
+    }
+}
+
+impl Drop for Charge {
+    fn drop(&mut self) {
+        let outcome = if self.ran.get() { "ran" } else { "not_run" };
+        count(&self.organisation, outcome, self.weight);
+        if !self.ran.get() {
+            let mut b = self.node.beliefs();
+            b.borrower.give_back(now(), &self.organisation, self.weight);
+        }
+    }
+}
+
+fn count(organisation: &OrganisationName, outcome: &'static str, weight: f64) {
+    let organisation = organisation.to_string();
+    metrics::counter!("serve_organisation_use_total",
+        "organisation" => organisation, "outcome" => outcome)
+    .increment(weight as u64);
+}
+
+/// Takes what a request weighs out of its organisation's limit.
+pub(in crate::serving) async fn take(
+    node: &Rc<Node>,
+    organisation: &Organisation,
+    ask: &Ask,
+) -> Result<Option<Charge>, Refusal> {
+    let Some(limit) = &organisation.limit else {
+        return Ok(None);
+    };
+    let name = &organisation.name;
+    let weight = limit.weight.of(ask);
+    let charge = || Charge {
+        node: node.clone(),
+        organisation: name.clone(),
+        weight,
+        ran: Cell::new(false),
+    };
+    let over = |after: Span, why: &'static str| {
+        count(name, "over_limit", weight);
+        slog::info!(node.log, "over limit"; "id" => &ask.id, "organisation" => name.as_str(),
+            "weight" => weight, "rate" => limit.rate, "burst" => limit.burst,
+            "after_ms" => after.as_millis(), "by" => why);
+        Refusal::over_limit(Duration::from_micros(after.0))
+    };
+    let lenders = node.settings.experiment.runs(Mechanism::LimitLenders);
+    for place in QUESTIONS.into_iter().filter(|_| lenders) {
+        let spend = node.beliefs().borrower.spend(now(), name, weight);
+        let question = match spend {
+            Spend::Spent => return Ok(Some(charge())),
+            Spend::Short(after) => return Err(over(after, "told")),
+            Spend::Ask(question) => question,
+        };
+        let Some(answer) = ask_lender(node, name, limit, place, question).await else {
+            continue;
+        };
+        let mut b = node.beliefs();
+        if b.borrower.answered(now(), name, weight, answer) {
+            return Ok(Some(charge()));
+        }
+        drop(b);
+        if let Answer::Short(after) = answer {
+            return Err(over(after, "asked"));
+        }
+    }
+    let own = {
+        let mut b = node.beliefs();
+        let vms = b.members.count();
+        b.borrower.spend_own(now(), name, limit, vms, weight)
+    };
+    if own {
+        return Ok(Some(charge()));
+    }
+    slog::info!(node.log, "no lender"; "id" => &ask.id, "organisation" => name.as_str(),
+        "weight" => weight, "heard_part" => node.beliefs().members.heard_part(now()));
+    Err(Refusal::not_run("no_lender", COME_BACK))
+}
+
+/// Asks the VM at this place in the order of those that lend; `None` if there is
+/// none, or no answer.
+async fn ask_lender(
+    node: &Node,
+    name: &OrganisationName,
+    limit: &UseLimit,
+    place: usize,
+    mut question: LeaseAsk,
+) -> Option<Answer> {
+    if !node.settings.experiment.runs(Mechanism::LimitsAhead) {
+        question.ahead = 0.0;
+    }
+    let address = {
+        let mut b = node.beliefs();
+        let b = &mut *b;
+        let lenders = b.members.lenders(now(), lender_seed(name));
+        let lender = *lenders.get(place)?;
+        if *lender == node.settings.vm {
+            let part = b.members.heard_part(now());
+            let first = place == 0;
+            return Some(b.lender.ask(now(), name, limit, part, first, question));
+        }
+        b.members.address(lender)?
+    };
+    let number = node.number();
+    let receiver = node.leases.ask(number);
+    let ask = wire::LeaseAsk {
+        vm: node.settings.vm.to_string(),
+        number,
+        organisation: name.to_string(),
+        need: question.need,
+        ahead: question.ahead,
+    };
+    tell(node, Body::LeaseAsk(ask), address).await;
+    let answer = tokio::time::timeout(ANSWER_WAIT, receiver).await;
+    node.leases.forget(number);
+    let outcome = match &answer {
+        Ok(Ok(answer)) if answer.declined => "declined",
+        Ok(Ok(answer)) if answer.lent > 0.0 => "lent",
+        Ok(Ok(_)) => "short",
+        Err(_) | Ok(Err(_)) => "unanswered",
+    };
+    metrics::counter!("serve_lease_asks_total", "outcome" => outcome).increment(1);
+    let answer = answer.ok()?.ok().filter(|a| !a.declined)?;
+    Some(match answer.lent > 0.0 {
+        true => Answer::Lent(answer.lent),
+        false => Answer::Short(Span(answer.after_us)),
+    })
+}
+
+async fn tell(node: &Node, body: Body, address: std::net::SocketAddr) {
+    let datagram = wire::Datagram { body: Some(body) };
+    send(node, &datagram.encode_to_vec(), address).await;
+}
+
+/// A VM asks for a part of an organisation's limit.
+pub(in crate::serving) async fn take_ask(node: &Node, ask: &wire::LeaseAsk) {
+    let (Ok(name), Ok(vm)) = (
+        ask.organisation.parse::<OrganisationName>(),
+        ask.vm.parse::<VmName>(),
+    ) else {
+        return;
+    };
+    let address = node.beliefs().members.address(&vm);
+    let Some(address) = address else {
+        return;
+    };
+    let question = LeaseAsk {
+        need: ask.need.max(0.0),
+        ahead: ask.ahead.max(0.0),
+    };
+    let mut answer = wire::LeaseAnswer {
+        number: ask.number,
+        ..wire::LeaseAnswer::default()
+    };
+    match lend(node, &name, question) {
+        Some(Answer::Lent(lent)) => answer.lent = lent,
+        Some(Answer::Short(after)) => answer.after_us = after.0,
+        None => answer.declined = true,
+    }
+    tell(node, Body::LeaseAnswer(answer), address).await;
+}
+
+/// `None` where this VM does not lend for the organisation.
+fn lend(node: &Node, name: &OrganisationName, question: LeaseAsk) -> Option<Answer> {
+    let mut b = node.beliefs();
+    let b = &mut *b;
+    let at = now();
+    let limit = *b.active.as_ref()?.use_limits.get(name)?;
+    let lenders = b.members.lenders(at, lender_seed(name));
+    let place = lenders.iter().position(|vm| **vm == node.settings.vm)?;
+    let part = b.members.heard_part(at);
+    Some(b.lender.ask(at, name, &limit, part, place == 0, question))
+}
--- a/lib/src/serving/path/forward.rs
+++ b/lib/src/serving/path/forward.rs
@@ -17,6 +17,7 @@
 use hyper::header::UPGRADE;
 
 use crate::ids::Fingerprint;
+use crate::ids::OrganisationName;
 use crate::ids::ReplicaName;
 use crate::pool::Moment;
 use crate::serving::decisions::decide::Ended;
@@ -25,7 +26,9 @@
 use crate::serving::decisions::turns::LONG_PROMPT;
 use crate::serving::path::border::Reply;
 use crate::serving::path::border::Sending;
+use crate::serving::path::charge::Charge;
 use crate::serving::path::model::Instance;
+use crate::serving::path::model::KeyDigest;
 use crate::serving::path::model::Shared;
 use crate::serving::path::model::Target;
 use crate::serving::path::reading::Turn;
@@ -49,10 +52,22 @@
     pub(in crate::serving) cost: Load,
     pub(in crate::serving) shared: Option<Shared>,
     pub(in crate::serving) fingerprint: Fingerprint,
+    /// On whose behalf it runs.
+    pub(in crate::serving) caller: Caller,
     /// When the final answer is due.
     pub(in crate::serving) limit: Moment,
 }
 
+/// Who calls, and what that was charged to.
+#[derive(Default)]
+pub(in crate::serving) struct Caller {
+    /// The organisation that holds the key.
+    pub(in crate::serving) organisation: Option<OrganisationName>,
+    /// The key, where the route needs one.
+    pub(in crate::serving) key: Option<KeyDigest>,
+    pub(in crate::serving) charge: Option<Charge>,
+}
+
 /// A run at a replica; when it is dropped, it counts no more.
 pub(in crate::serving) struct Run {
     node: Rc<Node>,
@@ -158,13 +173,18 @@
     };
     let mut run = Run::begin(node, held, replica);
     run.ready(held.limit).await;
+    if resume_at.is_none() {
+        check_key(node, held)?;
+    }
     let request = message(node, held, replica, resume_at);
+    let sending = held.caller.charge.as_ref().map(Charge::begin);
     let left = Duration::from_micros(held.limit.since(now()).0);
     let sent = tokio::time::timeout(left, node.upstreams.send(address, request)).await;
     let answer = match sent {
         Err(_) => return Err(Ended::Overdue),
         Ok(Err(SendError::NotSent(_))) => {
             run.learn(End::Unreached);
+            sending.inspect(|s| s.undo());
             return Err(Ended::NotSent);
         }
         Ok(Err(SendError::Broken(_))) => {
@@ -188,6 +208,7 @@
             failed: true,
         }),
         Reply::NotRun(why) => {
+            sending.inspect(|s| s.undo());
             refused(node, held, &run, why);
             Err(Ended::NotRun(why))
         }
@@ -198,6 +219,19 @@
     }
 }
 
+/// Whether the key of a request still holds: it may have waited for a place for
+/// long, or this VM may have been suspended meanwhile.
+fn check_key(node: &Node, held: &Held) -> Result<(), Ended> {
+    let Some(key) = &held.caller.key else {
+        return Ok(());
+    };
+    let mut b = node.beliefs();
+    let freshness = b.key_freshness(now());
+    let keys = b.active.as_ref().and_then(|a| a.keys.as_ref());
+    let admitted = b.key_bounds.admit(keys, false, Some(key), &freshness);
+    admitted.map(|_| ()).map_err(Ended::Denied)
+}
+
 fn refused(node: &Node, held: &Held, run: &Run, why: crate::serving::path::border::NotRun) {
     use crate::serving::path::border::NotRun;
     match why {
@@ -245,6 +279,7 @@
         replica,
         version,
         resume_at,
+        organisation: held.caller.organisation.as_ref(),
     };
     (node.border.write_head)(headers, &sending);
     request
--- a/lib/src/serving/path/model.rs
+++ b/lib/src/serving/path/model.rs
@@ -6,8 +6,12 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use sha2::Digest;
+use sha2::Sha256;
+
 use crate::ids::AdapterName;
 use crate::ids::ModelName;
+use crate::ids::OrganisationName;
 use crate::ids::ReplicaName;
 use crate::ids::ServiceName;
 use crate::ids::ZoneName;
@@ -85,6 +89,8 @@
     pub patience: Option<Duration>,
     /// The last event that the caller has already.
     pub resume_at: Option<u64>,
+    /// The key that it bears, if it bears one that can be read.
+    pub key: Option<KeyDigest>,
 }
 
 /// What may be repeated.
@@ -123,6 +129,8 @@
     pub resumable: bool,
     /// The longest pause between events that is in time.
     pub pause: Option<Duration>,
+    /// Whether callers need no key.
+    pub public: bool,
 }
 
 impl Route {
@@ -178,6 +186,88 @@
     pub idle: Duration,
 }
 
+/// What stands for a caller's key: keys themselves are kept nowhere, so that
+/// none can get into a log line or an error.
+///
+/// ```
+/// use banyangauge::serving::KeyDigest;
+/// assert_eq!(KeyDigest::of(b"a key"), KeyDigest::of(b"a key"));
+/// assert_eq!(format!("{:?}", KeyDigest::of(b"a key")), "KeyDigest(..)");
+/// ```
+#[derive(Clone, Copy, Eq, Ord, PartialEq, PartialOrd)]
+pub struct KeyDigest([u8; 32]);
+
+impl KeyDigest {
+    /// The digest of a key. Only digests are compared, so the time that a
+    /// comparison takes tells nothing of a key.
+    pub fn of(key: &[u8]) -> Self {
+        Self(Sha256::digest(key).into())
+    }
+}
+
+impl fmt::Debug for KeyDigest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("KeyDigest(..)")
+    }
+}
+
+/// A customer whose people and programs call.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Organisation {
+    /// Its name.
+    pub name: OrganisationName,
+    /// The keys that its callers bear.
+    pub keys: BTreeSet<KeyDigest>,
+    /// What it may use; `None` for any amount.
+    pub limit: Option<UseLimit>,
+}
+
+/// How much an organisation may use, over all VMs: a token bucket.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct UseLimit {
+    /// What flows into the bucket a second.
+    pub rate: f64,
+    /// What the bucket holds.
+    pub burst: f64,
+    /// What a request takes out.
+    pub weight: Weight,
+}
+
+impl Eq for UseLimit {}
+
+/// What a request takes out of its organisation's bucket.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Weight {
+    /// One.
+    Request,
+    /// The tokens of its prompt and the most that it may generate; so many
+    /// where it names none.
+    Tokens {
+        /// For a request that names no tokens.
+        plain: u32,
+    },
+}
+
+impl Weight {
+    /// What this request takes.
+    ///
+    /// ```
+    /// use banyangauge::serving::{Ask, Weight};
+    /// let ask = Ask { prompt: 90, output: 10, ..Ask::default() };
+    /// let tokens = Weight::Tokens { plain: 7 };
+    /// assert_eq!(tokens.of(&ask), 100.0);
+    /// assert_eq!(tokens.of(&Ask::default()), 7.0);
+    /// assert_eq!(Weight::Request.of(&ask), 1.0);
+    /// ```
+    pub fn of(self, ask: &Ask) -> f64 {
+        match self {
+            Self::Request => 1.0,
+            Self::Tokens { plain } if ask.prompt == 0 && ask.output == 0 => f64::from(plain),
+            Self::Tokens { .. } => f64::from(ask.prompt) + f64::from(ask.output),
+        }
+    }
+}
+
 /// All that the operator configured, at one version.
 #[derive(Clone, Debug)]
 pub struct Config {
@@ -189,6 +279,8 @@
     pub services: BTreeMap<ServiceName, Service>,
     /// What callers may send.
     pub limits: Limits,
+    /// Who may call; `None` where callers need no keys.
+    pub organisations: Option<Vec<Organisation>>,
 }
 
 /// One start of a replica: a replica may start again under its name, and then
--- a/lib/src/serving/path/places.rs
+++ b/lib/src/serving/path/places.rs
@@ -4,7 +4,6 @@
 
 use banyangauge_proto as wire;
 use prost::Message;
-use tokio::sync::oneshot;
 use wire::datagram::Body;
 
 use crate::ids::ReplicaName;
@@ -59,14 +58,13 @@
         };
         (address, ask)
     };
-    let (sender, receiver) = oneshot::channel();
-    node.await_answer(number, sender);
+    let receiver = node.places.ask(number);
     let datagram = wire::Datagram {
         body: Some(Body::PlaceAsk(ask)),
     };
     send(node, &datagram.encode_to_vec(), address).await;
     let answer = tokio::time::timeout(ANSWER_WAIT, receiver).await;
-    node.forget_answer(number);
+    node.places.forget(number);
     let outcome = match &answer {
         Ok(Ok(answer)) if answer.granted => "granted",
         Ok(Ok(answer)) if answer.lacks => "lacks",
--- a/lib/src/serving/path/reading.rs
+++ b/lib/src/serving/path/reading.rs
@@ -45,7 +45,7 @@
         let owner = b.ownership.owner(replica).cloned().filter(|_| turns);
         owner.filter(|vm| b.strain.active(at) && b.members.lives(at, vm))?
     };
-    let granted = node.await_turn(number);
+    let granted = node.turns.ask(number);
     let turn = Turn {
         node: node.clone(),
         replica: replica.clone(),
@@ -66,7 +66,7 @@
     }
     let end = at.after(LONGEST_WAIT).min(limit);
     let waited = tokio::time::timeout_at(instant(end), granted).await;
-    node.forget_turn(number);
+    node.turns.forget(number);
     if waited.is_err() {
         slog::debug!(node.log, "no turn in time"; "replica" => replica.as_str());
     }
@@ -116,7 +116,7 @@
         };
         for (_, id) in grants {
             if id.vm == node.settings.vm {
-                node.grant_turn(id.number);
+                node.turns.answer(id.number, ());
                 continue;
             }
             let grant = wire::TurnGrant { number: id.number };
--- a/lib/src/serving/path/serve.rs
+++ b/lib/src/serving/path/serve.rs
@@ -35,7 +35,9 @@
 use crate::serving::decisions::decide::Tries;
 use crate::serving::decisions::fleet::End;
 use crate::serving::decisions::fleet::Load;
+use crate::serving::path::charge;
 use crate::serving::path::forward::Begun;
+use crate::serving::path::forward::Caller;
 use crate::serving::path::forward::Held;
 use crate::serving::path::forward::forward;
 use crate::serving::path::forward::strip_hop;
@@ -43,6 +45,7 @@
 use crate::serving::path::model::Ask;
 use crate::serving::path::model::Instance;
 use crate::serving::path::model::Kind;
+use crate::serving::path::model::Organisation;
 use crate::serving::path::model::Route;
 use crate::serving::path::pass::AnswerBody;
 use crate::serving::path::pass::Events;
@@ -57,6 +60,7 @@
 use crate::serving::program::node::Phase;
 use crate::serving::program::node::instant;
 use crate::serving::program::node::now;
+use crate::serving::program::node::span;
 
 /// The longest time that a caller waits who names none.
 const DEFAULT_PATIENCE: Duration = Duration::from_secs(30);
@@ -157,9 +161,14 @@
     let active = active.ok_or(Refusal::not_run("no_configuration", COME_BACK))?;
     let (head, body) = request.into_parts();
     let asked = find_route(&active, &head.uri, &head.headers, &ask)?;
+    let organisation = find_caller(node, &active, &asked, &ask)?;
     let patience = ask.patience.unwrap_or(DEFAULT_PATIENCE);
     let time = patience.min(asked.route.timeout);
     let limit = arrived.after(span(time));
+    let charge = match &organisation {
+        Some(organisation) => charge::take(node, organisation, &ask).await?,
+        None => None,
+    };
     let body = read_body(body, active.config.limits.body, limit).await?;
     let mut headers = head.headers;
     strip_request(&mut headers);
@@ -170,6 +179,13 @@
         headers,
         cost: cost(&active, &asked.service, &ask),
         shared: ask.shared,
+        caller: Caller {
+            key: ask
+                .key
+                .filter(|_| !asked.route.public && organisation.is_some()),
+            organisation: organisation.map(|o| o.name.clone()),
+            charge,
+        },
         body,
         id: ask.id,
         target: ask.target,
@@ -198,6 +214,28 @@
     })
 }
 
+/// The organisation on whose behalf a request runs.
+fn find_caller(
+    node: &Node,
+    active: &Active,
+    asked: &Asked,
+    ask: &Ask,
+) -> Result<Option<Rc<Organisation>>, Refusal> {
+    let (freshness, bounds) = {
+        let mut b = node.beliefs();
+        (b.key_freshness(now()), b.key_bounds)
+    };
+    let (keys, public) = (active.keys.as_ref(), asked.route.public);
+    let found = bounds.admit(keys, public, ask.key.as_ref(), &freshness);
+    found.map_err(|denial| {
+        slog::info!(node.log, "key refused"; "id" => &ask.id, "why" => denial.word(),
+            "borne" => ask.key.is_some(), "config" => active.config.version,
+            "proven_ms" => freshness.proven.map(Span::as_millis),
+            "believed_ms" => freshness.believed.map(Span::as_millis));
+        Refusal::of_denial(denial)
+    })
+}
+
 async fn read_body(body: Incoming, most: usize, limit: Moment) -> Result<Vec<Bytes>, Refusal> {
     let too_large = Refusal::denied(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large");
     // A length that is told is judged before a byte is read.
@@ -450,7 +488,3 @@
 pub(in crate::serving) fn count(outcome: &'static str) {
     metrics::counter!("serve_requests_total", "outcome" => outcome).increment(1);
 }
-
-pub(in crate::serving) fn span(d: Duration) -> Span {
-    Span(u64::try_from(d.as_micros()).unwrap_or(u64::MAX))
-}
--- a/lib/src/serving/path/server.rs
+++ b/lib/src/serving/path/server.rs
@@ -20,6 +20,7 @@
 use crate::serving::path::serve::serve;
 use crate::serving::program::node::Node;
 use crate::serving::program::node::Phase;
+use crate::serving::program::node::now;
 
 /// Connections that wait to be accepted.
 const BACKLOG: u32 = 1_024;
@@ -98,6 +99,13 @@
     served.await.ok();
 }
 
+/// Whether callers are served; those with keys are refused where it is not
+/// known that their keys still hold, so they should come to another VM.
+fn is_ready(node: &Node) -> bool {
+    let mut b = node.beliefs();
+    b.ready() && b.keys_hold(now())
+}
+
 /// Answers the balancer until the process ends.
 pub(in crate::serving) async fn readiness(node: Rc<Node>, listener: TcpListener) {
     loop {
@@ -108,7 +116,7 @@
         let node = node.clone();
         tokio::task::spawn_local(async move {
             let service = service_fn(move |request: hyper::Request<hyper::body::Incoming>| {
-                let ready = node.phase() == Phase::Serving && node.beliefs().ready();
+                let ready = node.phase() == Phase::Serving && is_ready(&node);
                 let asked = request.uri().path() == node.border.ready_path;
                 let mut answer = Response::new(whole(Bytes::new()));
                 *answer.status_mut() = match (asked, ready) {
--- a/lib/src/serving/path/waiting.rs
+++ b/lib/src/serving/path/waiting.rs
@@ -17,12 +17,12 @@
 use crate::serving::path::places;
 use crate::serving::path::places::Word;
 use crate::serving::path::serve::Asked;
-use crate::serving::path::serve::span;
 use crate::serving::peers::beacons;
 use crate::serving::program::node::Node;
 use crate::serving::program::node::Phase;
 use crate::serving::program::node::instant;
 use crate::serving::program::node::now;
+use crate::serving::program::node::span;
 
 /// How often a wish for an adapter is repeated: datagrams get lost.
 const WISH_AGAIN: Duration = Duration::from_millis(150);
--- a/lib/src/serving/peers/beacons.rs
+++ b/lib/src/serving/peers/beacons.rs
@@ -18,6 +18,7 @@
 use crate::serving::beliefs::members::Stamp;
 use crate::serving::beliefs::state::Beliefs;
 use crate::serving::decisions::fleet::Held;
+use crate::serving::path::charge;
 use crate::serving::path::model::Instance;
 use crate::serving::path::model::Target;
 use crate::serving::path::places;
@@ -85,7 +86,7 @@
         for (vm, names) in b.audience.take_owed() {
             if let Some(address) = b.members.address(&vm) {
                 *number += 1;
-                let mut told = beacon(node, *number);
+                let mut told = beacon(node, b, *number);
                 told.books = names.iter().filter_map(|n| book(b, now, n)).collect();
                 sendings.push((told, vec![address]));
             }
@@ -93,7 +94,7 @@
         let leaving = std::mem::take(&mut b.leaving);
         if !leaving.is_empty() || stops {
             *number += 1;
-            let mut told = beacon(node, *number);
+            let mut told = beacon(node, b, *number);
             told.leaving = leaving.iter().map(write_leaving).collect();
             sendings.push((told, b.members.peers().map(|(_, at)| at).collect()));
         }
@@ -117,13 +118,15 @@
     }
 }
 
-fn beacon(node: &Node, number: u64) -> wire::Beacon {
+fn beacon(node: &Node, b: &Beliefs, number: u64) -> wire::Beacon {
+    let now = now();
     wire::Beacon {
         vm: node.settings.vm.to_string(),
         incarnation: node.incarnation.0,
         number,
         stopping: node.phase() != Phase::Serving,
-        sent_us: now().0,
+        sent_us: now.0,
+        lends: b.members.lends(now),
         zone: node.settings.zone.to_string(),
         address: node.settings.peers.to_string(),
         ..wire::Beacon::default()
@@ -134,7 +137,7 @@
 fn common(node: &Node, b: &mut Beliefs, now: Moment, number: u64) -> wire::Beacon {
     let names: Vec<_> = b.books.names().cloned().collect();
     b.books.take_changed();
-    let mut told = beacon(node, number);
+    let mut told = beacon(node, b, number);
     told.owners = b.ownership.revision;
     told.turns_ms = b.strain.left(now).as_millis();
     told.books = names.iter().filter_map(|n| book(b, now, n)).collect();
@@ -240,9 +243,11 @@
             Ok(Some(Body::Wish(wish))) => take_wish(&node, &wish),
             Ok(Some(Body::Report(report))) => flights::take_report(&node, &report),
             Ok(Some(Body::PlaceAsk(ask))) => places::take_ask(&node, &ask).await,
-            Ok(Some(Body::PlaceAnswer(answer))) => node.take_answer(answer),
+            Ok(Some(Body::PlaceAnswer(answer))) => node.places.answer(answer.number, answer),
+            Ok(Some(Body::LeaseAsk(ask))) => charge::take_ask(&node, &ask).await,
+            Ok(Some(Body::LeaseAnswer(answer))) => node.leases.answer(answer.number, answer),
             Ok(Some(Body::TurnAsk(ask))) => reading::take_ask(&node, &ask),
-            Ok(Some(Body::TurnGrant(grant))) => node.grant_turn(grant.number),
+            Ok(Some(Body::TurnGrant(grant))) => node.turns.answer(grant.number, ()),
             Ok(Some(Body::TurnEnd(end))) => reading::take_end(&node, &end),
             Ok(None) | Err(_) => slog::debug!(node.log, "unknown datagram"; "from" => %from),
         }
@@ -271,6 +276,7 @@
     if let Ok(zone) = beacon.zone.parse() {
         b.members.set_zone(&vm, zone);
     }
+    b.members.set_lends(&vm, beacon.lends);
     renewal::take(node, &mut b, now, &vm, &beacon);
     for book in &beacon.books {
         take_book(&mut b, now, &vm, book);
--- a/lib/src/serving/program/experiment.rs
+++ b/lib/src/serving/program/experiment.rs
@@ -42,6 +42,14 @@
     StoreNews,
     /// A replica's owner is asked before a request is sent there.
     PlaceAsks,
+    /// VMs tell each other when the keys were surely the newest; without it
+    /// each asks the store for itself.
+    KeyWitnesses,
+    /// One VM for each organisation lends parts of its limit; without it each
+    /// has an equal part.
+    LimitLenders,
+    /// More is borrowed than a request at hand needs where they come often.
+    LimitsAhead,
     /// Beacons cross once to each other availability zone and are passed on
     /// there; without it each VM sends its own to all.
     ZoneRelays,
--- a/lib/src/serving/program/node.rs
+++ b/lib/src/serving/program/node.rs
@@ -16,12 +16,45 @@
 use crate::control;
 use crate::ids::Incarnation;
 use crate::pool::Moment;
+use crate::pool::Span;
+use crate::serving::beliefs::recency::reader;
 use crate::serving::beliefs::state::Beliefs;
 use crate::serving::path::border::Border;
 use crate::serving::program::settings::ServeSettings;
 use crate::serving::store::port::Store;
 use crate::upstream::Upstreams;
 
+/// Questions to other VMs that wait for an answer, by number.
+#[derive(Debug)]
+pub(in crate::serving) struct Questions<T>(RefCell<BTreeMap<u64, oneshot::Sender<T>>>);
+
+impl<T> Default for Questions<T> {
+    fn default() -> Self {
+        Self(RefCell::default())
+    }
+}
+
+impl<T> Questions<T> {
+    /// An answer to this number is waited for.
+    pub(in crate::serving) fn ask(&self, number: u64) -> oneshot::Receiver<T> {
+        let (sender, receiver) = oneshot::channel();
+        self.0.borrow_mut().insert(number, sender);
+        receiver
+    }
+
+    /// An answer came; one that nobody waits for any more is dropped.
+    pub(in crate::serving) fn answer(&self, number: u64, answer: T) {
+        if let Some(sender) = self.0.borrow_mut().remove(&number) {
+            sender.send(answer).ok();
+        }
+    }
+
+    /// It is waited for no more.
+    pub(in crate::serving) fn forget(&self, number: u64) {
+        self.0.borrow_mut().remove(&number);
+    }
+}
+
 /// How far the process is in stopping.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub(in crate::serving) enum Phase {
@@ -57,10 +90,14 @@
     beliefs: RefCell<Beliefs>,
     numbers: Cell<u64>,
     open: Cell<usize>,
-    /// Runs that wait for their turn, by number.
-    turns: RefCell<BTreeMap<u64, oneshot::Sender<()>>>,
-    /// Questions to owners of replicas that wait for an answer, by number.
-    answers: RefCell<BTreeMap<u64, oneshot::Sender<wire::PlaceAnswer>>>,
+    /// Runs that wait for their turn.
+    pub(in crate::serving) turns: Questions<()>,
+    /// Questions to owners of replicas.
+    pub(in crate::serving) places: Questions<wire::PlaceAnswer>,
+    /// Questions to the VMs that lend for organisations.
+    pub(in crate::serving) leases: Questions<wire::LeaseAnswer>,
+    /// What stands for this VM in what others tell it.
+    pub(in crate::serving) reader: u64,
     /// Wakes the task that gives turns.
     pub(in crate::serving) turn_news: Notify,
 }
@@ -75,15 +112,17 @@
     ) -> Self {
         let now = now();
         let beliefs = Beliefs::new(&settings, now);
+        // A restarted process must be told from the one before it; the clock
+        // since the VM's start differs at each.
+        let incarnation = Incarnation(now.0);
+        let reader = reader(&settings.vm, incarnation);
         Self {
             settings,
             border,
             store,
             upstreams: Upstreams::with(CONNECT_TIMEOUT, IDLE_TIMEOUT),
             log,
-            // A restarted process must be told from the one before it; the
-            // clock since the VM's start differs at each.
-            incarnation: Incarnation(now.0),
+            incarnation,
             changed: Notify::new(),
             orders: Notify::new(),
             asks: Notify::new(),
@@ -94,8 +133,10 @@
             beliefs: RefCell::new(beliefs),
             numbers: Cell::new(0),
             open: Cell::new(0),
-            turns: RefCell::default(),
-            answers: RefCell::default(),
+            turns: Questions::default(),
+            places: Questions::default(),
+            leases: Questions::default(),
+            reader,
             turn_news: Notify::new(),
         }
     }
@@ -115,46 +156,6 @@
         *self.phase.borrow()
     }
 
-    /// Waits for a turn; the receiver hears of it.
-    pub(in crate::serving) fn await_turn(&self, number: u64) -> oneshot::Receiver<()> {
-        let (sender, receiver) = oneshot::channel();
-        self.turns.borrow_mut().insert(number, sender);
-        receiver
-    }
-
-    /// It is the turn of a run; one that waits no more is passed over.
-    pub(in crate::serving) fn grant_turn(&self, number: u64) {
-        if let Some(sender) = self.turns.borrow_mut().remove(&number) {
-            sender.send(()).ok();
-        }
-    }
-
-    /// A run waits no more.
-    pub(in crate::serving) fn forget_turn(&self, number: u64) {
-        self.turns.borrow_mut().remove(&number);
-    }
-
-    /// An answer of a replica's owner goes to this sender.
-    pub(in crate::serving) fn await_answer(
-        &self,
-        number: u64,
-        sender: oneshot::Sender<wire::PlaceAnswer>,
-    ) {
-        self.answers.borrow_mut().insert(number, sender);
-    }
-
-    /// A replica's owner answered; one that came too late is dropped.
-    pub(in crate::serving) fn take_answer(&self, answer: wire::PlaceAnswer) {
-        if let Some(sender) = self.answers.borrow_mut().remove(&answer.number) {
-            sender.send(answer).ok();
-        }
-    }
-
-    /// An answer is waited for no more.
-    pub(in crate::serving) fn forget_answer(&self, number: u64) {
-        self.answers.borrow_mut().remove(&number);
-    }
-
     /// Counts a request that is under way, until the guard is dropped.
     pub(in crate::serving) fn enter(self: &std::rc::Rc<Self>) -> Open {
         self.open.set(self.open.get() + 1);
@@ -188,6 +189,11 @@
     control::now()
 }
 
+/// A duration as a span of that clock.
+pub(in crate::serving) fn span(d: Duration) -> Span {
+    Span(u64::try_from(d.as_micros()).unwrap_or(u64::MAX))
+}
+
 /// The timer's instant for a moment.
 pub(in crate::serving) fn instant(at: Moment) -> Instant {
     Instant::now() + Duration::from_micros(at.since(now()).0)
--- a/lib/src/serving/program/run.rs
+++ b/lib/src/serving/program/run.rs
@@ -250,6 +250,7 @@
     loop {
         tokio::time::sleep(UPKEEP).await;
         follow::drop_lapsed(&node);
+        node.beliefs().keep_limits(now());
         if now().since(began) >= SETTLED && node.phase() == Phase::Serving {
             repair(&node).await;
         }
--- a/lib/src/serving/program/settings.rs
+++ b/lib/src/serving/program/settings.rs
@@ -8,6 +8,7 @@
 use crate::ids::VmName;
 use crate::ids::ZoneName;
 use crate::serving::decisions::budget::BudgetLimits;
+use crate::serving::decisions::quota::Allowance;
 use crate::serving::program::experiment::Experiment;
 
 /// The settings of the serving process.
@@ -37,6 +38,11 @@
     pub lease: Duration,
     /// Whether replicas refuse orders with a lower fencing token.
     pub fenced: bool,
+    /// Within how long a key that was taken away must be heeded by every VM,
+    /// whether it reaches the store or not; `None` where only VMs that do must.
+    pub revoke: Option<Duration>,
+    /// What may be used beyond organisations' limits.
+    pub allowance: Allowance,
     /// How many requests may be sent again.
     pub budget: BudgetLimits,
     /// What is switched off to measure it; nothing in service.
--- a/lib/src/serving/store/follow.rs
+++ b/lib/src/serving/store/follow.rs
@@ -20,9 +20,11 @@
 use crate::serving::beliefs::topic::Rhythm;
 use crate::serving::beliefs::topic::Topic;
 use crate::serving::peers::pack::unpack;
+use crate::serving::program::experiment::Mechanism;
 use crate::serving::program::node::Node;
 use crate::serving::program::node::instant;
 use crate::serving::program::node::now;
+use crate::serving::program::node::span;
 use crate::serving::program::settings::ServeSettings;
 use crate::serving::store::news;
 use crate::serving::store::news::News;
@@ -46,9 +48,12 @@
 /// lives, and until then an adapter is loaded at another replica.
 const OWN_BOUND: Span = Span::from_millis(6_000);
 
+/// VMs that were heard so lately are told when the configuration was the newest
+/// after their last beacon.
+const WITNESSED: Span = Span::from_millis(4_000);
+
 /// How a topic is asked about.
 pub(in crate::serving) fn rhythm(settings: &ServeSettings, topic: Topic) -> Rhythm {
-    let span = |d: Duration| Span(u64::try_from(d.as_micros()).unwrap_or(u64::MAX));
     let millis = Duration::from_millis;
     match topic {
         Topic::Config => Rhythm {
@@ -113,7 +118,11 @@
         let (next, rank) = {
             let mut b = node.beliefs();
             let rank = b.asking_rank(at, &node.settings, topic);
-            (b.feeds.get(topic).next(at, rank), rank)
+            let proof = topic == Topic::Config && b.proof_due(at, rank);
+            match b.feeds.get(topic).next(at, rank) {
+                Next::Wait(_) if proof => (Next::List, rank),
+                next => (next, rank),
+            }
         };
         let outcome = match next {
             Next::Wait(until) => {
@@ -165,8 +174,14 @@
     let first = node.beliefs().feeds.get(topic).age(asked).is_none();
     // What came since is read, or heard, next. Where replicas check no fences,
     // nobody is in office before the owner table is known to be the newest:
-    // after a power loss of all that stopped all loads for 3 s.
-    let may_be_old = first && (node.settings.fenced || topic != Topic::Own);
+    // after a power loss of all that stopped all loads for 3 s. Keys that may
+    // have been taken away serve nobody.
+    let proves = match topic {
+        Topic::Own => !node.settings.fenced,
+        Topic::Config => node.settings.revoke.is_some(),
+        Topic::Replicas | Topic::Versions => false,
+    };
+    let may_be_old = first && !proves;
     let freshness = match may_be_old {
         true => Freshness::Recent,
         false => Freshness::Newest,
@@ -188,6 +203,9 @@
     take_changes(node, topic, changes);
     if freshness == Freshness::Newest {
         confirm(node, topic, asked);
+        if topic == Topic::Config {
+            node.beliefs().recency.listed(asked);
+        }
     }
     node.changed.notify_waiters();
     Ok(())
@@ -232,6 +250,10 @@
     log_regained(node, topic, out, answer.revision);
     take_changes(node, topic, changes);
     confirm(node, topic, asked);
+    if topic == Topic::Config {
+        let waited = if some { Duration::ZERO } else { wait };
+        node.beliefs().recency.watched(asked, span(waited));
+    }
     if some {
         node.changed.notify_waiters();
     }
@@ -294,6 +316,9 @@
         for change in &changes {
             take(node, topic, &News::One(change));
         }
+        if topic == Topic::Config {
+            take_witnesses(node, &mut node.beliefs(), at, news);
+        }
         if !changes.is_empty() {
             node.changed.notify_waiters();
         }
@@ -336,9 +361,43 @@
             changes: changes.collect(),
             blind_from: blind.map_or(0, |b| b.from),
             blind_to: blind.map_or(0, |b| b.to),
+            witnesses: Vec::new(),
         })
     };
-    Topic::ALL.into_iter().filter_map(said).collect()
+    let mut all: Vec<_> = Topic::ALL.into_iter().filter_map(said).collect();
+    let config = all.iter_mut().find(|n| n.topic == Topic::Config.number());
+    if let Some(news) = config
+        && node.settings.revoke.is_some()
+        && node.settings.experiment.runs(Mechanism::KeyWitnesses)
+    {
+        news.witnesses = witnesses(b, at);
+    }
+    all
+}
+
+/// What this VM tells the others of when the configuration was the newest.
+fn witnesses(b: &mut Beliefs, at: Moment) -> Vec<wire::Witness> {
+    let heard = b.members.heard_within(at, WITNESSED);
+    let told = b.witnesses.take(&b.recency, heard).into_iter();
+    told.map(|w| wire::Witness {
+        reader: w.reader,
+        sent_us: w.sent.0,
+        after_us: w.after,
+    })
+    .collect()
+}
+
+/// Takes when another VM knew our configuration to be the newest. It must know
+/// no revision that we do not know.
+fn take_witnesses(node: &Node, b: &mut Beliefs, at: Moment, news: &wire::StoreNews) {
+    if b.feeds.get(Topic::Config).revision() < news.revision {
+        return;
+    }
+    for w in &news.witnesses {
+        if w.reader == node.reader && w.sent_us <= at.0 {
+            b.recency.witnessed(at, Moment(w.sent_us), w.after_us);
+        }
+    }
 }
 
 /// All that was in the store of a topic when it was asked is known now.
--- a/lib/src/serving/store/news.rs
+++ b/lib/src/serving/store/news.rs
@@ -57,12 +57,19 @@
         match (node.border.read_config)(item) {
             Ok(config) => {
                 let version = config.version;
-                let taken = node.beliefs().configure(config);
+                let mut b = node.beliefs();
+                b.recency.read(true);
+                let taken = b.configure(config);
+                drop(b);
                 slog::info!(node.log, "configuration"; "version" => version,
                     "bytes" => item.spec.get().len(),
                     "revision" => item.revision, "in_force" => taken);
             }
-            Err(e) => slog::error!(node.log, "bad configuration"; "error" => %e),
+            Err(e) => {
+                // Keys that it takes away are not known.
+                node.beliefs().recency.read(false);
+                slog::error!(node.log, "bad configuration"; "error" => %e);
+            }
         }
     }
     !news.items().is_empty()
--- /dev/null
+++ b/lib/tests/test_serving_access.rs
@@ -0,0 +1,78 @@
+//! Whose request it is, by its key and by how old the configuration is.
+
+use banyangauge::pool::Span;
+use banyangauge::serving::KeyDigest;
+use banyangauge::serving::Organisation;
+use banyangauge::serving::access::Bounds;
+use banyangauge::serving::access::Denial;
+use banyangauge::serving::access::Freshness;
+use banyangauge::serving::access::Keys;
+use rstest::rstest;
+
+const REVOKE: Span = Span::from_millis(5_000);
+
+fn keys() -> Keys {
+    Keys::new(&[Organisation {
+        name: "halls".parse().unwrap(),
+        keys: [KeyDigest::of(b"one"), KeyDigest::of(b"two")].into(),
+        limit: None,
+    }])
+}
+
+fn bounds(strict: bool) -> Bounds {
+    Bounds {
+        revoke: strict.then_some(REVOKE),
+        apply: Span::from_millis(3_000),
+    }
+}
+
+fn aged(proven: Option<u64>, believed: u64) -> Freshness {
+    Freshness {
+        proven: proven.map(Span::from_millis),
+        believed: Some(Span::from_millis(believed)),
+    }
+}
+
+#[rstest]
+#[case::known("two", false, Some(100), 100, Ok(Some("halls")))]
+#[case::unknown("three", false, Some(100), 100, Err(Denial::UnknownKey))]
+#[case::unknown_to_an_old_vm("three", false, Some(4_000), 3_500, Err(Denial::ConfigOld))]
+#[case::known_and_not_proven("two", false, None, 100, Err(Denial::ConfigOld))]
+#[case::known_and_proven_too_long_ago("two", false, Some(5_000), 100, Err(Denial::ConfigOld))]
+#[case::public("two", true, Some(100), 100, Ok(Some("halls")))]
+#[case::public_without_a_holder("three", true, Some(100), 100, Ok(None))]
+#[case::public_and_not_proven("two", true, None, 100, Ok(None))]
+fn admit_by_age(
+    #[case] key: &str,
+    #[case] public: bool,
+    #[case] proven: Option<u64>,
+    #[case] believed: u64,
+    #[case] expected: Result<Option<&str>, Denial>,
+) {
+    let key = KeyDigest::of(key.as_bytes());
+    let freshness = aged(proven, believed);
+    let admitted = bounds(true).admit(Some(&keys()), public, Some(&key), &freshness);
+    let admitted = admitted.map(|o| o.map(|o| o.name.to_string()));
+    assert_eq!(admitted, expected.map(|o| o.map(str::to_owned)));
+}
+
+#[test]
+fn admit_without_key() {
+    let admitted = bounds(true).admit(Some(&keys()), false, None, &aged(Some(0), 0));
+    assert_eq!(admitted, Err(Denial::UnknownKey));
+}
+
+#[test]
+fn admit_where_nobody_needs_keys() {
+    let admitted = bounds(true).admit(None, false, None, &Freshness::default());
+    assert_eq!(admitted, Ok(None));
+}
+
+/// Where only VMs that reach the store must heed a key that was taken away, the
+/// others go on.
+#[test]
+fn admit_where_revocation_is_not_strict() {
+    let key = KeyDigest::of(b"one");
+    let admitted = bounds(false).admit(Some(&keys()), false, Some(&key), &aged(None, 60_000));
+    assert!(admitted.is_ok_and(|o| o.is_some()));
+}
--- a/lib/tests/test_serving_place.rs
+++ b/lib/tests/test_serving_place.rs
@@ -84,6 +84,7 @@
             head_time: Duration::ZERO,
             idle: Duration::ZERO,
         },
+        organisations: None,
     }
 }
 
--- a/lib/tests/test_serving_routes.rs
+++ b/lib/tests/test_serving_routes.rs
@@ -24,6 +24,7 @@
             .collect(),
         resumable: false,
         pause: None,
+        public: false,
     }
 }
 
