quota: a VM lends as soon as it hears most of the others, at half the rate at first

Change: who hears most of the VMs lends; for 1.6 s after it became the first in the order half of the rate flows in.

--- a/lib/src/serving/decisions/quota/lender.rs
+++ b/lib/src/serving/decisions/quota/lender.rs
@@ -1,6 +1,7 @@
 //! The VM that lends parts of an organisation's limit.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use crate::ids::OrganisationName;
 use crate::pool::Moment;
@@ -51,11 +52,66 @@
     Short(Span),
 }
 
+/// How long a VM that was not seen to be the first in the order still counts as
+/// that; after longer another one may have lent in its place.
+const PLACE_KEPT: Span = Span::from_millis(2_000);
+
+/// The time in which a VM that has become the first in the order, and the one
+/// before it, may both take themselves for that: each hears most of the VMs as of
+/// a moment ago.
+const SETTLED: Span = Span::from_millis(1_600);
+
+/// The part of the rate that is lent until then.
+const UNSETTLED_PART: f64 = 0.5;
+
+/// A span in which this VM is the first in the order.
+#[derive(Clone, Copy, Debug)]
+struct Term {
+    since: Moment,
+    last: Moment,
+}
+
 #[derive(Debug)]
 struct Account {
     bucket: Bucket,
     /// What those who were told to come back will need.
     queued: f64,
+    term: Option<Term>,
+}
+
+impl Account {
+    fn new(now: Moment, start: f64) -> Self {
+        Self {
+            bucket: Bucket {
+                level: start,
+                at: now,
+            },
+            queued: 0.0,
+            term: None,
+        }
+    }
+
+    /// Time passes; gives the part of the rate that flows in.
+    fn pass(&mut self, now: Moment, limit: &UseLimit, start: f64, heard: f64, first: bool) -> f64 {
+        let term = self.term.filter(|t| now.since(t.last) < PLACE_KEPT);
+        let term = term.filter(|_| first);
+        let since = term.map_or(now, |t| t.since);
+        self.term = first.then_some(Term { since, last: now });
+        let part = match now.since(since) < SETTLED {
+            true => heard * UNSETTLED_PART,
+            false => heard,
+        };
+        if term.is_some() {
+            let seconds = now.since(self.bucket.at).0 as f64 / 1e6;
+            self.queued = (self.queued - seconds * limit.rate * part).max(0.0);
+            self.bucket.fill(now, limit, part);
+        } else {
+            // Whoever lent meanwhile had what flowed in.
+            self.bucket.level = self.bucket.level.min(start);
+            self.bucket.at = now;
+        }
+        part
+    }
 }
 
 /// The buckets of the organisations that this VM lends for.
@@ -63,21 +119,14 @@
 pub struct Lender {
     allowance: Allowance,
     accounts: BTreeMap<OrganisationName, Account>,
-    /// When it last lent as the first in the order.
-    first: BTreeMap<OrganisationName, Moment>,
 }
 
-/// A VM that was not asked for so long may have lost its place to another one,
-/// which has lent meanwhile.
-const PLACE_KEPT: Span = Span::from_millis(2_000);
-
 impl Lender {
     /// Nothing is lent yet.
     pub fn new(allowance: Allowance) -> Self {
         Self {
             allowance,
             accounts: BTreeMap::new(),
-            first: BTreeMap::new(),
         }
     }
 
@@ -90,18 +139,12 @@
 
     fn account(&mut self, now: Moment, name: &OrganisationName, start: f64) -> &mut Account {
         let account = self.accounts.entry(name.clone());
-        account.or_insert(Account {
-            bucket: Bucket {
-                level: start,
-                at: now,
-            },
-            queued: 0.0,
-        })
+        account.or_insert_with(|| Account::new(now, start))
     }
 
     /// A VM asks for a part of the limit.
     ///
-    /// `part` is the part of the VMs that this one hears: the others may be cut
+    /// `heard` is the part of the VMs that this one hears: the others may be cut
     /// off and use their own parts. `first` says whether it is the VM that lends
     /// for this organisation; a VM that is asked in place of one that does not
     /// answer lends what it may give out at once, and no more.
@@ -110,28 +153,14 @@
         now: Moment,
         name: &OrganisationName,
         limit: &UseLimit,
-        part: f64,
+        heard: f64,
         first: bool,
         ask: Ask,
     ) -> Answer {
         let start = self.start(limit);
-        let last = self.first.get(name);
-        let kept = last.is_some_and(|last| now.since(*last) < PLACE_KEPT);
-        if first {
-            self.first.insert(name.clone(), now);
-        }
         let account = self.account(now, name, start);
+        let part = account.pass(now, limit, start, heard, first);
         let bucket = &mut account.bucket;
-        let before = bucket.at;
-        if first && kept {
-            bucket.fill(now, limit, part);
-        } else {
-            // Whoever lent meanwhile had what flowed in.
-            bucket.level = bucket.level.min(start);
-            bucket.at = now;
-        }
-        let drained = now.since(before).0 as f64 / 1e6 * limit.rate * part;
-        account.queued = (account.queued - drained).max(0.0);
         if bucket.holds(limit, ask.need) {
             bucket.level -= ask.need;
             let spare = bucket.level - limit.burst * AHEAD_RESERVE;
@@ -146,25 +175,23 @@
         Answer::Short(wait.min(LONGEST_WAIT))
     }
 
-    /// Time passes while this VM lends for these organisations: they were not
-    /// taken over by another one, even if nobody asked.
+    /// Time passes while this VM lends for these organisations and for no others:
+    /// they were not taken over by another one, even if nobody asked.
     pub fn keep<'a>(
         &mut self,
         now: Moment,
-        part: f64,
+        heard: f64,
         kept: impl Iterator<Item = (&'a OrganisationName, &'a UseLimit)>,
     ) {
-        let mut firsts = BTreeMap::new();
+        let mut firsts = BTreeSet::new();
         for (name, limit) in kept {
-            let last = self.first.get(name);
-            let kept = last.is_some_and(|last| now.since(*last) < PLACE_KEPT);
             let start = self.start(limit);
             let account = self.account(now, name, start);
-            if kept {
-                account.bucket.fill(now, limit, part);
-            }
-            firsts.insert(name.clone(), now);
+            account.pass(now, limit, start, heard, true);
+            firsts.insert(name);
         }
-        self.first = firsts;
+        let others = self.accounts.iter_mut();
+        let others = others.filter(|(name, _)| !firsts.contains(name));
+        others.for_each(|(_, account)| account.term = None);
     }
 }
--- a/lib/tests/test_serving_quota.rs
+++ b/lib/tests/test_serving_quota.rs
@@ -178,6 +178,9 @@
 
 const BEAT: u64 = 400;
 
+/// Datagrams in a hundred that are lost on an ordinary day.
+const LOSS: u32 = 3;
+
 /// What is left out.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Guard {
@@ -208,6 +211,8 @@
 struct Day {
     draw: ChaCha8Rng,
     guard: Guard,
+    /// Datagrams in a hundred that are lost.
+    loss: u32,
     vms: Vec<Vm>,
     cut_until: u64,
     /// What was used: when, how much.
@@ -216,11 +221,12 @@
 }
 
 impl Day {
-    fn new(seed: u64, guard: Guard) -> Self {
+    fn new(seed: u64, guard: Guard, loss: u32) -> Self {
         let vms = (0..VMS).map(|i| start(i, 1, 0)).collect();
         Self {
             draw: ChaCha8Rng::seed_from_u64(seed),
             guard,
+            loss,
             vms,
             cut_until: 0,
             used: Vec::new(),
@@ -314,7 +320,7 @@
         };
         let name = self.vms[from].name.clone();
         for to in 0..VMS {
-            let lost = self.draw.random_range(0..100) < 3;
+            let lost = self.draw.random_range(0..100) < self.loss;
             if to != from && self.reach(ms, from, to) && !lost {
                 let members = &mut self.vms[to].members;
                 members.hear(at(ms), &name, stamp, false);
@@ -346,7 +352,8 @@
             return;
         }
         let part = self.part(ms, i);
-        let first = self.lenders(ms, i).first() == Some(&i);
+        let lenders = self.lenders(ms, i);
+        let first = lenders.first() == Some(&i) || self.guard == Guard::Standby;
         let kept = [(&name(), &LIMIT)];
         let kept = kept.into_iter().filter(|_| first);
         self.vms[i].lender.keep(at(ms), part, kept);
@@ -363,7 +370,7 @@
             let Some(lender) = self.lenders(ms, i).get(place).copied() else {
                 continue;
             };
-            let lost = self.draw.random_range(0..100) < 3;
+            let lost = self.draw.random_range(0..100) < self.loss;
             let its_place = self.lenders(ms, lender).iter().position(|l| *l == lender);
             let (true, Some(its_place), false) = (self.reach(ms, i, lender), its_place, lost)
             else {
@@ -435,21 +442,33 @@
     asked.and_then(|n| n.parse().ok()).unwrap_or(40)
 }
 
-#[test]
-fn quota_search_stays_within_the_limit() {
-    for seed in 0..seeds() {
+/// The most that is used beyond the limit on days of these seeds; with the seed.
+fn worst(seeds: u64, guard: Guard, loss: u32) -> (f64, u64) {
+    let excess = |seed: u64| {
         let times = 1.0 + (seed % 8) as f64;
-        let excess = Day::new(seed, Guard::None).play(times, false).excess();
-        assert!(excess <= 0.0, "seed {seed}: {excess} beyond the limit");
-    }
+        (
+            Day::new(seed, guard, loss).play(times, false).excess(),
+            seed,
+        )
+    };
+    let all = (0..seeds).map(excess);
+    all.max_by(|a, b| a.0.total_cmp(&b.0)).unwrap()
+}
+
+#[rstest]
+#[case::some_datagrams_lost(LOSS, 1)]
+#[case::many_datagrams_lost(30, 4)]
+fn quota_search_stays_within_the_limit(#[case] loss: u32, #[case] fewer: u64) {
+    let (excess, seed) = worst(seeds() / fewer, Guard::None, loss);
+    assert!(excess <= 0.0, "seed {seed}: {excess} beyond the limit");
 }
 
 #[rstest]
-#[case::part_heard(Guard::Part)]
-#[case::standby(Guard::Standby)]
-#[case::own_part(Guard::OwnPart)]
-fn quota_search_without_guard(#[case] guard: Guard) {
-    let breaks = |seed| Day::new(seed, guard).play(8.0, false).excess() > 0.0;
+#[case::part_heard(Guard::Part, LOSS)]
+#[case::standby(Guard::Standby, 30)]
+#[case::own_part(Guard::OwnPart, LOSS)]
+fn quota_search_without_guard(#[case] guard: Guard, #[case] loss: u32) {
+    let breaks = |seed| Day::new(seed, guard, loss).play(8.0, false).excess() > 0.0;
     assert!((0..200).any(breaks), "{guard:?} is not missed");
 }
 
@@ -459,7 +478,7 @@
 #[case::below(0.55, 0.0, 0.001)]
 #[case::far_above(4.0, 0.74, 0.80)]
 fn quota_calm_day_refuses(#[case] times: f64, #[case] least: f64, #[case] most: f64) {
-    let day = Day::new(5, Guard::None).play(times, true);
+    let day = Day::new(5, Guard::None, LOSS).play(times, true);
     let used: f64 = day.used.iter().map(|(_, w)| w).sum();
     let part = day.refused / (used + day.refused);
     assert!((least..=most).contains(&part), "{part} refused");
