fleet: a request that waited in vain for a load looks where an adapter is idle

Each engine ran more requests than it holds adapters, so that none could give way: the load waited at the adapter's home until a run ended, while other engines ran fewer. Change: after the time of a load and its news, the home is looked for among the replicas that run, and await, fewer than they hold, if there are any.

Test: home_moves_to_where_an_adapter_is_idle replays it on the plain state.

--- a/lib/src/serving/decisions/fleet/mod.rs
+++ b/lib/src/serving/decisions/fleet/mod.rs
@@ -162,6 +162,12 @@
         book.is_some_and(|(_, held)| held.coming.contains(target))
     }
 
+    /// Adapters on their way to it, as far as its owner told lately.
+    fn coming(&self, now: Moment) -> usize {
+        let book = self.book.as_ref().filter(|(until, _)| *until > now);
+        book.map_or(0, |(_, held)| held.coming.len())
+    }
+
     fn usable(&self) -> bool {
         !self.listing.draining
     }
--- a/lib/src/serving/decisions/fleet/place.rs
+++ b/lib/src/serving/decisions/fleet/place.rs
@@ -212,7 +212,7 @@
             let least = roomy.iter().map(|(_, _, score)| *score);
             let least = least.min_by(f64::total_cmp);
             let copy = least.filter(|least| held > least + copy_above);
-            let copy = copy.and_then(|_| self.home(target, &roomy));
+            let copy = copy.and_then(|_| self.home(now, want, target, &roomy));
             let waited = want
                 .waited
                 .filter(|_| self.experiment.runs(Mechanism::CopyWaits));
@@ -228,7 +228,7 @@
             let at = (*at).clone();
             return Place::Coming { at };
         }
-        match self.home(target, &roomy()) {
+        match self.home(now, want, target, &roomy()) {
             Some(at) => Place::Load { at },
             None if holders.is_empty() => Place::Nowhere,
             None => Place::Full,
@@ -263,6 +263,13 @@
         busy + far + failing
     }
 
+    /// Whether a replica has room for an adapter, or holds one that no request
+    /// uses.
+    fn is_vacant(&self, now: Moment, name: &ReplicaName, r: &Replica) -> bool {
+        let used = self.load(now, name, r).requests as usize + r.coming(now);
+        used < self.engine_slots(&r.listing) as usize
+    }
+
     /// Whether a replica can begin a request soon.
     fn has_room(&self, now: Moment, want: &Want<'_>, name: &ReplicaName, r: &Replica) -> bool {
         let load = self.load(now, name, r);
@@ -281,7 +288,29 @@
 
     /// The first replica for an adapter in the order of the hash, of those that
     /// are not much busier than the least loaded one; each with how busy it seems.
-    fn home(&self, target: &Target, list: &[(&ReplicaName, &Replica, f64)]) -> Option<ReplicaName> {
+    ///
+    /// A request that has waited in vain for longer than a load takes looks for
+    /// one that has an adapter to give away.
+    ///
+    /// Made for many requests for rare adapters, when each replica runs more of
+    /// them than it holds adapters: where all of them are in use, a load waits
+    /// until one is not, while other replicas have one to give away.
+    fn home(
+        &self,
+        now: Moment,
+        want: &Want<'_>,
+        target: &Target,
+        all: &[(&ReplicaName, &Replica, f64)],
+    ) -> Option<ReplicaName> {
+        let late = want.waited.is_some_and(|waited| waited >= COPY_WAIT);
+        let vacant = all
+            .iter()
+            .filter(|(n, r, _)| late && self.is_vacant(now, n, r));
+        let vacant: Vec<_> = vacant.copied().collect();
+        let list = match vacant.is_empty() {
+            true => all,
+            false => &vacant,
+        };
         let least = list.iter().map(|(_, _, score)| *score);
         let least = least.min_by(f64::total_cmp)?;
         let above = match self.experiment.runs(Mechanism::Homes) {
--- a/lib/tests/test_serving_place.rs
+++ b/lib/tests/test_serving_place.rs
@@ -192,6 +192,34 @@
     }
 }
 
+/// Many requests for rare adapters: at a replica that runs as many requests as it
+/// holds adapters none of them can give way, and a load there waits. A request
+/// that has waited for longer than a load takes looks elsewhere.
+#[test]
+fn home_moves_to_where_an_adapter_is_idle() {
+    let all: Vec<_> = (0..4)
+        .map(|n| listing(&format!("i-{n}"), "llm", "z-a", &["base"]))
+        .collect();
+    let mut scene = Scene::new(&all);
+    for busy in ["i-0", "i-1", "i-2"] {
+        // Two adapters fit, and this is far from making it the busiest.
+        scene.fleet.begin(&busy.parse().unwrap(), COST);
+        scene.fleet.begin(&busy.parse().unwrap(), COST);
+    }
+    let home = |scene: &Scene, n: u32| scene.place(at(0), "llm", Some(&format!("base/a{n}")));
+    let idle = Place::Load {
+        at: "i-3".parse().unwrap(),
+    };
+    scene.waited = Some(Span::from_millis(100));
+    assert!((0..20).any(|n| home(&scene, n) != idle));
+    scene.waited = Some(Span::from_millis(500));
+    assert!((0..20).all(|n| home(&scene, n) == idle));
+    // Where none is idle, one of them is the home all the same.
+    scene.fleet.begin(&"i-3".parse().unwrap(), COST);
+    scene.fleet.begin(&"i-3".parse().unwrap(), COST);
+    assert!(matches!(home(&scene, 1), Place::Load { .. }));
+}
+
 /// A burst within one beacon: what this VM has sent itself counts at once.
 #[test]
 fn burst_spreads_by_own_count() {
