quota: a VM that the store lists alone lends at once; questions end with their callers

Since "a VM lends as soon as it hears most of the others" a VM that knows no others waited 1.5 s before it lent, also where the store had said that there are none. Change: it lends once the store has listed the VMs. Beside it, from reading: a question to another VM stayed registered where its caller left and no answer came. It is a guard now, for places, turns and leases alike.

--- a/lib/src/serving/beliefs/members.rs
+++ b/lib/src/serving/beliefs/members.rs
@@ -121,6 +121,8 @@
     /// When the newest of our beacons that each VM heard was sent.
     echoes: BTreeMap<VmName, Moment>,
     zones: BTreeMap<VmName, ZoneName>,
+    /// Whether the store said once which VMs there are.
+    listed: bool,
     /// Our own, where beacons may be relayed.
     zone: Option<ZoneName>,
 }
@@ -135,6 +137,7 @@
             heard: BTreeMap::new(),
             echoes: BTreeMap::new(),
             zones: BTreeMap::new(),
+            listed: false,
             zone: None,
         }
     }
@@ -233,6 +236,11 @@
         }
     }
 
+    /// The store said which VMs there are.
+    pub fn set_listed(&mut self) {
+        self.listed = true;
+    }
+
     /// A VM's entry was removed.
     pub fn unlist(&mut self, vm: &VmName) {
         self.addresses.remove(vm);
@@ -307,7 +315,8 @@
     /// the others, so that no two sides of a cut do.
     pub fn lends(&self, now: Moment) -> bool {
         // One that knows nobody yet may be one of many.
-        let new = self.addresses.is_empty() && now.since(self.since) < ACQUAINTED;
+        let alone = self.addresses.is_empty() && !self.listed;
+        let new = alone && now.since(self.since) < ACQUAINTED;
         !new && self.heard_part(now) > 0.5
     }
 
--- a/lib/src/serving/path/charge.rs
+++ b/lib/src/serving/path/charge.rs
@@ -188,7 +188,7 @@
         return Asked::Unanswered;
     };
     let number = node.number();
-    let receiver = node.leases.ask(number);
+    let waiting = node.leases.ask(number);
     let ask = wire::LeaseAsk {
         vm: node.settings.vm.to_string(),
         number,
@@ -197,21 +197,17 @@
         ahead: question.ahead,
     };
     tell(node, Body::LeaseAsk(ask), address).await;
-    let answer = tokio::time::timeout(ANSWER_WAIT, receiver).await;
-    node.leases.forget(number);
-    let outcome = match &answer {
-        Ok(Ok(answer)) if answer.declined => "declined",
-        Ok(Ok(answer)) if answer.lent > 0.0 => "lent",
-        Ok(Ok(_)) => "short",
-        Err(_) | Ok(Err(_)) => "unanswered",
+    let (outcome, asked) = match waiting.within(ANSWER_WAIT).await {
+        Some(answer) if answer.declined => ("declined", Asked::Unanswered),
+        Some(answer) if answer.lent > 0.0 => ("lent", Asked::Answer(Answer::Lent(answer.lent))),
+        Some(answer) => {
+            let after = Span(answer.after_us);
+            ("short", Asked::Answer(Answer::Short(after)))
+        }
+        None => ("unanswered", Asked::Unanswered),
     };
     metrics::counter!("serve_lease_asks_total", "outcome" => outcome).increment(1);
-    match answer {
-        Ok(Ok(answer)) if answer.declined => Asked::Unanswered,
-        Ok(Ok(answer)) if answer.lent > 0.0 => Asked::Answer(Answer::Lent(answer.lent)),
-        Ok(Ok(answer)) => Asked::Answer(Answer::Short(Span(answer.after_us))),
-        Err(_) | Ok(Err(_)) => Asked::Unanswered,
-    }
+    asked
 }
 
 async fn tell(node: &Node, body: Body, address: std::net::SocketAddr) {
--- a/lib/src/serving/path/places.rs
+++ b/lib/src/serving/path/places.rs
@@ -58,21 +58,20 @@
         };
         (address, ask)
     };
-    let receiver = node.places.ask(number);
+    let question = node.places.ask(number);
     let datagram = wire::Datagram {
         body: Some(Body::PlaceAsk(ask)),
     };
     send(node, &datagram.encode_to_vec(), address).await;
-    let answer = tokio::time::timeout(ANSWER_WAIT, receiver).await;
-    node.places.forget(number);
+    let answer = question.within(ANSWER_WAIT).await;
     let outcome = match &answer {
-        Ok(Ok(answer)) if answer.granted => "granted",
-        Ok(Ok(answer)) if answer.lacks => "lacks",
-        Ok(Ok(_)) => "busy",
-        Err(_) | Ok(Err(_)) => "unanswered",
+        Some(answer) if answer.granted => "granted",
+        Some(answer) if answer.lacks => "lacks",
+        Some(_) => "busy",
+        None => "unanswered",
     };
     metrics::counter!("serve_place_asks_total", "outcome" => outcome).increment(1);
-    let Ok(Ok(answer)) = answer else {
+    let Some(answer) = answer else {
         return Word::Go;
     };
     let mut b = node.beliefs();
--- a/lib/src/serving/path/reading.rs
+++ b/lib/src/serving/path/reading.rs
@@ -15,7 +15,6 @@
 use crate::serving::peers::beacons;
 use crate::serving::program::experiment::Mechanism;
 use crate::serving::program::node::Node;
-use crate::serving::program::node::instant;
 use crate::serving::program::node::now;
 use crate::serving::program::node::until;
 
@@ -65,9 +64,7 @@
         tell(node, &owner, Body::TurnAsk(ask)).await;
     }
     let end = at.after(LONGEST_WAIT).min(limit);
-    let waited = tokio::time::timeout_at(instant(end), granted).await;
-    node.turns.forget(number);
-    if waited.is_err() {
+    if granted.within(until(end)).await.is_none() {
         slog::debug!(node.log, "no turn in time"; "replica" => replica.as_str());
     }
     Some(turn)
--- a/lib/src/serving/program/node.rs
+++ b/lib/src/serving/program/node.rs
@@ -35,11 +35,15 @@
 }
 
 impl<T> Questions<T> {
-    /// An answer to this number is waited for.
-    pub(in crate::serving) fn ask(&self, number: u64) -> oneshot::Receiver<T> {
+    /// An answer to this number is waited for, until what is returned is dropped.
+    pub(in crate::serving) fn ask(&self, number: u64) -> Question<'_, T> {
         let (sender, receiver) = oneshot::channel();
         self.0.borrow_mut().insert(number, sender);
-        receiver
+        Question {
+            questions: self,
+            number,
+            receiver,
+        }
     }
 
     /// An answer came; one that nobody waits for any more is dropped.
@@ -48,10 +52,26 @@
             sender.send(answer).ok();
         }
     }
+}
+
+/// A question that waits for its answer; its caller may leave meanwhile.
+pub(in crate::serving) struct Question<'a, T> {
+    questions: &'a Questions<T>,
+    number: u64,
+    receiver: oneshot::Receiver<T>,
+}
+
+impl<T> Question<'_, T> {
+    /// The answer, if it comes in time.
+    pub(in crate::serving) async fn within(mut self, time: Duration) -> Option<T> {
+        let answer = tokio::time::timeout(time, &mut self.receiver).await;
+        answer.ok()?.ok()
+    }
+}
 
-    /// It is waited for no more.
-    pub(in crate::serving) fn forget(&self, number: u64) {
-        self.0.borrow_mut().remove(&number);
+impl<T> Drop for Question<'_, T> {
+    fn drop(&mut self) {
+        self.questions.0.borrow_mut().remove(&self.number);
     }
 }
 
--- a/lib/src/serving/store/news.rs
+++ b/lib/src/serving/store/news.rs
@@ -175,6 +175,9 @@
 /// Takes our own objects: VMs and the owner table.
 pub(in crate::serving) fn take_own(node: &Node, news: &News<'_>) -> bool {
     news.items().iter().for_each(|i| take_own_item(node, i));
+    if matches!(news, News::All(_)) {
+        node.beliefs().members.set_listed();
+    }
     if let News::One(told) = news
         && told.removed
         && let Some(vm) = told.item.name.strip_prefix(VM_PREFIX)
