platform: requests for reports name the replica

A report was believed of whoever answered at the address, which another replica may use by then. Found while listing who reads what a replica says.

--- a/lib/src/serving/path/codec.rs
+++ b/lib/src/serving/path/codec.rs
@@ -133,8 +133,8 @@
     pub encode_order: fn(&Order<'_>) -> Result<Request<BodyChunks>, BadRecord>,
     /// Maps the status of the response to an order to its outcome.
     pub parse_order_outcome: fn(StatusCode) -> OrderOutcome,
-    /// Encodes a request for a replica's status report.
-    pub encode_report_request: fn() -> Result<Request<BodyChunks>, BadRecord>,
+    /// Encodes a request for the status report of the named replica.
+    pub encode_report_request: fn(&ReplicaName) -> Result<Request<BodyChunks>, BadRecord>,
     /// Parses a replica's status report.
     pub parse_report: fn(&[u8]) -> Result<ReplicaReport, BadRecord>,
 }
--- a/lib/src/serving/program/orders.rs
+++ b/lib/src/serving/program/orders.rs
@@ -171,7 +171,7 @@
 
 /// Fetches a replica's status report.
 async fn fetch_report(node: &Node, name: &ReplicaName) -> Option<ReplicaReport> {
-    let request = (node.codec.encode_report_request)().ok()?;
+    let request = (node.codec.encode_report_request)(name).ok()?;
     let (status, body) = call(node, name, request, MAX_ANSWER_TIMEOUT).await?;
     if !status.is_success() {
         return None;
