serving: read the limit that a replica states, on every response

Nothing told apart whether a VM had heard of a limit: the header went to the caller unread, and no log line or metric named it. It is now read at one place that all responses pass, of requests, orders and reports, before they are classified, and a change is logged and counted. Responses that another replica may have given say nothing; a statement that a newer one overtook does not end a limit. Nothing is decided by it yet.

--- a/lib/src/serving/cluster/state.rs
+++ b/lib/src/serving/cluster/state.rs
@@ -30,6 +30,7 @@
 use crate::serving::decisions::prefill_turns::PrefillTurns;
 use crate::serving::decisions::quota::Borrower;
 use crate::serving::decisions::quota::Lender;
+use crate::serving::decisions::replica_limits::StatedLimit;
 use crate::serving::decisions::reservations::Reservations;
 use crate::serving::decisions::retry_budget::RetryBudget;
 use crate::serving::decisions::stall_detector::StallDetector;
@@ -94,6 +95,8 @@
     pub(in crate::serving) local_uses: BTreeMap<ReplicaName, BTreeMap<Target, LocalUse>>,
     /// Reservations of capacity at our replicas.
     pub(in crate::serving) reservations: Reservations,
+    /// Limits that replicas state for all VMs together.
+    pub(in crate::serving) replica_limits: BTreeMap<Instance, StatedLimit>,
     /// Leaving replicas to announce to the other VMs.
     pub(in crate::serving) leaving: BTreeSet<Instance>,
     /// The VMs that wait for loads at replicas that this VM owns.
@@ -138,6 +141,7 @@
             turns: PrefillTurns::default(),
             local_uses: BTreeMap::new(),
             reservations: Reservations::default(),
+            replica_limits: BTreeMap::new(),
             leaving: BTreeSet::new(),
             subscriptions: Subscriptions::default(),
             last_reports: BTreeMap::new(),
--- a/lib/src/serving/decisions/mod.rs
+++ b/lib/src/serving/decisions/mod.rs
@@ -7,6 +7,7 @@
 pub(super) mod fleet;
 pub(super) mod prefill_turns;
 pub mod quota;
+pub mod replica_limits;
 pub(super) mod reservations;
 pub mod retry;
 pub(super) mod retry_budget;
--- a/lib/src/serving/path/codec.rs
+++ b/lib/src/serving/path/codec.rs
@@ -88,6 +88,15 @@
     Invalid(&'static str),
 }
 
+/// What a replica states about itself on a response, regardless of what the response says
+/// about the request.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ReplicaStatement {
+    /// Requests per second that it accepts from all VMs together; `None` if it states no
+    /// limit. An error leaves what was known unchanged.
+    pub rate_limit: Result<Option<f64>, BadRecord>,
+}
+
 /// An order to a replica to load or unload an adapter or a model.
 #[derive(Clone, Copy, Debug)]
 pub struct Order<'a> {
@@ -123,6 +132,11 @@
     /// Classifies a response by its status and headers, given the request ID and the
     /// replica that were addressed.
     pub classify_response: fn(StatusCode, &HeaderMap, &str, &ReplicaName) -> ReplicaReply,
+    /// Parses what a replica states about itself on a response, given the request ID, if the
+    /// call was a caller's request, and the replica that was addressed. Returns `None` for a
+    /// response that does not prove to be that replica's.
+    pub parse_statement:
+        fn(StatusCode, &HeaderMap, Option<&str>, &ReplicaName) -> Option<ReplicaStatement>,
     /// Parses a configuration.
     pub parse_config: fn(&Item) -> Result<Config, BadRecord>,
     /// Parses a replica's record.
--- a/lib/src/serving/path/forward.rs
+++ b/lib/src/serving/path/forward.rs
@@ -29,6 +29,8 @@
 use crate::serving::path::codec::ReplicaReply;
 use crate::serving::path::prefill::PrefillTurn;
 use crate::serving::path::prefill::wait_for_turn;
+use crate::serving::path::statements::Call;
+use crate::serving::path::statements::apply_statement;
 use crate::serving::path::types::Instance;
 use crate::serving::path::types::KeyDigest;
 use crate::serving::path::types::SharedPrefix;
@@ -191,6 +193,7 @@
     let request = build_request(node, req, replica, resume_after);
     let send = req.caller.charge.as_ref().map(Charge::mark_sent);
     let timeout = Duration::from_micros(req.deadline.since(now()).0);
+    let sent_at = now();
     let sent = tokio::time::timeout(timeout, node.upstreams.send(address, request)).await;
     let answer = match sent {
         Err(_) => return Err(AttemptFailure::TimedOut),
@@ -207,6 +210,12 @@
         Ok(Ok(answer)) => answer,
     };
     run.on_data();
+    let call = Call {
+        id: Some(&req.id),
+        replica: &run.instance(),
+        sent: sent_at,
+    };
+    apply_statement(node, call, answer.head.status, &answer.head.headers);
     let classify = node.codec.classify_response;
     match classify(answer.head.status, &answer.head.headers, &req.id, replica) {
         ReplicaReply::Answer => Ok(StartedResponse {
--- a/lib/src/serving/path/mod.rs
+++ b/lib/src/serving/path/mod.rs
@@ -10,4 +10,5 @@
 pub(super) mod routes;
 pub(super) mod serve;
 pub(super) mod server;
+pub(super) mod statements;
 pub(super) mod types;
--- /dev/null
+++ b/lib/src/serving/path/statements.rs
@@ -0,0 +1,70 @@
+//! Reads what replicas state about themselves, on every response.
+
+use hyper::HeaderMap;
+use hyper::StatusCode;
+
+use crate::pool::Moment;
+use crate::serving::decisions::replica_limits::Heard;
+use crate::serving::path::types::Instance;
+use crate::serving::program::node::Node;
+use crate::serving::program::node::now;
+
+/// The call that a response belongs to.
+#[derive(Clone, Copy, Debug)]
+pub(in crate::serving) struct Call<'a> {
+    /// The caller's request ID; `None` for orders and requests for reports.
+    pub(in crate::serving) id: Option<&'a str>,
+    pub(in crate::serving) replica: &'a Instance,
+    pub(in crate::serving) sent: Moment,
+}
+
+/// Applies what a replica states about itself on a response, whatever the response is.
+pub(in crate::serving) fn apply_statement(
+    node: &Node,
+    call: Call<'_>,
+    status: StatusCode,
+    headers: &HeaderMap,
+) {
+    let parse = node.codec.parse_statement;
+    let Some(statement) = parse(status, headers, call.id, &call.replica.name) else {
+        return;
+    };
+    match statement.rate_limit {
+        Ok(rate) => apply_limit(node, call, rate),
+        Err(e) => {
+            count("limit", "invalid");
+            slog::warn!(node.log, "replica stated an invalid limit";
+                "replica" => call.replica.name.as_str(), "error" => %e);
+        }
+    }
+}
+
+/// Applies a stated limit, or that a replica states none.
+fn apply_limit(node: &Node, call: Call<'_>, rate: Option<f64>) {
+    let at = now();
+    let mut state = node.state();
+    if rate.is_none() && !state.replica_limits.contains_key(call.replica)
+        || !state.fleet.is_current(call.replica)
+    {
+        return;
+    }
+    let limit = state.replica_limits.entry(call.replica.clone());
+    let heard = limit.or_default().apply(at, call.sent, rate);
+    drop(state);
+    match heard {
+        Heard::Confirmed => {}
+        Heard::Overtaken => count("limit", "overtaken"),
+        Heard::Changed => {
+            count("limit", if rate.is_some() { "set" } else { "ended" });
+            slog::info!(node.log, "replica's limit changed"; "replica" => call.replica.name.as_str(),
+                "born" => call.replica.started_ms, "per_second" => rate,
+                "request" => call.id, "sent_ms_ago" => at.since(call.sent).as_millis());
+        }
+    }
+}
+
+/// Counts a statement by what came of it.
+fn count(kind: &'static str, outcome: &'static str) {
+    metrics::counter!("serve_replica_statements_total", "kind" => kind, "outcome" => outcome)
+        .increment(1);
+}
--- a/lib/src/serving/path/types.rs
+++ b/lib/src/serving/path/types.rs
@@ -320,6 +320,16 @@
     pub adapters: BTreeMap<Target, u32>,
 }
 
+impl ReplicaInfo {
+    /// Returns the incarnation that the record is about.
+    pub fn instance(&self) -> Instance {
+        Instance {
+            name: self.name.clone(),
+            started_ms: self.started_ms,
+        }
+    }
+}
+
 /// A version of an adapter that the catalog has announced.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct AnnouncedVersion {
--- a/lib/src/serving/program/orders.rs
+++ b/lib/src/serving/program/orders.rs
@@ -16,6 +16,8 @@
 use crate::serving::decisions::adapter_planner::ReplicaAction;
 use crate::serving::decisions::adapter_planner::ReplicaReport;
 use crate::serving::path::codec::Order;
+use crate::serving::path::statements::Call;
+use crate::serving::path::statements::apply_statement;
 use crate::serving::program::experiment::Mechanism;
 use crate::serving::program::node::Node;
 use crate::serving::program::node::Phase;
@@ -242,9 +244,20 @@
     request: Request<BodyChunks>,
     timeout: Duration,
 ) -> Option<(StatusCode, Bytes)> {
-    let address = node.state().fleet.replica_info(name)?.address;
+    let (address, replica) = {
+        let state = node.state();
+        let listing = state.fleet.replica_info(name)?;
+        (listing.address, listing.instance())
+    };
+    let sent = now();
     let exchange = async {
         let mut response = node.upstreams.send(address, request).await.ok()?;
+        let call = Call {
+            id: None,
+            replica: &replica,
+            sent,
+        };
+        apply_statement(node, call, response.head.status, &response.head.headers);
         let body = read_body(&mut response, MAX_REPORT_BYTES).await.ok()?;
         Some((response.head.status, body))
     };
