serving: replicas that say on a response that they leave get no more requests

What callers saw: requests went to a replica more than two seconds after it had said on its answers that it leaves (DRAIN), some of which it would not have answered any more.

Cause: leaving replicas were known by their entries in the store only, and the store acknowledged nothing for 12 s; no code read the header.

Change: the statement is read where all responses pass. It is final for the incarnation: an entry that says ready, or that lapses and comes back, does not undo it. The other VMs hear of it at once, and again for five seconds in case datagrams are lost. Requests that waited for their turn meanwhile choose again; no order goes to a leaving replica. Adapters that only it holds are loaded elsewhere, as with entries that say so.

--- a/lib/src/serving/cluster/state.rs
+++ b/lib/src/serving/cluster/state.rs
@@ -106,6 +106,8 @@
     pub(in crate::serving) limits_changed: bool,
     /// Leaving replicas to announce to the other VMs.
     pub(in crate::serving) leaving: BTreeSet<Instance>,
+    /// Replicas that stated on a response to this VM that they are leaving, and when.
+    pub(in crate::serving) stated_leaving: BTreeMap<Instance, Moment>,
     /// The VMs that wait for loads at replicas that this VM owns.
     pub(in crate::serving) subscriptions: Subscriptions,
     /// The incarnation and number of each VM's newest load report.
@@ -158,6 +160,7 @@
             limit_ledger: LimitLedger::new(settings.vm.clone()),
             limits_changed: false,
             leaving: BTreeSet::new(),
+            stated_leaving: BTreeMap::new(),
             subscriptions: Subscriptions::default(),
             last_reports: BTreeMap::new(),
             feeds: Feeds::new(|topic| follow::poll_policy(settings, topic)),
--- a/lib/src/serving/decisions/fleet/mod.rs
+++ b/lib/src/serving/decisions/fleet/mod.rs
@@ -7,10 +7,12 @@
 //! |---|---|
 //! | `place` | where a request runs, or where its adapter is loaded |
 //! | `health` | which replicas are healthy, from the outcomes of runs |
+//! | `leaving` | which replicas stated that they leave |
 //! | `withheld` | which replicas get no requests for a while, and why |
 //! | `versions` | which version of an adapter a run may begin on |
 
 mod health;
+mod leaving;
 mod place;
 mod versions;
 mod withheld;
@@ -26,6 +28,7 @@
 pub use withheld::WithheldReason;
 
 use self::health::Health;
+use self::leaving::Leaving;
 use crate::ids::ModelName;
 use crate::ids::ReplicaName;
 use crate::ids::ServiceName;
@@ -191,6 +194,8 @@
     zone: ZoneName,
     services: BTreeMap<ServiceName, Service>,
     replicas: BTreeMap<ReplicaName, Replica>,
+    /// Replicas that stated that they leave, also those whose entries were removed.
+    leaving: Leaving,
     /// Expiry of each peer's report, and the peer's load by replica.
     peers: BTreeMap<VmName, (Moment, BTreeMap<ReplicaName, Load>)>,
     /// When the first of these reports expires.
@@ -208,6 +213,7 @@
             zone,
             services: BTreeMap::new(),
             replicas: BTreeMap::new(),
+            leaving: Leaving::default(),
             peers: BTreeMap::new(),
             next_expiry: Moment(u64::MAX),
             report_ttl: DEFAULT_REPORT_TTL,
@@ -234,6 +240,13 @@
     /// Applies a replica's entry in the store. Returns whether it changed which
     /// replicas requests may use.
     pub fn apply_listing(&mut self, listing: ReplicaInfo) -> bool {
+        let mut listing = listing;
+        let instance = listing.instance();
+        // Leaving is final for an incarnation, whatever its entry says later.
+        listing.draining |= self.leaving.contains(&instance);
+        if listing.draining {
+            self.leaving.insert(instance);
+        }
         match self.replicas.get_mut(&listing.name) {
             Some(r) if r.listing.started_ms == listing.started_ms => {
                 r.expired_at = None;
@@ -301,6 +314,18 @@
         r.is_some_and(|r| !std::mem::replace(&mut r.listing.draining, true))
     }
 
+    /// Records that a replica stated that it leaves. Returns whether that was not known of a
+    /// listed replica.
+    pub fn mark_leaving(&mut self, replica: &Instance) -> bool {
+        self.leaving.insert(replica.clone());
+        self.mark_draining(replica)
+    }
+
+    /// Returns whether a replica is listed and draining.
+    pub fn is_draining(&self, name: &ReplicaName) -> bool {
+        self.replica_info(name).is_some_and(|l| l.draining)
+    }
+
     /// Removes a replica whose entry was removed: it gets no more requests.
     pub fn remove_listing(&mut self, name: &ReplicaName) -> bool {
         self.replicas.remove(name).is_some()
--- a/lib/src/serving/decisions/fleet/withheld.rs
+++ b/lib/src/serving/decisions/fleet/withheld.rs
@@ -10,6 +10,8 @@
 pub enum WithheldReason {
     /// Its limit for the requests of all VMs is exhausted.
     Limit,
+    /// It is leaving.
+    Leaving,
 }
 
 impl WithheldReason {
@@ -17,6 +19,7 @@
     pub fn as_str(self) -> &'static str {
         match self {
             Self::Limit => "over_replica_limit",
+            Self::Leaving => "replica_leaving",
         }
     }
 
@@ -24,6 +27,7 @@
     pub fn refusal(self) -> &'static str {
         match self {
             Self::Limit => "replicas_limited",
+            Self::Leaving => "replicas_leaving",
         }
     }
 }
--- a/lib/src/serving/path/codec.rs
+++ b/lib/src/serving/path/codec.rs
@@ -95,6 +95,8 @@
     /// Requests per second that it accepts from all VMs together; `None` if it states no
     /// limit. An error leaves what was known unchanged.
     pub rate_limit: Result<Option<f64>, BadRecord>,
+    /// Whether it is about to stop.
+    pub leaving: Result<bool, BadRecord>,
 }
 
 /// An order to a replica to load or unload an adapter or a model.
--- a/lib/src/serving/path/forward.rs
+++ b/lib/src/serving/path/forward.rs
@@ -190,7 +190,8 @@
     };
     let mut run = Run::begin(node, req, replica);
     run.wait_for_turn(req.deadline).await;
-    // The replica may have stated a limit while the request waited for its turn.
+    // The replica may have stated a limit, or that it leaves, while the request waited for
+    // its turn.
     limit::renew(node, replica, placed.permit)
         .await
         .map_err(AttemptFailure::Withheld)?;
--- a/lib/src/serving/path/limit.rs
+++ b/lib/src/serving/path/limit.rs
@@ -96,12 +96,15 @@
 }
 
 /// Returns a permit that is valid now: the given one, or one with a token if the replica has
-/// stated a limit since.
+/// stated a limit since. There is none if it has stated that it leaves.
 pub(in crate::serving) async fn renew(
     node: &Node,
     replica: &ReplicaName,
     permit: SendPermit,
 ) -> Result<SendPermit, WithheldReason> {
+    if node.state().fleet.is_draining(replica) {
+        return Err(WithheldReason::Leaving);
+    }
     let valid = permit.has_token || !node.state().is_limited(now(), replica);
     match valid {
         true => Ok(permit),
--- a/lib/src/serving/path/statements.rs
+++ b/lib/src/serving/path/statements.rs
@@ -5,6 +5,7 @@
 
 use crate::serving::decisions::replica_limits::Heard;
 use crate::serving::decisions::replica_limits::SendStamp;
+use crate::serving::path::codec::BadRecord;
 use crate::serving::path::types::Instance;
 use crate::serving::program::node::Node;
 use crate::serving::program::node::now;
@@ -31,12 +32,37 @@
     };
     match statement.rate_limit {
         Ok(rate) => apply_limit(node, call, rate),
-        Err(e) => {
-            count("limit", "invalid");
-            slog::warn!(node.log, "replica stated an invalid limit";
-                "replica" => call.replica.name.as_str(), "error" => %e);
-        }
+        Err(e) => log_invalid(node, call, "limit", &e),
+    }
+    match statement.leaving {
+        Ok(true) => apply_leaving(node, call),
+        Ok(false) => {}
+        Err(e) => log_invalid(node, call, "leaving", &e),
+    }
+}
+
+/// Logs and counts a statement that cannot be decoded; it changes nothing.
+fn log_invalid(node: &Node, call: Call<'_>, kind: &'static str, error: &BadRecord) {
+    count(kind, "invalid");
+    slog::warn!(node.log, "replica's statement not decoded"; "kind" => kind,
+        "replica" => call.replica.name.as_str(), "error" => %error);
+}
+
+/// Applies that a replica is about to stop, and tells the other VMs: the store may be slow to.
+fn apply_leaving(node: &Node, call: Call<'_>) {
+    let mut state = node.state();
+    if !state.fleet.mark_leaving(call.replica) {
+        return;
     }
+    state.stated_leaving.insert(call.replica.clone(), now());
+    state.leaving.insert(call.replica.clone());
+    drop(state);
+    count("leaving", "set");
+    slog::info!(node.log, "replica changed"; "replica" => call.replica.name.as_str(),
+        "draining" => true, "born" => call.replica.started_ms, "told_by" => "replica",
+        "request" => call.id);
+    node.beacon_wake.notify_one();
+    node.placement_wake.notify_waiters();
 }
 
 /// Applies a stated limit, or that a replica states none.
--- a/lib/src/serving/peers/beacons.rs
+++ b/lib/src/serving/peers/beacons.rs
@@ -39,6 +39,9 @@
 /// How long a crash record is repeated in beacons, to make up for lost datagrams.
 const CRASH_REPORT_TTL: Span = Span::from_millis(5_000);
 
+/// How long it is repeated in beacons that a replica stated to leave.
+const LEAVING_REPORT_TTL: Span = Span::from_millis(5_000);
+
 /// The largest datagram accepted.
 const MAX_DATAGRAM_BYTES: usize = 64 << 10;
 
@@ -102,7 +105,8 @@
         if !leaving.is_empty() || limits_changed || stopping {
             *number += 1;
             let mut beacon = new_beacon(node, state, *number);
-            beacon.leaving = leaving.iter().map(encode_leaving).collect();
+            let leaving = leaving.iter().map(|r| encode_leaving(state, r));
+            beacon.leaving = leaving.collect();
             beacon.limits = limit::announced_limits(state, now);
             datagrams.push((beacon, state.members.peers().map(|(_, at)| at).collect()));
         }
@@ -179,6 +183,11 @@
         .filter_map(|n| load_reports::total_load(state, now, n))
         .collect();
     beacon.limits = limit::announced_limits(state, now);
+    state
+        .stated_leaving
+        .retain(|_, at| now.since(*at) < LEAVING_REPORT_TTL);
+    let leaving = state.stated_leaving.keys();
+    beacon.leaving = leaving.map(|r| encode_leaving(state, r)).collect();
     beacon.store = follow::outgoing_updates(node, state, now);
     let crashes = state.crash_tracker.recent(now, CRASH_REPORT_TTL);
     beacon.strikes = crashes
@@ -327,9 +336,14 @@
         apply_residency(&mut state, now, &vm, book);
     }
     for l in &beacon.leaving {
-        if let Some(replica) = parse_instance(&l.replica, l.born)
-            && state.fleet.mark_draining(&replica)
-        {
+        let Some(replica) = parse_instance(&l.replica, l.born) else {
+            continue;
+        };
+        let changed = match l.stated {
+            true => state.fleet.mark_leaving(&replica),
+            false => state.fleet.mark_draining(&replica),
+        };
+        if changed {
             slog::info!(node.log, "replica changed"; "replica" => &l.replica, "draining" => true,
                 "told_by" => vm.as_str());
         }
@@ -362,10 +376,11 @@
     }
 }
 
-fn encode_leaving(replica: &Instance) -> wire::Leaving {
+fn encode_leaving(state: &NodeState, replica: &Instance) -> wire::Leaving {
     wire::Leaving {
         replica: replica.name.to_string(),
         born: replica.started_ms,
+        stated: state.stated_leaving.contains_key(replica),
     }
 }
 
--- a/lib/src/serving/program/orders.rs
+++ b/lib/src/serving/program/orders.rs
@@ -102,7 +102,8 @@
     let active = state.ownership.usable(at);
     let active: Vec<_> = active.map(|(name, token)| (name.clone(), token)).collect();
     let mut actions = Vec::new();
-    for (name, token) in active {
+    let is_leaving = |name: &ReplicaName| state.fleet.is_draining(name);
+    for (name, token) in active.into_iter().filter(|(name, _)| !is_leaving(name)) {
         let needs_model = state.planner.needs_model(&name);
         let listing = state.fleet.replica_info(&name).filter(|_| needs_model);
         let model = listing.and_then(|l| state.fleet.least_replicated_model(l));
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -39,6 +39,7 @@
 mod test_serving_feed_outage;
 mod test_serving_feed_search;
 mod test_serving_instances;
+mod test_serving_leaving;
 mod test_serving_members;
 mod test_serving_ownership;
 mod test_serving_place;
