serving: replicas that turn a request away and ask for rest are left alone for so long

What callers saw: a request knocked at three and four replicas that had all asked this VM for rest within the last three seconds, and each of them got three to five requests from a VM in that time; two are tolerated (BUDGET).

Cause: the time was not read; every refusal counted as full, for which a VM pauses for 80 ms.

Change: the time is read where all responses pass, and takes the replica out of the choice for first tries, repeats, turns, second choices, loads and orders. It lasts to its latest end, 60 s at most, and belongs to the incarnation. VMs come back spread over a tenth of it, each with one request at a time until one is accepted. If all replicas that could run a request rest for longer than it can wait, it is refused at once with the earliest end as Retry-After. A refusal without a time leaves the short pause; neither counts as a failure of the replica's health. The retry budget is spent as before: a repeat after a refusal is a repeat.

--- a/lib/src/serving/cluster/members.rs
+++ b/lib/src/serving/cluster/members.rs
@@ -78,7 +78,7 @@
 
 /// Returns the sort key of a VM in an order that depends on the seed, to spread
 /// duties over the VMs.
-fn hash_order(vm: &VmName, seed: u64) -> u64 {
+pub(in crate::serving) fn hash_order(vm: &VmName, seed: u64) -> u64 {
     xxh3_64_with_seed(vm.as_str().as_bytes(), seed)
 }
 
--- a/lib/src/serving/decisions/fleet/health.rs
+++ b/lib/src/serving/decisions/fleet/health.rs
@@ -50,6 +50,8 @@
     last_received: Moment,
     /// Moving average of the fraction of runs that failed.
     pub(super) failure_rate: f64,
+    /// Whether it rested and has accepted no request since.
+    on_trial: bool,
     /// Send times of the runs that wait for their first byte, by run number.
     waiting: BTreeMap<u64, Moment>,
 }
@@ -62,7 +64,18 @@
         if now < self.backoff_until || self.is_unresponsive(now) {
             return false;
         }
-        self.consecutive_failures == 0 || outstanding == 0
+        let on_trial = self.on_trial && !self.waiting.is_empty();
+        !on_trial && (self.consecutive_failures == 0 || outstanding == 0)
+    }
+
+    /// From now on it gets one request at a time until it accepts one.
+    pub(super) fn begin_trial(&mut self) {
+        self.on_trial = true;
+    }
+
+    /// Records that it accepted a request.
+    pub(super) fn end_trial(&mut self) {
+        self.on_trial = false;
     }
 
     /// Returns whether a run waits too long for its first byte and the replica has
@@ -160,7 +173,7 @@
             () if r.health.is_unresponsive(now) => "dark",
             () if r.withheld_at(now).is_some() => "withheld",
             () if now < r.health.backoff_until => "paused",
-            () if r.health.consecutive_failures > 0 => "on trial",
+            () if r.health.consecutive_failures > 0 || r.health.on_trial => "on trial",
             () => "live",
         }
     }
--- a/lib/src/serving/path/codec.rs
+++ b/lib/src/serving/path/codec.rs
@@ -95,6 +95,8 @@
     /// Requests per second that it accepts from all VMs together; `None` if it states no
     /// limit. An error leaves what was known unchanged.
     pub rate_limit: Result<Option<f64>, BadRecord>,
+    /// How long it wants nothing more from this VM; `None` unless it turned the call away.
+    pub rest: Result<Option<Duration>, BadRecord>,
     /// Whether it is about to stop.
     pub leaving: Result<bool, BadRecord>,
 }
--- a/lib/src/serving/path/forward.rs
+++ b/lib/src/serving/path/forward.rs
@@ -190,8 +190,8 @@
     };
     let mut run = Run::begin(node, req, replica);
     run.wait_for_turn(req.deadline).await;
-    // The replica may have stated a limit, or that it leaves, while the request waited for
-    // its turn.
+    // The replica may have stated a limit, asked for rest, or stated that it leaves, while
+    // the request waited for its turn.
     limit::renew(node, replica, placed.permit)
         .await
         .map_err(AttemptFailure::Withheld)?;
@@ -226,7 +226,11 @@
     };
     apply_statement(node, call, answer.head.status, &answer.head.headers);
     let classify = node.codec.classify_response;
-    match classify(answer.head.status, &answer.head.headers, &req.id, replica) {
+    let reply = classify(answer.head.status, &answer.head.headers, &req.id, replica);
+    if matches!(reply, ReplicaReply::Answer | ReplicaReply::Failed) {
+        node.state().fleet.record_accepted(now(), replica);
+    }
+    match reply {
         ReplicaReply::Answer => Ok(StartedResponse {
             answer,
             run,
--- a/lib/src/serving/path/limit.rs
+++ b/lib/src/serving/path/limit.rs
@@ -96,14 +96,14 @@
 }
 
 /// Returns a permit that is valid now: the given one, or one with a token if the replica has
-/// stated a limit since. There is none if it has stated that it leaves.
+/// stated a limit since. There is none if it has stated that it leaves or asked for rest.
 pub(in crate::serving) async fn renew(
     node: &Node,
     replica: &ReplicaName,
     permit: SendPermit,
 ) -> Result<SendPermit, WithheldReason> {
-    if node.state().fleet.is_draining(replica) {
-        return Err(WithheldReason::Leaving);
+    if let Some(reason) = refusal_reason(&node.state(), replica) {
+        return Err(reason);
     }
     let valid = permit.has_token || !node.state().is_limited(now(), replica);
     match valid {
@@ -112,6 +112,16 @@
     }
 }
 
+/// Returns why a replica gets no request at all, whatever its limit.
+fn refusal_reason(state: &NodeState, replica: &ReplicaName) -> Option<WithheldReason> {
+    if state.fleet.is_draining(replica) {
+        return Some(WithheldReason::Leaving);
+    }
+    let withheld = state.fleet.withheld(now(), replica);
+    let reason = withheld.map(|w| w.reason);
+    reason.filter(|reason| *reason == WithheldReason::Rest)
+}
+
 /// Withholds a replica from placement whose limit is exhausted for `after`.
 fn withhold(node: &Node, replica: &ReplicaName, after: Span) -> WithheldReason {
     metrics::counter!("serve_withheld_total", "why" => "limit").increment(1);
--- a/lib/src/serving/path/serve.rs
+++ b/lib/src/serving/path/serve.rs
@@ -451,7 +451,7 @@
         Err(ended) => {
             attempts.record_failure(ended);
             log_attempt(node, req, &placed.replica, attempts, ended);
-            avoid.insert(placed.replica);
+            avoid_failed(node, avoid, placed.replica);
             retry(node, routed, req, attempts, avoid, ended, None).await
         }
     }
@@ -496,7 +496,15 @@
         };
         attempts.record_failure(ended);
         log_attempt(node, req, &placed.replica, attempts, ended);
-        avoid.insert(placed.replica);
+        avoid_failed(node, avoid, placed.replica);
+    }
+}
+
+/// Avoids a replica for further attempts of a request. A replica that accepts no requests for a
+/// while needs no avoiding, and may be used after it.
+fn avoid_failed(node: &Node, avoid: &mut BTreeSet<ReplicaName>, replica: ReplicaName) {
+    if node.state().fleet.withheld(now(), &replica).is_none() {
+        avoid.insert(replica);
     }
 }
 
--- a/lib/src/serving/path/statements.rs
+++ b/lib/src/serving/path/statements.rs
@@ -3,12 +3,16 @@
 use hyper::HeaderMap;
 use hyper::StatusCode;
 
+use crate::pool::Span;
+use crate::serving::cluster::members::hash_order;
+use crate::serving::cluster::state::replica_seed;
 use crate::serving::decisions::replica_limits::Heard;
 use crate::serving::decisions::replica_limits::SendStamp;
 use crate::serving::path::codec::BadRecord;
 use crate::serving::path::types::Instance;
 use crate::serving::program::node::Node;
 use crate::serving::program::node::now;
+use crate::serving::program::node::to_span;
 
 /// The call that a response belongs to.
 #[derive(Clone, Copy, Debug)]
@@ -34,6 +38,11 @@
         Ok(rate) => apply_limit(node, call, rate),
         Err(e) => log_invalid(node, call, "limit", &e),
     }
+    match statement.rest {
+        Ok(Some(rest)) => apply_rest(node, call, to_span(rest)),
+        Ok(None) => {}
+        Err(e) => log_invalid(node, call, "rest", &e),
+    }
     match statement.leaving {
         Ok(true) => apply_leaving(node, call),
         Ok(false) => {}
@@ -48,6 +57,24 @@
         "replica" => call.replica.name.as_str(), "error" => %error);
 }
 
+/// Applies that a replica wants nothing from this VM for a while.
+fn apply_rest(node: &Node, call: Call<'_>, rest: Span) {
+    let at = now();
+    let seed = hash_order(&node.settings.vm, replica_seed(&call.replica.name));
+    let mut state = node.state();
+    if !state.fleet.is_current(call.replica) {
+        return;
+    }
+    let until = state.fleet.begin_rest(at, &call.replica.name, rest, seed);
+    drop(state);
+    count("rest", "set");
+    metrics::counter!("serve_withheld_total", "why" => "rest").increment(1);
+    slog::info!(node.log, "replica asked for rest"; "replica" => call.replica.name.as_str(),
+        "born" => call.replica.started_ms, "rest_ms" => rest.as_millis(),
+        "withheld_ms" => until.since(at).as_millis(), "request" => call.id,
+        "sent_ms_ago" => at.since(call.sent.at).as_millis());
+}
+
 /// Applies that a replica is about to stop, and tells the other VMs: the store may be slow to.
 fn apply_leaving(node: &Node, call: Call<'_>) {
     let mut state = node.state();
--- a/lib/src/serving/program/orders.rs
+++ b/lib/src/serving/program/orders.rs
@@ -15,6 +15,7 @@
 use crate::serving::decisions::adapter_planner::OrderOutcome;
 use crate::serving::decisions::adapter_planner::ReplicaAction;
 use crate::serving::decisions::adapter_planner::ReplicaReport;
+use crate::serving::decisions::fleet::WithheldReason;
 use crate::serving::path::codec::Order;
 use crate::serving::path::statements::Call;
 use crate::serving::path::statements::apply_statement;
@@ -102,8 +103,12 @@
     let active = state.ownership.usable(at);
     let active: Vec<_> = active.map(|(name, token)| (name.clone(), token)).collect();
     let mut actions = Vec::new();
-    let is_leaving = |name: &ReplicaName| state.fleet.is_draining(name);
-    for (name, token) in active.into_iter().filter(|(name, _)| !is_leaving(name)) {
+    let is_resting = |name: &ReplicaName| {
+        let withheld = state.fleet.withheld(at, name);
+        withheld.is_some_and(|w| w.reason == WithheldReason::Rest)
+    };
+    let takes_orders = |name: &ReplicaName| !state.fleet.is_draining(name) && !is_resting(name);
+    for (name, token) in active.into_iter().filter(|(name, _)| takes_orders(name)) {
         let needs_model = state.planner.needs_model(&name);
         let listing = state.fleet.replica_info(&name).filter(|_| needs_model);
         let model = listing.and_then(|l| state.fleet.least_replicated_model(l));
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -50,6 +50,7 @@
 mod test_serving_replica_limit_search;
 mod test_serving_replica_limits;
 mod test_serving_reservations;
+mod test_serving_rest;
 mod test_serving_retry_budget;
 mod test_serving_routes;
 mod test_serving_subscriptions;
