serving: limits of replicas cost nothing where none states one

Each look for a replica asked for the limit of each candidate, and looked twice where all were full. New values of a limit, which may change with each response, go to the other VMs with the next beacon; only its beginning and its end are told at once.

--- a/lib/src/serving/cluster/state.rs
+++ b/lib/src/serving/cluster/state.rs
@@ -320,6 +320,9 @@
 
     /// Whether a replica states a limit on the requests of all VMs.
     pub(in crate::serving) fn is_limited(&self, now: Moment, name: &ReplicaName) -> bool {
+        if self.replica_limits.is_empty() {
+            return false;
+        }
         let replica = self.fleet.instance(name);
         replica.is_some_and(|r| self.replica_limits.rate(now, &r).is_some())
     }
--- a/lib/src/serving/decisions/replica_limits/known.rs
+++ b/lib/src/serving/decisions/replica_limits/known.rs
@@ -122,6 +122,12 @@
         is_new
     }
 
+    /// Returns whether no replica is known to have a limit.
+    pub fn is_empty(&self) -> bool {
+        let mut known = self.known.values();
+        known.all(|k| k.stated.rate().is_none() && k.announced.is_none())
+    }
+
     /// Returns a replica's limit in requests per second for all VMs; `None` if it has none.
     pub fn rate(&self, now: Moment, replica: &Instance) -> Option<f64> {
         let known = self.known.get(replica)?;
--- a/lib/src/serving/decisions/replica_limits/ledger.rs
+++ b/lib/src/serving/decisions/replica_limits/ledger.rs
@@ -172,6 +172,11 @@
         LimitReply { rate, lend, stamp }
     }
 
+    /// Returns the limit that this VM lends of a replica, in requests per second.
+    pub fn rate(&self, replica: &Instance) -> Option<f64> {
+        self.accounts.get(replica)?.stated.rate()
+    }
+
     /// Returns the limits in force, to be announced to all VMs.
     pub fn announced(&self, now: Moment) -> impl Iterator<Item = (&Instance, f64)> {
         let recent = move |a: &Account| a.is_first && now.since(a.used_at) < ANNOUNCED_FOR;
--- a/lib/src/serving/path/limit.rs
+++ b/lib/src/serving/path/limit.rs
@@ -17,7 +17,6 @@
 use crate::serving::decisions::quota::LendRequest;
 use crate::serving::decisions::quota::Spend;
 use crate::serving::decisions::replica_limits::GrantStamp;
-use crate::serving::decisions::replica_limits::Heard;
 use crate::serving::decisions::replica_limits::LimitReply;
 use crate::serving::decisions::replica_limits::Observation;
 use crate::serving::decisions::replica_limits::Outcome;
@@ -50,7 +49,12 @@
     node: &Node,
     replica: &ReplicaName,
 ) -> Result<SendPermit, WithheldReason> {
-    let Some(instance) = node.state().fleet.instance(replica) else {
+    let instance = {
+        let state = node.state();
+        let limits = Some(&state.replica_limits).filter(|limits| !limits.is_empty());
+        limits.and_then(|_| state.fleet.instance(replica))
+    };
+    let Some(instance) = instance else {
         return Ok(permit(false));
     };
     for rank in LENDER_RANKS {
@@ -228,11 +232,12 @@
     let reachable = state.members.reachable_fraction(at);
     let first = rank == 0;
     let ledger = &mut state.limit_ledger;
-    let change = match first {
-        true => ledger.apply_report(at, replica, vm, heard),
-        false => Heard::Confirmed,
-    };
-    if change == Heard::Changed {
+    let before = ledger.rate(replica);
+    if first {
+        ledger.apply_report(at, replica, vm, heard);
+    }
+    // A limit may change with each response; a new value is announced with the next beacon.
+    if before.is_some() != ledger.rate(replica).is_some() {
         state.limits_changed = true;
         node.beacon_wake.notify_one();
         slog::info!(node.log, "lent limit changed"; "replica" => replica.name.as_str(),
--- a/lib/src/serving/path/placement.rs
+++ b/lib/src/serving/path/placement.rs
@@ -212,6 +212,9 @@
     };
     let own_vm = &node.settings.vm;
     let can_load = |name: &ReplicaName| state.can_load(at, own_vm, name);
+    if state.replica_limits.is_empty() {
+        return state.fleet.place(at, &request, can_load);
+    }
     // Another adapter would attract more requests to a replica in need.
     let placement = state.fleet.place(at, &request, |name| {
         can_load(name) && !state.is_limited(at, name)
--- a/lib/src/serving/path/statements.rs
+++ b/lib/src/serving/path/statements.rs
@@ -100,8 +100,12 @@
         return;
     }
     let limits = &mut state.replica_limits;
+    let before = limits.rate(at, call.replica);
     let heard = limits.observe(at, call.replica, call.sent, rate);
-    if heard == Heard::Changed {
+    // A limit may change with each response; its lender hears of a new value with the next
+    // request for a token.
+    let is_new = before.is_some() != rate.is_some();
+    if heard == Heard::Changed && is_new {
         state.limit_reports.insert(call.replica.clone());
         node.beacon_wake.notify_one();
     }
@@ -109,6 +113,7 @@
     match heard {
         Heard::Confirmed => {}
         Heard::Overtaken => count("limit", "overtaken"),
+        Heard::Changed if !is_new => count("limit", "changed"),
         Heard::Changed => {
             count("limit", if rate.is_some() { "set" } else { "ended" });
             slog::info!(node.log, "replica's limit changed"; "replica" => call.replica.name.as_str(),
