serving: a replica that failed a request is avoided although it is withheld

A replica that is out of the choice for a while needed no avoiding; one whose limit is used up just after it failed a request was tried again with that request as soon as a token came. Only a replica that did not take the request is left to be used after its rest. Clearer names, one nested option less.

--- a/lib/src/serving/decisions/fleet/mod.rs
+++ b/lib/src/serving/decisions/fleet/mod.rs
@@ -239,8 +239,7 @@
 
     /// Applies a replica's entry in the store. Returns whether it changed which
     /// replicas requests may use.
-    pub fn apply_listing(&mut self, listing: ReplicaInfo) -> bool {
-        let mut listing = listing;
+    pub fn apply_listing(&mut self, mut listing: ReplicaInfo) -> bool {
         let instance = listing.instance();
         // Leaving is final for an incarnation, whatever its entry says later.
         listing.draining |= self.leaving.contains(&instance);
@@ -250,7 +249,6 @@
         match self.replicas.get_mut(&listing.name) {
             Some(r) if r.listing.started_ms == listing.started_ms => {
                 r.expired_at = None;
-                let mut listing = listing;
                 // Draining is final for an incarnation.
                 listing.draining |= r.listing.draining;
                 let changed = r.listing.draining != listing.draining;
--- a/lib/src/serving/decisions/fleet/place.rs
+++ b/lib/src/serving/decisions/fleet/place.rs
@@ -166,12 +166,12 @@
         let is_withheld = |r: &Replica| r.withheld_at(now).is_some();
         let available = accepting.iter().filter(|(_, r)| !is_withheld(r));
         let available: Vec<_> = available.copied().collect();
-        let none = || {
+        let none_accepts = || {
             let withheld = first_ready(now, accepting.iter().map(|(_, r)| *r));
             withheld.map_or(Placement::Unavailable, Placement::Withheld)
         };
         if available.is_empty() {
-            return none();
+            return none_accepts();
         }
         let score = |n: &ReplicaName, r: &Replica| self.score(now, request, n, r);
         let Some(target) = request.target else {
@@ -217,7 +217,7 @@
                 replica: at,
                 copy: None,
             });
-            return best.unwrap_or_else(|| match none() {
+            return best.unwrap_or_else(|| match none_accepts() {
                 withheld @ Placement::Withheld(_) if holders.is_empty() => withheld,
                 _ => Placement::Full,
             });
@@ -278,7 +278,7 @@
         }
         match self.home(now, request, target, &load_candidates()) {
             Some(at) => Placement::Load { replica: at },
-            None if holders.is_empty() => none(),
+            None if holders.is_empty() => none_accepts(),
             None => Placement::Full,
         }
     }
--- a/lib/src/serving/path/limit.rs
+++ b/lib/src/serving/path/limit.rs
@@ -189,29 +189,24 @@
 /// answer; a lost report is made up for by the next request for a token.
 pub(in crate::serving) async fn report(node: &Node, replica: &Instance) {
     let own = &node.settings.vm;
-    let (heard, address) = {
+    let nothing = LendRequest {
+        need: 0.0,
+        ahead: 0.0,
+    };
+    let heard = node.state().replica_limits.observation(replica);
+    let (is_own, address) = {
         let state = node.state();
-        let heard = state.replica_limits.observation(replica);
         let lenders = state.members.lenders(now(), replica_seed(&replica.name));
         let Some(lender) = lenders.first().copied() else {
             return;
         };
-        let remote = Some(lender).filter(|vm| *vm != own);
-        (heard, remote.map(|vm| state.members.address(vm)))
-    };
-    let nothing = LendRequest {
-        need: 0.0,
-        ahead: 0.0,
+        (lender == own, state.members.address(lender))
     };
-    match address {
-        None => {
-            lend(node, replica, (own, node.incarnation), &heard, nothing);
-        }
-        Some(None) => {}
-        Some(Some(address)) => {
-            let ask = encode_ask(node, replica, &heard, 0, nothing);
-            send_message(node, Body::LimitAsk(ask), address).await;
-        }
+    if is_own {
+        lend(node, replica, (own, node.incarnation), &heard, nothing);
+    } else if let Some(address) = address {
+        let ask = encode_ask(node, replica, &heard, 0, nothing);
+        send_message(node, Body::LimitAsk(ask), address).await;
     }
 }
 
--- a/lib/src/serving/path/serve.rs
+++ b/lib/src/serving/path/serve.rs
@@ -36,6 +36,7 @@
 use crate::serving::decisions::retry::RETRY_DELAY;
 use crate::serving::decisions::retry::Refusal;
 use crate::serving::path::charge;
+use crate::serving::path::codec::NotRun;
 use crate::serving::path::forward::BufferedRequest;
 use crate::serving::path::forward::Caller;
 use crate::serving::path::forward::StartedResponse;
@@ -451,7 +452,7 @@
         Err(ended) => {
             attempts.record_failure(ended);
             log_attempt(node, req, &placed.replica, attempts, ended);
-            avoid_failed(node, avoid, placed.replica);
+            avoid_failed(node, avoid, placed.replica, ended);
             retry(node, routed, req, attempts, avoid, ended, None).await
         }
     }
@@ -473,7 +474,7 @@
         if !attempts.may_retry(ended) {
             return Err(Refusal::after(attempts, ended));
         }
-        if ended == AttemptFailure::NotRun(crate::serving::path::codec::NotRun::NotLoaded) {
+        if ended == AttemptFailure::NotRun(NotRun::NotLoaded) {
             // The view of the loaded adapters was wrong; the replicas themselves work.
             avoid.clear();
         }
@@ -496,14 +497,23 @@
         };
         attempts.record_failure(ended);
         log_attempt(node, req, &placed.replica, attempts, ended);
-        avoid_failed(node, avoid, placed.replica);
+        avoid_failed(node, avoid, placed.replica, ended);
     }
 }
 
-/// Avoids a replica for further attempts of a request. A replica that accepts no requests for a
-/// while needs no avoiding, and may be used after it.
-fn avoid_failed(node: &Node, avoid: &mut BTreeSet<ReplicaName>, replica: ReplicaName) {
-    if node.state().fleet.withheld(now(), &replica).is_none() {
+/// Avoids a replica for further attempts of a request. A replica that did not take it and is
+/// withheld for a while needs no avoiding, and may be used after that.
+fn avoid_failed(
+    node: &Node,
+    avoid: &mut BTreeSet<ReplicaName>,
+    replica: ReplicaName,
+    ended: AttemptFailure,
+) {
+    let not_taken = matches!(
+        ended,
+        AttemptFailure::Withheld(_) | AttemptFailure::NotRun(NotRun::Full)
+    );
+    if !not_taken || node.state().fleet.withheld(now(), &replica).is_none() {
         avoid.insert(replica);
     }
 }
