serving: the VM that lends a replica's limit keeps it too, and reports wait for a lender

A VM that had heard of no limit itself and lent it for others sent as before: twelve requests at the same time to a replica that accepts one a second, found by a new test of VMs that have not heard of a limit. It now applies its own announcements. Reports of limits that no lender was known for, soon after a start, are sent with the next beacon instead of never.

--- a/lib/src/serving/path/limit.rs
+++ b/lib/src/serving/path/limit.rs
@@ -185,28 +185,41 @@
     })
 }
 
-/// Reports the newest statement of a replica to its first lender, without waiting for an
-/// answer; a lost report is made up for by the next request for a token.
-pub(in crate::serving) async fn report(node: &Node, replica: &Instance) {
+/// Reports what replicas newly state about limits to the first lenders, without waiting for
+/// answers: the next request for a token makes up for a lost report.
+pub(in crate::serving) async fn send_reports(node: &Node) {
+    let replicas = std::mem::take(&mut node.state().limit_reports);
+    for replica in replicas {
+        report(node, replica).await;
+    }
+}
+
+/// Reports the newest statement of a replica; again later if no lender is known yet.
+async fn report(node: &Node, replica: Instance) {
     let own = &node.settings.vm;
     let nothing = LendRequest {
         need: 0.0,
         ahead: 0.0,
     };
-    let heard = node.state().replica_limits.observation(replica);
-    let (is_own, address) = {
+    let heard = node.state().replica_limits.observation(&replica);
+    let lender = {
         let state = node.state();
         let lenders = state.members.lenders(now(), replica_seed(&replica.name));
-        let Some(lender) = lenders.first().copied() else {
-            return;
-        };
-        (lender == own, state.members.address(lender))
+        let first = lenders.first();
+        first.map(|vm| (*vm == own, state.members.address(vm)))
     };
-    if is_own {
-        lend(node, replica, (own, node.incarnation), &heard, nothing);
-    } else if let Some(address) = address {
-        let ask = encode_ask(node, replica, &heard, 0, nothing);
-        send_message(node, Body::LimitAsk(ask), address).await;
+    match lender {
+        None => {
+            node.state().limit_reports.insert(replica);
+        }
+        Some((true, _)) => {
+            lend(node, &replica, (own, node.incarnation), &heard, nothing);
+        }
+        Some((false, None)) => {}
+        Some((false, Some(address))) => {
+            let ask = encode_ask(node, &replica, &heard, 0, nothing);
+            send_message(node, Body::LimitAsk(ask), address).await;
+        }
     }
 }
 
@@ -286,9 +299,11 @@
     send_message(node, Body::LimitAnswer(answer), address).await;
 }
 
-/// Returns the limits that this VM lends, for its beacons.
-pub(in crate::serving) fn announced_limits(
-    state: &NodeState,
+/// Returns the limits that this VM lends, for its beacons. They are also applied here, as this
+/// VM may not have heard of them itself.
+pub(in crate::serving) fn announce_limits(
+    node: &Node,
+    state: &mut NodeState,
     now: Moment,
 ) -> Vec<wire::ReplicaLimit> {
     let limits = state.limit_ledger.announced(now);
@@ -297,7 +312,9 @@
         born: replica.started_ms,
         per_second: rate,
     });
-    encoded.collect()
+    let encoded: Vec<_> = encoded.collect();
+    apply_announced(node, state, now, &node.settings.vm, &encoded);
+    encoded
 }
 
 /// Applies the limits that a lender announces.
--- a/lib/src/serving/peers/beacons.rs
+++ b/lib/src/serving/peers/beacons.rs
@@ -60,6 +60,7 @@
         for (bytes, address) in datagrams {
             send(&node, &bytes, address).await;
         }
+        limit::send_reports(&node).await;
         let next = tokio::time::Instant::now() + interval;
         while tokio::time::timeout_at(next, node.beacon_wake.notified())
             .await
@@ -107,17 +108,14 @@
             let mut beacon = new_beacon(node, state, *number);
             let leaving = leaving.iter().map(|r| encode_leaving(state, r));
             beacon.leaving = leaving.collect();
-            beacon.limits = limit::announced_limits(state, now);
+            beacon.limits = limit::announce_limits(node, state, now);
             datagrams.push((beacon, state.members.peers().map(|(_, at)| at).collect()));
         }
     }
     for (beacon, addresses) in datagrams {
         send_all(node, beacon, &addresses).await;
     }
-    let reports = std::mem::take(&mut node.state().limit_reports);
-    for replica in &reports {
-        limit::report(node, replica).await;
-    }
+    limit::send_reports(node).await;
 }
 
 async fn send_all(node: &Node, beacon: wire::Beacon, addresses: &[SocketAddr]) {
@@ -182,7 +180,7 @@
     beacon.loads = owned
         .filter_map(|n| load_reports::total_load(state, now, n))
         .collect();
-    beacon.limits = limit::announced_limits(state, now);
+    beacon.limits = limit::announce_limits(node, state, now);
     state
         .stated_leaving
         .retain(|_, at| now.since(*at) < LEAVING_REPORT_TTL);
--- a/lib/tests/test_serving_replica_limit_search.rs
+++ b/lib/tests/test_serving_replica_limit_search.rs
@@ -231,12 +231,14 @@
         let announced = self.vms[from].ledger.announced(at(ms));
         let announced: Vec<_> = announced.map(|(r, rate)| (r.clone(), rate)).collect();
         for to in 0..self.vms.len() {
-            if to == from || !self.connected(ms, to) || self.lost() {
+            if to != from && (!self.connected(ms, to) || self.lost()) {
                 continue;
             }
             let vm = &mut self.vms[to];
-            vm.members.record_beacon(at(ms), &name, stamp, false);
-            vm.members.set_lends(&name, lends);
+            if to != from {
+                vm.members.record_beacon(at(ms), &name, stamp, false);
+                vm.members.set_lends(&name, lends);
+            }
             let ttl = vm.members.failure_timeout();
             for (replica, rate) in &announced {
                 if self.guard != Guard::Announcement {
