serving: a stand-in lender lends nothing to a VM that was only told of a limit

It took a VM that has heard no statement itself for one that has heard the end of the limit, and let it send freely until the next announcement, just when the first lender is lost. Found by reading; the search passes with it.

--- a/lib/src/serving/path/limit.rs
+++ b/lib/src/serving/path/limit.rs
@@ -224,7 +224,7 @@
 }
 
 /// Lends a token of a replica's limit after applying what the VM reports; returns `None` if
-/// this VM is not among the lenders.
+/// this VM is not among the lenders, or is not the first one and the VM has heard nothing.
 fn lend(
     node: &Node,
     replica: &Instance,
@@ -239,6 +239,10 @@
     let rank = lenders.iter().position(|l| **l == node.settings.vm)?;
     let reachable = state.members.reachable_fraction(at);
     let first = rank == 0;
+    // A VM that was only told of the limit cannot say how large it is.
+    if !first && heard.number == 0 {
+        return None;
+    }
     let ledger = &mut state.limit_ledger;
     let before = ledger.rate(replica);
     if first {
--- a/lib/tests/test_serving_replica_limit_search.rs
+++ b/lib/tests/test_serving_replica_limit_search.rs
@@ -350,6 +350,9 @@
             else {
                 continue;
             };
+            if position > 0 && heard.number == 0 {
+                continue;
+            }
             let reply = self.lend(ms, lender, i, position == 0, &heard, request);
             if lender != i && self.lost() {
                 continue;
