--- a/lib/src/serving/cluster/feed.rs
+++ b/lib/src/serving/cluster/feed.rs
@@ -13,7 +13,9 @@
 use crate::serving::cluster::update::TopicChange;
 use crate::serving::cluster::update::TopicUpdate;
 use crate::serving::peers::compression::compress;
+use crate::serving::store::port::Era;
 use crate::serving::store::port::Item;
+use crate::serving::store::port::StoreRevision;
 
 /// How long a change is repeated in beacons: three beacon intervals.
 const SHARE_TTL: Span = Span::from_millis(1_300);
@@ -44,7 +46,7 @@
 #[derive(Clone, Copy, Debug)]
 struct SyncPoint {
     /// All changes up to this revision are known.
-    revision: u64,
+    revision: StoreRevision,
     /// The latest time at which the store is known to have had no newer
     /// revision.
     as_of: Moment,
@@ -62,6 +64,11 @@
 #[derive(Debug)]
 pub struct Feed {
     policy: PollPolicy,
+    /// The latest known era of the store. While it is later than that of the state
+    /// reached, the state is not continued but replaced.
+    era: Era,
+    /// When that era became known.
+    era_since: Moment,
     /// The state reached; `None` before the first list.
     synced: Option<SyncPoint>,
     /// The names of the objects that exist.
@@ -69,7 +76,7 @@
     /// The newest change of each object that is being shared, and until when.
     shared: BTreeMap<String, (Moment, TopicChange)>,
     /// All changes after this revision are in `shared`.
-    history_start: u64,
+    history_start: StoreRevision,
     /// The revisions after `history_start` that a list skipped.
     skipped: Option<SkippedRange>,
     /// When the store last answered this VM.
@@ -78,7 +85,7 @@
     gap_since: Option<Moment>,
     /// The revision of each object whose newest change was applied beyond the
     /// synced revision, by object name; earlier changes may be missing.
-    applied_ahead: BTreeMap<String, u64>,
+    applied_ahead: BTreeMap<String, StoreRevision>,
     /// Whether a call failed since the last answer of the store.
     failing: bool,
     failures: u32,
@@ -92,10 +99,12 @@
     pub fn new(policy: PollPolicy) -> Self {
         Self {
             policy,
+            era: Era::default(),
+            era_since: Moment(0),
             synced: None,
             names: BTreeSet::new(),
             shared: BTreeMap::new(),
-            history_start: 0,
+            history_start: StoreRevision::default(),
             skipped: None,
             last_answer: None,
             gap_since: None,
@@ -108,8 +117,26 @@
     }
 
     /// Returns the revision up to which all changes are known.
-    pub fn revision(&self) -> u64 {
-        self.synced.map_or(0, |k| k.revision)
+    pub fn revision(&self) -> StoreRevision {
+        self.synced.map_or(StoreRevision::default(), |k| k.revision)
+    }
+
+    /// Records that the store is in an era. If it is later than that of the state
+    /// reached, the store came back from an earlier copy: the state is replaced by
+    /// a list, or by the update of a VM that had the same state before.
+    pub fn begin_era(&mut self, now: Moment, era: Era) {
+        if era <= self.era {
+            return;
+        }
+        self.era = era;
+        self.era_since = now;
+        self.failures = 0;
+        self.retry_at = None;
+    }
+
+    /// Whether the state reached is of an era that the store has left.
+    pub fn is_outdated(&self) -> bool {
+        self.synced.is_some_and(|k| k.revision.era < self.era)
     }
 
     /// Returns the age of the state, or `None` before the first list.
@@ -138,6 +165,15 @@
         if let Some(retry) = self.retry_at.filter(|at| *at > now) {
             return FeedAction::Wait(retry);
         }
+        if self.is_outdated() {
+            let spread = |rank| Span(self.policy.news_wait().0 + self.policy.stagger(rank).0);
+            let wait = rank.filter(|rank| *rank > 0).map_or(Span(0), spread);
+            let due = self.era_since.after(wait);
+            return match due <= now {
+                true => FeedAction::List,
+                false => FeedAction::Wait(due),
+            };
+        }
         let Some(known) = self.synced.filter(|_| !self.history_expired) else {
             return FeedAction::List;
         };
@@ -166,29 +202,38 @@
     }
 
     /// Applies a complete list requested at `asked`. Returns the changes
-    /// against the previous state; there are none for the first list.
+    /// against the previous state; there are none for the first list, or if the list
+    /// is of an era that the store has left.
     pub fn apply_list(
         &mut self,
         now: Moment,
         asked: Moment,
-        revision: u64,
+        revision: StoreRevision,
         items: &[Item],
     ) -> Vec<TopicChange> {
+        if revision.era < self.era {
+            return Vec::new();
+        }
+        self.begin_era(now, revision.era);
         let names: BTreeSet<_> = items.iter().map(|i| i.name.clone()).collect();
         let Some(known) = self.synced else {
-            let newest = items.iter().map(|i| i.revision).max().unwrap_or(0);
+            let newest = items.iter().map(|i| i.revision).max().unwrap_or_default();
             // Removals before the list are unknown.
             self.history_start = match self.policy.has_removals {
                 true => revision,
                 false => newest,
             };
             self.names = names;
-            // The first list may be seconds old. It is not shared, and its age
-            // makes this VM poll again like any other old state.
+            // Other VMs know what the first list says, so it is not shared.
             self.record_store_answer(now, asked, revision);
             self.last_answer = None;
             return Vec::new();
         };
+        // The store lost changes without stating a new era.
+        if revision < known.revision && self.history_expired {
+            self.record_failure(now, None);
+            return Vec::new();
+        }
         // Since the list was requested, another VM's update brought this VM
         // past its revision: objects missing from the list may have been
         // created after it.
@@ -196,18 +241,26 @@
             self.record_store_answer(now, asked, revision);
             return Vec::new();
         }
-        let present = items
-            .iter()
-            .map(|item| TopicChange::new(item.clone(), false, false));
+        let restored = known.revision.era < revision.era;
+        let present = items.iter().map(|item| TopicChange {
+            copied: restored,
+            ..TopicChange::new(item.clone(), false, false)
+        });
+        // What a copy lacks is written again by its author, or is gone.
+        let may_return = restored || self.failing;
         let removed = self.names.difference(&names).map(|name| {
             let mut item = Item::empty(name);
             item.revision = revision;
-            TopicChange::new(item, true, self.failing)
+            TopicChange::new(item, true, may_return)
         });
-        let changes = self.accept_new(present.chain(removed).collect());
+        let changes: Vec<_> = present.chain(removed).collect();
+        if restored {
+            self.restart_history(revision);
+        }
+        let changes = self.accept_new(changes);
         // Objects that are never removed cannot have been created and removed
         // in between.
-        if self.policy.has_removals {
+        if self.policy.has_removals || restored {
             self.record_skipped(SkippedRange {
                 last_before: known.revision,
                 first_after: revision,
@@ -217,6 +270,22 @@
         changes
     }
 
+    /// Restarts the history that is shared, at the state reached in an earlier era:
+    /// what was shared in that era is not part of the store's history any more.
+    /// `revision` is the state that replaces it.
+    ///
+    /// A VM continues from the state reached only if it knows exactly that. Changes
+    /// applied ahead of it may be among those that the store lost, so then none does.
+    fn restart_history(&mut self, revision: StoreRevision) {
+        self.shared
+            .retain(|_, (_, c)| c.item.revision.era == revision.era);
+        self.history_start = match self.applied_ahead.is_empty() {
+            true => self.revision(),
+            false => revision,
+        };
+        self.skipped = None;
+    }
+
     /// Extends the skipped range by the revisions that a list skipped.
     fn record_skipped(&mut self, skipped: SkippedRange) {
         self.skipped = Some(self.skipped.map_or(skipped, |s| s.merge(skipped)));
@@ -235,9 +304,15 @@
         now: Moment,
         asked: Moment,
         waited: Duration,
-        revision: u64,
+        revision: StoreRevision,
         changes: Vec<(Item, bool)>,
     ) -> Vec<TopicChange> {
+        self.begin_era(now, revision.era);
+        // The answer is of a history that does not continue the state reached, or
+        // that the store has left.
+        if revision.era != self.revision().era || revision.era < self.era {
+            return Vec::new();
+        }
         let as_of = match changes.is_empty() {
             true => asked
                 .after(Span(u64::try_from(waited.as_micros()).unwrap_or(0)))
@@ -255,17 +330,17 @@
     /// revision of the answer, or the one before the object's next change.
     fn with_removal_revisions(
         &self,
-        revision: u64,
+        revision: StoreRevision,
         changes: Vec<(Item, bool)>,
     ) -> Vec<TopicChange> {
         let mut next = BTreeMap::new();
         let mut converted = Vec::new();
         for (mut item, removed) in changes.into_iter().rev() {
-            let after = next.get(&item.name).copied().unwrap_or(revision + 1);
+            let last = next.get(&item.name).copied().unwrap_or(revision.number);
             if removed {
-                item.revision = after - 1;
+                item.revision = StoreRevision::new(revision.era, last);
             }
-            next.insert(item.name.clone(), item.revision);
+            next.insert(item.name.clone(), item.revision.number.saturating_sub(1));
             converted.push(TopicChange::new(item, removed, removed && self.failing));
         }
         converted.reverse();
@@ -298,7 +373,7 @@
 
     /// Records that all changes up to a revision are known and that the store
     /// had none newer at `as_of`. Neither the revision nor the time goes back.
-    fn advance(&mut self, revision: u64, as_of: Moment) {
+    fn advance(&mut self, revision: StoreRevision, as_of: Moment) {
         let old = self.synced.unwrap_or(SyncPoint { revision, as_of });
         let known = SyncPoint {
             revision: old.revision.max(revision),
@@ -311,7 +386,7 @@
 
     /// Records an answer of the store to this VM: nothing newer than `revision`
     /// existed at `as_of`, no gap remains, and the retry pause ends.
-    fn record_store_answer(&mut self, now: Moment, as_of: Moment, revision: u64) {
+    fn record_store_answer(&mut self, now: Moment, as_of: Moment, revision: StoreRevision) {
         self.advance(revision, as_of);
         self.last_answer = Some(now);
         self.gap_since = None;
@@ -352,6 +427,11 @@
     /// store rejects thus still gets the current configuration, although only
     /// the store can close its gap.
     pub fn apply_update(&mut self, now: Moment, update: TopicUpdate) -> Vec<TopicChange> {
+        self.begin_era(now, update.revision.era);
+        // Nothing that was known in an earlier era is confirmed by it.
+        if update.revision.era < self.era {
+            return Vec::new();
+        }
         let Some(known) = &mut self.synced else {
             return Vec::new();
         };
@@ -359,7 +439,16 @@
             known.as_of = known.as_of.max(update.as_of);
             return Vec::new();
         }
-        let follows = update.since <= known.revision;
+        // An update of a later era replaces the very state that it starts from, and
+        // no other.
+        let restored = known.revision.era < update.revision.era;
+        let follows = match restored {
+            true => update.since == known.revision && self.applied_ahead.is_empty(),
+            false => update.since <= known.revision,
+        };
+        if restored && follows {
+            self.restart_history(update.revision);
+        }
         let changes = self.accept_new(update.changes);
         for c in &changes {
             self.share(now, c.clone());
@@ -399,7 +488,7 @@
     /// this VM is among the first in polling order and had an answer from the
     /// store recently.
     pub fn outgoing_update(&mut self, now: Moment, rank: Option<u64>) -> Option<TopicUpdate> {
-        let known = self.synced?;
+        let known = self.synced.filter(|_| !self.is_outdated())?;
         let is_over = |(until, _): &(Moment, TopicChange)| *until <= now;
         for (_, (_, change)) in self.shared.extract_if(.., |_, kept| is_over(kept)) {
             self.history_start = self.history_start.max(change.item.revision);
--- a/lib/src/serving/cluster/owner_table.rs
+++ b/lib/src/serving/cluster/owner_table.rs
@@ -10,6 +10,7 @@
 use crate::ids::FencingToken;
 use crate::ids::ReplicaName;
 use crate::ids::VmName;
+use crate::serving::store::port::Era;
 
 /// How many removed replicas keep their last owner in the table. A replica whose
 /// entry comes back, or that restarts under its name, is given to that owner,
@@ -17,6 +18,29 @@
 /// removed within the time of a lease.
 const MAX_GONE: usize = 64;
 
+/// The position of the era in a fencing token. The tokens of a later era are
+/// greater than all that were granted before, also than those of tables that the
+/// store has lost.
+const ERA_SHIFT: u32 = 32;
+
+/// How many terms a table skips whose predecessor is unknown: more than that one can
+/// have used.
+const TERM_GAP: u64 = 1 << 16;
+
+/// Stands among the former owners of a replica for the unknown ones that a table
+/// lost by the store may have named. Never the name of a VM.
+const LOST_OWNER: &str = "lost-with-store";
+
+/// Returns the era of the store in which a token was granted.
+pub(super) fn token_era(token: FencingToken) -> Era {
+    Era(token.0 >> ERA_SHIFT)
+}
+
+/// Returns the former owner that stands for unknown ones.
+pub(super) fn lost_owner() -> Option<VmName> {
+    LOST_OWNER.parse().ok()
+}
+
 /// The owner of one replica.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Owner {
@@ -49,6 +73,56 @@
 }
 
 impl OwnerTable {
+    /// Returns the era of the store in which the table was written.
+    pub fn era(&self) -> Era {
+        token_era(self.term)
+    }
+
+    /// Returns the table with tokens above all that were granted before `era`. If
+    /// `certain` is not set, a later table than this may have been written, whose
+    /// terms are skipped.
+    pub fn regranted(&self, era: Era, certain: bool) -> Self {
+        let skipped = if certain { 0 } else { TERM_GAP };
+        let term = FencingToken((era.0 << ERA_SHIFT).max(self.term.0 + skipped));
+        let regrant = |owner: &Owner| {
+            let mut owner = owner.clone();
+            owner.token = term;
+            owner
+        };
+        let all = |owners: &BTreeMap<ReplicaName, Owner>| {
+            let owners = owners.iter();
+            owners.map(|(name, o)| (name.clone(), regrant(o))).collect()
+        };
+        Self {
+            term,
+            owners: all(&self.owners),
+            members: self.members.clone(),
+            gone: all(&self.gone),
+        }
+    }
+
+    /// Whether the former owners of a replica are unknown.
+    pub(super) fn has_lost_owners(&self) -> bool {
+        let Some(lost) = lost_owner() else {
+            return false;
+        };
+        let mut all = self.owners.values().chain(self.gone.values());
+        all.any(|o| o.former.contains(&lost))
+    }
+
+    /// Sets whether the former owners of all replicas are unknown.
+    pub(super) fn set_lost_owners(&mut self, unknown: bool) {
+        let Some(lost) = lost_owner() else {
+            return;
+        };
+        for owner in self.owners.values_mut().chain(self.gone.values_mut()) {
+            match unknown {
+                true => owner.former.insert(lost.clone()),
+                false => owner.former.remove(&lost),
+            };
+        }
+    }
+
     /// Returns how many replicas have another owner than in the table `old`.
     pub fn count_moved(&self, old: &Self) -> usize {
         let same = |name, owner: &Owner| old.owners.get(name).is_some_and(|o| o.vm == owner.vm);
--- a/lib/src/serving/cluster/ownership.rs
+++ b/lib/src/serving/cluster/ownership.rs
@@ -9,6 +9,9 @@
 use crate::pool::Moment;
 use crate::pool::Span;
 use crate::serving::cluster::owner_table::OwnerTable;
+use crate::serving::cluster::owner_table::lost_owner;
+use crate::serving::store::port::Era;
+use crate::serving::store::port::StoreRevision;
 
 /// How much later each further VM in name order proposes a change. A proposal
 /// takes effect everywhere within about a second.
@@ -49,6 +52,10 @@
 /// the acknowledgements of all members keep it valid.
 const MAX_UNCONFIRMED: Span = Span::from_millis(15_000);
 
+/// How much later a VM proposes the first table of an era if another one knows a
+/// newer table of the era before.
+const OUTDATED_PROPOSAL_DELAY: Span = Span::from_millis(6_000);
+
 /// How long a new member waits before it considers a VM failed that may not know
 /// of the new member. This is longer than an ownership lasts without the store.
 pub(in crate::serving) const NEW_MEMBER_GRACE: Span = Span::from_millis(20_000);
@@ -60,7 +67,7 @@
     /// When the ownership takes effect.
     usable_from: Moment,
     /// The revision of the table that granted it.
-    granted_revision: u64,
+    granted_revision: StoreRevision,
     /// The former owners that have not acknowledged their loss.
     unaware: BTreeSet<VmName>,
 }
@@ -79,10 +86,21 @@
     vm: VmName,
     lease: Span,
     fenced: bool,
-    /// The table.
+    /// The latest known era of the store.
+    era: Era,
+    /// The era in which the stored table, or its absence, was last read.
+    read_in: Option<Era>,
+    /// The revision of the stored table; `None` if there is none.
+    stored: Option<StoreRevision>,
+    /// Whether the stored table is older than the one known: the store came back
+    /// from a copy, or a late write replaced what it never saw.
+    stored_is_old: bool,
+    /// The newest known table.
     pub table: OwnerTable,
-    /// Its revision in the store; 0 while there is no table.
-    pub revision: u64,
+    /// Its revision in the store; the default while there is no table.
+    pub revision: StoreRevision,
+    /// When the first table of the era was applied.
+    regranted_at: Option<Moment>,
     grants: BTreeMap<ReplicaName, OwnershipGrant>,
     /// The tokens that replicas rejected.
     refused: BTreeMap<ReplicaName, FencingToken>,
@@ -93,12 +111,12 @@
     /// Until when no other VM can consider this one failed.
     acknowledged_until: Option<Moment>,
     /// The newest revision announced by another VM.
-    max_peer_revision: u64,
+    max_peer_revision: StoreRevision,
     /// The newest revision announced by each VM.
-    peer_revisions: BTreeMap<VmName, u64>,
+    peer_revisions: BTreeMap<VmName, StoreRevision>,
     /// The table revision by which this VM became a member, and when it was
     /// read.
-    joined: Option<(u64, Moment)>,
+    joined: Option<(StoreRevision, Moment)>,
 }
 
 impl Ownership {
@@ -109,38 +127,86 @@
             vm,
             lease,
             fenced,
+            era: Era::default(),
+            read_in: None,
+            stored: None,
+            stored_is_old: false,
             table: OwnerTable::default(),
-            revision: 0,
+            revision: StoreRevision::default(),
+            regranted_at: None,
             grants: BTreeMap::new(),
             refused: BTreeMap::new(),
             proposal_due: None,
             confirmed: None,
             acknowledged_until: None,
-            max_peer_revision: 0,
+            max_peer_revision: StoreRevision::default(),
             peer_revisions: BTreeMap::new(),
             joined: None,
         }
     }
 
-    /// Applies the table from the store. Returns `false` for an older revision,
-    /// which is ignored.
-    pub fn apply_table(&mut self, now: Moment, table: OwnerTable, revision: u64) -> bool {
-        if revision <= self.revision {
+    /// Records that the store is in an era.
+    ///
+    /// The tables of earlier eras are no longer in the store, and it may have lost
+    /// some that this VM never read. Where replicas check fencing tokens, the
+    /// ownerships stay valid until the first table of the era is known, as with any
+    /// other change of owners; elsewhere they end.
+    pub fn begin_era(&mut self, era: Era) {
+        if era > self.era {
+            self.era = era;
+            self.stored = None;
+            self.proposal_due = None;
+        }
+    }
+
+    /// Records that all objects of the fleet were read in an era, `found` if the table
+    /// was among them.
+    pub fn mark_read(&mut self, era: Era, found: bool) {
+        if era < self.era {
+            return;
+        }
+        self.begin_era(era);
+        self.read_in = Some(era);
+        if !found {
+            self.stored = None;
+        }
+    }
+
+    /// Returns the revision of the stored table that a proposal replaces, or `None` if
+    /// there is none.
+    pub fn stored(&self) -> Option<StoreRevision> {
+        self.stored
+    }
+
+    /// Applies the table from the store. Returns `false` for an older table, which is
+    /// ignored: one of an older revision, or of an earlier era than its revision.
+    pub fn apply_table(&mut self, now: Moment, table: OwnerTable, revision: StoreRevision) -> bool {
+        if revision.era < self.era || self.stored.is_some_and(|s| revision <= s) {
+            return false;
+        }
+        self.begin_era(revision.era);
+        self.stored = Some(revision);
+        self.read_in = Some(revision.era);
+        self.stored_is_old = table.era() < revision.era;
+        if self.stored_is_old {
+            // Who orders loads is still better known than not at all.
+            if self.revision == StoreRevision::default() {
+                self.table = table;
+            }
             return false;
         }
-        let wait = self.max_takeover_wait();
+        if self.regranted_at.is_none() || self.revision.era < revision.era {
+            self.regranted_at = Some(now);
+        }
         let mine = table.owners.iter().filter(|(_, o)| o.vm == self.vm);
         let mut grants = BTreeMap::new();
         for (name, owner) in mine {
             let old = self.grants.remove(name).filter(|g| g.token == owner.token);
             let grant = old.unwrap_or_else(|| OwnershipGrant {
                 token: owner.token,
-                usable_from: match owner.former.is_empty() {
-                    true => now,
-                    false => now.after(wait),
-                },
+                usable_from: now.after(self.takeover_wait(&owner.former)),
                 granted_revision: revision,
-                unaware: owner.former.clone(),
+                unaware: self.unaware_vms(&owner.former, &table.members),
             });
             grants.insert(name.clone(), grant);
         }
@@ -156,17 +222,44 @@
     }
 
     /// How long a new owner waits if the former ones acknowledge nothing.
-    fn max_takeover_wait(&self) -> Span {
+    fn takeover_wait(&self, former: &BTreeSet<VmName>) -> Span {
+        let is_lost = lost_owner().is_some_and(|lost| former.contains(&lost));
+        match (former.is_empty(), self.fenced) {
+            (true, _) => Span(0),
+            (false, true) => Span(self.lease.0 + LOSS_DETECTION_DELAY.0),
+            // An unknown owner may rely on acknowledgements.
+            (false, false) if is_lost => self.lost_owner_wait(),
+            (false, false) => Span(OWNERSHIP_TTL.0 + self.lease.0 + MAX_ORDER_DELAY.0),
+        }
+    }
+
+    /// How long an owner may still give orders that a table lost by the store named.
+    fn lost_owner_wait(&self) -> Span {
         match self.fenced {
             true => Span(self.lease.0 + LOSS_DETECTION_DELAY.0),
-            false => Span(OWNERSHIP_TTL.0 + self.lease.0 + MAX_ORDER_DELAY.0),
+            false => Span(MAX_UNCONFIRMED.0 + self.lease.0 + MAX_ORDER_DELAY.0),
+        }
+    }
+
+    /// Returns the VMs whose acknowledgements end the wait of a new owner: all other
+    /// members if the former owners are unknown.
+    fn unaware_vms(
+        &self,
+        former: &BTreeSet<VmName>,
+        members: &BTreeSet<VmName>,
+    ) -> BTreeSet<VmName> {
+        let mut unaware = former.clone();
+        if !self.fenced && lost_owner().is_some_and(|lost| unaware.remove(&lost)) {
+            unaware.extend(members.iter().filter(|vm| **vm != self.vm).cloned());
         }
+        unaware
     }
 
     /// Records that the store confirmed our table to be the newest by its
-    /// answer to a call sent at `asked`.
-    pub fn confirm(&mut self, asked: Moment) {
-        if self.revision > 0 {
+    /// answer in `era` to a call sent at `asked`.
+    pub fn confirm(&mut self, asked: Moment, era: Era) {
+        let applied = self.revision > StoreRevision::default() && self.revision.era == era;
+        if applied && !self.stored_is_old {
             self.confirmed = self.confirmed.max(Some(asked));
         }
     }
@@ -186,10 +279,12 @@
     /// That VM received the beacon after we sent it, so the same interval
     /// counted from the sending is a safe lower bound, regardless of the delay
     /// of either datagram.
-    pub fn confirm_from_peer(&mut self, revision: u64, sent: Moment, after: i64) {
+    ///
+    /// A confirmation of a table of an earlier era says nothing of the present one.
+    pub fn confirm_from_peer(&mut self, revision: StoreRevision, sent: Moment, after: i64) {
         let at = sent.0.checked_add_signed(after);
         if let Some(at) = at.filter(|_| revision <= self.revision) {
-            self.confirm(Moment(at));
+            self.confirm(Moment(at), revision.era);
         }
     }
 
@@ -232,7 +327,8 @@
             let Some((revision, at)) = self.joined else {
                 return true;
             };
-            let announced = self.peer_revisions.get(*vm).copied().unwrap_or(0);
+            let announced = self.peer_revisions.get(*vm).copied();
+            let announced = announced.unwrap_or_default();
             announced < revision && now.since(at) < NEW_MEMBER_GRACE
         };
         members.filter(unaware).cloned().collect()
@@ -241,7 +337,12 @@
     /// Records the table revision announced by a VM, which acknowledges its
     /// losses up to that revision. Returns whether its table is newer than
     /// ours.
-    pub fn record_peer_revision(&mut self, now: Moment, vm: &VmName, revision: u64) -> bool {
+    pub fn record_peer_revision(
+        &mut self,
+        now: Moment,
+        vm: &VmName,
+        revision: StoreRevision,
+    ) -> bool {
         self.max_peer_revision = self.max_peer_revision.max(revision);
         let announced = self.peer_revisions.entry(vm.clone()).or_default();
         *announced = revision.max(*announced);
@@ -268,8 +369,8 @@
         if self.fenced {
             return true;
         }
-        let (Some(confirmed), true) = (self.confirmed, self.max_peer_revision <= self.revision)
-        else {
+        let newest = self.max_peer_revision <= self.revision && self.revision.era == self.era;
+        let (Some(confirmed), true) = (self.confirmed, newest) else {
             return false;
         };
         let acknowledged = self.acknowledged_until.unwrap_or(Moment(0));
@@ -313,7 +414,9 @@
     /// table is read again.
     pub fn invalidate(&mut self) {
         self.grants.clear();
-        self.revision = 0;
+        self.revision = StoreRevision::default();
+        self.stored = None;
+        self.read_in = None;
         self.confirmed = None;
         self.joined = None;
     }
@@ -332,13 +435,44 @@
         live: &BTreeSet<VmName>,
         replicas: &BTreeSet<ReplicaName>,
     ) -> Option<OwnerTable> {
+        // What is stored in this era must be known.
+        if self.read_in != Some(self.era) {
+            return None;
+        }
         let Some(table) = self.desired_table(now, live, replicas) else {
             self.proposal_due = None;
             return self.without_expired_waits(now);
         };
         let since = *self.proposal_due.get_or_insert(now);
         let rank = live.iter().position(|vm| *vm == self.vm)? as u64;
-        (now.since(since).0 >= PROPOSAL_STAGGER.0 * rank).then_some(table)
+        let replaces = self.table.era() < self.era || self.stored_is_old;
+        let delay = match replaces && self.is_outdated() {
+            true => OUTDATED_PROPOSAL_DELAY.0,
+            false => 0,
+        };
+        (now.since(since).0 >= PROPOSAL_STAGGER.0 * rank + delay).then_some(table)
+    }
+
+    /// Whether another VM knows a newer table.
+    fn is_outdated(&self) -> bool {
+        self.revision < self.max_peer_revision
+    }
+
+    /// Returns the newest known table with tokens that no VM has been granted for
+    /// another ownership, and whether the owners that another table named are unknown.
+    ///
+    /// Where replicas check fencing tokens, the owners of an earlier era continue,
+    /// unless the store may have lost a table that this VM does not know.
+    fn present_table(&self) -> (OwnerTable, bool) {
+        let overwritten = self.stored_is_old && self.is_outdated();
+        if self.table.era() >= self.era && !overwritten {
+            return (self.table.clone(), self.table.has_lost_owners());
+        }
+        let known = self.revision > StoreRevision::default();
+        let certain = self.fenced && known && !self.is_outdated();
+        let first = self.table == OwnerTable::default() && !self.is_outdated();
+        let table = self.table.regranted(self.era, certain || first);
+        (table, !certain && !first)
     }
 
     /// Returns the table with all changes needed. A VM that is not a member yet
@@ -349,20 +483,30 @@
         live: &BTreeSet<VmName>,
         replicas: &BTreeSet<ReplicaName>,
     ) -> Option<OwnerTable> {
-        if self.fenced {
-            return self.table.reassigned(live, &BTreeSet::new(), replicas);
+        let (mut table, mut unknown) = self.present_table();
+        let is_over = |at: Moment| now.since(at) >= self.lost_owner_wait();
+        if self.table.era() >= self.era && self.regranted_at.is_some_and(is_over) {
+            unknown = false;
         }
-        let mut table = self.table.clone();
-        if self.revision > 0 && !table.members.contains(&self.vm) {
+        if !self.fenced && self.is_new_member() {
             table.members.insert(self.vm.clone());
+            table.set_lost_owners(unknown);
             return Some(table);
         }
         let protected = self.protected_members(now);
         if let Some(reassigned) = table.reassigned(live, &protected, replicas) {
             table = reassigned;
         }
-        table.members = live.union(&protected).cloned().collect();
-        (table != self.table).then_some(table)
+        if !self.fenced {
+            table.members = live.union(&protected).cloned().collect();
+        }
+        table.set_lost_owners(unknown);
+        (self.stored_is_old || table != self.table).then_some(table)
+    }
+
+    /// Whether there is a table of which this VM is not a member.
+    fn is_new_member(&self) -> bool {
+        self.revision > StoreRevision::default() && !self.table.members.contains(&self.vm)
     }
 
     /// Returns the table without the former owners of our replicas for which the
@@ -370,9 +514,11 @@
     fn without_expired_waits(&self, now: Moment) -> Option<OwnerTable> {
         let mut table = self.table.clone();
         let over = |name: &ReplicaName| self.grants.get(name).is_some_and(|g| g.usable_from <= now);
+        let lost = lost_owner();
         for (name, owner) in &mut table.owners {
             if owner.vm == self.vm && over(name) {
-                owner.former.clear();
+                // The unknown ones are removed for all replicas at once.
+                owner.former.retain(|vm| Some(vm) == lost.as_ref());
             }
         }
         (table != self.table).then_some(table)
--- a/lib/src/serving/cluster/recency.rs
+++ b/lib/src/serving/cluster/recency.rs
@@ -11,6 +11,10 @@
 /// answer without changes may be wrong for this long.
 const MAX_WATCH_LAG: Span = Span::from_millis(1_100);
 
+/// How long after the store came back from an earlier copy the operator may still
+/// write again what it had lost.
+const REWRITE_TIME: Span = Span::from_millis(2_000);
+
 /// The fraction of `key_revocation` after which a VM asks the store
 /// itself. The rest is for its call and for one more if that fails.
 const PROOF_AGE_FRACTION: f64 = 0.5;
@@ -38,6 +42,9 @@
 #[derive(Debug, Default)]
 pub struct Recency {
     as_of: Option<Moment>,
+    /// The earliest proof that counts: the store came back from an earlier copy that
+    /// may lack a configuration which revoked keys.
+    valid_from: Moment,
     /// Whether the newest configuration could not be decoded.
     unreadable: bool,
 }
@@ -64,9 +71,23 @@
         self.advance(Moment(at.min(now.0)));
     }
 
+    /// Records that the store came back from an earlier copy. What it then says is no
+    /// proof before the operator has had the time to write again what was lost.
+    pub fn begin_era(&mut self, now: Moment) {
+        self.valid_from = now.after(REWRITE_TIME);
+    }
+
+    /// Whether no proof counts yet.
+    pub fn is_suspended(&self, now: Moment) -> bool {
+        now < self.valid_from
+    }
+
     /// Records that the configuration was the newest at `at`, unless a later
     /// proof is known.
     fn advance(&mut self, at: Moment) {
+        if at < self.valid_from {
+            return;
+        }
         self.as_of = Some(self.as_of.map_or(at, |known| known.max(at)));
     }
 
--- a/lib/src/serving/cluster/state.rs
+++ b/lib/src/serving/cluster/state.rs
@@ -14,7 +14,9 @@
 use crate::pool::Moment;
 use crate::serving::cluster::feed::Feeds;
 use crate::serving::cluster::members::Members;
+use crate::serving::cluster::owner_table::Owner;
 use crate::serving::cluster::owner_table::OwnerTable;
+use crate::serving::cluster::owner_table::token_era;
 use crate::serving::cluster::ownership::Ownership;
 use crate::serving::cluster::recency::Recency;
 use crate::serving::cluster::recency::WitnessQueue;
@@ -45,6 +47,8 @@
 use crate::serving::program::node::to_span;
 use crate::serving::program::settings::ServeSettings;
 use crate::serving::store::follow;
+use crate::serving::store::port::Era;
+use crate::serving::store::port::StoreRevision;
 
 /// The configuration in force.
 #[derive(Debug)]
@@ -116,6 +120,8 @@
     pub(in crate::serving) feeds: Feeds,
     /// Beacons from other availability zones to pass on.
     pub(in crate::serving) relay_queue: BTreeMap<VmName, wire::Beacon>,
+    /// The latest known era of the store, and since when; `None` before any answer.
+    pub(in crate::serving) era: Option<(Era, Moment)>,
     /// Whether the replicas were listed at least once.
     pub(in crate::serving) replicas_listed: bool,
     /// The time limits within which changes of keys must be applied.
@@ -165,6 +171,7 @@
             last_reports: BTreeMap::new(),
             feeds: Feeds::new(|topic| follow::poll_policy(settings, topic)),
             relay_queue: BTreeMap::new(),
+            era: None,
             replicas_listed: false,
             key_bounds: KeyBounds {
                 revoke: settings.key_revocation.map(to_span),
@@ -219,7 +226,8 @@
         };
         let needed = self.active.as_ref().is_some_and(|a| a.keys.is_some());
         let backing_off = self.feeds.get(Topic::Config).is_backing_off(now);
-        needed && !backing_off && self.recency.is_due(now, revoke, rank.unwrap_or(0))
+        let useless = backing_off || self.recency.is_suspended(now);
+        needed && !useless && self.recency.is_due(now, revoke, rank.unwrap_or(0))
     }
 
     /// Advances the limits for which this VM is the first lender to `now`.
@@ -254,6 +262,29 @@
             .renew(now, reachable, &first, |r| fleet.is_current(r));
     }
 
+    /// Records that the store, or a VM that heard from it, is in an era. Returns the
+    /// era before if the store came back from an earlier copy since.
+    pub(in crate::serving) fn observe_era(&mut self, now: Moment, era: Era) -> Option<Era> {
+        let old = self.era.map(|(era, _)| era);
+        if old.is_some_and(|old| era <= old) {
+            return None;
+        }
+        self.era = Some((era, now));
+        for topic in Topic::ALL {
+            self.feeds.get(topic).begin_era(now, era);
+        }
+        self.ownership.begin_era(era);
+        if old.is_some() {
+            self.recency.begin_era(now);
+        }
+        old
+    }
+
+    /// Returns the latest known era of the store.
+    pub(in crate::serving) fn store_era(&self) -> Era {
+        self.era.map_or(Era::default(), |(era, _)| era)
+    }
+
     /// Whether requests can be served.
     pub(in crate::serving) fn is_ready(&self) -> bool {
         self.active.is_some() && self.replicas_listed
@@ -332,14 +363,17 @@
         &mut self,
         now: Moment,
         table: OwnerTable,
-        revision: u64,
+        revision: StoreRevision,
     ) -> bool {
         let old = self.ownership.table.owners.clone();
         if !self.ownership.apply_table(now, table, revision) {
             return false;
         }
         for (name, owner) in &self.ownership.table.owners {
-            if old.get(name).is_some_and(|o| o.token != owner.token) {
+            let continues =
+                |o: &Owner| o.vm == owner.vm && token_era(o.token) < token_era(owner.token);
+            let changed = |o: &Owner| o.token != owner.token && !continues(o);
+            if old.get(name).is_some_and(changed) {
                 self.fleet.expire_owner_reports(name);
             }
         }
--- a/lib/src/serving/cluster/topic.rs
+++ b/lib/src/serving/cluster/topic.rs
@@ -118,6 +118,12 @@
         Span(self.fraction(MAX_AGE_FRACTION).0 + self.stagger(rank).0)
     }
 
+    /// Returns how long the VMs after the first in polling order wait for its list
+    /// when the store came back from an earlier copy, before they list themselves.
+    pub(super) fn news_wait(&self) -> Span {
+        self.fraction(WATCH_FRACTION)
+    }
+
     /// Returns how much later than the first VM in polling order the VM at this
     /// position polls.
     pub(super) fn stagger(&self, rank: u64) -> Span {
--- a/lib/src/serving/cluster/update.rs
+++ b/lib/src/serving/cluster/update.rs
@@ -2,6 +2,7 @@
 
 use crate::pool::Moment;
 use crate::serving::store::port::Item;
+use crate::serving::store::port::StoreRevision;
 
 /// A change of a stored object, as VMs share it.
 #[derive(Clone, Debug)]
@@ -10,9 +11,12 @@
     pub item: Item,
     /// Whether the object was removed.
     pub removed: bool,
-    /// Whether the object vanished during an outage of the store, so that it may
-    /// come back.
+    /// Whether the object vanished during an outage of the store or with a copy that
+    /// lacks it, so that it may come back.
     pub missing_after_outage: bool,
+    /// Whether the content is from the copy that the store came back from, so that
+    /// it may be older than what is known of the object.
+    pub copied: bool,
     /// The compressed content, set once the change is shared.
     pub compressed: Vec<u8>,
 }
@@ -25,6 +29,7 @@
             item,
             removed,
             missing_after_outage,
+            copied: false,
             compressed: Vec::new(),
         }
     }
@@ -34,11 +39,11 @@
 #[derive(Clone, Debug)]
 pub struct TopicUpdate {
     /// The store revision up to which the sender knows all changes.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// When that was the newest revision, by our clock.
     pub as_of: Moment,
     /// `changes` has all changes after this revision.
-    pub since: u64,
+    pub since: StoreRevision,
     /// The changes.
     pub changes: Vec<TopicChange>,
 }
@@ -49,14 +54,14 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct SkippedRange {
     /// The last revision known before the range.
-    pub last_before: u64,
+    pub last_before: StoreRevision,
     /// The first revision known after the range.
-    pub first_after: u64,
+    pub first_after: StoreRevision,
 }
 
 impl SkippedRange {
     /// Whether a revision was skipped. Both ends are known and thus excluded.
-    pub(super) fn contains(self, revision: u64) -> bool {
+    pub(super) fn contains(self, revision: StoreRevision) -> bool {
         self.last_before < revision && revision < self.first_after
     }
 
--- a/lib/src/serving/peers/beacons.rs
+++ b/lib/src/serving/peers/beacons.rs
@@ -31,7 +31,9 @@
 use crate::serving::program::node::Node;
 use crate::serving::program::node::Phase;
 use crate::serving::program::node::now;
+use crate::serving::store::call;
 use crate::serving::store::follow;
+use crate::serving::store::port::Era;
 
 /// The minimum interval between two beacons that carry changes.
 const MIN_UPDATE_INTERVAL: Duration = Duration::from_millis(30);
@@ -151,6 +153,7 @@
         sent_us: now.0,
         lends: state.members.lends(now),
         zone: node.settings.zone.to_string(),
+        era: state.store_era().0,
         address: node.settings.peer_address.to_string(),
         ..wire::Beacon::default()
     }
@@ -165,7 +168,8 @@
     let names: Vec<_> = state.planner.replicas().cloned().collect();
     state.planner.take_changed();
     let mut beacon = new_beacon(node, state, number);
-    beacon.owners = state.ownership.revision;
+    beacon.owners = state.ownership.revision.number;
+    beacon.owners_era = state.ownership.revision.era.0;
     beacon.turns_ms = state.stall_detector.remaining(now).as_millis();
     beacon.books = names
         .iter()
@@ -307,6 +311,7 @@
         return;
     };
     let now = now();
+    call::observe_era(node, Era(beacon.era), Some(vm.as_str()));
     let mut state = node.state();
     let timeout = state.members.failure_timeout();
     state.fleet.set_report_ttl(timeout);
--- a/lib/src/serving/peers/renewal.rs
+++ b/lib/src/serving/peers/renewal.rs
@@ -8,7 +8,6 @@
 use banyangauge_proto as wire;
 
 use crate::ids::VmName;
-use crate::platform::PlatformError;
 use crate::pool::Moment;
 use crate::serving::cluster::state::NodeState;
 use crate::serving::cluster::update::TopicChange;
@@ -16,9 +15,12 @@
 use crate::serving::program::node::now;
 use crate::serving::store::apply::StoreUpdate;
 use crate::serving::store::apply::apply_cluster;
+use crate::serving::store::call::CALL_TIMEOUT;
+use crate::serving::store::call::CallError;
+use crate::serving::store::call::call;
 use crate::serving::store::follow;
-use crate::serving::store::follow::with_timeout;
-use crate::serving::store::port::Consistency;
+use crate::serving::store::port::Era;
+use crate::serving::store::port::StoreRevision;
 
 /// The interval between checks whether a confirmation is due.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
@@ -35,7 +37,7 @@
         return;
     }
     let mut validity = ValidityLog::default();
-    let mut since = 0;
+    let mut since = None;
     loop {
         tokio::time::sleep(CHECK_INTERVAL).await;
         validity.refresh_acknowledgements(&node);
@@ -59,29 +61,37 @@
 }
 
 /// Reads the changes since the last answer and records the confirmation.
-async fn confirm_table(node: &Node, since: &mut u64) -> Result<(), PlatformError> {
+async fn confirm_table(node: &Node, since: &mut Option<StoreRevision>) -> Result<(), CallError> {
     let kind = node.codec.kinds.internal;
     let asked = now();
-    if *since == 0 {
-        let (items, revision) = follow::list(node, kind, Consistency::Latest).await?;
-        apply_cluster(node, &StoreUpdate::List(&items));
-        *since = revision;
-    } else {
-        let call = (node.store.watch)(kind, *since, MIN_WATCH_WAIT);
-        let answer = with_timeout(follow::CALL_TIMEOUT, call).await;
-        follow::count_call(kind, answer.is_ok());
-        if answer.is_err() {
-            *since = 0;
+    let era = node.state().store_era();
+    // After a failure all is listed, as the store may not have the history since then.
+    let revision = match since.take().filter(|s| s.era == era) {
+        None => {
+            let (items, revision) = follow::list(node, kind).await?;
+            apply_cluster(node, &StoreUpdate::List(&items));
+            revision
         }
-        let answer = answer?;
-        let revision = answer.revision;
-        for c in answer.changes {
-            let change = TopicChange::new(c.item, c.removed, false);
-            apply_cluster(node, &StoreUpdate::Change(&change));
+        Some(from) => {
+            let watch = (node.store.watch)(kind, from, MIN_WATCH_WAIT);
+            let answer = call(node, CALL_TIMEOUT, watch).await;
+            follow::count_call(kind, answer.is_ok());
+            let answer = answer?;
+            if answer.revision.era != from.era {
+                return Err(CallError::OtherEra {
+                    expected: from.era,
+                    answered: answer.revision.era,
+                });
+            }
+            for c in answer.changes {
+                let change = TopicChange::new(c.item, c.removed, false);
+                apply_cluster(node, &StoreUpdate::Change(&change));
+            }
+            answer.revision.max(from)
         }
-        *since = revision.max(*since);
-    }
-    node.state().ownership.confirm(asked);
+    };
+    *since = Some(revision);
+    node.state().ownership.confirm(asked, revision.era);
     Ok(())
 }
 
@@ -105,7 +115,7 @@
             let acknowledged = acknowledged.map(|until| until.since(at).as_millis());
             slog::info!(node.log, "ownership validity changed";
                 "holds" => valid, "confirmed_ms" => age,
-                "vouched_ms" => acknowledged, "revision" => state.ownership.revision);
+                "vouched_ms" => acknowledged, "revision" => %state.ownership.revision);
         }
     }
 }
@@ -135,7 +145,8 @@
     vm: &VmName,
     beacon: &wire::Beacon,
 ) {
-    let newer = beacon.owners > 0 && state.ownership.record_peer_revision(at, vm, beacon.owners);
+    let owners = StoreRevision::new(Era(beacon.owners_era), beacon.owners);
+    let newer = beacon.owners > 0 && state.ownership.record_peer_revision(at, vm, owners);
     // Where replicas check fencing tokens, the next update of the store is soon
     // enough.
     if newer && !node.settings.fencing {
@@ -150,8 +161,6 @@
     let sent = Moment(echo.sent_us);
     state.members.record_echo(vm, sent);
     if let Some(after) = echo.confirmed_us {
-        state
-            .ownership
-            .confirm_from_peer(beacon.owners, sent, after);
+        state.ownership.confirm_from_peer(owners, sent, after);
     }
 }
--- a/lib/src/serving/program/node.rs
+++ b/lib/src/serving/program/node.rs
@@ -101,6 +101,10 @@
     pub(in crate::serving) orders_wake: Notify,
     /// Wakes the tasks that follow the store and have missed changes.
     pub(in crate::serving) catch_up_wake: Notify,
+    /// Wakes calls that wait for changes when the store came back from an earlier copy.
+    pub(in crate::serving) restore_wake: Notify,
+    /// Wakes the task that writes this VM's entry.
+    pub(in crate::serving) register_wake: Notify,
     /// Wakes the task that reloads the owner table.
     pub(in crate::serving) owners_wake: Notify,
     /// UDP socket for datagrams to and from the other VMs.
@@ -149,6 +153,8 @@
             placement_wake: Notify::new(),
             orders_wake: Notify::new(),
             catch_up_wake: Notify::new(),
+            restore_wake: Notify::new(),
+            register_wake: Notify::new(),
             owners_wake: Notify::new(),
             socket,
             beacon_wake: Notify::new(),
--- a/lib/src/serving/program/run.rs
+++ b/lib/src/serving/program/run.rs
@@ -30,10 +30,11 @@
 use crate::serving::store::apply::VM_PREFIX;
 use crate::serving::store::apply::VmEntry;
 use crate::serving::store::apply::apply_cluster;
+use crate::serving::store::call::CALL_TIMEOUT;
+use crate::serving::store::call::CallError;
+use crate::serving::store::call::call;
 use crate::serving::store::follow;
 use crate::serving::store::follow::follow;
-use crate::serving::store::follow::with_timeout;
-use crate::serving::store::port::Consistency;
 use crate::serving::store::port::Store;
 
 /// Interval of the maintenance task, and pause before a failed write or read is retried.
@@ -141,7 +142,8 @@
             tokio::time::sleep(DRAIN_POLL).await;
         }
         let name = vm_entry_name(node);
-        let removed = with_timeout(
+        let removed = call(
+            node,
             EXIT_RESERVE / 2,
             (node.store.delete)(node.codec.kinds.internal, &name),
         );
@@ -210,7 +212,8 @@
     format!("{VM_PREFIX}{}", node.settings.vm)
 }
 
-/// Writes this VM's entry to the store, and retries until it is there.
+/// Keeps this VM's entry in the store: writes it at the start and whenever the store came
+/// back from an earlier copy, which may lack it.
 async fn register(node: Rc<Node>) {
     let entry = VmEntry {
         vm: node.settings.vm.clone(),
@@ -222,13 +225,21 @@
     };
     let name = vm_entry_name(&node);
     loop {
-        let call = (node.store.create)(node.codec.kinds.internal, &name, &spec);
-        match with_timeout(follow::CALL_TIMEOUT, call).await {
-            // A conflict means that an earlier start of this VM wrote the entry.
-            Ok(_) | Err(PlatformError::Conflict) => return,
-            Err(e) => slog::warn!(node.log, "could not write this VM's entry"; "error" => %e),
+        let create = (node.store.create)(node.codec.kinds.internal, &name, &spec);
+        match call(&node, CALL_TIMEOUT, create).await {
+            Ok(revision) => {
+                slog::info!(node.log, "VM entry written"; "revision" => %revision);
+                node.register_wake.notified().await;
+            }
+            // An earlier start of this VM wrote the entry, or the copy has it.
+            Err(CallError::Failed(PlatformError::Conflict)) => {
+                node.register_wake.notified().await;
+            }
+            Err(e) => {
+                slog::warn!(node.log, "could not write this VM's entry"; "error" => %e);
+                tokio::time::sleep(MAINTENANCE_INTERVAL).await;
+            }
         }
-        tokio::time::sleep(MAINTENANCE_INTERVAL).await;
     }
 }
 
@@ -238,10 +249,10 @@
         node.owners_wake.notified().await;
         loop {
             let asked_at = now();
-            match follow::list(&node, node.codec.kinds.internal, Consistency::Latest).await {
-                Ok((items, _)) => {
+            match follow::list(&node, node.codec.kinds.internal).await {
+                Ok((items, revision)) => {
                     apply_cluster(&node, &StoreUpdate::List(&items));
-                    node.state().ownership.confirm(asked_at);
+                    node.state().ownership.confirm(asked_at, revision.era);
                     break;
                 }
                 Err(e) => slog::warn!(node.log, "could not read the owner table"; "error" => %e),
@@ -269,7 +280,7 @@
 /// of VMs without a beacon for `VM_EXPIRY`.
 async fn repair_owners(node: &Node) {
     let at = now();
-    let (table, revision, live) = {
+    let (table, stored, live) = {
         let mut state = node.state();
         let state = &mut *state;
         if !state.is_ready() || !state.members.can_detect_failures(at) {
@@ -285,31 +296,37 @@
             return;
         };
         state.ownership.record_proposal(at);
-        (table, state.ownership.revision, live.len())
+        (table, state.ownership.stored(), live.len())
     };
     let Ok(spec) = to_raw_value(&table) else {
         return;
     };
     let kind = node.codec.kinds.internal;
     let asked_at = now();
-    let call = match revision {
-        0 => (node.store.create)(kind, OWNER_TABLE, &spec),
-        _ => (node.store.replace)(kind, OWNER_TABLE, revision, &spec),
+    let write = match stored {
+        None => (node.store.create)(kind, OWNER_TABLE, &spec),
+        Some(revision) => (node.store.replace)(kind, OWNER_TABLE, revision, &spec),
     };
-    match with_timeout(follow::CALL_TIMEOUT, call).await {
+    match call(node, CALL_TIMEOUT, write).await {
+        // The revision that it replaced had been given out again.
+        Ok(revision) if stored.is_some_and(|s| s.era != revision.era) => {
+            let was = stored.map(|s| s.to_string());
+            slog::warn!(node.log, "owner table written over one of another store era";
+                "revision" => %revision, "expected" => was);
+        }
         Ok(revision) => {
             let term = table.term.0;
             let mut state = node.state();
             let moved = table.count_moved(&state.ownership.table);
             state.apply_owner_table(now(), table, revision);
-            state.ownership.confirm(asked_at);
+            state.ownership.confirm(asked_at, revision.era);
             drop(state);
-            slog::info!(node.log, "owner table changed"; "term" => term, "revision" => revision,
+            slog::info!(node.log, "owner table changed"; "term" => term, "revision" => %revision,
                 "moved" => moved, "live" => live);
             node.orders_wake.notify_one();
         }
         // Another VM wrote first; the watch delivers its table.
-        Err(PlatformError::Conflict) => {}
+        Err(CallError::Failed(PlatformError::Conflict)) => {}
         Err(e) => slog::warn!(node.log, "could not write the owner table"; "error" => %e),
     }
     let expired = {
@@ -321,8 +338,8 @@
         }
     };
     for vm in expired {
-        let call = (node.store.delete)(kind, &format!("{VM_PREFIX}{vm}"));
-        if let Err(e) = with_timeout(follow::CALL_TIMEOUT, call).await {
+        let delete = (node.store.delete)(kind, &format!("{VM_PREFIX}{vm}"));
+        if let Err(e) = call(node, CALL_TIMEOUT, delete).await {
             slog::info!(node.log, "could not remove the entry of an expired VM";
                 "vm" => vm.as_str(), "error" => %e);
         }
--- a/lib/src/serving/store/apply.rs
+++ b/lib/src/serving/store/apply.rs
@@ -64,7 +64,7 @@
                 drop(state);
                 slog::info!(node.log, "configuration"; "version" => version,
                     "bytes" => item.spec.get().len(),
-                    "revision" => item.revision, "in_force" => taken);
+                    "revision" => %item.revision, "in_force" => taken);
             }
             Err(e) => {
                 // It may revoke keys that this VM still accepts.
@@ -101,7 +101,7 @@
                 node.state().fleet.mark_expired(at, &name);
                 slog::info!(node.log, "replica entry missing after a store outage";
                     "replica" => name.as_str(),
-                    "revision" => change.item.revision);
+                    "revision" => %change.item.revision);
             }
             true
         }
@@ -110,7 +110,7 @@
             true
         }
         StoreUpdate::Change(change) => match parse(&change.item) {
-            Ok(listing) => apply_replica(node, &change.item, listing),
+            Ok(listing) => apply_replica(node, change, listing),
             // An entry that cannot be decoded names no usable replica.
             Err(()) => {
                 remove_replica(node, &change.item, "unreadable");
@@ -123,14 +123,15 @@
 /// Applies a replica's entry. Returns whether the other VMs need the change:
 /// they do not if only the loaded adapters changed, as the replica's owner
 /// reports those.
-fn apply_replica(node: &Node, item: &Item, listing: ReplicaInfo) -> bool {
+fn apply_replica(node: &Node, change: &TopicChange, listing: ReplicaInfo) -> bool {
+    let item = &change.item;
     let (name, draining) = (listing.name.clone(), listing.draining);
     let started_ms = listing.started_ms;
     let significant = node.state().fleet.is_update(&listing);
     let changed = node.state().apply_listing(listing);
     if changed {
         slog::info!(node.log, "replica changed"; "replica" => name.as_str(),
-                        "draining" => draining, "born" => started_ms, "revision" => item.revision);
+                        "draining" => draining, "born" => started_ms, "revision" => %item.revision);
     }
     significant
 }
@@ -141,7 +142,7 @@
     };
     if node.state().fleet.remove_listing(&name) {
         slog::info!(node.log, "replica gone"; "replica" => name.as_str(),
-            "why" => why, "revision" => item.revision);
+            "why" => why, "revision" => %item.revision);
     }
 }
 
@@ -169,7 +170,7 @@
             Ok(a) => {
                 if node.state().fleet.versions.announce(now(), &a) {
                     slog::info!(node.log, "version announced"; "target" => %a.target,
-                        "version" => a.version, "revision" => item.revision);
+                        "version" => a.version, "revision" => %item.revision);
                 }
             }
             Err(e) => {
@@ -194,15 +195,33 @@
     }
     if let StoreUpdate::Change(change) = update
         && change.removed
-        && let Some(vm) = change.item.name.strip_prefix(VM_PREFIX)
-        && let Ok(vm) = vm.parse::<VmName>()
     {
-        node.state().members.remove(&vm);
-        slog::info!(node.log, "vm entry removed"; "vm" => vm.as_str());
+        remove_cluster_item(node, change);
     }
     true
 }
 
+fn remove_cluster_item(node: &Node, change: &TopicChange) {
+    if change.item.name == OWNER_TABLE {
+        let era = change.item.revision.era;
+        node.state().ownership.mark_read(era, false);
+        slog::warn!(node.log, "no owner table"; "revision" => %change.item.revision);
+        return;
+    }
+    let name = change.item.name.strip_prefix(VM_PREFIX);
+    let Some(vm) = name.and_then(|vm| vm.parse::<VmName>().ok()) else {
+        return;
+    };
+    let mut state = node.state();
+    // A VM writes its entry again if the store lost it.
+    let returns = change.missing_after_outage && state.members.is_live(now(), &vm);
+    if !returns {
+        state.members.remove(&vm);
+    }
+    drop(state);
+    slog::info!(node.log, "vm entry removed"; "vm" => vm.as_str(), "live" => returns);
+}
+
 fn apply_cluster_item(node: &Node, item: &Item) {
     let log_error = |e: serde_json::Error| {
         slog::error!(node.log, "VM entry or owner table not decoded"; "name" => &item.name, "error" => %e);
@@ -210,10 +229,13 @@
     if item.name == OWNER_TABLE {
         match serde_json::from_str::<OwnerTable>(item.spec.get()) {
             Ok(table) => {
-                let term = table.term.0;
+                let (term, era) = (table.term.0, table.era());
                 if node.state().apply_owner_table(now(), table, item.revision) {
-                    slog::info!(node.log, "owners"; "term" => term, "revision" => item.revision);
+                    slog::info!(node.log, "owners"; "term" => term, "revision" => %item.revision);
                     node.orders_wake.notify_one();
+                } else if era < item.revision.era {
+                    slog::info!(node.log, "owner table of an earlier store era, to be replaced";
+                        "term" => term, "revision" => %item.revision);
                 }
             }
             Err(e) => log_error(e),
--- a/lib/src/serving/store/follow.rs
+++ b/lib/src/serving/store/follow.rs
@@ -27,10 +27,16 @@
 use crate::serving::program::node::to_span;
 use crate::serving::program::settings::ServeSettings;
 use crate::serving::store::apply;
+use crate::serving::store::apply::OWNER_TABLE;
 use crate::serving::store::apply::StoreUpdate;
-use crate::serving::store::port::Consistency;
+use crate::serving::store::call::CALL_TIMEOUT;
+use crate::serving::store::call::CallError;
+use crate::serving::store::call::call;
+use crate::serving::store::call::expect_era;
+use crate::serving::store::port::Era;
 use crate::serving::store::port::Item;
 use crate::serving::store::port::Page;
+use crate::serving::store::port::StoreRevision;
 
 /// How often a VM that does not poll checks whether it should.
 const IDLE_CHECK_INTERVAL: Span = Span::from_millis(500);
@@ -148,70 +154,83 @@
 
 /// Logs and records a failed call to the store. If the store no longer has the
 /// history needed, the topic is listed next.
-fn log_failure(node: &Node, topic: Topic, rank: Option<u64>, e: &PlatformError) {
+fn log_failure(node: &Node, topic: Topic, rank: Option<u64>, e: &CallError) {
     let mut state = node.state();
     let feed = state.feeds.get(topic);
-    if matches!(e, PlatformError::Expired) {
+    if let CallError::OtherEra { .. } = e {
+        slog::info!(node.log, "answer of another store era dropped";
+            "kind" => store_kind(node, topic), "error" => %e,
+            "revision" => %feed.revision());
+        feed.record_failure(now(), rank);
+        return;
+    }
+    if matches!(e, CallError::Failed(PlatformError::Expired)) {
         feed.mark_history_expired();
         slog::info!(node.log, "store history expired, listing again";
             "kind" => store_kind(node, topic),
-            "revision" => feed.revision());
+            "revision" => %feed.revision());
         return;
     }
     if !feed.is_failing() {
         slog::warn!(node.log, "store lost"; "kind" => store_kind(node, topic), "error" => %e,
-            "revision" => feed.revision(), "rank" => rank);
+            "revision" => %feed.revision(), "rank" => rank);
     }
     feed.record_failure(now(), rank);
 }
 
-fn log_recovery(node: &Node, topic: Topic, was_failing: bool, revision: u64) {
+fn log_recovery(node: &Node, topic: Topic, was_failing: bool, revision: StoreRevision) {
     if was_failing {
         slog::info!(node.log, "store regained"; "kind" => store_kind(node, topic),
-            "revision" => revision);
+            "revision" => %revision);
     }
 }
 
+/// Logs that the state of a topic was replaced by that of a later era.
+fn log_replaced(node: &Node, topic: Topic, old: StoreRevision, changes: &[TopicChange]) {
+    let mut state = node.state();
+    let revision = state.feeds.get(topic).revision();
+    let Some((era, since)) = state.era.filter(|_| old.era < revision.era) else {
+        return;
+    };
+    drop(state);
+    let missing = changes.iter().filter(|c| c.removed);
+    let missing: Vec<_> = missing.map(|c| c.item.name.as_str()).collect();
+    slog::info!(node.log, "store objects replaced after a restore";
+        "kind" => store_kind(node, topic), "era" => era.0,
+        "old_revision" => %old, "revision" => %revision,
+        "missing" => missing.join(" "), "took_ms" => now().since(since).as_millis());
+}
+
 /// Lists all objects of a topic and applies the changes.
-async fn sync_by_list(node: &Node, topic: Topic) -> Result<(), PlatformError> {
+async fn sync_by_list(node: &Node, topic: Topic) -> Result<(), CallError> {
     let asked = now();
     let first = node.state().feeds.get(topic).age(asked).is_none();
-    // A first list may be stale, as the changes since then follow by watch or
-    // from other VMs. There are two exceptions: without fencing, no ownership
-    // is valid before the owner table is known to be the newest, and a stale
-    // list stopped all loads for 3 s after all VMs lost power; and no caller is
-    // admitted by keys that may have been revoked.
-    let must_prove = match topic {
-        Topic::Cluster => !node.settings.fencing,
-        Topic::Config => node.settings.key_revocation.is_some(),
-        Topic::Replicas | Topic::Versions => false,
-    };
-    let may_be_old = first && !must_prove;
-    let consistency = match may_be_old {
-        true => Consistency::BoundedStale,
-        false => Consistency::Latest,
-    };
-    let (items, revision) = list(node, store_kind(node, topic), consistency).await?;
-    let (was_failing, changes) = {
+    let (items, revision) = list(node, store_kind(node, topic)).await?;
+    let (old, was_failing, changes) = {
         let mut state = node.state();
         let feed = state.feeds.get(topic);
-        let was_failing = feed.is_failing();
-        (was_failing, feed.apply_list(now(), asked, revision, &items))
+        let (old, was_failing) = (feed.revision(), feed.is_failing());
+        let changes = feed.apply_list(now(), asked, revision, &items);
+        (old, was_failing, changes)
     };
     let newest = items.iter().map(|i| i.revision).max();
     slog::info!(node.log, "store objects listed";
         "kind" => store_kind(node, topic), "count" => items.len(),
-        "revision" => revision, "newest" => newest, "first" => first);
+        "revision" => %revision, "newest" => newest.map(|n| n.to_string()), "first" => first);
     log_recovery(node, topic, was_failing, revision);
     if first {
         apply_update(node, topic, &StoreUpdate::List(&items));
+    } else {
+        log_replaced(node, topic, old, &changes);
     }
     apply_changes(node, topic, changes);
-    if consistency == Consistency::Latest {
-        confirm_ownership(node, topic, asked);
-        if topic == Topic::Config {
-            node.state().recency.confirm_list(asked);
-        }
+    if topic == Topic::Cluster {
+        let found = items.iter().any(|i| i.name == OWNER_TABLE);
+        node.state().ownership.mark_read(revision.era, found);
+    }
+    confirm_ownership(node, topic, asked, revision.era);
+    if topic == Topic::Config {
+        node.state().recency.confirm_list(asked);
     }
     node.placement_wake.notify_waiters();
     Ok(())
@@ -227,7 +246,7 @@
     topic: Topic,
     rank: Option<u64>,
     wait: Duration,
-) -> Result<bool, PlatformError> {
+) -> Result<bool, CallError> {
     let asked = now();
     let kind = store_kind(node, topic);
     let revision = {
@@ -235,7 +254,7 @@
         let feed = state.feeds.get(topic);
         if rank.is_some_and(|rank| rank > 0) {
             slog::info!(node.log, "store updates overdue, polling the store";
-                "kind" => kind, "revision" => feed.revision(),
+                "kind" => kind, "revision" => %feed.revision(),
                 "age_ms" => feed.age(asked).map(Span::as_millis), "missed" => feed.has_gap(),
                 "rank" => rank);
         }
@@ -243,10 +262,17 @@
     };
     // The store accepts whole milliseconds, at least one.
     let wait = Duration::from_millis(wait.as_millis().max(1) as u64);
-    let call = (node.store.watch)(kind, revision, wait);
-    let answer = with_timeout(wait + CALL_MARGIN, call).await;
+    let restored = node.restore_wake.notified();
+    let watch = (node.store.watch)(kind, revision, wait);
+    let answer = tokio::select! {
+        answer = call(node, wait + CALL_MARGIN, watch) => answer,
+        // A list replaces the state.
+        () = restored => return Ok(false),
+    };
     count_call(kind, answer.is_ok());
     let answer = answer?;
+    // The revision was given out again, and what follows it now is another history.
+    expect_era(node, revision.era)?;
     log_unreadable(node, kind, answer.unreadable);
     let changes = answer.changes.into_iter().map(|c| (c.item, c.removed));
     let changes: Vec<_> = changes.collect();
@@ -263,7 +289,7 @@
     };
     log_recovery(node, topic, was_failing, answer.revision);
     apply_changes(node, topic, changes);
-    confirm_ownership(node, topic, asked);
+    confirm_ownership(node, topic, asked, answer.revision.era);
     if topic == Topic::Config {
         let waited = if has_changes { Duration::ZERO } else { wait };
         node.state().recency.confirm_watch(asked, to_span(waited));
@@ -304,22 +330,26 @@
         };
         let changes = {
             let mut state = node.state();
+            let era = Era(message.era);
             // With an unknown delay the update may be of any age.
             let delay = state.members.beacon_delay(vm);
             let age = delay.map_or(u64::MAX, |d| d.0.saturating_add(message.age_us));
-            let changes: Option<Vec<_>> = message.changes.iter().map(decode_change).collect();
+            let changes = message.changes.iter().map(|c| decode_change(c, era));
+            let changes: Option<Vec<_>> = changes.collect();
+            let revision = StoreRevision::new(era, message.revision);
+            let since = StoreRevision::new(Era(message.since_era), message.since);
             let update = TopicUpdate {
-                revision: message.revision,
+                revision,
                 as_of: Moment(at.0.saturating_sub(age)),
                 // Changes that cannot be decoded count as missed.
-                since: changes.as_ref().map_or(message.revision, |_| message.since),
+                since: changes.as_ref().map_or(revision, |_| since),
                 changes: changes.unwrap_or_default(),
             };
             let feed = state.feeds.get(topic);
-            let before = feed.has_gap();
+            let (old, before) = (feed.revision(), feed.has_gap());
             let skipped = SkippedRange {
-                last_before: message.blind_from,
-                first_after: message.blind_to,
+                last_before: StoreRevision::new(Era(message.blind_from_era), message.blind_from),
+                first_after: StoreRevision::new(era, message.blind_to),
             };
             let changes = match message.blind_to {
                 0 => feed.apply_update(at, update),
@@ -327,15 +357,18 @@
             };
             if feed.has_gap() && !before {
                 slog::info!(node.log, "store updates missed"; "kind" => store_kind(node, topic),
-                    "revision" => feed.revision(), "since" => message.since,
+                    "revision" => %feed.revision(), "since" => %since,
                     "told_by" => vm.as_str());
                 node.catch_up_wake.notify_waiters();
             }
+            drop(state);
+            log_replaced(node, topic, old, &changes);
             changes
         };
         for change in &changes {
             apply_update(node, topic, &StoreUpdate::Change(change));
         }
+        mark_cluster_read(node, topic);
         if topic == Topic::Config {
             apply_witnesses(node, &mut node.state(), at, message);
         }
@@ -345,16 +378,31 @@
     }
 }
 
-fn decode_change(change: &wire::StoreChange) -> Option<TopicChange> {
+/// Records in which era the owner table is known, after an update that may have brought
+/// this VM there.
+fn mark_cluster_read(node: &Node, topic: Topic) {
+    if topic != Topic::Cluster {
+        return;
+    }
+    let mut state = node.state();
+    let feed = state.feeds.get(topic);
+    if feed.age(now()).is_some() && !feed.is_outdated() {
+        let era = feed.revision().era;
+        state.ownership.mark_read(era, true);
+    }
+}
+
+fn decode_change(change: &wire::StoreChange, era: Era) -> Option<TopicChange> {
     let spec = RawValue::from_string(decompress(&change.spec)?).ok()?;
     Some(TopicChange {
         item: Item {
             name: change.name.clone(),
-            revision: change.revision,
+            revision: StoreRevision::new(era, change.revision),
             spec,
         },
         removed: change.removed,
         missing_after_outage: change.lapsed,
+        copied: change.copied,
         compressed: change.spec.to_vec(),
     })
 }
@@ -372,20 +420,24 @@
         let skipped = feed.skipped();
         let changes = update.changes.into_iter().map(|c| wire::StoreChange {
             name: c.item.name,
-            revision: c.item.revision,
+            revision: c.item.revision.number,
             spec: c.compressed.into(),
             removed: c.removed,
             lapsed: c.missing_after_outage,
+            copied: c.copied,
         });
         Some(wire::StoreNews {
             topic: topic.number(),
-            revision: update.revision,
+            revision: update.revision.number,
             age_us: at.since(update.as_of).0,
-            since: update.since,
+            since: update.since.number,
             changes: changes.collect(),
-            blind_from: skipped.map_or(0, |r| r.last_before),
-            blind_to: skipped.map_or(0, |r| r.first_after),
+            blind_from: skipped.map_or(0, |r| r.last_before.number),
+            blind_to: skipped.map_or(0, |r| r.first_after.number),
             witnesses: Vec::new(),
+            era: update.revision.era.0,
+            since_era: update.since.era.0,
+            blind_from_era: skipped.map_or(0, |r| r.last_before.era.0),
         })
     };
     let mut all: Vec<_> = Topic::ALL.into_iter().filter_map(update).collect();
@@ -416,10 +468,11 @@
         .collect()
 }
 
-/// Applies the witnesses from another VM. That VM must not know a newer
-/// revision than this one does.
+/// Applies the witnesses from another VM. That VM must not know a newer revision than
+/// this one does, or one of another era.
 fn apply_witnesses(node: &Node, state: &mut NodeState, at: Moment, message: &wire::StoreNews) {
-    if state.feeds.get(Topic::Config).revision() < message.revision {
+    let known = state.feeds.get(Topic::Config).revision();
+    if known.era.0 != message.era || known.number < message.revision {
         return;
     }
     for w in &message.witnesses {
@@ -432,23 +485,23 @@
 }
 
 /// Records that the objects of a topic were confirmed to be the newest as of
-/// `asked`.
-fn confirm_ownership(node: &Node, topic: Topic, asked: Moment) {
+/// `asked`, in an era.
+fn confirm_ownership(node: &Node, topic: Topic, asked: Moment, era: Era) {
     if topic == Topic::Cluster {
-        node.state().ownership.confirm(asked);
+        node.state().ownership.confirm(asked, era);
     }
 }
 
-/// Lists all objects of a kind.
+/// Lists all objects of a kind; all pages are of one era.
 pub(in crate::serving) async fn list(
     node: &Node,
     kind: &'static str,
-    consistency: Consistency,
-) -> Result<(Vec<Item>, u64), PlatformError> {
-    let mut list = list_page(node, kind, None, consistency).await?;
+) -> Result<(Vec<Item>, StoreRevision), CallError> {
+    let mut list = list_page(node, kind, None).await?;
     while list.more {
         let after = list.items.last().map(|i| i.name.clone());
-        let page = list_page(node, kind, after.as_deref(), consistency).await?;
+        let page = list_page(node, kind, after.as_deref()).await?;
+        expect_era(node, list.revision.era)?;
         let empty = page.items.is_empty();
         list.append(page);
         if empty {
@@ -462,9 +515,8 @@
     node: &Node,
     kind: &'static str,
     after: Option<&str>,
-    consistency: Consistency,
-) -> Result<Page, PlatformError> {
-    let page = with_timeout(CALL_MARGIN, (node.store.list)(kind, after, consistency)).await;
+) -> Result<Page, CallError> {
+    let page = call(node, CALL_TIMEOUT, (node.store.list)(kind, after)).await;
     count_call(kind, page.is_ok());
     let page = page?;
     log_unreadable(node, kind, page.unreadable);
@@ -484,20 +536,6 @@
     metrics::counter!("serve_store_calls_total", "kind" => kind, "outcome" => outcome).increment(1);
 }
 
-/// Limits the duration of a call. After a timeout its effect is unknown.
-pub(in crate::serving) async fn with_timeout<T>(
-    timeout: Duration,
-    call: impl Future<Output = Result<T, PlatformError>>,
-) -> Result<T, PlatformError> {
-    let timed_out = || PlatformError::Lost(format!("no answer within {} ms", timeout.as_millis()));
-    tokio::time::timeout(timeout, call)
-        .await
-        .map_err(|_| timed_out())?
-}
-
-/// The timeout of a call that does not wait for changes.
-pub(in crate::serving) const CALL_TIMEOUT: Duration = CALL_MARGIN;
-
 /// Removes the replicas whose entries did not come back after an outage of the
 /// store.
 pub(in crate::serving) fn drop_expired(node: &Node) {
--- a/lib/src/serving/store/mod.rs
+++ b/lib/src/serving/store/mod.rs
@@ -1,5 +1,6 @@
 //! The interface of the store for durable state, and the tasks that follow it.
 
 pub(super) mod apply;
+pub(super) mod call;
 pub(super) mod follow;
 pub(super) mod port;
--- a/lib/src/serving/store/port.rs
+++ b/lib/src/serving/store/port.rs
@@ -1,5 +1,6 @@
 //! The interface of the store for durable state, as the serving path uses it.
 
+use std::fmt;
 use std::future::Future;
 use std::pin::Pin;
 use std::time::Duration;
@@ -8,8 +9,57 @@
 
 use crate::platform::PlatformError;
 
+/// A period in which the revisions of the store form one history.
+///
+/// The store may come back from an earlier copy of itself. Its revisions then go
+/// back and are given out again, and its era rises by one. A store that states no
+/// era has one era, 0.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Era(pub u64);
+
+/// A point in the history of the store. A point of a later era is the greater one,
+/// but does not continue the history of an earlier era.
+///
+/// ```
+/// use banyangauge::serving::{Era, StoreRevision};
+/// let (old, new) = (StoreRevision::new(Era(1), 90), StoreRevision::new(Era(2), 59));
+/// assert!(old < new);
+/// ```
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub struct StoreRevision {
+    /// The era.
+    pub era: Era,
+    /// The store's number, which rises with each change of the era.
+    pub number: u64,
+}
+
+impl StoreRevision {
+    /// Creates a point in the history of an era.
+    pub const fn new(era: Era, number: u64) -> Self {
+        Self { era, number }
+    }
+}
+
+impl fmt::Display for StoreRevision {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.era.0, self.number)
+    }
+}
+
+/// The answer to a call.
+#[derive(Clone, Debug)]
+pub struct Answer<T> {
+    /// The era of the store that answered; `None` if no answer arrived.
+    pub era: Option<Era>,
+    /// Whether the answer stated an era that could not be parsed. The latest known
+    /// one stands in for it.
+    pub unreadable_era: bool,
+    /// The result.
+    pub result: Result<T, PlatformError>,
+}
+
 /// A pending call.
-pub type Pending<T> = Pin<Box<dyn Future<Output = Result<T, PlatformError>>>>;
+pub type Pending<T> = Pin<Box<dyn Future<Output = Answer<T>>>>;
 
 /// A stored object.
 #[derive(Clone, Debug)]
@@ -17,7 +67,7 @@
     /// The name, unique within the kind.
     pub name: String,
     /// The revision of the last change.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// The content, as JSON.
     pub spec: Box<RawValue>,
 }
@@ -27,7 +77,7 @@
     pub fn empty(name: &str) -> Self {
         Self {
             name: name.to_owned(),
-            revision: 0,
+            revision: StoreRevision::default(),
             spec: RawValue::NULL.to_owned(),
         }
     }
@@ -43,13 +93,12 @@
     /// Whether there are further pages.
     pub more: bool,
     /// The revision of the list, from which to watch.
-    pub revision: u64,
+    pub revision: StoreRevision,
 }
 
 impl Page {
-    /// Appends the next page. Pages of a stale list may differ in age, so the
-    /// list has the oldest revision: a watch from there misses no changes
-    /// between the pages.
+    /// Appends the next page. Objects may change between the pages, so the list has
+    /// the oldest revision: a watch from there misses no changes between them.
     pub fn append(&mut self, next: Self) {
         self.items.extend(next.items);
         self.unreadable += next.unreadable;
@@ -75,30 +124,24 @@
     /// The number of changes that could not be decoded.
     pub unreadable: usize,
     /// The revision from which to watch next.
-    pub revision: u64,
-}
-
-/// How current a read must be.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Consistency {
-    /// The newest state of the store.
-    Latest,
-    /// At most seconds old, and cheaper; for reads that a watch continues.
-    BoundedStale,
+    pub revision: StoreRevision,
 }
 
-/// Lists the objects of a kind after a name.
-pub type List = Box<dyn Fn(&str, Option<&str>, Consistency) -> Pending<Page>>;
+/// Lists the objects of a kind after a name, as they are now: an older state may be
+/// of a history that the store has lost.
+pub type List = Box<dyn Fn(&str, Option<&str>) -> Pending<Page>>;
 
-/// Watches a kind after a revision, for at most the given time.
-pub type Watch = Box<dyn Fn(&str, u64, Duration) -> Pending<Changes>>;
+/// Watches a kind after a revision, for at most the given time. The answer may be of
+/// a later era than the revision: it then says nothing of the changes after it.
+pub type Watch = Box<dyn Fn(&str, StoreRevision, Duration) -> Pending<Changes>>;
 
 /// Creates an object (kind, name, content) and returns its revision.
-pub type Create = Box<dyn Fn(&str, &str, &RawValue) -> Pending<u64>>;
+pub type Create = Box<dyn Fn(&str, &str, &RawValue) -> Pending<StoreRevision>>;
 
 /// Replaces an object (kind, name, content) if it has this revision, and
-/// returns the new one.
-pub type Replace = Box<dyn Fn(&str, &str, u64, &RawValue) -> Pending<u64>>;
+/// returns the new one. In a later era the revision may be that of other content,
+/// which is then replaced all the same.
+pub type Replace = Box<dyn Fn(&str, &str, StoreRevision, &RawValue) -> Pending<StoreRevision>>;
 
 /// Deletes an object (kind, name).
 pub type Delete = Box<dyn Fn(&str, &str) -> Pending<()>>;
--- a/lib/tests/rig/mod.rs
+++ b/lib/tests/rig/mod.rs
@@ -16,6 +16,8 @@
 use banyangauge::ids::Incarnation;
 use banyangauge::platform::Platform;
 use banyangauge::pool::Objective;
+use banyangauge::serving::Era;
+use banyangauge::serving::StoreRevision;
 use banyangauge::timeline::Recorder;
 use banyangauge_proto as wire;
 use banyangauge_standin::Running;
@@ -238,3 +240,8 @@
         revision: shared.state.catalog.borrow().revision.0,
     }
 }
+
+/// A revision of a store that states no era.
+pub(crate) fn rev(number: u64) -> StoreRevision {
+    StoreRevision::new(Era::default(), number)
+}
--- a/lib/tests/test_serving_feed.rs
+++ b/lib/tests/test_serving_feed.rs
@@ -12,6 +12,8 @@
 use banyangauge::serving::TopicUpdate;
 use rstest::rstest;
 
+use crate::rig::rev;
+
 /// The time within which all VMs must know a change, in milliseconds.
 const MAX_STALENESS_MS: u64 = 4_000;
 
@@ -34,7 +36,7 @@
 
 fn item(name: &str, revision: u64) -> Item {
     Item {
-        revision,
+        revision: rev(revision),
         ..Item::empty(name)
     }
 }
@@ -47,7 +49,7 @@
 fn listed(ms: u64, revision: u64, names: &[&str]) -> Feed {
     let mut feed = Feed::new(policy());
     let items: Vec<_> = names.iter().map(|n| item(n, revision)).collect();
-    feed.apply_list(at(ms), at(ms), revision, &items);
+    feed.apply_list(at(ms), at(ms), rev(revision), &items);
     feed
 }
 
@@ -130,18 +132,18 @@
                 continue;
             }
             let known = vm.feed.revision();
-            if revision <= known && ms < asked + wait {
+            if revision <= known.number && ms < asked + wait {
                 continue;
             }
             vm.asked = None;
-            let new: Vec<_> = ((known + 1)..=revision)
+            let new: Vec<_> = ((known.number + 1)..=revision)
                 .map(|r| (item(&format!("o{r}"), r), false))
                 .collect();
             let some = !new.is_empty();
             let waited = Duration::from_millis(wait);
             for change in vm
                 .feed
-                .apply_changes(at(ms), at(asked), waited, revision, new)
+                .apply_changes(at(ms), at(asked), waited, rev(revision), new)
             {
                 vm.feed.share(at(ms), change);
             }
@@ -168,7 +170,8 @@
 
     fn all_know(&self, revision: u64) -> bool {
         let live = self.vms.iter().filter(|vm| !vm.frozen);
-        live.map(|vm| vm.feed.revision()).all(|r| r >= revision)
+        live.map(|vm| vm.feed.revision())
+            .all(|r| r >= rev(revision))
     }
 }
 
@@ -235,7 +238,7 @@
     for revision in [2, 3] {
         let ms = revision * 1_000;
         let new = vec![(item("a", revision), false)];
-        let changes = sender.apply_changes(at(ms), at(ms), Duration::ZERO, revision, new);
+        let changes = sender.apply_changes(at(ms), at(ms), Duration::ZERO, rev(revision), new);
         changes.into_iter().for_each(|c| sender.share(at(ms), c));
     }
     let update = sender.outgoing_update(at(4_000), Some(0)).unwrap();
@@ -247,10 +250,10 @@
     assert!(feed.apply_update(at(4_000), update).len() == 1);
     // Later the sender no longer shares it.
     let late = sender.outgoing_update(at(5_000), Some(0)).unwrap();
-    assert_eq!((late.since, late.changes.len()), (3, 0));
+    assert_eq!((late.since, late.changes.len()), (rev(3), 0));
     let mut other = listed(0, 1, &[]);
     assert!(other.apply_update(at(5_000), late).is_empty());
-    assert_eq!(other.revision(), 1);
+    assert_eq!(other.revision(), rev(1));
     assert!(other.has_gap());
     assert_eq!(
         other.next_action(at(6_000), Some(9)),
@@ -271,10 +274,10 @@
     let mut large = change("a", 2);
     large.item.spec = serde_json::value::RawValue::from_string(text).unwrap();
     let new = vec![(large.item.clone(), false)];
-    sender.apply_changes(at(0), at(0), Duration::ZERO, 2, new);
+    sender.apply_changes(at(0), at(0), Duration::ZERO, rev(2), new);
     sender.share(at(0), large);
     let update = sender.outgoing_update(at(10), Some(0)).unwrap();
-    assert_eq!((update.since, update.changes.len()), (2, 0));
+    assert_eq!((update.since, update.changes.len()), (rev(2), 0));
 }
 
 /// An old update does not make the state look more recent and reverts nothing.
@@ -282,13 +285,13 @@
 fn apply_update_ignores_old_revision() {
     let mut feed = listed(1_000, 5, &[]);
     let update = TopicUpdate {
-        revision: 4,
+        revision: rev(4),
         as_of: at(500),
-        since: 1,
+        since: rev(1),
         changes: vec![change("a", 4)],
     };
     assert!(feed.apply_update(at(2_000), update).is_empty());
-    assert_eq!(feed.revision(), 5);
+    assert_eq!(feed.revision(), rev(5));
     assert_eq!(feed.age(at(2_000)), Some(Span::from_millis(1_000)));
 }
 
@@ -303,10 +306,10 @@
         feed.record_failure(at(1_000), Some(0));
     }
     let gone = vec![(item("a", 2), true)];
-    let changes = feed.apply_changes(at(2_000), at(2_000), Duration::ZERO, 2, gone);
+    let changes = feed.apply_changes(at(2_000), at(2_000), Duration::ZERO, rev(2), gone);
     assert_eq!(changes[0].missing_after_outage, outage);
     let again = vec![(item("b", 3), true)];
-    let changes = feed.apply_changes(at(3_000), at(3_000), Duration::ZERO, 3, again);
+    let changes = feed.apply_changes(at(3_000), at(3_000), Duration::ZERO, rev(3), again);
     assert!(!changes[0].missing_after_outage);
 }
 
@@ -318,7 +321,7 @@
     feed.mark_history_expired();
     assert_eq!(feed.next_action(at(100), Some(9)), FeedAction::List);
     let items = [item("b", 1), item("c", 7)];
-    let changes = feed.apply_list(at(200), at(150), 9, &items);
+    let changes = feed.apply_list(at(200), at(150), rev(9), &items);
     let seen: Vec<_> = changes
         .iter()
         .map(|c| (c.item.name.as_str(), c.removed))
@@ -328,7 +331,7 @@
     let mut other = listed(0, 1, &["a", "b"]);
     let applied = other.apply_update(at(300), feed.outgoing_update(at(300), Some(0)).unwrap());
     assert_eq!(applied.len(), 2);
-    assert_eq!(other.revision(), 9);
+    assert_eq!(other.revision(), rev(9));
 }
 
 /// VMs that poll because they missed a change do not share updates.
@@ -337,7 +340,7 @@
 #[case::later(9, false)]
 fn outgoing_update_only_from_first_vms(#[case] rank: u64, #[case] sends: bool) {
     let mut feed = listed(0, 1, &[]);
-    feed.apply_changes(at(10), at(10), Duration::ZERO, 1, Vec::new());
+    feed.apply_changes(at(10), at(10), Duration::ZERO, rev(1), Vec::new());
     assert_eq!(feed.outgoing_update(at(20), Some(rank)).is_some(), sends);
 }
 
@@ -348,7 +351,7 @@
 fn removal_is_shared() {
     let mut sender = listed(0, 1, &["a"]);
     let gone = vec![(item("a", 1), true)];
-    for change in sender.apply_changes(at(100), at(90), Duration::ZERO, 5, gone) {
+    for change in sender.apply_changes(at(100), at(90), Duration::ZERO, rev(5), gone) {
         sender.share(at(100), change);
     }
     let mut other = listed(0, 1, &["a"]);
@@ -366,11 +369,11 @@
         at(50),
         at(40),
         Duration::ZERO,
-        3,
+        rev(3),
         vec![(item("a", 1), true)],
     );
     let events = vec![(item("a", 1), true), (item("a", 4), false)];
-    let changes = feed.apply_changes(at(100), at(90), Duration::ZERO, 5, events);
+    let changes = feed.apply_changes(at(100), at(90), Duration::ZERO, rev(5), events);
     let seen: Vec<_> = changes.iter().map(|c| c.removed).collect();
     assert_eq!(seen, [true, false]);
     changes.into_iter().for_each(|c| feed.share(at(100), c));
--- a/lib/tests/test_serving_feed_late.rs
+++ b/lib/tests/test_serving_feed_late.rs
@@ -17,13 +17,15 @@
 use banyangauge::serving::TopicChange;
 use banyangauge::serving::TopicUpdate;
 
+use crate::rig::rev;
+
 fn at(ms: u64) -> Moment {
     Moment(100_000_000).after(Span::from_millis(ms))
 }
 
 fn item(name: &str, revision: u64) -> Item {
     Item {
-        revision,
+        revision: rev(revision),
         ..Item::empty(name)
     }
 }
@@ -37,7 +39,7 @@
         has_removals: removes,
     });
     let items: Vec<_> = names.iter().map(|n| item(n, revision)).collect();
-    feed.apply_list(at(0), at(0), revision, &items);
+    feed.apply_list(at(0), at(0), rev(revision), &items);
     feed
 }
 
@@ -45,9 +47,9 @@
     let change =
         |(name, revision): &(&str, u64)| TopicChange::new(item(name, *revision), false, false);
     TopicUpdate {
-        revision,
+        revision: rev(revision),
         as_of: at(ms),
-        since,
+        since: rev(since),
         changes: names.iter().map(change).collect(),
     }
 }
@@ -61,20 +63,20 @@
     let mut sender = listed(false, 1, &["config"]);
     sender.apply_update(at(100), update(14, 100, 1, &[("config", 14)]));
     let late = vec![(item("config", 2), false)];
-    for change in sender.apply_changes(at(200), at(50), Duration::ZERO, 2, late) {
+    for change in sender.apply_changes(at(200), at(50), Duration::ZERO, rev(2), late) {
         sender.share(at(200), change);
     }
     let outgoing = sender
         .outgoing_update(at(210), Some(0))
         .expect("the VM had an answer from the store");
-    assert_eq!(outgoing.revision, 14);
+    assert_eq!(outgoing.revision, rev(14));
 
     let mut other = listed(false, 1, &["config"]);
     other.apply_update(at(60), update(2, 60, 1, &[("config", 2)]));
     let changes = other.apply_update(at(220), outgoing);
-    assert_eq!(other.revision(), 14);
+    assert_eq!(other.revision(), rev(14));
     assert!(
-        changes.iter().any(|c| c.item.revision == 14),
+        changes.iter().any(|c| c.item.revision == rev(14)),
         "the change is lost"
     );
 }
@@ -86,7 +88,7 @@
     let mut feed = listed(true, 1, &["a"]);
     feed.mark_history_expired();
     feed.apply_update(at(100), update(5, 100, 1, &[("b", 5)]));
-    let changes = feed.apply_list(at(200), at(50), 3, &[item("a", 1)]);
+    let changes = feed.apply_list(at(200), at(50), rev(3), &[item("a", 1)]);
     assert!(
         changes.iter().all(|c| !c.removed),
         "b was reported as removed"
--- a/lib/tests/test_serving_feed_outage.rs
+++ b/lib/tests/test_serving_feed_outage.rs
@@ -12,6 +12,8 @@
 use banyangauge::serving::TopicUpdate;
 use rstest::rstest;
 
+use crate::rig::rev;
+
 /// The time within which a VM must know a change.
 const MAX_STALENESS: Span = Span::from_millis(3_000);
 
@@ -24,7 +26,7 @@
 
 fn item(name: &str, revision: u64) -> Item {
     Item {
-        revision,
+        revision: rev(revision),
         ..Item::empty(name)
     }
 }
@@ -37,7 +39,7 @@
         shared_pause: Duration::from_millis(150),
         has_removals: false,
     });
-    feed.apply_list(at(0), at(0), 1, &[item("config", 1)]);
+    feed.apply_list(at(0), at(0), rev(1), &[item("config", 1)]);
     feed
 }
 
@@ -45,9 +47,9 @@
     let change =
         |(name, revision): &(&str, u64)| TopicChange::new(item(name, *revision), false, false);
     TopicUpdate {
-        revision,
+        revision: rev(revision),
         as_of: at(ms),
-        since,
+        since: rev(since),
         changes: names.iter().map(change).collect(),
     }
 }
@@ -98,11 +100,11 @@
     let applied = feed.apply_update(at(1_000), update(14, 1_000, 9, &[("config", 14)]));
     assert_eq!(applied.len(), 1, "the configuration is not applied");
     assert!(feed.has_gap());
-    assert_eq!(feed.revision(), 1, "other objects were missed");
+    assert_eq!(feed.revision(), rev(1), "other objects were missed");
     let again = feed.apply_update(at(1_400), update(14, 1_400, 9, &[("config", 14)]));
     assert!(again.is_empty(), "the change is applied twice");
     let missed = vec![(item("config", 5), false), (item("other", 6), false)];
-    let changes = feed.apply_changes(at(1_500), at(1_450), Duration::ZERO, 7, missed);
+    let changes = feed.apply_changes(at(1_500), at(1_450), Duration::ZERO, rev(7), missed);
     let names: Vec<_> = changes.iter().map(|c| c.item.name.as_str()).collect();
     assert_eq!(names, ["other"]);
 }
@@ -116,15 +118,15 @@
         at(1_100),
         at(1_050),
         Duration::ZERO,
-        14,
+        rev(14),
         vec![(item("config", 14), false)],
     );
     assert!(changes.is_empty());
     let mut other = listed();
     let applied = other.apply_update(at(1_200), feed.outgoing_update(at(1_200), Some(0)).unwrap());
-    assert_eq!(other.revision(), 14);
+    assert_eq!(other.revision(), rev(14));
     assert!(
-        applied.iter().any(|c| c.item.revision == 14),
+        applied.iter().any(|c| c.item.revision == rev(14)),
         "the change is lost"
     );
 }
--- a/lib/tests/test_serving_feed_search.rs
+++ b/lib/tests/test_serving_feed_search.rs
@@ -4,21 +4,25 @@
 //! or later, and delivered later still. Updates between VMs are lost, delayed
 //! and reordered. The store drops its history, answers a first list from an old
 //! state, and reports removals with the revision of the last content or of the
-//! removal. Changes that carry no new content are not shared. After each step,
-//! the state that a VM has of each object must be the actual one at its synced
-//! revision or later, and must never go back.
+//! removal. It comes back from earlier copies, one after the other, and gives its
+//! revisions out again. VMs restart. Changes that carry no new content are not
+//! shared. After each step, the state that a VM has of each object must be the
+//! actual one at its synced revision or later, and must never go back.
 
+use std::cmp::Ordering;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use banyangauge::pool::Moment;
 use banyangauge::pool::Span;
 
+use banyangauge::serving::Era;
 use banyangauge::serving::Feed;
 use banyangauge::serving::FeedAction;
 use banyangauge::serving::Item;
 use banyangauge::serving::PollPolicy;
 use banyangauge::serving::SkippedRange;
+use banyangauge::serving::StoreRevision;
 use banyangauge::serving::TopicChange;
 use banyangauge::serving::TopicUpdate;
 use rstest::rstest;
@@ -27,6 +31,8 @@
 const VMS: usize = 3;
 const OBJECTS: [&str; 3] = ["a", "b", "c"];
 const STEPS: usize = 400;
+/// The limit of the changes that a restore loses.
+const MAX_LOST: u64 = 9;
 
 /// A pseudo-random sequence determined by a seed.
 struct Rng(u64);
@@ -48,28 +54,19 @@
 /// An object at one revision: its content, or `None` if it is removed.
 type State = Option<u64>;
 
-#[derive(Default)]
-struct Store {
+/// The changes of one era, with those before the copy with which it began.
+#[derive(Clone, Default)]
+struct History {
+    /// The revision of the copy.
+    copy: u64,
     /// Revision, object and its state from then on.
-    history: Vec<(u64, &'static str, State)>,
-    revision: u64,
-    /// Changes up to this revision are dropped.
-    history_start: u64,
+    changes: Vec<(u64, &'static str, State)>,
 }
 
-impl Store {
-    fn change(&mut self, rng: &mut Rng) {
-        let name = OBJECTS[rng.next(3) as usize];
-        let state = rng.chance(70).then(|| rng.next(2));
-        self.revision += 1 + rng.next(3);
-        if state.is_some() || self.at(self.revision, name).is_some() {
-            self.history.push((self.revision, name, state));
-        }
-    }
-
+impl History {
     fn last(&self, revision: u64, name: &str) -> Option<(u64, State)> {
         let of = self
-            .history
+            .changes
             .iter()
             .filter(|(r, n, _)| *n == name && *r <= revision);
         of.max_by_key(|(r, ..)| *r)
@@ -83,7 +80,7 @@
     /// Returns the states of an object at a revision and after it.
     fn from(&self, revision: u64, name: &str) -> Vec<State> {
         let later = self
-            .history
+            .changes
             .iter()
             .filter(|(r, n, _)| *n == name && *r > revision);
         let later = later.map(|(_, _, state)| *state);
@@ -91,30 +88,86 @@
             .chain(later)
             .collect()
     }
+}
+
+#[derive(Default)]
+struct Store {
+    /// The histories of the eras that the store has left.
+    left: Vec<History>,
+    history: History,
+    revision: u64,
+    /// Changes up to this revision are dropped.
+    history_start: u64,
+}
+
+impl Store {
+    fn revision(&self, number: u64) -> StoreRevision {
+        StoreRevision::new(Era(self.left.len() as u64), number)
+    }
+
+    fn newest(&self) -> StoreRevision {
+        self.revision(self.revision)
+    }
+
+    fn change(&mut self, rng: &mut Rng) {
+        let name = OBJECTS[rng.next(3) as usize];
+        let state = rng.chance(70).then(|| rng.next(2));
+        self.revision += 1 + rng.next(3);
+        if state.is_some() || self.history.at(self.revision, name).is_some() {
+            self.history.changes.push((self.revision, name, state));
+        }
+    }
 
-    fn list(&self, revision: u64) -> Vec<Item> {
+    /// Comes back from a copy of some changes ago.
+    fn restore(&mut self, rng: &mut Rng) {
+        let lost = rng.next(MAX_LOST);
+        self.left.push(self.history.clone());
+        for _ in 0..lost {
+            self.history.changes.pop();
+        }
+        let last = self.history.changes.last();
+        self.revision = last.map_or(1, |(r, ..)| *r);
+        self.history.copy = self.revision;
+        self.history_start = self.history_start.min(self.revision);
+    }
+
+    /// Returns the states of an object at a revision and after it, in all eras.
+    fn from(&self, revision: StoreRevision, name: &str) -> Vec<State> {
+        let eras = self.left.iter().chain([&self.history]);
+        let states = eras.enumerate().filter_map(|(era, history)| {
+            let from = match era.cmp(&(revision.era.0 as usize)) {
+                Ordering::Less => return None,
+                Ordering::Equal => revision.number,
+                Ordering::Greater => history.copy,
+            };
+            Some(history.from(from, name))
+        });
+        states.flatten().collect()
+    }
+
+    fn list(&self, number: u64) -> Vec<Item> {
         let present = OBJECTS.iter().filter_map(|name| {
-            let (changed, state) = self.last(revision, name)?;
-            Some(item(name, changed, state?))
+            let (changed, state) = self.history.last(number, name)?;
+            Some(item(name, self.revision(changed), state?))
         });
         present.collect()
     }
 
     fn changes(&self, since: u64, rng: &mut Rng) -> Vec<(Item, bool)> {
-        let new = self.history.iter().filter(|(r, ..)| *r > since);
+        let new = self.history.changes.iter().filter(|(r, ..)| *r > since);
         let changes = new.map(|(r, name, state)| match state {
-            Some(content) => (item(name, *r, *content), false),
+            Some(content) => (item(name, self.revision(*r), *content), false),
             None => {
-                let old = self.last(*r - 1, name).map_or(*r, |(old, _)| old);
+                let old = self.history.last(*r - 1, name).map_or(*r, |(old, _)| old);
                 let revision = if rng.chance(50) { old } else { *r };
-                (item(name, revision, 0), true)
+                (item(name, self.revision(revision), 0), true)
             }
         });
         changes.collect()
     }
 }
 
-fn item(name: &str, revision: u64, content: u64) -> Item {
+fn item(name: &str, revision: StoreRevision, content: u64) -> Item {
     Item {
         name: name.to_owned(),
         revision,
@@ -123,14 +176,14 @@
 }
 
 enum Answer {
-    List(u64, Vec<Item>),
-    Changes(u64, Vec<(Item, bool)>),
-    Expired,
+    List(StoreRevision, Vec<Item>),
+    Changes(StoreRevision, Vec<(Item, bool)>),
+    Expired(Era),
 }
 
 struct Request {
     asked: Moment,
-    since: u64,
+    since: StoreRevision,
     list: bool,
     answer: Option<Answer>,
 }
@@ -169,12 +222,13 @@
 
     fn answer(&mut self, now: Moment, asked: Moment, answer: Answer) {
         let changes = match answer {
-            Answer::Expired => {
+            Answer::Expired(era) => {
+                self.feed.begin_era(now, era);
                 self.feed.mark_history_expired();
                 return;
             }
             Answer::List(revision, items) => {
-                if self.feed.revision() == 0 {
+                if self.feed.age(now).is_none() {
                     for i in &items {
                         self.objects.insert(i.name.clone(), content(i));
                     }
@@ -215,11 +269,14 @@
     /// Updates in transit between VMs.
     update: Vec<(usize, TopicUpdate, Option<SkippedRange>)>,
     now: Moment,
+    /// How many of a hundred idle steps restore the store.
+    restores: u64,
 }
 
 impl World {
-    fn new(seed: u64) -> Self {
+    fn new(seed: u64, restores: u64) -> Self {
         Self {
+            restores,
             rng: Rng(seed),
             store: Store {
                 revision: 1,
@@ -242,6 +299,8 @@
             7 => self.send_update(n),
             8 => self.deliver_update(),
             _ if self.rng.chance(5) => self.store.history_start = self.store.revision,
+            _ if self.rng.chance(self.restores) => self.store.restore(&mut self.rng),
+            _ if self.rng.chance(self.restores) => self.vms[n] = Vm::new(),
             _ => {}
         }
     }
@@ -254,27 +313,38 @@
         vm.request = Some(Request {
             asked: self.now,
             since: vm.feed.revision(),
-            list: vm.feed.next_action(self.now, None) == FeedAction::List,
+            list: match vm.feed.next_action(self.now, None) {
+                FeedAction::List => true,
+                FeedAction::Watch(_) => false,
+                FeedAction::Wait(_) => return,
+            },
             answer: None,
         });
     }
 
     /// The store computes the answer to a request.
     fn compute_answer(&mut self, n: usize) {
-        let known = self.vms[n].feed.revision();
+        let first = self.vms[n].feed.age(self.now).is_none();
         let Some(q) = self.vms[n].request.as_mut() else {
             return;
         };
-        let newest = self.store.revision;
+        let store = &self.store;
+        let newest = store.newest();
         // A first list may be stale. Each request gets one answer.
         q.answer.get_or_insert_with(|| match q.list {
-            true if known == 0 => {
-                let revision = newest - self.rng.next(newest.min(5));
-                Answer::List(revision, self.store.list(revision))
+            true if first => {
+                let lag = self
+                    .rng
+                    .next((newest.number - store.history.copy + 1).min(5));
+                let number = newest.number - lag;
+                Answer::List(store.revision(number), store.list(number))
+            }
+            true => Answer::List(newest, store.list(newest.number)),
+            // A revision that was given out again is one that the store has.
+            false if q.since.number < store.history_start || q.since.number > newest.number => {
+                Answer::Expired(newest.era)
             }
-            true => Answer::List(newest, self.store.list(newest)),
-            false if q.since < self.store.history_start => Answer::Expired,
-            false => Answer::Changes(newest, self.store.changes(q.since, &mut self.rng)),
+            false => Answer::Changes(newest, store.changes(q.since.number, &mut self.rng)),
         });
     }
 
@@ -321,7 +391,8 @@
     fn violation(&self) -> Option<String> {
         self.vms.iter().enumerate().find_map(|(n, vm)| {
             let known = vm.feed.revision();
-            OBJECTS.iter().filter(|_| known > 0).find_map(|name| {
+            let listed = vm.feed.age(self.now).is_some();
+            OBJECTS.iter().filter(|_| listed).find_map(|name| {
                 let state = vm.objects.get(*name).copied();
                 let allowed = self.store.from(known, name);
                 (!allowed.contains(&state)).then(|| {
@@ -335,7 +406,8 @@
     fn settle(&mut self) {
         self.update.clear();
         for n in 0..VMS {
-            for _ in 0..4 {
+            for _ in 0..6 {
+                self.now = self.now.after(Span::from_millis(1_000));
                 self.poll(n);
                 self.compute_answer(n);
                 self.deliver(n);
@@ -345,9 +417,9 @@
 }
 
 /// Runs the seeds and describes the first failure.
-fn search(seeds: std::ops::Range<u64>) -> Option<String> {
+fn search(seeds: std::ops::Range<u64>, restores: u64) -> Option<String> {
     seeds.into_iter().find_map(|seed| {
-        let mut world = World::new(seed);
+        let mut world = World::new(seed, restores);
         for step in 0..STEPS {
             world.step();
             if let Some(violation) = world.violation() {
@@ -355,7 +427,7 @@
             }
         }
         world.settle();
-        let last = world.store.revision;
+        let last = world.store.newest();
         let behind = world.vms.iter().any(|vm| vm.feed.revision() < last);
         let violation = world.violation();
         violation
@@ -374,5 +446,13 @@
 #[case::came_again_again(2_006..2_007)]
 #[case::others(3_000..3_150)]
 fn state_matches_synced_revision(#[case] seeds: std::ops::Range<u64>) {
-    assert_eq!(search(seeds), None);
+    assert_eq!(search(seeds, 0), None);
+}
+
+/// The same while the store comes back from earlier copies.
+#[rstest]
+#[case::now_and_then(5_000..5_150, 8)]
+#[case::often(6_000..6_150, 30)]
+fn state_matches_after_restores(#[case] seeds: std::ops::Range<u64>, #[case] restores: u64) {
+    assert_eq!(search(seeds, restores), None);
 }
--- a/lib/tests/test_serving_ownership.rs
+++ b/lib/tests/test_serving_ownership.rs
@@ -10,11 +10,15 @@
 use banyangauge::pool::Moment;
 use banyangauge::pool::Span;
 use banyangauge::serving::BeaconStamp;
+use banyangauge::serving::Era;
 use banyangauge::serving::Members;
 use banyangauge::serving::OwnerTable;
 use banyangauge::serving::Ownership;
+use banyangauge::serving::StoreRevision;
 use rstest::rstest;
 
+use crate::rig::rev;
+
 const LEASE: Span = Span::from_millis(3_000);
 /// The step of the simulation, in milliseconds.
 const TICK: u64 = 100;
@@ -78,13 +82,13 @@
     woke: u64,
     /// Pending answers of the store: when they arrive, when they were
     /// requested, the table and its revision.
-    answers: Vec<(u64, Moment, OwnerTable, u64)>,
+    answers: Vec<(u64, Moment, OwnerTable, StoreRevision)>,
 }
 
 struct World {
     vms: Vec<Vm>,
     table: OwnerTable,
-    revision: u64,
+    revision: StoreRevision,
     replica: ReplicaName,
     guards: Guards,
     /// The orders: time and VM.
@@ -124,7 +128,7 @@
                     .reassigned(&first, &BTreeSet::new(), &all)
                     .unwrap()
             },
-            revision: 1,
+            revision: rev(1),
             replica,
             guards,
             orders: Vec::new(),
@@ -166,10 +170,10 @@
             .into_iter()
             .partition(|(when, ..)| *when <= ms);
         vm.answers = later;
-        let due: Vec<(u64, Moment, OwnerTable, u64)> = due;
+        let due: Vec<(u64, Moment, OwnerTable, StoreRevision)> = due;
         for (_, asked, table, revision) in due {
             vm.own.apply_table(at(ms), table, revision);
-            vm.own.confirm(asked);
+            vm.own.confirm(asked, revision.era);
         }
     }
 
@@ -235,13 +239,13 @@
             return;
         };
         vm.own.record_proposal(at(ms));
-        let expected = vm.own.revision;
-        if expected == self.revision && self.reaches_store(i) {
-            self.revision += 1;
+        let expected = vm.own.stored();
+        if expected == Some(self.revision) && self.reaches_store(i) {
+            self.revision.number += 1;
             self.table = table.clone();
             let vm = &mut self.vms[i];
             vm.own.apply_table(at(ms), table, self.revision);
-            vm.own.confirm(at(ms));
+            vm.own.confirm(at(ms), self.revision.era);
         }
     }
 
@@ -373,9 +377,9 @@
         .unwrap();
     let name = all.first().unwrap();
     let mut own = Ownership::new(b, LEASE, false);
-    own.apply_table(at(0), table, 7);
+    own.apply_table(at(0), table, rev(7));
     let mut token = |ms: u64| {
-        own.confirm(at(ms));
+        own.confirm(at(ms), Era::default());
         own.token(at(ms), name)
     };
     assert_eq!(token(4_200), None);
@@ -383,15 +387,15 @@
     let mut own = own.clone();
     own.invalidate();
     let table = own.table.clone();
-    own.apply_table(at(0), table, 7);
-    own.record_peer_revision(at(50), &a, 6);
-    own.confirm(at(4_200));
+    own.apply_table(at(0), table, rev(7));
+    own.record_peer_revision(at(50), &a, rev(6));
+    own.confirm(at(4_200), Era::default());
     assert_eq!(
         own.token(at(4_200), name),
         None,
         "the former owner has an older table"
     );
-    own.record_peer_revision(at(60), &a, 7);
+    own.record_peer_revision(at(60), &a, rev(7));
     assert!(own.token(at(4_200), name).is_some());
 }
 
@@ -409,16 +413,16 @@
         ..table.unwrap()
     };
     let mut own = Ownership::new(b.clone(), LEASE, false);
-    own.apply_table(at(0), first, 1);
+    own.apply_table(at(0), first, rev(1));
     let live: BTreeSet<VmName> = [b.clone()].into();
     let joined = own.proposal(at(0), &live, &all).unwrap();
     assert_eq!(joined.members, [a.clone(), b.clone()].into());
     assert_eq!(joined.owners, own.table.owners);
-    own.apply_table(at(10), joined, 2);
+    own.apply_table(at(10), joined, rev(2));
     assert_eq!(own.proposal(at(19_000), &live, &all), None);
     let lost = own.proposal(at(20_100), &live, &all).unwrap();
     assert_eq!(lost.owners.values().next().unwrap().vm, b);
-    own.record_peer_revision(at(11), &a, 2);
+    own.record_peer_revision(at(11), &a, rev(2));
     let lost = own.proposal(at(5_000), &live, &all).unwrap();
     assert_eq!(
         lost.members, live,
--- a/lib/tests/test_serving_port.rs
+++ b/lib/tests/test_serving_port.rs
@@ -4,12 +4,14 @@
 use banyangauge::serving::Page;
 use rstest::rstest;
 
+use crate::rig::rev;
+
 fn page(revision: u64, names: &[&str], more: bool) -> Page {
     Page {
         items: names.iter().map(|n| Item::empty(n)).collect(),
         unreadable: 1,
         more,
-        revision,
+        revision: rev(revision),
     }
 }
 
@@ -25,6 +27,6 @@
     assert_eq!(names, ["a", "b"]);
     assert_eq!(
         (list.revision, list.more, list.unreadable),
-        (expected, false, 2)
+        (rev(expected), false, 2)
     );
 }
--- a/lib/tests/test_serving_table.rs
+++ b/lib/tests/test_serving_table.rs
@@ -8,11 +8,14 @@
 use banyangauge::pool::Moment;
 use banyangauge::pool::Span;
 use banyangauge::serving::BeaconStamp;
+use banyangauge::serving::Era;
 use banyangauge::serving::Members;
 use banyangauge::serving::OwnerTable;
 use banyangauge::serving::Ownership;
 use rstest::rstest;
 
+use crate::rig::rev;
+
 const LEASE: Span = Span::from_millis(3_000);
 
 fn at(ms: u64) -> Moment {
@@ -89,13 +92,13 @@
     let name: ReplicaName = "1".parse().unwrap();
     let mut a = Ownership::new("a".parse().unwrap(), LEASE, true);
     let mut b = Ownership::new("b".parse().unwrap(), LEASE, true);
-    assert!(a.apply_table(at(0), first, 1));
+    assert!(a.apply_table(at(0), first, rev(1)));
     assert!(
         a.token(at(0), &name).is_some(),
         "a new replica needs no wait"
     );
-    assert!(a.apply_table(at(10), second.clone(), 2));
-    assert!(b.apply_table(at(10), second, 2));
+    assert!(a.apply_table(at(10), second.clone(), rev(2)));
+    assert!(b.apply_table(at(10), second, rev(2)));
     assert_eq!(a.token(at(10), &name), None);
     assert_eq!(b.token(at(3_010), &name), None);
     assert!(b.token(at(5_000), &name).is_some());
@@ -108,7 +111,7 @@
         .unwrap();
     let name: ReplicaName = "1".parse().unwrap();
     let mut a = Ownership::new("a".parse().unwrap(), LEASE, true);
-    a.apply_table(at(0), table, 1);
+    a.apply_table(at(0), table, rev(1));
     let token = a.token(at(0), &name).unwrap();
     a.record_refusal(&name, token);
     assert_eq!(a.token(at(9_000), &name), None);
@@ -123,10 +126,10 @@
         .unwrap();
     let name: ReplicaName = "1".parse().unwrap();
     let mut a = Ownership::new("a".parse().unwrap(), LEASE, true);
-    a.apply_table(at(0), table.clone(), 1);
+    a.apply_table(at(0), table.clone(), rev(1));
     a.invalidate();
     assert_eq!(a.token(at(1), &name), None);
-    a.apply_table(at(2), table, 1);
+    a.apply_table(at(2), table, rev(1));
     assert!(a.token(at(2), &name).is_some());
 }
 
@@ -139,8 +142,8 @@
         .reassigned(&vms(&["b"]), &vms(&[]), &replicas(&["1"]))
         .unwrap();
     let mut a = Ownership::new("a".parse().unwrap(), LEASE, true);
-    assert!(a.apply_table(at(0), second, 2));
-    assert!(!a.apply_table(at(1), first, 1));
+    assert!(a.apply_table(at(0), second, rev(2)));
+    assert!(!a.apply_table(at(1), first, rev(1)));
 }
 
 /// The first live VM proposes a change at once, the next one a step later.
@@ -151,6 +154,12 @@
 fn proposal_is_staggered(#[case] vm: &str, #[case] ms: u64, #[case] proposes: bool) {
     let mut o = Ownership::new(vm.parse().unwrap(), LEASE, true);
     let (live, all) = (vms(&["a", "b"]), replicas(&["1"]));
+    assert_eq!(
+        o.proposal(at(0), &live, &all),
+        None,
+        "what is stored is not known yet"
+    );
+    o.mark_read(Era::default(), false);
     let now = o.proposal(at(0), &live, &all);
     let later = o.proposal(at(ms), &live, &all);
     assert_eq!(now.or(later).is_some(), proposes);
@@ -199,12 +208,12 @@
     let name: ReplicaName = "1".parse().unwrap();
     let (live, all) = (vms(&["b"]), replicas(&["1"]));
     let mut b = Ownership::new("b".parse().unwrap(), LEASE, true);
-    b.apply_table(at(0), second.clone(), 2);
+    b.apply_table(at(0), second.clone(), rev(2));
     assert_eq!(b.proposal(at(4_000), &live, &all), None);
     let settled = b.proposal(at(5_000), &live, &all).unwrap();
     assert_eq!(settled.owners[&name].token, second.owners[&name].token);
     let mut again = Ownership::new("b".parse().unwrap(), LEASE, true);
-    again.apply_table(at(60_000), settled, 3);
+    again.apply_table(at(60_000), settled, rev(3));
     assert!(again.token(at(60_000), &name).is_some());
 }
 
