serving: replicas that were gone stay unused while only a copy lists them

A store that came back from an earlier copy lists replicas whose entries had been removed since. They counted as new ones and got requests at once, which callers pay for with a failed try, or with DRAIN where the replica still ran.

The VM remembers the last 1,024 replicas whose entries were removed. One of them that a copy lists is withheld until its entry is written again, or for 6 s, in which the store removes the entry of a replica that stays silent. A copy's entry of a former incarnation is ignored.

--- a/lib/src/serving/cluster/state.rs
+++ b/lib/src/serving/cluster/state.rs
@@ -305,9 +305,14 @@
         true
     }
 
-    /// Applies a replica's entry from the store. Returns whether it changed
-    /// what requests may use.
-    pub(in crate::serving) fn apply_listing(&mut self, listing: ReplicaInfo) -> bool {
+    /// Applies a replica's entry from the store, or from the copy that the store came
+    /// back from. Returns whether it changed what requests may use.
+    pub(in crate::serving) fn apply_listing(
+        &mut self,
+        now: Moment,
+        listing: ReplicaInfo,
+        copied: bool,
+    ) -> bool {
         let (name, started_ms) = (listing.name.clone(), listing.started_ms);
         if self
             .fleet
@@ -316,7 +321,10 @@
         {
             self.local_uses.remove(&name);
         }
-        self.fleet.apply_listing(listing)
+        match copied {
+            true => self.fleet.apply_copied_listing(now, listing),
+            false => self.fleet.apply_listing(listing),
+        }
     }
 
     /// Applies the complete list of replicas.
--- a/lib/src/serving/decisions/fleet/mod.rs
+++ b/lib/src/serving/decisions/fleet/mod.rs
@@ -7,13 +7,13 @@
 //! |---|---|
 //! | `place` | where a request runs, or where its adapter is loaded |
 //! | `health` | which replicas are healthy, from the outcomes of runs |
-//! | `leaving` | which replicas stated that they leave |
+//! | `recent_instances` | which replicas leave or are gone, and stay so |
 //! | `withheld` | which replicas get no requests for a while, and why |
 //! | `versions` | which version of an adapter a run may begin on |
 
 mod health;
-mod leaving;
 mod place;
+mod recent_instances;
 mod versions;
 mod withheld;
 
@@ -28,7 +28,7 @@
 pub use withheld::WithheldReason;
 
 use self::health::Health;
-use self::leaving::Leaving;
+use self::recent_instances::RecentInstances;
 use crate::ids::ModelName;
 use crate::ids::ReplicaName;
 use crate::ids::ServiceName;
@@ -55,6 +55,11 @@
 /// How long an entry that expired during a store outage may reappear.
 const EXPIRED_GRACE: Span = Span::from_millis(2_000);
 
+/// How long a replica that was gone is not used if the store came back from a copy that
+/// lists it. Within this time the replica writes its entry again, or the store removes the
+/// entry of one that stays silent.
+const UNCONFIRMED_TIME: Span = Span::from_millis(6_000);
+
 /// Requests in flight and the tokens that they hold.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Load {
@@ -195,7 +200,9 @@
     services: BTreeMap<ServiceName, Service>,
     replicas: BTreeMap<ReplicaName, Replica>,
     /// Replicas that stated that they leave, also those whose entries were removed.
-    leaving: Leaving,
+    leaving: RecentInstances,
+    /// Replicas whose entries were removed.
+    gone: RecentInstances,
     /// Expiry of each peer's report, and the peer's load by replica.
     peers: BTreeMap<VmName, (Moment, BTreeMap<ReplicaName, Load>)>,
     /// When the first of these reports expires.
@@ -213,7 +220,8 @@
             zone,
             services: BTreeMap::new(),
             replicas: BTreeMap::new(),
-            leaving: Leaving::default(),
+            leaving: RecentInstances::default(),
+            gone: RecentInstances::default(),
             peers: BTreeMap::new(),
             next_expiry: Moment(u64::MAX),
             report_ttl: DEFAULT_REPORT_TTL,
@@ -241,6 +249,7 @@
     /// replicas requests may use.
     pub fn apply_listing(&mut self, mut listing: ReplicaInfo) -> bool {
         let instance = listing.instance();
+        self.gone.remove(&instance);
         // Leaving is final for an incarnation, whatever its entry says later.
         listing.draining |= self.leaving.contains(&instance);
         if listing.draining {
@@ -249,6 +258,7 @@
         match self.replicas.get_mut(&listing.name) {
             Some(r) if r.listing.started_ms == listing.started_ms => {
                 r.expired_at = None;
+                r.confirm();
                 // Draining is final for an incarnation.
                 listing.draining |= r.listing.draining;
                 let changed = r.listing.draining != listing.draining;
@@ -275,6 +285,33 @@
         }
     }
 
+    /// Applies a replica's entry in the copy that the store came back from. Returns
+    /// whether it changed which replicas requests may use.
+    ///
+    /// The entry may be older than what is known. One of a former incarnation is
+    /// ignored. A replica that was gone is not used until its entry is written again.
+    pub fn apply_copied_listing(&mut self, now: Moment, listing: ReplicaInfo) -> bool {
+        let known = self.started_ms(&listing.name);
+        if known.is_some_and(|known| known > listing.started_ms) {
+            return false;
+        }
+        let (name, was_gone) = (
+            listing.name.clone(),
+            self.gone.contains(&listing.instance()),
+        );
+        let changed = self.apply_listing(listing);
+        if was_gone {
+            let until = now.after(UNCONFIRMED_TIME);
+            let withheld = Withheld {
+                until,
+                ready: until,
+                reason: WithheldReason::Unconfirmed,
+            };
+            self.withhold(&name, withheld);
+        }
+        changed
+    }
+
     /// Returns whether an entry holds information that the other VMs need. The
     /// adapters are ignored, as the replica's owner reports those. An entry of a
     /// draining replica always counts: this VM may know it from another VM, but
@@ -326,7 +363,11 @@
 
     /// Removes a replica whose entry was removed: it gets no more requests.
     pub fn remove_listing(&mut self, name: &ReplicaName) -> bool {
-        self.replicas.remove(name).is_some()
+        let Some(removed) = self.replicas.remove(name) else {
+            return false;
+        };
+        self.gone.insert(removed.listing.instance());
+        true
     }
 
     /// Applies the complete list of the store. After an outage, entries that
@@ -337,13 +378,16 @@
         for listing in all {
             self.apply_listing(listing);
         }
-        self.replicas.retain(|name, r| {
-            if names.contains(name) {
-                return true;
-            }
+        let missing = self.replicas.iter_mut();
+        let missing = missing.filter(|(name, _)| !names.contains(*name));
+        let missing = missing.map(|(name, r)| {
             r.expired_at.get_or_insert(now);
-            outage
+            name.clone()
         });
+        let missing: Vec<_> = missing.collect();
+        for name in missing.iter().filter(|_| !outage) {
+            self.remove_listing(name);
+        }
     }
 
     /// Removes replicas whose entries did not reappear, and returns their names.
@@ -355,7 +399,7 @@
         let expired = self.replicas.iter().filter(|(_, r)| is_overdue(r));
         let expired: Vec<_> = expired.map(|(name, _)| name.clone()).collect();
         for name in &expired {
-            self.replicas.remove(name);
+            self.remove_listing(name);
         }
         expired
     }
--- a/lib/src/serving/decisions/fleet/leaving.rs
+++ b/lib/src/serving/decisions/fleet/recent_instances.rs
@@ -1,27 +1,28 @@
-//! Replicas that stated that they leave.
+//! A bounded memory of replicas.
 
 use std::collections::BTreeSet;
 use std::collections::VecDeque;
 
 use crate::serving::path::types::Instance;
 
-/// Maximum number of leaving replicas that are remembered, more than leave within the time
-/// in which a removed entry may return.
-const MAX_LEAVING: usize = 1_024;
+/// Maximum number of replicas that are remembered, more than leave within the time in which
+/// a removed entry may return.
+const MAX_INSTANCES: usize = 1_024;
 
-/// Incarnations that stated that they leave.
+/// The incarnations of replicas that something was said of last.
 ///
 /// They are remembered beyond the removal of their entries: an entry may lapse and return
-/// while the replica still serves what it runs.
+/// while the replica still serves what it runs, and a store that came back from an earlier
+/// copy lists replicas that are gone.
 #[derive(Debug, Default)]
-pub(super) struct Leaving {
+pub(super) struct RecentInstances {
     all: BTreeSet<Instance>,
     /// The same in order of insertion.
     order: VecDeque<Instance>,
 }
 
-impl Leaving {
-    /// Returns whether a replica stated that it leaves.
+impl RecentInstances {
+    /// Returns whether a replica is remembered.
     pub(super) fn contains(&self, replica: &Instance) -> bool {
         self.all.contains(replica)
     }
@@ -32,10 +33,17 @@
             return;
         }
         self.order.push_back(replica);
-        if self.order.len() > MAX_LEAVING
+        if self.order.len() > MAX_INSTANCES
             && let Some(oldest) = self.order.pop_front()
         {
             self.all.remove(&oldest);
         }
     }
+
+    /// Forgets a replica.
+    pub(super) fn remove(&mut self, replica: &Instance) {
+        if self.all.remove(replica) {
+            self.order.retain(|r| r != replica);
+        }
+    }
 }
--- a/lib/src/serving/decisions/fleet/withheld.rs
+++ b/lib/src/serving/decisions/fleet/withheld.rs
@@ -1,4 +1,4 @@
-//! Replicas that get no requests for a while, at their own wish.
+//! Replicas that get no requests for a while.
 
 use super::Fleet;
 use super::Replica;
@@ -23,6 +23,8 @@
     Rest,
     /// It is leaving.
     Leaving,
+    /// It was gone, and only the copy that the store came back from lists it.
+    Unconfirmed,
 }
 
 impl WithheldReason {
@@ -32,6 +34,7 @@
             Self::Limit => "over_replica_limit",
             Self::Rest => "replica_resting",
             Self::Leaving => "replica_leaving",
+            Self::Unconfirmed => "replica_unconfirmed",
         }
     }
 
@@ -41,6 +44,7 @@
             Self::Limit => "replicas_limited",
             Self::Rest => "replicas_resting",
             Self::Leaving => "replicas_leaving",
+            Self::Unconfirmed => "replicas_unconfirmed",
         }
     }
 }
@@ -61,6 +65,13 @@
     pub(super) fn withheld_at(&self, now: Moment) -> Option<Withheld> {
         self.withheld.filter(|w| w.until > now)
     }
+
+    /// Records that the replica wrote its entry.
+    pub(super) fn confirm(&mut self) {
+        self.withheld = self
+            .withheld
+            .filter(|w| w.reason != WithheldReason::Unconfirmed);
+    }
 }
 
 impl Fleet {
--- a/lib/src/serving/store/apply.rs
+++ b/lib/src/serving/store/apply.rs
@@ -128,10 +128,11 @@
     let (name, draining) = (listing.name.clone(), listing.draining);
     let started_ms = listing.started_ms;
     let significant = node.state().fleet.is_update(&listing);
-    let changed = node.state().apply_listing(listing);
+    let changed = node.state().apply_listing(now(), listing, change.copied);
     if changed {
         slog::info!(node.log, "replica changed"; "replica" => name.as_str(),
-                        "draining" => draining, "born" => started_ms, "revision" => %item.revision);
+                        "draining" => draining, "born" => started_ms, "revision" => %item.revision,
+                        "copied" => change.copied);
     }
     significant
 }
