serving: a VM that starts waits for the configuration of the others

A VM that started while the store lacked the newest configuration served by the copy's older one, which callers see as routes that go back. Beacons now name the version in force. A VM that has not served yet waits until it has that version, 10 s at most, and half a second for the first beacon if it has peers. One that has served goes on, as before.

--- a/lib/src/serving/cluster/members.rs
+++ b/lib/src/serving/cluster/members.rs
@@ -56,6 +56,10 @@
 /// Until then it may use its own share of a limit in addition to what is lent.
 const REACHABLE_MISSED_BEACONS: u64 = 3;
 
+/// How long a VM that starts waits for the first beacon of another VM: a beacon
+/// interval and its delay.
+const FIRST_BEACON_WAIT: Span = Span::from_millis(500);
+
 /// The delay with which a busy VM sends or handles a beacon.
 const BEACON_DELAY_MARGIN: Span = Span::from_millis(100);
 
@@ -254,6 +258,13 @@
         }
     }
 
+    /// Whether this VM has just started and has not heard from the others yet.
+    pub fn awaits_peers(&self, now: Moment) -> bool {
+        let expected = !self.listed || !self.addresses.is_empty();
+        let new = now.since(self.started_at) < FIRST_BEACON_WAIT;
+        new && expected && self.beacons.is_empty()
+    }
+
     /// Records that the VM entries were read from the store.
     pub fn mark_listed(&mut self) {
         self.listed = true;
--- a/lib/src/serving/cluster/ownership.rs
+++ b/lib/src/serving/cluster/ownership.rs
@@ -159,6 +159,11 @@
         }
     }
 
+    /// Returns the latest known era of the store.
+    pub fn era(&self) -> Era {
+        self.era
+    }
+
     /// Records that all objects of the fleet were read in an era, `found` if the table
     /// was among them.
     pub fn mark_read(&mut self, era: Era, found: bool) {
--- a/lib/src/serving/cluster/state.rs
+++ b/lib/src/serving/cluster/state.rs
@@ -12,6 +12,7 @@
 use crate::ids::ReplicaName;
 use crate::ids::VmName;
 use crate::pool::Moment;
+use crate::pool::Span;
 use crate::serving::cluster::feed::Feeds;
 use crate::serving::cluster::members::Members;
 use crate::serving::cluster::owner_table::Owner;
@@ -122,6 +123,11 @@
     pub(in crate::serving) relay_queue: BTreeMap<VmName, wire::Beacon>,
     /// The latest known era of the store, and since when; `None` before any answer.
     pub(in crate::serving) era: Option<(Era, Moment)>,
+    /// The newest configuration that another VM has in force, and since when this VM
+    /// has known of it.
+    pub(in crate::serving) peer_config: (u64, Moment),
+    /// Whether this VM has served with its configuration.
+    pub(in crate::serving) has_served: bool,
     /// Whether the replicas were listed at least once.
     pub(in crate::serving) replicas_listed: bool,
     /// The time limits within which changes of keys must be applied.
@@ -136,6 +142,10 @@
     pub(in crate::serving) lender: Lender<OrganisationName>,
 }
 
+/// How long a VM that starts waits for the configuration that other VMs have in force:
+/// several times what the operator needs to write it again.
+const MAX_CONFIG_WAIT: Span = Span::from_millis(10_000);
+
 /// Returns the seed of the order in which VMs lend for an organisation.
 pub(in crate::serving) fn lender_seed(name: &OrganisationName) -> u64 {
     xxh3_64(name.as_str().as_bytes())
@@ -172,6 +182,8 @@
             feeds: Feeds::new(|topic| follow::poll_policy(settings, topic)),
             relay_queue: BTreeMap::new(),
             era: None,
+            peer_config: (0, now),
+            has_served: false,
             replicas_listed: false,
             key_bounds: KeyBounds {
                 revoke: settings.key_revocation.map(to_span),
@@ -285,9 +297,32 @@
         self.era.map_or(Era::default(), |(era, _)| era)
     }
 
+    /// Records the version of the configuration that another VM has in force.
+    pub(in crate::serving) fn record_peer_config(&mut self, now: Moment, version: u64) {
+        if version > self.peer_config.0 {
+            self.peer_config = (version, now);
+        }
+    }
+
+    /// Returns the configuration to serve with, if requests can be served.
+    ///
+    /// A VM that starts while the store lacks the newest configuration waits until it
+    /// is written again, as the other VMs have it in force. The wait is limited, as
+    /// serving with an older one is better for callers than not serving at all.
+    pub(in crate::serving) fn serving_config(&mut self, now: Moment) -> Option<Rc<ActiveConfig>> {
+        let active = self.active.clone().filter(|_| self.replicas_listed)?;
+        let (newest, since) = self.peer_config;
+        let outdated = active.config.version < newest && now.since(since) < MAX_CONFIG_WAIT;
+        if !self.has_served && (outdated || self.members.awaits_peers(now)) {
+            return None;
+        }
+        self.has_served = true;
+        Some(active)
+    }
+
     /// Whether requests can be served.
-    pub(in crate::serving) fn is_ready(&self) -> bool {
-        self.active.is_some() && self.replicas_listed
+    pub(in crate::serving) fn is_ready(&mut self, now: Moment) -> bool {
+        self.serving_config(now).is_some()
     }
 
     /// Applies a configuration. Returns `false` if it is not newer than the one
--- a/lib/src/serving/path/serve.rs
+++ b/lib/src/serving/path/serve.rs
@@ -162,10 +162,7 @@
     if node.phase() == Phase::Draining {
         return Err(Refusal::not_run("stopping", Duration::ZERO));
     }
-    let active = {
-        let state = node.state();
-        state.active.clone().filter(|_| state.replicas_listed)
-    };
+    let active = node.state().serving_config(now());
     let active = active.ok_or(Refusal::not_run("no_configuration", RETRY_DELAY))?;
     let (head, body) = request.into_parts();
     let routed = find_route(&active, &head.uri, &head.headers, &info)?;
--- a/lib/src/serving/path/server.rs
+++ b/lib/src/serving/path/server.rs
@@ -106,7 +106,8 @@
 /// are still valid it refuses callers with keys, so they should go to another VM.
 fn is_ready(node: &Node) -> bool {
     let mut state = node.state();
-    state.is_ready() && state.keys_valid(now())
+    let now = now();
+    state.is_ready(now) && state.keys_valid(now)
 }
 
 /// Answers the load balancer's readiness checks until the process ends.
--- a/lib/src/serving/peers/beacons.rs
+++ b/lib/src/serving/peers/beacons.rs
@@ -154,6 +154,7 @@
         lends: state.members.lends(now),
         zone: node.settings.zone.to_string(),
         era: state.store_era().0,
+        config: state.active.as_ref().map_or(0, |a| a.config.version),
         address: node.settings.peer_address.to_string(),
         ..wire::Beacon::default()
     }
@@ -333,6 +334,7 @@
         state.members.set_zone(&vm, zone);
     }
     state.members.set_lends(&vm, beacon.lends);
+    state.record_peer_config(now, beacon.config);
     renewal::handle_beacon(node, &mut state, now, &vm, &beacon);
     limit::apply_announced(node, &mut state, now, &vm, &beacon.limits);
     for book in &beacon.books {
--- a/lib/src/serving/program/run.rs
+++ b/lib/src/serving/program/run.rs
@@ -283,7 +283,7 @@
     let (table, stored, live) = {
         let mut state = node.state();
         let state = &mut *state;
-        if !state.is_ready() || !state.members.can_detect_failures(at) {
+        if !state.is_ready(at) || !state.members.can_detect_failures(at) {
             return;
         }
         let live = state.members.live_vms(at);
--- a/lib/tests/test_serving_ownership.rs
+++ b/lib/tests/test_serving_ownership.rs
@@ -2,8 +2,10 @@
 //! network and the store have. All schedules of faults over a few seconds are
 //! run on the plain state.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
+use banyangauge::ids::FencingToken;
 use banyangauge::ids::Incarnation;
 use banyangauge::ids::ReplicaName;
 use banyangauge::ids::VmName;
@@ -28,6 +30,12 @@
 const ORDER_DELAY: u64 = 1_000;
 /// Orders this soon after a VM thawed are not counted, in milliseconds.
 const THAW_GRACE: u64 = 300;
+/// How long a schedule goes on after its faults, in milliseconds; longer where the store
+/// comes back from a copy, until all that it may have lost has expired.
+const RECOVERY: u64 = 14_000;
+const RESTORE_RECOVERY: u64 = 24_000;
+/// The time without faults at the start, in milliseconds.
+const CALM: u64 = 2_400;
 /// The delay of answers from a slow store, in milliseconds.
 const STORE_DELAY: u64 = 700;
 
@@ -91,8 +99,12 @@
     revision: StoreRevision,
     replica: ReplicaName,
     guards: Guards,
-    /// The orders: time and VM.
-    orders: Vec<(u64, usize)>,
+    /// When the store comes back from a copy, and how old that is, in milliseconds.
+    restore: Option<(u64, u64)>,
+    /// The stored tables, with the time of each.
+    written: Vec<(u64, OwnerTable, u64)>,
+    /// The orders: time, VM and token.
+    orders: Vec<(u64, usize, FencingToken)>,
 }
 
 fn at(ms: u64) -> Moment {
@@ -117,17 +129,21 @@
                 answers: Vec::new(),
             }
         });
+        let vms: Vec<_> = vms.collect();
         let replica: ReplicaName = "i-1".parse().unwrap();
         let all = BTreeSet::from([replica.clone()]);
         let first = BTreeSet::from([name(0)]);
+        let table = OwnerTable {
+            members: (0..guards.members).map(name).collect(),
+            ..OwnerTable::default()
+                .reassigned(&first, &BTreeSet::new(), &all)
+                .unwrap()
+        };
         Self {
-            vms: vms.collect(),
-            table: OwnerTable {
-                members: (0..guards.members).map(name).collect(),
-                ..OwnerTable::default()
-                    .reassigned(&first, &BTreeSet::new(), &all)
-                    .unwrap()
-            },
+            vms,
+            restore: None,
+            written: vec![(0, table.clone(), 1)],
+            table,
             revision: rev(1),
             replica,
             guards,
@@ -135,7 +151,18 @@
         }
     }
 
+    /// The store comes back from a copy.
+    fn restore(&mut self, ms: u64, age: u64) {
+        self.written.retain(|(at, ..)| *at + age <= ms);
+        let (_, table, number) = self.written.last().unwrap().clone();
+        self.table = table;
+        self.revision = StoreRevision::new(Era(self.revision.era.0 + 1), number);
+    }
+
     fn tick(&mut self, ms: u64) {
+        if let Some((_, age)) = self.restore.filter(|(at, _)| *at == ms) {
+            self.restore(ms, age);
+        }
         for i in 0..self.vms.len() {
             if self.vms[i].fault == Fault::Frozen {
                 continue;
@@ -172,6 +199,7 @@
         vm.answers = later;
         let due: Vec<(u64, Moment, OwnerTable, StoreRevision)> = due;
         for (_, asked, table, revision) in due {
+            vm.own.begin_era(revision.era);
             vm.own.apply_table(at(ms), table, revision);
             vm.own.confirm(asked, revision.era);
         }
@@ -180,7 +208,7 @@
     fn beacon(&mut self, i: usize, ms: u64) {
         self.vms[i].number += 1;
         let (name, number) = (self.vms[i].name.clone(), self.vms[i].number);
-        let revision = self.vms[i].own.revision;
+        let (revision, era) = (self.vms[i].own.revision, self.vms[i].own.era());
         for j in (0..self.vms.len()).filter(|j| *j != i) {
             if !self.reaches(i, j) {
                 continue;
@@ -194,6 +222,7 @@
                 sent: at(ms),
             };
             to.members.record_beacon(at(ms), &name, stamp, false);
+            to.own.begin_era(era);
             to.own.record_peer_revision(at(ms), &name, revision);
             if let Some((_, sent, _)) = beacon {
                 to.members.record_echo(&name, sent);
@@ -213,7 +242,8 @@
         };
         let first = ms == 0;
         let due = self.vms[i].own.should_confirm(at(ms), rank);
-        let outdated = ms.is_multiple_of(500) && self.vms[i].own.revision < self.revision;
+        let stored = self.vms[i].own.stored();
+        let outdated = ms.is_multiple_of(500) && stored != Some(self.revision);
         let waits = !self.vms[i].answers.is_empty();
         if !(first || due || outdated) || waits || !self.reaches_store(i) {
             return;
@@ -243,6 +273,7 @@
         if expected == Some(self.revision) && self.reaches_store(i) {
             self.revision.number += 1;
             self.table = table.clone();
+            self.written.push((ms, table.clone(), self.revision.number));
             let vm = &mut self.vms[i];
             vm.own.apply_table(at(ms), table, self.revision);
             vm.own.confirm(at(ms), self.revision.era);
@@ -259,16 +290,19 @@
         };
         let vm = &mut self.vms[i];
         vm.own.set_acknowledged_until(at(ms), acknowledged);
-        if ms >= vm.woke + THAW_GRACE && vm.own.token(at(ms), &self.replica).is_some() {
-            self.orders.push((ms, i));
+        if let Some(token) = vm.own.token(at(ms), &self.replica)
+            && ms >= vm.woke + THAW_GRACE
+        {
+            self.orders.push((ms, i, token));
         }
     }
 
     /// Runs a schedule of faults. Returns the times of two orders from
     /// different VMs that came within a lease, if there are any.
     fn play(&mut self, schedule: &[Vec<Fault>]) -> Option<(u64, u64)> {
-        let calm = 2_400;
-        let end = calm + PHASE * schedule.len() as u64 + 14_000;
+        let calm = CALM;
+        let recovery = self.restore.map_or(RECOVERY, |_| RESTORE_RECOVERY);
+        let end = calm + PHASE * schedule.len() as u64 + recovery;
         for ms in (0..end).step_by(TICK as usize) {
             let phase = ms.checked_sub(calm).map(|since| (since / PHASE) as usize);
             for (i, vm) in self.vms.iter_mut().enumerate() {
@@ -282,6 +316,13 @@
             }
             self.tick(ms);
         }
+        let mut holders = BTreeMap::new();
+        for (ms, i, token) in &self.orders {
+            let (first, since) = *holders.entry(*token).or_insert((*i, *ms));
+            if first != *i {
+                return Some((since, *ms));
+            }
+        }
         let pairs = self.orders.windows(2);
         let mut violations =
             pairs.filter(|w| w[0].1 != w[1].1 && w[1].0 < w[0].0 + ORDER_DELAY + LEASE.as_millis());
@@ -308,14 +349,46 @@
 /// A schedule, and the times of the two orders.
 type Violation = (Vec<Vec<Fault>>, (u64, u64));
 
-fn violations(count: usize, guards: Guards) -> Vec<Violation> {
+fn violations(count: usize, guards: Guards, restore: Option<(u64, u64)>) -> Vec<Violation> {
     let played = schedules().filter_map(|schedule| {
-        let found = World::new(count, guards).play(&schedule)?;
+        let mut world = World::new(count, guards);
+        world.restore = restore;
+        let found = world.play(&schedule)?;
         Some((schedule, found))
     });
     played.collect()
 }
 
+/// The same while the store comes back from a copy, whatever it has lost: a change of
+/// owners, its members, or nothing.
+#[rstest]
+#[case::two(2, 2, 8_000, 5_000)]
+#[case::two_short(2, 2, 8_000, 800)]
+#[case::three(3, 3, 8_000, 5_000)]
+#[case::three_later(3, 3, 11_400, 3_000)]
+#[case::one_of_three_is_new(3, 2, 5_000, 3_000)]
+#[case::two_of_three_are_new(3, 1, 5_000, 3_000)]
+fn orders_come_from_one_vm_at_a_time_after_restore(
+    #[case] count: usize,
+    #[case] members: usize,
+    #[case] at: u64,
+    #[case] age: u64,
+) {
+    let guards = Guards {
+        lease: true,
+        echoes: true,
+        members,
+    };
+    let violations = violations(count, guards, Some((at, age)));
+    assert!(
+        violations.is_empty(),
+        "{} of {}: {:?}",
+        violations.len(),
+        schedules().count(),
+        violations[0]
+    );
+}
+
 #[rstest]
 #[case::two(2, 2)]
 #[case::three(3, 3)]
@@ -327,7 +400,7 @@
         echoes: true,
         members,
     };
-    let violations = violations(count, guards);
+    let violations = violations(count, guards, None);
     assert!(
         violations.is_empty(),
         "{} of {}: {:?}",
@@ -342,7 +415,7 @@
 #[case::no_lease(Guards { lease: false, echoes: true, members: 3 })]
 #[case::no_echoes(Guards { lease: true, echoes: false, members: 3 })]
 fn search_finds_what_a_guard_prevents(#[case] guards: Guards) {
-    assert!(!violations(3, guards).is_empty());
+    assert!(!violations(3, guards, None).is_empty());
 }
 
 /// Ownerships stay valid during an outage of the store while all members
@@ -360,8 +433,9 @@
     let mut world = World::new(2, guards);
     let phase = vec![owner, other];
     world.play(&[phase.clone(), phase]);
-    let late = 2_400 + 2 * PHASE - TICK;
-    assert_eq!(world.orders.contains(&(late, 0)), stays);
+    let late = CALM + 2 * PHASE - TICK;
+    let ordered = world.orders.iter().any(|(ms, i, _)| (*ms, *i) == (late, 0));
+    assert_eq!(ordered, stays);
 }
 
 /// An acknowledgement by the former owner shortens the wait.
