serving: owners, proofs and gone replicas after a restore, on the plain state

The search over leaving replicas gets copies. It found that a replica that was withheld as unconfirmed was no longer so when a second copy listed it; it stays gone until it writes its entry. A replica whose successor under the same name is known counts as gone too.

A VM that starts waits for the others' configuration only if the store ever came back from a copy, so that ordinary starts are as quick as before, and 0.9 s for the first beacon, as another VM first has to hear of it.

--- a/lib/src/operator/request_history.rs
+++ b/lib/src/operator/request_history.rs
@@ -15,10 +15,12 @@
 
 /// Log messages of `banyan-serve` about a VM as a whole, which can affect every
 /// request on it.
-const VM_MESSAGES: [&str; 6] = [
+const VM_MESSAGES: [&str; 8] = [
     "configuration",
     "owners",
+    "store came back from an earlier copy, reading all again",
     "store lost",
+    "store objects replaced after a restore",
     "store regained",
     "stopping",
     "was suspended",
--- a/lib/src/serving/cluster/members.rs
+++ b/lib/src/serving/cluster/members.rs
@@ -56,9 +56,9 @@
 /// Until then it may use its own share of a limit in addition to what is lent.
 const REACHABLE_MISSED_BEACONS: u64 = 3;
 
-/// How long a VM that starts waits for the first beacon of another VM: a beacon
-/// interval and its delay.
-const FIRST_BEACON_WAIT: Span = Span::from_millis(500);
+/// How long a VM that starts waits for the first beacon of another VM: an interval
+/// until that one hears of it, an interval until its next beacon, and the delay.
+const FIRST_BEACON_WAIT: Span = Span::from_millis(900);
 
 /// The delay with which a busy VM sends or handles a beacon.
 const BEACON_DELAY_MARGIN: Span = Span::from_millis(100);
--- a/lib/src/serving/cluster/state.rs
+++ b/lib/src/serving/cluster/state.rs
@@ -313,7 +313,9 @@
         let active = self.active.clone().filter(|_| self.replicas_listed)?;
         let (newest, since) = self.peer_config;
         let outdated = active.config.version < newest && now.since(since) < MAX_CONFIG_WAIT;
-        if !self.has_served && (outdated || self.members.awaits_peers(now)) {
+        // A store that never came back from a copy has the newest one.
+        let may_lack = self.store_era() > Era::default();
+        if !self.has_served && may_lack && (outdated || self.members.awaits_peers(now)) {
             return None;
         }
         self.has_served = true;
--- a/lib/src/serving/decisions/fleet/mod.rs
+++ b/lib/src/serving/decisions/fleet/mod.rs
@@ -247,9 +247,18 @@
 
     /// Applies a replica's entry in the store. Returns whether it changed which
     /// replicas requests may use.
-    pub fn apply_listing(&mut self, mut listing: ReplicaInfo) -> bool {
+    pub fn apply_listing(&mut self, listing: ReplicaInfo) -> bool {
+        self.gone.remove(&listing.instance());
+        let name = listing.name.clone();
+        let changed = self.set_listing(listing);
+        if let Some(r) = self.replicas.get_mut(&name) {
+            r.confirm();
+        }
+        changed
+    }
+
+    fn set_listing(&mut self, mut listing: ReplicaInfo) -> bool {
         let instance = listing.instance();
-        self.gone.remove(&instance);
         // Leaving is final for an incarnation, whatever its entry says later.
         listing.draining |= self.leaving.contains(&instance);
         if listing.draining {
@@ -258,7 +267,6 @@
         match self.replicas.get_mut(&listing.name) {
             Some(r) if r.listing.started_ms == listing.started_ms => {
                 r.expired_at = None;
-                r.confirm();
                 // Draining is final for an incarnation.
                 listing.draining |= r.listing.draining;
                 let changed = r.listing.draining != listing.draining;
@@ -267,6 +275,7 @@
                 changed
             }
             Some(r) => {
+                self.gone.insert(r.listing.instance());
                 // Reports about the previous incarnation do not apply.
                 let reports = self.peers.values_mut();
                 for (_, loads) in reports {
@@ -299,7 +308,7 @@
             listing.name.clone(),
             self.gone.contains(&listing.instance()),
         );
-        let changed = self.apply_listing(listing);
+        let changed = self.set_listing(listing);
         if was_gone {
             let until = now.after(UNCONFIRMED_TIME);
             let withheld = Withheld {
--- a/lib/src/serving/store/follow.rs
+++ b/lib/src/serving/store/follow.rs
@@ -271,8 +271,11 @@
     };
     count_call(kind, answer.is_ok());
     let answer = answer?;
-    // The revision was given out again, and what follows it now is another history.
-    expect_era(node, revision.era)?;
+    if answer.revision.era != revision.era {
+        // The revision was given out again, and what follows it now is another
+        // history: a list replaces the state.
+        return Ok(false);
+    }
     log_unreadable(node, kind, answer.unreadable);
     let changes = answer.changes.into_iter().map(|c| (c.item, c.removed));
     let changes: Vec<_> = changes.collect();
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -51,6 +51,7 @@
 mod test_serving_replica_limits;
 mod test_serving_reservations;
 mod test_serving_rest;
+mod test_serving_restore;
 mod test_serving_retry_budget;
 mod test_serving_routes;
 mod test_serving_subscriptions;
--- a/lib/tests/test_operator_request_history.rs
+++ b/lib/tests/test_operator_request_history.rs
@@ -28,6 +28,25 @@
     ");
 }
 
+/// A route went by an old configuration while the store came back from a copy.
+#[test]
+fn render_includes_restore_of_store() {
+    let mut history = RequestHistory::new("r1");
+    history.add_log(
+        r#"
+{"msg":"store came back from an earlier copy, reading all again","ts":"2026-01-01T10:00:01.000Z","vm":"a","era":2,"old_era":1,"known":"1/89 1/90 1/90 1/91","config":22,"told_by":null}
+{"msg":"store objects replaced after a restore","ts":"2026-01-01T10:00:01.010Z","vm":"a","kind":"config","era":2,"old_revision":"1/89","revision":"2/63","missing":"","took_ms":10}
+{"msg":"store objects replaced after a restore","ts":"2026-01-01T10:00:01.010Z","vm":"b","kind":"config","era":2,"old_revision":"1/89","revision":"2/63","missing":"","took_ms":10}
+{"msg":"refused","ts":"2026-01-01T10:00:01.401Z","vm":"a","id":"r1","why":"no_route","status":404,"config":22}
+"#,
+    );
+    insta::assert_snapshot!(history.render(), @r"
+    10:00:01.000 a store came back from an earlier copy, reading all again config=22 era=2 known=1/89 1/90 1/90 1/91 old_era=1
+    10:00:01.010 a store objects replaced after a restore era=2 kind=config missing= old_revision=1/89 revision=2/63 took_ms=10
+    10:00:01.401 a refused config=22 status=404 why=no_route
+    ");
+}
+
 #[test]
 fn render_unknown_request() {
     let mut history = RequestHistory::new("r9");
--- a/lib/tests/test_serving_leaving.rs
+++ b/lib/tests/test_serving_leaving.rs
@@ -1,6 +1,8 @@
 //! Replicas that state that they leave get no requests, whatever the store and other VMs say
-//! before, between and after: a search over interleavings.
+//! before, between and after, and neither do replicas that were gone and that only a copy
+//! lists: a search over interleavings.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
 use banyangauge::pool::Moment;
@@ -18,6 +20,9 @@
 
 use super::test_serving_place::listing;
 
+/// How long a replica that was gone is not used while only a copy lists it.
+const UNCONFIRMED_MS: u64 = 6_000;
+
 fn at(ms: u64) -> Moment {
     Moment(10_000_000).after(Span::from_millis(ms))
 }
@@ -57,6 +62,10 @@
     left: BTreeSet<Instance>,
     /// Incarnations of which a peer or the store said so.
     drained: BTreeSet<Instance>,
+    /// Incarnations that were removed, and not listed since but by copies.
+    gone: BTreeSet<Instance>,
+    /// Until when those are not used that copies list.
+    unconfirmed: BTreeMap<Instance, u64>,
 }
 
 impl Scenario {
@@ -67,9 +76,24 @@
             now: 0,
             left: BTreeSet::new(),
             drained: BTreeSet::new(),
+            gone: BTreeSet::new(),
+            unconfirmed: BTreeMap::new(),
         }
     }
 
+    fn listed(&self) -> BTreeSet<Instance> {
+        self.fleet
+            .replica_infos()
+            .map(ReplicaInfo::instance)
+            .collect()
+    }
+
+    /// A replica wrote its entry.
+    fn confirm(&mut self, replica: &Instance) {
+        self.gone.remove(replica);
+        self.unconfirmed.remove(replica);
+    }
+
     fn draw(&mut self) -> Instance {
         Instance {
             name: ["i-1", "i-2", "i-3"][self.rng.random_range(0..3)]
@@ -82,7 +106,8 @@
     fn step(&mut self) {
         let replica = self.draw();
         self.now += self.rng.random_range(1..1_500);
-        match self.rng.random_range(0..10) {
+        let before = self.listed();
+        match self.rng.random_range(0..12) {
             0 => {
                 self.fleet.mark_leaving(&replica);
                 self.left.insert(replica);
@@ -103,20 +128,41 @@
             5 => {
                 let other = self.draw();
                 // Another incarnation comes and goes within the list.
-                if other.name == replica.name && other != replica {
+                let replaces = other.name == replica.name && other != replica;
+                if replaces {
                     self.drained.retain(|r| r.name != other.name);
                 }
+                self.confirm(&replica);
+                self.confirm(&other);
                 let all = [&replica, &other].map(|r| entry(r, false));
                 self.fleet.replace_listings(at(self.now), all.into(), false);
+                if replaces {
+                    self.gone.insert(replica);
+                }
             }
             6 => {
                 self.fleet.apply_listing(entry(&replica, true));
+                self.confirm(&replica);
                 self.left.insert(replica);
             }
+            7 | 8 => {
+                let now = at(self.now);
+                self.fleet.apply_copied_listing(now, entry(&replica, false));
+                if self.gone.contains(&replica) {
+                    let until = self.now + UNCONFIRMED_MS;
+                    self.unconfirmed.insert(replica, until);
+                }
+            }
             _ => {
                 self.fleet.apply_listing(entry(&replica, false));
+                self.confirm(&replica);
             }
         }
+        let gone = &before - &self.listed();
+        self.gone.extend(gone);
+        let (fleet, now) = (&self.fleet, self.now);
+        let waits = |r: &Instance, until: &mut u64| fleet.is_current(r) && *until > now;
+        self.unconfirmed.retain(waits);
         // A removed entry takes with it what peers have read in the store.
         let fleet = &self.fleet;
         self.drained.retain(|r| fleet.is_current(r));
@@ -129,7 +175,8 @@
         let mut scenario = Scenario::new(seed);
         for step in 0..100 {
             scenario.step();
-            for replica in scenario.left.union(&scenario.drained) {
+            let unconfirmed = scenario.unconfirmed.keys();
+            for replica in scenario.left.union(&scenario.drained).chain(unconfirmed) {
                 let used = is_used(&scenario.fleet, at(scenario.now), replica);
                 assert!(!used, "seed {seed}, step {step}: {replica:?} is used");
             }
@@ -144,13 +191,10 @@
         let mut scenario = Scenario::new(seed);
         for step in 0..100 {
             scenario.step();
-            let listed: Vec<_> = scenario
-                .fleet
-                .replica_infos()
-                .map(ReplicaInfo::instance)
-                .collect();
-            for replica in listed {
-                let left = scenario.left.contains(&replica) || scenario.drained.contains(&replica);
+            for replica in scenario.listed() {
+                let left = scenario.left.contains(&replica)
+                    || scenario.drained.contains(&replica)
+                    || scenario.unconfirmed.contains_key(&replica);
                 let used = is_used(&scenario.fleet, at(scenario.now), &replica);
                 assert!(
                     left || used,
