serving: the lender's answer is decided in the plain state

Whether a VM that stands in for a lender lends anything was decided beside the sending of datagrams, and the search over replicas' limits repeated it in its own words: with the line taken out of the product nothing turned red. It is LimitLedger::answer now, which both call.

--- a/lib/src/serving/decisions/replica_limits/ledger.rs
+++ b/lib/src/serving/decisions/replica_limits/ledger.rs
@@ -138,9 +138,32 @@
         account.stated.apply(now, sent, heard.rate)
     }
 
-    /// Lends tokens of a replica's limit; `reachable` and `first` are as in
-    /// [`Lender::lend`]. A VM that is not the first lender goes by the rate that the asking
-    /// VM has heard.
+    /// Answers a VM that asks for tokens of a replica's limit, after applying what it
+    /// reports; `reachable` and `first` are as in [`Lender::lend`].
+    ///
+    /// A VM that is not the first lender goes by the rate that the asking VM has heard.
+    /// Returns `None` if that VM has heard nothing: one that was only told of the limit
+    /// cannot say how large it is.
+    pub fn answer(
+        &mut self,
+        now: Moment,
+        replica: &Instance,
+        vm: (&VmName, Incarnation),
+        ask: (&Observation, LendRequest),
+        reachable: f64,
+        first: bool,
+    ) -> Option<LimitReply> {
+        let (heard, request) = ask;
+        if !first && heard.number == 0 {
+            return None;
+        }
+        if first {
+            self.apply_report(now, replica, vm, heard);
+        }
+        Some(self.lend(now, replica, reachable, first, request, heard.rate))
+    }
+
+    /// Lends tokens of a replica's limit.
     pub fn lend(
         &mut self,
         now: Moment,
--- a/lib/src/serving/path/limit.rs
+++ b/lib/src/serving/path/limit.rs
@@ -123,7 +123,8 @@
     }
     let withheld = state.fleet.withheld(now(), replica);
     let reason = withheld.map(|w| w.reason);
-    reason.filter(|reason| *reason == WithheldReason::Rest)
+    // A limit is checked by its tokens.
+    reason.filter(|reason| *reason != WithheldReason::Limit)
 }
 
 /// Withholds a replica from placement whose limit is exhausted for `after`.
@@ -238,16 +239,10 @@
     let lenders = state.members.lenders(at, replica_seed(&replica.name));
     let rank = lenders.iter().position(|l| **l == node.settings.vm)?;
     let reachable = state.members.reachable_fraction(at);
-    let first = rank == 0;
-    // A VM that was only told of the limit cannot say how large it is.
-    if !first && heard.number == 0 {
-        return None;
-    }
     let ledger = &mut state.limit_ledger;
     let before = ledger.rate(replica);
-    if first {
-        ledger.apply_report(at, replica, vm, heard);
-    }
+    let ask = (heard, request);
+    let reply = ledger.answer(at, replica, vm, ask, reachable, rank == 0);
     // A limit may change with each response; a new value is announced with the next beacon.
     if before.is_some() != ledger.rate(replica).is_some() {
         state.limits_changed = true;
@@ -255,8 +250,7 @@
         slog::info!(node.log, "lent limit changed"; "replica" => replica.name.as_str(),
             "born" => replica.started_ms, "per_second" => heard.rate, "told_by" => vm.0.as_str());
     }
-    let ledger = &mut state.limit_ledger;
-    Some(ledger.lend(at, replica, reachable, first, request, heard.rate))
+    reply
 }
 
 /// Answers another VM that asks for a token.
--- a/lib/tests/test_serving_replica_limit_search.rs
+++ b/lib/tests/test_serving_replica_limit_search.rs
@@ -14,6 +14,7 @@
 use banyangauge::serving::quota::LendRequest;
 use banyangauge::serving::quota::Spend;
 use banyangauge::serving::replica_limits::LimitLedger;
+use banyangauge::serving::replica_limits::LimitReply;
 use banyangauge::serving::replica_limits::Observation;
 use banyangauge::serving::replica_limits::Outcome;
 use banyangauge::serving::replica_limits::ReplicaLimits;
@@ -350,10 +351,9 @@
             else {
                 continue;
             };
-            if position > 0 && heard.number == 0 {
+            let Some(reply) = self.lend(ms, lender, i, position == 0, &heard, request) else {
                 continue;
-            }
-            let reply = self.lend(ms, lender, i, position == 0, &heard, request);
+            };
             if lender != i && self.lost() {
                 continue;
             }
@@ -377,7 +377,7 @@
         first: bool,
         heard: &Observation,
         request: LendRequest,
-    ) -> banyangauge::serving::replica_limits::LimitReply {
+    ) -> Option<LimitReply> {
         let vm = (
             self.vms[from].name.clone(),
             Incarnation(self.vms[from].incarnation),
@@ -389,10 +389,8 @@
         let lending = &mut self.vms[lender];
         let reachable = lending.members.reachable_fraction(at(ms));
         let ledger = &mut lending.ledger;
-        if first {
-            ledger.apply_report(at(ms), &replica(), (&vm.0, vm.1), &heard);
-        }
-        ledger.lend(at(ms), &replica(), reachable, first, request, heard.rate)
+        let (vm, ask) = ((&vm.0, vm.1), (&heard, request));
+        ledger.answer(at(ms), &replica(), vm, ask, reachable, first)
     }
 
     /// Spends a token of the VM's own share of the limit.
