lib tests: answers of an era that the store has left confirm nothing

Taken out of the product, the guard against late lists turned nothing red: the search looks at states, not at ages. Tests of ages, of the order in which VMs list, of what a copy lacks and of a store that goes back without an era.

--- a/lib/tests/test_serving_restore.rs
+++ b/lib/tests/test_serving_restore.rs
@@ -1,19 +1,26 @@
 //! What a VM knows after the store came back from an earlier copy.
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use banyangauge::ids::ReplicaName;
 use banyangauge::ids::VmName;
 use banyangauge::pool::Moment;
 use banyangauge::pool::Span;
 use banyangauge::serving::Era;
+use banyangauge::serving::Feed;
+use banyangauge::serving::FeedAction;
 use banyangauge::serving::Fleet;
+use banyangauge::serving::Item;
 use banyangauge::serving::Owner;
 use banyangauge::serving::OwnerTable;
 use banyangauge::serving::Ownership;
+use banyangauge::serving::PollPolicy;
 use banyangauge::serving::Recency;
 use banyangauge::serving::ReplicaInfo;
 use banyangauge::serving::StoreRevision;
+use banyangauge::serving::TopicChange;
+use banyangauge::serving::TopicUpdate;
 use rstest::rstest;
 
 use super::test_serving_place::listing;
@@ -163,3 +170,114 @@
     assert!(!fleet.apply_copied_listing(at(0), entry(1)));
     assert_eq!(fleet.started_ms(&replica()), Some(2));
 }
+
+/// A feed that knows all up to revision 90 of the first era, as of the start.
+fn feed() -> Feed {
+    let mut feed = Feed::new(PollPolicy {
+        max_staleness: Span::from_millis(2_000),
+        max_solo_wait: Duration::from_millis(4_500),
+        solo_pause: Duration::from_millis(250),
+        shared_pause: Duration::from_millis(150),
+        has_removals: true,
+    });
+    feed.apply_list(at(0), at(0), rev(1, 90), &[item("x", rev(1, 80))]);
+    feed
+}
+
+fn item(name: &str, revision: StoreRevision) -> Item {
+    Item {
+        revision,
+        ..Item::empty(name)
+    }
+}
+
+fn update(revision: StoreRevision, since: StoreRevision) -> TopicUpdate {
+    TopicUpdate {
+        revision,
+        as_of: at(3_000),
+        since,
+        changes: vec![TopicChange::new(item("y", revision), false, false)],
+    }
+}
+
+/// What was asked in an era that the store has left, or was told of it.
+#[rstest]
+#[case::list(|feed: &mut Feed| {
+    feed.apply_list(at(3_000), at(2_900), rev(1, 95), &[item("y", rev(1, 95))])
+})]
+#[case::watch(|feed: &mut Feed| {
+    let changes = vec![(item("y", rev(1, 95)), false)];
+    feed.apply_changes(at(3_000), at(2_900), Duration::ZERO, rev(1, 95), changes)
+})]
+#[case::update(|feed: &mut Feed| feed.apply_update(at(3_000), update(rev(1, 95), rev(1, 90))))]
+#[case::known_update(|feed: &mut Feed| {
+    feed.apply_update(at(3_000), update(rev(1, 90), rev(1, 90)))
+})]
+fn answer_of_left_era_confirms_nothing(
+    #[case] answer: impl Fn(&mut Feed) -> Vec<TopicChange>,
+    #[values(false, true)] read: bool,
+) {
+    let mut feed = feed();
+    feed.begin_era(at(1_000), Era(2));
+    if read {
+        feed.apply_list(at(1_100), at(1_100), rev(2, 60), &[]);
+    }
+    let (revision, age) = (feed.revision(), feed.age(at(3_000)));
+    assert!(answer(&mut feed).is_empty());
+    assert_eq!((feed.revision(), feed.age(at(3_000))), (revision, age));
+}
+
+/// An answer on a revision that was given out again is of another history.
+#[test]
+fn watch_of_revision_given_out_again_is_followed_by_list() {
+    let mut feed = feed();
+    let changes = vec![(item("y", rev(2, 95)), false)];
+    let changes = feed.apply_changes(at(100), at(100), Duration::ZERO, rev(2, 95), changes);
+    assert!(changes.is_empty());
+    assert_eq!(feed.next_action(at(100), None), FeedAction::List);
+    assert!(feed.outgoing_update(at(100), Some(0)).is_none());
+}
+
+/// The first VM in polling order lists at once, the others if its list does not arrive.
+#[rstest]
+#[case::each_for_itself(None, 0)]
+#[case::first(Some(0), 0)]
+#[case::last(Some(16), 800)]
+fn restored_store_is_listed_in_turn(#[case] rank: Option<u64>, #[case] wait: u64) {
+    let mut feed = feed();
+    feed.record_failure(at(900), rank);
+    feed.begin_era(at(1_000), Era(2));
+    let due = at(1_000 + wait);
+    if wait > 0 {
+        assert_eq!(feed.next_action(at(1_000), rank), FeedAction::Wait(due));
+    }
+    assert_eq!(feed.next_action(due, rank), FeedAction::List);
+}
+
+/// What a copy lacks is written again, or is gone.
+#[test]
+fn object_missing_in_copy_may_return() {
+    let mut feed = feed();
+    let changes = feed.apply_list(at(100), at(100), rev(2, 60), &[item("z", rev(2, 50))]);
+    let [z, x] = changes.as_slice() else {
+        panic!("{changes:?}");
+    };
+    assert!(z.copied && !z.removed);
+    assert!(x.removed && x.missing_after_outage);
+}
+
+/// A store that states no era and goes back is not asked again and again.
+#[test]
+fn list_that_goes_back_is_not_repeated_at_once() {
+    let mut feed = feed();
+    feed.mark_history_expired();
+    assert!(
+        feed.apply_list(at(100), at(100), rev(1, 60), &[])
+            .is_empty()
+    );
+    assert!(matches!(
+        feed.next_action(at(100), None),
+        FeedAction::Wait(_)
+    ));
+    assert_eq!(feed.age(at(100)), Some(Span::from_millis(100)));
+}
