lib tests: what VMs share after a restore, and who may continue from it

Guards of the feed that turned nothing red when taken out: that only a VM with exactly the same state and nothing beyond it continues, that one with a change beyond its state lets no other continue, that what is shared restarts with the era, and that an outdated state is not sent on. Each has a test.

--- a/lib/tests/test_serving_restore.rs
+++ b/lib/tests/test_serving_restore.rs
@@ -281,3 +281,104 @@
     ));
     assert_eq!(feed.age(at(100)), Some(Span::from_millis(100)));
 }
+
+/// A feed that polls for others, and shares a change.
+fn sharing_feed() -> Feed {
+    let mut feed = feed();
+    let changes = vec![(item("x", rev(1, 95)), false)];
+    for change in feed.apply_changes(at(10), at(0), Duration::ZERO, rev(1, 95), changes) {
+        feed.share(at(10), change);
+    }
+    feed
+}
+
+/// What is known of an era that the store has left is not sent on.
+#[test]
+fn outdated_state_is_not_shared() {
+    let mut feed = sharing_feed();
+    assert!(feed.outgoing_update(at(20), Some(0)).is_some());
+    feed.begin_era(at(20), Era(2));
+    assert!(feed.outgoing_update(at(20), Some(0)).is_none());
+}
+
+/// Of the changes that are still being shared none is of the era before.
+#[rstest]
+#[case::list(|feed: &mut Feed| {
+    feed.apply_list(at(30), at(20), rev(2, 60), &[])
+})]
+#[case::update(|feed: &mut Feed| {
+    let mut answered = sharing_feed();
+    let changes = answered.apply_list(at(30), at(20), rev(2, 60), &[]);
+    changes.into_iter().for_each(|c| answered.share(at(30), c));
+    let update = answered.outgoing_update(at(30), Some(0)).unwrap();
+    feed.apply_update(at(30), update)
+})]
+fn shared_history_restarts_with_the_era(#[case] restore: impl Fn(&mut Feed) -> Vec<TopicChange>) {
+    let mut feed = sharing_feed();
+    for change in restore(&mut feed) {
+        feed.share(at(30), change);
+    }
+    let update = feed.outgoing_update(at(40), Some(0)).unwrap();
+    assert_eq!((update.revision, update.since), (rev(2, 60), rev(1, 95)));
+    let eras: Vec<_> = update.changes.iter().map(|c| c.item.revision.era).collect();
+    assert_eq!(eras, [Era(2)]);
+}
+
+/// A VM with a change beyond its state, which may be one that the store lost.
+fn feed_with_change_ahead() -> Feed {
+    let mut feed = feed();
+    let ahead = TopicUpdate {
+        changes: vec![TopicChange::new(item("x", rev(1, 95)), false, false)],
+        ..update(rev(1, 95), rev(1, 93))
+    };
+    assert_eq!(feed.apply_update(at(10), ahead).len(), 1);
+    assert_eq!(feed.revision(), rev(1, 90));
+    feed
+}
+
+#[test]
+fn vm_with_change_ahead_does_not_follow_restored_state() {
+    let restored = TopicUpdate {
+        changes: Vec::new(),
+        ..update(rev(2, 60), rev(1, 90))
+    };
+    let mut exact = feed();
+    exact.apply_update(at(20), restored.clone());
+    assert_eq!(exact.revision(), rev(2, 60));
+    let mut ahead = feed_with_change_ahead();
+    ahead.apply_update(at(20), restored);
+    assert_eq!(ahead.revision(), rev(1, 90));
+}
+
+#[test]
+fn vm_with_change_ahead_lets_no_other_follow() {
+    let mut ahead = feed_with_change_ahead();
+    let copy = [item("x", rev(1, 80)), item("z", rev(2, 50))];
+    for change in ahead.apply_list(at(20), at(20), rev(2, 60), &copy) {
+        // Of `x` it knows more than the others, so it takes nothing new from the copy.
+        if change.item.name != "x" {
+            ahead.share(at(20), change);
+        }
+    }
+    let update = ahead.outgoing_update(at(30), Some(0)).unwrap();
+    let mut other = feed();
+    other.apply_update(at(30), update);
+    assert!(other.has_gap());
+}
+
+/// A VM that knew more of the era before, or less, asks the store.
+#[rstest]
+#[case::less(80)]
+#[case::more(99)]
+fn vm_with_another_state_does_not_follow(#[case] number: u64) {
+    let mut other = Feed::new(PollPolicy {
+        max_staleness: Span::from_millis(2_000),
+        max_solo_wait: Duration::from_millis(4_500),
+        solo_pause: Duration::from_millis(250),
+        shared_pause: Duration::from_millis(150),
+        has_removals: true,
+    });
+    other.apply_list(at(0), at(0), rev(1, number), &[]);
+    other.apply_update(at(20), update(rev(2, 60), rev(1, 90)));
+    assert!(other.has_gap());
+}
