--- a/lib/tests/test_serving_restore.rs
+++ b/lib/tests/test_serving_restore.rs
@@ -65,6 +65,7 @@
     let mut own = Ownership::new(vm.parse().unwrap(), LEASE, fenced);
     own.apply_table(at(0), first.clone(), rev(1, 5));
     own.apply_table(at(10), later, rev(1, 9));
+    own.confirm(at(19_900), Era(1));
     assert!(!own.apply_table(at(20_000), first, rev(2, 5)));
     own
 }
@@ -119,7 +120,6 @@
     #[case] expected: Option<()>,
 ) {
     let mut own = restored("b", false);
-    own.confirm(at(20_000), Era(1));
     assert_eq!(own.token(at(20_000), &replica()), None, "of an earlier era");
     let table = propose(&mut own, 21_200).or_else(|| propose(&mut own, 22_400));
     assert!(own.apply_table(at(20_000), table.unwrap(), rev(2, 6)));
