--- a/lib/tests/test_serving_restore.rs
+++ b/lib/tests/test_serving_restore.rs
@@ -131,6 +131,40 @@
     assert_eq!(token.map(|_| ()), expected);
 }
 
+/// A confirmation counts for a table of its own era, whoever it comes from.
+#[rstest]
+#[case::same(|own: &mut Ownership| own.confirm(at(20), Era(1)), true)]
+#[case::store_of_later_era(|own: &mut Ownership| own.confirm(at(20), Era(2)), false)]
+#[case::peer_of_earlier_era(|own: &mut Ownership| own.confirm_from_peer(rev(0, 5), at(20), 0), false)]
+fn confirmation_counts_within_its_era(
+    #[case] confirm: impl Fn(&mut Ownership),
+    #[case] counts: bool,
+) {
+    let (_, later) = tables();
+    let mut own = Ownership::new("b".parse().unwrap(), LEASE, false);
+    own.apply_table(at(10), later, rev(1, 9));
+    confirm(&mut own);
+    assert_eq!(own.token(at(30), &replica()).is_some(), counts);
+}
+
+/// What is stored in the new era is not known before it was read.
+#[rstest]
+#[case::lost(false)]
+#[case::older(true)]
+fn proposal_waits_until_the_era_is_read(#[case] found: bool) {
+    let (first, later) = tables();
+    let mut own = Ownership::new("a".parse().unwrap(), LEASE, true);
+    own.apply_table(at(0), later, rev(1, 9));
+    own.begin_era(Era(2));
+    assert_eq!(propose(&mut own, 100), None);
+    match found {
+        true => assert!(!own.apply_table(at(200), first, rev(2, 5))),
+        false => own.mark_read(Era(2), false),
+    }
+    assert!(propose(&mut own, 200).is_some());
+    assert_eq!(own.stored().is_some(), found);
+}
+
 /// A write of the era before landed on a revision that was given out again.
 #[test]
 fn table_overwritten_by_late_write_is_put_back() {
