--- a/lib/tests/test_serving_restore.rs
+++ b/lib/tests/test_serving_restore.rs
@@ -178,6 +178,21 @@
     assert_eq!(propose(&mut own, 20_400), Some(table));
 }
 
+/// The table that was overwritten is newer than the one known here, so terms that it may
+/// have granted are skipped.
+#[test]
+fn unknown_table_overwritten_by_late_write_keeps_its_terms() {
+    let (first, _) = tables();
+    let mut own = restored("a", true);
+    let table = propose(&mut own, 20_000).unwrap();
+    own.apply_table(at(20_100), table.clone(), rev(2, 6));
+    own.record_peer_revision(at(20_200), &"b".parse().unwrap(), rev(2, 7));
+    own.apply_table(at(20_300), first, rev(2, 8));
+    assert_eq!(propose(&mut own, 20_400), None);
+    let replaced = propose(&mut own, 26_400).unwrap();
+    assert!(replaced.term.0 > table.term.0 + 1, "{replaced:?}");
+}
+
 /// The store may lack a configuration that revoked keys until the operator wrote it again.
 #[rstest]
 #[case::at_once(100, false)]
