--- a/lib/src/serving/path/prefill.rs
+++ b/lib/src/serving/path/prefill.rs
@@ -64,6 +64,7 @@
             number,
             replica: replica.to_string(),
             tokens,
+            rank: 0,
         };
         send_message(node, &owner, Body::TurnAsk(ask)).await;
     }
--- a/lib/src/serving/path/types.rs
+++ b/lib/src/serving/path/types.rs
@@ -134,6 +134,44 @@
     pub public: bool,
 }
 
+/// How urgent a request is: lower ranks go first.
+///
+/// The priority of the organisation goes before that of the route.
+///
+/// ```
+/// use banyangauge::serving::Rank;
+/// let urgent_route = Rank { organisation: 1, route: 0 };
+/// let urgent_organisation = Rank { organisation: 0, route: 2 };
+/// assert!(urgent_organisation < urgent_route);
+/// ```
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Rank {
+    /// Priority of the organisation; 0 is the most urgent, and the value without
+    /// organisations.
+    pub organisation: u32,
+    /// Priority of the route; 0 is the most urgent.
+    pub route: u32,
+}
+
+impl Rank {
+    /// Routes of one organisation that are told apart on the wire.
+    const ROUTES: u32 = 256;
+
+    /// Returns the rank as a number in the same order, for messages to other VMs.
+    pub fn to_wire(self) -> u32 {
+        let organisation = self.organisation.min(u32::MAX / Self::ROUTES - 1);
+        organisation * Self::ROUTES + self.route.min(Self::ROUTES - 1)
+    }
+
+    /// Returns the rank that [`Rank::to_wire`] encoded.
+    pub fn from_wire(rank: u32) -> Self {
+        Self {
+            organisation: rank / Self::ROUTES,
+            route: rank % Self::ROUTES,
+        }
+    }
+}
+
 impl Route {
     /// Returns whether a request may run more than once.
     pub fn idempotent(&self) -> bool {
--- a/lib/src/serving/peers/beacons.rs
+++ b/lib/src/serving/peers/beacons.rs
@@ -266,6 +266,7 @@
         token: token.0,
         slots: slots.collect(),
         born: state.planner.started_ms(name)?,
+        vacant: None,
     })
 }
 
@@ -458,6 +459,7 @@
         vm: node.settings.vm.to_string(),
         replica: replica.to_string(),
         target: target.to_string(),
+        ..wire::Wish::default()
     };
     let datagram = wire::Datagram {
         body: Some(Body::Wish(wish)),
--- a/lib/src/serving/peers/load_reports.rs
+++ b/lib/src/serving/peers/load_reports.rs
@@ -117,6 +117,7 @@
             unread: load.prefill,
             uses: encode_uses(&uses),
             born: state.fleet.started_ms(&name).unwrap_or_default(),
+            prefill_rate: 0,
         });
     }
     flights
@@ -144,6 +145,7 @@
         tokens: load.tokens,
         unread: load.prefill,
         born: state.fleet.started_ms(name)?,
+        prefill_rate: 0,
     })
 }
 
--- a/lib/src/serving/program/experiment.rs
+++ b/lib/src/serving/program/experiment.rs
@@ -58,6 +58,25 @@
     /// Beacons are sent once to each other availability zone and relayed there; without it each
     /// VM sends its own to all VMs.
     ZoneRelays,
+    /// The ranks of organisations and routes decide who goes first, and engines are told.
+    Ranks,
+    /// Requests that wait for a replica are tried in order, by rank and time left; without it
+    /// all of them try at each wake-up.
+    WaitOrder,
+    /// Requests are refused at arrival if those before them will not leave in time.
+    EarlyRefusals,
+    /// Load requests are served by what waits for them; without it in order of arrival.
+    LoadOrder,
+    /// Owners count the runs that they grant as uses, so that an adapter may be evicted sooner
+    /// after its last use.
+    GrantedUses,
+    /// Owners report how many adapters could be loaded at once, and rare adapters are loaded
+    /// where that is possible.
+    Vacancies,
+    /// The timeout for the response to an order follows from the observed response times.
+    OrderTimeouts,
+    /// The prefill speed of each replica is observed; without it all are taken as equal.
+    ReplicaSpeeds,
 }
 
 /// The table `experiment` of a settings file: the mechanisms to switch off.
