--- a/lib/src/serving/path/serve.rs
+++ b/lib/src/serving/path/serve.rs
@@ -70,6 +70,13 @@
 /// response is complete by then and can still be retried if it breaks off.
 const READ_AHEAD_BYTES: usize = 64 << 10;
 
+/// Maximum wait for the first configuration after the start of the process. A VM that has
+/// not read it by then cannot reach the store, and its callers should try another VM.
+const MAX_CONFIG_WAIT: Duration = Duration::from_millis(250);
+
+/// Interval at which a request checks for the first configuration.
+const CONFIG_POLL: Duration = Duration::from_millis(5);
+
 /// `Retry-After` for a request that is blocked because it crashes its upstreams.
 const BLOCKED_RETRY_AFTER: Duration = Duration::from_secs(30);
 
@@ -162,8 +169,7 @@
     if node.phase() == Phase::Draining {
         return Err(Refusal::not_run("stopping", Duration::ZERO));
     }
-    let active = node.state().serving_config(now());
-    let active = active.ok_or(Refusal::not_run("no_configuration", RETRY_DELAY))?;
+    let active = wait_for_config(node, info.timeout, arrived).await?;
     let (head, body) = request.into_parts();
     let routed = find_route(&active, &head.uri, &head.headers, &info)?;
     let organisation = authorize(node, &active, &routed, &info)?;
@@ -200,6 +206,28 @@
     run_request(node, Rc::new(routed), req, arrived, in_flight).await
 }
 
+/// Returns the configuration to serve a request with. A VM that has just started waits for
+/// it: reading it takes a few milliseconds, while a caller that is refused stays away for
+/// `RETRY_DELAY`.
+async fn wait_for_config(
+    node: &Node,
+    timeout: Option<Duration>,
+    arrived: Moment,
+) -> Result<Rc<ActiveConfig>, Refusal> {
+    let patience = timeout.map_or(MAX_CONFIG_WAIT, |t| (t / 3).min(MAX_CONFIG_WAIT));
+    let deadline = arrived.after(to_span(patience));
+    loop {
+        let at = now();
+        if let Some(active) = node.state().serving_config(at) {
+            return Ok(active);
+        }
+        if at >= deadline || node.phase() != Phase::Serving {
+            return Err(Refusal::not_run("no_configuration", RETRY_DELAY));
+        }
+        tokio::time::sleep(CONFIG_POLL).await;
+    }
+}
+
 /// Finds the route of a request and picks one of its services.
 fn find_route(
     active: &ActiveConfig,
