operator: account for requests, waits, loads and orders from log lines

Cause: the log lines of all VMs answer why one request was slow, but not how many requests of a route or rank were late, refused or failed, and what they waited for.

Change: `banyan account LOG...` reads the lines of all VMs to typed records and counts requests by outcome, waits by part, loads and orders: in all, by route, by rank and by tenth of the time covered, as text or JSON. A request is one arrival of an ID at a VM and has one outcome, so the outcomes add up to the requests seen. No line is added for requests that were answered in time without a wait; the output says that they are in no count. Lines that cannot be read are counted by cause. `banyan why` prints the parts of a wait.

--- a/cli/src/bin/banyan.rs
+++ b/cli/src/bin/banyan.rs
@@ -11,9 +11,12 @@
 /// system refused a command.
 const USAGE_EXIT_CODE: u8 = 2;
 
+/// Path of standard input.
+const STANDARD_INPUT: &str = "/dev/stdin";
+
 fn main() -> ExitCode {
     let arguments: Vec<_> = std::env::args().skip(1).collect();
-    let arguments: Vec<_> = arguments.iter().map(String::as_str).collect();
+    let arguments = expand_input(&arguments);
     let command = match commands::Banyan::from_args(&["banyan"], &arguments) {
         Ok(command) => command,
         Err(exit) => {
@@ -47,3 +50,16 @@
         }
     }
 }
+
+/// Replaces the file name `-` of the commands that read logs, which `argh` takes for an
+/// option, by the path of standard input.
+fn expand_input(arguments: &[String]) -> Vec<&str> {
+    let command = arguments.iter().position(|a| a == "account" || a == "why");
+    let files = command.unwrap_or(arguments.len());
+    let expand = |at, argument| match argument {
+        "-" if at > files => STANDARD_INPUT,
+        argument => argument,
+    };
+    let arguments = arguments.iter().map(String::as_str).enumerate();
+    arguments.map(|(at, a)| expand(at, a)).collect()
+}
--- a/cli/src/commands/mod.rs
+++ b/cli/src/commands/mod.rs
@@ -1,5 +1,6 @@
 //! The commands of `banyan`, one per module.
 
+mod account;
 mod adapters;
 mod check_settings;
 mod confirm;
@@ -70,6 +71,7 @@
     Timeline(timeline::Timeline),
     CheckSettings(check_settings::CheckSettings),
     Why(why::Why),
+    Account(account::Account),
 }
 
 /// Why a command failed.
@@ -115,6 +117,7 @@
         match &self.command {
             Command::CheckSettings(command) => return command.run(),
             Command::Why(command) => return command.run(),
+            Command::Account(command) => return command.run(),
             _ => {}
         }
         let client = self.client()?;
@@ -128,6 +131,7 @@
             Command::Timeline(c) => c.run(&client).await,
             Command::CheckSettings(c) => c.run(),
             Command::Why(c) => c.run(),
+            Command::Account(c) => c.run(),
         }
     }
 
--- a/cli/src/commands/why.rs
+++ b/cli/src/commands/why.rs
@@ -15,7 +15,7 @@
     /// request ID, as the caller sent it
     #[argh(positional)]
     id: String,
-    /// log files; standard input by default
+    /// log files, - for standard input; standard input by default
     #[argh(positional)]
     files: Vec<PathBuf>,
 }
--- a/cli/tests/runner.rs
+++ b/cli/tests/runner.rs
@@ -6,6 +6,7 @@
 )]
 
 mod promise;
+mod test_account;
 mod test_banyan;
 mod test_convicted;
 mod test_output;
--- a/lib/src/operator/mod.rs
+++ b/lib/src/operator/mod.rs
@@ -1,6 +1,7 @@
 //! Operator tooling: a client of the control processes, parsing of intents and
 //! settings, and the output of `banyan`.
 
+mod account;
 mod client;
 mod html;
 mod input;
@@ -9,6 +10,22 @@
 mod render;
 mod request_history;
 
+pub use account::Account;
+pub use account::Groups;
+pub use account::LateCounts;
+pub use account::LeftCounts;
+pub use account::LineCounts;
+pub use account::LoadCounts;
+pub use account::LogAccount;
+pub use account::OrderTally;
+pub use account::RankLabel;
+pub use account::RefusalTally;
+pub use account::RequestTally;
+pub use account::Samples;
+pub use account::TimeUs;
+pub use account::WaitTally;
+pub use account::account_json;
+pub use account::account_text;
 pub use client::Client;
 pub use client::ClientError;
 pub use client::MergedTimeline;
--- a/lib/src/operator/request_history.rs
+++ b/lib/src/operator/request_history.rs
@@ -6,6 +6,8 @@
 
 use serde_json::Value;
 
+use super::account::WAIT_PARTS;
+
 /// How long before the request's first log line an event of one of its replicas
 /// or adapters still counts as related.
 const LOOKBACK_MS: i64 = 5_000;
@@ -117,7 +119,7 @@
     let shown = l
         .fields
         .iter()
-        .filter(|(k, _)| !HIDDEN_FIELDS.contains(&k.as_str()));
+        .filter(|(k, _)| !HIDDEN_FIELDS.contains(&k.as_str()) && !is_wait_part(k));
     for (key, value) in shown.filter(|(_, v)| !v.is_null()) {
         let value = value
             .as_str()
@@ -126,9 +128,37 @@
         write!(rendered, " {key}={value}").ok();
     }
     rendered.push('\n');
+    rendered += &render_wait(l).unwrap_or_default();
     rendered
 }
 
+fn is_wait_part(key: &str) -> bool {
+    WAIT_PARTS.iter().any(|(part, _)| *part == key)
+}
+
+/// Renders the parts of a wait in milliseconds, in a line of their own; `None` if the line
+/// states none. `other` is the rest of `waited_ms`.
+fn render_wait(l: &LogLine) -> Option<String> {
+    let value = |key: &str| l.fields.get(key).and_then(Value::as_u64);
+    let parts = WAIT_PARTS
+        .iter()
+        .filter_map(|(key, name)| Some((*name, value(key)?)));
+    let parts: Vec<(&str, u64)> = parts.collect();
+    if parts.is_empty() {
+        return None;
+    }
+    let sum = parts
+        .iter()
+        .fold(0, |sum: u64, (_, ms)| sum.saturating_add(*ms));
+    let rest = value("waited_ms").unwrap_or(sum).saturating_sub(sum);
+    let shown = parts.into_iter().chain([("other", rest)]);
+    let shown: Vec<String> = shown
+        .filter(|(_, ms)| *ms > 0)
+        .map(|(name, ms)| format!("{name} {ms} ms"))
+        .collect();
+    (!shown.is_empty()).then(|| format!("    wait: {}\n", shown.join(", ")))
+}
+
 fn field<'a>(l: &'a LogLine, key: &str) -> Option<&'a str> {
     l.fields.get(key).and_then(Value::as_str)
 }
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -20,6 +20,7 @@
 mod test_lease_elector;
 mod test_link_tls;
 mod test_members_table;
+mod test_operator_account;
 mod test_operator_request_history;
 mod test_owner_evict;
 mod test_owner_requests;
