serving: log resumed responses and which objective a stream missed

Cause: a response that broke off and was resumed in time had the same lines as one that could not be resumed, and the line of a late stream has no objectives, so neither could be counted from the logs.

Change: a line `response resumed` (rare: one per resumption), and the key `late` with `first`, `pause` or `both`.

--- a/lib/src/serving/path/response.rs
+++ b/lib/src/serving/path/response.rs
@@ -281,6 +281,9 @@
         );
         match next.await {
             Ok(started) => {
+                slog::info!(self.node.log, "response resumed"; "id" => &self.request.id,
+                    "replica" => started.run.replica.as_str(),
+                    "route" => &self.routed.route.name);
                 self.response = Some(started);
                 Ok(())
             }
@@ -311,12 +314,18 @@
                     "id" => &self.request.id, "pause_ms" => self.timing.longest_gap.as_millis());
             }
         }
-        if self.events.is_some() && (stalled || exceeds(self.timing.first_byte, route.objective)) {
+        let late = match (exceeds(self.timing.first_byte, route.objective), stalled) {
+            (true, true) => Some("both"),
+            (true, false) => Some("first"),
+            (false, true) => Some("pause"),
+            (false, false) => None,
+        };
+        if let (Some(_), Some(late)) = (&self.events, late) {
             let replica = self.response.as_ref().map(|r| r.run.replica.as_str());
             slog::info!(self.node.log, "stream missed its latency objective";
                 "id" => &self.request.id, "replica" => replica,
                 "route" => &route.name, "first_ms" => self.timing.first_byte.as_millis(),
-                "pause_ms" => self.timing.longest_gap.as_millis(),
+                "pause_ms" => self.timing.longest_gap.as_millis(), "late" => late,
                 "prompt" => self.request.cost.tokens);
         }
     }
