serving: learn the timeout of orders from the response times of each replica

Cause: an order without a response was repeated after 80 ms, while replicas answer within a few milliseconds. Orders are sent one at a time, so each missing response delays all loads at the replica.

Doublings are counted apart from the orders after which the report is read, so that a replica that has become slow is still waited for long enough. `order_timeouts` switches it off.

--- a/lib/src/serving/decisions/adapter_planner/mod.rs
+++ b/lib/src/serving/decisions/adapter_planner/mod.rs
@@ -17,6 +17,7 @@
 use crate::serving::path::types::ReplicaInfo;
 use crate::serving::path::types::Target;
 use crate::serving::program::experiment::Experiment;
+use crate::serving::program::experiment::Mechanism;
 
 pub use order::LoadDuration;
 pub use order::OrderOutcome;
@@ -33,6 +34,7 @@
     model_rate: LoadRateLimit,
     /// Fetches in flight at all replicas, as far as known.
     in_flight: usize,
+    experiment: Experiment,
 }
 
 /// Limits how often this VM has model weights loaded from the weight store, which
@@ -55,6 +57,7 @@
     /// Applies the mechanisms that are switched off.
     pub fn set_experiment(&mut self, experiment: &Experiment) {
         self.fetch_limiter.set_experiment(experiment);
+        self.experiment = experiment.clone();
     }
 
     /// Starts or updates the plan of a replica that this VM owns and that may hold
@@ -180,6 +183,7 @@
             }
             _ => None,
         };
+        plan.ordered_at = now;
         plan.busy = action.is_some();
         action
     }
@@ -206,9 +210,10 @@
             .for_each(|p| p.report_delay = report_delay);
     }
 
-    /// Returns how many consecutive orders a replica left unanswered.
-    pub fn unanswered(&self, name: &ReplicaName) -> u32 {
-        self.plans.get(name).map_or(0, |p| p.unanswered)
+    /// Returns how long to wait for a replica's response to an order.
+    pub fn answer_timeout(&self, name: &ReplicaName) -> Span {
+        let timeout = self.plans.get(name).map(|p| p.timeout);
+        timeout.unwrap_or_default().current()
     }
 
     /// Returns when [`AdapterPlanner::next_action`] should be called again if
@@ -244,6 +249,9 @@
         let poll_delay = self.fetch_limiter.first_check_delay();
         let plan = self.plans.get_mut(name)?;
         plan.busy = false;
+        if self.experiment.is_enabled(Mechanism::OrderTimeouts) && outcome.is_response() {
+            plan.timeout.record_response(now.since(plan.ordered_at));
+        }
         let was_fetch = matches!(action, ReplicaAction::Load { target, .. } if plan.is_cached(target) == Some(false));
         let duration = plan.apply_outcome(now, action, outcome, poll_delay);
         if let Some(duration) = duration.filter(|_| was_fetch) {
--- a/lib/src/serving/decisions/adapter_planner/order.rs
+++ b/lib/src/serving/decisions/adapter_planner/order.rs
@@ -49,6 +49,12 @@
 }
 
 impl OrderOutcome {
+    /// Returns whether the replica answered. An order may also be refused by its sender, in
+    /// no time.
+    pub(super) fn is_response(self) -> bool {
+        !matches!(self, Self::Unknown | Self::Refused)
+    }
+
     /// Name used in logs and metrics. Operators and metrics read these texts, so they
     /// stay the same when a variant is renamed.
     pub fn as_str(self) -> &'static str {
--- a/lib/src/serving/decisions/adapter_planner/replica_plan.rs
+++ b/lib/src/serving/decisions/adapter_planner/replica_plan.rs
@@ -14,6 +14,7 @@
 use crate::pool::Span;
 use crate::serving::decisions::fleet::Residency;
 use crate::serving::decisions::fleet::Versions;
+use crate::serving::decisions::order_timeout::OrderTimeout;
 use crate::serving::path::types::ReplicaInfo;
 use crate::serving::path::types::Target;
 
@@ -145,7 +146,11 @@
     /// Whether its contents changed since they were last reported.
     pub(super) changed: bool,
     /// Consecutive orders without a response.
-    pub(super) unanswered: u32,
+    unanswered: u32,
+    /// When the last action was returned.
+    pub(super) ordered_at: Moment,
+    /// How long to wait for the response to an order.
+    pub(super) timeout: OrderTimeout,
     /// Adapters that it held recently, the latest last.
     cached: VecDeque<Target>,
     /// Whether the model weights are in the replica's own memory or on its disk,
@@ -184,6 +189,8 @@
             busy: false,
             changed: true,
             unanswered: 0,
+            ordered_at: now,
+            timeout: OrderTimeout::default(),
             cached: VecDeque::new(),
             weights_cached: false,
             owned_since: now,
@@ -500,8 +507,12 @@
         outcome: OrderOutcome,
         poll_delay: Span,
     ) -> Option<LoadDuration> {
-        if outcome != OrderOutcome::Unknown {
-            self.unanswered = 0;
+        match outcome {
+            OrderOutcome::Unknown => self.timeout.record_unanswered(),
+            _ => {
+                self.unanswered = 0;
+                self.timeout.reset_doublings();
+            }
         }
         match outcome {
             OrderOutcome::Accepted => {
--- a/lib/src/serving/decisions/mod.rs
+++ b/lib/src/serving/decisions/mod.rs
@@ -5,6 +5,7 @@
 pub(super) mod crash_tracker;
 pub(super) mod fetch_limiter;
 pub(super) mod fleet;
+pub(super) mod order_timeout;
 pub(super) mod prefill_turns;
 pub mod quota;
 pub mod replica_limits;
--- a/lib/src/serving/mod.rs
+++ b/lib/src/serving/mod.rs
@@ -47,6 +47,7 @@
 pub use decisions::crash_tracker::CrashTracker;
 pub use decisions::fetch_limiter::FetchLimiter;
 pub use decisions::fleet::*;
+pub use decisions::order_timeout::OrderTimeout;
 pub use decisions::prefill_turns::MAX_TURN_WAIT;
 pub use decisions::prefill_turns::PrefillTurns;
 pub use decisions::prefill_turns::TurnId;
--- a/lib/src/serving/program/orders.rs
+++ b/lib/src/serving/program/orders.rs
@@ -27,16 +27,9 @@
 use crate::upstream::BodyChunks;
 use crate::upstream::read_body;
 
-/// Maximum timeout for the response to an order, and the timeout for a report.
+/// Timeout for a report, and for the response to an order if orders are not repeated.
 const MAX_ANSWER_TIMEOUT: Duration = Duration::from_millis(800);
 
-/// Initial timeout for the response to an order: replicas accept one at once and are a few
-/// milliseconds away. It doubles with each consecutive order without a response. With twelve
-/// replicas that left a third of their orders unanswered, three periods of two seconds gave
-/// 12, 13 and 19 loads with a timeout of 0.8 s and a report fetched after it, and 70, 67 and
-/// 89 loads with this timeout.
-const FIRST_ANSWER_TIMEOUT: Duration = Duration::from_millis(80);
-
 /// Maximum size of a report in bytes.
 const MAX_REPORT_BYTES: usize = 256 << 10;
 
@@ -50,9 +43,6 @@
 /// Minimum pause between loads: the window over which the weight store applies its rate.
 const MIN_LOAD_PAUSE: Span = Span::from_millis(5_000);
 
-/// Number of doublings after which `MAX_ANSWER_TIMEOUT` applies anyway.
-const MAX_DOUBLINGS: u32 = 4;
-
 /// Interval at which owned replicas are checked without a wake-up.
 const CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -231,9 +221,8 @@
     if node.state().ownership.token(now(), name) != Some(token) {
         return OrderOutcome::Refused;
     }
-    let unanswered = node.state().planner.unanswered(name).min(MAX_DOUBLINGS);
     let timeout = match node.settings.experiment.is_enabled(Mechanism::OrderRepeats) {
-        true => (FIRST_ANSWER_TIMEOUT * (1 << unanswered)).min(MAX_ANSWER_TIMEOUT),
+        true => Duration::from_micros(node.state().planner.answer_timeout(name).0),
         false => MAX_ANSWER_TIMEOUT,
     };
     match call(node, name, request, timeout).await {
--- a/lib/tests/test_serving_adapter_planner.rs
+++ b/lib/tests/test_serving_adapter_planner.rs
@@ -6,8 +6,10 @@
 use banyangauge::pool::Span;
 use banyangauge::serving::AdapterPlanner;
 use banyangauge::serving::AnnouncedVersion;
+use banyangauge::serving::Experiment;
 use banyangauge::serving::FetchLimiter;
 use banyangauge::serving::LoadDuration;
+use banyangauge::serving::Mechanism;
 use banyangauge::serving::OrderOutcome;
 use banyangauge::serving::ReplicaAction;
 use banyangauge::serving::ReplicaInfo;
@@ -67,6 +69,12 @@
         owner
     }
 
+    fn switch_off(&mut self, mechanism: Mechanism) {
+        self.planner.set_experiment(&Experiment {
+            off: [mechanism].into(),
+        });
+    }
+
     fn next(&mut self, ms: u64) -> Option<ReplicaAction> {
         let model = Some(&self.model);
         self.planner
@@ -370,11 +378,16 @@
 
 /// Returns the loads in ten seconds at a replica that leaves one in `one_in`
 /// orders unanswered, and carries out none of these.
-fn loads_with_unanswered(one_in: u64) -> u32 {
+fn loads_with_unanswered(one_in: u64, off: Mechanism) -> u32 {
     let mut owner = Owner::new(&["base", "base/a1", "base/a2"], 0);
+    owner.switch_off(off);
+    // With free slots, only orders and loads take time.
+    let listing = listing("i-1", "llm", "z-a", &["base"]);
+    owner.planner.track(at(0), &listing, 1_000);
     let (mut now, mut loads, mut orders) = (2_000, 0, 0);
     let mut ready: Option<u64> = None;
     while now < 12_000 {
+        owner.planner.set_fetches(0, 0);
         owner.request(now, &format!("base/b{loads}"));
         let Some(action) = owner.next(now) else {
             now += 10;
@@ -383,7 +396,7 @@
         assert!(action != ReplicaAction::Inspect, "at {now}");
         orders += 1;
         if orders % one_in == 0 {
-            now += 80;
+            now += owner.planner.answer_timeout(&owner.name).as_millis();
             owner.finish(now, &action, OrderOutcome::Unknown);
             continue;
         }
@@ -413,11 +426,20 @@
 /// With two thirds of the orders answered, at least 60 % of the loads complete.
 #[test]
 fn loads_continue_while_orders_are_unanswered() {
-    let all = loads_with_unanswered(1_000_000);
-    let some = loads_with_unanswered(3);
+    let all = loads_with_unanswered(1_000_000, Mechanism::OrderTimeouts);
+    let some = loads_with_unanswered(3, Mechanism::OrderTimeouts);
     assert!(some * 10 >= all * 6, "{some} loads instead of {all}");
 }
 
+/// A replica that leaves a third of its orders unanswered and answers the others in 4 ms:
+/// with a timeout of 80 ms the waits for responses cost a quarter of its loads.
+#[test]
+fn learned_timeout_raises_loads_with_unanswered_orders() {
+    let all = loads_with_unanswered(1_000_000, Mechanism::FetchWidth);
+    let learned = loads_with_unanswered(3, Mechanism::FetchWidth);
+    assert!(learned * 10 >= all * 9, "{learned} loads instead of {all}");
+}
+
 /// A restarted replica is empty and loads its model before any adapter.
 #[test]
 fn empty_replica_loads_its_model_first() {
