serving: owners report vacancies, and rare adapters are loaded there

Cause: a rare adapter was loaded at its home also while all slots there were in use, and waited for an adapter to become idle (690 ms on average) while other replicas had idle ones.

Change: an owner reports how many further adapters its replica could load at once: free and evictable slots without those that pending load requests will take, and none while the replica takes no orders. An adapter that no replica holds is loaded at its home if that has a vacancy, otherwise at the first replica in hash order among those that have one and are not much busier than the least busy of them, otherwise at its home. A load that this VM requested takes a vacancy at once, and keeps it while the load may be under way, so that the adapter is not loaded twice. Second copies are placed as before, by the reported vacancies instead of the estimate. `vacancies` switches it off.

Tests: placement by reports, with the mechanism off all four homes are used; no replica gets more loads than its vacancies (property); the owner's count.

--- a/lib/src/serving/decisions/adapter_planner/mod.rs
+++ b/lib/src/serving/decisions/adapter_planner/mod.rs
@@ -148,11 +148,22 @@
         self.plans.get(name).is_some_and(ReplicaPlan::needs_model)
     }
 
-    /// Returns what a replica holds, to be reported to the other VMs.
+    /// Returns what a replica holds.
     pub fn residency(&self, name: &ReplicaName) -> Option<Residency> {
         self.plans.get(name).map(ReplicaPlan::residency)
     }
 
+    /// Returns what a replica holds and how many further adapters it could load at once, to
+    /// be reported to the other VMs.
+    pub fn report(&self, now: Moment, name: &ReplicaName) -> Option<Residency> {
+        let plan = self.plans.get(name)?;
+        let counted = self.experiment.is_enabled(Mechanism::Vacancies);
+        Some(Residency {
+            vacant: counted.then(|| plan.vacant(now)),
+            ..plan.residency()
+        })
+    }
+
     /// Returns the replicas whose set of loaded or loading models and adapters changed
     /// since the last call.
     pub fn take_changed(&mut self) -> Vec<ReplicaName> {
--- a/lib/src/serving/decisions/adapter_planner/replica_plan.rs
+++ b/lib/src/serving/decisions/adapter_planner/replica_plan.rs
@@ -249,9 +249,28 @@
         Residency {
             loaded: loaded.map(|(t, s)| (t.clone(), s.version)).collect(),
             loading: loading.map(|(t, _)| t.clone()).collect(),
+            vacant: None,
         }
     }
 
+    /// Returns how many further adapters could be loaded at once: free slots, and slots whose
+    /// adapter may be evicted, without those that pending load requests will take. There are
+    /// none at a replica that takes no orders at present: it left some unanswered, waits for
+    /// runs before an unload, or its order count is not known.
+    pub(super) fn vacant(&self, now: Moment) -> u32 {
+        let unloading = |s: &Slot| matches!(s.phase, Phase::Unloading(_));
+        if self.accepted.is_none() || self.unanswered > 0 || self.slots.values().any(unloading) {
+            return 0;
+        }
+        let free = self.max_adapters.saturating_sub(self.adapter_count());
+        let startable = MAX_LOADING.saturating_sub(self.loading_count());
+        let possible = (free + self.evictable(now).count()).min(startable);
+        let renewed = |renewed: &Moment| now.since(*renewed) < REQUEST_TTL;
+        let pending = self.requests.iter();
+        let pending = pending.filter(|(t, (_, at))| renewed(at) && !self.slots.contains_key(*t));
+        possible.saturating_sub(pending.count()) as u32
+    }
+
     /// Records the replica's report; `None` if it could not be read.
     pub(super) fn apply_inspection(&mut self, now: Moment, report: Option<ReplicaReport>) {
         let Some(report) = report else {
@@ -445,22 +464,25 @@
         oldest.map(|(t, _)| t.clone())
     }
 
-    /// Returns the adapter to evict. None that may be in use is evicted, as its
-    /// unload would wait for its runs. A new owner evicts nothing until it has
-    /// learned from the other VMs' beacons what is in use.
+    /// Returns the adapter to evict.
     fn eviction_candidate(&self, now: Moment) -> Option<Target> {
-        if now.since(self.owned_since) < self.report_delay {
-            return None;
-        }
-        let loaded = self.loaded_adapters();
-        let evictable =
-            loaded.filter(|(t, _)| !self.requests.contains_key(*t) && self.is_idle(now, t));
-        let candidate = evictable.min_by_key(|(t, _)| {
+        let candidate = self.evictable(now).min_by_key(|t| {
             self.uses
                 .get(*t)
                 .map_or(i64::MIN, |u| u.demand.order_key(1))
         });
-        candidate.map(|(t, _)| t.clone())
+        candidate.cloned()
+    }
+
+    /// Returns the adapters that may be evicted. None that may be in use is evicted, as its
+    /// unload would wait for its runs. A new owner evicts nothing until it has learned from
+    /// the other VMs' beacons what is in use.
+    fn evictable(&self, now: Moment) -> impl Iterator<Item = &Target> {
+        let knows_uses = now.since(self.owned_since) >= self.report_delay;
+        let loaded = self.loaded_adapters().filter(move |_| knows_uses);
+        let unrequested = loaded.filter(|(t, _)| !self.requests.contains_key(*t));
+        let idle = unrequested.filter(move |(t, _)| self.is_idle(now, t));
+        idle.map(|(t, _)| t)
     }
 
     /// Returns whether no VM reported runs of an adapter recently, and none used it within
--- a/lib/src/serving/decisions/fleet/mod.rs
+++ b/lib/src/serving/decisions/fleet/mod.rs
@@ -52,6 +52,17 @@
 /// unless its owner reports it as loaded: about a load plus a beacon interval.
 const MISSING_TTL: Span = Span::from_millis(600);
 
+/// How long a load request counts that is not renewed; its owner drops it then.
+const REQUEST_TTL: Span = Span::from_millis(700);
+
+/// Delay of a load request on its way to the owner, and of the owner's report on its way
+/// back: a report that arrives sooner after the request does not count it.
+const REQUEST_DELAY: Span = Span::from_millis(20);
+
+/// How long an adapter keeps the vacancy that this VM requested for it: about a load plus
+/// the delay of its report. A load that takes longer waits for something else.
+const LOAD_TIME: Span = Span::from_millis(450);
+
 /// How long an entry that expired during a store outage may reappear.
 const EXPIRED_GRACE: Span = Span::from_millis(2_000);
 
@@ -115,6 +126,54 @@
     pub loaded: BTreeMap<Target, u32>,
     /// Models and adapters that it is loading.
     pub loading: BTreeSet<Target>,
+    /// Further adapters that it could load at once; `None` if the owner does not count them.
+    pub vacant: Option<u32>,
+}
+
+/// A vacancy report of a replica's owner, and the loads that this VM requested there.
+#[derive(Debug, Default)]
+struct Vacancies {
+    /// When the owner's last report arrived, and the number in it; `None` if the owner does
+    /// not count vacancies, or its report does not apply any more.
+    reported: Option<(Moment, u32)>,
+    /// Adapters of which this VM requested the load while there was a vacancy: when first, and
+    /// when last.
+    requested: BTreeMap<Target, (Moment, Moment)>,
+}
+
+impl Vacancies {
+    /// Records a request of this VM to load an adapter, which takes a vacancy if there is
+    /// one.
+    fn record_request(&mut self, now: Moment, target: &Target) {
+        self.requested
+            .retain(|_, (_, last)| now.since(*last) < REQUEST_TTL);
+        if self.has_one_for(now, target) == Some(true) {
+            let entry = self.requested.entry(target.clone()).or_insert((now, now));
+            entry.1 = now;
+        }
+    }
+
+    /// Returns whether the load of an adapter that this VM requested may be under way.
+    fn is_taken_by(&self, now: Moment, target: &Target) -> bool {
+        let times = self.requested.get(target);
+        times.is_some_and(|(first, last)| {
+            now.since(*first) < LOAD_TIME && now.since(*last) < REQUEST_TTL
+        })
+    }
+
+    /// Returns whether a replica has a vacancy for an adapter; `None` if that is not known.
+    /// The load of another adapter takes a vacancy as soon as this VM requested it; the
+    /// owner's next report leaves it out.
+    fn has_one_for(&self, now: Moment, target: &Target) -> Option<bool> {
+        let (arrived, vacant) = self.reported?;
+        if self.is_taken_by(now, target) {
+            return Some(true);
+        }
+        let unreported = self.requested.values().filter(|(first, last)| {
+            now.since(*last) < REQUEST_TTL && first.after(REQUEST_DELAY) > arrived
+        });
+        Some(vacant as usize > unreported.count())
+    }
 }
 
 /// This VM's view of one replica.
@@ -134,6 +193,8 @@
     reported: Load,
     /// The owner's last report of what the replica holds, preceded by its expiry.
     residency: Option<(Moment, Residency)>,
+    /// The adapters that it could load at once.
+    vacancies: Vacancies,
     /// Targets that it refused as not loaded, and until when it is not used for them.
     missing: BTreeMap<Target, Moment>,
     health: Health,
@@ -153,6 +214,7 @@
             owner_load: None,
             reported: Load::default(),
             residency: None,
+            vacancies: Vacancies::default(),
             missing: BTreeMap::new(),
             health: Health::default(),
             withheld: None,
@@ -620,10 +682,20 @@
         let until = now.after(self.report_ttl);
         if let Some(r) = self.replicas.get_mut(name) {
             r.missing.retain(|t, _| !report.loaded.contains_key(t));
+            let held = |t: &Target| report.loaded.contains_key(t) || report.loading.contains(t);
+            r.vacancies.requested.retain(|t, _| !held(t));
+            r.vacancies.reported = report.vacant.map(|vacant| (now, vacant));
             r.residency = Some((until, report));
         }
     }
 
+    /// Records that this VM requested the load of an adapter at a replica.
+    pub fn record_load_request(&mut self, now: Moment, name: &ReplicaName, target: &Target) {
+        if let Some(r) = self.replicas.get_mut(name) {
+            r.vacancies.record_request(now, target);
+        }
+    }
+
     /// Returns whether the owner's report of what a replica holds is fresh.
     pub fn has_fresh_residency(&self, now: Moment, name: &ReplicaName) -> bool {
         let r = self.replicas.get(name);
@@ -640,6 +712,7 @@
                 *until = Moment(0);
             }
             r.owner_load = None;
+            r.vacancies = Vacancies::default();
             r.reported = Load::default();
         }
     }
--- a/lib/src/serving/decisions/fleet/place.rs
+++ b/lib/src/serving/decisions/fleet/place.rs
@@ -246,7 +246,7 @@
             let scores = candidates.iter().map(|(_, _, score)| *score);
             let min_score = scores.min_by(f64::total_cmp);
             let copy = min_score.filter(|min_score| best_score > min_score + copy_slack);
-            let copy = copy.and_then(|_| self.home(now, request, target, &candidates));
+            let copy = copy.and_then(|_| self.home(now, request, target, &candidates, false));
             let waited = request
                 .waited
                 .filter(|_| self.experiment.is_enabled(Mechanism::CopyWaits));
@@ -276,7 +276,7 @@
             let at = (*at).clone();
             return Placement::Loading { replica: at };
         }
-        match self.home(now, request, target, &load_candidates()) {
+        match self.home(now, request, target, &load_candidates(), true) {
             Some(at) => Placement::Load { replica: at },
             None if holders.is_empty() => none_accepts(),
             None => Placement::Full,
@@ -320,12 +320,24 @@
     }
 
     /// Returns whether a replica has a free adapter slot, or one whose adapter no
-    /// request uses.
-    fn is_vacant(&self, now: Moment, name: &ReplicaName, r: &Replica) -> bool {
+    /// request uses: by its owner's report, or else by an estimate.
+    fn is_vacant(&self, now: Moment, target: &Target, name: &ReplicaName, r: &Replica) -> bool {
+        if let Some(vacant) = self.reported_vacancy(now, target, r) {
+            return vacant;
+        }
         let in_use = self.load(now, name, r).requests as usize + r.loading_count(now);
         in_use < self.engine_slots(&r.listing) as usize
     }
 
+    /// Returns whether a replica has a vacancy for an adapter by a fresh report of its owner;
+    /// `None` if the owner does not say.
+    fn reported_vacancy(&self, now: Moment, target: &Target, r: &Replica) -> Option<bool> {
+        let enabled = self.experiment.is_enabled(Mechanism::Vacancies);
+        let (until, _) = r.residency.as_ref().filter(|_| enabled)?;
+        let fresh = *until > now;
+        fresh.then(|| r.vacancies.has_one_for(now, target))?
+    }
+
     /// Returns whether a replica can begin a request soon.
     fn has_room(
         &self,
@@ -348,31 +360,57 @@
         }
     }
 
-    /// Returns the first replica for an adapter in hash order among those not
-    /// much busier than the least busy one. `all` holds the candidates with their
-    /// scores.
+    /// Returns the replica that loads an adapter. `all` holds the candidates with
+    /// their scores, and `rare` says that no replica holds the adapter.
+    ///
+    /// The home of an adapter is the first replica in hash order among those not much
+    /// busier than the least busy one.
     ///
     /// Under many requests for rare adapters a replica may run more requests than
     /// it holds adapters. If all its adapters are in use, a load waits until one
-    /// is idle, while other replicas may have an idle one. A request that has
-    /// waited for longer than a load takes is therefore placed only where an
-    /// adapter can be evicted, if there is such a replica.
+    /// is idle, while other replicas may have an idle one. A rare adapter is therefore
+    /// loaded where the owner reports a vacancy, at its home if that has one. If owners
+    /// report none, a request that has waited for longer than a load takes is placed only
+    /// where an adapter can be evicted, if there is such a replica.
     fn home(
         &self,
         now: Moment,
         request: &PlacementRequest<'_>,
         target: &Target,
         all: &[(&ReplicaName, &Replica, f64)],
+        rare: bool,
     ) -> Option<ReplicaName> {
         let waited_long = request.waited.is_some_and(|waited| waited >= COPY_WAIT);
-        let vacant = all
-            .iter()
-            .filter(|(n, r, _)| waited_long && self.is_vacant(now, n, r));
-        let vacant: Vec<_> = vacant.copied().collect();
-        let candidates = match vacant.is_empty() {
-            true => all,
-            false => &vacant,
+        let reported = |r: &Replica| match rare {
+            true => self.reported_vacancy(now, target, r),
+            false => None,
+        };
+        // Otherwise the adapter would be loaded at two replicas.
+        let under_way = |r: &Replica| r.vacancies.is_taken_by(now, target);
+        let mut requested = all.iter().filter(|(_, r, _)| reported(r).is_some());
+        if let Some((name, ..)) = requested.find(|(_, r, _)| under_way(r)) {
+            return Some((*name).clone());
+        }
+        let home = self.first_in_order(target, all)?;
+        if reported(home.1) == Some(true) {
+            return Some(home.0.clone());
+        }
+        let is_candidate = |n: &ReplicaName, r: &Replica| {
+            reported(r).unwrap_or_else(|| waited_long && self.is_vacant(now, target, n, r))
         };
+        let vacant = all.iter().filter(|(n, r, _)| is_candidate(n, r));
+        let vacant: Vec<_> = vacant.copied().collect();
+        let chosen = self.first_in_order(target, &vacant).unwrap_or(home);
+        Some(chosen.0.clone())
+    }
+
+    /// Returns the first replica for an adapter in hash order among those not much busier
+    /// than the least busy one.
+    fn first_in_order<'r>(
+        &self,
+        target: &Target,
+        candidates: &[(&'r ReplicaName, &'r Replica, f64)],
+    ) -> Option<(&'r ReplicaName, &'r Replica)> {
         let scores = candidates.iter().map(|(_, _, score)| *score);
         let min_score = scores.min_by(f64::total_cmp)?;
         let slack_ms = match self.experiment.is_enabled(Mechanism::Homes) {
@@ -383,7 +421,7 @@
             .iter()
             .filter(|(_, _, score)| *score <= min_score + slack_ms);
         let ranked_first = near_best.max_by_key(|(_, r, _)| rank(target, r.seed));
-        ranked_first.map(|(name, _, _)| (*name).clone())
+        ranked_first.map(|(name, r, _)| (*name, *r))
     }
 }
 
--- a/lib/src/serving/peers/beacons.rs
+++ b/lib/src/serving/peers/beacons.rs
@@ -88,7 +88,7 @@
         for name in state.planner.take_changed() {
             state.subscriptions.record_change(now, &name);
             // Also apply it here.
-            if let Some(residency) = state.planner.residency(&name) {
+            if let Some(residency) = state.planner.report(now, &name) {
                 state.fleet.apply_residency(now, &name, residency);
             }
         }
@@ -177,7 +177,7 @@
         .filter_map(|n| encode_residency(state, now, n))
         .collect();
     for name in &names {
-        if let Some(residency) = state.planner.residency(name) {
+        if let Some(residency) = state.planner.report(now, name) {
             state.fleet.apply_residency(now, name, residency);
         }
     }
@@ -250,7 +250,7 @@
     now: Moment,
     name: &ReplicaName,
 ) -> Option<wire::ReplicaBook> {
-    let residency = state.planner.residency(name)?;
+    let residency = state.planner.report(now, name)?;
     let token = state.ownership.token(now, name)?;
     let loaded = residency.loaded.iter().map(|(t, v)| (t, *v, false));
     let loading = residency.loading.iter().map(|t| (t, 0, true));
@@ -266,7 +266,7 @@
         token: token.0,
         slots: slots.collect(),
         born: state.planner.started_ms(name)?,
-        vacant: None,
+        vacant: residency.vacant,
     })
 }
 
@@ -421,7 +421,10 @@
     {
         return;
     }
-    let mut residency = Residency::default();
+    let mut residency = Residency {
+        vacant: book.vacant,
+        ..Residency::default()
+    };
     for slot in &book.slots {
         let Some(target) = Target::parse(&slot.target) else {
             continue;
@@ -445,6 +448,7 @@
         let Some(owner) = state.ownership.owner(replica).cloned() else {
             return;
         };
+        state.fleet.record_load_request(now(), replica, target);
         if owner == node.settings.vm {
             state.planner.request_load(now(), replica, target);
             node.orders_wake.notify_one();
--- a/lib/src/serving/program/orders.rs
+++ b/lib/src/serving/program/orders.rs
@@ -135,7 +135,7 @@
     node.orders_wake.notify_one();
     // Requests on this VM that wait for the replica see the new state at once.
     let mut state = node.state();
-    if let Some(residency) = state.planner.residency(&name) {
+    if let Some(residency) = state.planner.report(now(), &name) {
         state.fleet.apply_residency(now(), &name, residency);
     }
     drop(state);
--- a/lib/tests/test_serving_adapter_planner.rs
+++ b/lib/tests/test_serving_adapter_planner.rs
@@ -524,6 +524,36 @@
     assert_eq!(owner.next(last_use + delay_ms), unload("base/a2", 0));
 }
 
+/// An owner that reported a vacancy which is no longer there, or where no order is possible,
+/// would attract loads that then wait.
+#[test]
+fn vacancies_are_slots_that_can_be_loaded_now() {
+    let mut owner = Owner::new(&["base", "base/a1"], 0);
+    let vacant = |owner: &Owner, ms| owner.planner.report(at(ms), &owner.name).unwrap().vacant;
+    assert_eq!(vacant(&owner, 0), Some(1), "a new owner evicts nothing");
+    assert_eq!(vacant(&owner, 1_000), Some(2));
+    owner
+        .planner
+        .record_grant(at(1_000), &owner.name, &target("base/a1"));
+    assert_eq!(vacant(&owner, 1_100), Some(1), "one adapter is in use");
+    owner.request(1_300, "base/a2");
+    assert_eq!(vacant(&owner, 1_300), Some(1), "one load was requested");
+    let action = owner.next(1_300).unwrap();
+    owner.finish(1_320, &action, OrderOutcome::Unknown);
+    assert_eq!(vacant(&owner, 1_320), Some(0), "an order is unanswered");
+    let action = owner.next(1_320).unwrap();
+    owner.finish(1_330, &action, OrderOutcome::Accepted);
+    assert_eq!(vacant(&owner, 1_330), Some(1), "one adapter is loading");
+    owner.finish(1_600, &action, OrderOutcome::InEffect);
+    owner.request(2_000, "base/a3");
+    let action = owner.next(2_000).unwrap();
+    assert!(matches!(action, ReplicaAction::Unload { .. }));
+    owner.finish(2_001, &action, OrderOutcome::Accepted);
+    assert_eq!(vacant(&owner, 2_001), Some(0), "an unload waits for runs");
+    owner.switch_off(Mechanism::Vacancies);
+    assert_eq!(vacant(&owner, 2_001), None);
+}
+
 /// Many engines that start empty need hundreds of adapters at once: a store sized
 /// for them is fully used from the start.
 #[rstest]
--- a/lib/tests/test_serving_place.rs
+++ b/lib/tests/test_serving_place.rs
@@ -22,11 +22,13 @@
 use banyangauge::serving::Placement;
 use banyangauge::serving::PlacementRequest;
 use banyangauge::serving::ReplicaInfo;
+use banyangauge::serving::Residency;
 use banyangauge::serving::RunOutcome;
 use banyangauge::serving::Service;
 use banyangauge::serving::SharedPrefix;
 use banyangauge::serving::Target;
 use banyangauge::serving::Versions;
+use proptest::prelude::*;
 use rstest::rstest;
 
 /// Entry of a replica that holds models, and adapters in version 1.
@@ -222,6 +224,96 @@
     assert!(matches!(home(&fixture, 1), Placement::Load { .. }));
 }
 
+/// Creates replicas `i-0`, `i-1` and so on whose owners report vacancies.
+fn with_vacancies(vacant: &[u32]) -> Fixture {
+    let names = (0..vacant.len()).map(|n| format!("i-{n}"));
+    let all: Vec<_> = names
+        .map(|n| listing(&n, "llm", "z-a", &["base"]))
+        .collect();
+    let mut fixture = Fixture::new(&all);
+    for (l, vacant) in all.iter().zip(vacant) {
+        let residency = Residency {
+            loaded: [(Target::parse("base").unwrap(), 0)].into(),
+            vacant: Some(*vacant),
+            ..Residency::default()
+        };
+        fixture.fleet.apply_residency(at(0), &l.name, residency);
+    }
+    fixture.waited = Some(Span::from_millis(0));
+    fixture
+}
+
+/// Requests for rare adapters whose homes have all slots in use: each waited 0.7 s for an
+/// adapter there to become idle, while other replicas had idle ones. A vacancy must not be
+/// given to two adapters, nor an adapter to two replicas.
+#[test]
+fn rare_adapter_is_loaded_at_a_vacancy() {
+    let mut fixture = with_vacancies(&[0, 0, 0, 1]);
+    let vacant: ReplicaName = "i-3".parse().unwrap();
+    let place = |fixture: &Fixture, ms: u64, n: u32| match fixture.place(
+        at(ms),
+        "llm",
+        Some(&format!("base/a{n}")),
+    ) {
+        Placement::Load { replica } => replica,
+        other => panic!("{other:?}"),
+    };
+    assert!((0..20).all(|n| place(&fixture, 1, n) == vacant));
+    let first = Target::parse("base/a0").unwrap();
+    fixture.fleet.record_load_request(at(1), &vacant, &first);
+    assert_eq!(place(&fixture, 20, 0), vacant);
+    assert!((1..20).any(|n| place(&fixture, 20, n) != vacant));
+    // The load waits for something else, and another replica has a vacancy by now.
+    let residency = Residency {
+        loaded: [(Target::parse("base").unwrap(), 0)].into(),
+        vacant: Some(2),
+        ..Residency::default()
+    };
+    let other = "i-0".parse().unwrap();
+    fixture
+        .fleet
+        .apply_residency(at(300), &other, residency.clone());
+    let none = Residency {
+        vacant: Some(0),
+        ..residency
+    };
+    fixture.fleet.apply_residency(at(300), &vacant, none);
+    assert_eq!(place(&fixture, 300, 0), vacant);
+    assert_eq!(place(&fixture, 500, 0), other);
+    fixture.fleet.set_experiment(&Experiment {
+        off: [Mechanism::Vacancies].into(),
+    });
+    let homes: BTreeSet<_> = (0..20).map(|n| place(&fixture, 500, n)).collect();
+    assert_eq!(homes.len(), 4);
+}
+
+proptest! {
+    /// No replica gets more loads than it reported vacancies while others have some, and an
+    /// adapter goes to its home if that has one.
+    #[test]
+    fn loads_do_not_exceed_vacancies(vacant in prop::collection::vec(0_u32..4, 1..6)) {
+        let mut fixture = with_vacancies(&vacant);
+        let homes = with_vacancies(&vec![1; vacant.len()]);
+        let mut left = vacant.clone();
+        for n in 0..vacant.iter().sum() {
+            let adapter = format!("base/a{n}");
+            let placed = fixture.place(at(1), "llm", Some(&adapter));
+            let home = homes.place(at(1), "llm", Some(&adapter));
+            let Placement::Load { replica } = &placed else {
+                panic!("{placed:?}");
+            };
+            let index = |r: &ReplicaName| r.as_str()[2..].parse::<usize>().unwrap();
+            if let Placement::Load { replica: home } = &home && left[index(home)] > 0 {
+                prop_assert_eq!(replica, home);
+            }
+            prop_assert!(left[index(replica)] > 0, "{} got too many", replica);
+            left[index(replica)] -= 1;
+            let target = Target::parse(&adapter).unwrap();
+            fixture.fleet.record_load_request(at(1), replica, &target);
+        }
+    }
+}
+
 /// A burst within one beacon interval: requests that this VM sends count at once.
 #[test]
 fn burst_spreads_by_local_load() {
