--- a/lib/src/serving/decisions/adapter_planner/mod.rs
+++ b/lib/src/serving/decisions/adapter_planner/mod.rs
@@ -1,5 +1,6 @@
 //! Plans which adapters the replicas owned by this VM load and unload.
 
+mod load_queue;
 mod order;
 mod replica_plan;
 
@@ -17,7 +18,11 @@
 use crate::serving::path::types::ReplicaInfo;
 use crate::serving::path::types::Target;
 use crate::serving::program::experiment::Experiment;
+use crate::serving::program::experiment::Mechanism;
 
+pub use load_queue::LoadNeed;
+pub use load_queue::LoadWait;
+pub use load_queue::PendingLoad;
 pub use order::LoadDuration;
 pub use order::OrderOutcome;
 pub use order::ReplicaAction;
@@ -33,6 +38,7 @@
     model_rate: LoadRateLimit,
     /// Fetches in flight at all replicas, as far as known.
     in_flight: usize,
+    experiment: Experiment,
 }
 
 /// Limits how often this VM has model weights loaded from the weight store, which
@@ -55,12 +61,29 @@
     /// Applies the mechanisms that are switched off.
     pub fn set_experiment(&mut self, experiment: &Experiment) {
         self.fetch_limiter.set_experiment(experiment);
+        self.experiment = experiment.clone();
+        let knows_grants = self.knows_grants();
+        self.plans
+            .values_mut()
+            .for_each(|p| p.knows_grants = knows_grants);
+    }
+
+    /// Returns whether each use is granted by the owner and reported early, so that the
+    /// owner knows of it within milliseconds.
+    fn knows_grants(&self) -> bool {
+        let needed = [
+            Mechanism::GrantedUses,
+            Mechanism::PlaceAsks,
+            Mechanism::EarlyReports,
+        ];
+        needed.into_iter().all(|m| self.experiment.is_enabled(m))
     }
 
     /// Starts or updates the plan of a replica that this VM owns and that may hold
     /// `max_adapters` adapters. The plan begins with the replica's entry in the
     /// store, and follows the replica's own report once that was read.
     pub fn track(&mut self, now: Moment, listing: &ReplicaInfo, max_adapters: u32) {
+        let knows_grants = self.knows_grants();
         let plan = self.plans.entry(listing.name.clone());
         let plan = plan.or_insert_with(|| ReplicaPlan::new(now, listing));
         if plan.listed_ms != listing.started_ms {
@@ -71,6 +94,7 @@
         }
         // The configuration may arrive after the replica is listed.
         plan.max_adapters = max_adapters as usize;
+        plan.knows_grants = knows_grants;
     }
 
     /// Drops the plans of all replicas but those in `owned`.
@@ -88,16 +112,36 @@
         self.plans.keys()
     }
 
-    /// Requests that a replica loads an adapter; the request expires unless it is
-    /// renewed. Returns whether this VM owns the replica.
-    pub fn request_load(&mut self, now: Moment, name: &ReplicaName, target: &Target) -> bool {
+    /// Requests that a replica loads an adapter, for what waits for it at `vm`; the
+    /// request expires unless it is renewed. Returns whether this VM owns the replica.
+    pub fn request_load(
+        &mut self,
+        now: Moment,
+        name: &ReplicaName,
+        vm: &VmName,
+        target: &Target,
+        need: &LoadNeed,
+    ) -> bool {
         let Some(plan) = self.plans.get_mut(name) else {
             return false;
         };
-        plan.request_load(now, target);
+        plan.requests.request(now, vm, target, need);
         true
     }
 
+    /// Returns the pending request to load a target at a replica.
+    pub fn pending_load(&self, name: &ReplicaName, target: &Target) -> Option<PendingLoad> {
+        self.plans.get(name)?.requests.pending(target)
+    }
+
+    /// Returns what the requested loads waited for that began since the last call.
+    pub fn take_load_waits(&mut self) -> Vec<LoadWait> {
+        let plans = self.plans.values_mut();
+        plans
+            .flat_map(|p| std::mem::take(&mut p.ended_waits))
+            .collect()
+    }
+
     /// Records that a VM began `begun` runs of an adapter and has `running` in
     /// progress.
     pub fn record_use(
@@ -115,16 +159,35 @@
         plan.record_use(now, vm, target, running, begun);
     }
 
+    /// Records that this VM granted a request that uses an adapter, which may not be
+    /// reported for some time.
+    pub fn record_grant(&mut self, now: Moment, name: &ReplicaName, target: &Target) {
+        if let Some(plan) = self.plans.get_mut(name) {
+            plan.record_grant(now, target);
+        }
+    }
+
     /// Returns whether a replica holds no model and is loading none.
     pub fn needs_model(&self, name: &ReplicaName) -> bool {
         self.plans.get(name).is_some_and(ReplicaPlan::needs_model)
     }
 
-    /// Returns what a replica holds, to be reported to the other VMs.
+    /// Returns what a replica holds.
     pub fn residency(&self, name: &ReplicaName) -> Option<Residency> {
         self.plans.get(name).map(ReplicaPlan::residency)
     }
 
+    /// Returns what a replica holds and how many further adapters it could load at once, to
+    /// be reported to the other VMs.
+    pub fn report(&self, now: Moment, name: &ReplicaName) -> Option<Residency> {
+        let plan = self.plans.get(name)?;
+        let counted = self.experiment.is_enabled(Mechanism::Vacancies);
+        Some(Residency {
+            vacant: counted.then(|| plan.vacant(now)),
+            ..plan.residency()
+        })
+    }
+
     /// Returns the replicas whose set of loaded or loading models and adapters changed
     /// since the last call.
     pub fn take_changed(&mut self) -> Vec<ReplicaName> {
@@ -146,8 +209,8 @@
     /// [`AdapterPlanner::finish_inspection`] before it asks for the next.
     ///
     /// Many requests may need adapters that no replica holds while all slots are
-    /// full. Load requests are served in the order of their arrival, so none
-    /// starves. The idle adapter with the least demand is evicted, but never one
+    /// full. Load requests are served by rank, as long as they can meet their
+    /// objective, and every fourth load is that of the oldest, so none starves. The idle adapter with the least demand is evicted, but never one
     /// with a pending load request.
     ///
     /// A restarted replica is empty and loads `model` first.
@@ -160,11 +223,13 @@
     ) -> Option<ReplicaAction> {
         let model_rate = self.model_rate;
         let may_fetch = self.in_flight < self.fetch_limiter.capacity();
+        let ordered = self.experiment.is_enabled(Mechanism::LoadOrder);
+        let durations = ordered.then(|| self.fetch_limiter.expected(self.in_flight));
         let plan = self.plans.get_mut(name)?;
         if plan.busy {
             return None;
         }
-        let action = plan.next_action(now, versions, may_fetch);
+        let action = plan.next_action(now, versions, may_fetch, durations);
         if let Some(ReplicaAction::Load { target, .. }) = &action
             && plan.is_fetch(target)
         {
@@ -180,6 +245,7 @@
             }
             _ => None,
         };
+        plan.ordered_at = now;
         plan.busy = action.is_some();
         action
     }
@@ -206,9 +272,10 @@
             .for_each(|p| p.report_delay = report_delay);
     }
 
-    /// Returns how many consecutive orders a replica left unanswered.
-    pub fn unanswered(&self, name: &ReplicaName) -> u32 {
-        self.plans.get(name).map_or(0, |p| p.unanswered)
+    /// Returns how long to wait for a replica's response to an order.
+    pub fn answer_timeout(&self, name: &ReplicaName) -> Span {
+        let timeout = self.plans.get(name).map(|p| p.timeout);
+        timeout.unwrap_or_default().current()
     }
 
     /// Returns when [`AdapterPlanner::next_action`] should be called again if
@@ -244,6 +311,9 @@
         let poll_delay = self.fetch_limiter.first_check_delay();
         let plan = self.plans.get_mut(name)?;
         plan.busy = false;
+        if self.experiment.is_enabled(Mechanism::OrderTimeouts) && outcome.is_response() {
+            plan.timeout.record_response(now.since(plan.ordered_at));
+        }
         let was_fetch = matches!(action, ReplicaAction::Load { target, .. } if plan.is_cached(target) == Some(false));
         let duration = plan.apply_outcome(now, action, outcome, poll_delay);
         if let Some(duration) = duration.filter(|_| was_fetch) {
--- a/lib/src/serving/decisions/adapter_planner/replica_plan.rs
+++ b/lib/src/serving/decisions/adapter_planner/replica_plan.rs
@@ -4,16 +4,20 @@
 use std::collections::VecDeque;
 
 use super::LoadDuration;
+use super::LoadWait;
 use super::OrderOutcome;
 use super::ReplicaAction;
 use super::ReplicaReport;
+use super::load_queue::LoadQueue;
 use crate::ids::ModelName;
 use crate::ids::VmName;
 use crate::pool::Demand;
 use crate::pool::Moment;
 use crate::pool::Span;
+use crate::serving::decisions::fetch_limiter::LoadDurations;
 use crate::serving::decisions::fleet::Residency;
 use crate::serving::decisions::fleet::Versions;
+use crate::serving::decisions::order_timeout::OrderTimeout;
 use crate::serving::path::types::ReplicaInfo;
 use crate::serving::path::types::Target;
 
@@ -33,12 +37,16 @@
 /// for the number of VMs.
 const DEFAULT_REPORT_DELAY: Span = Span::from_millis(900);
 
+/// How long an adapter is kept after its last grant or reported use if each use is granted
+/// here: the lifetime of a reservation (150 ms), within which the request is sent, plus the
+/// interval of reports (60 ms) and a margin for their way. The load that it answers: with
+/// more adapters requested than slots, 286 of 2,223 waiting requests waited 690 ms on average
+/// for an adapter to count as idle by the report delay.
+const GRANT_DELAY: Span = Span::from_millis(250);
+
 /// Lifetime of a VM's report of its runs, in report delays.
 const RUNS_TTL_DELAYS: u64 = 3;
 
-/// Lifetime of a load request that is not renewed.
-const REQUEST_TTL: Span = Span::from_millis(700);
-
 /// Delay before the first poll of an adapter that the replica held before: it
 /// loads from the replica's own memory, ten times as fast as from the weight store.
 const CACHED_POLL: Span = Span::from_millis(25);
@@ -118,6 +126,8 @@
 #[derive(Debug)]
 struct Use {
     demand: Demand,
+    /// When a request for it was last granted.
+    granted_at: Moment,
     /// Runs in progress by VM, preceded by the time of the VM's report.
     running: BTreeMap<VmName, (Moment, u32)>,
 }
@@ -138,14 +148,20 @@
     /// Models and adapters that it holds, loads or unloads.
     slots: BTreeMap<Target, Slot>,
     uses: BTreeMap<Target, Use>,
-    /// Load requests: when first made, and when last renewed.
-    requests: BTreeMap<Target, (Moment, Moment)>,
+    /// Pending load requests.
+    pub(super) requests: LoadQueue,
+    /// What the requested loads waited for that began recently.
+    pub(super) ended_waits: Vec<LoadWait>,
     /// Whether an action was returned whose outcome is not known yet.
     pub(super) busy: bool,
     /// Whether its contents changed since they were last reported.
     pub(super) changed: bool,
     /// Consecutive orders without a response.
-    pub(super) unanswered: u32,
+    unanswered: u32,
+    /// When the last action was returned.
+    pub(super) ordered_at: Moment,
+    /// How long to wait for the response to an order.
+    pub(super) timeout: OrderTimeout,
     /// Adapters that it held recently, the latest last.
     cached: VecDeque<Target>,
     /// Whether the model weights are in the replica's own memory or on its disk,
@@ -155,6 +171,8 @@
     owned_since: Moment,
     /// Maximum delay after which uses by other VMs are known here.
     pub(super) report_delay: Span,
+    /// Whether this VM grants each use before the request is sent.
+    pub(super) knows_grants: bool,
 }
 
 impl Slot {
@@ -180,23 +198,21 @@
             inspect_from: now,
             slots: adapters.chain(models).collect(),
             uses: BTreeMap::new(),
-            requests: BTreeMap::new(),
+            requests: LoadQueue::default(),
+            ended_waits: Vec::new(),
             busy: false,
             changed: true,
             unanswered: 0,
+            ordered_at: now,
+            timeout: OrderTimeout::default(),
             cached: VecDeque::new(),
             weights_cached: false,
             owned_since: now,
             report_delay: DEFAULT_REPORT_DELAY,
+            knows_grants: false,
         }
     }
 
-    /// Records or renews a request to load a target.
-    pub(super) fn request_load(&mut self, now: Moment, target: &Target) {
-        let request = self.requests.entry(target.clone()).or_insert((now, now));
-        request.1 = now;
-    }
-
     /// Records a VM's report on a target: its runs in progress, and the runs that
     /// began since its last report.
     pub(super) fn record_use(
@@ -215,6 +231,13 @@
         entry.running.insert(vm.clone(), (now, running));
     }
 
+    /// Records that a request for a target that the replica holds was granted.
+    pub(super) fn record_grant(&mut self, now: Moment, target: &Target) {
+        if self.slots.contains_key(target) {
+            self.use_of(target).granted_at = now;
+        }
+    }
+
     /// Returns what the replica holds and what it is loading.
     pub(super) fn residency(&self) -> Residency {
         let loaded = self.slots.iter().filter(|(_, s)| s.phase == Phase::Loaded);
@@ -223,7 +246,25 @@
         Residency {
             loaded: loaded.map(|(t, s)| (t.clone(), s.version)).collect(),
             loading: loading.map(|(t, _)| t.clone()).collect(),
+            vacant: None,
+        }
+    }
+
+    /// Returns how many further adapters could be loaded at once: free slots, and slots whose
+    /// adapter may be evicted, without those that pending load requests will take. There are
+    /// none at a replica that takes no orders at present: it left some unanswered, waits for
+    /// runs before an unload, or its order count is not known.
+    pub(super) fn vacant(&self, now: Moment) -> u32 {
+        let unloading = |s: &Slot| matches!(s.phase, Phase::Unloading(_));
+        if self.accepted.is_none() || self.unanswered > 0 || self.slots.values().any(unloading) {
+            return 0;
         }
+        let free = self.max_adapters.saturating_sub(self.adapter_count());
+        let startable = MAX_LOADING.saturating_sub(self.loading_count());
+        let possible = (free + self.evictable(now).count()).min(startable);
+        let pending = self.requests.targets(now);
+        let pending = pending.filter(|t| !self.slots.contains_key(*t));
+        possible.saturating_sub(pending.count()) as u32
     }
 
     /// Records the replica's report; `None` if it could not be read.
@@ -253,6 +294,7 @@
     fn use_of(&mut self, target: &Target) -> &mut Use {
         let new = || Use {
             demand: Demand::NONE,
+            granted_at: Moment(0),
             running: BTreeMap::new(),
         };
         self.uses.entry(target.clone()).or_insert_with(new)
@@ -320,18 +362,20 @@
     }
 
     /// Returns the next action; `may_fetch` says whether the weight store can serve
-    /// another fetch.
+    /// another fetch. `durations` has the expected durations of loads; `None` if load
+    /// requests are served in order of arrival.
     pub(super) fn next_action(
         &mut self,
         now: Moment,
         versions: &Versions,
         may_fetch: bool,
+        durations: Option<LoadDurations>,
     ) -> Option<ReplicaAction> {
         let Some(expected) = self.accepted else {
+            self.requests.record_wait(LoadWait::Report, |_| true);
             return (now >= self.inspect_from).then_some(ReplicaAction::Inspect);
         };
-        self.requests
-            .retain(|_, (_, renewed)| now.since(*renewed) < REQUEST_TTL);
+        self.requests.expire(now);
         if self.has_lost_load(now) {
             self.accepted = None;
             return Some(ReplicaAction::Inspect);
@@ -356,19 +400,24 @@
             .values()
             .any(|s| matches!(s.phase, Phase::Unloading(_)))
         {
+            self.requests.record_wait(LoadWait::Unload, |_| true);
             return None;
         }
         if let Some(target) = self.outdated(versions) {
             return Some(load(target));
         }
-        let target = self.next_request(versions, may_fetch)?;
+        let target = self.next_request(now, versions, may_fetch, durations)?;
         if self.loading_count() >= MAX_LOADING {
+            self.requests.record_wait(LoadWait::LoadingLimit, |_| true);
             return None;
         }
         if self.adapter_count() < self.max_adapters {
             return Some(load(target));
         }
-        let target = self.eviction_candidate(now)?;
+        let Some(target) = self.eviction_candidate(now) else {
+            self.requests.record_wait(LoadWait::Slot, |_| true);
+            return None;
+        };
         Some(ReplicaAction::Unload { target, expected })
     }
 
@@ -400,44 +449,60 @@
         adapters.filter(|(_, s)| s.phase == Phase::Loaded)
     }
 
-    /// Removes satisfied load requests, and returns the oldest that can be served.
-    fn next_request(&mut self, versions: &Versions, may_fetch: bool) -> Option<Target> {
+    /// Removes satisfied load requests, and returns the first that can be served.
+    fn next_request(
+        &mut self,
+        now: Moment,
+        versions: &Versions,
+        may_fetch: bool,
+        durations: Option<LoadDurations>,
+    ) -> Option<Target> {
         let slots = &self.slots;
         let is_satisfied = |t: &Target| {
             let newest = versions.newest(t).unwrap_or(0);
             let slot = slots.get(t);
             slot.is_some_and(|s| s.phase != Phase::Loaded || s.version >= newest)
         };
-        self.requests.retain(|t, _| !is_satisfied(t));
-        let can_load = |t: &Target| {
-            let source_ready = may_fetch || self.is_cached(t) == Some(true);
-            source_ready && self.has_model(&t.model)
+        self.requests.retain(|t| !is_satisfied(t));
+        let cached = &self.cached;
+        let source_ready = |t: &Target| may_fetch || (t.adapter.is_some() && cached.contains(t));
+        self.requests
+            .record_wait(LoadWait::FetchLimit, |t| !source_ready(t));
+        let can_load = |t: &Target| source_ready(t) && self.has_model(&t.model);
+        let Some(durations) = durations else {
+            return self.requests.oldest(can_load);
         };
-        let eligible = self.requests.iter().filter(|(t, _)| can_load(t));
-        let oldest = eligible.min_by_key(|(_, (since, _))| *since);
-        oldest.map(|(t, _)| t.clone())
+        self.requests
+            .next(now, can_load, |t| match self.is_cached(t) {
+                Some(true) => durations.cached,
+                _ => durations.fetch,
+            })
     }
 
-    /// Returns the adapter to evict. None that may be in use is evicted, as its
-    /// unload would wait for its runs. A new owner evicts nothing until it has
-    /// learned from the other VMs' beacons what is in use.
+    /// Returns the adapter to evict.
     fn eviction_candidate(&self, now: Moment) -> Option<Target> {
-        if now.since(self.owned_since) < self.report_delay {
-            return None;
-        }
-        let loaded = self.loaded_adapters();
-        let evictable =
-            loaded.filter(|(t, _)| !self.requests.contains_key(*t) && self.is_idle(now, t));
-        let candidate = evictable.min_by_key(|(t, _)| {
+        let candidate = self.evictable(now).min_by_key(|t| {
             self.uses
                 .get(*t)
                 .map_or(i64::MIN, |u| u.demand.order_key(1))
         });
-        candidate.map(|(t, _)| t.clone())
+        candidate.cloned()
+    }
+
+    /// Returns the adapters that may be evicted. None that may be in use is evicted, as its
+    /// unload would wait for its runs. A new owner evicts nothing until it has learned from
+    /// the other VMs' beacons what is in use.
+    fn evictable(&self, now: Moment) -> impl Iterator<Item = &Target> {
+        let knows_uses = now.since(self.owned_since) >= self.report_delay;
+        let loaded = self.loaded_adapters().filter(move |_| knows_uses);
+        let unrequested = loaded.filter(|(t, _)| !self.requests.contains(t));
+        let idle = unrequested.filter(move |(t, _)| self.is_idle(now, t));
+        idle.map(|(t, _)| t)
     }
 
-    /// Returns whether no VM reported runs of an adapter recently, and none used it
-    /// within the report delay.
+    /// Returns whether no VM reported runs of an adapter recently, and none used it within
+    /// the time after which uses are known here. A request that was sent without a grant may
+    /// find it unloaded; the replica then refuses it, and it is placed again.
     fn is_idle(&self, now: Moment, target: &Target) -> bool {
         let Some(uses) = self.uses.get(target) else {
             return true;
@@ -446,7 +511,11 @@
         let running = uses.running.values();
         let mut running =
             running.filter(|(reported_at, n)| *n > 0 && now.since(*reported_at) < ttl);
-        running.next().is_none() && now.since(uses.demand.last_request) >= self.report_delay
+        let (last_use, delay) = match self.knows_grants {
+            true => (uses.demand.last_request.max(uses.granted_at), GRANT_DELAY),
+            false => (uses.demand.last_request, self.report_delay),
+        };
+        running.next().is_none() && now.since(last_use) >= delay
     }
 
     /// Returns when the next action may be due.
@@ -500,8 +569,21 @@
         outcome: OrderOutcome,
         poll_delay: Span,
     ) -> Option<LoadDuration> {
-        if outcome != OrderOutcome::Unknown {
-            self.unanswered = 0;
+        match outcome {
+            OrderOutcome::Unknown => {
+                self.timeout.record_unanswered();
+                self.requests.record_wait(LoadWait::Unanswered, |_| true);
+                let load = match action {
+                    ReplicaAction::Load { target, .. } => Some(target),
+                    _ => None,
+                };
+                self.requests.set_unanswered(load);
+            }
+            _ => {
+                self.requests.set_unanswered(None);
+                self.unanswered = 0;
+                self.timeout.reset_doublings();
+            }
         }
         match outcome {
             OrderOutcome::Accepted => {
@@ -559,6 +641,9 @@
                 };
                 let slot = self.slots.entry(target.clone());
                 let slot = slot.or_insert(Slot::loaded(0));
+                if slot.phase == Phase::Loaded {
+                    self.ended_waits.extend(self.requests.begin(target));
+                }
                 slot.phase = Phase::Loading(match slot.phase {
                     Phase::Loading(load) => Loading {
                         not_loaded_at: now,
--- a/lib/src/serving/program/orders.rs
+++ b/lib/src/serving/program/orders.rs
@@ -13,6 +13,7 @@
 use crate::pool::Span;
 use crate::serving::decisions::adapter_planner::LoadDuration;
 use crate::serving::decisions::adapter_planner::OrderOutcome;
+use crate::serving::decisions::adapter_planner::PendingLoad;
 use crate::serving::decisions::adapter_planner::ReplicaAction;
 use crate::serving::decisions::adapter_planner::ReplicaReport;
 use crate::serving::decisions::fleet::WithheldReason;
@@ -27,16 +28,9 @@
 use crate::upstream::BodyChunks;
 use crate::upstream::read_body;
 
-/// Maximum timeout for the response to an order, and the timeout for a report.
+/// Timeout for a report, and for the response to an order if orders are not repeated.
 const MAX_ANSWER_TIMEOUT: Duration = Duration::from_millis(800);
 
-/// Initial timeout for the response to an order: replicas accept one at once and are a few
-/// milliseconds away. It doubles with each consecutive order without a response. With twelve
-/// replicas that left a third of their orders unanswered, three periods of two seconds gave
-/// 12, 13 and 19 loads with a timeout of 0.8 s and a report fetched after it, and 70, 67 and
-/// 89 loads with this timeout.
-const FIRST_ANSWER_TIMEOUT: Duration = Duration::from_millis(80);
-
 /// Maximum size of a report in bytes.
 const MAX_REPORT_BYTES: usize = 256 << 10;
 
@@ -50,9 +44,6 @@
 /// Minimum pause between loads: the window over which the weight store applies its rate.
 const MIN_LOAD_PAUSE: Span = Span::from_millis(5_000);
 
-/// Number of doublings after which `MAX_ANSWER_TIMEOUT` applies anyway.
-const MAX_DOUBLINGS: u32 = 4;
-
 /// Interval at which owned replicas are checked without a wake-up.
 const CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -131,35 +122,60 @@
             state.planner.finish_inspection(now(), &name, report);
         }
         _ => {
+            let sent = now();
+            let pending = match &action {
+                ReplicaAction::Load { target, .. } => {
+                    node.state().planner.pending_load(&name, target)
+                }
+                _ => None,
+            };
             let end = send_order(&node, &name, token, &action).await;
             let mut state = node.state();
             let took = state.planner.finish_order(now(), &name, &action, end);
+            for wait in state.planner.take_load_waits() {
+                metrics::counter!("serve_load_waits_total", "reason" => wait.as_str()).increment(1);
+            }
             if matches!(end, OrderOutcome::Fenced) {
                 state.ownership.record_refusal(&name, token);
             }
             drop(state);
-            log_order(&node, &name, token, &action, end, took);
+            let done = DoneOrder {
+                sent,
+                pending,
+                end,
+                took,
+            };
+            log_order(&node, &name, token, &action, &done);
         }
     }
     node.beacon_wake.notify_one();
     node.orders_wake.notify_one();
     // Requests on this VM that wait for the replica see the new state at once.
     let mut state = node.state();
-    if let Some(residency) = state.planner.residency(&name) {
+    if let Some(residency) = state.planner.report(now(), &name) {
         state.fleet.apply_residency(now(), &name, residency);
     }
     drop(state);
     node.placement_wake.notify_waiters();
 }
 
+/// An order that was carried out or failed, for the log.
+struct DoneOrder {
+    sent: Moment,
+    /// The load request that it served.
+    pending: Option<PendingLoad>,
+    end: OrderOutcome,
+    /// Duration of the load that it completed.
+    took: Option<LoadDuration>,
+}
+
 /// Logs and counts an order with its outcome.
 fn log_order(
     node: &Node,
     name: &ReplicaName,
     token: FencingToken,
     action: &ReplicaAction,
-    end: OrderOutcome,
-    took: Option<LoadDuration>,
+    done: &DoneOrder,
 ) {
     let (what, target, expected) = match action {
         ReplicaAction::Load {
@@ -168,13 +184,17 @@
         ReplicaAction::Unload { target, expected } => ("unload", target.to_string(), *expected),
         ReplicaAction::Inspect => ("look", String::new(), 0),
     };
-    metrics::counter!("serve_orders_total", "what" => what, "end" => end.as_str()).increment(1);
-    if let Some(took) = took {
+    let end = done.end.as_str();
+    metrics::counter!("serve_orders_total", "what" => what, "end" => end).increment(1);
+    if let Some(took) = done.took {
         metrics::histogram!("serve_load_seconds").record(took.max.0 as f64 / 1e6);
     }
     slog::info!(node.log, "order"; "what" => what, "replica" => name.as_str(),
-        "target" => target, "expected" => expected, "token" => token.0, "end" => end.as_str(),
-        "took_ms" => took.map(|t| t.max.as_millis()));
+        "target" => target, "expected" => expected, "token" => token.0, "end" => end,
+        "took_ms" => done.took.map(|t| t.max.as_millis()),
+        "wait_ms" => done.pending.map(|p| done.sent.since(p.since).as_millis()),
+        "waiting" => done.pending.map(|p| p.waiting),
+        "rank" => done.pending.map(|p| p.rank.to_wire()));
 }
 
 /// Fetches a replica's status report.
@@ -231,9 +251,8 @@
     if node.state().ownership.token(now(), name) != Some(token) {
         return OrderOutcome::Refused;
     }
-    let unanswered = node.state().planner.unanswered(name).min(MAX_DOUBLINGS);
     let timeout = match node.settings.experiment.is_enabled(Mechanism::OrderRepeats) {
-        true => (FIRST_ANSWER_TIMEOUT * (1 << unanswered)).min(MAX_ANSWER_TIMEOUT),
+        true => Duration::from_micros(node.state().planner.answer_timeout(name).0),
         false => MAX_ANSWER_TIMEOUT,
     };
     match call(node, name, request, timeout).await {
--- a/lib/tests/test_serving_adapter_planner.rs
+++ b/lib/tests/test_serving_adapter_planner.rs
@@ -6,14 +6,20 @@
 use banyangauge::pool::Span;
 use banyangauge::serving::AdapterPlanner;
 use banyangauge::serving::AnnouncedVersion;
+use banyangauge::serving::Experiment;
 use banyangauge::serving::FetchLimiter;
 use banyangauge::serving::LoadDuration;
+use banyangauge::serving::LoadNeed;
+use banyangauge::serving::LoadWait;
+use banyangauge::serving::Mechanism;
 use banyangauge::serving::OrderOutcome;
+use banyangauge::serving::Rank;
 use banyangauge::serving::ReplicaAction;
 use banyangauge::serving::ReplicaInfo;
 use banyangauge::serving::ReplicaReport;
 use banyangauge::serving::Target;
 use banyangauge::serving::Versions;
+use proptest::prelude::*;
 use rstest::rstest;
 
 use super::test_serving_place::listing;
@@ -67,6 +73,12 @@
         owner
     }
 
+    fn switch_off(&mut self, mechanism: Mechanism) {
+        self.planner.set_experiment(&Experiment {
+            off: [mechanism].into(),
+        });
+    }
+
     fn next(&mut self, ms: u64) -> Option<ReplicaAction> {
         let model = Some(&self.model);
         self.planner
@@ -74,8 +86,13 @@
     }
 
     fn request(&mut self, ms: u64, adapter: &str) {
+        self.request_for(ms, adapter, &LoadNeed::default());
+    }
+
+    fn request_for(&mut self, ms: u64, adapter: &str, need: &LoadNeed) {
+        let vm = "vm-1".parse().unwrap();
         self.planner
-            .request_load(at(ms), &self.name, &target(adapter));
+            .request_load(at(ms), &self.name, &vm, &target(adapter), need);
     }
 
     fn finish(&mut self, ms: u64, action: &ReplicaAction, outcome: OrderOutcome) {
@@ -132,6 +149,7 @@
 #[test]
 fn request_for_a_full_replica_evicts_least_demand() {
     let mut owner = Owner::new(&["base", "base/a1", "base/a2"], 0);
+    owner.switch_off(Mechanism::GrantedUses);
     let vm = "vm-2".parse().unwrap();
     let name = owner.name.clone();
     owner
@@ -370,11 +388,16 @@
 
 /// Returns the loads in ten seconds at a replica that leaves one in `one_in`
 /// orders unanswered, and carries out none of these.
-fn loads_with_unanswered(one_in: u64) -> u32 {
+fn loads_with_unanswered(one_in: u64, off: Mechanism) -> u32 {
     let mut owner = Owner::new(&["base", "base/a1", "base/a2"], 0);
+    owner.switch_off(off);
+    // With free slots, only orders and loads take time.
+    let listing = listing("i-1", "llm", "z-a", &["base"]);
+    owner.planner.track(at(0), &listing, 1_000);
     let (mut now, mut loads, mut orders) = (2_000, 0, 0);
     let mut ready: Option<u64> = None;
     while now < 12_000 {
+        owner.planner.set_fetches(0, 0);
         owner.request(now, &format!("base/b{loads}"));
         let Some(action) = owner.next(now) else {
             now += 10;
@@ -383,7 +406,7 @@
         assert!(action != ReplicaAction::Inspect, "at {now}");
         orders += 1;
         if orders % one_in == 0 {
-            now += 80;
+            now += owner.planner.answer_timeout(&owner.name).as_millis();
             owner.finish(now, &action, OrderOutcome::Unknown);
             continue;
         }
@@ -413,11 +436,20 @@
 /// With two thirds of the orders answered, at least 60 % of the loads complete.
 #[test]
 fn loads_continue_while_orders_are_unanswered() {
-    let all = loads_with_unanswered(1_000_000);
-    let some = loads_with_unanswered(3);
+    let all = loads_with_unanswered(1_000_000, Mechanism::OrderTimeouts);
+    let some = loads_with_unanswered(3, Mechanism::OrderTimeouts);
     assert!(some * 10 >= all * 6, "{some} loads instead of {all}");
 }
 
+/// A replica that leaves a third of its orders unanswered and answers the others in 4 ms:
+/// with a timeout of 80 ms the waits for responses cost a quarter of its loads.
+#[test]
+fn learned_timeout_raises_loads_with_unanswered_orders() {
+    let all = loads_with_unanswered(1_000_000, Mechanism::FetchWidth);
+    let learned = loads_with_unanswered(3, Mechanism::FetchWidth);
+    assert!(learned * 10 >= all * 9, "{learned} loads instead of {all}");
+}
+
 /// A restarted replica is empty and loads its model before any adapter.
 #[test]
 fn empty_replica_loads_its_model_first() {
@@ -461,6 +493,7 @@
 #[test]
 fn adapter_in_use_stays_for_report_delay() {
     let mut owner = Owner::new(&["base", "base/a1", "base/a2"], 0);
+    owner.switch_off(Mechanism::GrantedUses);
     owner.planner.set_report_delay(Span::from_millis(2_500));
     let vm = "vm-2".parse().unwrap();
     let name = owner.name.clone();
@@ -474,6 +507,62 @@
     assert_eq!(owner.next(3_600), unload("base/a1", 0));
 }
 
+/// Rare adapters follow each other at a replica whose slots are full. With the report delay,
+/// each load waits 0.9 s for an adapter to count as idle. An adapter must not be evicted
+/// between the grant of a request and the report of its run.
+#[rstest]
+#[case::granted(&[], 250)]
+#[case::off(&[Mechanism::GrantedUses], 900)]
+#[case::not_asked(&[Mechanism::PlaceAsks], 900)]
+#[case::reported_late(&[Mechanism::EarlyReports], 900)]
+fn adapter_is_evicted_after_last_use(#[case] off: &[Mechanism], #[case] delay_ms: u64) {
+    let mut owner = Owner::new(&["base", "base/a1", "base/a2"], 0);
+    owner.planner.set_experiment(&Experiment {
+        off: off.iter().copied().collect(),
+    });
+    let (vm, name) = ("vm-2".parse().unwrap(), owner.name.clone());
+    let (a1, a2) = (target("base/a1"), target("base/a2"));
+    owner.planner.record_use(at(1_000), &name, &vm, &a1, 1, 1);
+    owner.planner.record_use(at(2_000), &name, &vm, &a2, 0, 1);
+    if off.is_empty() {
+        owner.planner.record_grant(at(2_050), &name, &a2);
+    }
+    let last_use = if off.is_empty() { 2_050 } else { 2_000 };
+    owner.request(last_use + delay_ms - 1, "base/a3");
+    assert_eq!(owner.next(last_use + delay_ms - 1), None);
+    assert_eq!(owner.next(last_use + delay_ms), unload("base/a2", 0));
+}
+
+/// An owner that reported a vacancy which is no longer there, or where no order is possible,
+/// would attract loads that then wait.
+#[test]
+fn vacancies_are_slots_that_can_be_loaded_now() {
+    let mut owner = Owner::new(&["base", "base/a1"], 0);
+    let vacant = |owner: &Owner, ms| owner.planner.report(at(ms), &owner.name).unwrap().vacant;
+    assert_eq!(vacant(&owner, 0), Some(1), "a new owner evicts nothing");
+    assert_eq!(vacant(&owner, 1_000), Some(2));
+    owner
+        .planner
+        .record_grant(at(1_000), &owner.name, &target("base/a1"));
+    assert_eq!(vacant(&owner, 1_100), Some(1), "one adapter is in use");
+    owner.request(1_300, "base/a2");
+    assert_eq!(vacant(&owner, 1_300), Some(1), "one load was requested");
+    let action = owner.next(1_300).unwrap();
+    owner.finish(1_320, &action, OrderOutcome::Unknown);
+    assert_eq!(vacant(&owner, 1_320), Some(0), "an order is unanswered");
+    let action = owner.next(1_320).unwrap();
+    owner.finish(1_330, &action, OrderOutcome::Accepted);
+    assert_eq!(vacant(&owner, 1_330), Some(1), "one adapter is loading");
+    owner.finish(1_600, &action, OrderOutcome::InEffect);
+    owner.request(2_000, "base/a3");
+    let action = owner.next(2_000).unwrap();
+    assert!(matches!(action, ReplicaAction::Unload { .. }));
+    owner.finish(2_001, &action, OrderOutcome::Accepted);
+    assert_eq!(vacant(&owner, 2_001), Some(0), "an unload waits for runs");
+    owner.switch_off(Mechanism::Vacancies);
+    assert_eq!(vacant(&owner, 2_001), None);
+}
+
 /// Many engines that start empty need hundreds of adapters at once: a store sized
 /// for them is fully used from the start.
 #[rstest]
@@ -500,3 +589,155 @@
     limiter.set_engine_count(140);
     assert!(limiter.capacity() < 20, "{}", limiter.capacity());
 }
+
+fn need(route: u32, waiting: u32, left_ms: u64) -> LoadNeed {
+    LoadNeed {
+        waiting,
+        rank: Rank {
+            organisation: 0,
+            route,
+        },
+        left: Some(Span::from_millis(left_ms)),
+    }
+}
+
+/// Creates the owner of a replica with free slots.
+fn owner_with_slots() -> Owner {
+    let mut owner = Owner::new(&["base"], 0);
+    let listing = listing("i-1", "llm", "z-a", &["base"]);
+    owner.planner.track(at(0), &listing, 1_000);
+    owner
+}
+
+impl Owner {
+    /// Completes the next load in 250 ms, and returns its adapter.
+    fn serve(&mut self, ms: u64) -> String {
+        self.planner.set_fetches(0, 0);
+        let action = self.next(ms).unwrap();
+        let ReplicaAction::Load { target, .. } = &action else {
+            panic!("{action:?}");
+        };
+        let adapter = target.adapter.as_ref().unwrap().to_string();
+        self.finish(ms, &action, OrderOutcome::Accepted);
+        self.finish(ms + 250, &action, OrderOutcome::InEffect);
+        adapter
+    }
+}
+
+/// More adapters are requested than can be loaded in time. In order of arrival, the request
+/// that has missed its objective delays the one of the most urgent rank by two loads.
+#[rstest]
+#[case::ordered(&[], ["urgent", "many", "one", "late"])]
+#[case::off(&[Mechanism::LoadOrder], ["late", "one", "many", "urgent"])]
+fn loads_are_ordered_by_need(#[case] off: &[Mechanism], #[case] expected: [&str; 4]) {
+    let mut owner = owner_with_slots();
+    owner.planner.set_experiment(&Experiment {
+        off: off.iter().copied().collect(),
+    });
+    let needs = [
+        ("late", need(0, 9, 100)),
+        ("one", need(1, 1, 900)),
+        ("many", need(1, 2, 900)),
+        ("urgent", need(0, 1, 900)),
+    ];
+    for (ms, (adapter, need)) in needs.iter().enumerate() {
+        owner.request_for(ms as u64, &format!("base/{adapter}"), need);
+    }
+    assert_eq!([(); 4].map(|()| owner.serve(4)), expected);
+}
+
+/// The needs of several VMs add up, and a need that is not renewed expires alone.
+#[test]
+fn needs_of_several_vms_add_up() {
+    let mut owner = owner_with_slots();
+    let shared = target("base/shared");
+    for (ms, vm, need) in [
+        (0, "vm-1", need(1, 3, 5_000)),
+        (600, "vm-2", need(2, 2, 5_000)),
+    ] {
+        let vm = vm.parse().unwrap();
+        let name = owner.name.clone();
+        owner
+            .planner
+            .request_load(at(ms), &name, &vm, &shared, &need);
+    }
+    let pending = |owner: &Owner| owner.planner.pending_load(&owner.name, &shared).unwrap();
+    assert_eq!(
+        (pending(&owner).waiting, pending(&owner).rank.route),
+        (5, 1)
+    );
+    owner.planner.set_fetches(8, 0);
+    assert_eq!(owner.next(800), None);
+    assert_eq!(
+        (pending(&owner).waiting, pending(&owner).rank.route),
+        (2, 2)
+    );
+    assert_eq!(pending(&owner).since, at(0));
+}
+
+/// The replica may still carry out an unanswered order, and an order for another adapter
+/// would then fail by the order count.
+#[test]
+fn unanswered_load_is_repeated_before_more_urgent_ones() {
+    let mut owner = owner_with_slots();
+    owner.request_for(0, "base/first", &need(1, 1, 900));
+    let action = owner.next(0).unwrap();
+    owner.request_for(1, "base/urgent", &need(0, 1, 900));
+    owner.finish(80, &action, OrderOutcome::Unknown);
+    assert_eq!(owner.next(80), Some(action));
+}
+
+/// Operators tell by the counter what loads wait for.
+#[test]
+fn load_waits_are_recorded_once_per_load() {
+    let mut owner = owner_with_slots();
+    owner.planner.set_fetches(8, 0);
+    owner.request(0, "base/a1");
+    assert_eq!((owner.next(0), owner.next(10)), (None, None));
+    owner.planner.set_fetches(0, 0);
+    let action = owner.next(20).unwrap();
+    owner.finish(40, &action, OrderOutcome::Unknown);
+    assert!(owner.planner.take_load_waits().is_empty());
+    let action = owner.next(40).unwrap();
+    owner.finish(44, &action, OrderOutcome::Accepted);
+    let expected = [LoadWait::Unanswered, LoadWait::FetchLimit];
+    assert_eq!(owner.planner.take_load_waits(), expected);
+    assert!(owner.planner.take_load_waits().is_empty());
+}
+
+proptest! {
+    /// Late and less urgent load requests are not starved by a steady supply of urgent ones:
+    /// each fourth load serves the oldest. The others never serve a late request, or a less
+    /// urgent rank, before one that can be served in time.
+    #[test]
+    fn load_order_starves_none(
+        needs in prop::collection::vec((0_u32..3, 0_u32..4, 0_u64..1_000), 1..12),
+    ) {
+        let mut owner = owner_with_slots();
+        for (n, (route, waiting, left_ms)) in needs.iter().enumerate() {
+            owner.request_for(0, &format!("base/n{n:02}"), &need(*route, *waiting, *left_ms));
+        }
+        let key = |n: usize| (needs[n].2 < 250, needs[n].0);
+        let mut left: Vec<usize> = (0..needs.len()).collect();
+        for load in 0..needs.len() * 4 {
+            let urgent = format!("base/urgent{load}");
+            if load % 2 == 0 {
+                owner.request_for(1, &urgent, &need(0, 9, 900));
+            }
+            let served = owner.serve(0);
+            let Some(n) = served.strip_prefix('n').map(|n| n.parse::<usize>().unwrap()) else {
+                prop_assert!(load % 4 != 3, "load {} did not serve the oldest", load);
+                continue;
+            };
+            if load % 4 != 3 {
+                let best = left.iter().map(|other| key(*other)).min();
+                prop_assert_eq!(Some(key(n)), best);
+            }
+            left.retain(|other| *other != n);
+            if left.is_empty() {
+                break;
+            }
+        }
+        prop_assert!(left.is_empty(), "{:?} were not served", left);
+    }
+}
