serving: the rank and the objective of a request

Cause: the priority of an organisation was not read, and that of a route was read but used nowhere, so that nothing on the path could put urgent requests first.

`serve.rs` computes the `Rank` of a request and keeps it in `BufferedRequest`, next to the time of its objective. With the switch `ranks` off all requests have the same rank.

--- a/lib/src/serving/path/forward.rs
+++ b/lib/src/serving/path/forward.rs
@@ -35,6 +35,7 @@
 use crate::serving::path::statements::apply_statement;
 use crate::serving::path::types::Instance;
 use crate::serving::path::types::KeyDigest;
+use crate::serving::path::types::Rank;
 use crate::serving::path::types::SharedPrefix;
 use crate::serving::path::types::Target;
 use crate::serving::program::node::Node;
@@ -58,6 +59,12 @@
     pub(in crate::serving) fingerprint: Fingerprint,
     /// The organisation and API key that it is admitted under.
     pub(in crate::serving) caller: Caller,
+    /// The priorities of its organisation and route.
+    #[expect(dead_code, reason = "the urgency for engines will read it")]
+    pub(in crate::serving) rank: Rank,
+    /// Time by which the response must start to meet the objective of its route.
+    #[expect(dead_code, reason = "the urgency for engines will read it")]
+    pub(in crate::serving) objective: Moment,
     /// Time by which the response must be complete.
     pub(in crate::serving) deadline: Moment,
 }
--- a/lib/src/serving/path/serve.rs
+++ b/lib/src/serving/path/serve.rs
@@ -53,9 +53,11 @@
 use crate::serving::path::routes::pick_service;
 use crate::serving::path::types::Instance;
 use crate::serving::path::types::Organisation;
+use crate::serving::path::types::Rank;
 use crate::serving::path::types::RequestInfo;
 use crate::serving::path::types::Route;
 use crate::serving::path::types::RouteKind;
+use crate::serving::program::experiment::Mechanism;
 use crate::serving::program::node::InFlight;
 use crate::serving::program::node::Node;
 use crate::serving::program::node::Phase;
@@ -183,6 +185,8 @@
         path: origin_form(&head.uri),
         headers,
         cost: estimate_load(&active, &routed.service, &info),
+        rank: rank_of(node, &routed.route, organisation.as_deref()),
+        objective: arrived.after(to_span(routed.route.objective)),
         shared_prefix: info.shared_prefix,
         caller: Caller {
             key: info
@@ -243,6 +247,18 @@
     })
 }
 
+/// Returns the rank of a request; all requests have the same one while ranks are switched
+/// off.
+fn rank_of(node: &Node, route: &Route, organisation: Option<&Organisation>) -> Rank {
+    if !node.settings.experiment.is_enabled(Mechanism::Ranks) {
+        return Rank::default();
+    }
+    Rank {
+        organisation: organisation.map_or(0, |o| o.priority),
+        route: route.priority,
+    }
+}
+
 /// Reads the complete body of a request, up to a size and a deadline.
 async fn read_body(
     body: Incoming,
--- a/lib/src/serving/path/types.rs
+++ b/lib/src/serving/path/types.rs
@@ -259,6 +259,8 @@
     pub keys: BTreeSet<KeyDigest>,
     /// Its rate limit over all VMs; `None` for no limit.
     pub limit: Option<RateLimit>,
+    /// Priority of its requests; 0 is the most urgent.
+    pub priority: u32,
 }
 
 /// An organisation's rate limit over all VMs: the parameters of a token bucket.
--- a/lib/tests/test_serving_access.rs
+++ b/lib/tests/test_serving_access.rs
@@ -16,6 +16,7 @@
         name: "halls".parse().unwrap(),
         keys: [KeyDigest::of(b"one"), KeyDigest::of(b"two")].into(),
         limit: None,
+        priority: 0,
     }])
 }
 
