serving: engines are told the urgency of a request

Cause: engines admit the more urgent requests first and preempt the least urgent ones when their memory runs out, but were never told which ones these are, so that all requests counted as equal.

Change: `decisions/urgency.rs` collects the ranks that requests of each service can have under a configuration. Where a service with an engine has more than one, `serve.rs` maps the rank of a request to 2 to 7 at its arrival, so that a reload holds for requests that arrive after it. `forward.rs` adds two if the objective has passed at the send. A resumed stream keeps the urgency of the run that broke off: its caller is already served, and the objective for the first event no longer counts. `ForwardHeaders` gets `urgency`, which the platform writes as `Request-Urgency`. Ranks after the sixth share urgency 7, so that the most urgent ones are told apart. The switch `ranks` turns it off.

The counter `serve_urgency_total` has the labels `urgency` and `late`.

--- a/lib/src/serving/cluster/state.rs
+++ b/lib/src/serving/cluster/state.rs
@@ -38,6 +38,7 @@
 use crate::serving::decisions::reservations::Reservations;
 use crate::serving::decisions::retry_budget::RetryBudget;
 use crate::serving::decisions::stall_detector::StallDetector;
+use crate::serving::decisions::urgency::Urgencies;
 use crate::serving::path::routes::Routes;
 use crate::serving::path::types::Config;
 use crate::serving::path::types::Instance;
@@ -60,10 +61,12 @@
     pub(in crate::serving) keys: Option<ApiKeys>,
     /// The limits of organisations that have one.
     pub(in crate::serving) use_limits: BTreeMap<OrganisationName, RateLimit>,
+    /// The urgencies that engines are told.
+    pub(in crate::serving) urgencies: Urgencies,
 }
 
 impl ActiveConfig {
-    /// Indexes the routes, keys and limits of a configuration.
+    /// Indexes the routes, keys, limits and ranks of a configuration.
     fn new(config: Config) -> Self {
         let routes = Routes::new(&config.routes);
         let all = config.organisations.as_deref();
@@ -72,6 +75,7 @@
         Self {
             keys: all.map(ApiKeys::new),
             use_limits: limits.collect(),
+            urgencies: Urgencies::new(&config),
             routes,
             config,
         }
--- a/lib/src/serving/path/codec.rs
+++ b/lib/src/serving/path/codec.rs
@@ -60,6 +60,8 @@
     /// The organisation that the request is sent for; the caller's API key is never
     /// forwarded.
     pub organisation: Option<&'a OrganisationName>,
+    /// How urgent the request is, from 0 (first) to 9; `None` to leave that to the engine.
+    pub urgency: Option<u8>,
 }
 
 /// Why a replica did not run a request.
--- a/lib/src/serving/path/forward.rs
+++ b/lib/src/serving/path/forward.rs
@@ -24,6 +24,7 @@
 use crate::serving::decisions::fleet::RunOutcome;
 use crate::serving::decisions::prefill_turns::LONG_PROMPT_TOKENS;
 use crate::serving::decisions::retry::AttemptFailure;
+use crate::serving::decisions::urgency::urgency_when_sent;
 use crate::serving::path::charge::Charge;
 use crate::serving::path::codec::ForwardHeaders;
 use crate::serving::path::codec::ReplicaReply;
@@ -60,10 +61,11 @@
     /// The organisation and API key that it is admitted under.
     pub(in crate::serving) caller: Caller,
     /// The priorities of its organisation and route.
-    #[expect(dead_code, reason = "the urgency for engines will read it")]
+    #[expect(dead_code, reason = "prefill turns will read it")]
     pub(in crate::serving) rank: Rank,
+    /// The urgency of its rank at arrival; `None` if engines are told none.
+    pub(in crate::serving) urgency: Option<u8>,
     /// Time by which the response must start to meet the objective of its route.
-    #[expect(dead_code, reason = "the urgency for engines will read it")]
     pub(in crate::serving) objective: Moment,
     /// Time by which the response must be complete.
     pub(in crate::serving) deadline: Moment,
@@ -88,6 +90,8 @@
     cost: Load,
     id: u64,
     responded: bool,
+    /// The urgency that the replica was told.
+    pub(in crate::serving) urgency: Option<u8>,
     /// Held until the replica has read the prompt.
     prefill_turn: Option<PrefillTurn>,
 }
@@ -107,6 +111,7 @@
             cost: req.cost,
             id,
             responded: false,
+            urgency: None,
             prefill_turn: None,
         }
     }
@@ -176,15 +181,25 @@
     pub(in crate::serving) failed: bool,
 }
 
+/// The part of a response that the caller already has, when another replica continues it.
+#[derive(Clone, Copy, Debug)]
+pub(in crate::serving) struct Resume {
+    /// ID of the last event that was forwarded.
+    pub(in crate::serving) after: Option<u64>,
+    /// The urgency of the run that broke off. Its caller is already served, so the objective
+    /// for the first event no longer counts.
+    pub(in crate::serving) urgency: Option<u8>,
+}
+
 /// Sends a request to a replica and waits for the headers of the response.
 ///
-/// With `resume_after`, the stream is resumed after that event; the API key is then not
+/// With `resume`, the response is continued; if that is after an event, the API key is not
 /// checked again.
 pub(in crate::serving) async fn forward(
     node: &Rc<Node>,
     req: &BufferedRequest,
     placed: &Placed,
-    resume_after: Option<u64>,
+    resume: Option<Resume>,
 ) -> Result<StartedResponse, AttemptFailure> {
     let replica = &placed.replica;
     let address = {
@@ -202,10 +217,21 @@
     limit::renew(node, replica, placed.permit)
         .await
         .map_err(AttemptFailure::Withheld)?;
+    let resume_after = resume.and_then(|r| r.after);
     if resume_after.is_none() {
         check_key(node, req)?;
     }
-    let request = build_request(node, req, replica, resume_after);
+    let sent = req
+        .urgency
+        .map(|u| urgency_when_sent(u, now(), req.objective));
+    run.urgency = resume.map_or(sent, |r| r.urgency);
+    let request = build_request(node, req, &run, resume_after);
+    if let Some(urgency) = run.urgency {
+        let late = run.urgency != req.urgency;
+        metrics::counter!("serve_urgency_total", "urgency" => urgency.to_string(),
+            "late" => late.to_string())
+        .increment(1);
+    }
     let send = req.caller.charge.as_ref().map(Charge::mark_sent);
     let timeout = Duration::from_micros(req.deadline.since(now()).0);
     let instance = run.instance();
@@ -309,7 +335,7 @@
 fn build_request(
     node: &Node,
     req: &BufferedRequest,
-    replica: &ReplicaName,
+    run: &Run,
     resume_after: Option<u64>,
 ) -> Request<BodyChunks> {
     let mut request = Request::new(BodyChunks::new(req.body.iter().cloned()));
@@ -319,16 +345,17 @@
     let version = {
         let state = node.state();
         let target = req.target.as_ref();
-        target.and_then(|t| state.fleet.expected_version(now, replica, t))
+        target.and_then(|t| state.fleet.expected_version(now, &run.replica, t))
     };
     let headers = request.headers_mut();
     *headers = req.headers.clone();
     let values = ForwardHeaders {
         timeout: Duration::from_micros(req.deadline.since(now).0),
-        replica,
+        replica: &run.replica,
         version,
         resume_after,
         organisation: req.caller.organisation.as_ref(),
+        urgency: run.urgency,
     };
     (node.codec.set_headers)(headers, &values);
     request
--- a/lib/src/serving/path/response.rs
+++ b/lib/src/serving/path/response.rs
@@ -23,6 +23,7 @@
 use crate::serving::decisions::retry::AttemptFailure;
 use crate::serving::decisions::retry::Attempts;
 use crate::serving::path::forward::BufferedRequest;
+use crate::serving::path::forward::Resume;
 use crate::serving::path::forward::StartedResponse;
 use crate::serving::path::forward::record_strike;
 use crate::serving::path::placement::has_other_replica;
@@ -258,6 +259,7 @@
         started.run.record_end(RunOutcome::Broken);
         record_strike(&self.node, &self.request, &started.run.instance());
         self.avoid.insert(started.run.replica.clone());
+        let urgency = started.run.urgency;
         // This closes the connection, which makes the replica cancel the run.
         drop(started);
         self.log_broken(ended.as_str());
@@ -269,7 +271,10 @@
         };
         events.scanner.reset();
         self.attempts.record_failure(ended);
-        let resume_after = events.last_id;
+        let resume = Resume {
+            after: events.last_id,
+            urgency,
+        };
         let next = retry(
             &self.node,
             &self.routed,
@@ -277,7 +282,7 @@
             &mut self.attempts,
             &mut self.avoid,
             ended,
-            resume_after,
+            Some(resume),
         );
         match next.await {
             Ok(started) => {
--- a/lib/src/serving/path/serve.rs
+++ b/lib/src/serving/path/serve.rs
@@ -39,6 +39,7 @@
 use crate::serving::path::codec::NotRun;
 use crate::serving::path::forward::BufferedRequest;
 use crate::serving::path::forward::Caller;
+use crate::serving::path::forward::Resume;
 use crate::serving::path::forward::StartedResponse;
 use crate::serving::path::forward::forward;
 use crate::serving::path::forward::strip_hop_headers;
@@ -179,13 +180,17 @@
     let body = read_body(body, active.config.limits.body_bytes, deadline).await?;
     let mut headers = head.headers;
     strip_request_headers(&mut headers);
+    // With ranks switched off, all requests have the same one and engines are told nothing.
+    let ranked = node.settings.experiment.is_enabled(Mechanism::Ranks);
+    let rank = ranked.then(|| rank_of(&routed.route, organisation.as_deref()));
     let req = BufferedRequest {
         method: head.method,
         fingerprint: fingerprint(&head.uri, &body),
         path: origin_form(&head.uri),
         headers,
         cost: estimate_load(&active, &routed.service, &info),
-        rank: rank_of(node, &routed.route, organisation.as_deref()),
+        urgency: rank.and_then(|rank| active.urgencies.find(&routed.service, rank)),
+        rank: rank.unwrap_or_default(),
         objective: arrived.after(to_span(routed.route.objective)),
         shared_prefix: info.shared_prefix,
         caller: Caller {
@@ -247,12 +252,8 @@
     })
 }
 
-/// Returns the rank of a request; all requests have the same one while ranks are switched
-/// off.
-fn rank_of(node: &Node, route: &Route, organisation: Option<&Organisation>) -> Rank {
-    if !node.settings.experiment.is_enabled(Mechanism::Ranks) {
-        return Rank::default();
-    }
+/// Returns the rank of a request of an organisation, or of a caller without one.
+fn rank_of(route: &Route, organisation: Option<&Organisation>) -> Rank {
     Rank {
         organisation: organisation.map_or(0, |o| o.priority),
         route: route.priority,
@@ -480,7 +481,7 @@
     attempts: &mut Attempts,
     avoid: &mut BTreeSet<ReplicaName>,
     ended: AttemptFailure,
-    resume_after: Option<u64>,
+    resume: Option<Resume>,
 ) -> Result<StartedResponse, Refusal> {
     let mut ended = ended;
     loop {
@@ -499,7 +500,7 @@
         if ended.reached_replica() && !spend_retry(node, routed) {
             return Err(Refusal::after(attempts, ended));
         }
-        ended = match forward(node, req, &placed, resume_after).await {
+        ended = match forward(node, req, &placed, resume).await {
             // An error response cannot continue a response that has started.
             Ok(started) if attempts.answered && !started.answer.head.status.is_success() => {
                 started.run.record_end(RunOutcome::Failed);
