serving: prefill turns go by rank

Cause: turns were granted in order of arrival. Under load the wait for a turn is most of the objective of a long prompt, and an urgent one waited behind all that came before it.

Change: `PrefillTurns` grants by rank, then by arrival; every fourth turn goes to the prompt that has waited longest. `TurnAsk.rank` carries the rank to the owner. Prompts of the owner's own VM are ranked by the same rounded value as those of others. A VM that does not send the field counts as most urgent until it is replaced.

Tests: in test_serving_prefill_turns.rs a load of 1.5 times the capacity by rank, twice the capacity with half of it urgent, and a property of the order. In order of arrival (rank ignored) `saturation_serves_the_first_rank_in_time` and `turns_go_by_rank_and_the_fourth_by_age` fail; without the fourth turn the latter and `saturation_does_not_starve_the_last_rank` (3 of 53 turns).

--- a/lib/src/serving/decisions/prefill_turns.rs
+++ b/lib/src/serving/decisions/prefill_turns.rs
@@ -1,12 +1,12 @@
 //! Serialises the prefill of long prompts at a replica.
 
 use std::collections::BTreeMap;
-use std::collections::VecDeque;
 
 use crate::ids::ReplicaName;
 use crate::ids::VmName;
 use crate::pool::Moment;
 use crate::pool::Span;
+use crate::serving::path::types::Rank;
 
 /// Minimum tokens of a prompt that waits for its turn: an engine prefills
 /// shorter ones within a few steps.
@@ -30,6 +30,11 @@
 /// Constant part of that time, in microseconds.
 const TIMEOUT_BASE_US: u64 = 150_000;
 
+/// One turn in this many goes to the prompt that has waited longest, whatever its rank.
+/// Otherwise prompts of the last rank never get a turn while those of the first ranks alone
+/// fill the replica.
+const OLDEST_EVERY: u64 = 4;
+
 /// Identifies a request for a turn.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct TurnId {
@@ -43,6 +48,7 @@
 #[derive(Debug)]
 struct Turn {
     id: TurnId,
+    rank: Rank,
     tokens: u64,
     /// While it waits: when it is dropped; during prefill: when it times out.
     until: Moment,
@@ -51,7 +57,10 @@
 #[derive(Debug, Default)]
 struct ReplicaQueue {
     active: Vec<Turn>,
-    waiting: VecDeque<Turn>,
+    /// In order of arrival.
+    waiting: Vec<Turn>,
+    /// Number of turns granted.
+    granted: u64,
     /// End of the gap after the last prefill.
     free_from: Moment,
 }
@@ -63,6 +72,9 @@
 /// prompts gives every stream its next event. Turns are granted by the replica's
 /// owner, as load reports are older than a prefill takes; without an owner
 /// prompts are sent without turns.
+///
+/// While prompts arrive faster than they are prefilled, the more urgent ones go first, as
+/// the wait for a turn is most of their objective.
 #[derive(Debug, Default)]
 pub struct PrefillTurns {
     queues: BTreeMap<ReplicaName, ReplicaQueue>,
@@ -70,10 +82,31 @@
 
 impl PrefillTurns {
     /// Queues a prompt of `tokens` tokens.
-    pub fn request(&mut self, now: Moment, replica: &ReplicaName, id: TurnId, tokens: u64) {
+    ///
+    /// ```
+    /// use banyangauge::pool::Moment;
+    /// use banyangauge::serving::{PrefillTurns, Rank, TurnId};
+    /// let (mut turns, replica) = (PrefillTurns::default(), "i-1".parse().unwrap());
+    /// for (number, route) in [(1, 7), (2, 0)] {
+    ///     let id = TurnId { vm: "vm-1".parse().unwrap(), number };
+    ///     let rank = Rank { organisation: 0, route };
+    ///     turns.request(Moment(0), &replica, id, rank, 9_000);
+    /// }
+    /// let first = turns.take_grants(Moment(0));
+    /// assert_eq!(first[0].1.number, 2);
+    /// ```
+    pub fn request(
+        &mut self,
+        now: Moment,
+        replica: &ReplicaName,
+        id: TurnId,
+        rank: Rank,
+        tokens: u64,
+    ) {
         let queue = self.queues.entry(replica.clone()).or_default();
-        queue.waiting.push_back(Turn {
+        queue.waiting.push(Turn {
             id,
+            rank,
             tokens,
             until: now.after(MAX_TURN_WAIT),
         });
@@ -117,9 +150,21 @@
 }
 
 impl ReplicaQueue {
-    /// Starts the first waiting turn, if it may begin now.
+    /// Returns the position of the waiting turn that is next: by rank, then by arrival.
+    fn next_index(&self) -> Option<usize> {
+        if self.granted % OLDEST_EVERY == OLDEST_EVERY - 1 {
+            return (!self.waiting.is_empty()).then_some(0);
+        }
+        let ranks = self.waiting.iter().enumerate();
+        let first = ranks.min_by_key(|(index, turn)| (turn.rank, *index));
+        first.map(|(index, _)| index)
+    }
+
+    /// Starts the next waiting turn, if it may begin now. The ones after it wait as well, so
+    /// that a large prompt is not overtaken by small ones for ever.
     fn start_next(&mut self, now: Moment) -> Option<TurnId> {
-        let first = self.waiting.front()?;
+        let index = self.next_index()?;
+        let first = self.waiting.get(index)?;
         let active: u64 = self.active.iter().map(|t| t.tokens).sum();
         let may_start = match self.active.is_empty() {
             true => self.free_from <= now,
@@ -128,7 +173,8 @@
         if !may_start {
             return None;
         }
-        let mut turn = self.waiting.pop_front()?;
+        let mut turn = self.waiting.remove(index);
+        self.granted += 1;
         turn.until = now.after(Span(TIMEOUT_BASE_US + turn.tokens * TIMEOUT_PER_TOKEN_US));
         let id = turn.id.clone();
         self.active.push(turn);
--- a/lib/src/serving/path/forward.rs
+++ b/lib/src/serving/path/forward.rs
@@ -31,6 +31,7 @@
 use crate::serving::path::limit;
 use crate::serving::path::placement::Placed;
 use crate::serving::path::prefill::PrefillTurn;
+use crate::serving::path::prefill::Prompt;
 use crate::serving::path::prefill::wait_for_turn;
 use crate::serving::path::statements::Call;
 use crate::serving::path::statements::apply_statement;
@@ -61,7 +62,6 @@
     /// The organisation and API key that it is admitted under.
     pub(in crate::serving) caller: Caller,
     /// The priorities of its organisation and route.
-    #[expect(dead_code, reason = "prefill turns will read it")]
     pub(in crate::serving) rank: Rank,
     /// The urgency of its rank at arrival; `None` if engines are told none.
     pub(in crate::serving) urgency: Option<u8>,
@@ -118,10 +118,15 @@
 
     /// Waits for the turn of a long prompt, and starts the first-byte timer of the run. The
     /// request must be sent right after this call.
-    async fn wait_for_turn(&mut self, deadline: Moment) {
+    async fn wait_for_turn(&mut self, rank: Rank, deadline: Moment) {
         if self.cost.prefill >= LONG_PROMPT_TOKENS {
             let node = self.node.clone();
-            let turn = wait_for_turn(&node, &self.replica, self.id, self.cost.prefill, deadline);
+            let prompt = Prompt {
+                number: self.id,
+                tokens: self.cost.prefill,
+                rank,
+            };
+            let turn = wait_for_turn(&node, &self.replica, prompt, deadline);
             self.prefill_turn = turn.await;
         }
         let mut state = self.node.state();
@@ -211,7 +216,7 @@
         listing.address
     };
     let mut run = Run::begin(node, req, replica);
-    run.wait_for_turn(req.deadline).await;
+    run.wait_for_turn(req.rank, req.deadline).await;
     // The replica may have stated a limit, asked for rest, or stated that it leaves, while
     // the request waited for its turn.
     limit::renew(node, replica, placed.permit)
--- a/lib/src/serving/path/prefill.rs
+++ b/lib/src/serving/path/prefill.rs
@@ -12,6 +12,7 @@
 use crate::pool::Moment;
 use crate::serving::decisions::prefill_turns::MAX_TURN_WAIT;
 use crate::serving::decisions::prefill_turns::TurnId;
+use crate::serving::path::types::Rank;
 use crate::serving::peers::beacons;
 use crate::serving::program::experiment::Mechanism;
 use crate::serving::program::node::Node;
@@ -30,6 +31,17 @@
     number: u64,
 }
 
+/// A long prompt that needs a turn.
+#[derive(Clone, Copy, Debug)]
+pub(in crate::serving) struct Prompt {
+    /// The run's number, unique within the VM.
+    pub(in crate::serving) number: u64,
+    /// Its length in tokens.
+    pub(in crate::serving) tokens: u64,
+    /// The rank of its request.
+    pub(in crate::serving) rank: Rank,
+}
+
 /// Requests a turn from the replica's owner and waits for it.
 ///
 /// Returns `None` if prompts need no turns at present or the replica has no live owner.
@@ -37,8 +49,7 @@
 pub(in crate::serving) async fn wait_for_turn(
     node: &Rc<Node>,
     replica: &ReplicaName,
-    number: u64,
-    tokens: u64,
+    prompt: Prompt,
     deadline: Moment,
 ) -> Option<PrefillTurn> {
     let at = now();
@@ -48,6 +59,9 @@
         let owner = state.ownership.owner(replica).cloned().filter(|_| enabled);
         owner.filter(|vm| state.stall_detector.is_active(at) && state.members.is_live(at, vm))?
     };
+    let Prompt { number, tokens, .. } = prompt;
+    // Messages tell fewer ranks apart; all VMs' prompts are compared alike.
+    let rank = prompt.rank.to_wire();
     let call = node.turn_calls.register(number);
     let turn = PrefillTurn {
         node: node.clone(),
@@ -56,7 +70,8 @@
     };
     if owner == node.settings.vm {
         let id = TurnId { vm: owner, number };
-        node.state().turns.request(at, replica, id, tokens);
+        let rank = Rank::from_wire(rank);
+        node.state().turns.request(at, replica, id, rank, tokens);
         node.turns_wake.notify_one();
     } else {
         let ask = wire::TurnAsk {
@@ -64,7 +79,7 @@
             number,
             replica: replica.to_string(),
             tokens,
-            rank: 0,
+            rank,
         };
         send_message(node, &owner, Body::TurnAsk(ask)).await;
     }
@@ -147,7 +162,10 @@
         vm,
         number: ask.number,
     };
-    node.state().turns.request(now(), &replica, id, ask.tokens);
+    let rank = Rank::from_wire(ask.rank);
+    node.state()
+        .turns
+        .request(now(), &replica, id, rank, ask.tokens);
     node.turns_wake.notify_one();
 }
 
--- a/lib/tests/test_serving_prefill_turns.rs
+++ b/lib/tests/test_serving_prefill_turns.rs
@@ -5,8 +5,16 @@
 use banyangauge::pool::Span;
 use banyangauge::serving::MAX_TURN_WAIT;
 use banyangauge::serving::PrefillTurns;
+use banyangauge::serving::Rank;
 use banyangauge::serving::StallDetector;
 use banyangauge::serving::TurnId;
+use proptest::prelude::*;
+
+/// The rank of prompts that differ in arrival only.
+const SAME: Rank = Rank {
+    organisation: 0,
+    route: 0,
+};
 
 fn at(ms: u64) -> Moment {
     Moment(10_000_000).after(Span::from_millis(ms))
@@ -32,8 +40,8 @@
 #[test]
 fn prompts_are_prefilled_one_by_one_with_a_gap() {
     let (mut turns, r): (_, ReplicaName) = (PrefillTurns::default(), "i-1".parse().unwrap());
-    turns.request(at(0), &r, id(1), 9_000);
-    turns.request(at(1), &r, id(2), 9_000);
+    turns.request(at(0), &r, id(1), SAME, 9_000);
+    turns.request(at(1), &r, id(2), SAME, 9_000);
     assert_eq!(granted(&mut turns, 1), [1]);
     assert!(granted(&mut turns, 150).is_empty());
     turns.finish(at(200), &r, &id(1));
@@ -45,7 +53,7 @@
 fn small_prompts_share_a_turn() {
     let (mut turns, r): (_, ReplicaName) = (PrefillTurns::default(), "i-1".parse().unwrap());
     for n in 1..=3 {
-        turns.request(at(0), &r, id(n), 3_000);
+        turns.request(at(0), &r, id(n), SAME, 3_000);
     }
     assert_eq!(granted(&mut turns, 0), [1, 2]);
 }
@@ -54,9 +62,9 @@
 #[test]
 fn turn_without_end_message_times_out() {
     let (mut turns, r): (_, ReplicaName) = (PrefillTurns::default(), "i-1".parse().unwrap());
-    turns.request(at(0), &r, id(1), 4_000);
+    turns.request(at(0), &r, id(1), SAME, 4_000);
     assert_eq!(granted(&mut turns, 0), [1]);
-    turns.request(at(300), &r, id(2), 4_000);
+    turns.request(at(300), &r, id(2), SAME, 4_000);
     assert!(granted(&mut turns, 320).is_empty());
     assert_eq!(turns.next_wake(), Some(at(350)));
     assert_eq!(granted(&mut turns, 350), [2]);
@@ -66,10 +74,10 @@
 #[test]
 fn expired_wait_is_skipped() {
     let (mut turns, r): (_, ReplicaName) = (PrefillTurns::default(), "i-1".parse().unwrap());
-    turns.request(at(0), &r, id(1), 90_000);
+    turns.request(at(0), &r, id(1), SAME, 90_000);
     assert_eq!(granted(&mut turns, 0), [1]);
-    turns.request(at(1), &r, id(2), 9_000);
-    turns.request(at(500), &r, id(3), 9_000);
+    turns.request(at(1), &r, id(2), SAME, 9_000);
+    turns.request(at(500), &r, id(3), SAME, 9_000);
     turns.finish(at(900), &r, &id(1));
     assert!(MAX_TURN_WAIT < Span::from_millis(900));
     assert_eq!(granted(&mut turns, 930), [3]);
@@ -85,7 +93,7 @@
     for ms in 0..6_000 {
         if ms % 150 == 0 {
             next += 1;
-            turns.request(at(ms), &r, id(next), 9_000);
+            turns.request(at(ms), &r, id(next), SAME, 9_000);
         }
         if active.is_some_and(|(_, end)| end <= ms) {
             let (number, _) = active.take().unwrap();
@@ -101,6 +109,90 @@
     assert!(order.len() >= 25, "{} prompts in 6 s", order.len());
 }
 
+fn rank(route: u32) -> Rank {
+    Rank {
+        organisation: 0,
+        route,
+    }
+}
+
+/// Returns the turns that prompts (arrival in milliseconds, rank) get at a replica that takes
+/// 200 ms for each: their numbers and waits in milliseconds, in order.
+fn replay(prompts: &[(u64, Rank)]) -> Vec<(u64, u64)> {
+    let (mut turns, r): (_, ReplicaName) = (PrefillTurns::default(), "i-1".parse().unwrap());
+    let (mut active, mut order, mut waiting) = (None, Vec::new(), prompts.iter().enumerate());
+    let mut next = waiting.next();
+    for ms in 0..20_000 {
+        while let Some((number, (arrival, rank))) = next.filter(|(_, (at, _))| *at <= ms) {
+            turns.request(at(*arrival), &r, id(number as u64), *rank, 9_000);
+            next = waiting.next();
+        }
+        if let Some((number, _)) = active.take_if(|(_, end)| *end <= ms) {
+            turns.finish(at(ms), &r, &id(number));
+        }
+        for number in granted(&mut turns, ms) {
+            assert!(active.is_none(), "two prompts at a time");
+            active = Some((number, ms + 200));
+            order.push((number, ms - prompts[number as usize].0));
+        }
+    }
+    order
+}
+
+/// Three long prompts of the last rank arrive for each of the first, in all 1.5 times as many
+/// as the replica prefills. By arrival, all would wait until just before they are sent without
+/// a turn; by rank, those of the first rank wait for at most two turns, and those of the last
+/// still get some.
+#[test]
+fn saturation_serves_the_first_rank_in_time() {
+    let urgent = |n: u64| n % 4 == 3;
+    let route = |n| if urgent(n) { 0 } else { 1 };
+    let prompts: Vec<_> = (0..80).map(|n| (n * 150, rank(route(n)))).collect();
+    let order = replay(&prompts);
+    let (first, last): (Vec<_>, Vec<_>) = order.into_iter().partition(|(n, _)| urgent(*n));
+    assert_eq!(first.len(), 20, "each prompt of the first rank got a turn");
+    let longest = first.iter().map(|(_, wait)| *wait).max().unwrap();
+    assert!(longest <= 460, "{longest} ms");
+    assert!(last.len() >= 15, "{} of the last rank", last.len());
+}
+
+/// Prompts of the first rank alone fill the replica, and as many of the last rank arrive. One
+/// turn in four is theirs, as they are the oldest; by rank alone they would get none.
+#[test]
+fn saturation_does_not_starve_the_last_rank() {
+    let prompts: Vec<_> = (0..100).map(|n| (n * 115, rank(n as u32 % 2))).collect();
+    let order = replay(&prompts);
+    let last = order.iter().filter(|(n, _)| n % 2 == 1).count();
+    assert!(last >= 10, "{last} of {}", order.len());
+}
+
+proptest! {
+    /// Three turns of four go to the first waiting prompt by rank and arrival, the fourth to
+    /// the oldest; each prompt gets one turn. Eighteen are granted before their wait ends.
+    #[test]
+    fn turns_go_by_rank_and_the_fourth_by_age(
+        ranks in prop::collection::vec((0..3_u32, 0..3_u32), 1..18),
+    ) {
+        let (mut turns, r): (_, ReplicaName) = (PrefillTurns::default(), "i-1".parse().unwrap());
+        let mut waiting = Vec::new();
+        for (number, (organisation, route)) in (0..).zip(ranks) {
+            turns.request(at(0), &r, id(number), Rank { organisation, route }, 9_000);
+            waiting.push((organisation, route, number));
+        }
+        for turn in 0..waiting.len() as u64 {
+            let next = match turn % 4 {
+                3 => waiting.iter().min_by_key(|(_, _, number)| *number),
+                _ => waiting.iter().min(),
+            };
+            let (_, _, expected) = *next.unwrap();
+            // The gap between two prompts is 30 ms.
+            prop_assert_eq!(granted(&mut turns, turn * 30), [expected]);
+            turns.finish(at(turn * 30), &r, &id(expected));
+            waiting.retain(|(_, _, number)| *number != expected);
+        }
+    }
+}
+
 #[test]
 fn stalled_streams_activate_turns() {
     let mut detector = StallDetector::default();
@@ -121,7 +213,7 @@
     let mut queue: Vec<(u64, u64)> = Vec::new();
     for number in 0..6 {
         match turns {
-            true => turns_queue.request(at(0), &r, id(number), 9_200),
+            true => turns_queue.request(at(0), &r, id(number), SAME, 9_200),
             false => queue.push((number, 9_200)),
         }
     }
