--- a/lib/src/serving/path/forward.rs
+++ b/lib/src/serving/path/forward.rs
@@ -24,17 +24,20 @@
 use crate::serving::decisions::fleet::RunOutcome;
 use crate::serving::decisions::prefill_turns::LONG_PROMPT_TOKENS;
 use crate::serving::decisions::retry::AttemptFailure;
+use crate::serving::decisions::urgency::urgency_when_sent;
 use crate::serving::path::charge::Charge;
 use crate::serving::path::codec::ForwardHeaders;
 use crate::serving::path::codec::ReplicaReply;
 use crate::serving::path::limit;
 use crate::serving::path::placement::Placed;
 use crate::serving::path::prefill::PrefillTurn;
+use crate::serving::path::prefill::Prompt;
 use crate::serving::path::prefill::wait_for_turn;
 use crate::serving::path::statements::Call;
 use crate::serving::path::statements::apply_statement;
 use crate::serving::path::types::Instance;
 use crate::serving::path::types::KeyDigest;
+use crate::serving::path::types::Rank;
 use crate::serving::path::types::SharedPrefix;
 use crate::serving::path::types::Target;
 use crate::serving::program::node::Node;
@@ -58,8 +61,12 @@
     pub(in crate::serving) fingerprint: Fingerprint,
     /// The organisation and API key that it is admitted under.
     pub(in crate::serving) caller: Caller,
-    /// When it arrived.
-    pub(in crate::serving) arrived: Moment,
+    /// The priorities of its organisation and route.
+    pub(in crate::serving) rank: Rank,
+    /// The urgency of its rank at arrival; `None` if engines are told none.
+    pub(in crate::serving) urgency: Option<u8>,
+    /// Time by which the response must start to meet the objective of its route.
+    pub(in crate::serving) objective: Moment,
     /// Time by which the response must be complete.
     pub(in crate::serving) deadline: Moment,
 }
@@ -83,6 +90,8 @@
     cost: Load,
     id: u64,
     responded: bool,
+    /// The urgency that the replica was told.
+    pub(in crate::serving) urgency: Option<u8>,
     /// Held until the replica has read the prompt.
     prefill_turn: Option<PrefillTurn>,
 }
@@ -102,16 +111,22 @@
             cost: req.cost,
             id,
             responded: false,
+            urgency: None,
             prefill_turn: None,
         }
     }
 
     /// Waits for the turn of a long prompt, and starts the first-byte timer of the run. The
     /// request must be sent right after this call.
-    async fn wait_for_turn(&mut self, deadline: Moment) {
+    async fn wait_for_turn(&mut self, rank: Rank, deadline: Moment) {
         if self.cost.prefill >= LONG_PROMPT_TOKENS {
             let node = self.node.clone();
-            let turn = wait_for_turn(&node, &self.replica, self.id, self.cost.prefill, deadline);
+            let prompt = Prompt {
+                number: self.id,
+                tokens: self.cost.prefill,
+                rank,
+            };
+            let turn = wait_for_turn(&node, &self.replica, prompt, deadline);
             self.prefill_turn = turn.await;
         }
         let mut state = self.node.state();
@@ -171,15 +186,25 @@
     pub(in crate::serving) failed: bool,
 }
 
+/// The part of a response that the caller already has, when another replica continues it.
+#[derive(Clone, Copy, Debug)]
+pub(in crate::serving) struct Resume {
+    /// ID of the last event that was forwarded.
+    pub(in crate::serving) after: Option<u64>,
+    /// The urgency of the run that broke off. Its caller is already served, so the objective
+    /// for the first event no longer counts.
+    pub(in crate::serving) urgency: Option<u8>,
+}
+
 /// Sends a request to a replica and waits for the headers of the response.
 ///
-/// With `resume_after`, the stream is resumed after that event; the API key is then not
+/// With `resume`, the response is continued; if that is after an event, the API key is not
 /// checked again.
 pub(in crate::serving) async fn forward(
     node: &Rc<Node>,
     req: &BufferedRequest,
     placed: &Placed,
-    resume_after: Option<u64>,
+    resume: Option<Resume>,
 ) -> Result<StartedResponse, AttemptFailure> {
     let replica = &placed.replica;
     let address = {
@@ -191,16 +216,27 @@
         listing.address
     };
     let mut run = Run::begin(node, req, replica);
-    run.wait_for_turn(req.deadline).await;
+    run.wait_for_turn(req.rank, req.deadline).await;
     // The replica may have stated a limit, asked for rest, or stated that it leaves, while
     // the request waited for its turn.
     limit::renew(node, replica, placed.permit)
         .await
         .map_err(AttemptFailure::Withheld)?;
+    let resume_after = resume.and_then(|r| r.after);
     if resume_after.is_none() {
         check_key(node, req)?;
     }
-    let request = build_request(node, req, replica, resume_after);
+    let sent = req
+        .urgency
+        .map(|u| urgency_when_sent(u, now(), req.objective));
+    run.urgency = resume.map_or(sent, |r| r.urgency);
+    let request = build_request(node, req, &run, resume_after);
+    if let Some(urgency) = run.urgency {
+        let late = run.urgency != req.urgency;
+        metrics::counter!("serve_urgency_total", "urgency" => urgency.to_string(),
+            "late" => late.to_string())
+        .increment(1);
+    }
     let send = req.caller.charge.as_ref().map(Charge::mark_sent);
     let timeout = Duration::from_micros(req.deadline.since(now()).0);
     let instance = run.instance();
@@ -304,7 +340,7 @@
 fn build_request(
     node: &Node,
     req: &BufferedRequest,
-    replica: &ReplicaName,
+    run: &Run,
     resume_after: Option<u64>,
 ) -> Request<BodyChunks> {
     let mut request = Request::new(BodyChunks::new(req.body.iter().cloned()));
@@ -314,16 +350,17 @@
     let version = {
         let state = node.state();
         let target = req.target.as_ref();
-        target.and_then(|t| state.fleet.expected_version(now, replica, t))
+        target.and_then(|t| state.fleet.expected_version(now, &run.replica, t))
     };
     let headers = request.headers_mut();
     *headers = req.headers.clone();
     let values = ForwardHeaders {
         timeout: Duration::from_micros(req.deadline.since(now).0),
-        replica,
+        replica: &run.replica,
         version,
         resume_after,
         organisation: req.caller.organisation.as_ref(),
+        urgency: run.urgency,
     };
     (node.codec.set_headers)(headers, &values);
     request
