speeds: observe the prefill speed of replicas and place by it

Cause: replicas differ in speed by a factor of more than two, while one constant of 40 prompt tokens per ms stood for all of them. A replica of half speed got as many prompts of a burst as its neighbours, and they waited twice as long.

Change: decisions/fleet/speeds.rs estimates the speed of each replica. A run that is a stream, was not resumed and did not wait for a prefill turn is timed from its send to its first event. VMs report what they saw in Flight.prefill_rate, the owner averages and reports the average in ReplicaLoad.prefill_rate. The speed is used in Load::busy_ms, the prefix saving of place, reservations and the timeout of prefill turns.

Estimator: a run gives a range of speeds. The upper bound takes all tokens before the first event as prefilled, less 10 ms for the steps of the engine; the lower bound only the part of its own prompt that is not shared. Only a range that excludes the present estimate moves it, to the nearer bound. This needs no knowledge of what is cached, and neither cached prefixes nor queue counts that are too high move a replica that has the default.

The average is kept by the owner and not by each VM: at a few sends per second and replica over 90 VMs, one VM sees a run in 20 s, as long as the half-life. Observations count at most every 500 ms, since all runs in flight see the same stall.

believed_ms stays at the default speed, so that sender and owner compare loads and not their knowledge of the speed. The owner converts the unknown part to the replica's speed.

Load::busy_ms, try_reserve and take_grants take the speed as an argument; existing tests pass the default, their assertions are unchanged.

--- a/lib/src/serving/decisions/fleet/mod.rs
+++ b/lib/src/serving/decisions/fleet/mod.rs
@@ -8,12 +8,14 @@
 //! | `place` | where a request runs, or where its adapter is loaded |
 //! | `health` | which replicas are healthy, from the outcomes of runs |
 //! | `recent_instances` | which replicas leave or are gone, and stay so |
+//! | `speeds` | how fast each replica prefills prompts |
 //! | `withheld` | which replicas get no requests for a while, and why |
 //! | `versions` | which version of an adapter a run may begin on |
 
 mod health;
 mod place;
 mod recent_instances;
+mod speeds;
 mod versions;
 mod withheld;
 
@@ -23,6 +25,10 @@
 pub use health::RunOutcome;
 pub use place::Placement;
 pub use place::PlacementRequest;
+pub use speeds::Observation;
+pub use speeds::PrefillSpeed;
+pub use speeds::PromptQueue;
+pub use speeds::SpeedEstimate;
 pub use versions::Versions;
 pub use withheld::Withheld;
 pub use withheld::WithheldReason;
@@ -137,6 +143,9 @@
     /// Targets that it refused as not loaded, and until when it is not used for them.
     missing: BTreeMap<Target, Moment>,
     health: Health,
+    speed: SpeedEstimate,
+    /// Speed that this VM observed and has not reported to the owner.
+    observed_speed: Option<PrefillSpeed>,
     /// Why it gets no requests at present.
     withheld: Option<Withheld>,
     /// When its entry expired, or was first missing from the store's list.
@@ -155,6 +164,8 @@
             residency: None,
             missing: BTreeMap::new(),
             health: Health::default(),
+            speed: SpeedEstimate::default(),
+            observed_speed: None,
             withheld: None,
             expired_at: None,
         }
--- a/lib/src/serving/decisions/fleet/place.rs
+++ b/lib/src/serving/decisions/fleet/place.rs
@@ -6,6 +6,7 @@
 
 use super::Fleet;
 use super::Load;
+use super::PrefillSpeed;
 use super::Replica;
 use super::withheld::Withheld;
 use super::withheld::first_ready;
@@ -18,10 +19,6 @@
 use crate::serving::path::types::Target;
 use crate::serving::program::experiment::Mechanism;
 
-/// Prompt tokens that an engine prefills per millisecond, approximately. Pending
-/// prefill delays both queued and running requests.
-const PREFILL_TOKENS_PER_MS: f64 = 40.0;
-
 /// Cost of each additional request in milliseconds: it takes a share of every
 /// engine step.
 const REQUEST_MS: f64 = 4.0;
@@ -134,9 +131,17 @@
 
 impl Load {
     /// Returns the estimated engine time that this load takes, in milliseconds.
-    pub fn busy_ms(&self) -> f64 {
+    /// Pending prefill delays both queued and running requests.
+    ///
+    /// ```
+    /// use banyangauge::serving::{Load, PrefillSpeed};
+    /// let load = Load { requests: 1, tokens: 0, prefill: 8_000 };
+    /// assert_eq!(load.busy_ms(PrefillSpeed::default()), 204.0);
+    /// assert_eq!(load.busy_ms(PrefillSpeed::new(20.0)), 404.0);
+    /// ```
+    pub fn busy_ms(&self, speed: PrefillSpeed) -> f64 {
         f64::from(self.requests) * REQUEST_MS
-            + self.prefill as f64 / PREFILL_TOKENS_PER_MS
+            + speed.prefill_ms(self.prefill)
             + self.tokens as f64 / 1e3 * KTOKEN_MS
     }
 }
@@ -200,7 +205,10 @@
             let ranked_first = holders
                 .iter()
                 .max_by_key(|(_, r)| prefix_rank(shared, r.seed));
-            ranked_first.map(|(name, _)| (*name, f64::from(shared.tokens) / PREFILL_TOKENS_PER_MS))
+            ranked_first.map(|(name, _)| {
+                let speed = self.prefill_speed(now, name);
+                (*name, speed.prefill_ms(u64::from(shared.tokens)))
+            })
         });
         let saved_ms = |n: &ReplicaName| match cached_prefix {
             Some((name, saved_ms)) if name == n => saved_ms,
@@ -290,11 +298,17 @@
         let Some(version) = r.holds(now, target) else {
             return false;
         };
-        let wait = Span::from_millis(self.load(now, name, r).busy_ms() as u64);
+        let wait = Span::from_millis(self.busy_ms(now, name, r) as u64);
         let required = self.versions.required(now.after(wait), target);
         required.is_none_or(|v| target.adapter.is_none() || version >= v)
     }
 
+    /// Returns how long a replica is busy with the requests of all VMs, in milliseconds.
+    fn busy_ms(&self, now: Moment, name: &ReplicaName, r: &Replica) -> f64 {
+        let speed = self.prefill_speed(now, name);
+        self.load(now, name, r).busy_ms(speed)
+    }
+
     /// Returns the cost of placing a request at a replica, in milliseconds of
     /// engine time; lower is better.
     fn score(
@@ -304,14 +318,13 @@
         name: &ReplicaName,
         r: &Replica,
     ) -> f64 {
-        let load = self.load(now, name, r);
         let same_zone =
             r.listing.zone == self.zone || !self.experiment.is_enabled(Mechanism::NearZone);
         let cross_zone_ms = match same_zone {
             true => 0.0,
             false => CROSS_ZONE_MS + CROSS_ZONE_MS_PER_KB * request.body_kb,
         };
-        let busy_ms = load.busy_ms();
+        let busy_ms = self.busy_ms(now, name, r);
         let failing_ms = match self.experiment.is_enabled(Mechanism::FailureWeight) {
             true => FAILING_MS * r.health.failure_rate,
             false => 0.0,
--- a/lib/src/serving/decisions/prefill_turns.rs
+++ b/lib/src/serving/decisions/prefill_turns.rs
@@ -7,6 +7,7 @@
 use crate::ids::VmName;
 use crate::pool::Moment;
 use crate::pool::Span;
+use crate::serving::decisions::fleet::PrefillSpeed;
 
 /// Minimum tokens of a prompt that waits for its turn: an engine prefills
 /// shorter ones within a few steps.
@@ -23,12 +24,12 @@
 /// without one, as it would miss its objective.
 pub const MAX_TURN_WAIT: Span = Span::from_millis(600);
 
-/// Per-token part of the time after which a turn whose end message was lost is
-/// over, in microseconds: twice what an engine takes.
-const TIMEOUT_PER_TOKEN_US: u64 = 50;
+/// Time after which a turn whose end message was lost is over, as a multiple of the
+/// time in which the engine prefills the prompt.
+const TIMEOUT_FACTOR: f64 = 2.0;
 
-/// Constant part of that time, in microseconds.
-const TIMEOUT_BASE_US: u64 = 150_000;
+/// Constant part of that time.
+const TIMEOUT_BASE: Span = Span::from_millis(150);
 
 /// Identifies a request for a turn.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -92,13 +93,18 @@
         }
     }
 
-    /// Returns the turns that begin now; each is returned once.
-    pub fn take_grants(&mut self, now: Moment) -> Vec<(ReplicaName, TurnId)> {
+    /// Returns the turns that begin now; each is returned once. `speed_of` returns the
+    /// prefill speed of a replica, on which the timeout of a turn depends.
+    pub fn take_grants(
+        &mut self,
+        now: Moment,
+        speed_of: impl Fn(&ReplicaName) -> PrefillSpeed,
+    ) -> Vec<(ReplicaName, TurnId)> {
         let mut grants = Vec::new();
         for (name, queue) in &mut self.queues {
             queue.active.retain(|t| t.until > now);
             queue.waiting.retain(|t| t.until > now);
-            while let Some(turn) = queue.start_next(now) {
+            while let Some(turn) = queue.start_next(now, speed_of(name)) {
                 grants.push((name.clone(), turn));
             }
         }
@@ -118,7 +124,7 @@
 
 impl ReplicaQueue {
     /// Starts the first waiting turn, if it may begin now.
-    fn start_next(&mut self, now: Moment) -> Option<TurnId> {
+    fn start_next(&mut self, now: Moment, speed: PrefillSpeed) -> Option<TurnId> {
         let first = self.waiting.front()?;
         let active: u64 = self.active.iter().map(|t| t.tokens).sum();
         let may_start = match self.active.is_empty() {
@@ -129,7 +135,8 @@
             return None;
         }
         let mut turn = self.waiting.pop_front()?;
-        turn.until = now.after(Span(TIMEOUT_BASE_US + turn.tokens * TIMEOUT_PER_TOKEN_US));
+        let timeout_us = speed.prefill_ms(turn.tokens) * TIMEOUT_FACTOR * 1e3;
+        turn.until = now.after(TIMEOUT_BASE).after(Span(timeout_us as u64));
         let id = turn.id.clone();
         self.active.push(turn);
         Some(id)
--- a/lib/src/serving/decisions/reservations.rs
+++ b/lib/src/serving/decisions/reservations.rs
@@ -7,6 +7,7 @@
 use crate::pool::Moment;
 use crate::pool::Span;
 use crate::serving::decisions::fleet::Load;
+use crate::serving::decisions::fleet::PrefillSpeed;
 
 /// Lifetime of a reservation: by then its VM has sent the request and reported
 /// it.
@@ -51,7 +52,10 @@
 
     /// Reserves capacity for a request of `cost` at a replica with `reported`
     /// load, and returns whether it may be sent there. `assumed_ms` is how busy
-    /// the sender assumes the replica to be.
+    /// the sender assumes the replica to be, at the default speed: sender and owner
+    /// may know different speeds, and only a difference in load is a reason to
+    /// decline. `speed` is the replica's own, at which the unknown load delays the
+    /// request.
     pub fn try_reserve(
         &mut self,
         now: Moment,
@@ -59,9 +63,11 @@
         reported: Load,
         assumed_ms: f64,
         cost: Load,
+        speed: PrefillSpeed,
     ) -> bool {
         let load = reported.plus(self.load(now, replica));
-        if load.busy_ms() > assumed_ms + SLACK_MS {
+        let unknown_ms = load.busy_ms(PrefillSpeed::default()) - assumed_ms;
+        if speed.scale_ms(unknown_ms) > SLACK_MS {
             return false;
         }
         let reserved = self.reserved.entry(replica.clone()).or_default();
--- a/lib/src/serving/path/forward.rs
+++ b/lib/src/serving/path/forward.rs
@@ -21,6 +21,8 @@
 use crate::ids::ReplicaName;
 use crate::pool::Moment;
 use crate::serving::decisions::fleet::Load;
+use crate::serving::decisions::fleet::Observation;
+use crate::serving::decisions::fleet::PromptQueue;
 use crate::serving::decisions::fleet::RunOutcome;
 use crate::serving::decisions::prefill_turns::LONG_PROMPT_TOKENS;
 use crate::serving::decisions::retry::AttemptFailure;
@@ -83,6 +85,9 @@
     responded: bool,
     /// Held until the replica has read the prompt.
     prefill_turn: Option<PrefillTurn>,
+    /// When the request was sent, and the prompts before its first event; `None` if the
+    /// first event says nothing about the replica's speed, or has arrived.
+    sent_prompt: Option<(Moment, PromptQueue)>,
 }
 
 impl Run {
@@ -101,6 +106,7 @@
             id,
             responded: false,
             prefill_turn: None,
+            sent_prompt: None,
         }
     }
 
@@ -116,6 +122,47 @@
         state.fleet.await_first_byte(now(), &self.replica, self.id);
     }
 
+    /// Starts the clock for the first event. A run that had to wait for a prefill turn is
+    /// not timed: while turns are in force, the reported queue includes prompts that
+    /// are still held back.
+    fn mark_sent(&mut self, shared_prefix: Option<SharedPrefix>) {
+        if self.prefill_turn.is_some() {
+            return;
+        }
+        let at = now();
+        let load = self.node.state().fleet.total_load(at, &self.replica);
+        let queue = PromptQueue {
+            own: self.cost.prefill,
+            shared: shared_prefix.map_or(0, |s| u64::from(s.tokens)),
+            queued: load.map_or(0, |l| l.prefill.saturating_sub(self.cost.prefill)),
+        };
+        self.sent_prompt = Some((at, queue));
+    }
+
+    /// Records that an event of the response arrived; the first one shows how fast the
+    /// replica prefills.
+    pub(in crate::serving) fn on_event(&mut self) {
+        let Some((sent_at, queue)) = self.sent_prompt.take() else {
+            return;
+        };
+        let mut state = self.node.state();
+        if !state.fleet.is_current(&self.instance()) {
+            return;
+        }
+        let at = now();
+        let took = at.since(sent_at);
+        let observation = state
+            .fleet
+            .record_first_event(at, &self.replica, &queue, took);
+        metrics::counter!("serve_prefill_speeds_total", "observation" => observation.as_str())
+            .increment(1);
+        if matches!(observation, Observation::Slower | Observation::Faster) {
+            slog::debug!(self.node.log, "prefill speed differs from estimate";
+                "replica" => self.replica.as_str(), "observation" => observation.as_str(),
+                "tokens" => queue.own, "queued" => queue.queued, "took_ms" => took.as_millis());
+        }
+    }
+
     /// Records that data of the response arrived, which also means that the prompt was read.
     pub(in crate::serving) fn on_data(&mut self) {
         self.responded = true;
@@ -203,6 +250,10 @@
     let timeout = Duration::from_micros(req.deadline.since(now()).0);
     let instance = run.instance();
     let sent_at = node.state().replica_limits.stamp(now(), &instance);
+    // The engine may have the whole prompt of a resumed stream in its cache.
+    if resume_after.is_none() {
+        run.mark_sent(req.shared_prefix);
+    }
     let sent = tokio::time::timeout(timeout, node.upstreams.send(address, request)).await;
     let answer = match sent {
         Err(_) => return Err(AttemptFailure::TimedOut),
--- a/lib/src/serving/path/owner_check.rs
+++ b/lib/src/serving/path/owner_check.rs
@@ -9,6 +9,7 @@
 use crate::ids::ReplicaName;
 use crate::ids::VmName;
 use crate::serving::decisions::fleet::Load;
+use crate::serving::decisions::fleet::PrefillSpeed;
 use crate::serving::path::forward::BufferedRequest;
 use crate::serving::peers::beacons::send;
 use crate::serving::peers::load_reports;
@@ -61,7 +62,8 @@
             target: target.to_string(),
             tokens: req.cost.tokens,
             unread: req.cost.prefill,
-            believed_ms: assumed.busy_ms() as u64,
+            // At the default speed, since the owner may know another speed.
+            believed_ms: assumed.busy_ms(PrefillSpeed::default()) as u64,
         };
         (address, ask)
     };
@@ -121,15 +123,16 @@
         };
         let assumed_ms = ask.believed_ms as f64;
         let total = reported.plus(state.reservations.load(at, &name));
+        let speed = state.fleet.prefill_speed(at, &name);
         let granted = !lacks
             && state
                 .reservations
-                .try_reserve(at, &name, reported, assumed_ms, cost);
+                .try_reserve(at, &name, reported, assumed_ms, cost, speed);
         let answer = wire::PlaceAnswer {
             number: ask.number,
             granted,
             lacks,
-            load: load_reports::encode_load(state, &name, total),
+            load: load_reports::encode_load(state, at, &name, total),
         };
         (answer, address)
     };
--- a/lib/src/serving/path/prefill.rs
+++ b/lib/src/serving/path/prefill.rs
@@ -118,7 +118,11 @@
     loop {
         let (grants, wake) = {
             let mut state = node.state();
-            (state.turns.take_grants(now()), state.turns.next_wake())
+            let state = &mut *state;
+            let at = now();
+            let speed_of = |name: &ReplicaName| state.fleet.prefill_speed(at, name);
+            let grants = state.turns.take_grants(at, speed_of);
+            (grants, state.turns.next_wake())
         };
         for (_, id) in grants {
             if id.vm == node.settings.vm {
--- a/lib/src/serving/path/response.rs
+++ b/lib/src/serving/path/response.rs
@@ -200,6 +200,10 @@
     fn accept_data(&mut self, bytes: Bytes) -> Result<Bytes, &'static str> {
         if let Some(started) = &mut self.response {
             started.run.on_data();
+            // Other responses arrive when they are complete.
+            if self.events.is_some() && !started.failed {
+                started.run.on_event();
+            }
         }
         self.timing.record_data(now());
         let Some(events) = &mut self.events else {
--- a/lib/src/serving/peers/load_reports.rs
+++ b/lib/src/serving/peers/load_reports.rs
@@ -18,6 +18,7 @@
 use crate::serving::cluster::state::LocalUse;
 use crate::serving::cluster::state::NodeState;
 use crate::serving::decisions::fleet::Load;
+use crate::serving::decisions::fleet::PrefillSpeed;
 use crate::serving::path::types::Target;
 use crate::serving::peers::beacons::current_replica;
 use crate::serving::peers::beacons::send;
@@ -102,7 +103,11 @@
         };
         let uses = state.take_uses(&name);
         let load = state.fleet.take_report(&name);
+        let observed = state.fleet.take_observed_speed(&name);
         if owner == *own {
+            if let Some(observed) = observed {
+                state.fleet.observe_speed(now, &name, observed);
+            }
             for (target, u) in uses {
                 state
                     .planner
@@ -117,7 +122,7 @@
             unread: load.prefill,
             uses: encode_uses(&uses),
             born: state.fleet.started_ms(&name).unwrap_or_default(),
-            prefill_rate: 0,
+            prefill_rate: observed.map_or(0, PrefillSpeed::to_wire),
         });
     }
     flights
@@ -130,12 +135,13 @@
     name: &ReplicaName,
 ) -> Option<wire::ReplicaLoad> {
     let load = state.fleet.total_load(now, name)?;
-    encode_load(state, name, load)
+    encode_load(state, now, name, load)
 }
 
 /// Encodes the load on a replica for other VMs.
 pub(in crate::serving) fn encode_load(
     state: &NodeState,
+    now: Moment,
     name: &ReplicaName,
     load: Load,
 ) -> Option<wire::ReplicaLoad> {
@@ -145,7 +151,7 @@
         tokens: load.tokens,
         unread: load.prefill,
         born: state.fleet.started_ms(name)?,
-        prefill_rate: 0,
+        prefill_rate: state.fleet.prefill_speed(now, name).to_wire(),
     })
 }
 
@@ -185,6 +191,9 @@
             prefill: load.unread,
         };
         state.fleet.apply_owner_load(now, &name, total);
+        if let Some(speed) = PrefillSpeed::from_wire(load.prefill_rate) {
+            state.fleet.apply_owner_speed(now, &name, speed);
+        }
     }
 }
 
@@ -240,6 +249,9 @@
                     .record_use(now, &name, vm, &target, u.running, u.begun);
             }
         }
+        if let Some(observed) = PrefillSpeed::from_wire(flight.prefill_rate) {
+            state.fleet.observe_speed(now, &name, observed);
+        }
         let load = Load {
             requests: flight.requests,
             tokens: flight.tokens,
--- a/lib/tests/test_serving_prefill_turns.rs
+++ b/lib/tests/test_serving_prefill_turns.rs
@@ -4,6 +4,7 @@
 use banyangauge::pool::Moment;
 use banyangauge::pool::Span;
 use banyangauge::serving::MAX_TURN_WAIT;
+use banyangauge::serving::PrefillSpeed;
 use banyangauge::serving::PrefillTurns;
 use banyangauge::serving::StallDetector;
 use banyangauge::serving::TurnId;
@@ -22,7 +23,7 @@
 /// Returns the numbers of the turns that begin at `ms` milliseconds.
 fn granted(turns: &mut PrefillTurns, ms: u64) -> Vec<u64> {
     turns
-        .take_grants(at(ms))
+        .take_grants(at(ms), |_| PrefillSpeed::default())
         .iter()
         .map(|(_, id)| id.number)
         .collect()
--- a/lib/tests/test_serving_reservations.rs
+++ b/lib/tests/test_serving_reservations.rs
@@ -4,6 +4,7 @@
 use banyangauge::pool::Moment;
 use banyangauge::pool::Span;
 use banyangauge::serving::Load;
+use banyangauge::serving::PrefillSpeed;
 use banyangauge::serving::Reservations;
 
 fn at(ms: u64) -> Moment {
@@ -28,7 +29,14 @@
     let mut reservations = Reservations::default();
     let grants = (0..200).filter(|_| {
         let idle = Load::default();
-        reservations.try_reserve(at(0), &replica(), idle, idle.busy_ms(), PROMPT)
+        reservations.try_reserve(
+            at(0),
+            &replica(),
+            idle,
+            idle.busy_ms(PrefillSpeed::default()),
+            PROMPT,
+            PrefillSpeed::default(),
+        )
     });
     assert_eq!(grants.count(), 1);
 }
@@ -38,18 +46,26 @@
 #[test]
 fn sender_with_current_load_is_granted() {
     let mut reservations = Reservations::default();
-    let assumed_ms = PROMPT.busy_ms();
-    assert!(reservations.try_reserve(at(0), &replica(), PROMPT, assumed_ms, PROMPT));
-    assert!(!reservations.try_reserve(at(0), &replica(), PROMPT, assumed_ms, PROMPT));
-    let assumed_ms = PROMPT.plus(PROMPT).busy_ms();
-    assert!(reservations.try_reserve(at(0), &replica(), PROMPT, assumed_ms, PROMPT));
+    let speed = PrefillSpeed::default();
+    let assumed_ms = PROMPT.busy_ms(PrefillSpeed::default());
+    assert!(reservations.try_reserve(at(0), &replica(), PROMPT, assumed_ms, PROMPT, speed));
+    assert!(!reservations.try_reserve(at(0), &replica(), PROMPT, assumed_ms, PROMPT, speed));
+    let assumed_ms = PROMPT.plus(PROMPT).busy_ms(PrefillSpeed::default());
+    assert!(reservations.try_reserve(at(0), &replica(), PROMPT, assumed_ms, PROMPT, speed));
 }
 
 /// A reservation counts until its VM has reported the request itself.
 #[test]
 fn reservation_expires() {
     let mut reservations = Reservations::default();
-    assert!(reservations.try_reserve(at(0), &replica(), Load::default(), 0.0, PROMPT));
+    assert!(reservations.try_reserve(
+        at(0),
+        &replica(),
+        Load::default(),
+        0.0,
+        PROMPT,
+        PrefillSpeed::default()
+    ));
     assert_eq!(reservations.load(at(100), &replica()), PROMPT);
     assert_eq!(reservations.load(at(150), &replica()), Load::default());
 }
