serving: parts of the wait, route and rank on log lines

Cause: the lines `placed`, `refused` and `no replica can take the request` name one reason for the whole wait, the last one, so the time by reason cannot be computed from logs. Change: WaitParts adds up the time by reason; the lines get the parts in whole milliseconds, which sum to the total, with route and rank. serve_wait_seconds gets the labels reason (the longest part) and outcome, and counts refused requests too. BufferedRequest gets rank and objective.

--- a/lib/src/serving/decisions/fleet/mod.rs
+++ b/lib/src/serving/decisions/fleet/mod.rs
@@ -455,6 +455,14 @@
         engine.map_or(0, |e| e.adapter_slots)
     }
 
+    /// Returns whether a usable replica of a service holds a target.
+    pub fn is_held(&self, now: Moment, service: &ServiceName, target: &Target) -> bool {
+        let mut replicas = self.replicas.values();
+        replicas.any(|r| {
+            r.listing.service == *service && r.is_usable() && r.holds(now, target).is_some()
+        })
+    }
+
     /// Summarises this VM's view of a service's replicas.
     pub fn summarize(
         &self,
--- a/lib/src/serving/decisions/mod.rs
+++ b/lib/src/serving/decisions/mod.rs
@@ -12,3 +12,4 @@
 pub mod retry;
 pub(super) mod retry_budget;
 pub(super) mod stall_detector;
+pub(super) mod waiting;
--- /dev/null
+++ b/lib/src/serving/decisions/waiting/mod.rs
@@ -0,0 +1,6 @@
+//! Requests that wait for a replica.
+
+mod parts;
+
+pub use parts::WaitParts;
+pub use parts::WaitReason;
--- a/lib/src/serving/mod.rs
+++ b/lib/src/serving/mod.rs
@@ -57,6 +57,8 @@
 pub use decisions::retry_budget::RetryBudget;
 pub use decisions::retry_budget::RetryLimits;
 pub use decisions::stall_detector::StallDetector;
+pub use decisions::waiting::WaitParts;
+pub use decisions::waiting::WaitReason;
 pub use path::codec::BadRecord;
 pub use path::codec::Codec;
 pub use path::codec::ForwardHeaders;
--- a/lib/src/serving/path/forward.rs
+++ b/lib/src/serving/path/forward.rs
@@ -33,8 +33,10 @@
 use crate::serving::path::prefill::wait_for_turn;
 use crate::serving::path::statements::Call;
 use crate::serving::path::statements::apply_statement;
+use crate::serving::path::trace::RequestTrace;
 use crate::serving::path::types::Instance;
 use crate::serving::path::types::KeyDigest;
+use crate::serving::path::types::Rank;
 use crate::serving::path::types::SharedPrefix;
 use crate::serving::path::types::Target;
 use crate::serving::program::node::Node;
@@ -58,8 +60,13 @@
     pub(in crate::serving) fingerprint: Fingerprint,
     /// The organisation and API key that it is admitted under.
     pub(in crate::serving) caller: Caller,
+    /// Its urgency compared to other requests.
+    pub(in crate::serving) rank: Rank,
+    /// Time by which the response should begin.
+    pub(in crate::serving) objective: Moment,
     /// Time by which the response must be complete.
     pub(in crate::serving) deadline: Moment,
+    pub(in crate::serving) trace: Rc<RequestTrace>,
 }
 
 /// Identity of a request's caller, and the charge for the request.
--- a/lib/src/serving/path/mod.rs
+++ b/lib/src/serving/path/mod.rs
@@ -12,4 +12,5 @@
 pub(super) mod serve;
 pub(super) mod server;
 pub(super) mod statements;
+pub(super) mod trace;
 pub(super) mod types;
--- a/lib/src/serving/path/placement.rs
+++ b/lib/src/serving/path/placement.rs
@@ -13,6 +13,8 @@
 use crate::serving::decisions::fleet::PlacementRequest;
 use crate::serving::decisions::retry::RETRY_DELAY;
 use crate::serving::decisions::retry::Refusal;
+use crate::serving::decisions::waiting::WaitParts;
+use crate::serving::decisions::waiting::WaitReason;
 use crate::serving::path::forward::BufferedRequest;
 use crate::serving::path::limit;
 use crate::serving::path::limit::SendPermit;
@@ -85,11 +87,19 @@
     let mut stop_deadline: Option<Moment> = None;
     let mut reason = "";
     let mut owner_asks = 0;
+    let mut parts = WaitParts::default();
+    let mut counted_until = start;
+    let mut count = |parts: &mut WaitParts, waits_for: WaitReason| {
+        let until = now();
+        parts.add(waits_for, until.since(counted_until));
+        counted_until = until;
+    };
     loop {
         let at = now();
         let wake = node.placement_wake.notified();
         let waited = (at < load_deadline).then(|| at.since(start));
         let placement = choose_replica(node, routed, req, avoid, waited, at);
+        let waits_for = wait_reason(node, routed, req, &placement, at);
         let mut recheck: Option<Moment> = None;
         let (deadline, refusal) = match placement {
             Placement::Send { replica, copy } => {
@@ -100,6 +110,7 @@
                     && owner_check::ask_owner(node, req, &replica).await == Admission::ChooseAgain
                 {
                     owner_asks += 1;
+                    count(&mut parts, waits_for);
                     continue;
                 }
                 // The replica is withheld from the next choice if this fails.
@@ -107,14 +118,17 @@
                     Ok(permit) => permit,
                     Err(withheld) => {
                         reason = withheld.as_str();
+                        count(&mut parts, waits_for);
                         continue;
                     }
                 };
-                let waited = now().since(start);
-                metrics::histogram!("serve_wait_seconds").record(waited.0 as f64 / 1e6);
+                count(&mut parts, waits_for);
+                record_wait(req, &parts, "placed");
+                let waited = parts.total();
                 if waited >= LOGGED_WAIT {
                     slog::info!(node.log, "placed"; "id" => &req.id, "replica" => replica.as_str(),
-                        "waited_ms" => waited.as_millis(), "why" => reason);
+                        "waited_ms" => waited.as_millis(), "why" => reason,
+                        req.trace.fields_of(parts));
                 }
                 return Ok(Placed { replica, permit });
             }
@@ -134,7 +148,9 @@
                 let after = Duration::from_micros(withheld.ready.since(at).0);
                 let refusal = Refusal::not_run(withheld.reason.refusal(), after.max(MIN_RETRY));
                 if withheld.ready > load_deadline {
-                    log_no_replica(node, routed, req, refusal.reason, at.since(start));
+                    count(&mut parts, waits_for);
+                    record_wait(req, &parts, "refused");
+                    log_no_replica(node, routed, req, refusal.reason, &parts);
                     return Err(refusal);
                 }
                 recheck = Some(withheld.until);
@@ -155,7 +171,9 @@
             false => deadline,
         };
         if at >= deadline {
-            log_no_replica(node, routed, req, refusal.reason, at.since(start));
+            count(&mut parts, waits_for);
+            record_wait(req, &parts, "refused");
+            log_no_replica(node, routed, req, refusal.reason, &parts);
             return Err(refusal);
         }
         reason = refusal.reason;
@@ -164,6 +182,7 @@
         // A wake-up and a time-out both lead to another attempt.
         tokio::time::timeout(wait, wake).await.ok();
         tokio::time::sleep_until(to_instant(at.after(MIN_RECHECK))).await;
+        count(&mut parts, waits_for);
     }
 }
 
@@ -173,7 +192,7 @@
     routed: &RoutedRequest,
     req: &BufferedRequest,
     reason: &'static str,
-    waited: Span,
+    parts: &WaitParts,
 ) {
     let at = now();
     let state = node.state();
@@ -182,10 +201,47 @@
         .summarize(at, &routed.service, req.target.as_ref());
     slog::info!(node.log, "no replica can take the request"; "id" => &req.id, "why" => reason,
         "target" => req.target.as_ref().map(ToString::to_string),
-        "service" => routed.service.as_str(), "waited_ms" => waited.as_millis(),
+        "service" => routed.service.as_str(), "waited_ms" => parts.total().as_millis(),
         "replicas" => summary.listed, "live" => summary.live, "holders" => summary.holders,
         "withheld" => summary.withheld, "words" => summary.fresh_reports, "requests" => summary.requests,
-        "owners_term" => state.ownership.table.term.0);
+        "owners_term" => state.ownership.table.term.0, req.trace.fields_of(*parts));
+}
+
+/// Returns what a request waits for after an attempt to choose a replica.
+fn wait_reason(
+    node: &Node,
+    routed: &RoutedRequest,
+    req: &BufferedRequest,
+    placement: &Placement,
+    at: Moment,
+) -> WaitReason {
+    match placement {
+        Placement::Send { .. } => WaitReason::Asks,
+        Placement::Load { .. } => {
+            let is_held = req
+                .target
+                .as_ref()
+                .is_some_and(|target| node.state().fleet.is_held(at, &routed.service, target));
+            match is_held {
+                true => WaitReason::Copy,
+                false => WaitReason::Load,
+            }
+        }
+        Placement::Loading { .. } => WaitReason::Loading,
+        Placement::Full => WaitReason::Full,
+        Placement::Withheld(_) => WaitReason::Withheld,
+        Placement::Unavailable => WaitReason::None,
+    }
+}
+
+/// Records a wait that ended. The label `reason` is that of its longest part; a wait without
+/// any time counts for the asks.
+fn record_wait(req: &BufferedRequest, parts: &WaitParts, outcome: &'static str) {
+    req.trace.add_wait(parts);
+    let reason = parts.longest().unwrap_or(WaitReason::Asks).as_str();
+    let seconds = parts.total().0 as f64 / 1e6;
+    metrics::histogram!("serve_wait_seconds", "reason" => reason, "outcome" => outcome)
+        .record(seconds);
 }
 
 /// Chooses where a request would run now. `waited` is how long it has waited for a load so
--- a/lib/src/serving/path/serve.rs
+++ b/lib/src/serving/path/serve.rs
@@ -51,8 +51,10 @@
 use crate::serving::path::response::full_body;
 use crate::serving::path::response::stream_body;
 use crate::serving::path::routes::pick_service;
+use crate::serving::path::trace::RequestTrace;
 use crate::serving::path::types::Instance;
 use crate::serving::path::types::Organisation;
+use crate::serving::path::types::Rank;
 use crate::serving::path::types::RequestInfo;
 use crate::serving::path::types::Route;
 use crate::serving::path::types::RouteKind;
@@ -96,9 +98,11 @@
         arrived,
         answered: false,
     };
-    let mut response = match handle(&node, request, info, arrived, in_flight).await {
+    let trace = Rc::new(RequestTrace::default());
+    let handled = handle(&node, request, info, &trace, arrived, in_flight);
+    let mut response = match handled.await {
         Ok(response) => response,
-        Err(refusal) => refusal_response(&node, &disconnect_log.id, arrived, &refusal),
+        Err(refusal) => refusal_response(&node, &disconnect_log.id, &trace, arrived, &refusal),
     };
     disconnect_log.answered = true;
     if node.phase() != Phase::Serving {
@@ -131,6 +135,7 @@
 fn refusal_response(
     node: &Node,
     id: &str,
+    trace: &RequestTrace,
     arrived: Moment,
     refusal: &Refusal,
 ) -> Response<ResponseBody> {
@@ -138,7 +143,7 @@
     let after = refusal.retry_after.map(|after| after.as_millis());
     slog::info!(node.log, "refused"; "id" => id, "why" => refusal.reason,
         "status" => refusal.status.as_u16(), "retry_after_ms" => after,
-        "held_ms" => now().since(arrived).as_millis(), "config" => config);
+        "held_ms" => now().since(arrived).as_millis(), "config" => config, trace.fields());
     count_outcome(refusal.reason);
     let mut response = Response::new(full_body(Bytes::new()));
     *response.status_mut() = refusal.status;
@@ -156,6 +161,7 @@
     node: &Rc<Node>,
     request: Request<Incoming>,
     info: RequestInfo,
+    trace: &Rc<RequestTrace>,
     arrived: Moment,
     in_flight: InFlight,
 ) -> Result<Response<ResponseBody>, Refusal> {
@@ -166,6 +172,11 @@
     let active = active.ok_or(Refusal::not_run("no_configuration", RETRY_DELAY))?;
     let (head, body) = request.into_parts();
     let routed = find_route(&active, &head.uri, &head.headers, &info)?;
+    let rank = Rank {
+        organisation: 0,
+        route: routed.route.priority,
+    };
+    trace.record_route(&routed.route, rank);
     let organisation = authorize(node, &active, &routed, &info)?;
     let requested = info.timeout.unwrap_or(DEFAULT_TIMEOUT);
     let timeout = requested.min(routed.route.timeout);
@@ -194,7 +205,10 @@
         body,
         id: info.id,
         target: info.target,
+        rank,
+        objective: arrived.after(to_span(routed.route.objective)),
         deadline,
+        trace: trace.clone(),
     };
     check_blocked(node, &req)?;
     run_request(node, Rc::new(routed), req, arrived, in_flight).await
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -56,6 +56,7 @@
 mod test_serving_routes;
 mod test_serving_subscriptions;
 mod test_serving_table;
+mod test_serving_waiting;
 mod test_telemetry;
 mod test_upstream_sse;
 mod test_usage_store;
