serving: requests that wait for a replica are tried in order

Cause: each change of a replica woke all waiting requests, each of which scanned all replicas, and the first to be scheduled took the capacity, whatever its rank. Requests that could not be served were held for a third of their time before they were refused. Change: decisions/waiting holds one bounded queue per service with an engine. It orders by objective, rank, share of the organisation and arrival, with every fourth place for the longest wait; one task has them try one after the other. A request is refused at arrival on clear evidence only, and Retry-After follows from the observed departures. A wait for a second copy ends when the copy gains the request nothing. wait_for_replica is split: decisions/waiting/step decides, path/placement and path/waiting send and log.

--- a/bench/benches/placement.rs
+++ b/bench/benches/placement.rs
@@ -114,6 +114,7 @@
             body_kb: 2.0,
             objective_ms: 1_000.0,
             waited: Some(Span::from_millis(0)),
+            left: None,
             avoid: &avoid,
         };
         c.bench_function(&format!("place/{case}"), |b| {
--- a/lib/src/serving/cluster/state.rs
+++ b/lib/src/serving/cluster/state.rs
@@ -10,6 +10,7 @@
 use crate::ids::Incarnation;
 use crate::ids::OrganisationName;
 use crate::ids::ReplicaName;
+use crate::ids::ServiceName;
 use crate::ids::VmName;
 use crate::pool::Moment;
 use crate::pool::Span;
@@ -38,6 +39,7 @@
 use crate::serving::decisions::reservations::Reservations;
 use crate::serving::decisions::retry_budget::RetryBudget;
 use crate::serving::decisions::stall_detector::StallDetector;
+use crate::serving::decisions::waiting::WaitQueue;
 use crate::serving::path::routes::Routes;
 use crate::serving::path::types::Config;
 use crate::serving::path::types::Instance;
@@ -140,6 +142,8 @@
     pub(in crate::serving) borrower: Borrower<OrganisationName>,
     /// The shares of organisations' limits that this VM lends.
     pub(in crate::serving) lender: Lender<OrganisationName>,
+    /// The requests that wait for a replica, by service; none is empty.
+    pub(in crate::serving) waiting: BTreeMap<ServiceName, WaitQueue>,
 }
 
 /// How long a VM that starts waits for the configuration that other VMs have in force:
@@ -193,6 +197,7 @@
             witnesses: WitnessQueue::default(),
             borrower: Borrower::default(),
             lender: Lender::new(settings.allowance),
+            waiting: BTreeMap::new(),
         };
         // Without fencing, an owner needs direct acknowledgements from each VM.
         if settings.fencing && settings.experiment.is_enabled(Mechanism::ZoneRelays) {
--- a/lib/src/serving/decisions/fleet/place.rs
+++ b/lib/src/serving/decisions/fleet/place.rs
@@ -82,6 +82,16 @@
     waited < COPY_WAIT || waited < max_wait
 }
 
+/// Returns whether a second copy can no longer serve a request within its objective, while the
+/// loaded replica is not slower. Under high load a request with little time left would
+/// otherwise miss its objective for a copy that gains it nothing. A copy is expected
+/// `COPY_WAIT` after the wait began; one that is later than that may arrive at any time.
+fn is_copy_late(loaded_ms: f64, copy_ms: f64, waited: Span, left: Option<Span>) -> bool {
+    let load_ms = COPY_WAIT.0.saturating_sub(waited.0) as f64 / 1e3;
+    let copy_ms = copy_ms + load_ms;
+    left.is_some_and(|left| copy_ms > left.0 as f64 / 1e3 && loaded_ms <= copy_ms)
+}
+
 /// A request to be placed, with its needs.
 #[derive(Debug)]
 pub struct PlacementRequest<'a> {
@@ -99,6 +109,8 @@
     pub objective_ms: f64,
     /// How long it has waited for a load; `None` if it has no time to wait.
     pub waited: Option<Span>,
+    /// Time until its objective, which limits the wait for a second copy; `None` for no limit.
+    pub left: Option<Span>,
     /// Replicas that failed to run it.
     pub avoid: &'a BTreeSet<ReplicaName>,
 }
@@ -253,6 +265,7 @@
             let wait = waited.zip(min_score);
             let wait = wait.is_some_and(|(waited, min_score)| {
                 is_worth_waiting(best_score - min_score, waited)
+                    && !is_copy_late(best_score, min_score, waited, request.left)
             });
             return match copy {
                 Some(at) if wait => Placement::Load { replica: at },
@@ -326,6 +339,17 @@
         in_use < self.engine_slots(&r.listing) as usize
     }
 
+    /// Returns whether a replica of a service could load an adapter at once: it has a free
+    /// adapter slot, or one whose adapter no request uses.
+    pub fn has_vacancy(&self, now: Moment, service: &ServiceName) -> bool {
+        let is_member = |r: &Replica| r.listing.service == *service && r.is_usable();
+        let accepts = |r: &Replica| {
+            r.health.allows_request(now, r.local_load.requests) && r.withheld_at(now).is_none()
+        };
+        let mut replicas = self.replicas.iter();
+        replicas.any(|(n, r)| is_member(r) && accepts(r) && self.is_vacant(now, n, r))
+    }
+
     /// Returns whether a replica can begin a request soon.
     fn has_room(
         &self,
--- a/lib/src/serving/path/mod.rs
+++ b/lib/src/serving/path/mod.rs
@@ -14,3 +14,4 @@
 pub(super) mod statements;
 pub(super) mod trace;
 pub(super) mod types;
+pub(super) mod waiting;
--- a/lib/src/serving/path/placement.rs
+++ b/lib/src/serving/path/placement.rs
@@ -11,18 +11,29 @@
 use crate::pool::Span;
 use crate::serving::decisions::fleet::Placement;
 use crate::serving::decisions::fleet::PlacementRequest;
-use crate::serving::decisions::retry::RETRY_DELAY;
 use crate::serving::decisions::retry::Refusal;
+use crate::serving::decisions::waiting::Arrival;
+use crate::serving::decisions::waiting::WaitLimits;
 use crate::serving::decisions::waiting::WaitParts;
 use crate::serving::decisions::waiting::WaitReason;
+use crate::serving::decisions::waiting::WaitStep;
+use crate::serving::decisions::waiting::wait_reason;
 use crate::serving::path::forward::BufferedRequest;
 use crate::serving::path::limit;
 use crate::serving::path::limit::SendPermit;
 use crate::serving::path::owner_check;
 use crate::serving::path::owner_check::Admission;
 use crate::serving::path::serve::RoutedRequest;
+use crate::serving::path::waiting::Queued;
+use crate::serving::path::waiting::Turn;
+use crate::serving::path::waiting::enqueue;
+use crate::serving::path::waiting::is_ordered;
+use crate::serving::path::waiting::queue_full;
+use crate::serving::path::waiting::with_retry_after;
 use crate::serving::peers::beacons;
+use crate::serving::program::experiment::Mechanism;
 use crate::serving::program::node::Node;
+use crate::serving::program::node::PendingCall;
 use crate::serving::program::node::Phase;
 use crate::serving::program::node::now;
 use crate::serving::program::node::time_until;
@@ -33,24 +44,10 @@
 /// lost.
 const LOAD_REQUEST_INTERVAL: Duration = Duration::from_millis(150);
 
-/// Divisor of the time until the deadline that gives the maximum wait for a load. A
-/// request refused after that leaves its caller time to try elsewhere.
-const WAIT_DIVISOR: u64 = 3;
-
-/// Maximum wait for a replica while the process stops: the request must be answered before
-/// the process exits.
-const SHUTDOWN_WAIT: Duration = Duration::from_millis(500);
-
-/// `Retry-After` when all replicas are at capacity: about the duration of a short run.
-const FULL_RETRY_AFTER: Duration = Duration::from_millis(300);
-
-/// Minimum `Retry-After` while the replicas accept no requests for a while.
-const MIN_RETRY: Duration = Duration::from_millis(50);
-
 /// Minimum time between two attempts to choose a replica. Under high load, finished runs
 /// and updates wake all waiting requests some hundred times a second, and each attempt scans
 /// all replicas; a load takes some twenty times as long as this interval.
-const MIN_RECHECK: Span = Span::from_millis(15);
+pub(in crate::serving) const MIN_RECHECK: Span = Span::from_millis(15);
 
 /// Maximum number of owners that decline a request before it is sent without asking: each
 /// answer corrects the local view of one replica, and the last choice is then used.
@@ -66,7 +63,8 @@
     pub(in crate::serving) permit: SendPermit,
 }
 
-/// Waits until a replica can run a request, and returns it.
+/// Waits until a replica can run a request, and returns it. `sent` says whether the request
+/// was sent before.
 ///
 /// A request waits while its adapter is loaded, or while all replicas are briefly at
 /// capacity. It waits for at most a third of the time until its deadline, so that a caller
@@ -76,113 +74,225 @@
     routed: &RoutedRequest,
     req: &BufferedRequest,
     avoid: &BTreeSet<ReplicaName>,
+    sent: bool,
 ) -> Result<Placed, Refusal> {
     let start = now();
-    let remaining = req.deadline.since(start);
-    let load_deadline = start.after(Span(remaining.0 / WAIT_DIVISOR));
-    let capacity_deadline = start
-        .after(to_span(routed.route.objective / 4))
-        .min(load_deadline);
-    let mut requested_at: Option<Moment> = None;
-    let mut stop_deadline: Option<Moment> = None;
-    let mut reason = "";
-    let mut owner_asks = 0;
-    let mut parts = WaitParts::default();
-    let mut counted_until = start;
-    let mut count = |parts: &mut WaitParts, waits_for: WaitReason| {
-        let until = now();
-        parts.add(waits_for, until.since(counted_until));
-        counted_until = until;
+    let mut wait = Wait {
+        node,
+        routed,
+        req,
+        avoid,
+        sent,
+        start,
+        limits: WaitLimits::new(start, req.deadline, to_span(routed.route.objective)),
+        requested_at: None,
+        owner_asks: 0,
+        why: "",
+        parts: WaitParts::default(),
+        counted_until: start,
+        queued: None,
+        turn: None,
     };
-    loop {
-        let at = now();
-        let wake = node.placement_wake.notified();
-        let waited = (at < load_deadline).then(|| at.since(start));
-        let placement = choose_replica(node, routed, req, avoid, waited, at);
-        let waits_for = wait_reason(node, routed, req, &placement, at);
-        let mut recheck: Option<Moment> = None;
-        let (deadline, refusal) = match placement {
-            Placement::Send { replica, copy } => {
-                if let (Some(copy), Some(target)) = (copy, &req.target) {
-                    beacons::request_load(node, &copy, target).await;
-                }
-                if owner_asks < MAX_OWNER_ASKS
-                    && owner_check::ask_owner(node, req, &replica).await == Admission::ChooseAgain
-                {
-                    owner_asks += 1;
-                    count(&mut parts, waits_for);
-                    continue;
+    let placed = wait.find_replica().await;
+    match &placed {
+        Ok(placed) => {
+            record_wait(req, &wait.parts, "placed");
+            wait.log_placed(&placed.replica);
+        }
+        Err(refusal) => {
+            record_wait(req, &wait.parts, "refused");
+            log_no_replica(node, routed, req, refusal.reason, &wait.parts);
+        }
+    }
+    placed
+}
+
+/// The wait of a request for a replica.
+struct Wait<'a> {
+    node: &'a Rc<Node>,
+    routed: &'a RoutedRequest,
+    req: &'a BufferedRequest,
+    avoid: &'a BTreeSet<ReplicaName>,
+    /// Whether the request was sent before.
+    sent: bool,
+    start: Moment,
+    limits: WaitLimits,
+    /// When a load was last requested.
+    requested_at: Option<Moment>,
+    /// Number of owners that declined the request.
+    owner_asks: u32,
+    /// What the request waited for at last.
+    why: &'static str,
+    parts: WaitParts,
+    /// Until when the time is counted in `parts`.
+    counted_until: Moment,
+    /// Its place in the queue, once it waits in one.
+    queued: Option<Queued>,
+    /// Its turn to try; those behind it in the queue wait for the end.
+    turn: Option<Turn>,
+}
+
+impl<'a> Wait<'a> {
+    /// Tries to choose a replica until there is one or the wait is over.
+    async fn find_replica(&mut self) -> Result<Placed, Refusal> {
+        let node = self.node;
+        loop {
+            let at = now();
+            // Registered before the attempt, so that no change in between is missed.
+            let change = node.placement_wake.notified();
+            let turn_call = self
+                .queued
+                .as_ref()
+                .map(|q| node.wait_calls.register(q.id.0));
+            if node.phase() != Phase::Serving {
+                self.limits.begin_stop(at);
+            }
+            let (step, waits_for) = self.attempt(at);
+            match step {
+                WaitStep::Send { replica, copy } => {
+                    let placed = self.prepare_send(&replica, copy.as_ref()).await;
+                    self.count(waits_for);
+                    if let Some(placed) = placed {
+                        if let Some(queued) = &self.queued {
+                            queued.record_served();
+                        }
+                        return Ok(placed);
+                    }
                 }
-                // The replica is withheld from the next choice if this fails.
-                let permit = match limit::acquire(node, &replica).await {
-                    Ok(permit) => permit,
-                    Err(withheld) => {
-                        reason = withheld.as_str();
-                        count(&mut parts, waits_for);
-                        continue;
+                WaitStep::Refuse { refusal, load } => {
+                    if let Some(replica) = &load {
+                        self.request_load(at, replica).await;
                     }
-                };
-                count(&mut parts, waits_for);
-                record_wait(req, &parts, "placed");
-                let waited = parts.total();
-                if waited >= LOGGED_WAIT {
-                    slog::info!(node.log, "placed"; "id" => &req.id, "replica" => replica.as_str(),
-                        "waited_ms" => waited.as_millis(), "why" => reason,
-                        req.trace.fields_of(parts));
+                    self.count(waits_for);
+                    let (routed, req) = (self.routed, self.req);
+                    return Err(with_retry_after(node, routed, req, waits_for, refusal));
                 }
-                return Ok(Placed { replica, permit });
-            }
-            Placement::Load { replica } | Placement::Loading { replica } => {
-                let is_due =
-                    requested_at.is_none_or(|w| at.since(w) >= to_span(LOAD_REQUEST_INTERVAL));
-                if let (true, Some(target)) = (is_due, &req.target) {
-                    requested_at = Some(at);
-                    beacons::request_load(node, &replica, target).await;
+                WaitStep::Wait {
+                    until,
+                    recheck,
+                    load,
+                    refusal,
+                } => {
+                    let turn_call = match turn_call {
+                        Some(call) => Some(call),
+                        None => self.join_queue(waits_for)?,
+                    };
+                    if self.queued.as_ref().is_some_and(Queued::is_removed) {
+                        self.count(waits_for);
+                        return Err(queue_full(node, self.routed, self.req));
+                    }
+                    if let Some(replica) = &load {
+                        self.request_load(at, replica).await;
+                    }
+                    self.why = refusal.reason;
+                    let wait = Duration::from_micros(until.since(at).0).min(LOAD_REQUEST_INTERVAL);
+                    let wait = recheck.map_or(wait, |at| wait.min(time_until(at)));
+                    // A wake-up and a time-out both lead to another attempt.
+                    self.turn = None;
+                    match turn_call {
+                        Some(call) => {
+                            let min = Duration::from_micros(MIN_RECHECK.0);
+                            self.turn = call.wait(wait.max(min)).await;
+                        }
+                        None => {
+                            tokio::time::timeout(wait, change).await.ok();
+                            tokio::time::sleep_until(to_instant(at.after(MIN_RECHECK))).await;
+                        }
+                    }
+                    self.count(waits_for);
                 }
-                (
-                    load_deadline,
-                    Refusal::not_run("not_loaded_in_time", RETRY_DELAY),
-                )
             }
-            Placement::Withheld(withheld) => {
-                let after = Duration::from_micros(withheld.ready.since(at).0);
-                let refusal = Refusal::not_run(withheld.reason.refusal(), after.max(MIN_RETRY));
-                if withheld.ready > load_deadline {
-                    count(&mut parts, waits_for);
-                    record_wait(req, &parts, "refused");
-                    log_no_replica(node, routed, req, refusal.reason, &parts);
-                    return Err(refusal);
-                }
-                recheck = Some(withheld.until);
-                (load_deadline, refusal)
+        }
+    }
+
+    /// Tries to choose a replica; returns what follows, and what the request waits for.
+    fn attempt(&self, at: Moment) -> (WaitStep, WaitReason) {
+        let waited = (at < self.limits.load).then(|| at.since(self.start));
+        let placement = choose_replica(self.node, self.routed, self.req, self.avoid, waited, at);
+        let waits_for = wait_reason(&placement, || {
+            let target = self.req.target.as_ref();
+            let state = self.node.state();
+            target.is_some_and(|target| state.fleet.is_held(at, &self.routed.service, target))
+        });
+        (self.limits.step(at, placement), waits_for)
+    }
+
+    /// Asks the owner of a replica and the lender of its limit. Returns `None` if a replica
+    /// must be chosen again.
+    async fn prepare_send(
+        &mut self,
+        replica: &ReplicaName,
+        copy: Option<&ReplicaName>,
+    ) -> Option<Placed> {
+        let (node, req) = (self.node, self.req);
+        if let (Some(copy), Some(target)) = (copy, &req.target) {
+            beacons::request_load(node, copy, target).await;
+        }
+        if self.owner_asks < MAX_OWNER_ASKS
+            && owner_check::ask_owner(node, req, replica).await == Admission::ChooseAgain
+        {
+            self.owner_asks += 1;
+            return None;
+        }
+        match limit::acquire(node, replica).await {
+            Ok(permit) => Some(Placed {
+                replica: replica.clone(),
+                permit,
+            }),
+            // The replica is withheld from the next choice.
+            Err(withheld) => {
+                self.why = withheld.as_str();
+                None
             }
-            Placement::Full => (
-                capacity_deadline,
-                Refusal::not_run("replicas_full", FULL_RETRY_AFTER),
-            ),
-            Placement::Unavailable => (
-                capacity_deadline,
-                Refusal::not_run("no_replica", RETRY_DELAY),
-            ),
-        };
-        let stopping = node.phase() != Phase::Serving;
-        let deadline = match stopping {
-            true => deadline.min(*stop_deadline.get_or_insert(at.after(to_span(SHUTDOWN_WAIT)))),
-            false => deadline,
+        }
+    }
+
+    /// Joins the queue of the service, if it has one; returns the call for the first turn.
+    fn join_queue(
+        &mut self,
+        waits_for: WaitReason,
+    ) -> Result<Option<PendingCall<'a, Turn>>, Refusal> {
+        let node = self.node;
+        if !is_ordered(node, &self.routed.service) {
+            return Ok(None);
+        }
+        let arrival = Arrival {
+            rank: self.req.rank,
+            sent: self.sent,
+            until: self.limits.load,
         };
-        if at >= deadline {
-            count(&mut parts, waits_for);
-            record_wait(req, &parts, "refused");
-            log_no_replica(node, routed, req, refusal.reason, &parts);
-            return Err(refusal);
+        let queued = enqueue(node, self.routed, self.req, self.avoid, &arrival, waits_for);
+        let queued = queued.inspect_err(|_| self.count(waits_for))?;
+        let call = node.wait_calls.register(queued.id.0);
+        self.queued = Some(queued);
+        Ok(Some(call))
+    }
+
+    /// Requests the load of the adapter, if the last request for it is old enough.
+    async fn request_load(&mut self, at: Moment, replica: &ReplicaName) {
+        let interval = to_span(LOAD_REQUEST_INTERVAL);
+        let is_due = self.requested_at.is_none_or(|w| at.since(w) >= interval);
+        if let (true, Some(target)) = (is_due, &self.req.target) {
+            self.requested_at = Some(at);
+            beacons::request_load(self.node, replica, target).await;
+        }
+    }
+
+    /// Counts the time since the last call for a reason.
+    fn count(&mut self, waits_for: WaitReason) {
+        let until = now();
+        self.parts.add(waits_for, until.since(self.counted_until));
+        self.counted_until = until;
+    }
+
+    /// Logs a request that waited for a replica.
+    fn log_placed(&self, replica: &ReplicaName) {
+        let waited = self.parts.total();
+        if waited >= LOGGED_WAIT {
+            slog::info!(self.node.log, "placed"; "id" => &self.req.id,
+                "replica" => replica.as_str(), "waited_ms" => waited.as_millis(),
+                "why" => self.why, self.req.trace.fields_of(self.parts));
         }
-        reason = refusal.reason;
-        let wait = Duration::from_micros(deadline.since(at).0).min(LOAD_REQUEST_INTERVAL);
-        let wait = recheck.map_or(wait, |until| wait.min(time_until(until)));
-        // A wake-up and a time-out both lead to another attempt.
-        tokio::time::timeout(wait, wake).await.ok();
-        tokio::time::sleep_until(to_instant(at.after(MIN_RECHECK))).await;
-        count(&mut parts, waits_for);
     }
 }
 
@@ -207,33 +317,6 @@
         "owners_term" => state.ownership.table.term.0, req.trace.fields_of(*parts));
 }
 
-/// Returns what a request waits for after an attempt to choose a replica.
-fn wait_reason(
-    node: &Node,
-    routed: &RoutedRequest,
-    req: &BufferedRequest,
-    placement: &Placement,
-    at: Moment,
-) -> WaitReason {
-    match placement {
-        Placement::Send { .. } => WaitReason::Asks,
-        Placement::Load { .. } => {
-            let is_held = req
-                .target
-                .as_ref()
-                .is_some_and(|target| node.state().fleet.is_held(at, &routed.service, target));
-            match is_held {
-                true => WaitReason::Copy,
-                false => WaitReason::Load,
-            }
-        }
-        Placement::Loading { .. } => WaitReason::Loading,
-        Placement::Full => WaitReason::Full,
-        Placement::Withheld(_) => WaitReason::Withheld,
-        Placement::Unavailable => WaitReason::None,
-    }
-}
-
 /// Records a wait that ended. The label `reason` is that of its longest part; a wait without
 /// any time counts for the asks.
 fn record_wait(req: &BufferedRequest, parts: &WaitParts, outcome: &'static str) {
@@ -256,6 +339,8 @@
 ) -> Placement {
     let bytes: usize = req.body.iter().map(Bytes::len).sum();
     let state = node.state();
+    let is_ordered = node.settings.experiment.is_enabled(Mechanism::WaitOrder);
+    let left = Some(req.objective.since(at));
     let request = PlacementRequest {
         service: &routed.service,
         target: req.target.as_ref(),
@@ -264,6 +349,7 @@
         body_kb: bytes as f64 / 1024.0,
         objective_ms: routed.route.objective.as_secs_f64() * 1e3,
         waited,
+        left: left.filter(|_| is_ordered),
         avoid,
     };
     let own_vm = &node.settings.vm;
--- a/lib/src/serving/program/node.rs
+++ b/lib/src/serving/program/node.rs
@@ -20,6 +20,7 @@
 use crate::serving::cluster::recency::reader_id;
 use crate::serving::cluster::state::NodeState;
 use crate::serving::path::codec::Codec;
+use crate::serving::path::waiting::Turn;
 use crate::serving::program::settings::ServeSettings;
 use crate::serving::store::port::Store;
 use crate::upstream::Upstreams;
@@ -117,6 +118,8 @@
     in_flight: Cell<usize>,
     /// Runs that wait for a prefill turn.
     pub(in crate::serving) turn_calls: PendingCalls<()>,
+    /// Queued requests that wait for their turn to try.
+    pub(in crate::serving) wait_calls: PendingCalls<Turn>,
     /// Pending calls to owners of replicas.
     pub(in crate::serving) place_calls: PendingCalls<wire::PlaceAnswer>,
     /// Pending calls to the lenders of organisations' limits.
@@ -163,6 +166,7 @@
             last_id: Cell::new(0),
             in_flight: Cell::new(0),
             turn_calls: PendingCalls::default(),
+            wait_calls: PendingCalls::default(),
             place_calls: PendingCalls::default(),
             lease_calls: PendingCalls::default(),
             limit_calls: PendingCalls::default(),
--- a/lib/src/serving/program/run.rs
+++ b/lib/src/serving/program/run.rs
@@ -16,6 +16,7 @@
 use crate::serving::path::codec::Codec;
 use crate::serving::path::prefill;
 use crate::serving::path::server;
+use crate::serving::path::waiting;
 use crate::serving::peers::beacons;
 use crate::serving::peers::load_reports;
 use crate::serving::peers::renewal;
@@ -117,6 +118,7 @@
         tokio::task::spawn_local(load_reports::send_reports(node.clone()));
         tokio::task::spawn_local(beacons::receive(node.clone()));
         tokio::task::spawn_local(prefill::grant_turns(node.clone()));
+        tokio::task::spawn_local(waiting::try_queued(node.clone()));
         tokio::task::spawn_local(orders::issue_orders(node.clone()));
         tokio::task::spawn_local(register(node.clone()));
         tokio::task::spawn_local(reload_owners(node.clone()));
--- a/lib/src/serving/program/settings.rs
+++ b/lib/src/serving/program/settings.rs
@@ -9,6 +9,7 @@
 use crate::ids::ZoneName;
 use crate::serving::decisions::quota::Overshoot;
 use crate::serving::decisions::retry_budget::RetryLimits;
+use crate::serving::decisions::waiting::WaitBounds;
 use crate::serving::program::experiment::Experiment;
 
 /// The settings of the serving process.
@@ -46,6 +47,9 @@
     pub allowance: Overshoot,
     /// Retry budget: how many requests may be sent again.
     pub budget: RetryLimits,
+    /// Maximum size of a queue of requests that wait for a replica.
+    #[builder(default)]
+    pub waiting: WaitBounds,
     /// Mechanisms that are switched off for measurements; none in production.
     #[builder(default)]
     pub experiment: Experiment,
--- a/lib/tests/test_serving_leaving.rs
+++ b/lib/tests/test_serving_leaving.rs
@@ -47,6 +47,7 @@
         body_kb: 1.0,
         objective_ms: 1_000.0,
         waited: Some(Span(0)),
+        left: None,
         avoid: &avoid,
     };
     let placement = fleet.place(now, &request, |_| false);
--- a/lib/tests/test_serving_place.rs
+++ b/lib/tests/test_serving_place.rs
@@ -94,6 +94,8 @@
     avoid: BTreeSet<ReplicaName>,
     loadable: BTreeSet<ReplicaName>,
     waited: Option<Span>,
+    left: Option<Span>,
+    objective_ms: f64,
 }
 
 impl Fixture {
@@ -110,6 +112,8 @@
             avoid: BTreeSet::new(),
             loadable,
             waited: None,
+            left: None,
+            objective_ms: 1_000.0,
         }
     }
 
@@ -122,8 +126,9 @@
             cost: COST,
             shared_prefix: None,
             body_kb: 1.0,
-            objective_ms: 1_000.0,
+            objective_ms: self.objective_ms,
             waited: self.waited,
+            left: self.left,
             avoid: &self.avoid,
         };
         self.fleet.place(now, &want, |n| self.loadable.contains(n))
@@ -361,6 +366,36 @@
     assert_eq!(place, expected);
 }
 
+/// A request that waits for a copy until it has missed its objective, although its holder
+/// would have served it no later, is late for nothing and costs a fetch.
+#[rstest]
+#[case::copy_in_time(0, 36_000, Some(800), true)]
+#[case::copy_late_and_slower(0, 17_000, Some(200), false)]
+#[case::copy_late_but_faster(0, 60_000, Some(200), true)]
+#[case::copy_soon(400, 36_000, Some(200), true)]
+#[case::no_limit(0, 17_000, None, true)]
+fn wait_for_copy_ends_when_it_gains_nothing(
+    #[case] waited: u64,
+    #[case] prefill: u64,
+    #[case] left: Option<u64>,
+    #[case] waits: bool,
+) {
+    let a = listing("i-a", "llm", "z-a", &["base", "base/x"]);
+    let b = listing("i-b", "llm", "z-a", &["base"]);
+    let mut fixture = Fixture::new(&[a, b]);
+    fixture.waited = Some(Span::from_millis(waited));
+    fixture.left = left.map(Span::from_millis);
+    fixture.objective_ms = 400.0;
+    let prompts = Load {
+        requests: 2,
+        tokens: prefill,
+        prefill,
+    };
+    fixture.fleet.begin_run(&"i-a".parse().unwrap(), prompts);
+    let place = fixture.place(at(0), "llm", Some("base/x"));
+    assert_eq!(matches!(place, Placement::Load { .. }), waits, "{place:?}");
+}
+
 /// Requests with the same prompt prefix go where it is cached.
 #[test]
 fn shared_prefixes_are_placed_together() {
@@ -379,6 +414,7 @@
             body_kb: 1.0,
             objective_ms: 1_000.0,
             waited: None,
+            left: None,
             avoid: &fixture.avoid,
         };
         fixture.fleet.place(at(0), &want, |_| true)
--- a/lib/tests/test_serving_rest.rs
+++ b/lib/tests/test_serving_rest.rs
@@ -52,6 +52,7 @@
         body_kb: 1.0,
         objective_ms: 1_000.0,
         waited: Some(Span(0)),
+        left: None,
         avoid: &avoid,
     };
     fleet.place(at(ms), &request, |_| false)
