--- a/lib/src/serving/decisions/waiting/queue.rs
+++ b/lib/src/serving/decisions/waiting/queue.rs
@@ -32,7 +32,7 @@
     pub target: Option<Target>,
     /// When its wait began.
     pub arrival: Moment,
-    /// When its response should begin.
+    /// When its response should begin, or continue if it has begun.
     pub objective: Moment,
     /// When its response must be complete.
     pub deadline: Moment,
@@ -54,6 +54,8 @@
     pub rank: Rank,
     /// Whether it was sent to a replica before.
     pub sent: bool,
+    /// When its response should begin, or continue if it has begun.
+    pub objective: Moment,
     /// Until when it may wait.
     pub until: Moment,
 }
@@ -122,6 +124,38 @@
     /// Adds a request. Returns the requests that are removed to keep the bounds, the last in
     /// order first; it may itself be among them. A request that was already sent is not
     /// removed, nor is the only one.
+    ///
+    /// ```
+    /// use banyangauge::pool::{Moment, Span};
+    /// use banyangauge::serving::{Rank, Target, WaitBounds, WaitEntry, WaitId, WaitQueue};
+    /// let target = Target::parse("base/rosters");
+    /// let entry = |route| WaitEntry {
+    ///     rank: Rank { organisation: 0, route },
+    ///     organisation: None,
+    ///     target: target.clone(),
+    ///     arrival: Moment(0),
+    ///     objective: Moment(800_000),
+    ///     deadline: Moment(5_000_000),
+    ///     tokens: 900,
+    ///     bytes: 4_000,
+    ///     sent: false,
+    ///     avoids: false,
+    /// };
+    /// let bounds = WaitBounds { requests: 2, ..WaitBounds::default() };
+    /// let mut queue = WaitQueue::new(bounds);
+    /// assert!(queue.push(Moment(0), WaitId(1), entry(2)).is_empty());
+    /// assert!(queue.push(Moment(0), WaitId(2), entry(1)).is_empty());
+    /// assert_eq!(queue.push(Moment(0), WaitId(3), entry(0)), [WaitId(1)]);
+    /// assert_eq!(queue.order(Moment(0)), [WaitId(3), WaitId(2)]);
+    /// // The second one follows the first one, which waits for the same adapter.
+    /// let mut pass = queue.begin_pass(Moment(0));
+    /// assert_eq!(pass.next(&queue), Some(WaitId(3)));
+    /// assert_eq!(pass.next(&queue), None);
+    /// let demand = queue.demand(Moment(300_000), &target.unwrap()).unwrap();
+    /// assert_eq!((demand.waiting, demand.left), (2, Span::from_millis(500)));
+    /// queue.leave(Moment(0), WaitId(3), true);
+    /// assert_eq!(queue.len(), 1);
+    /// ```
     pub fn push(&mut self, now: Moment, id: WaitId, entry: WaitEntry) -> Vec<WaitId> {
         if self.entries.is_empty() {
             self.departures.begin(now);
--- a/lib/src/serving/path/placement.rs
+++ b/lib/src/serving/path/placement.rs
@@ -11,6 +11,7 @@
 use crate::pool::Span;
 use crate::serving::decisions::fleet::Placement;
 use crate::serving::decisions::fleet::PlacementRequest;
+use crate::serving::decisions::retry::Attempts;
 use crate::serving::decisions::retry::Refusal;
 use crate::serving::decisions::waiting::Arrival;
 use crate::serving::decisions::waiting::WaitLimits;
@@ -63,8 +64,8 @@
     pub(in crate::serving) permit: SendPermit,
 }
 
-/// Waits until a replica can run a request, and returns it. `sent` says whether the request
-/// was sent before.
+/// Waits until a replica can run a request, and returns it. `attempts` holds the earlier
+/// attempts for the request.
 ///
 /// A request waits while its adapter is loaded, or while all replicas are briefly at
 /// capacity. It waits for at most a third of the time until its deadline, so that a caller
@@ -74,15 +75,22 @@
     routed: &RoutedRequest,
     req: &BufferedRequest,
     avoid: &BTreeSet<ReplicaName>,
-    sent: bool,
+    attempts: &Attempts,
 ) -> Result<Placed, Refusal> {
     let start = now();
+    let route = &routed.route;
+    let objective = match attempts.answered {
+        // The wait is a pause of the stream.
+        true => start.after(to_span(route.max_gap.unwrap_or(route.objective))),
+        false => req.objective,
+    };
     let mut wait = Wait {
         node,
         routed,
         req,
         avoid,
-        sent,
+        sent: attempts.sends > 0,
+        objective,
         start,
         limits: WaitLimits::new(start, req.deadline, to_span(routed.route.objective)),
         requested_at: None,
@@ -115,6 +123,8 @@
     avoid: &'a BTreeSet<ReplicaName>,
     /// Whether the request was sent before.
     sent: bool,
+    /// When data of the response should arrive.
+    objective: Moment,
     start: Moment,
     limits: WaitLimits,
     /// When a load was last requested.
@@ -259,6 +269,7 @@
         let arrival = Arrival {
             rank: self.req.rank,
             sent: self.sent,
+            objective: self.objective,
             until: self.limits.load,
         };
         let queued = enqueue(node, self.routed, self.req, self.avoid, &arrival, waits_for);
--- a/lib/src/serving/path/serve.rs
+++ b/lib/src/serving/path/serve.rs
@@ -457,7 +457,7 @@
     attempts: &mut Attempts,
     avoid: &mut BTreeSet<ReplicaName>,
 ) -> Result<StartedResponse, Refusal> {
-    let placed = wait_for_replica(node, routed, req, avoid, false).await?;
+    let placed = wait_for_replica(node, routed, req, avoid, attempts).await?;
     match forward(node, req, &placed, None).await {
         Ok(started) => Ok(started),
         Err(ended) => {
@@ -489,7 +489,7 @@
             // The view of the loaded adapters was wrong; the replicas themselves work.
             avoid.clear();
         }
-        let placed = match wait_for_replica(node, routed, req, avoid, true).await {
+        let placed = match wait_for_replica(node, routed, req, avoid, attempts).await {
             Ok(placed) => placed,
             Err(refusal) if attempts.runs == 0 => return Err(refusal),
             Err(_) => return Err(Refusal::after(attempts, ended)),
--- a/lib/src/serving/path/waiting.rs
+++ b/lib/src/serving/path/waiting.rs
@@ -124,7 +124,7 @@
         organisation: req.caller.organisation.clone(),
         target: req.target.clone(),
         arrival: at,
-        objective: req.objective,
+        objective: arrival.objective,
         deadline: req.deadline,
         tokens: req.cost.tokens,
         bytes: req.body.iter().map(Bytes::len).sum(),
--- a/lib/tests/test_serving_waiting.rs
+++ b/lib/tests/test_serving_waiting.rs
@@ -223,6 +223,7 @@
     let arrival = Arrival {
         rank: rank(route),
         sent,
+        objective: at(60_000),
         until: at(observed + may_wait),
     };
     assert_eq!(queue.is_too_late(at(observed), &arrival), refused);
@@ -235,6 +236,7 @@
     let arrival = Arrival {
         rank: rank(1),
         sent: false,
+        objective: at(60_000),
         until: at(6_001),
     };
     for id in queue.order(at(6_000)) {
