--- a/lib/src/serving/decisions/mod.rs
+++ b/lib/src/serving/decisions/mod.rs
@@ -14,3 +14,4 @@
 pub(super) mod retry_budget;
 pub(super) mod stall_detector;
 pub(super) mod urgency;
+pub(super) mod waiting;
--- a/lib/src/serving/path/forward.rs
+++ b/lib/src/serving/path/forward.rs
@@ -37,6 +37,7 @@
 use crate::serving::path::prefill::wait_for_turn;
 use crate::serving::path::statements::Call;
 use crate::serving::path::statements::apply_statement;
+use crate::serving::path::trace::RequestTrace;
 use crate::serving::path::types::Instance;
 use crate::serving::path::types::KeyDigest;
 use crate::serving::path::types::Rank;
@@ -71,6 +72,7 @@
     pub(in crate::serving) objective: Moment,
     /// Time by which the response must be complete.
     pub(in crate::serving) deadline: Moment,
+    pub(in crate::serving) trace: Rc<RequestTrace>,
 }
 
 /// Identity of a request's caller, and the charge for the request.
--- a/lib/src/serving/path/serve.rs
+++ b/lib/src/serving/path/serve.rs
@@ -52,6 +52,7 @@
 use crate::serving::path::response::full_body;
 use crate::serving::path::response::stream_body;
 use crate::serving::path::routes::pick_service;
+use crate::serving::path::trace::RequestTrace;
 use crate::serving::path::types::Instance;
 use crate::serving::path::types::Organisation;
 use crate::serving::path::types::Rank;
@@ -106,9 +107,11 @@
         arrived,
         answered: false,
     };
-    let mut response = match handle(&node, request, info, arrived, in_flight).await {
+    let trace = Rc::new(RequestTrace::default());
+    let handled = handle(&node, request, info, &trace, arrived, in_flight);
+    let mut response = match handled.await {
         Ok(response) => response,
-        Err(refusal) => refusal_response(&node, &disconnect_log.id, arrived, &refusal),
+        Err(refusal) => refusal_response(&node, &disconnect_log.id, &trace, arrived, &refusal),
     };
     disconnect_log.answered = true;
     if node.phase() != Phase::Serving {
@@ -141,6 +144,7 @@
 fn refusal_response(
     node: &Node,
     id: &str,
+    trace: &RequestTrace,
     arrived: Moment,
     refusal: &Refusal,
 ) -> Response<ResponseBody> {
@@ -148,7 +152,7 @@
     let after = refusal.retry_after.map(|after| after.as_millis());
     slog::info!(node.log, "refused"; "id" => id, "why" => refusal.reason,
         "status" => refusal.status.as_u16(), "retry_after_ms" => after,
-        "held_ms" => now().since(arrived).as_millis(), "config" => config);
+        "held_ms" => now().since(arrived).as_millis(), "config" => config, trace.fields());
     count_outcome(refusal.reason);
     let mut response = Response::new(full_body(Bytes::new()));
     *response.status_mut() = refusal.status;
@@ -166,6 +170,7 @@
     node: &Rc<Node>,
     request: Request<Incoming>,
     info: RequestInfo,
+    trace: &Rc<RequestTrace>,
     arrived: Moment,
     in_flight: InFlight,
 ) -> Result<Response<ResponseBody>, Refusal> {
@@ -175,7 +180,12 @@
     let active = wait_for_config(node, info.timeout, arrived).await?;
     let (head, body) = request.into_parts();
     let routed = find_route(&active, &head.uri, &head.headers, &info)?;
+    trace.record_route(&routed.route, rank_of(&routed.route, None));
     let organisation = authorize(node, &active, &routed, &info)?;
+    // With ranks switched off, all requests have the same one and engines are told nothing.
+    let ranked = node.settings.experiment.is_enabled(Mechanism::Ranks);
+    let rank = ranked.then(|| rank_of(&routed.route, organisation.as_deref()));
+    trace.record_route(&routed.route, rank.unwrap_or_default());
     let requested = info.timeout.unwrap_or(DEFAULT_TIMEOUT);
     let timeout = requested.min(routed.route.timeout);
     let deadline = arrived.after(to_span(timeout));
@@ -186,9 +196,6 @@
     let body = read_body(body, active.config.limits.body_bytes, deadline).await?;
     let mut headers = head.headers;
     strip_request_headers(&mut headers);
-    // With ranks switched off, all requests have the same one and engines are told nothing.
-    let ranked = node.settings.experiment.is_enabled(Mechanism::Ranks);
-    let rank = ranked.then(|| rank_of(&routed.route, organisation.as_deref()));
     let req = BufferedRequest {
         method: head.method,
         fingerprint: fingerprint(&head.uri, &body),
@@ -210,6 +217,7 @@
         id: info.id,
         target: info.target,
         deadline,
+        trace: trace.clone(),
     };
     check_blocked(node, &req)?;
     run_request(node, Rc::new(routed), req, arrived, in_flight).await
@@ -488,7 +496,7 @@
     attempts: &mut Attempts,
     avoid: &mut BTreeSet<ReplicaName>,
 ) -> Result<StartedResponse, Refusal> {
-    let placed = wait_for_replica(node, routed, req, avoid).await?;
+    let placed = wait_for_replica(node, routed, req, avoid, attempts).await?;
     match forward(node, req, &placed, None).await {
         Ok(started) => Ok(started),
         Err(ended) => {
@@ -520,7 +528,7 @@
             // The view of the loaded adapters was wrong; the replicas themselves work.
             avoid.clear();
         }
-        let placed = match wait_for_replica(node, routed, req, avoid).await {
+        let placed = match wait_for_replica(node, routed, req, avoid, attempts).await {
             Ok(placed) => placed,
             Err(refusal) if attempts.runs == 0 => return Err(refusal),
             Err(_) => return Err(Refusal::after(attempts, ended)),
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -60,6 +60,7 @@
 mod test_serving_subscriptions;
 mod test_serving_table;
 mod test_serving_urgency;
+mod test_serving_waiting;
 mod test_telemetry;
 mod test_upstream_sse;
 mod test_usage_store;
--- a/lib/tests/test_serving_speeds.rs
+++ b/lib/tests/test_serving_speeds.rs
@@ -15,6 +15,7 @@
 use banyangauge::serving::PrefillSpeed;
 use banyangauge::serving::PrefillTurns;
 use banyangauge::serving::PromptQueue;
+use banyangauge::serving::Rank;
 use banyangauge::serving::ReplicaInfo;
 use banyangauge::serving::Reservations;
 use banyangauge::serving::SharedPrefix;
@@ -138,6 +139,7 @@
         body_kb: 1.0,
         objective_ms: 2_000.0,
         waited: None,
+        left: None,
         avoid: &BTreeSet::new(),
     };
     match fleet.place(now, &request, |_| false) {
@@ -312,9 +314,9 @@
         vm: "vm-1".parse().unwrap(),
         number,
     };
-    turns.request(at(0), &name, id(1), 4_000);
+    turns.request(at(0), &name, id(1), Rank::default(), 4_000);
     assert_eq!(turns.take_grants(at(0), |_| speed(20.0)).len(), 1);
-    turns.request(at(300), &name, id(2), 4_000);
+    turns.request(at(300), &name, id(2), Rank::default(), 4_000);
     assert!(turns.take_grants(at(549), |_| speed(20.0)).is_empty());
     assert_eq!(turns.take_grants(at(550), |_| speed(20.0)).len(), 1);
 }
