serving: tests for two guards of a restored store

Cause: taking out either of two guards left the lib's tests `serving` green: `mark_read` ignores what was read in an earlier era, and `peers/renewal.rs` drops an answer of another era than the revision that it was asked from.

The second is not covered by another guard: `call` only compares the answer with the latest known era, and `confirm` only the table's era with the answer's. While a call is under way, a VM may learn of a restore and read a table of the new era; changes after a revision that was given out again then do not show a newer table below it.

Change: the comparison moves from `renewal.rs` into `Ownership::confirm_changes`, where it can be tested without a network. The changes of such an answer are applied now: each is a statement of the present era. They confirm nothing, and the next renewal lists all, as before.

Tests: `late_read_of_left_era_changes_nothing` (both cases fail without the guard in `mark_read`, 39 of 41 of `serving_restore` passed); the case `changes_of_another_history` of `confirmation_counts_within_its_era` (fails without the comparison, 40 of 41 passed). No test runs the renewal itself into an answer of another era.

--- a/lib/src/serving/cluster/ownership.rs
+++ b/lib/src/serving/cluster/ownership.rs
@@ -269,6 +269,33 @@
         }
     }
 
+    /// Records that the store stated all changes after the revision `from`, up to `answered`,
+    /// in its answer to a call sent at `asked`. They must be applied before.
+    ///
+    /// Returns `false` if the answer is of another era, which confirms nothing: `from` was
+    /// then given out again, and a newer table may have been stored below it.
+    ///
+    /// ```
+    /// use banyangauge::pool::{Moment, Span};
+    /// use banyangauge::serving::{Era, Ownership, StoreRevision};
+    /// let mut own = Ownership::new("vm-1".parse().unwrap(), Span::from_millis(3_000), false);
+    /// let revision = |era, number| StoreRevision::new(Era(era), number);
+    /// assert!(own.confirm_changes(Moment(1), revision(1, 9), revision(1, 9)));
+    /// assert!(!own.confirm_changes(Moment(2), revision(1, 9), revision(2, 12)));
+    /// ```
+    pub fn confirm_changes(
+        &mut self,
+        asked: Moment,
+        from: StoreRevision,
+        answered: StoreRevision,
+    ) -> bool {
+        if answered.era != from.era {
+            return false;
+        }
+        self.confirm(asked, answered.era);
+        true
+    }
+
     /// Returns when the table was last confirmed, in microseconds after
     /// `received_at`, the arrival of another VM's beacon; negative if before. It is
     /// sent to that VM.
--- a/lib/src/serving/peers/renewal.rs
+++ b/lib/src/serving/peers/renewal.rs
@@ -70,6 +70,7 @@
         None => {
             let (items, revision) = follow::list(node, kind).await?;
             apply_cluster(node, &StoreUpdate::List(&items));
+            node.state().ownership.confirm(asked, revision.era);
             revision
         }
         Some(from) => {
@@ -77,21 +78,22 @@
             let answer = call(node, CALL_TIMEOUT, watch).await;
             follow::count_call(kind, answer.is_ok());
             let answer = answer?;
-            if answer.revision.era != from.era {
-                return Err(CallError::OtherEra {
-                    expected: from.era,
-                    answered: answer.revision.era,
-                });
-            }
             for c in answer.changes {
                 let change = TopicChange::new(c.item, c.removed, false);
                 apply_cluster(node, &StoreUpdate::Change(&change));
             }
+            let answered = answer.revision;
+            let mut state = node.state();
+            if !state.ownership.confirm_changes(asked, from, answered) {
+                return Err(CallError::OtherEra {
+                    expected: from.era,
+                    answered: answered.era,
+                });
+            }
             answer.revision.max(from)
         }
     };
     *since = Some(revision);
-    node.state().ownership.confirm(asked, revision.era);
     Ok(())
 }
 
--- a/lib/tests/test_serving_restore.rs
+++ b/lib/tests/test_serving_restore.rs
@@ -136,6 +136,12 @@
 #[case::same(|own: &mut Ownership| own.confirm(at(20), Era(1)), true)]
 #[case::store_of_later_era(|own: &mut Ownership| own.confirm(at(20), Era(2)), false)]
 #[case::peer_of_earlier_era(|own: &mut Ownership| own.confirm_from_peer(rev(0, 5), at(20), 0), false)]
+#[case::changes(|own: &mut Ownership| {
+    assert!(own.confirm_changes(at(20), rev(1, 5), rev(1, 12)))
+}, true)]
+#[case::changes_of_another_history(|own: &mut Ownership| {
+    assert!(!own.confirm_changes(at(20), rev(0, 5), rev(1, 12)))
+}, false)]
 fn confirmation_counts_within_its_era(
     #[case] confirm: impl Fn(&mut Ownership),
     #[case] counts: bool,
@@ -165,6 +171,18 @@
     assert_eq!(own.stored().is_some(), found);
 }
 
+/// A list of the era before arrives late. It must not count as read in the present era, nor
+/// make a proposal create the table that it would have to replace.
+#[rstest]
+#[case::with_a_table(true)]
+#[case::without_a_table(false)]
+fn late_read_of_left_era_changes_nothing(#[case] found: bool) {
+    let mut own = restored("a", true);
+    own.mark_read(Era(1), found);
+    assert_eq!(own.stored(), Some(rev(2, 5)));
+    assert!(propose(&mut own, 20_000).is_some());
+}
+
 /// A write of the era before landed on a revision that was given out again.
 #[test]
 fn table_overwritten_by_late_write_is_put_back() {
