serving: load adapters by rank and time left, log what loads wait for

Cause: an owner served load requests in order of arrival. Under overload each load then served a request that had just missed its objective, and ranks had no effect.

Change: a load request states how many requests wait, the most urgent rank and the time left; the needs of several VMs add up. Those that can meet their objective within the expected duration of the load go first, then by rank, number waiting and arrival. Every fourth load is that of the oldest request. An unanswered load is repeated before any other, because the replica may still carry it out. `load_order` switches it off. Requests state one waiting request, rank 0 and the time until their objective for now. The line `order` has `wait_ms`, `waiting` and `rank`; `serve_load_waits_total` counts once per load each cause that it waited for.

Tests: order by need and, with the mechanism off, by arrival; no starvation (property); needs of several VMs; repeat of an unanswered load; recorded waits.

--- a/lib/src/serving/decisions/adapter_planner/mod.rs
+++ b/lib/src/serving/decisions/adapter_planner/mod.rs
@@ -1,5 +1,6 @@
 //! Plans which adapters the replicas owned by this VM load and unload.
 
+mod load_queue;
 mod order;
 mod replica_plan;
 
@@ -19,6 +20,9 @@
 use crate::serving::program::experiment::Experiment;
 use crate::serving::program::experiment::Mechanism;
 
+pub use load_queue::LoadNeed;
+pub use load_queue::LoadWait;
+pub use load_queue::PendingLoad;
 pub use order::LoadDuration;
 pub use order::OrderOutcome;
 pub use order::ReplicaAction;
@@ -108,16 +112,36 @@
         self.plans.keys()
     }
 
-    /// Requests that a replica loads an adapter; the request expires unless it is
-    /// renewed. Returns whether this VM owns the replica.
-    pub fn request_load(&mut self, now: Moment, name: &ReplicaName, target: &Target) -> bool {
+    /// Requests that a replica loads an adapter, for what waits for it at `vm`; the
+    /// request expires unless it is renewed. Returns whether this VM owns the replica.
+    pub fn request_load(
+        &mut self,
+        now: Moment,
+        name: &ReplicaName,
+        vm: &VmName,
+        target: &Target,
+        need: &LoadNeed,
+    ) -> bool {
         let Some(plan) = self.plans.get_mut(name) else {
             return false;
         };
-        plan.request_load(now, target);
+        plan.requests.request(now, vm, target, need);
         true
     }
 
+    /// Returns the pending request to load a target at a replica.
+    pub fn pending_load(&self, name: &ReplicaName, target: &Target) -> Option<PendingLoad> {
+        self.plans.get(name)?.requests.pending(target)
+    }
+
+    /// Returns what the requested loads waited for that began since the last call.
+    pub fn take_load_waits(&mut self) -> Vec<LoadWait> {
+        let plans = self.plans.values_mut();
+        plans
+            .flat_map(|p| std::mem::take(&mut p.ended_waits))
+            .collect()
+    }
+
     /// Records that a VM began `begun` runs of an adapter and has `running` in
     /// progress.
     pub fn record_use(
@@ -185,8 +209,8 @@
     /// [`AdapterPlanner::finish_inspection`] before it asks for the next.
     ///
     /// Many requests may need adapters that no replica holds while all slots are
-    /// full. Load requests are served in the order of their arrival, so none
-    /// starves. The idle adapter with the least demand is evicted, but never one
+    /// full. Load requests are served by rank, as long as they can meet their
+    /// objective, and every fourth load is that of the oldest, so none starves. The idle adapter with the least demand is evicted, but never one
     /// with a pending load request.
     ///
     /// A restarted replica is empty and loads `model` first.
@@ -199,11 +223,13 @@
     ) -> Option<ReplicaAction> {
         let model_rate = self.model_rate;
         let may_fetch = self.in_flight < self.fetch_limiter.capacity();
+        let ordered = self.experiment.is_enabled(Mechanism::LoadOrder);
+        let durations = ordered.then(|| self.fetch_limiter.expected(self.in_flight));
         let plan = self.plans.get_mut(name)?;
         if plan.busy {
             return None;
         }
-        let action = plan.next_action(now, versions, may_fetch);
+        let action = plan.next_action(now, versions, may_fetch, durations);
         if let Some(ReplicaAction::Load { target, .. }) = &action
             && plan.is_fetch(target)
         {
--- a/lib/src/serving/decisions/adapter_planner/replica_plan.rs
+++ b/lib/src/serving/decisions/adapter_planner/replica_plan.rs
@@ -4,14 +4,17 @@
 use std::collections::VecDeque;
 
 use super::LoadDuration;
+use super::LoadWait;
 use super::OrderOutcome;
 use super::ReplicaAction;
 use super::ReplicaReport;
+use super::load_queue::LoadQueue;
 use crate::ids::ModelName;
 use crate::ids::VmName;
 use crate::pool::Demand;
 use crate::pool::Moment;
 use crate::pool::Span;
+use crate::serving::decisions::fetch_limiter::LoadDurations;
 use crate::serving::decisions::fleet::Residency;
 use crate::serving::decisions::fleet::Versions;
 use crate::serving::decisions::order_timeout::OrderTimeout;
@@ -44,9 +47,6 @@
 /// Lifetime of a VM's report of its runs, in report delays.
 const RUNS_TTL_DELAYS: u64 = 3;
 
-/// Lifetime of a load request that is not renewed.
-const REQUEST_TTL: Span = Span::from_millis(700);
-
 /// Delay before the first poll of an adapter that the replica held before: it
 /// loads from the replica's own memory, ten times as fast as from the weight store.
 const CACHED_POLL: Span = Span::from_millis(25);
@@ -148,8 +148,10 @@
     /// Models and adapters that it holds, loads or unloads.
     slots: BTreeMap<Target, Slot>,
     uses: BTreeMap<Target, Use>,
-    /// Load requests: when first made, and when last renewed.
-    requests: BTreeMap<Target, (Moment, Moment)>,
+    /// Pending load requests.
+    pub(super) requests: LoadQueue,
+    /// What the requested loads waited for that began recently.
+    pub(super) ended_waits: Vec<LoadWait>,
     /// Whether an action was returned whose outcome is not known yet.
     pub(super) busy: bool,
     /// Whether its contents changed since they were last reported.
@@ -196,7 +198,8 @@
             inspect_from: now,
             slots: adapters.chain(models).collect(),
             uses: BTreeMap::new(),
-            requests: BTreeMap::new(),
+            requests: LoadQueue::default(),
+            ended_waits: Vec::new(),
             busy: false,
             changed: true,
             unanswered: 0,
@@ -210,12 +213,6 @@
         }
     }
 
-    /// Records or renews a request to load a target.
-    pub(super) fn request_load(&mut self, now: Moment, target: &Target) {
-        let request = self.requests.entry(target.clone()).or_insert((now, now));
-        request.1 = now;
-    }
-
     /// Records a VM's report on a target: its runs in progress, and the runs that
     /// began since its last report.
     pub(super) fn record_use(
@@ -265,9 +262,8 @@
         let free = self.max_adapters.saturating_sub(self.adapter_count());
         let startable = MAX_LOADING.saturating_sub(self.loading_count());
         let possible = (free + self.evictable(now).count()).min(startable);
-        let renewed = |renewed: &Moment| now.since(*renewed) < REQUEST_TTL;
-        let pending = self.requests.iter();
-        let pending = pending.filter(|(t, (_, at))| renewed(at) && !self.slots.contains_key(*t));
+        let pending = self.requests.targets(now);
+        let pending = pending.filter(|t| !self.slots.contains_key(*t));
         possible.saturating_sub(pending.count()) as u32
     }
 
@@ -366,18 +362,20 @@
     }
 
     /// Returns the next action; `may_fetch` says whether the weight store can serve
-    /// another fetch.
+    /// another fetch. `durations` has the expected durations of loads; `None` if load
+    /// requests are served in order of arrival.
     pub(super) fn next_action(
         &mut self,
         now: Moment,
         versions: &Versions,
         may_fetch: bool,
+        durations: Option<LoadDurations>,
     ) -> Option<ReplicaAction> {
         let Some(expected) = self.accepted else {
+            self.requests.record_wait(LoadWait::Report, |_| true);
             return (now >= self.inspect_from).then_some(ReplicaAction::Inspect);
         };
-        self.requests
-            .retain(|_, (_, renewed)| now.since(*renewed) < REQUEST_TTL);
+        self.requests.expire(now);
         if self.has_lost_load(now) {
             self.accepted = None;
             return Some(ReplicaAction::Inspect);
@@ -402,19 +400,24 @@
             .values()
             .any(|s| matches!(s.phase, Phase::Unloading(_)))
         {
+            self.requests.record_wait(LoadWait::Unload, |_| true);
             return None;
         }
         if let Some(target) = self.outdated(versions) {
             return Some(load(target));
         }
-        let target = self.next_request(versions, may_fetch)?;
+        let target = self.next_request(now, versions, may_fetch, durations)?;
         if self.loading_count() >= MAX_LOADING {
+            self.requests.record_wait(LoadWait::LoadingLimit, |_| true);
             return None;
         }
         if self.adapter_count() < self.max_adapters {
             return Some(load(target));
         }
-        let target = self.eviction_candidate(now)?;
+        let Some(target) = self.eviction_candidate(now) else {
+            self.requests.record_wait(LoadWait::Slot, |_| true);
+            return None;
+        };
         Some(ReplicaAction::Unload { target, expected })
     }
 
@@ -446,22 +449,34 @@
         adapters.filter(|(_, s)| s.phase == Phase::Loaded)
     }
 
-    /// Removes satisfied load requests, and returns the oldest that can be served.
-    fn next_request(&mut self, versions: &Versions, may_fetch: bool) -> Option<Target> {
+    /// Removes satisfied load requests, and returns the first that can be served.
+    fn next_request(
+        &mut self,
+        now: Moment,
+        versions: &Versions,
+        may_fetch: bool,
+        durations: Option<LoadDurations>,
+    ) -> Option<Target> {
         let slots = &self.slots;
         let is_satisfied = |t: &Target| {
             let newest = versions.newest(t).unwrap_or(0);
             let slot = slots.get(t);
             slot.is_some_and(|s| s.phase != Phase::Loaded || s.version >= newest)
         };
-        self.requests.retain(|t, _| !is_satisfied(t));
-        let can_load = |t: &Target| {
-            let source_ready = may_fetch || self.is_cached(t) == Some(true);
-            source_ready && self.has_model(&t.model)
+        self.requests.retain(|t| !is_satisfied(t));
+        let cached = &self.cached;
+        let source_ready = |t: &Target| may_fetch || (t.adapter.is_some() && cached.contains(t));
+        self.requests
+            .record_wait(LoadWait::FetchLimit, |t| !source_ready(t));
+        let can_load = |t: &Target| source_ready(t) && self.has_model(&t.model);
+        let Some(durations) = durations else {
+            return self.requests.oldest(can_load);
         };
-        let eligible = self.requests.iter().filter(|(t, _)| can_load(t));
-        let oldest = eligible.min_by_key(|(_, (since, _))| *since);
-        oldest.map(|(t, _)| t.clone())
+        self.requests
+            .next(now, can_load, |t| match self.is_cached(t) {
+                Some(true) => durations.cached,
+                _ => durations.fetch,
+            })
     }
 
     /// Returns the adapter to evict.
@@ -480,7 +495,7 @@
     fn evictable(&self, now: Moment) -> impl Iterator<Item = &Target> {
         let knows_uses = now.since(self.owned_since) >= self.report_delay;
         let loaded = self.loaded_adapters().filter(move |_| knows_uses);
-        let unrequested = loaded.filter(|(t, _)| !self.requests.contains_key(*t));
+        let unrequested = loaded.filter(|(t, _)| !self.requests.contains(t));
         let idle = unrequested.filter(move |(t, _)| self.is_idle(now, t));
         idle.map(|(t, _)| t)
     }
@@ -555,8 +570,17 @@
         poll_delay: Span,
     ) -> Option<LoadDuration> {
         match outcome {
-            OrderOutcome::Unknown => self.timeout.record_unanswered(),
+            OrderOutcome::Unknown => {
+                self.timeout.record_unanswered();
+                self.requests.record_wait(LoadWait::Unanswered, |_| true);
+                let load = match action {
+                    ReplicaAction::Load { target, .. } => Some(target),
+                    _ => None,
+                };
+                self.requests.set_unanswered(load);
+            }
             _ => {
+                self.requests.set_unanswered(None);
                 self.unanswered = 0;
                 self.timeout.reset_doublings();
             }
@@ -617,6 +641,9 @@
                 };
                 let slot = self.slots.entry(target.clone());
                 let slot = slot.or_insert(Slot::loaded(0));
+                if slot.phase == Phase::Loaded {
+                    self.ended_waits.extend(self.requests.begin(target));
+                }
                 slot.phase = Phase::Loading(match slot.phase {
                     Phase::Loading(load) => Loading {
                         not_loaded_at: now,
--- a/lib/src/serving/decisions/fetch_limiter.rs
+++ b/lib/src/serving/decisions/fetch_limiter.rs
@@ -37,6 +37,18 @@
 /// Fraction of the expected duration after which a fetch is first polled.
 const FIRST_POLL_FRACTION: f64 = 0.95;
 
+/// Duration of a load from the replica's own memory as a fraction of a fetch.
+const CACHED_FRACTION: f64 = 0.1;
+
+/// Expected durations of a load.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct LoadDurations {
+    /// From the weight store.
+    pub fetch: Span,
+    /// From the replica's own memory.
+    pub cached: Span,
+}
+
 /// Learns how many concurrent fetches the weight store serves at full speed.
 ///
 /// When many rare adapters are requested at once, the store divides its
@@ -136,6 +148,23 @@
         }
     }
 
+    /// Returns the expected durations of a load that begins beside `in_flight` fetches.
+    ///
+    /// ```
+    /// use banyangauge::pool::Span;
+    /// use banyangauge::serving::FetchLimiter;
+    /// let expected = FetchLimiter::default().expected(0);
+    /// assert_eq!(expected.fetch, Span::from_millis(250));
+    /// assert_eq!(expected.cached, Span::from_millis(25));
+    /// ```
+    pub fn expected(&self, in_flight: usize) -> LoadDurations {
+        let slowdown = ((in_flight + 1) as f64 / self.capacity.max(1.0)).max(1.0);
+        LoadDurations {
+            fetch: Span((self.uncontended_us * slowdown) as u64),
+            cached: Span((self.uncontended_us * CACHED_FRACTION) as u64),
+        }
+    }
+
     /// Returns the time after which a fetch is first polled.
     pub fn first_check_delay(&self) -> Span {
         Span((self.uncontended_us * FIRST_POLL_FRACTION) as u64)
--- a/lib/src/serving/path/forward.rs
+++ b/lib/src/serving/path/forward.rs
@@ -58,6 +58,8 @@
     pub(in crate::serving) fingerprint: Fingerprint,
     /// The organisation and API key that it is admitted under.
     pub(in crate::serving) caller: Caller,
+    /// When it arrived.
+    pub(in crate::serving) arrived: Moment,
     /// Time by which the response must be complete.
     pub(in crate::serving) deadline: Moment,
 }
--- a/lib/src/serving/path/placement.rs
+++ b/lib/src/serving/path/placement.rs
@@ -9,6 +9,7 @@
 use crate::ids::ReplicaName;
 use crate::pool::Moment;
 use crate::pool::Span;
+use crate::serving::decisions::adapter_planner::LoadNeed;
 use crate::serving::decisions::fleet::Placement;
 use crate::serving::decisions::fleet::PlacementRequest;
 use crate::serving::decisions::retry::RETRY_DELAY;
@@ -19,6 +20,7 @@
 use crate::serving::path::owner_check;
 use crate::serving::path::owner_check::Admission;
 use crate::serving::path::serve::RoutedRequest;
+use crate::serving::path::types::Rank;
 use crate::serving::peers::beacons;
 use crate::serving::program::node::Node;
 use crate::serving::program::node::Phase;
@@ -94,7 +96,7 @@
         let (deadline, refusal) = match placement {
             Placement::Send { replica, copy } => {
                 if let (Some(copy), Some(target)) = (copy, &req.target) {
-                    beacons::request_load(node, &copy, target).await;
+                    beacons::request_load(node, &copy, target, &load_need(routed, req, at)).await;
                 }
                 if owner_asks < MAX_OWNER_ASKS
                     && owner_check::ask_owner(node, req, &replica).await == Admission::ChooseAgain
@@ -123,7 +125,8 @@
                     requested_at.is_none_or(|w| at.since(w) >= to_span(LOAD_REQUEST_INTERVAL));
                 if let (true, Some(target)) = (is_due, &req.target) {
                     requested_at = Some(at);
-                    beacons::request_load(node, &replica, target).await;
+                    beacons::request_load(node, &replica, target, &load_need(routed, req, at))
+                        .await;
                 }
                 (
                     load_deadline,
@@ -167,6 +170,16 @@
     }
 }
 
+/// Returns what a load request of this request states.
+fn load_need(routed: &RoutedRequest, req: &BufferedRequest, at: Moment) -> LoadNeed {
+    let objective = req.arrived.after(to_span(routed.route.objective));
+    LoadNeed {
+        waiting: 1,
+        rank: Rank::default(),
+        left: Some(objective.since(at)),
+    }
+}
+
 /// Logs a request that found no replica, with the state of the replicas that could run it.
 fn log_no_replica(
     node: &Node,
--- a/lib/src/serving/path/serve.rs
+++ b/lib/src/serving/path/serve.rs
@@ -194,6 +194,7 @@
         body,
         id: info.id,
         target: info.target,
+        arrived,
         deadline,
     };
     check_blocked(node, &req)?;
--- a/lib/src/serving/peers/beacons.rs
+++ b/lib/src/serving/peers/beacons.rs
@@ -17,12 +17,14 @@
 use crate::pool::Span;
 use crate::serving::cluster::members::BeaconStamp;
 use crate::serving::cluster::state::NodeState;
+use crate::serving::decisions::adapter_planner::LoadNeed;
 use crate::serving::decisions::fleet::Residency;
 use crate::serving::path::charge;
 use crate::serving::path::limit;
 use crate::serving::path::owner_check;
 use crate::serving::path::prefill;
 use crate::serving::path::types::Instance;
+use crate::serving::path::types::Rank;
 use crate::serving::path::types::Target;
 use crate::serving::peers::load_reports;
 use crate::serving::peers::relay;
@@ -442,7 +444,12 @@
 }
 
 /// Requests a load of an adapter from the owner of a replica.
-pub(in crate::serving) async fn request_load(node: &Node, replica: &ReplicaName, target: &Target) {
+pub(in crate::serving) async fn request_load(
+    node: &Node,
+    replica: &ReplicaName,
+    target: &Target,
+    need: &LoadNeed,
+) {
     let address = {
         let mut state = node.state();
         let Some(owner) = state.ownership.owner(replica).cloned() else {
@@ -450,7 +457,9 @@
         };
         state.fleet.record_load_request(now(), replica, target);
         if owner == node.settings.vm {
-            state.planner.request_load(now(), replica, target);
+            state
+                .planner
+                .request_load(now(), replica, &owner, target, need);
             node.orders_wake.notify_one();
             return;
         }
@@ -463,7 +472,11 @@
         vm: node.settings.vm.to_string(),
         replica: replica.to_string(),
         target: target.to_string(),
-        ..wire::Wish::default()
+        waiting: need.waiting,
+        rank: need.rank.to_wire(),
+        left_ms: need
+            .left
+            .map(|left| left.as_millis().min(u64::from(u32::MAX)) as u32),
     };
     let datagram = wire::Datagram {
         body: Some(Body::Wish(wish)),
@@ -485,7 +498,12 @@
     };
     let now = now();
     let mut state = node.state();
-    if !state.planner.request_load(now, &name, &target) {
+    let need = LoadNeed {
+        waiting: wish.waiting,
+        rank: Rank::from_wire(wish.rank),
+        left: wish.left_ms.map(|ms| Span::from_millis(ms.into())),
+    };
+    if !state.planner.request_load(now, &name, &vm, &target, &need) {
         return;
     }
     let residency = state.planner.residency(&name).unwrap_or_default();
--- a/lib/src/serving/program/orders.rs
+++ b/lib/src/serving/program/orders.rs
@@ -13,6 +13,7 @@
 use crate::pool::Span;
 use crate::serving::decisions::adapter_planner::LoadDuration;
 use crate::serving::decisions::adapter_planner::OrderOutcome;
+use crate::serving::decisions::adapter_planner::PendingLoad;
 use crate::serving::decisions::adapter_planner::ReplicaAction;
 use crate::serving::decisions::adapter_planner::ReplicaReport;
 use crate::serving::decisions::fleet::WithheldReason;
@@ -121,14 +122,30 @@
             state.planner.finish_inspection(now(), &name, report);
         }
         _ => {
+            let sent = now();
+            let pending = match &action {
+                ReplicaAction::Load { target, .. } => {
+                    node.state().planner.pending_load(&name, target)
+                }
+                _ => None,
+            };
             let end = send_order(&node, &name, token, &action).await;
             let mut state = node.state();
             let took = state.planner.finish_order(now(), &name, &action, end);
+            for wait in state.planner.take_load_waits() {
+                metrics::counter!("serve_load_waits_total", "reason" => wait.as_str()).increment(1);
+            }
             if matches!(end, OrderOutcome::Fenced) {
                 state.ownership.record_refusal(&name, token);
             }
             drop(state);
-            log_order(&node, &name, token, &action, end, took);
+            let done = DoneOrder {
+                sent,
+                pending,
+                end,
+                took,
+            };
+            log_order(&node, &name, token, &action, &done);
         }
     }
     node.beacon_wake.notify_one();
@@ -142,14 +159,23 @@
     node.placement_wake.notify_waiters();
 }
 
+/// An order that was carried out or failed, for the log.
+struct DoneOrder {
+    sent: Moment,
+    /// The load request that it served.
+    pending: Option<PendingLoad>,
+    end: OrderOutcome,
+    /// Duration of the load that it completed.
+    took: Option<LoadDuration>,
+}
+
 /// Logs and counts an order with its outcome.
 fn log_order(
     node: &Node,
     name: &ReplicaName,
     token: FencingToken,
     action: &ReplicaAction,
-    end: OrderOutcome,
-    took: Option<LoadDuration>,
+    done: &DoneOrder,
 ) {
     let (what, target, expected) = match action {
         ReplicaAction::Load {
@@ -158,13 +184,17 @@
         ReplicaAction::Unload { target, expected } => ("unload", target.to_string(), *expected),
         ReplicaAction::Inspect => ("look", String::new(), 0),
     };
-    metrics::counter!("serve_orders_total", "what" => what, "end" => end.as_str()).increment(1);
-    if let Some(took) = took {
+    let end = done.end.as_str();
+    metrics::counter!("serve_orders_total", "what" => what, "end" => end).increment(1);
+    if let Some(took) = done.took {
         metrics::histogram!("serve_load_seconds").record(took.max.0 as f64 / 1e6);
     }
     slog::info!(node.log, "order"; "what" => what, "replica" => name.as_str(),
-        "target" => target, "expected" => expected, "token" => token.0, "end" => end.as_str(),
-        "took_ms" => took.map(|t| t.max.as_millis()));
+        "target" => target, "expected" => expected, "token" => token.0, "end" => end,
+        "took_ms" => done.took.map(|t| t.max.as_millis()),
+        "wait_ms" => done.pending.map(|p| done.sent.since(p.since).as_millis()),
+        "waiting" => done.pending.map(|p| p.waiting),
+        "rank" => done.pending.map(|p| p.rank.to_wire()));
 }
 
 /// Fetches a replica's status report.
--- a/lib/tests/test_serving_adapter_planner.rs
+++ b/lib/tests/test_serving_adapter_planner.rs
@@ -9,13 +9,17 @@
 use banyangauge::serving::Experiment;
 use banyangauge::serving::FetchLimiter;
 use banyangauge::serving::LoadDuration;
+use banyangauge::serving::LoadNeed;
+use banyangauge::serving::LoadWait;
 use banyangauge::serving::Mechanism;
 use banyangauge::serving::OrderOutcome;
+use banyangauge::serving::Rank;
 use banyangauge::serving::ReplicaAction;
 use banyangauge::serving::ReplicaInfo;
 use banyangauge::serving::ReplicaReport;
 use banyangauge::serving::Target;
 use banyangauge::serving::Versions;
+use proptest::prelude::*;
 use rstest::rstest;
 
 use super::test_serving_place::listing;
@@ -82,8 +86,13 @@
     }
 
     fn request(&mut self, ms: u64, adapter: &str) {
+        self.request_for(ms, adapter, &LoadNeed::default());
+    }
+
+    fn request_for(&mut self, ms: u64, adapter: &str, need: &LoadNeed) {
+        let vm = "vm-1".parse().unwrap();
         self.planner
-            .request_load(at(ms), &self.name, &target(adapter));
+            .request_load(at(ms), &self.name, &vm, &target(adapter), need);
     }
 
     fn finish(&mut self, ms: u64, action: &ReplicaAction, outcome: OrderOutcome) {
@@ -580,3 +589,156 @@
     limiter.set_engine_count(140);
     assert!(limiter.capacity() < 20, "{}", limiter.capacity());
 }
+
+fn need(route: u32, waiting: u32, left_ms: u64) -> LoadNeed {
+    LoadNeed {
+        waiting,
+        rank: Rank {
+            organisation: 0,
+            route,
+        },
+        left: Some(Span::from_millis(left_ms)),
+    }
+}
+
+/// Creates the owner of a replica with free slots.
+fn owner_with_slots() -> Owner {
+    let mut owner = Owner::new(&["base"], 0);
+    let listing = listing("i-1", "llm", "z-a", &["base"]);
+    owner.planner.track(at(0), &listing, 1_000);
+    owner
+}
+
+impl Owner {
+    /// Completes the next load in 250 ms, and returns its adapter.
+    fn serve(&mut self, ms: u64) -> String {
+        self.planner.set_fetches(0, 0);
+        let action = self.next(ms).unwrap();
+        let ReplicaAction::Load { target, .. } = &action else {
+            panic!("{action:?}");
+        };
+        let adapter = target.adapter.as_ref().unwrap().to_string();
+        self.finish(ms, &action, OrderOutcome::Accepted);
+        self.finish(ms + 250, &action, OrderOutcome::InEffect);
+        adapter
+    }
+}
+
+/// More adapters are requested than can be loaded in time. In order of arrival, the request
+/// that has missed its objective delays the one of the most urgent rank by two loads.
+#[rstest]
+#[case::ordered(&[], ["urgent", "many", "one", "late"])]
+#[case::off(&[Mechanism::LoadOrder], ["late", "one", "many", "urgent"])]
+fn loads_are_ordered_by_need(#[case] off: &[Mechanism], #[case] expected: [&str; 4]) {
+    let mut owner = owner_with_slots();
+    owner.planner.set_experiment(&Experiment {
+        off: off.iter().copied().collect(),
+    });
+    let needs = [
+        ("late", need(0, 9, 100)),
+        ("one", need(1, 1, 900)),
+        ("many", need(1, 2, 900)),
+        ("urgent", need(0, 1, 900)),
+    ];
+    for (ms, (adapter, need)) in needs.iter().enumerate() {
+        owner.request_for(ms as u64, &format!("base/{adapter}"), need);
+    }
+    assert_eq!([(); 4].map(|()| owner.serve(4)), expected);
+}
+
+/// The needs of several VMs add up, and a need that is not renewed expires alone.
+#[test]
+fn needs_of_several_vms_add_up() {
+    let mut owner = owner_with_slots();
+    let shared = target("base/shared");
+    for (ms, vm, need) in [
+        (0, "vm-1", need(1, 3, 5_000)),
+        (600, "vm-2", need(2, 2, 5_000)),
+    ] {
+        let vm = vm.parse().unwrap();
+        let name = owner.name.clone();
+        owner
+            .planner
+            .request_load(at(ms), &name, &vm, &shared, &need);
+    }
+    let pending = |owner: &Owner| owner.planner.pending_load(&owner.name, &shared).unwrap();
+    assert_eq!(
+        (pending(&owner).waiting, pending(&owner).rank.route),
+        (5, 1)
+    );
+    owner.planner.set_fetches(8, 0);
+    assert_eq!(owner.next(800), None);
+    assert_eq!(
+        (pending(&owner).waiting, pending(&owner).rank.route),
+        (2, 2)
+    );
+    assert_eq!(pending(&owner).since, at(0));
+}
+
+/// The replica may still carry out an unanswered order, and an order for another adapter
+/// would then fail by the order count.
+#[test]
+fn unanswered_load_is_repeated_before_more_urgent_ones() {
+    let mut owner = owner_with_slots();
+    owner.request_for(0, "base/first", &need(1, 1, 900));
+    let action = owner.next(0).unwrap();
+    owner.request_for(1, "base/urgent", &need(0, 1, 900));
+    owner.finish(80, &action, OrderOutcome::Unknown);
+    assert_eq!(owner.next(80), Some(action));
+}
+
+/// Operators tell by the counter what loads wait for.
+#[test]
+fn load_waits_are_recorded_once_per_load() {
+    let mut owner = owner_with_slots();
+    owner.planner.set_fetches(8, 0);
+    owner.request(0, "base/a1");
+    assert_eq!((owner.next(0), owner.next(10)), (None, None));
+    owner.planner.set_fetches(0, 0);
+    let action = owner.next(20).unwrap();
+    owner.finish(40, &action, OrderOutcome::Unknown);
+    assert!(owner.planner.take_load_waits().is_empty());
+    let action = owner.next(40).unwrap();
+    owner.finish(44, &action, OrderOutcome::Accepted);
+    let expected = [LoadWait::Unanswered, LoadWait::FetchLimit];
+    assert_eq!(owner.planner.take_load_waits(), expected);
+    assert!(owner.planner.take_load_waits().is_empty());
+}
+
+proptest! {
+    /// Late and less urgent load requests are not starved by a steady supply of urgent ones:
+    /// each fourth load serves the oldest. The others never serve a late request, or a less
+    /// urgent rank, before one that can be served in time.
+    #[test]
+    fn load_order_starves_none(
+        needs in prop::collection::vec((0_u32..3, 0_u32..4, 0_u64..1_000), 1..12),
+        loads_per_urgent in 1_usize..4,
+    ) {
+        let mut owner = owner_with_slots();
+        for (n, (route, waiting, left_ms)) in needs.iter().enumerate() {
+            owner.request_for(0, &format!("base/n{n:02}"), &need(*route, *waiting, *left_ms));
+        }
+        let key = |n: usize| (needs[n].2 < 250, needs[n].0);
+        let mut left: Vec<usize> = (0..needs.len()).collect();
+        for load in 0..needs.len() * 4 {
+            let urgent = format!("base/urgent{load}");
+            if load % loads_per_urgent == 0 {
+                owner.request_for(1, &urgent, &need(0, 9, 900));
+            }
+            let served = owner.serve(0);
+            let Some(n) = served.strip_prefix('n').map(|n| n.parse::<usize>().unwrap()) else {
+                prop_assert!(load % 4 != 3, "load {} did not serve the oldest", load);
+                continue;
+            };
+            if load % 4 != 3 {
+                let best = left.iter().map(|other| key(*other)).min();
+                prop_assert_eq!(Some(key(n)), best);
+            }
+            left.retain(|other| *other != n);
+            if left.is_empty() {
+                break;
+            }
+        }
+        prop_assert!(left.is_empty(), "{:?} were not served", left);
+    }
+}
--- a/lib/tests/test_serving_instances.rs
+++ b/lib/tests/test_serving_instances.rs
@@ -10,6 +10,7 @@
 use banyangauge::serving::Fleet;
 use banyangauge::serving::Instance;
 use banyangauge::serving::Load;
+use banyangauge::serving::LoadNeed;
 use banyangauge::serving::ReplicaAction;
 use banyangauge::serving::ReplicaInfo;
 use banyangauge::serving::ReplicaReport;
@@ -98,6 +99,13 @@
     }
 }
 
+/// Requests the load of an adapter at `i-1`.
+fn request(planner: &mut AdapterPlanner, ms: u64, adapter: &str) {
+    let (name, vm) = ("i-1".parse().unwrap(), "vm-1".parse().unwrap());
+    let target = Target::parse(adapter).unwrap();
+    planner.request_load(at(ms), &name, &vm, &target, &LoadNeed::default());
+}
+
 /// After a restart, the planner forgets the loaded adapters, and the next order
 /// expects the order count of the new instance.
 #[test]
@@ -120,7 +128,7 @@
         Some(ReplicaAction::Inspect)
     );
     planner.finish_inspection(at(10), &name, Some(report(2, 0, &["base"])));
-    planner.request_load(at(20), &name, &Target::parse("base/a2").unwrap());
+    request(&mut planner, 20, "base/a2");
     let next = planner.next_action(at(20), &name, &versions, None);
     assert!(
         matches!(next, Some(ReplicaAction::Load { expected: 0, .. })),
@@ -149,7 +157,7 @@
     );
     planner.track(at(10), &started(1, &["base", "base/a1"]), 2);
     planner.track(at(20), &started(2, &["base"]), 2);
-    planner.request_load(at(30), &name, &Target::parse("base/a2").unwrap());
+    request(&mut planner, 30, "base/a2");
     let next = planner.next_action(at(30), &name, &versions, None);
     assert!(
         matches!(next, Some(ReplicaAction::Load { expected: 4, .. })),
