--- a/lib/src/serving/path/serve.rs
+++ b/lib/src/serving/path/serve.rs
@@ -216,6 +216,7 @@
         body,
         id: info.id,
         target: info.target,
+        arrived,
         deadline,
         trace: trace.clone(),
     };
--- a/lib/tests/test_serving_adapter_planner.rs
+++ b/lib/tests/test_serving_adapter_planner.rs
@@ -712,6 +712,7 @@
     #[test]
     fn load_order_starves_none(
         needs in prop::collection::vec((0_u32..3, 0_u32..4, 0_u64..1_000), 1..12),
+        loads_per_urgent in 1_usize..4,
     ) {
         let mut owner = owner_with_slots();
         for (n, (route, waiting, left_ms)) in needs.iter().enumerate() {
@@ -721,7 +722,7 @@
         let mut left: Vec<usize> = (0..needs.len()).collect();
         for load in 0..needs.len() * 4 {
             let urgent = format!("base/urgent{load}");
-            if load % 2 == 0 {
+            if load % loads_per_urgent == 0 {
                 owner.request_for(1, &urgent, &need(0, 9, 900));
             }
             let served = owner.serve(0);
