serving: new requests give way to those that wait for the same adapter

Cause: callers that return at once took each slot that became free before a waiting request tried, so that few left the queue: one run of the test for early refusals held a hopeless request for 2 s. Change: a new request that could be sent joins the queue if one for the same target goes before it, and tries itself after 30 ms at the latest. It does not if the queue is full, as it would be refused there while there is capacity.

--- a/lib/src/serving/decisions/waiting/queue.rs
+++ b/lib/src/serving/decisions/waiting/queue.rs
@@ -58,6 +58,10 @@
     pub objective: Moment,
     /// Until when it may wait.
     pub until: Moment,
+    /// Whether there may be capacity for it.
+    pub has_capacity: bool,
+    /// Size of its body in bytes.
+    pub bytes: usize,
 }
 
 /// Maximum size of a queue.
@@ -316,11 +320,29 @@
         self.departures.time_for(now, before.count())
     }
 
+    /// Returns whether a request for the same target goes before a new one and still waits. The
+    /// new one must then not take capacity that has just become free: callers that return at
+    /// once would otherwise take each slot before a waiting request tries.
+    ///
+    /// It is false for a full queue, as the new request would be refused there while there is
+    /// capacity.
+    pub fn has_before(&self, now: Moment, target: Option<&Target>, arrival: &Arrival) -> bool {
+        let class = (arrival.objective <= now, arrival.rank);
+        let mut same = self
+            .entries
+            .values()
+            .filter(|e| e.target.as_ref() == target);
+        let has_room = self.entries.len() < self.bounds.requests
+            && self.bytes.saturating_add(arrival.bytes) <= self.bounds.bytes;
+        has_room && same.any(|e| !e.avoids && (e.objective <= now, e.rank) <= class)
+    }
+
     /// Returns whether a new request would wait for longer than it may, so that it is better
-    /// refused at once. The caller must know that there is no capacity.
+    /// refused at once.
     pub fn is_too_late(&self, now: Moment, arrival: &Arrival) -> bool {
         let expected = self.expected_wait(now, arrival.rank);
         !arrival.sent
+            && !arrival.has_capacity
             && !self.is_empty()
             && expected.is_some_and(|wait| wait > arrival.until.since(now))
     }
--- a/lib/src/serving/decisions/waiting/step.rs
+++ b/lib/src/serving/decisions/waiting/step.rs
@@ -105,6 +105,17 @@
         }
     }
 
+    /// Returns the step of a request that lets those before it in the queue try first, and
+    /// then tries itself.
+    pub fn give_way(&self, retry: Moment) -> WaitStep {
+        WaitStep::Wait {
+            until: self.stop.map_or(self.load, |stop| self.load.min(stop)),
+            recheck: Some(retry),
+            load: None,
+            refusal: Refusal::not_run("replicas_full", FULL_RETRY_AFTER),
+        }
+    }
+
     /// Returns what follows if the limits are not reached.
     fn hold(&self, now: Moment, placement: Placement) -> WaitStep {
         let wait = |until: Moment, load, reason, after| WaitStep::Wait {
--- a/lib/src/serving/path/placement.rs
+++ b/lib/src/serving/path/placement.rs
@@ -28,6 +28,7 @@
 use crate::serving::path::waiting::Queued;
 use crate::serving::path::waiting::Turn;
 use crate::serving::path::waiting::enqueue;
+use crate::serving::path::waiting::has_capacity;
 use crate::serving::path::waiting::is_ordered;
 use crate::serving::path::waiting::queue_full;
 use crate::serving::path::waiting::with_retry_after;
@@ -50,6 +51,10 @@
 /// all replicas; a load takes some twenty times as long as this interval.
 pub(in crate::serving) const MIN_RECHECK: Span = Span::from_millis(15);
 
+/// How long a new request waits for those before it in the queue to try: two intervals, so that
+/// a pass over the queue falls into that time.
+const GIVE_WAY: Span = Span(2 * MIN_RECHECK.0);
+
 /// Maximum number of owners that decline a request before it is sent without asking: each
 /// answer corrects the local view of one replica, and the last choice is then used.
 const MAX_OWNER_ASKS: u32 = 3;
@@ -158,6 +163,11 @@
                 self.limits.begin_stop(at);
             }
             let (step, waits_for) = self.attempt(at);
+            let gives_way = matches!(step, WaitStep::Send { .. }) && self.must_give_way(at);
+            let (step, waits_for) = match gives_way {
+                true => (self.limits.give_way(at.after(GIVE_WAY)), WaitReason::Full),
+                false => (step, waits_for),
+            };
             match step {
                 WaitStep::Send { replica, copy } => {
                     let placed = self.prepare_send(&replica, copy.as_ref()).await;
@@ -185,7 +195,7 @@
                 } => {
                     let turn_call = match turn_call {
                         Some(call) => Some(call),
-                        None => self.join_queue(waits_for)?,
+                        None => self.join_queue(at, waits_for, gives_way)?,
                     };
                     if self.queued.as_ref().is_some_and(Queued::is_removed) {
                         self.count(waits_for);
@@ -260,25 +270,48 @@
     /// Joins the queue of the service, if it has one; returns the call for the first turn.
     fn join_queue(
         &mut self,
+        at: Moment,
         waits_for: WaitReason,
+        gives_way: bool,
     ) -> Result<Option<PendingCall<'a, Turn>>, Refusal> {
         let node = self.node;
         if !is_ordered(node, &self.routed.service) {
             return Ok(None);
         }
         let arrival = Arrival {
-            rank: self.req.rank,
-            sent: self.sent,
-            objective: self.objective,
-            until: self.limits.load,
+            has_capacity: gives_way || has_capacity(node, &self.routed.service, waits_for, at),
+            ..self.arrival()
         };
-        let queued = enqueue(node, self.routed, self.req, self.avoid, &arrival, waits_for);
+        let queued = enqueue(node, self.routed, self.req, self.avoid, &arrival);
         let queued = queued.inspect_err(|_| self.count(waits_for))?;
         let call = node.wait_calls.register(queued.id.0);
         self.queued = Some(queued);
+        if gives_way {
+            node.placement_wake.notify_waiters();
+        }
         Ok(Some(call))
     }
 
+    /// Returns what the queue is told of the request.
+    fn arrival(&self) -> Arrival {
+        Arrival {
+            rank: self.req.rank,
+            sent: self.sent,
+            objective: self.objective,
+            until: self.limits.load,
+            has_capacity: true,
+            bytes: self.req.body.iter().map(Bytes::len).sum(),
+        }
+    }
+
+    /// Returns whether a new request lets those try first that go before it in the queue.
+    fn must_give_way(&self, at: Moment) -> bool {
+        let state = self.node.state();
+        let queue = state.waiting.get(&self.routed.service);
+        let target = self.req.target.as_ref();
+        self.queued.is_none() && queue.is_some_and(|q| q.has_before(at, target, &self.arrival()))
+    }
+
     /// Requests the load of the adapter, if the last request for it is old enough.
     async fn request_load(&mut self, at: Moment, replica: &ReplicaName) {
         let interval = to_span(LOAD_REQUEST_INTERVAL);
--- a/lib/src/serving/path/waiting.rs
+++ b/lib/src/serving/path/waiting.rs
@@ -4,7 +4,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use tokio::sync::oneshot;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -116,7 +115,6 @@
     req: &BufferedRequest,
     avoid: &BTreeSet<ReplicaName>,
     arrival: &Arrival,
-    waits_for: WaitReason,
 ) -> Result<Queued, Refusal> {
     let at = now();
     let entry = WaitEntry {
@@ -127,13 +125,19 @@
         objective: arrival.objective,
         deadline: req.deadline,
         tokens: req.cost.tokens,
-        bytes: req.body.iter().map(Bytes::len).sum(),
+        bytes: arrival.bytes,
         sent: arrival.sent,
         avoids: !avoid.is_empty(),
     };
-    if is_too_late(node, &routed.service, arrival, waits_for, at) {
+    if is_too_late(node, &routed.service, arrival, at) {
         let refusal = Refusal::not_run("wait_too_long", Duration::ZERO);
-        return Err(with_retry_after(node, routed, req, waits_for, refusal));
+        return Err(with_retry_after(
+            node,
+            routed,
+            req,
+            WaitReason::Full,
+            refusal,
+        ));
     }
     let id = WaitId(node.next_id());
     let bounds = node.settings.waiting;
@@ -169,28 +173,29 @@
     with_retry_after(node, routed, req, WaitReason::Full, refusal)
 }
 
-/// Returns whether a new request is refused because those before it will not leave in time.
+/// Returns whether there may be capacity for a request that waits.
 ///
-/// Only waits for capacity count: one for a load under way, for a second copy or for replicas
-/// that come back ends whatever waits before it.
-fn is_too_late(
+/// A wait for a load under way, for a second copy or for replicas that come back ends whatever
+/// waits before it.
+pub(in crate::serving) fn has_capacity(
     node: &Node,
     service: &ServiceName,
-    arrival: &Arrival,
     waits_for: WaitReason,
     at: Moment,
 ) -> bool {
-    let state = node.state();
-    let has_capacity = match waits_for {
+    match waits_for {
         WaitReason::Full => false,
-        WaitReason::Load => state.fleet.has_vacancy(at, service),
+        WaitReason::Load => node.state().fleet.has_vacancy(at, service),
         _ => true,
-    };
+    }
+}
+
+/// Returns whether a new request is refused because those before it will not leave in time.
+fn is_too_late(node: &Node, service: &ServiceName, arrival: &Arrival, at: Moment) -> bool {
+    let state = node.state();
     let queue = state.waiting.get(service);
-    node.settings
-        .experiment
-        .is_enabled(Mechanism::EarlyRefusals)
-        && !has_capacity
+    let experiment = &node.settings.experiment;
+    experiment.is_enabled(Mechanism::EarlyRefusals)
         && queue.is_some_and(|q| q.is_too_late(at, arrival))
 }
 
--- a/lib/tests/test_serving_waiting.rs
+++ b/lib/tests/test_serving_waiting.rs
@@ -205,18 +205,20 @@
 /// Without evidence of seconds, or if the wait fits, a refusal would cost a caller more than a
 /// wait.
 #[rstest]
-#[case::clear(20, 6_000, 1, false, 3_000, true)]
-#[case::fits(20, 6_000, 1, false, 12_000, false)]
-#[case::more_urgent_than_all(20, 6_000, 0, false, 3_000, false)]
-#[case::already_sent(20, 6_000, 1, true, 3_000, false)]
-#[case::short_observation(20, 3_000, 1, false, 100, false)]
-#[case::too_few_departures(2, 6_000, 1, false, 100, false)]
+#[case::clear(20, 6_000, 1, false, 3_000, false, true)]
+#[case::has_capacity(20, 6_000, 1, false, 3_000, true, false)]
+#[case::fits(20, 6_000, 1, false, 12_000, false, false)]
+#[case::more_urgent_than_all(20, 6_000, 0, false, 3_000, false, false)]
+#[case::already_sent(20, 6_000, 1, true, 3_000, false, false)]
+#[case::short_observation(20, 3_000, 1, false, 100, false, false)]
+#[case::too_few_departures(2, 6_000, 1, false, 100, false, false)]
 fn arrival_is_refused_on_clear_evidence_only(
     #[case] rate: u64,
     #[case] observed: u64,
     #[case] route: u32,
     #[case] sent: bool,
     #[case] may_wait: u64,
+    #[case] has_capacity: bool,
     #[case] refused: bool,
 ) {
     let queue = observed_queue(rate, observed);
@@ -225,6 +227,8 @@
         sent,
         objective: at(60_000),
         until: at(observed + may_wait),
+        has_capacity,
+        bytes: 100,
     };
     assert_eq!(queue.is_too_late(at(observed), &arrival), refused);
 }
@@ -238,6 +242,8 @@
         sent: false,
         objective: at(60_000),
         until: at(6_001),
+        has_capacity: false,
+        bytes: 100,
     };
     for id in queue.order(at(6_000)) {
         queue.leave(at(6_000), id, true);
@@ -249,6 +255,42 @@
     assert!(!queue.is_too_late(at(6_000), &arrival));
 }
 
+/// Callers that return at once took each free slot before a waiting request tried. A request
+/// that goes before all that wait for its adapter has no reason to wait.
+#[rstest]
+#[case::same_rank("base/x", 1, true)]
+#[case::more_urgent("base/x", 0, false)]
+#[case::less_urgent("base/x", 2, true)]
+#[case::other_adapter("base/y", 1, false)]
+#[case::one_that_avoids_replicas("base/z", 1, false)]
+fn arrival_gives_way_to_those_before_it(
+    #[case] target: &str,
+    #[case] route: u32,
+    #[case] expected: bool,
+) {
+    let wants = |name, avoids| WaitEntry {
+        target: Target::parse(name),
+        avoids,
+        ..entry(0, 1, "a")
+    };
+    let queue = queue_of(vec![wants("base/x", false), wants("base/z", true)]);
+    let arrival = Arrival {
+        rank: rank(route),
+        sent: false,
+        objective: at(60_000),
+        until: at(30_000),
+        has_capacity: true,
+        bytes: 100,
+    };
+    let target = Target::parse(target);
+    let gives_way = queue.has_before(at(10), target.as_ref(), &arrival);
+    assert_eq!(gives_way, expected);
+    // Beyond the bounds it would be refused while there is capacity.
+    let bytes = 16 << 20;
+    let large = Arrival { bytes, ..arrival };
+    assert!(!queue.has_before(at(10), target.as_ref(), &large));
+}
+
 /// Callers that are refused together and told the same time return together.
 #[test]
 fn retry_after_spreads_callers_and_lets_urgent_ones_return_first() {
