--- a/lib/src/serving/path/serve.rs
+++ b/lib/src/serving/path/serve.rs
@@ -216,7 +216,6 @@
         body,
         id: info.id,
         target: info.target,
-        arrived,
         deadline,
         trace: trace.clone(),
     };
