--- a/lib/tests/test_serving_prefill_turns.rs
+++ b/lib/tests/test_serving_prefill_turns.rs
@@ -120,12 +120,12 @@
 /// 200 ms for each: their numbers and waits in milliseconds, in order.
 fn replay(prompts: &[(u64, Rank)]) -> Vec<(u64, u64)> {
     let (mut turns, r): (_, ReplicaName) = (PrefillTurns::default(), "i-1".parse().unwrap());
-    let (mut active, mut order, mut waiting) = (None, Vec::new(), prompts.iter().enumerate());
-    let mut next = waiting.next();
+    let (mut active, mut order, mut arrivals) = (None, Vec::new(), prompts.iter().enumerate());
+    let mut next = arrivals.next();
     for ms in 0..20_000 {
         while let Some((number, (arrival, rank))) = next.filter(|(_, (at, _))| *at <= ms) {
             turns.request(at(*arrival), &r, id(number as u64), *rank, 9_000);
-            next = waiting.next();
+            next = arrivals.next();
         }
         if let Some((number, _)) = active.take_if(|(_, end)| *end <= ms) {
             turns.finish(at(ms), &r, &id(number));
