serving: while the weight store is busy, only adapters requested often get second copies

Change: the owner reports which adapters are requested once a second or more (hot); while 60 % of the learned fetch capacity is in use, only these get a copy and only their requests wait for one. Switch copy_demand; condition: a service with adapters.

--- a/bench/benches/placement.rs
+++ b/bench/benches/placement.rs
@@ -115,6 +115,7 @@
             objective_ms: 1_000.0,
             waited: Some(Span::from_millis(0)),
             left: None,
+            store_busy: false,
             avoid: &avoid,
         };
         c.bench_function(&format!("place/{case}"), |b| {
--- a/lib/src/serving/decisions/adapter_planner/mod.rs
+++ b/lib/src/serving/decisions/adapter_planner/mod.rs
@@ -30,6 +30,9 @@
 
 use self::replica_plan::ReplicaPlan;
 
+/// Fraction of the weight store's capacity in use from which on it counts as busy.
+const BUSY_FRACTION: f64 = 0.6;
+
 /// Plans the orders to the replicas that this VM owns.
 #[derive(Debug, Default)]
 pub struct AdapterPlanner {
@@ -257,6 +260,12 @@
         self.fetch_limiter.set_engine_count(engines);
     }
 
+    /// Returns whether most of the fetches that the weight store serves at full speed are in
+    /// flight.
+    pub fn is_store_busy(&self) -> bool {
+        self.in_flight as f64 >= self.fetch_limiter.capacity() as f64 * BUSY_FRACTION
+    }
+
     /// Sets the minimum interval between model loads from the weight store.
     pub fn set_load_interval(&mut self, interval: Span) {
         self.model_rate.interval = interval;
--- a/lib/src/serving/decisions/adapter_planner/replica_plan.rs
+++ b/lib/src/serving/decisions/adapter_planner/replica_plan.rs
@@ -1,6 +1,7 @@
 //! The plan for one owned replica: its adapters, and the next order to it.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::VecDeque;
 
 use super::LoadDuration;
@@ -33,6 +34,10 @@
 /// it only shows that the adapter is in use.
 const RUNNING_WEIGHT: f64 = 0.01;
 
+/// Requests per second from which on a second copy of an adapter is used as well: about one
+/// request within the time that a copy takes to load and be reported.
+const HOT_RATE: f64 = 1.0;
+
 /// Default delay after which uses by other VMs are known here, until it is set
 /// for the number of VMs.
 const DEFAULT_REPORT_DELAY: Span = Span::from_millis(900);
@@ -246,10 +251,19 @@
         Residency {
             loaded: loaded.map(|(t, s)| (t.clone(), s.version)).collect(),
             loading: loading.map(|(t, _)| t.clone()).collect(),
+            hot: self.hot_adapters(),
             vacant: None,
         }
     }
 
+    /// Returns the loaded adapters that are requested at `HOT_RATE` or more.
+    fn hot_adapters(&self) -> BTreeSet<Target> {
+        let rate = |u: &Use| u.demand.rate(u.demand.last_request, DEMAND_HALF_LIFE_US);
+        let is_hot = |t: &Target| self.uses.get(t).is_some_and(|u| rate(u) >= HOT_RATE);
+        let hot = self.loaded_adapters().filter(|(t, _)| is_hot(t));
+        hot.map(|(t, _)| t.clone()).collect()
+    }
+
     /// Returns how many further adapters could be loaded at once: free slots, and slots whose
     /// adapter may be evicted, without those that pending load requests will take. There are
     /// none at a replica that takes no orders at present: it left some unanswered, waits for
--- a/lib/src/serving/decisions/fleet/mod.rs
+++ b/lib/src/serving/decisions/fleet/mod.rs
@@ -132,6 +132,8 @@
     pub loaded: BTreeMap<Target, u32>,
     /// Models and adapters that it is loading.
     pub loading: BTreeSet<Target>,
+    /// Loaded adapters that are requested so often that a second copy would be used as well.
+    pub hot: BTreeSet<Target>,
     /// Further adapters that it could load at once; `None` if the owner does not count them.
     pub vacant: Option<u32>,
 }
--- a/lib/src/serving/decisions/fleet/place.rs
+++ b/lib/src/serving/decisions/fleet/place.rs
@@ -108,6 +108,8 @@
     pub waited: Option<Span>,
     /// Time until its objective, which limits the wait for a second copy; `None` for no limit.
     pub left: Option<Span>,
+    /// Whether the weight store is busy, so that a fetch for a second copy delays others.
+    pub store_busy: bool,
     /// Replicas that failed to run it.
     pub avoid: &'a BTreeSet<ReplicaName>,
 }
@@ -256,7 +258,9 @@
         if let Some((best_score, at)) = best {
             // No replica is less busy than an idle one, so the score alone shows
             // that no copy is needed.
-            if best_score <= copy_slack || !self.experiment.is_enabled(Mechanism::SecondCopies) {
+            let may_copy = self.experiment.is_enabled(Mechanism::SecondCopies)
+                && self.is_copy_worth_it(request, target, &holders);
+            if best_score <= copy_slack || !may_copy {
                 return Placement::Send {
                     replica: at,
                     copy: None,
@@ -304,6 +308,26 @@
         }
     }
 
+    /// Returns whether a second copy of an adapter is worth its fetch.
+    ///
+    /// When many rare adapters are requested at once, the weight store is the bottleneck, and
+    /// a copy for a single request delays the first copy of another adapter. Then only
+    /// adapters get one that are requested often at a replica that holds them.
+    fn is_copy_worth_it(
+        &self,
+        request: &PlacementRequest<'_>,
+        target: &Target,
+        holders: &[&&(&ReplicaName, &Replica)],
+    ) -> bool {
+        let is_hot = |r: &Replica| {
+            let report = r.residency.as_ref().map(|(_, report)| report);
+            report.is_some_and(|report| report.hot.contains(target))
+        };
+        !request.store_busy
+            || !self.experiment.is_enabled(Mechanism::CopyDemand)
+            || holders.iter().any(|(_, r)| is_hot(r))
+    }
+
     /// Returns whether a replica holds a target in a version that a run may still
     /// begin on after the estimated wait in the engine's queue: by then a newer
     /// version may be required.
--- a/lib/src/serving/decisions/prefill_turns.rs
+++ b/lib/src/serving/decisions/prefill_turns.rs
@@ -86,14 +86,14 @@
     ///
     /// ```
     /// use banyangauge::pool::Moment;
-    /// use banyangauge::serving::{PrefillTurns, Rank, TurnId};
+    /// use banyangauge::serving::{PrefillSpeed, PrefillTurns, Rank, TurnId};
     /// let (mut turns, replica) = (PrefillTurns::default(), "i-1".parse().unwrap());
     /// for (number, route) in [(1, 7), (2, 0)] {
     ///     let id = TurnId { vm: "vm-1".parse().unwrap(), number };
     ///     let rank = Rank { organisation: 0, route };
     ///     turns.request(Moment(0), &replica, id, rank, 9_000);
     /// }
-    /// let first = turns.take_grants(Moment(0));
+    /// let first = turns.take_grants(Moment(0), |_| PrefillSpeed::default());
     /// assert_eq!(first[0].1.number, 2);
     /// ```
     pub fn request(
--- a/lib/src/serving/path/placement.rs
+++ b/lib/src/serving/path/placement.rs
@@ -417,6 +417,7 @@
         objective_ms: routed.route.objective.as_secs_f64() * 1e3,
         waited,
         left: left.filter(|_| is_ordered),
+        store_busy: state.planner.is_store_busy(),
         avoid,
     };
     let own_vm = &node.settings.vm;
--- a/lib/src/serving/peers/beacons.rs
+++ b/lib/src/serving/peers/beacons.rs
@@ -262,6 +262,7 @@
             target: t.to_string(),
             version,
             coming,
+            hot: residency.hot.contains(t),
         });
     Some(wire::ReplicaBook {
         replica: name.to_string(),
@@ -431,6 +432,9 @@
         let Some(target) = Target::parse(&slot.target) else {
             continue;
         };
+        if slot.hot {
+            residency.hot.insert(target.clone());
+        }
         match slot.coming {
             true => {
                 residency.loading.insert(target);
--- a/lib/src/serving/program/experiment.rs
+++ b/lib/src/serving/program/experiment.rs
@@ -75,6 +75,9 @@
     Vacancies,
     /// The timeout for the response to an order follows from the observed response times.
     OrderTimeouts,
+    /// While the weight store is busy, only adapters that are requested often get second
+    /// copies.
+    CopyDemand,
     /// The prefill speed of each replica is observed; without it all are taken as equal.
     ReplicaSpeeds,
 }
--- a/lib/tests/test_serving_adapter_planner.rs
+++ b/lib/tests/test_serving_adapter_planner.rs
@@ -1,5 +1,7 @@
 //! Orders to owned replicas: loads on demand, evictions and new versions.
 
+use std::collections::BTreeSet;
+
 use banyangauge::ids::ModelName;
 use banyangauge::ids::ReplicaName;
 use banyangauge::pool::Moment;
@@ -507,6 +509,30 @@
     assert_eq!(owner.next(3_600), unload("base/a1", 0));
 }
 
+/// While the weight store is busy, an adapter of a single request must not count as requested
+/// often, or its copy delays the first copies of others.
+#[test]
+fn adapter_requested_often_is_hot() {
+    let mut owner = Owner::new(&["base", "base/a1", "base/a2"], 0);
+    let (vm, name) = ("vm-2".parse().unwrap(), owner.name.clone());
+    let (a1, a2) = (target("base/a1"), target("base/a2"));
+    owner.planner.record_use(at(1_000), &name, &vm, &a1, 1, 20);
+    owner.planner.record_use(at(1_000), &name, &vm, &a2, 1, 1);
+    let hot = owner.planner.residency(&name).unwrap().hot;
+    assert_eq!(hot, BTreeSet::from([a1]));
+}
+
+/// A store that counts as busy too early costs busy adapters their copies.
+#[rstest]
+#[case::idle(0, false)]
+#[case::below(4, false)]
+#[case::busy(5, true)]
+fn store_is_busy_by_fetches_in_flight(#[case] in_flight: usize, #[case] busy: bool) {
+    let mut planner = AdapterPlanner::default();
+    planner.set_fetches(in_flight, 0);
+    assert_eq!(planner.is_store_busy(), busy);
+}
+
 /// Rare adapters follow each other at a replica whose slots are full. With the report delay,
 /// each load waits 0.9 s for an adapter to count as idle. An adapter must not be evicted
 /// between the grant of a request and the report of its run.
--- a/lib/tests/test_serving_leaving.rs
+++ b/lib/tests/test_serving_leaving.rs
@@ -48,6 +48,7 @@
         objective_ms: 1_000.0,
         waited: Some(Span(0)),
         left: None,
+        store_busy: false,
         avoid: &avoid,
     };
     let placement = fleet.place(now, &request, |_| false);
--- a/lib/tests/test_serving_place.rs
+++ b/lib/tests/test_serving_place.rs
@@ -97,6 +97,7 @@
     loadable: BTreeSet<ReplicaName>,
     waited: Option<Span>,
     left: Option<Span>,
+    store_busy: bool,
     objective_ms: f64,
 }
 
@@ -115,6 +116,7 @@
             loadable,
             waited: None,
             left: None,
+            store_busy: false,
             objective_ms: 1_000.0,
         }
     }
@@ -131,6 +133,7 @@
             objective_ms: self.objective_ms,
             waited: self.waited,
             left: self.left,
+            store_busy: self.store_busy,
             avoid: &self.avoid,
         };
         self.fleet.place(now, &want, |n| self.loadable.contains(n))
@@ -488,6 +491,43 @@
     assert_eq!(matches!(place, Placement::Load { .. }), waits, "{place:?}");
 }
 
+/// Many rare adapters are requested at once, and the weight store is the bottleneck. A second
+/// copy for a single request delays the first copy of an adapter that no replica holds.
+#[rstest]
+#[case::store_idle(false, false, Some("i-b"))]
+#[case::store_busy(true, false, None)]
+#[case::busy_and_hot(true, true, Some("i-b"))]
+fn busy_store_serves_first_copies(
+    #[case] busy: bool,
+    #[case] hot: bool,
+    #[case] expected: Option<&str>,
+) {
+    let a = listing("i-a", "llm", "z-a", &["base", "base/x"]);
+    let b = listing("i-b", "llm", "z-a", &["base"]);
+    let mut fixture = Fixture::new(&[a, b]);
+    fixture.store_busy = busy;
+    let target = Target::parse("base/x").unwrap();
+    let report = Residency {
+        loaded: BTreeMap::from([(target.clone(), 1), (Target::parse("base").unwrap(), 0)]),
+        hot: BTreeSet::from_iter(hot.then_some(target)),
+        ..Residency::default()
+    };
+    let name = "i-a".parse().unwrap();
+    fixture.fleet.apply_residency(at(0), &name, report);
+    let prompts = Load {
+        requests: 2,
+        tokens: 36_000,
+        prefill: 36_000,
+    };
+    fixture.fleet.begin_run(&name, prompts);
+    let place = fixture.place(at(0), "llm", Some("base/x"));
+    let copy = match place {
+        Placement::Send { copy, .. } => copy.map(|n| n.to_string()),
+        other => panic!("{other:?}"),
+    };
+    assert_eq!(copy.as_deref(), expected);
+}
+
 /// Requests with the same prompt prefix go where it is cached.
 #[test]
 fn shared_prefixes_are_placed_together() {
@@ -507,6 +547,7 @@
             objective_ms: 1_000.0,
             waited: None,
             left: None,
+            store_busy: false,
             avoid: &fixture.avoid,
         };
         fixture.fleet.place(at(0), &want, |_| true)
--- a/lib/tests/test_serving_rest.rs
+++ b/lib/tests/test_serving_rest.rs
@@ -53,6 +53,7 @@
         objective_ms: 1_000.0,
         waited: Some(Span(0)),
         left: None,
+        store_busy: false,
         avoid: &avoid,
     };
     fleet.place(at(ms), &request, |_| false)
--- a/lib/tests/test_serving_speeds.rs
+++ b/lib/tests/test_serving_speeds.rs
@@ -140,6 +140,7 @@
         objective_ms: 2_000.0,
         waited: None,
         left: None,
+        store_busy: false,
         avoid: &BTreeSet::new(),
     };
     match fleet.place(now, &request, |_| false) {
