serving: each retry says whether the budget granted it, and for how many VMs

Nothing told a granted retry from one that was refused, or a VM that divides the slack by too few VMs. The line `retry` has the service, the outcome, the number of VMs and the age of the process; the metric serve_retries_total counts outcomes.

--- a/lib/src/serving/path/serve.rs
+++ b/lib/src/serving/path/serve.rs
@@ -533,7 +533,7 @@
             Err(refusal) if attempts.runs == 0 => return Err(refusal),
             Err(_) => return Err(Refusal::after(attempts, ended)),
         };
-        if ended.reached_replica() && !spend_retry(node, routed) {
+        if ended.reached_replica() && !spend_retry(node, routed, req) {
             return Err(Refusal::after(attempts, ended));
         }
         ended = match forward(node, req, &placed, resume).await {
@@ -569,10 +569,20 @@
 }
 
 /// Takes one retry from the service's retry budget; returns whether there was one.
-fn spend_retry(node: &Node, routed: &RoutedRequest) -> bool {
+fn spend_retry(node: &Node, routed: &RoutedRequest, req: &BufferedRequest) -> bool {
+    let at = now();
     let mut state = node.state();
     let vm_count = state.members.count();
-    state.budget.try_retry(now(), &routed.service, vm_count)
+    let granted = state.budget.try_retry(at, &routed.service, vm_count);
+    let outcome = match granted {
+        true => "granted",
+        false => "exhausted",
+    };
+    slog::info!(node.log, "retry"; "id" => &req.id, "service" => routed.service.as_str(),
+        "budget" => outcome, "vms" => vm_count,
+        "uptime_ms" => at.since(Moment(node.incarnation.0)).as_millis());
+    metrics::counter!("serve_retries_total", "budget" => outcome).increment(1);
+    granted
 }
 
 /// Logs and counts an attempt that gave no response to forward.
