--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -55,6 +55,7 @@
 mod test_serving_rest;
 mod test_serving_restore;
 mod test_serving_retry_budget;
+mod test_serving_retry_budget_search;
 mod test_serving_routes;
 mod test_serving_speeds;
 mod test_serving_subscriptions;
--- /dev/null
+++ b/lib/tests/test_serving_retry_budget_search.rs
@@ -0,0 +1,261 @@
+//! The retry budgets of all VMs against the limit of the fleet, in every window: single
+//! cases, and a randomised search in which VMs are killed, join and leave, the store is away,
+//! and callers come in bursts and fall silent.
+
+use std::collections::BTreeMap;
+
+use banyangauge::ids::ServiceName;
+use banyangauge::pool::Moment;
+use banyangauge::pool::Span;
+use banyangauge::serving::RetryBudget;
+use banyangauge::serving::RetryLimits;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+const WINDOW_MS: u64 = 10_000;
+
+const LIMITS: RetryLimits = RetryLimits {
+    ratio: 0.2,
+    window_us: WINDOW_MS * 1_000,
+    slack: 56.0,
+};
+
+fn at(ms: u64) -> Moment {
+    Moment(100_000_000).after(Span::from_millis(ms))
+}
+
+/// One process of a VM.
+struct Process {
+    budget: RetryBudget,
+    /// The VMs that it knows, itself included; `None` before it has read the list.
+    known: Option<usize>,
+}
+
+impl Process {
+    fn start(_ms: u64, known: Option<usize>) -> Self {
+        Self {
+            budget: RetryBudget::new(LIMITS),
+            known,
+        }
+    }
+}
+
+/// The requests and retries of one service over all VMs.
+struct History {
+    service: ServiceName,
+    vms: BTreeMap<usize, Process>,
+    requests: Vec<u64>,
+    retries: Vec<u64>,
+    /// Retries that were wanted.
+    wanted: usize,
+}
+
+impl History {
+    /// Starts a fleet whose VMs all know each other.
+    fn new(vms: usize) -> Self {
+        Self {
+            service: "llm".parse().unwrap(),
+            vms: (0..vms)
+                .map(|i| (i, Process::start(0, Some(vms))))
+                .collect(),
+            requests: Vec::new(),
+            retries: Vec::new(),
+            wanted: 0,
+        }
+    }
+
+    /// Sends a request at a VM, and up to `retries` retries.
+    fn request(&mut self, ms: u64, vm: usize, retries: usize) {
+        self.requests.push(ms);
+        let Some(process) = self.vms.get_mut(&vm) else {
+            return;
+        };
+        process.budget.record_first_send(at(ms), &self.service);
+        for _ in 0..retries {
+            self.wanted += 1;
+            let known = process.known.unwrap_or(1);
+            if !process.budget.try_retry(at(ms), &self.service, known) {
+                return;
+            }
+            self.retries.push(ms);
+        }
+    }
+
+    /// Returns the first window with more retries than the limit allows. The requests of a
+    /// window are those in it, in the one before it or in the one half a window before it,
+    /// whichever has most.
+    fn first_excess(&self) -> Option<String> {
+        let count = |times: &[u64], from: i64| {
+            let to = from + WINDOW_MS.cast_signed();
+            let inside = |ms: &&u64| (from..to).contains(&ms.cast_signed());
+            times.iter().filter(inside).count()
+        };
+        self.retries.iter().step_by(7).find_map(|from| {
+            let from = from.cast_signed();
+            let window = WINDOW_MS.cast_signed();
+            let starts = [from, from - window / 2, from - window];
+            let requests = starts.map(|start| count(&self.requests, start));
+            let most = requests.into_iter().max().unwrap_or_default();
+            let allowed = LIMITS.ratio * most as f64 + LIMITS.slack;
+            let retries = count(&self.retries, from);
+            let excess = retries as f64 > allowed;
+            excess.then(|| format!("{from} ms: {retries} retries, {allowed:.0} allowed"))
+        })
+    }
+
+    fn assert_within_limits(&self) {
+        assert_eq!(self.first_excess(), None);
+    }
+}
+
+/// Two bursts of failures 9.5 s apart lie in one window.
+#[test]
+fn retry_budget_two_bursts_in_a_window() {
+    let mut fleet = History::new(8);
+    for ms in (0..30_000).step_by(5) {
+        let fails = (10_400..10_900).contains(&ms) || (19_900..20_400).contains(&ms);
+        let retries = if fails { 3 } else { 0 };
+        fleet.request(ms, ms as usize / 5 % 8, retries);
+    }
+    fleet.assert_within_limits();
+}
+
+/// All VMs are killed five times in a window while all requests fail.
+#[test]
+fn retry_budget_vms_restart_in_a_window() {
+    let mut fleet = History::new(8);
+    for ms in (0..30_000).step_by(50) {
+        let vm = ms as usize / 50 % 8;
+        fleet.request(ms, vm, 3);
+        if (10_000..18_000).contains(&ms) && ms % 1_600 == 0 {
+            let processes = fleet.vms.values_mut();
+            processes.for_each(|p| *p = Process::start(ms, p.known));
+        }
+    }
+    fleet.assert_within_limits();
+}
+
+/// The VMs start while the store turns them away, so none knows the others.
+#[test]
+fn retry_budget_vms_know_no_others() {
+    let mut fleet = History::new(8);
+    fleet.vms.values_mut().for_each(|p| p.known = None);
+    for ms in (0..30_000).step_by(20) {
+        let retries = if ms > 10_000 { 3 } else { 0 };
+        fleet.request(ms, ms as usize / 20 % 8, retries);
+    }
+    fleet.assert_within_limits();
+}
+
+/// A fleet under faults that are drawn from a seed.
+struct Scenario {
+    rng: ChaCha8Rng,
+    history: History,
+    /// How many VMs there are, started or not.
+    size: usize,
+    /// VMs that are down, and until when.
+    down: BTreeMap<usize, u64>,
+    /// Until when the store answers no VM.
+    store_away: u64,
+    /// Requests in 10 ms.
+    rate: f64,
+    /// Fraction of requests that fail at each send.
+    failing: f64,
+}
+
+impl Scenario {
+    fn new(seed: u64) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let size = rng.random_range(3..12);
+        Self {
+            history: History::new(size),
+            size,
+            down: BTreeMap::new(),
+            store_away: 0,
+            rate: rng.random_range(0.05..2.0),
+            failing: 0.0,
+            rng,
+        }
+    }
+
+    fn run(mut self) -> History {
+        for ms in (0..60_000).step_by(10) {
+            if self.rng.random_bool(0.02) {
+                self.disturb(ms);
+            }
+            self.recover(ms);
+            let requests =
+                self.rate as usize + usize::from(self.rng.random_bool(self.rate.fract()));
+            for _ in 0..requests {
+                let vm = self.rng.random_range(0..self.size);
+                let retries = (0..3).take_while(|_| self.rng.random_bool(self.failing));
+                let retries = retries.count();
+                self.history.request(ms, vm, retries);
+            }
+        }
+        self.history
+    }
+
+    fn disturb(&mut self, ms: u64) {
+        match self.rng.random_range(0..10) {
+            0 => self.rate = self.rng.random_range(0.0..0.1),
+            1 => self.rate = self.rng.random_range(0.1..4.0),
+            2..=4 => self.failing = self.rng.random_range(0.0..1.0),
+            5 => self.failing = 1.0,
+            6 => self.store_away = ms + self.rng.random_range(500..8_000),
+            7 => {
+                let vm = self.rng.random_range(0..self.size);
+                self.kill(ms, vm);
+            }
+            8 => (0..self.size).for_each(|vm| self.kill(ms, vm)),
+            // A VM joins; the others hear of it at once if the store is there.
+            _ => {
+                self.size += 1;
+                self.kill(ms, self.size - 1);
+            }
+        }
+    }
+
+    fn kill(&mut self, ms: u64, vm: usize) {
+        self.history.vms.remove(&vm);
+        let until = ms + self.rng.random_range(100..1_500);
+        self.down.insert(vm, until);
+    }
+
+    fn recover(&mut self, ms: u64) {
+        let back: Vec<_> = self
+            .down
+            .iter()
+            .filter(|(_, until)| **until <= ms)
+            .collect();
+        let back: Vec<usize> = back.into_iter().map(|(vm, _)| *vm).collect();
+        for vm in back {
+            self.down.remove(&vm);
+            self.history.vms.insert(vm, Process::start(ms, None));
+        }
+        if ms >= self.store_away {
+            let size = self.size;
+            let processes = self.history.vms.values_mut();
+            processes.for_each(|p| p.known = Some(size));
+        }
+    }
+}
+
+#[test]
+fn retry_budget_search_stays_within_limits() {
+    for seed in 0..60 {
+        let found = Scenario::new(seed).run().first_excess();
+        assert_eq!(found, None, "seed {seed}");
+    }
+}
+
+/// A budget that grants nothing would keep every limit.
+#[test]
+fn retry_budget_search_grants_retries() {
+    let histories = (0..60).map(|seed| Scenario::new(seed).run());
+    let (granted, wanted) = histories.fold((0, 0), |(granted, wanted), history| {
+        (granted + history.retries.len(), wanted + history.wanted)
+    });
+    assert!(granted * 8 > wanted, "{granted} of {wanted} granted");
+}
