serving: retries stay within the budget of the fleet whoever restarts

Cause: each process bounded its retries by a window of its own. A process that started again took its whole share of the slack at once while what the one before it spent still counted; a VM that had not read the list of VMs divided the slack by one; and the window dropped its oldest second as a whole, so two bursts 9 to 10 s apart were both granted all of it.

Evidence: the four tests of test_serving_retry_budget_search failed (600 of 456, 435 of 156, 143 of 96 retries, and a search).

Now a token bucket: first sends add parts of a token, a retry takes one, and what a bucket may hold is bounded by the first sends of the window before and by the VM's share. The retries of any window are then bounded by its own requests and those of the window before, whatever restarts. Only the first process of a VM, which creates its entry, begins with its share; a VM that does not know the others has none beyond one retry; a smaller number of VMs takes effect after a window.

--- a/lib/src/serving/cluster/members.rs
+++ b/lib/src/serving/cluster/members.rs
@@ -497,6 +497,12 @@
         self.addresses.len() + 1
     }
 
+    /// Returns the number of VMs, including this one; `None` before the VM entries were
+    /// read from the store, when there may be any number of others.
+    pub fn listed_count(&self) -> Option<usize> {
+        self.listed.then(|| self.count())
+    }
+
     /// Returns the listed VMs that have been silent for `span`.
     pub fn silent_for(&self, now: Moment, span: Span) -> Vec<VmName> {
         let last_seen = |vm: &VmName| {
--- a/lib/src/serving/cluster/state.rs
+++ b/lib/src/serving/cluster/state.rs
@@ -97,7 +97,7 @@
 pub(in crate::serving) struct NodeState {
     pub(in crate::serving) active: Option<Rc<ActiveConfig>>,
     pub(in crate::serving) fleet: Fleet,
-    pub(in crate::serving) budget: RetryBudget,
+    budget: RetryBudget,
     pub(in crate::serving) members: Members,
     pub(in crate::serving) ownership: Ownership,
     pub(in crate::serving) planner: AdapterPlanner,
@@ -170,7 +170,7 @@
         let mut state = Self {
             active: None,
             fleet: Fleet::new(settings.zone.clone()),
-            budget: RetryBudget::new(settings.budget),
+            budget: RetryBudget::new(settings.budget, now),
             members: Members::new(settings.vm.clone(), now),
             ownership: Ownership::new(settings.vm.clone(), lease, settings.fencing),
             planner: AdapterPlanner::default(),
@@ -403,6 +403,14 @@
         }
     }
 
+    /// Returns the retry budget for the number of VMs that is known now.
+    pub(in crate::serving) fn retry_budget(&mut self, now: Moment) -> &mut RetryBudget {
+        if let Some(vms) = self.members.listed_count() {
+            self.budget.set_vm_count(now, vms);
+        }
+        &mut self.budget
+    }
+
     /// Whether a replica states a limit on the requests of all VMs.
     pub(in crate::serving) fn is_limited(&self, now: Moment, name: &ReplicaName) -> bool {
         if self.replica_limits.is_empty() {
--- a/lib/src/serving/decisions/retry_budget.rs
+++ b/lib/src/serving/decisions/retry_budget.rs
@@ -5,12 +5,24 @@
 use crate::ids::ServiceName;
 use crate::pool::Moment;
 
-/// Slices of the sliding window; the oldest is dropped as a whole.
-const SLICES: usize = 10;
+/// Slices of the window in which first sends are counted; the oldest is dropped as a whole.
+const SLICES: u64 = 10;
 
-/// Fraction of the permitted retries that is used: the windows of VMs are not aligned,
-/// and VMs join and leave within a window.
-const USABLE_FRACTION: f64 = 0.8;
+/// Fraction of the ratio that a first send adds to the bucket. With `CARRIED_FRACTION` it is
+/// less than 1: a retry reaches its replica some time after it was granted.
+const EARNED_FRACTION: f64 = 0.65;
+
+/// Fraction of the ratio that a bucket may hold of the last window's first sends, for
+/// failures that come all at once.
+const CARRIED_FRACTION: f64 = 0.3;
+
+/// Fraction of the slack that is used: VMs that join divide it by another number than those
+/// that have not heard of them yet.
+const USABLE_SLACK: f64 = 0.9;
+
+/// Fraction of a VM's share of the slack that it may hold at once; the rest accrues over a
+/// window.
+const HELD_FRACTION: f64 = 0.7;
 
 /// Limits of the retry budget over all VMs.
 #[derive(Clone, Copy, Debug)]
@@ -23,73 +35,142 @@
     pub slack: f64,
 }
 
-#[derive(Clone, Copy, Debug, Default)]
-struct Slice {
-    /// Its start time in slice lengths.
-    number: u64,
-    first_sends: u32,
-    retries: u32,
+/// The number of VMs that the slack is divided by.
+#[derive(Clone, Copy, Debug)]
+struct FleetSize {
+    vms: usize,
+    /// When there were last as many VMs.
+    seen: Moment,
+}
+
+/// The retries that a VM may send to one service, and its first sends in the last window.
+#[derive(Debug)]
+struct Bucket {
+    tokens: f64,
+    filled: Moment,
+    /// First sends by the number of their slice.
+    first_sends: BTreeMap<u64, u32>,
 }
 
-/// The retry budget of one VM: its own first sends times the ratio, plus its
-/// share of the slack.
+/// The retry budget of one VM: a token bucket for each service.
 ///
 /// If replicas fail or refuse many requests at full load, unbounded retries
-/// would multiply the overload. The sum over all VMs stays within the limit
-/// without coordination between them.
+/// would multiply the overload. Each first send adds a part of a token, and each retry takes
+/// one. The retries in any window are paid by its own first sends, by what the bucket held
+/// at its start, and by what accrues meanwhile. What a bucket holds is bounded by the first
+/// sends of the window before and by the VM's share of the slack, so the sum over all VMs
+/// stays within the limits without coordination. A process that starts again has empty
+/// buckets, because the one before it may have spent the VM's share: restarts add nothing.
+///
+/// ```
+/// use banyangauge::pool::Moment;
+/// use banyangauge::serving::{RetryBudget, RetryLimits};
+/// let limits = RetryLimits { ratio: 0.2, window_us: 10_000_000, slack: 20.0 };
+/// let mut budget = RetryBudget::new(limits, Moment(0));
+/// let service = "llm".parse().unwrap();
+/// assert!(!budget.try_retry(Moment(0), &service));
+/// for _ in 0..8 {
+///     budget.record_first_send(Moment(0), &service);
+/// }
+/// assert!(budget.try_retry(Moment(0), &service));
+/// ```
 #[derive(Debug)]
 pub struct RetryBudget {
     limits: RetryLimits,
-    slices: BTreeMap<ServiceName, [Slice; SLICES]>,
+    started: Moment,
+    /// Whether this is the first process of the VM.
+    first_start: bool,
+    fleet: Option<FleetSize>,
+    buckets: BTreeMap<ServiceName, Bucket>,
 }
 
 impl RetryBudget {
-    /// Creates an unspent budget.
-    pub fn new(limits: RetryLimits) -> Self {
+    /// Creates the budget of a process that starts now.
+    pub fn new(limits: RetryLimits, now: Moment) -> Self {
         Self {
             limits,
-            slices: BTreeMap::new(),
+            started: now,
+            first_start: false,
+            fleet: None,
+            buckets: BTreeMap::new(),
+        }
+    }
+
+    /// Sets the number of VMs, this one included.
+    ///
+    /// A smaller number takes effect after a window, because VMs that left may have spent
+    /// their shares within it. A VM that does not know the others has no share.
+    pub fn set_vm_count(&mut self, now: Moment, vms: usize) {
+        let window = self.limits.window_us;
+        let old = self.fleet.filter(|f| now.since(f.seen).0 < window);
+        if old.is_none_or(|f| f.vms <= vms) {
+            self.fleet = Some(FleetSize { vms, seen: now });
+        }
+    }
+
+    /// Fills the buckets: no process of this VM ran before, which could have spent them.
+    pub fn mark_first_start(&mut self) {
+        let held = self.held();
+        if !std::mem::replace(&mut self.first_start, true) {
+            self.buckets.values_mut().for_each(|b| b.tokens += held);
         }
     }
 
     /// Counts a request that is sent for the first time.
     pub fn record_first_send(&mut self, now: Moment, service: &ServiceName) {
-        self.slice(now, service).first_sends += 1;
+        let earned = self.limits.ratio * EARNED_FRACTION;
+        let slice = self.slice(now);
+        let bucket = self.bucket(now, service);
+        bucket.tokens += earned;
+        *bucket.first_sends.entry(slice).or_default() += 1;
     }
 
-    /// Consumes one retry if this VM's share among `vms` VMs allows it.
-    pub fn try_retry(&mut self, now: Moment, service: &ServiceName, vms: usize) -> bool {
-        let share = self.limits.slack / vms.max(1) as f64;
-        let ratio = self.limits.ratio;
-        let oldest = self.number(now).saturating_sub(SLICES as u64 - 1);
-        let slices = self.slices.entry(service.clone()).or_default();
-        let recent = slices.iter().filter(|s| s.number >= oldest);
-        let (first_sends, retries) =
-            recent.fold((0, 0), |(f, r), s| (f + s.first_sends, r + s.retries));
-        let allowed = (ratio * f64::from(first_sends) + share) * USABLE_FRACTION;
-        if f64::from(retries) + 1.0 > allowed {
-            return false;
+    /// Consumes one retry if there is one.
+    pub fn try_retry(&mut self, now: Moment, service: &ServiceName) -> bool {
+        let bucket = self.bucket(now, service);
+        let granted = bucket.tokens >= 1.0;
+        if granted {
+            bucket.tokens -= 1.0;
         }
-        self.slice(now, service).retries += 1;
-        true
+        granted
     }
 
     /// Returns the number of the slice that `now` falls into.
-    fn number(&self, now: Moment) -> u64 {
-        now.0 * SLICES as u64 / self.limits.window_us.max(1)
+    fn slice(&self, now: Moment) -> u64 {
+        now.0 * SLICES / self.limits.window_us.max(1)
     }
 
-    /// Returns the current slice of a service; it replaces the oldest one.
-    fn slice(&mut self, now: Moment, service: &ServiceName) -> &mut Slice {
-        let number = self.number(now);
-        let slices = self.slices.entry(service.clone()).or_default();
-        let slice = &mut slices[number as usize % SLICES];
-        if slice.number != number {
-            *slice = Slice {
-                number,
-                ..Slice::default()
-            };
-        }
-        slice
+    /// Returns this VM's share of the slack in a window.
+    fn share(&self) -> f64 {
+        let slack = self.limits.slack * USABLE_SLACK;
+        self.fleet.map_or(0.0, |f| slack / f.vms.max(1) as f64)
+    }
+
+    /// Returns how much of the share a bucket may hold: a whole token at least, without
+    /// which no retry could be granted.
+    fn held(&self) -> f64 {
+        (self.share() * HELD_FRACTION).max(1.0)
+    }
+
+    /// Returns the bucket of a service with what has accrued until now, and without what it
+    /// may no longer hold.
+    fn bucket(&mut self, now: Moment, service: &ServiceName) -> &mut Bucket {
+        let (share, held) = (self.share(), self.held());
+        let oldest = (self.slice(now) + 1).saturating_sub(SLICES);
+        let limits = self.limits;
+        let bucket = self.buckets.entry(service.clone()).or_insert(Bucket {
+            tokens: if self.first_start { held } else { 0.0 },
+            filled: self.started,
+            first_sends: BTreeMap::new(),
+        });
+        bucket.first_sends = bucket.first_sends.split_off(&oldest);
+        let recent = bucket.first_sends.values().map(|n| f64::from(*n));
+        let carried = recent.sum::<f64>() * limits.ratio * CARRIED_FRACTION;
+        let capacity = held + carried;
+        let windows = now.since(bucket.filled).0 as f64 / limits.window_us.max(1) as f64;
+        let accrued = share * (1.0 - HELD_FRACTION) * windows;
+        bucket.tokens = (bucket.tokens + accrued).min(capacity);
+        bucket.filled = now;
+        bucket
     }
 }
--- a/lib/src/serving/path/serve.rs
+++ b/lib/src/serving/path/serve.rs
@@ -383,9 +383,10 @@
         ..Attempts::default()
     };
     let mut avoid = BTreeSet::new();
+    let at = now();
     node.state()
-        .budget
-        .record_first_send(now(), &routed.service);
+        .retry_budget(at)
+        .record_first_send(at, &routed.service);
     let mut started = first_attempt(node, &routed, &req, &mut attempts, &mut avoid).await?;
     let mut buffered = VecDeque::new();
     let mut complete = false;
@@ -572,8 +573,8 @@
 fn spend_retry(node: &Node, routed: &RoutedRequest, req: &BufferedRequest) -> bool {
     let at = now();
     let mut state = node.state();
-    let vm_count = state.members.count();
-    let granted = state.budget.try_retry(at, &routed.service, vm_count);
+    let vm_count = state.members.listed_count();
+    let granted = state.retry_budget(at).try_retry(at, &routed.service);
     let outcome = match granted {
         true => "granted",
         false => "exhausted",
--- a/lib/src/serving/program/run.rs
+++ b/lib/src/serving/program/run.rs
@@ -226,15 +226,20 @@
         return;
     };
     let name = vm_entry_name(&node);
+    let mut is_starting = true;
     loop {
         let create = (node.store.create)(node.codec.kinds.internal, &name, &spec);
         match call(&node, CALL_TIMEOUT, create).await {
             Ok(revision) => {
                 slog::info!(node.log, "VM entry written"; "revision" => %revision);
+                if std::mem::take(&mut is_starting) {
+                    node.state().retry_budget(now()).mark_first_start();
+                }
                 node.register_wake.notified().await;
             }
             // An earlier start of this VM wrote the entry, or the copy has it.
             Err(CallError::Failed(PlatformError::Conflict)) => {
+                is_starting = false;
                 node.register_wake.notified().await;
             }
             Err(e) => {
--- a/lib/tests/test_serving_retry_budget.rs
+++ b/lib/tests/test_serving_retry_budget.rs
@@ -28,13 +28,17 @@
 #[test]
 fn retries_stay_within_budget_over_all_vms() {
     let service: ServiceName = "llm".parse().unwrap();
-    let mut vms: Vec<_> = (0..10).map(|_| RetryBudget::new(LIMITS)).collect();
+    let mut vms: Vec<_> = (0..10).map(|_| RetryBudget::new(LIMITS, at(0))).collect();
+    for vm in &mut vms {
+        vm.set_vm_count(at(0), 10);
+        vm.mark_first_start();
+    }
     let mut retries = Vec::new();
     for ms in (0..30_000).step_by(20) {
         let vm = ms as usize / 20 % 10;
         vms[vm].record_first_send(at(ms), &service);
         for _ in 0..3 {
-            if vms[vm].try_retry(at(ms), &service, 10) {
+            if vms[vm].try_retry(at(ms), &service) {
                 retries.push(ms);
             }
         }
--- a/lib/tests/test_serving_retry_budget_search.rs
+++ b/lib/tests/test_serving_retry_budget_search.rs
@@ -3,6 +3,7 @@
 //! and callers come in bursts and fall silent.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use banyangauge::ids::ServiceName;
 use banyangauge::pool::Moment;
@@ -33,12 +34,26 @@
 }
 
 impl Process {
-    fn start(_ms: u64, known: Option<usize>) -> Self {
+    fn start(ms: u64, known: Option<usize>) -> Self {
         Self {
-            budget: RetryBudget::new(LIMITS),
+            budget: RetryBudget::new(LIMITS, at(ms)),
             known,
         }
     }
+
+    /// The first process of a VM.
+    fn first(ms: u64, known: Option<usize>) -> Self {
+        let mut process = Self::start(ms, known);
+        process.set_vm_count(ms);
+        process.budget.mark_first_start();
+        process
+    }
+
+    fn set_vm_count(&mut self, ms: u64) {
+        if let Some(known) = self.known {
+            self.budget.set_vm_count(at(ms), known);
+        }
+    }
 }
 
 /// The requests and retries of one service over all VMs.
@@ -71,11 +86,11 @@
         let Some(process) = self.vms.get_mut(&vm) else {
             return;
         };
+        process.set_vm_count(ms);
         process.budget.record_first_send(at(ms), &self.service);
         for _ in 0..retries {
             self.wanted += 1;
-            let known = process.known.unwrap_or(1);
-            if !process.budget.try_retry(at(ms), &self.service, known) {
+            if !process.budget.try_retry(at(ms), &self.service) {
                 return;
             }
             self.retries.push(ms);
@@ -140,7 +155,8 @@
 #[test]
 fn retry_budget_vms_know_no_others() {
     let mut fleet = History::new(8);
-    fleet.vms.values_mut().for_each(|p| p.known = None);
+    let processes = fleet.vms.values_mut();
+    processes.for_each(|p| *p = Process::first(0, None));
     for ms in (0..30_000).step_by(20) {
         let retries = if ms > 10_000 { 3 } else { 0 };
         fleet.request(ms, ms as usize / 20 % 8, retries);
@@ -156,6 +172,8 @@
     size: usize,
     /// VMs that are down, and until when.
     down: BTreeMap<usize, u64>,
+    /// VMs that were never started.
+    unstarted: BTreeSet<usize>,
     /// Until when the store answers no VM.
     store_away: u64,
     /// Requests in 10 ms.
@@ -172,6 +190,7 @@
             history: History::new(size),
             size,
             down: BTreeMap::new(),
+            unstarted: BTreeSet::new(),
             store_away: 0,
             rate: rng.random_range(0.05..2.0),
             failing: 0.0,
@@ -211,8 +230,9 @@
             8 => (0..self.size).for_each(|vm| self.kill(ms, vm)),
             // A VM joins; the others hear of it at once if the store is there.
             _ => {
+                self.unstarted.insert(self.size);
+                self.kill(ms, self.size);
                 self.size += 1;
-                self.kill(ms, self.size - 1);
             }
         }
     }
@@ -232,7 +252,12 @@
         let back: Vec<usize> = back.into_iter().map(|(vm, _)| *vm).collect();
         for vm in back {
             self.down.remove(&vm);
-            self.history.vms.insert(vm, Process::start(ms, None));
+            let known = (ms >= self.store_away).then_some(self.size);
+            let process = match known.is_some() && self.unstarted.remove(&vm) {
+                true => Process::first(ms, known),
+                false => Process::start(ms, known),
+            };
+            self.history.vms.insert(vm, process);
         }
         if ms >= self.store_away {
             let size = self.size;
