--- a/lib/tests/test_serving_retry_budget_search.rs
+++ b/lib/tests/test_serving_retry_budget_search.rs
@@ -168,8 +168,10 @@
 struct Scenario {
     rng: ChaCha8Rng,
     history: History,
-    /// How many VMs there are, started or not.
+    /// How many VMs there are or were, started or not.
     size: usize,
+    /// How many of them left; these have the lowest numbers.
+    gone: usize,
     /// VMs that are down, and until when.
     down: BTreeMap<usize, u64>,
     /// VMs that were never started.
@@ -189,6 +191,7 @@
         Self {
             history: History::new(size),
             size,
+            gone: 0,
             down: BTreeMap::new(),
             unstarted: BTreeSet::new(),
             store_away: 0,
@@ -207,7 +210,7 @@
             let requests =
                 self.rate as usize + usize::from(self.rng.random_bool(self.rate.fract()));
             for _ in 0..requests {
-                let vm = self.rng.random_range(0..self.size);
+                let vm = self.rng.random_range(self.gone..self.size);
                 let retries = (0..3).take_while(|_| self.rng.random_bool(self.failing));
                 let retries = retries.count();
                 self.history.request(ms, vm, retries);
@@ -217,23 +220,29 @@
     }
 
     fn disturb(&mut self, ms: u64) {
-        match self.rng.random_range(0..10) {
+        match self.rng.random_range(0..11) {
             0 => self.rate = self.rng.random_range(0.0..0.1),
             1 => self.rate = self.rng.random_range(0.1..4.0),
             2..=4 => self.failing = self.rng.random_range(0.0..1.0),
             5 => self.failing = 1.0,
             6 => self.store_away = ms + self.rng.random_range(500..8_000),
             7 => {
-                let vm = self.rng.random_range(0..self.size);
+                let vm = self.rng.random_range(self.gone..self.size);
                 self.kill(ms, vm);
             }
-            8 => (0..self.size).for_each(|vm| self.kill(ms, vm)),
+            // A VM leaves for good; its name is not used again.
+            8 if self.gone + 2 < self.size => {
+                self.history.vms.remove(&self.gone);
+                self.down.remove(&self.gone);
+                self.gone += 1;
+            }
             // A VM joins; the others hear of it at once if the store is there.
-            _ => {
+            9 => {
                 self.unstarted.insert(self.size);
                 self.kill(ms, self.size);
                 self.size += 1;
             }
+            _ => (self.gone..self.size).for_each(|vm| self.kill(ms, vm)),
         }
     }
 
@@ -252,7 +261,7 @@
         let back: Vec<usize> = back.into_iter().map(|(vm, _)| *vm).collect();
         for vm in back {
             self.down.remove(&vm);
-            let known = (ms >= self.store_away).then_some(self.size);
+            let known = (ms >= self.store_away).then_some(self.size - self.gone);
             let process = match known.is_some() && self.unstarted.remove(&vm) {
                 true => Process::first(ms, known),
                 false => Process::start(ms, known),
@@ -260,7 +269,7 @@
             self.history.vms.insert(vm, process);
         }
         if ms >= self.store_away {
-            let size = self.size;
+            let size = self.size - self.gone;
             let processes = self.history.vms.values_mut();
             processes.for_each(|p| p.known = Some(size));
         }
