serving: planned restarts add nothing to the retry budget

A VM that stops as planned removes its entry, so the process that starts next creates it anew and took itself for the first one, with the VM's whole share. Only a VM that knows the list and has no others begins with its share now; the others accrue it.

--- a/lib/src/serving/decisions/retry_budget.rs
+++ b/lib/src/serving/decisions/retry_budget.rs
@@ -78,7 +78,7 @@
 pub struct RetryBudget {
     limits: RetryLimits,
     started: Moment,
-    /// Whether this is the first process of the VM.
+    /// Whether this process created its VM's entry in the store.
     first_start: bool,
     fleet: Option<FleetSize>,
     buckets: BTreeMap<ServiceName, Bucket>,
@@ -108,12 +108,13 @@
         }
     }
 
-    /// Fills the buckets: no process of this VM ran before, which could have spent them.
+    /// Records that this process created its VM's entry, so that the buckets of a VM without
+    /// others begin full. Others may have seen an earlier process of this VM, whose entry was
+    /// removed when it stopped.
     pub fn mark_first_start(&mut self) {
-        let held = self.held();
-        if !std::mem::replace(&mut self.first_start, true) {
-            self.buckets.values_mut().for_each(|b| b.tokens += held);
-        }
+        self.first_start = true;
+        let initial = self.initial_tokens();
+        self.buckets.values_mut().for_each(|b| b.tokens += initial);
     }
 
     /// Counts a request that is sent for the first time.
@@ -152,14 +153,22 @@
         (self.share() * HELD_FRACTION).max(1.0)
     }
 
+    /// Returns what a bucket holds before any time or request is counted.
+    fn initial_tokens(&self) -> f64 {
+        match (self.first_start, self.fleet) {
+            (true, Some(FleetSize { vms: 1, .. })) => self.held(),
+            _ => 0.0,
+        }
+    }
+
     /// Returns the bucket of a service with what has accrued until now, and without what it
     /// may no longer hold.
     fn bucket(&mut self, now: Moment, service: &ServiceName) -> &mut Bucket {
-        let (share, held) = (self.share(), self.held());
+        let (share, held, initial) = (self.share(), self.held(), self.initial_tokens());
         let oldest = (self.slice(now) + 1).saturating_sub(SLICES);
         let limits = self.limits;
         let bucket = self.buckets.entry(service.clone()).or_insert(Bucket {
-            tokens: if self.first_start { held } else { 0.0 },
+            tokens: initial,
             filled: self.started,
             first_sends: BTreeMap::new(),
         });
--- a/lib/tests/test_serving_retry_budget_search.rs
+++ b/lib/tests/test_serving_retry_budget_search.rs
@@ -151,6 +151,21 @@
     fleet.assert_within_limits();
 }
 
+/// All VMs are stopped as planned and started again, twice in a window. Each removes its entry
+/// when it stops, so it creates it anew.
+#[test]
+fn retry_budget_vms_restart_as_planned() {
+    let mut fleet = History::new(8);
+    for ms in (0..30_000).step_by(50) {
+        fleet.request(ms, ms as usize / 50 % 8, 3);
+        if ms == 10_000 || ms == 14_000 || ms == 18_000 {
+            let processes = fleet.vms.values_mut();
+            processes.for_each(|p| *p = Process::first(ms, p.known));
+        }
+    }
+    fleet.assert_within_limits();
+}
+
 /// The VMs start while the store turns them away, so none knows the others.
 #[test]
 fn retry_budget_vms_know_no_others() {
