--- a/lib/tests/test_serving_retry_budget_search.rs
+++ b/lib/tests/test_serving_retry_budget_search.rs
@@ -136,6 +136,31 @@
     fleet.assert_within_limits();
 }
 
+/// Failures begin after a calm time, and go on.
+#[test]
+fn retry_budget_failures_after_calm() {
+    let mut fleet = History::new(8);
+    for ms in (0..30_000).step_by(5) {
+        let retries = if ms >= 12_000 { 3 } else { 0 };
+        fleet.request(ms, ms as usize / 5 % 8, retries);
+    }
+    fleet.assert_within_limits();
+}
+
+/// For some seconds all VMs read a list that lacks the others, from a store that came back
+/// from an earlier copy.
+#[test]
+fn retry_budget_list_lacks_vms_for_a_while() {
+    let mut fleet = History::new(8);
+    for ms in (0..30_000).step_by(50) {
+        fleet.request(ms, ms as usize / 50 % 8, 3);
+        let known = if (15_000..24_000).contains(&ms) { 1 } else { 8 };
+        let processes = fleet.vms.values_mut();
+        processes.for_each(|p| p.known = Some(known));
+    }
+    fleet.assert_within_limits();
+}
+
 /// All VMs are killed five times in a window while all requests fail.
 #[test]
 fn retry_budget_vms_restart_in_a_window() {
