serving: a VM that reaches no replica hands requests to another VM

What callers saw: while VMs were cut off from all replicas, 3 of 39 and 2 of 116 first tries there were served, 226 of 238 and 173 of 176 at the others.

Cause: a VM had no way to a replica but its own links. Each request waited for up to four connections that failed one after the other and was refused.

Its requests go to another live VM, in its own zone first, over TCP at the address of the datagrams; method, path, headers and body unchanged, the time left and the objective less what was spent, organisation and rank as proved at the first VM, which also holds the charge and counted the first send. A request goes from one VM to another once, and only if no replica has received it; what is sent and not answered counts as possibly run. Beacons say which services a VM cannot reach, so that cut VMs do not hand requests to each other.

Why it works: callers, the store and the other VMs still reach a cut VM, so one more hop reaches the replicas whatever the balancer does with it.

--- a/lib/src/serving/cluster/members.rs
+++ b/lib/src/serving/cluster/members.rs
@@ -7,6 +7,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::ids::Incarnation;
+use crate::ids::ServiceName;
 use crate::ids::VmName;
 use crate::ids::ZoneName;
 use crate::pool::Moment;
@@ -111,6 +112,15 @@
     }
 }
 
+/// What a VM can do for requests that other VMs cannot send to a replica.
+#[derive(Clone, Debug, Default)]
+struct Helper {
+    /// Whether it serves requests of other VMs.
+    relays: bool,
+    /// Services that it cannot reach either.
+    unreachable: BTreeSet<ServiceName>,
+}
+
 /// Identifies a beacon.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct BeaconStamp {
@@ -132,6 +142,7 @@
     /// When the newest of our beacons that each VM acknowledged was sent.
     echoes: BTreeMap<VmName, Moment>,
     zones: BTreeMap<VmName, ZoneName>,
+    helpers: BTreeMap<VmName, Helper>,
     /// Whether the VM entries were read from the store.
     listed: bool,
     /// Our availability zone if relaying is enabled.
@@ -148,6 +159,7 @@
             beacons: BTreeMap::new(),
             echoes: BTreeMap::new(),
             zones: BTreeMap::new(),
+            helpers: BTreeMap::new(),
             listed: false,
             zone: None,
         }
@@ -274,6 +286,7 @@
     pub fn remove(&mut self, vm: &VmName) {
         self.addresses.remove(vm);
         self.zones.remove(vm);
+        self.helpers.remove(vm);
         self.echoes.remove(vm);
     }
 
@@ -341,6 +354,39 @@
         }
     }
 
+    /// Records what a VM's last beacon says about requests of other VMs: whether it serves
+    /// them, and which services it cannot reach.
+    pub fn set_helper(&mut self, vm: &VmName, relays: bool, unreachable: BTreeSet<ServiceName>) {
+        let helper = Helper {
+            relays,
+            unreachable,
+        };
+        self.helpers.insert(vm.clone(), helper);
+    }
+
+    /// Returns the live VMs that can serve requests of a service for this one, with their
+    /// addresses. Those in `zone` come first, because traffic between zones is expensive, and
+    /// each part is in the hash order of the seed, which spreads requests over them.
+    pub fn helpers(
+        &self,
+        now: Moment,
+        service: &ServiceName,
+        zone: &ZoneName,
+        seed: u64,
+    ) -> Vec<(&VmName, SocketAddr)> {
+        let helps = |vm: &VmName| {
+            let helper = self.helpers.get(vm);
+            helper.is_some_and(|h| h.relays && !h.unreachable.contains(service))
+                && self.is_live(now, vm)
+                && !self.is_stopping(vm)
+        };
+        let mut helpers: Vec<_> = self.peers().filter(|(vm, _)| helps(vm)).collect();
+        helpers.sort_by_cached_key(|(vm, _)| {
+            (self.zones.get(*vm) != Some(zone), hash_order(vm, seed))
+        });
+        helpers
+    }
+
     /// Returns the fraction of all VMs that are reachable, including this one.
     pub fn reachable_fraction(&self, now: Moment) -> f64 {
         let recent = self.recent_beacons(
--- a/lib/src/serving/cluster/state.rs
+++ b/lib/src/serving/cluster/state.rs
@@ -34,6 +34,7 @@
 use crate::serving::decisions::prefill_turns::PrefillTurns;
 use crate::serving::decisions::quota::Borrower;
 use crate::serving::decisions::quota::Lender;
+use crate::serving::decisions::reachability::Reachability;
 use crate::serving::decisions::replica_limits::LimitLedger;
 use crate::serving::decisions::replica_limits::ReplicaLimits;
 use crate::serving::decisions::reservations::Reservations;
@@ -115,6 +116,8 @@
     pub(in crate::serving) limit_ledger: LimitLedger,
     /// Whether these changed since they were last announced.
     pub(in crate::serving) limits_changed: bool,
+    /// The services whose replicas this VM cannot reach.
+    pub(in crate::serving) reachability: Reachability,
     /// Leaving replicas to announce to the other VMs.
     pub(in crate::serving) leaving: BTreeSet<Instance>,
     /// Replicas that stated on a response to this VM that they are leaving, and when.
@@ -183,6 +186,7 @@
             limit_reports: BTreeSet::new(),
             limit_ledger: LimitLedger::new(settings.vm.clone()),
             limits_changed: false,
+            reachability: Reachability::default(),
             leaving: BTreeSet::new(),
             stated_leaving: BTreeMap::new(),
             subscriptions: Subscriptions::default(),
@@ -442,6 +446,29 @@
         true
     }
 
+    /// Records that a replica sent something to this VM.
+    pub(in crate::serving) fn record_heard(&mut self, now: Moment, replica: &ReplicaName) {
+        if let Some(info) = self.fleet.replica_info(replica) {
+            self.reachability.record_heard(now, &info.service);
+        }
+    }
+
+    /// Records that a replica could not be reached. Returns its service if no replica of
+    /// it can be reached since now.
+    pub(in crate::serving) fn record_unreached(
+        &mut self,
+        now: Moment,
+        replica: &ReplicaName,
+    ) -> Option<ServiceName> {
+        let service = self.fleet.replica_info(replica)?.service.clone();
+        let all = self.fleet.replica_infos();
+        let listed = all.filter(|r| r.service == service && !r.draining).count();
+        let found = self
+            .reachability
+            .record_failure(now, &service, replica, listed);
+        found.then_some(service)
+    }
+
     /// Counts a run that begins at a replica.
     pub(in crate::serving) fn begin_run(
         &mut self,
--- a/lib/src/serving/decisions/fleet/health.rs
+++ b/lib/src/serving/decisions/fleet/health.rs
@@ -81,11 +81,15 @@
     /// Returns whether a run waits too long for its first byte and the replica has
     /// sent nothing to this VM for as long.
     fn is_unresponsive(&self, now: Moment) -> bool {
+        self.is_silent_for(now, UNRESPONSIVE_AFTER)
+    }
+
+    /// The same for any time.
+    fn is_silent_for(&self, now: Moment, span: Span) -> bool {
         let Some(oldest) = self.waiting.values().min() else {
             return false;
         };
-        now.since(*oldest) > UNRESPONSIVE_AFTER
-            && now.since(self.last_received) > UNRESPONSIVE_AFTER
+        now.since(*oldest) > span && now.since(self.last_received) > span
     }
 
     /// Counts a failure, and backs off for `MIN_BACKOFF`, doubled for each consecutive
@@ -129,6 +133,14 @@
         r.is_none_or(|r| now.since(r.health.last_received) > UNRESPONSIVE_AFTER)
     }
 
+    /// Returns the replicas from which this VM has received nothing for `span`, while a run
+    /// waits as long for its first byte.
+    pub fn silent_replicas(&self, now: Moment, span: Span) -> impl Iterator<Item = &ReplicaName> {
+        let all = self.replicas.iter();
+        let silent = all.filter(move |(_, r)| r.health.is_silent_for(now, span));
+        silent.map(|(name, _)| name)
+    }
+
     /// Updates a replica's health with the outcome of a run.
     ///
     /// Replicas may crash, become unresponsive, or fail some of their requests
--- a/lib/src/serving/decisions/mod.rs
+++ b/lib/src/serving/decisions/mod.rs
@@ -8,6 +8,7 @@
 pub(super) mod order_timeout;
 pub(super) mod prefill_turns;
 pub mod quota;
+pub(super) mod reachability;
 pub mod replica_limits;
 pub(super) mod reservations;
 pub mod retry;
--- a/lib/src/serving/decisions/retry.rs
+++ b/lib/src/serving/decisions/retry.rs
@@ -81,6 +81,8 @@
     pub sends: u32,
     /// Number of sends in which it may have run.
     pub runs: u32,
+    /// Number of sends in which no replica could be reached.
+    pub unreached: u32,
     /// Maximum number of replicas that may run it.
     pub max_runs: u32,
     /// Whether it may run more than once.
@@ -94,6 +96,22 @@
     pub fn record_failure(&mut self, failure: AttemptFailure) {
         self.sends += 1;
         self.runs += u32::from(failure.may_have_run());
+        self.unreached += u32::from(failure == AttemptFailure::NotSent);
+    }
+
+    /// Returns whether no replica has received the request.
+    ///
+    /// ```
+    /// use banyangauge::serving::NotRun;
+    /// use banyangauge::serving::retry::{AttemptFailure, Attempts};
+    /// let mut attempts = Attempts::default();
+    /// attempts.record_failure(AttemptFailure::NotSent);
+    /// assert!(attempts.none_arrived());
+    /// attempts.record_failure(AttemptFailure::NotRun(NotRun::Full));
+    /// assert!(!attempts.none_arrived());
+    /// ```
+    pub fn none_arrived(&self) -> bool {
+        self.sends == self.unreached
     }
 
     /// Returns whether another replica may be tried after this failure, which
--- a/lib/src/serving/mod.rs
+++ b/lib/src/serving/mod.rs
@@ -56,6 +56,7 @@
 pub use decisions::prefill_turns::PrefillTurns;
 pub use decisions::prefill_turns::TurnId;
 pub use decisions::quota;
+pub use decisions::reachability::Reachability;
 pub use decisions::replica_limits;
 pub use decisions::reservations::Reservations;
 pub use decisions::retry;
--- a/lib/src/serving/path/forward.rs
+++ b/lib/src/serving/path/forward.rs
@@ -35,6 +35,7 @@
 use crate::serving::path::prefill::PrefillTurn;
 use crate::serving::path::prefill::Prompt;
 use crate::serving::path::prefill::wait_for_turn;
+use crate::serving::path::probes;
 use crate::serving::path::statements::Call;
 use crate::serving::path::statements::apply_statement;
 use crate::serving::path::trace::RequestTrace;
@@ -73,6 +74,8 @@
     /// Time by which the response must be complete.
     pub(in crate::serving) deadline: Moment,
     pub(in crate::serving) trace: Rc<RequestTrace>,
+    /// Whether another VM handed it to this one.
+    pub(in crate::serving) relayed: bool,
 }
 
 /// Identity of a request's caller, and the charge for the request.
@@ -188,6 +191,7 @@
         self.prefill_turn = None;
         let mut state = self.node.state();
         if state.fleet.is_current(&self.instance()) {
+            state.record_heard(now(), &self.replica);
             state.fleet.finish_prefill(&self.replica, self.cost.prefill);
             state
                 .fleet
@@ -299,11 +303,13 @@
         Err(_) => return Err(AttemptFailure::TimedOut),
         Ok(Err(SendError::NotSent(_))) => {
             run.record_end(RunOutcome::Unreached);
+            probes::record_unreached(node, replica);
             send.inspect(|s| s.revert());
             return Err(AttemptFailure::NotSent);
         }
         Ok(Err(SendError::Broken(_))) => {
             run.record_end(RunOutcome::Broken);
+            probes::record_unreached(node, replica);
             record_strike(node, req, &run.instance());
             return Err(AttemptFailure::Broken);
         }
@@ -346,7 +352,10 @@
 
 /// Checks that the API key of a request is still valid: it may have been revoked while the
 /// request waited for a replica or this VM was suspended.
-fn check_key(node: &Node, req: &BufferedRequest) -> Result<(), AttemptFailure> {
+pub(in crate::serving) fn check_key(
+    node: &Node,
+    req: &BufferedRequest,
+) -> Result<(), AttemptFailure> {
     let Some(key) = &req.caller.key else {
         return Ok(());
     };
--- a/lib/src/serving/path/mod.rs
+++ b/lib/src/serving/path/mod.rs
@@ -7,6 +7,8 @@
 pub(super) mod owner_check;
 pub(super) mod placement;
 pub(super) mod prefill;
+pub(super) mod probes;
+pub(super) mod relay;
 pub(super) mod response;
 pub(super) mod routes;
 pub(super) mod serve;
--- /dev/null
+++ b/lib/src/serving/path/relay.rs
@@ -0,0 +1,395 @@
+//! Hands requests to another VM while this VM reaches no replica, and serves those that other
+//! VMs hand to this one.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use banyangauge_proto as wire;
+use bytes::Bytes;
+use futures_util::stream::unfold;
+use http_body_util::BodyExt;
+use http_body_util::Limited;
+use http_body_util::StreamBody;
+use hyper::HeaderMap;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Frame;
+use hyper::body::Incoming;
+use hyper::header::AUTHORIZATION;
+use hyper::header::CONTENT_LENGTH;
+use hyper::header::HOST;
+use hyper::header::HeaderValue;
+use hyper::header::RETRY_AFTER;
+use hyper::http::request::Parts;
+use prost::Message;
+
+use crate::ids::VmName;
+use crate::pool::Span;
+use crate::serving::decisions::retry::Attempts;
+use crate::serving::decisions::retry::RETRY_DELAY;
+use crate::serving::decisions::retry::Refusal;
+use crate::serving::path::charge::Charge;
+use crate::serving::path::forward::BufferedRequest;
+use crate::serving::path::forward::Caller;
+use crate::serving::path::forward::check_key;
+use crate::serving::path::forward::strip_hop_headers;
+use crate::serving::path::forward::strip_request_headers;
+use crate::serving::path::response::ResponseAborted;
+use crate::serving::path::response::ResponseBody;
+use crate::serving::path::response::full_body;
+use crate::serving::path::routes::Routes;
+use crate::serving::path::serve::RoutedRequest;
+use crate::serving::path::serve::check_blocked;
+use crate::serving::path::serve::count_outcome;
+use crate::serving::path::serve::estimate_load;
+use crate::serving::path::serve::fingerprint;
+use crate::serving::path::serve::origin_form;
+use crate::serving::path::serve::run_request;
+use crate::serving::path::trace::RequestTrace;
+use crate::serving::path::types::Rank;
+use crate::serving::path::types::Route;
+use crate::serving::program::node::InFlight;
+use crate::serving::program::node::Node;
+use crate::serving::program::node::Phase;
+use crate::serving::program::node::now;
+use crate::serving::program::node::to_instant;
+use crate::upstream::BodyChunks;
+use crate::upstream::SendError;
+use crate::upstream::UpstreamResponse;
+
+/// Maximum number of VMs that are asked to serve one request.
+const MAX_HELPERS: usize = 3;
+
+/// Maximum number of requests of other VMs that this VM serves at a time; its own callers
+/// must not be crowded out when many VMs are cut off.
+const MAX_RELAYED: usize = 256;
+
+/// Space for what goes before the body of a request.
+const MAX_HEAD_BYTES: usize = 4 << 10;
+
+/// On a response to another VM: [`SERVED`], or why this VM refused the request.
+const OUTCOME: &str = "banyan-relay-outcome";
+
+/// The response is that of a replica.
+const SERVED: &str = "served";
+
+/// Result of handing a request to other VMs.
+pub(in crate::serving) enum Relayed {
+    /// A VM responds with what a replica sent.
+    Served(UpstreamResponse),
+    /// The request must be refused.
+    Refused(Refusal),
+    /// No VM took the request.
+    NotTaken,
+}
+
+/// Returns whether a request could be handed to another VM. A request goes from one VM to
+/// another once at most.
+pub(in crate::serving) fn has_helper(
+    node: &Node,
+    routed: &RoutedRequest,
+    req: &BufferedRequest,
+) -> bool {
+    !req.relayed && !helpers(node, routed, req).is_empty()
+}
+
+/// Returns whether a request should be handed to another VM without a try of this one.
+pub(in crate::serving) fn should_relay(
+    node: &Node,
+    routed: &RoutedRequest,
+    req: &BufferedRequest,
+) -> bool {
+    node.state().reachability.is_unreachable(&routed.service) && has_helper(node, routed, req)
+}
+
+/// Returns whether a refusal says that no replica could be reached, and none has received the
+/// request.
+pub(in crate::serving) fn may_relay(attempts: &Attempts, refusal: &Refusal) -> bool {
+    attempts.none_arrived() && matches!(refusal.reason, "not_sent" | "no_replica")
+}
+
+/// Returns the addresses of the VMs that could serve a request, the first choice first.
+fn helpers(
+    node: &Node,
+    routed: &RoutedRequest,
+    req: &BufferedRequest,
+) -> Vec<(VmName, SocketAddr)> {
+    let state = node.state();
+    let zone = &node.settings.zone;
+    let helpers = state
+        .members
+        .helpers(now(), &routed.service, zone, req.fingerprint.0);
+    let helpers = helpers.into_iter().take(MAX_HELPERS);
+    helpers.map(|(vm, at)| (vm.clone(), at)).collect()
+}
+
+/// Hands a request to other VMs until one of them takes it.
+pub(in crate::serving) async fn relay(
+    node: &Rc<Node>,
+    routed: &RoutedRequest,
+    req: &BufferedRequest,
+) -> Relayed {
+    let mut last = Relayed::NotTaken;
+    for (vm, address) in helpers(node, routed, req) {
+        if let Err(failure) = check_key(node, req) {
+            return Relayed::Refused(Refusal::after(&Attempts::default(), failure));
+        }
+        let charged = req.caller.charge.as_ref().map(Charge::mark_sent);
+        let request = build_request(node, routed, req);
+        let sent = node.upstreams.send(address, request);
+        let sent = tokio::time::timeout_at(to_instant(req.deadline), sent).await;
+        let outcome = match sent {
+            Err(_) => {
+                log_relayed(node, req, &vm, "overdue");
+                let status = StatusCode::GATEWAY_TIMEOUT;
+                return Relayed::Refused(Refusal::denied(status, "overdue"));
+            }
+            Ok(Err(SendError::Broken(_))) => {
+                log_relayed(node, req, &vm, "broken");
+                return Relayed::Refused(Refusal::denied(StatusCode::BAD_GATEWAY, "broken"));
+            }
+            Ok(Err(SendError::NotSent(_))) => Err(None),
+            Ok(Ok(answer)) => classify(answer),
+        };
+        match outcome {
+            Ok(answer) => {
+                log_relayed(node, req, &vm, SERVED);
+                return Relayed::Served(answer);
+            }
+            Err(Some(refusal)) if refusal.retry_after.is_none() => {
+                log_relayed(node, req, &vm, refusal.reason);
+                return Relayed::Refused(refusal);
+            }
+            // It did not run there.
+            Err(refusal) => {
+                charged.inspect(|c| c.revert());
+                log_relayed(node, req, &vm, refusal.map_or("not_sent", |r| r.reason));
+                if let Some(refusal) = refusal {
+                    last = Relayed::Refused(refusal);
+                }
+            }
+        }
+    }
+    last
+}
+
+/// Builds the request to another VM: that of the caller, with a [`wire::RelayHead`] before
+/// its body.
+fn build_request(
+    node: &Node,
+    routed: &RoutedRequest,
+    req: &BufferedRequest,
+) -> Request<BodyChunks> {
+    let at = now();
+    let head = wire::RelayHead {
+        vm: node.settings.vm.to_string(),
+        service: routed.service.to_string(),
+        left_us: req.deadline.since(at).0,
+        objective_us: req.objective.since(at).0,
+        organisation: req
+            .caller
+            .organisation
+            .as_ref()
+            .map(ToString::to_string)
+            .unwrap_or_default(),
+        rank: req.rank.to_wire(),
+        ranked: req.urgency.is_some(),
+    };
+    let head = Bytes::from(head.encode_length_delimited_to_vec());
+    let chunks = std::iter::once(head).chain(req.body.iter().cloned());
+    let mut request = Request::new(BodyChunks::new(chunks));
+    *request.method_mut() = req.method.clone();
+    *request.uri_mut() = req.path.clone();
+    *request.headers_mut() = req.headers.clone();
+    // The key was checked here, and the other VM needs the organisation only.
+    request.headers_mut().remove(AUTHORIZATION);
+    request
+}
+
+/// Tells a replica's response, passed on by another VM, from a refusal of that VM.
+fn classify(mut answer: UpstreamResponse) -> Result<UpstreamResponse, Option<Refusal>> {
+    let served = answer.header(OUTCOME) == Some(SERVED);
+    answer.head.headers.remove(OUTCOME);
+    if served {
+        return Ok(answer);
+    }
+    let after = answer.header(RETRY_AFTER.as_str());
+    let after = after.and_then(|a| a.parse().ok());
+    let after = after.and_then(|s| Duration::try_from_secs_f64(s).ok());
+    let refusal = match answer.head.status {
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => {
+            Refusal::not_run("refused_by_peer", after.unwrap_or(RETRY_DELAY))
+        }
+        StatusCode::GATEWAY_TIMEOUT => Refusal::denied(StatusCode::GATEWAY_TIMEOUT, "overdue"),
+        _ => Refusal::denied(StatusCode::BAD_GATEWAY, "broken"),
+    };
+    Err(Some(refusal))
+}
+
+/// Logs and counts a request that was handed to another VM.
+fn log_relayed(node: &Node, req: &BufferedRequest, vm: &VmName, outcome: &'static str) {
+    slog::info!(node.log, "relayed"; "id" => &req.id, "to" => vm.as_str(), "outcome" => outcome,
+        "left_ms" => req.deadline.since(now()).as_millis());
+    metrics::counter!("serve_relays_total", "outcome" => outcome).increment(1);
+}
+
+/// A response that another VM passes on; it keeps the request, whose charge ends with it.
+struct RelayedResponse {
+    node: Rc<Node>,
+    req: BufferedRequest,
+    answer: UpstreamResponse,
+    _open: InFlight,
+}
+
+/// Returns the response to the caller of a request that another VM serves.
+pub(in crate::serving) fn response(
+    node: &Rc<Node>,
+    req: BufferedRequest,
+    mut answer: UpstreamResponse,
+    open: InFlight,
+) -> Response<ResponseBody> {
+    let mut response = Response::new(());
+    *response.status_mut() = answer.head.status;
+    let mut headers = std::mem::take(&mut answer.head.headers);
+    strip_hop_headers(&mut headers);
+    *response.headers_mut() = headers;
+    let relayed = RelayedResponse {
+        node: node.clone(),
+        req,
+        answer,
+        _open: open,
+    };
+    let chunks = unfold(Some(relayed), |relayed| async move {
+        let mut relayed = relayed?;
+        let chunk = relayed.next().await?;
+        let rest = chunk.is_ok().then_some(relayed);
+        Some((chunk.map(Frame::data), rest))
+    });
+    response.map(|()| Box::pin(StreamBody::new(chunks)) as ResponseBody)
+}
+
+impl RelayedResponse {
+    /// Returns the next chunk, or `None` at the regular end.
+    async fn next(&mut self) -> Option<Result<Bytes, ResponseAborted>> {
+        let chunk = self.answer.next_chunk();
+        let chunk = tokio::time::timeout_at(to_instant(self.req.deadline), chunk).await;
+        let reason = match chunk {
+            Ok(Some(Ok(bytes))) => return Some(Ok(bytes)),
+            Ok(None) => {
+                count_outcome("relayed");
+                return None;
+            }
+            Ok(Some(Err(_))) => "the VM that served the request broke off",
+            Err(_) => "deadline exceeded",
+        };
+        slog::info!(self.node.log, "response broke off"; "id" => &self.req.id, "why" => reason);
+        count_outcome("broken_off");
+        Some(Err(ResponseAborted(reason)))
+    }
+}
+
+/// Handles a request that another VM handed to this one.
+pub(in crate::serving) async fn serve_relayed(
+    node: Rc<Node>,
+    request: Request<Incoming>,
+) -> Response<ResponseBody> {
+    let id = (node.codec.parse_request)(request.headers()).id;
+    match handle(&node, request).await {
+        Ok(mut response) => {
+            let served = HeaderValue::from_static(SERVED);
+            response.headers_mut().insert(OUTCOME, served);
+            response
+        }
+        Err(refusal) => {
+            slog::info!(node.log, "relayed request refused"; "id" => id,
+                "why" => refusal.reason, "status" => refusal.status.as_u16());
+            refusal_response(&refusal)
+        }
+    }
+}
+
+/// Returns the response that tells another VM of a refusal.
+fn refusal_response(refusal: &Refusal) -> Response<ResponseBody> {
+    let mut response = Response::new(full_body(Bytes::new()));
+    *response.status_mut() = refusal.status;
+    let headers = response.headers_mut();
+    headers.insert(OUTCOME, HeaderValue::from_static(refusal.reason));
+    let after = refusal.retry_after.map(|a| a.as_secs_f64().to_string());
+    if let Some(after) = after.and_then(|a| HeaderValue::from_str(&a).ok()) {
+        headers.insert(RETRY_AFTER, after);
+    }
+    response
+}
+
+/// Reads a request of another VM and runs it.
+async fn handle(
+    node: &Rc<Node>,
+    request: Request<Incoming>,
+) -> Result<Response<ResponseBody>, Refusal> {
+    let not_run = |reason| Refusal::not_run(reason, RETRY_DELAY);
+    if node.phase() == Phase::Draining {
+        return Err(not_run("stopping"));
+    }
+    let in_flight = node.track_relayed(MAX_RELAYED);
+    let in_flight = in_flight.ok_or(not_run("too_many_relayed"))?;
+    let arrived = now();
+    let active = node.state().serving_config(arrived);
+    let active = active.ok_or(not_run("no_configuration"))?;
+    let (parts, body) = request.into_parts();
+    let max_bytes = active.config.limits.body_bytes + MAX_HEAD_BYTES;
+    let body = Limited::new(body, max_bytes).collect().await;
+    let mut body = body.map_err(|_| not_run("bad_body"))?.to_bytes();
+    let head = wire::RelayHead::decode_length_delimited(&mut body);
+    let head = head.map_err(|_| not_run("bad_relay_head"))?;
+    let info = (node.codec.parse_request)(&parts.headers);
+    let routed = RoutedRequest {
+        route: find_route(&active.routes, &parts).ok_or(not_run("no_route"))?,
+        service: head
+            .service
+            .parse()
+            .map_err(|_| not_run("bad_relay_head"))?,
+    };
+    if !active.config.services.contains_key(&routed.service) {
+        return Err(not_run("no_service"));
+    }
+    let rank = Rank::from_wire(head.rank);
+    let trace = Rc::new(RequestTrace::default());
+    trace.record_route(&routed.route, rank);
+    let mut headers: HeaderMap = parts.headers;
+    strip_request_headers(&mut headers);
+    headers.remove(CONTENT_LENGTH);
+    let urgency = active.urgencies.find(&routed.service, rank);
+    let pieces: Vec<Bytes> = vec![body];
+    let req = BufferedRequest {
+        method: parts.method,
+        fingerprint: fingerprint(&parts.uri, &pieces),
+        path: origin_form(&parts.uri),
+        headers,
+        cost: estimate_load(&active, &routed.service, &info),
+        urgency: urgency.filter(|_| head.ranked),
+        rank,
+        objective: arrived.after(Span(head.objective_us)),
+        shared_prefix: info.shared_prefix,
+        caller: Caller {
+            organisation: head.organisation.parse().ok(),
+            ..Caller::default()
+        },
+        body: pieces,
+        id: info.id,
+        target: info.target,
+        deadline: arrived.after(Span(head.left_us)),
+        trace,
+        relayed: true,
+    };
+    check_blocked(node, &req)?;
+    run_request(node, Rc::new(routed), req, arrived, in_flight).await
+}
+
+/// Finds the route of a request by its host and path.
+fn find_route(routes: &Routes, parts: &Parts) -> Option<Rc<Route>> {
+    let host = parts.headers.get(HOST);
+    let host = host.and_then(|h| h.to_str().ok()).unwrap_or_default();
+    routes.find(host, parts.uri.path()).cloned()
+}
--- a/lib/src/serving/path/response.rs
+++ b/lib/src/serving/path/response.rs
@@ -42,7 +42,7 @@
 
 /// Error that aborts a response and closes the caller's connection; holds the reason.
 #[derive(Debug)]
-pub(in crate::serving) struct ResponseAborted(&'static str);
+pub(in crate::serving) struct ResponseAborted(pub(in crate::serving) &'static str);
 
 impl fmt::Display for ResponseAborted {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
--- a/lib/src/serving/path/serve.rs
+++ b/lib/src/serving/path/serve.rs
@@ -45,6 +45,8 @@
 use crate::serving::path::forward::strip_hop_headers;
 use crate::serving::path::forward::strip_request_headers;
 use crate::serving::path::placement::wait_for_replica;
+use crate::serving::path::relay;
+use crate::serving::path::relay::Relayed;
 use crate::serving::path::response::EventTracker;
 use crate::serving::path::response::ResponseBody;
 use crate::serving::path::response::ResponseStream;
@@ -87,6 +89,9 @@
 /// Mean ratio of generated tokens to the maximum that the request allows.
 const MEAN_OUTPUT_RATIO: f64 = 0.6;
 
+/// Replicas that are tried without reaching one before the request is handed to another VM.
+const MAX_UNREACHED: u32 = 2;
+
 /// The route and the service that were selected for a request.
 pub(in crate::serving) struct RoutedRequest {
     pub(in crate::serving) route: Rc<Route>,
@@ -218,6 +223,7 @@
         target: info.target,
         deadline,
         trace: trace.clone(),
+        relayed: false,
     };
     check_blocked(node, &req)?;
     run_request(node, Rc::new(routed), req, arrived, in_flight).await
@@ -323,7 +329,7 @@
 }
 
 /// Hashes the path, query and body, to recognise a request that is sent again.
-fn fingerprint(uri: &Uri, body: &[Bytes]) -> Fingerprint {
+pub(in crate::serving) fn fingerprint(uri: &Uri, body: &[Bytes]) -> Fingerprint {
     let mut hash = Xxh3::new();
     hash.update(uri.path().as_bytes());
     hash.update(uri.query().unwrap_or_default().as_bytes());
@@ -332,13 +338,17 @@
 }
 
 /// Reduces a URI to its path and query.
-fn origin_form(uri: &Uri) -> Uri {
+pub(in crate::serving) fn origin_form(uri: &Uri) -> Uri {
     let path = uri.path_and_query().cloned();
     path.map(Uri::from).unwrap_or_default()
 }
 
 /// Estimates the load of a request, with its tokens in the engine's KV cache.
-fn estimate_load(active: &ActiveConfig, service: &ServiceName, info: &RequestInfo) -> Load {
+pub(in crate::serving) fn estimate_load(
+    active: &ActiveConfig,
+    service: &ServiceName,
+    info: &RequestInfo,
+) -> Load {
     let service = active.config.services.get(service);
     let tokens = match service.and_then(|s| s.engine.as_ref()) {
         Some(_) => {
@@ -358,7 +368,7 @@
 }
 
 /// Refuses a request that has been blocked because it crashed several upstreams.
-fn check_blocked(node: &Node, req: &BufferedRequest) -> Result<(), Refusal> {
+pub(in crate::serving) fn check_blocked(node: &Node, req: &BufferedRequest) -> Result<(), Refusal> {
     let state = node.state();
     let now = now();
     let down =
@@ -370,7 +380,7 @@
 }
 
 /// Runs a request, with retries, and builds the response to the caller.
-async fn run_request(
+pub(in crate::serving) async fn run_request(
     node: &Rc<Node>,
     routed: Rc<RoutedRequest>,
     req: BufferedRequest,
@@ -383,11 +393,32 @@
         ..Attempts::default()
     };
     let mut avoid = BTreeSet::new();
-    let at = now();
-    node.state()
-        .retry_budget(at)
-        .record_first_send(at, &routed.service);
-    let mut started = first_attempt(node, &routed, &req, &mut attempts, &mut avoid).await?;
+    if !req.relayed {
+        let at = now();
+        let mut state = node.state();
+        let budget = state.retry_budget(at);
+        budget.record_first_send(at, &routed.service);
+    }
+    if relay::should_relay(node, &routed, &req) {
+        match relay::relay(node, &routed, &req).await {
+            Relayed::Served(answer) => return Ok(relay::response(node, req, answer, in_flight)),
+            Relayed::Refused(refusal) => return Err(refusal),
+            Relayed::NotTaken => {}
+        }
+    }
+    let started = first_attempt(node, &routed, &req, &mut attempts, &mut avoid).await;
+    let mut started = match started {
+        Err(refusal) if relay::may_relay(&attempts, &refusal) && !req.relayed => {
+            match relay::relay(node, &routed, &req).await {
+                Relayed::Served(answer) => {
+                    return Ok(relay::response(node, req, answer, in_flight));
+                }
+                Relayed::Refused(refusal) => return Err(refusal),
+                Relayed::NotTaken => return Err(refusal),
+            }
+        }
+        started => started?,
+    };
     let mut buffered = VecDeque::new();
     let mut complete = false;
     let stream = routed.route.kind == RouteKind::Stream;
@@ -525,6 +556,12 @@
         if !attempts.may_retry(ended) {
             return Err(Refusal::after(attempts, ended));
         }
+        if attempts.none_arrived()
+            && attempts.unreached >= MAX_UNREACHED
+            && relay::has_helper(node, routed, req)
+        {
+            return Err(Refusal::after(attempts, ended));
+        }
         if ended == AttemptFailure::NotRun(NotRun::NotLoaded) {
             // The view of the loaded adapters was wrong; the replicas themselves work.
             avoid.clear();
--- a/lib/src/serving/path/server.rs
+++ b/lib/src/serving/path/server.rs
@@ -16,6 +16,7 @@
 use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 
+use crate::serving::path::relay::serve_relayed;
 use crate::serving::path::response::full_body;
 use crate::serving::path::serve::serve;
 use crate::serving::program::node::Node;
@@ -53,12 +54,24 @@
     socket.listen(BACKLOG)
 }
 
-/// Serves callers until the process ends.
-pub(in crate::serving) async fn serve_callers(node: Rc<Node>, listener: TcpListener) {
+/// Who opens the connections to an address.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(in crate::serving) enum Peer {
+    Caller,
+    /// Another VM, which hands requests to this one.
+    Vm,
+}
+
+/// Serves callers or other VMs until the process ends.
+pub(in crate::serving) async fn serve_connections(
+    node: Rc<Node>,
+    listener: TcpListener,
+    peer: Peer,
+) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                tokio::task::spawn_local(serve_connection(node.clone(), stream));
+                tokio::task::spawn_local(serve_connection(node.clone(), stream, peer));
             }
             Err(e) => {
                 slog::warn!(node.log, "could not accept a connection"; "error" => %e);
@@ -68,8 +81,8 @@
     }
 }
 
-/// Serves one caller's connection, and shuts it down gracefully when the process drains.
-async fn serve_connection(node: Rc<Node>, stream: TcpStream) {
+/// Serves one connection, and shuts it down gracefully when the process drains.
+async fn serve_connection(node: Rc<Node>, stream: TcpStream, peer: Peer) {
     if let Err(e) = stream.set_nodelay(true) {
         slog::debug!(node.log, "could not set TCP_NODELAY on a connection"; "error" => %e);
     }
@@ -82,7 +95,12 @@
     let shared = node.clone();
     let service = service_fn(move |request| {
         let node = shared.clone();
-        async move { Ok::<_, Infallible>(serve(node, request).await) }
+        async move {
+            Ok::<_, Infallible>(match peer {
+                Peer::Caller => serve(node, request).await,
+                Peer::Vm => serve_relayed(node, request).await,
+            })
+        }
     });
     let mut server = http1::Builder::new();
     server
--- a/lib/src/serving/peers/beacons.rs
+++ b/lib/src/serving/peers/beacons.rs
@@ -158,6 +158,12 @@
         era: state.store_era().0,
         config: state.active.as_ref().map_or(0, |a| a.config.version),
         address: node.settings.peer_address.to_string(),
+        unreachable: state
+            .reachability
+            .unreachable()
+            .map(|(service, _)| service.to_string())
+            .collect(),
+        relays: node.phase() == Phase::Serving,
         ..wire::Beacon::default()
     }
 }
@@ -338,6 +344,10 @@
         state.members.set_zone(&vm, zone);
     }
     state.members.set_lends(&vm, beacon.lends);
+    let unreachable = beacon.unreachable.iter().filter_map(|s| s.parse().ok());
+    state
+        .members
+        .set_helper(&vm, beacon.relays, unreachable.collect());
     state.record_peer_config(now, beacon.config);
     renewal::handle_beacon(node, &mut state, now, &vm, &beacon);
     limit::apply_announced(node, &mut state, now, &vm, &beacon.limits);
--- a/lib/src/serving/program/node.rs
+++ b/lib/src/serving/program/node.rs
@@ -116,6 +116,8 @@
     state: RefCell<NodeState>,
     last_id: Cell<u64>,
     in_flight: Cell<usize>,
+    /// Requests in flight that other VMs handed to this one.
+    relayed: Cell<usize>,
     /// Runs that wait for a prefill turn.
     pub(in crate::serving) turn_calls: PendingCalls<()>,
     /// Queued requests that wait for their turn to try.
@@ -165,6 +167,7 @@
             state: RefCell::new(state),
             last_id: Cell::new(0),
             in_flight: Cell::new(0),
+            relayed: Cell::new(0),
             turn_calls: PendingCalls::default(),
             wait_calls: PendingCalls::default(),
             place_calls: PendingCalls::default(),
@@ -194,7 +197,25 @@
     /// Counts a request as in flight until the returned guard is dropped.
     pub(in crate::serving) fn track_request(self: &std::rc::Rc<Self>) -> InFlight {
         self.in_flight.set(self.in_flight.get() + 1);
-        InFlight(self.clone())
+        InFlight {
+            node: self.clone(),
+            relayed: false,
+        }
+    }
+
+    /// Counts a request that another VM handed to this one as in flight; returns `None` if
+    /// there are `max` of them.
+    pub(in crate::serving) fn track_relayed(
+        self: &std::rc::Rc<Self>,
+        max: usize,
+    ) -> Option<InFlight> {
+        if self.relayed.get() >= max {
+            return None;
+        }
+        self.relayed.set(self.relayed.get() + 1);
+        let mut in_flight = self.track_request();
+        in_flight.relayed = true;
+        Some(in_flight)
     }
 
     /// Returns the number of requests in flight.
@@ -204,13 +225,17 @@
 }
 
 /// Guard for a request in flight.
-pub(in crate::serving) struct InFlight(std::rc::Rc<Node>);
+pub(in crate::serving) struct InFlight {
+    node: std::rc::Rc<Node>,
+    /// Whether another VM handed it to this one.
+    relayed: bool,
+}
 
 impl Drop for InFlight {
     fn drop(&mut self) {
-        self.0
-            .in_flight
-            .set(self.0.in_flight.get().saturating_sub(1));
+        let count = |cell: &Cell<usize>, by: usize| cell.set(cell.get().saturating_sub(by));
+        count(&self.node.in_flight, 1);
+        count(&self.node.relayed, usize::from(self.relayed));
     }
 }
 
--- a/lib/src/serving/program/run.rs
+++ b/lib/src/serving/program/run.rs
@@ -15,7 +15,9 @@
 use crate::serving::cluster::topic::Topic;
 use crate::serving::path::codec::Codec;
 use crate::serving::path::prefill;
+use crate::serving::path::probes;
 use crate::serving::path::server;
+use crate::serving::path::server::Peer;
 use crate::serving::path::waiting;
 use crate::serving::peers::beacons;
 use crate::serving::peers::load_reports;
@@ -101,6 +103,7 @@
             server::listen(settings.caller_address).map_err(at(settings.caller_address))?;
         let readiness =
             server::listen(settings.readiness_address).map_err(at(settings.readiness_address))?;
+        let peers = server::listen(settings.peer_address).map_err(at(settings.peer_address))?;
         let socket = UdpSocket::bind(settings.peer_address).await;
         let socket = socket.map_err(at(settings.peer_address))?;
         slog::info!(log, "started"; "zone" => settings.zone.as_str(),
@@ -112,7 +115,10 @@
         }
         let node = Rc::new(Node::new(settings, codec, store, log, socket));
         spawn_followers(&node);
-        tokio::task::spawn_local(server::serve_callers(node.clone(), callers));
+        for (listener, peer) in [(callers, Peer::Caller), (peers, Peer::Vm)] {
+            tokio::task::spawn_local(server::serve_connections(node.clone(), listener, peer));
+        }
+        tokio::task::spawn_local(probes::watch_replicas(node.clone()));
         tokio::task::spawn_local(server::serve_readiness(node.clone(), readiness));
         tokio::task::spawn_local(beacons::send_beacons(node.clone()));
         tokio::task::spawn_local(load_reports::send_reports(node.clone()));
--- a/lib/src/serving/program/settings.rs
+++ b/lib/src/serving/program/settings.rs
@@ -23,7 +23,7 @@
     pub caller_address: SocketAddr,
     /// Address of the load balancer's readiness check.
     pub readiness_address: SocketAddr,
-    /// UDP address for datagrams from the other VMs.
+    /// Address for the other VMs: UDP for datagrams, TCP for requests that they hand over.
     pub peer_address: SocketAddr,
     /// Address of the store.
     pub store_address: SocketAddr,
--- a/lib/src/upstream/connections.rs
+++ b/lib/src/upstream/connections.rs
@@ -116,6 +116,21 @@
             })
     }
 
+    /// Opens a connection and keeps it for a request. Returns whether it could be opened.
+    pub async fn probe(&self, address: SocketAddr) -> bool {
+        let Ok(sender) = connect(address, self.connect_timeout).await else {
+            return false;
+        };
+        let connection = PooledConnection {
+            sender,
+            address,
+            idle: self.idle.clone(),
+            idle_time: self.default_idle_time,
+        };
+        connection.keep();
+        true
+    }
+
     async fn send_on(
         &self,
         address: SocketAddr,
@@ -248,18 +263,21 @@
     }
 
     fn return_connection(&mut self) {
-        let Some(connection) = self.connection.take() else {
-            return;
-        };
-        let mut idle = connection
-            .idle
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        let list = idle.entry(connection.address).or_default();
-        if list.len() < MAX_IDLE_PER_UPSTREAM && !connection.sender.is_closed() {
+        if let Some(connection) = self.connection.take() {
+            connection.keep();
+        }
+    }
+}
+
+impl PooledConnection {
+    /// Returns the connection to the pool.
+    fn keep(self) {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let list = idle.entry(self.address).or_default();
+        if list.len() < MAX_IDLE_PER_UPSTREAM && !self.sender.is_closed() {
             list.push(IdleConnection {
-                sender: connection.sender,
-                expires_at: Instant::now() + connection.idle_time,
+                sender: self.sender,
+                expires_at: Instant::now() + self.idle_time,
             });
         }
     }
