serving: a request that the replicas refuse is not handed to further VMs

Only what concerns the VM that was asked leads to another one. A probe of a service counts once the connection has stayed open for 30 ms: links that reset what they accept ended the finding at each probe.

--- a/lib/src/serving/path/probes.rs
+++ b/lib/src/serving/path/probes.rs
@@ -14,6 +14,9 @@
 /// replica is probed at a time: a connection may occupy one of its slots briefly.
 const INTERVAL: Duration = Duration::from_millis(250);
 
+/// How long a connection must stay open: a cut link may accept connections and reset them.
+const SETTLE: Duration = Duration::from_millis(30);
+
 /// Watches the links until the process ends.
 pub(in crate::serving) async fn watch_replicas(node: Rc<Node>) {
     for round in 0.. {
@@ -51,7 +54,8 @@
             }
         }
     };
-    if node.upstreams.probe(address).await && node.state().reachability.record_heard(now(), service)
+    if node.upstreams.probe(address, SETTLE).await
+        && node.state().reachability.record_heard(now(), service)
     {
         slog::info!(node.log, "service can be reached again"; "service" => service.as_str());
         node.placement_wake.notify_waiters();
--- a/lib/src/serving/path/relay.rs
+++ b/lib/src/serving/path/relay.rs
@@ -75,6 +75,16 @@
 /// The response is that of a replica.
 const SERVED: &str = "served";
 
+/// Refusals that concern the VM rather than the replicas, so that another one is asked.
+const ASK_ANOTHER: [&str; 6] = [
+    "no_configuration",
+    "no_replica",
+    "no_route",
+    "no_service",
+    "stopping",
+    "too_many_relayed",
+];
+
 /// Result of handing a request to other VMs.
 pub(in crate::serving) enum Relayed {
     /// A VM responds with what a replica sent.
@@ -85,6 +95,18 @@
     NotTaken,
 }
 
+/// What another VM made of a request.
+enum PeerReply {
+    /// It responds with what a replica sent.
+    Served(UpstreamResponse),
+    /// The request may have run there; nothing can be passed on.
+    Ended(Refusal),
+    /// The request did not run, and would not at another VM.
+    NotRun(Refusal),
+    /// The request did not run because of that VM; the refusal, if it sent one.
+    NotTaken(Option<Refusal>),
+}
+
 /// Returns whether a request could be handed to another VM. A request goes from one VM to
 /// another once at most.
 pub(in crate::serving) fn has_helper(
@@ -150,25 +172,27 @@
                 log_relayed(node, req, &vm, "broken");
                 return Relayed::Refused(Refusal::denied(StatusCode::BAD_GATEWAY, "broken"));
             }
-            Ok(Err(SendError::NotSent(_))) => Err(None),
+            Ok(Err(SendError::NotSent(_))) => PeerReply::NotTaken(None),
             Ok(Ok(answer)) => classify(answer),
         };
         match outcome {
-            Ok(answer) => {
+            PeerReply::Served(answer) => {
                 log_relayed(node, req, &vm, SERVED);
                 return Relayed::Served(answer);
             }
-            Err(Some(refusal)) if refusal.retry_after.is_none() => {
+            PeerReply::Ended(refusal) => {
+                log_relayed(node, req, &vm, refusal.reason);
+                return Relayed::Refused(refusal);
+            }
+            PeerReply::NotRun(refusal) => {
+                charged.inspect(|c| c.revert());
                 log_relayed(node, req, &vm, refusal.reason);
                 return Relayed::Refused(refusal);
             }
-            // It did not run there.
-            Err(refusal) => {
+            PeerReply::NotTaken(refusal) => {
                 charged.inspect(|c| c.revert());
                 log_relayed(node, req, &vm, refusal.map_or("not_sent", |r| r.reason));
-                if let Some(refusal) = refusal {
-                    last = Relayed::Refused(refusal);
-                }
+                last = refusal.map_or(last, Relayed::Refused);
             }
         }
     }
@@ -209,23 +233,28 @@
 }
 
 /// Tells a replica's response, passed on by another VM, from a refusal of that VM.
-fn classify(mut answer: UpstreamResponse) -> Result<UpstreamResponse, Option<Refusal>> {
-    let served = answer.header(OUTCOME) == Some(SERVED);
+fn classify(mut answer: UpstreamResponse) -> PeerReply {
+    let outcome = answer.header(OUTCOME).unwrap_or_default();
+    let (served, ask_another) = (outcome == SERVED, ASK_ANOTHER.contains(&outcome));
     answer.head.headers.remove(OUTCOME);
     if served {
-        return Ok(answer);
+        return PeerReply::Served(answer);
     }
     let after = answer.header(RETRY_AFTER.as_str());
     let after = after.and_then(|a| a.parse().ok());
     let after = after.and_then(|s| Duration::try_from_secs_f64(s).ok());
     let refusal = match answer.head.status {
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => {
-            Refusal::not_run("refused_by_peer", after.unwrap_or(RETRY_DELAY))
+            let refusal = Refusal::not_run("refused_by_peer", after.unwrap_or(RETRY_DELAY));
+            return match ask_another {
+                true => PeerReply::NotTaken(Some(refusal)),
+                false => PeerReply::NotRun(refusal),
+            };
         }
         StatusCode::GATEWAY_TIMEOUT => Refusal::denied(StatusCode::GATEWAY_TIMEOUT, "overdue"),
         _ => Refusal::denied(StatusCode::BAD_GATEWAY, "broken"),
     };
-    Err(Some(refusal))
+    PeerReply::Ended(refusal)
 }
 
 /// Logs and counts a request that was handed to another VM.
--- a/lib/src/upstream/connections.rs
+++ b/lib/src/upstream/connections.rs
@@ -116,11 +116,16 @@
             })
     }
 
-    /// Opens a connection and keeps it for a request. Returns whether it could be opened.
-    pub async fn probe(&self, address: SocketAddr) -> bool {
+    /// Opens a connection and keeps it for a request. Returns whether it could be opened and
+    /// stayed open for `settle`.
+    pub async fn probe(&self, address: SocketAddr, settle: Duration) -> bool {
         let Ok(sender) = connect(address, self.connect_timeout).await else {
             return false;
         };
+        tokio::time::sleep(settle).await;
+        if sender.is_closed() {
+            return false;
+        }
         let connection = PooledConnection {
             sender,
             address,
