ownership: replicas of a VM that reaches none go to other VMs

A VM that is cut off from the replicas it owns reaches the store and the other VMs, so it stayed their owner and its orders went nowhere: nothing was loaded there for as long as the cut lasted, and requests for those adapters were refused as not_loaded_in_time at all VMs.

Beacons say which services a VM cannot reach. After 1.5 s its replicas are given to others by a VM that hears from the service itself, so an outage of the service moves nothing. The new owner waits as for any former owner; where replicas check no fences, a process moves nothing in the grace of a new member. The exhaustive search of two faults in a row finds no two orders within a lease, with the owner's orders counted all through its cut.

--- a/lib/src/serving/cluster/members.rs
+++ b/lib/src/serving/cluster/members.rs
@@ -117,8 +117,8 @@
 struct Helper {
     /// Whether it serves requests of other VMs.
     relays: bool,
-    /// Services that it cannot reach either.
-    unreachable: BTreeSet<ServiceName>,
+    /// Services that it cannot reach either, and when it first said so.
+    unreachable: BTreeMap<ServiceName, Moment>,
 }
 
 /// Identifies a beacon.
@@ -356,14 +356,45 @@
 
     /// Records what a VM's last beacon says about requests of other VMs: whether it serves
     /// them, and which services it cannot reach.
-    pub fn set_helper(&mut self, vm: &VmName, relays: bool, unreachable: BTreeSet<ServiceName>) {
+    pub fn set_helper(
+        &mut self,
+        now: Moment,
+        vm: &VmName,
+        relays: bool,
+        unreachable: impl Iterator<Item = ServiceName>,
+    ) {
+        let old = self.helpers.remove(vm).unwrap_or_default().unreachable;
+        let since = |service: &ServiceName| old.get(service).copied().unwrap_or(now);
+        let unreachable = unreachable.map(|service| (since(&service), service));
         let helper = Helper {
             relays,
-            unreachable,
+            unreachable: unreachable.map(|(at, service)| (service, at)).collect(),
         };
         self.helpers.insert(vm.clone(), helper);
     }
 
+    /// Returns the VMs that have not reached a service for `span`, by their beacons.
+    /// `is_reached` says whether this VM reaches it.
+    pub fn without_replicas(
+        &self,
+        now: Moment,
+        span: Span,
+        is_reached: impl Fn(&ServiceName) -> bool,
+    ) -> BTreeSet<VmName> {
+        let cut = |helper: &Helper| {
+            let mut services = helper.unreachable.iter();
+            services.any(|(service, since)| now.since(*since) >= span && is_reached(service))
+        };
+        let all = self.helpers.iter();
+        let vms = all.filter(|(vm, helper)| cut(helper) && self.is_live(now, vm));
+        vms.map(|(vm, _)| vm.clone()).collect()
+    }
+
+    /// Returns how long ago this process started.
+    pub fn age(&self, now: Moment) -> Span {
+        now.since(self.started_at)
+    }
+
     /// Returns the live VMs that can serve requests of a service for this one, with their
     /// addresses. Those in `zone` come first, because traffic between zones is expensive, and
     /// each part is in the hash order of the seed, which spreads requests over them.
@@ -376,7 +407,7 @@
     ) -> Vec<(&VmName, SocketAddr)> {
         let helps = |vm: &VmName| {
             let helper = self.helpers.get(vm);
-            helper.is_some_and(|h| h.relays && !h.unreachable.contains(service))
+            helper.is_some_and(|h| h.relays && !h.unreachable.contains_key(service))
                 && self.is_live(now, vm)
                 && !self.is_stopping(vm)
         };
--- a/lib/src/serving/cluster/ownership.rs
+++ b/lib/src/serving/cluster/ownership.rs
@@ -102,6 +102,8 @@
     /// When the first table of the era was applied.
     regranted_at: Option<Moment>,
     grants: BTreeMap<ReplicaName, OwnershipGrant>,
+    /// Live VMs that reach no replica, and get and keep none.
+    unfit: BTreeSet<VmName>,
     /// The tokens that replicas rejected.
     refused: BTreeMap<ReplicaName, FencingToken>,
     /// Since when a change has been needed.
@@ -135,6 +137,7 @@
             revision: StoreRevision::default(),
             regranted_at: None,
             grants: BTreeMap::new(),
+            unfit: BTreeSet::new(),
             refused: BTreeMap::new(),
             proposal_due: None,
             confirmed: None,
@@ -458,6 +461,11 @@
         self.table.owners.get(name).map(|o| &o.vm)
     }
 
+    /// Sets which live VMs reach no replica. Their replicas are given to others.
+    pub fn set_unfit(&mut self, unfit: BTreeSet<VmName>) {
+        self.unfit = unfit;
+    }
+
     /// Returns the change that this VM should propose now. The first live VM in
     /// name order proposes at once and each further one a step later, so that a
     /// failed proposer only delays a change.
@@ -526,7 +534,8 @@
             return Some(table);
         }
         let protected = self.protected_members(now);
-        if let Some(reassigned) = table.reassigned(live, &protected, replicas) {
+        let fit = live.difference(&self.unfit).cloned().collect();
+        if let Some(reassigned) = table.reassigned(&fit, &protected, replicas) {
             table = reassigned;
         }
         if !self.fenced {
--- a/lib/src/serving/cluster/state.rs
+++ b/lib/src/serving/cluster/state.rs
@@ -19,6 +19,7 @@
 use crate::serving::cluster::owner_table::Owner;
 use crate::serving::cluster::owner_table::OwnerTable;
 use crate::serving::cluster::owner_table::token_era;
+use crate::serving::cluster::ownership::NEW_MEMBER_GRACE;
 use crate::serving::cluster::ownership::Ownership;
 use crate::serving::cluster::recency::Recency;
 use crate::serving::cluster::recency::WitnessQueue;
@@ -153,6 +154,12 @@
     pub(in crate::serving) waiting: BTreeMap<ServiceName, WaitQueue>,
 }
 
+/// How long a VM must have been cut off from an engine service to lose its replicas.
+const MIN_CUT: Span = Span::from_millis(1_500);
+
+/// A service is reached by a VM that heard from one of its replicas within this time.
+const RECENTLY_HEARD: Span = Span::from_millis(1_000);
+
 /// How long a VM that starts waits for the configuration that other VMs have in force:
 /// several times what the operator needs to write it again.
 const MAX_CONFIG_WAIT: Span = Span::from_millis(10_000);
@@ -523,6 +530,25 @@
         reported
     }
 
+    /// Returns the live VMs that cannot give orders because they reach no replica of an
+    /// engine service, while this VM does.
+    ///
+    /// A change of owners stops loads for a lease, so a cut must have lasted for some time.
+    /// Where replicas check no fencing tokens, an owner may rely on the acknowledgement of a
+    /// process that was stopped as planned; the one that follows it moves nothing until that
+    /// has expired.
+    pub(in crate::serving) fn unfit_owners(&self, now: Moment, fenced: bool) -> BTreeSet<VmName> {
+        if !fenced && self.members.age(now) < NEW_MEMBER_GRACE {
+            return BTreeSet::new();
+        }
+        let engines = self.active.as_ref().map(|a| &a.config.services);
+        let is_reached = |service: &ServiceName| {
+            engines.is_some_and(|all| all.get(service).is_some_and(|s| s.engine.is_some()))
+                && self.reachability.has_heard(now, service, RECENTLY_HEARD)
+        };
+        self.members.without_replicas(now, MIN_CUT, is_reached)
+    }
+
     /// Tracks the replicas that this VM owns in its adapter planner, and drops
     /// the others.
     pub(in crate::serving) fn sync_planner(&mut self, now: Moment) {
--- a/lib/src/serving/peers/beacons.rs
+++ b/lib/src/serving/peers/beacons.rs
@@ -347,7 +347,7 @@
     let unreachable = beacon.unreachable.iter().filter_map(|s| s.parse().ok());
     state
         .members
-        .set_helper(&vm, beacon.relays, unreachable.collect());
+        .set_helper(now, &vm, beacon.relays, unreachable);
     state.record_peer_config(now, beacon.config);
     renewal::handle_beacon(node, &mut state, now, &vm, &beacon);
     limit::apply_announced(node, &mut state, now, &vm, &beacon.limits);
--- a/lib/src/serving/program/run.rs
+++ b/lib/src/serving/program/run.rs
@@ -305,6 +305,8 @@
             .replica_infos()
             .filter(|l| !l.draining && state.fleet.is_configured(l));
         let replicas = usable.map(|l| l.name.clone()).collect();
+        let unfit = state.unfit_owners(at, node.settings.fencing);
+        state.ownership.set_unfit(unfit);
         let Some(table) = state.ownership.proposal(at, &live, &replicas) else {
             return;
         };
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -48,6 +48,7 @@
 mod test_serving_port;
 mod test_serving_prefill_turns;
 mod test_serving_quota;
+mod test_serving_reachability;
 mod test_serving_recency;
 mod test_serving_replica_limit_search;
 mod test_serving_replica_limits;
--- a/lib/tests/test_serving_ownership.rs
+++ b/lib/tests/test_serving_ownership.rs
@@ -101,6 +101,9 @@
     guards: Guards,
     /// When the store comes back from a copy, and how old that is, in milliseconds.
     restore: Option<(u64, u64)>,
+    /// A VM that says that it reaches no replica, and from when until when; the search counts
+    /// its orders all the same.
+    without_replicas: Option<(usize, u64, u64)>,
     /// The stored tables, with the time of each.
     written: Vec<(u64, OwnerTable, u64)>,
     /// The orders: time, VM and token.
@@ -142,6 +145,7 @@
         Self {
             vms,
             restore: None,
+            without_replicas: None,
             written: vec![(0, table.clone(), 1)],
             table,
             revision: rev(1),
@@ -265,6 +269,13 @@
         }
         let live = vm.members.live_vms(at(ms));
         let all = BTreeSet::from([self.replica.clone()]);
+        let unfit = self.without_replicas.map(|(cut, from, until)| {
+            let said = format!("vm-{cut}").parse::<VmName>().unwrap();
+            let heard = vm.members.is_live(at(ms), &said) && said != vm.name;
+            let lasts = (from + 1_500..until).contains(&ms);
+            BTreeSet::from_iter(Some(said).filter(|_| heard && lasts))
+        });
+        vm.own.set_unfit(unfit.unwrap_or_default());
         let Some(table) = vm.own.proposal(at(ms), &live, &all) else {
             return;
         };
@@ -410,6 +421,35 @@
     );
 }
 
+/// The same while the owner says for some time that it reaches no replica, so that its
+/// replica is given to another VM while it lives.
+#[rstest]
+#[case::two(2, 3_000, 9_000)]
+#[case::three(3, 3_000, 9_000)]
+#[case::three_short(3, 5_000, 7_500)]
+#[case::three_all_the_time(3, 0, 30_000)]
+fn orders_come_from_one_vm_at_a_time_while_one_reaches_no_replica(
+    #[case] count: usize,
+    #[case] from: u64,
+    #[case] until: u64,
+) {
+    let guards = Guards {
+        lease: true,
+        echoes: true,
+        members: count,
+    };
+    let mut moved = 0;
+    for schedule in schedules() {
+        let mut world = World::new(count, guards);
+        world.without_replicas = Some((0, from, until));
+        let found = world.play(&schedule);
+        assert_eq!(found, None, "{schedule:?}");
+        let second = world.orders.iter().any(|(_, vm, _)| *vm != 0);
+        moved += usize::from(second);
+    }
+    assert!(moved > schedules().count() / 4, "{moved} moved");
+}
+
 /// Without a guard the search finds orders from two VMs.
 #[rstest]
 #[case::no_lease(Guards { lease: false, echoes: true, members: 3 })]
