serving: the VM that a request is handed to checks its API key before it sends it

The key was checked at the first VM only, and may be revoked while the request waits for a replica at the second one. The digest goes with the request. If the second VM does not know the key its configuration may be older, and another one is asked.

--- a/lib/src/serving/path/relay.rs
+++ b/lib/src/serving/path/relay.rs
@@ -48,6 +48,7 @@
 use crate::serving::path::serve::origin_form;
 use crate::serving::path::serve::run_request;
 use crate::serving::path::trace::RequestTrace;
+use crate::serving::path::types::KeyDigest;
 use crate::serving::path::types::Rank;
 use crate::serving::path::types::Route;
 use crate::serving::program::node::InFlight;
@@ -220,6 +221,10 @@
             .unwrap_or_default(),
         rank: req.rank.to_wire(),
         ranked: req.urgency.is_some(),
+        key: match &req.caller.key {
+            Some(key) => Bytes::copy_from_slice(key.as_bytes()),
+            None => Bytes::new(),
+        },
     };
     let head = Bytes::from(head.encode_length_delimited_to_vec());
     let chunks = std::iter::once(head).chain(req.body.iter().cloned());
@@ -227,7 +232,7 @@
     *request.method_mut() = req.method.clone();
     *request.uri_mut() = req.path.clone();
     *request.headers_mut() = req.headers.clone();
-    // The key was checked here, and the other VM needs the organisation only.
+    // The other VM gets the organisation, and the digest of the key.
     request.headers_mut().remove(AUTHORIZATION);
     request
 }
@@ -243,12 +248,14 @@
     let after = answer.header(RETRY_AFTER.as_str());
     let after = after.and_then(|a| a.parse().ok());
     let after = after.and_then(|s| Duration::try_from_secs_f64(s).ok());
+    let not_run = Refusal::not_run("refused_by_peer", after.unwrap_or(RETRY_DELAY));
     let refusal = match answer.head.status {
+        // The configuration of that VM may be older than this one's.
+        StatusCode::UNAUTHORIZED => return PeerReply::NotTaken(Some(not_run)),
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => {
-            let refusal = Refusal::not_run("refused_by_peer", after.unwrap_or(RETRY_DELAY));
             return match ask_another {
-                true => PeerReply::NotTaken(Some(refusal)),
-                false => PeerReply::NotRun(refusal),
+                true => PeerReply::NotTaken(Some(not_run)),
+                false => PeerReply::NotRun(not_run),
             };
         }
         StatusCode::GATEWAY_TIMEOUT => Refusal::denied(StatusCode::GATEWAY_TIMEOUT, "overdue"),
@@ -403,7 +410,8 @@
         shared_prefix: info.shared_prefix,
         caller: Caller {
             organisation: head.organisation.parse().ok(),
-            ..Caller::default()
+            key: read_key(&head)?,
+            charge: None,
         },
         body: pieces,
         id: info.id,
@@ -416,6 +424,16 @@
     run_request(node, Rc::new(routed), req, arrived, in_flight).await
 }
 
+/// Returns the digest of the caller's API key; `None` if the route needs none.
+fn read_key(head: &wire::RelayHead) -> Result<Option<KeyDigest>, Refusal> {
+    if head.key.is_empty() {
+        return Ok(None);
+    }
+    let key = KeyDigest::from_bytes(&head.key);
+    let bad = Refusal::not_run("bad_relay_head", RETRY_DELAY);
+    key.map(Some).ok_or(bad)
+}
+
 /// Finds the route of a request by its host and path.
 fn find_route(routes: &Routes, parts: &Parts) -> Option<Rc<Route>> {
     let host = parts.headers.get(HOST);
--- a/lib/src/serving/path/types.rs
+++ b/lib/src/serving/path/types.rs
@@ -242,6 +242,23 @@
     pub fn of(key: &[u8]) -> Self {
         Self(Sha256::digest(key).into())
     }
+
+    /// Returns the digest that [`KeyDigest::as_bytes`] returned; `None` for another length.
+    pub fn from_bytes(digest: &[u8]) -> Option<Self> {
+        digest.try_into().ok().map(Self)
+    }
+
+    /// Returns the 32 bytes of the digest, for messages to other VMs.
+    ///
+    /// ```
+    /// use banyangauge::serving::KeyDigest;
+    /// let digest = KeyDigest::of(b"a key");
+    /// assert_eq!(KeyDigest::from_bytes(digest.as_bytes()), Some(digest));
+    /// assert_eq!(KeyDigest::from_bytes(b"short"), None);
+    /// ```
+    pub fn as_bytes(&self) -> &[u8] {
+        &self.0
+    }
 }
 
 impl fmt::Debug for KeyDigest {
