serving: a VM that does not know the others takes no share of a limit for itself

Each VM that starts while the store turns it away took the whole limit. It has no share now and refuses with no_lender until it has read the list or a lender answers.

--- a/lib/src/serving/decisions/quota/borrower.rs
+++ b/lib/src/serving/decisions/quota/borrower.rs
@@ -177,15 +177,20 @@
 
     /// Takes the tokens for a request from this VM's local share among `vms` VMs,
     /// for when no lender answers. Returns whether the request may run. A lender
-    /// that cannot reach this VM reduces what it lends accordingly.
+    /// that cannot reach this VM reduces what it lends accordingly. There is no
+    /// share while the number of VMs is not known (`None`): each of them would
+    /// take the whole limit for itself.
     pub fn spend_local(
         &mut self,
         now: Moment,
         name: &K,
         limit: &RateLimit,
-        vms: usize,
+        vms: Option<usize>,
         weight: f64,
     ) -> bool {
+        let Some(vms) = vms else {
+            return false;
+        };
         let account = self.account(now, name);
         let share = 1.0 / vms.max(1) as f64;
         let limit = RateLimit {
--- a/lib/src/serving/decisions/replica_limits/known.rs
+++ b/lib/src/serving/decisions/replica_limits/known.rs
@@ -184,8 +184,8 @@
     }
 
     /// Takes the token for a request from this VM's local share among `vms` VMs, for when
-    /// no lender answers.
-    pub fn spend_local(&mut self, now: Moment, replica: &Instance, vms: usize) -> bool {
+    /// no lender answers. There is no share while the number of VMs is not known.
+    pub fn spend_local(&mut self, now: Moment, replica: &Instance, vms: Option<usize>) -> bool {
         let Some(rate) = self.rate(now, replica) else {
             return true;
         };
--- a/lib/src/serving/path/charge.rs
+++ b/lib/src/serving/path/charge.rs
@@ -150,7 +150,7 @@
     }
     let covered = {
         let mut state = node.state();
-        let vm_count = state.members.count();
+        let vm_count = state.members.listed_count();
         state
             .borrower
             .spend_local(now(), name, limit, vm_count, weight)
--- a/lib/src/serving/path/limit.rs
+++ b/lib/src/serving/path/limit.rs
@@ -86,7 +86,7 @@
     }
     let granted = {
         let mut state = node.state();
-        let vm_count = state.members.count();
+        let vm_count = state.members.listed_count();
         state.replica_limits.spend_local(now(), &instance, vm_count)
     };
     match granted {
--- a/lib/tests/test_serving_quota.rs
+++ b/lib/tests/test_serving_quota.rs
@@ -405,7 +405,7 @@
         };
         match self.vms[i]
             .borrower
-            .spend_local(now, &name(), &LIMIT, vms, weight)
+            .spend_local(now, &name(), &LIMIT, Some(vms), weight)
         {
             true => self.used.push((ms, weight)),
             false => self.refused += weight,
@@ -498,3 +498,13 @@
     let fraction = scenario.refused / (used + scenario.refused);
     assert!((min..=max).contains(&fraction), "{fraction} refused");
 }
+
+/// VMs that start while the store turns them away know no other VM and no lender; each of
+/// them took the whole limit for itself.
+#[test]
+fn local_share_needs_the_number_of_vms() {
+    let spend = |vms| Borrower::default().spend_local(at(0), &name(), &LIMIT, vms, 100.0);
+    assert!(!spend(None));
+    assert!(!spend(Some(100)));
+    assert!(spend(Some(1)));
+}
--- a/lib/tests/test_serving_replica_limit_search.rs
+++ b/lib/tests/test_serving_replica_limit_search.rs
@@ -365,7 +365,7 @@
             }
         }
         let count = self.vms.len();
-        self.vms[i].limits.spend_local(now, &replica, count)
+        self.vms[i].limits.spend_local(now, &replica, Some(count))
             || self.withhold(ms, i, Span::from_millis(200))
     }
 
