serving: the choice of a replica and the log lines of waits leave placement.rs

Pure moves: path/choice.rs describes a request to the decision, path/ wait_log.rs logs and counts waits, and placement.rs waits. What starts a response, here or through another VM, is one function in serve.rs; a request that no other VM took is not offered to them a second time.

--- a/lib/src/serving/path/mod.rs
+++ b/lib/src/serving/path/mod.rs
@@ -1,6 +1,7 @@
 //! The request path: from a caller's connection to the last byte of the response.
 
 pub(super) mod charge;
+pub(super) mod choice;
 pub(super) mod codec;
 pub(super) mod forward;
 pub(super) mod limit;
@@ -16,4 +17,5 @@
 pub(super) mod statements;
 pub(super) mod trace;
 pub(super) mod types;
+mod wait_log;
 pub(super) mod waiting;
--- a/lib/src/serving/path/placement.rs
+++ b/lib/src/serving/path/placement.rs
@@ -10,8 +10,6 @@
 use crate::pool::Moment;
 use crate::pool::Span;
 use crate::serving::decisions::adapter_planner::LoadNeed;
-use crate::serving::decisions::fleet::Placement;
-use crate::serving::decisions::fleet::PlacementRequest;
 use crate::serving::decisions::retry::Attempts;
 use crate::serving::decisions::retry::Refusal;
 use crate::serving::decisions::waiting::Arrival;
@@ -20,6 +18,7 @@
 use crate::serving::decisions::waiting::WaitReason;
 use crate::serving::decisions::waiting::WaitStep;
 use crate::serving::decisions::waiting::wait_reason;
+use crate::serving::path::choice::choose_replica;
 use crate::serving::path::forward::BufferedRequest;
 use crate::serving::path::limit;
 use crate::serving::path::limit::SendPermit;
@@ -27,6 +26,9 @@
 use crate::serving::path::owner_check::Admission;
 use crate::serving::path::serve::RoutedRequest;
 use crate::serving::path::types::Target;
+use crate::serving::path::wait_log::log_no_replica;
+use crate::serving::path::wait_log::log_placed;
+use crate::serving::path::wait_log::record_wait;
 use crate::serving::path::waiting::Queued;
 use crate::serving::path::waiting::Turn;
 use crate::serving::path::waiting::enqueue;
@@ -35,7 +37,6 @@
 use crate::serving::path::waiting::queue_full;
 use crate::serving::path::waiting::with_retry_after;
 use crate::serving::peers::beacons;
-use crate::serving::program::experiment::Mechanism;
 use crate::serving::program::node::Node;
 use crate::serving::program::node::PendingCall;
 use crate::serving::program::node::Phase;
@@ -61,9 +62,6 @@
 /// answer corrects the local view of one replica, and the last choice is then used.
 const MAX_OWNER_ASKS: u32 = 3;
 
-/// Minimum wait that is logged.
-const LOGGED_WAIT: Span = Span::from_millis(20);
-
 /// The replica chosen for a request, and the permission to send it there.
 #[derive(Clone, Debug)]
 pub(in crate::serving) struct Placed {
@@ -112,7 +110,7 @@
     match &placed {
         Ok(placed) => {
             record_wait(req, &wait.parts, "placed");
-            wait.log_placed(&placed.replica);
+            log_placed(node, req, &placed.replica, &wait.parts, wait.why);
         }
         Err(refusal) => {
             record_wait(req, &wait.parts, "refused");
@@ -351,99 +349,4 @@
         self.parts.add(waits_for, until.since(self.counted_until));
         self.counted_until = until;
     }
-
-    /// Logs a request that waited for a replica.
-    fn log_placed(&self, replica: &ReplicaName) {
-        let waited = self.parts.total();
-        if waited >= LOGGED_WAIT {
-            slog::info!(self.node.log, "placed"; "id" => &self.req.id,
-                "replica" => replica.as_str(), "waited_ms" => waited.as_millis(),
-                "why" => self.why, self.req.trace.fields_of(self.parts));
-        }
-    }
-}
-
-/// Logs a request that found no replica, with the state of the replicas that could run it.
-fn log_no_replica(
-    node: &Node,
-    routed: &RoutedRequest,
-    req: &BufferedRequest,
-    reason: &'static str,
-    parts: &WaitParts,
-) {
-    let at = now();
-    let state = node.state();
-    let summary = state
-        .fleet
-        .summarize(at, &routed.service, req.target.as_ref());
-    slog::info!(node.log, "no replica can take the request"; "id" => &req.id, "why" => reason,
-        "target" => req.target.as_ref().map(ToString::to_string),
-        "service" => routed.service.as_str(), "waited_ms" => parts.total().as_millis(),
-        "replicas" => summary.listed, "live" => summary.live, "holders" => summary.holders,
-        "withheld" => summary.withheld, "words" => summary.fresh_reports, "requests" => summary.requests,
-        "owners_term" => state.ownership.table.term.0, req.trace.fields_of(*parts));
-}
-
-/// Records a wait that ended. The label `reason` is that of its longest part; a wait without
-/// any time counts for the asks.
-fn record_wait(req: &BufferedRequest, parts: &WaitParts, outcome: &'static str) {
-    req.trace.add_wait(parts);
-    let reason = parts.longest().unwrap_or(WaitReason::Asks).as_str();
-    let seconds = parts.total().0 as f64 / 1e6;
-    metrics::histogram!("serve_wait_seconds", "reason" => reason, "outcome" => outcome)
-        .record(seconds);
-}
-
-/// Chooses where a request would run now. `waited` is how long it has waited for a load so
-/// far; `None` if it may not wait for one.
-fn choose_replica(
-    node: &Node,
-    routed: &RoutedRequest,
-    req: &BufferedRequest,
-    avoid: &BTreeSet<ReplicaName>,
-    waited: Option<Span>,
-    at: Moment,
-) -> Placement {
-    let bytes: usize = req.body.iter().map(Bytes::len).sum();
-    let state = node.state();
-    let is_ordered = node.settings.experiment.is_enabled(Mechanism::WaitOrder);
-    let left = Some(req.objective.since(at));
-    let request = PlacementRequest {
-        service: &routed.service,
-        target: req.target.as_ref(),
-        cost: req.cost,
-        shared_prefix: req.shared_prefix,
-        body_kb: bytes as f64 / 1024.0,
-        objective_ms: routed.route.objective.as_secs_f64() * 1e3,
-        waited,
-        left: left.filter(|_| is_ordered),
-        store_busy: state.planner.is_store_busy(),
-        avoid,
-    };
-    let own_vm = &node.settings.vm;
-    let can_load = |name: &ReplicaName| state.can_load(at, own_vm, name);
-    if state.replica_limits.is_empty() {
-        return state.fleet.place(at, &request, can_load);
-    }
-    // Another adapter would attract more requests to a replica in need.
-    let placement = state.fleet.place(at, &request, |name| {
-        can_load(name) && !state.is_limited(at, name)
-    });
-    match placement {
-        Placement::Unavailable | Placement::Full | Placement::Withheld(_) => {
-            state.fleet.place(at, &request, can_load)
-        }
-        placement => placement,
-    }
-}
-
-/// Returns whether a replica outside `avoid` could take over a request at once.
-pub(in crate::serving) fn has_other_replica(
-    node: &Node,
-    routed: &RoutedRequest,
-    req: &BufferedRequest,
-    avoid: &BTreeSet<ReplicaName>,
-) -> bool {
-    let placement = choose_replica(node, routed, req, avoid, None, now());
-    matches!(placement, Placement::Send { .. })
 }
--- a/lib/src/serving/path/relay.rs
+++ b/lib/src/serving/path/relay.rs
@@ -127,10 +127,14 @@
     node.state().reachability.is_unreachable(&routed.service) && has_helper(node, routed, req)
 }
 
-/// Returns whether a refusal says that no replica could be reached, and none has received the
-/// request.
-pub(in crate::serving) fn may_relay(attempts: &Attempts, refusal: &Refusal) -> bool {
-    attempts.none_arrived() && matches!(refusal.reason, "not_sent" | "no_replica")
+/// Returns whether a request that was refused may be handed to another VM: no replica could be
+/// reached, and none has received it.
+pub(in crate::serving) fn may_relay(
+    req: &BufferedRequest,
+    attempts: &Attempts,
+    refusal: &Refusal,
+) -> bool {
+    !req.relayed && attempts.none_arrived() && matches!(refusal.reason, "not_sent" | "no_replica")
 }
 
 /// Returns the addresses of the VMs that could serve a request, the first choice first.
--- a/lib/src/serving/path/serve.rs
+++ b/lib/src/serving/path/serve.rs
@@ -68,6 +68,7 @@
 use crate::serving::program::node::now;
 use crate::serving::program::node::to_instant;
 use crate::serving::program::node::to_span;
+use crate::upstream::UpstreamResponse;
 
 /// Timeout of a request whose caller states none.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
@@ -399,25 +400,10 @@
         let budget = state.retry_budget(at);
         budget.record_first_send(at, &routed.service);
     }
-    if relay::should_relay(node, &routed, &req) {
-        match relay::relay(node, &routed, &req).await {
-            Relayed::Served(answer) => return Ok(relay::response(node, req, answer, in_flight)),
-            Relayed::Refused(refusal) => return Err(refusal),
-            Relayed::NotTaken => {}
-        }
-    }
-    let started = first_attempt(node, &routed, &req, &mut attempts, &mut avoid).await;
-    let mut started = match started {
-        Err(refusal) if relay::may_relay(&attempts, &refusal) && !req.relayed => {
-            match relay::relay(node, &routed, &req).await {
-                Relayed::Served(answer) => {
-                    return Ok(relay::response(node, req, answer, in_flight));
-                }
-                Relayed::Refused(refusal) => return Err(refusal),
-                Relayed::NotTaken => return Err(refusal),
-            }
-        }
-        started => started?,
+    let start = start_response(node, &routed, &req, &mut attempts, &mut avoid).await?;
+    let mut started = match start {
+        Start::Here(started) => started,
+        Start::Relayed(answer) => return Ok(relay::response(node, req, answer, in_flight)),
     };
     let mut buffered = VecDeque::new();
     let mut complete = false;
@@ -520,6 +506,41 @@
     Ok(false)
 }
 
+/// A response that has started.
+enum Start {
+    /// A replica responds to this VM.
+    Here(StartedResponse),
+    /// Another VM passes a replica's response on.
+    Relayed(UpstreamResponse),
+}
+
+/// Sends a request until a response starts: to replicas, or to another VM if this one reaches
+/// none.
+async fn start_response(
+    node: &Rc<Node>,
+    routed: &RoutedRequest,
+    req: &BufferedRequest,
+    attempts: &mut Attempts,
+    avoid: &mut BTreeSet<ReplicaName>,
+) -> Result<Start, Refusal> {
+    let mut refusal = None;
+    if !relay::should_relay(node, routed, req) {
+        match first_attempt(node, routed, req, attempts, avoid).await {
+            Ok(started) => return Ok(Start::Here(started)),
+            Err(r) if !relay::may_relay(req, attempts, &r) => return Err(r),
+            Err(r) => refusal = Some(r),
+        }
+    }
+    match (relay::relay(node, routed, req).await, refusal) {
+        (Relayed::Served(answer), _) => Ok(Start::Relayed(answer)),
+        (Relayed::Refused(refusal), _) | (Relayed::NotTaken, Some(refusal)) => Err(refusal),
+        (Relayed::NotTaken, None) => {
+            let started = first_attempt(node, routed, req, attempts, avoid).await;
+            started.map(Start::Here)
+        }
+    }
+}
+
 /// Makes the first attempt, and retries until a response starts.
 async fn first_attempt(
     node: &Rc<Node>,
