--- a/lib/tests/test_serving_ownership.rs
+++ b/lib/tests/test_serving_ownership.rs
@@ -450,6 +450,20 @@
     assert!(moved > schedules().count() / 4, "{moved} moved");
 }
 
+/// Without any other fault, the replica of an owner that reaches none goes to another VM.
+#[test]
+fn replica_of_owner_without_replicas_moves() {
+    let guards = Guards {
+        lease: true,
+        echoes: true,
+        members: 3,
+    };
+    let mut world = World::new(3, guards);
+    world.without_replicas = Some((0, 3_000, 9_000));
+    assert_eq!(world.play(&[]), None);
+    assert!(world.orders.iter().any(|(_, vm, _)| *vm != 0));
+}
+
 /// Without a guard the search finds orders from two VMs.
 #[rstest]
 #[case::no_lease(Guards { lease: false, echoes: true, members: 3 })]
