serving: log lines of broken runs name the replica and the request

A report of replicas that crash one after the other could not be told apart by the log: 'response broke off' never had a replica, since the run was dropped before, and nothing said which request a broken run belonged to. 'run broken by its replica' has the request's hash and the replica, serve_broken_runs_total counts them.

--- a/lib/src/serving/path/forward.rs
+++ b/lib/src/serving/path/forward.rs
@@ -403,6 +403,10 @@
         .state()
         .crash_tracker
         .record(now(), req.fingerprint, replica);
+    slog::info!(node.log, "run broken by its replica"; "id" => &req.id,
+        "replica" => replica.name.as_str(), "born" => replica.started_ms,
+        "request" => format!("{:016x}", req.fingerprint.0), "new" => is_new);
+    metrics::counter!("serve_broken_runs_total").increment(1);
     if is_new {
         node.beacon_wake.notify_one();
     }
--- a/lib/src/serving/path/response.rs
+++ b/lib/src/serving/path/response.rs
@@ -137,14 +137,15 @@
             let chunk = tokio::time::timeout_at(wake_at, started.answer.next_chunk()).await;
             let ended = match chunk {
                 Err(_) if now() >= self.request.deadline => {
-                    self.log_broken("overdue");
+                    let replica = self.response.take().map(|r| r.run.replica.clone());
+                    self.log_broken("overdue", replica.as_ref());
                     count_outcome("broken_off");
-                    self.response = None;
                     return Some(Err(ResponseAborted("deadline exceeded")));
                 }
                 Err(_) if !self.should_move() => continue,
                 Err(_) => {
-                    self.log_broken("silent");
+                    let replica = self.response.as_ref().map(|r| &r.run.replica);
+                    self.log_broken("silent", replica);
                     AttemptFailure::Broken
                 }
                 Ok(Some(Ok(bytes))) => match self.accept_data(bytes) {
@@ -269,9 +270,9 @@
         record_strike(&self.node, &self.request, &started.run.instance());
         self.avoid.insert(started.run.replica.clone());
         let urgency = started.run.urgency;
+        self.log_broken(ended.as_str(), Some(&started.run.replica));
         // This closes the connection, which makes the replica cancel the run.
         drop(started);
-        self.log_broken(ended.as_str());
         let Some(events) = &mut self.events else {
             count_outcome("broken_off");
             return Err(ResponseAborted(
@@ -350,11 +351,11 @@
     }
 
     /// Logs a response that broke off or was overdue.
-    fn log_broken(&self, reason: &'static str) {
+    fn log_broken(&self, reason: &'static str, replica: Option<&ReplicaName>) {
         let last = self.events.as_ref().and_then(|e| e.last_id);
-        let replica = self.response.as_ref().map(|r| r.run.replica.to_string());
         slog::info!(self.node.log, "response broke off"; "id" => &self.request.id, "why" => reason,
-            "last" => last, "replica" => replica, "route" => &self.routed.route.name);
+            "last" => last, "replica" => replica.map(ReplicaName::as_str),
+            "route" => &self.routed.route.name);
     }
 }
 
