--- a/lib/src/serving/cluster/state.rs
+++ b/lib/src/serving/cluster/state.rs
@@ -30,6 +30,7 @@
 use crate::serving::decisions::access::KeyBounds;
 use crate::serving::decisions::adapter_planner::AdapterPlanner;
 use crate::serving::decisions::crash_tracker::CrashTracker;
+use crate::serving::decisions::crash_tracker::Feature;
 use crate::serving::decisions::fleet::Fleet;
 use crate::serving::decisions::fleet::Load;
 use crate::serving::decisions::prefill_turns::PrefillTurns;
@@ -433,6 +434,28 @@
         }
     }
 
+    /// Returns the blocked feature for which a request is refused now.
+    pub(in crate::serving) fn find_block(
+        &mut self,
+        now: Moment,
+        features: &[Feature],
+    ) -> Option<Feature> {
+        let members = &self.members;
+        let may_try = |feature: Feature| members.rank(now, feature.number()) == 0;
+        self.crash_tracker.find_block(now, features, may_try)
+    }
+
+    /// The same for a request that is sent to a replica right after this call.
+    pub(in crate::serving) fn begin_blocked_send(
+        &mut self,
+        now: Moment,
+        features: &[Feature],
+    ) -> Option<Feature> {
+        let members = &self.members;
+        let may_try = |feature: Feature| members.rank(now, feature.number()) == 0;
+        self.crash_tracker.begin_send(now, features, may_try)
+    }
+
     /// Returns the retry budget for the number of VMs that is known now.
     pub(in crate::serving) fn retry_budget(&mut self, now: Moment) -> &mut RetryBudget {
         if let Some(vms) = self.members.listed_count() {
--- /dev/null
+++ b/lib/src/serving/decisions/crash_tracker/mod.rs
@@ -0,0 +1,548 @@
+//! Finds out what requests have in common that crash the replicas that run them.
+//!
+//! A replica that crashes breaks off all its runs, and any of their requests may be the cause.
+//! What speaks against a [`Feature`] of requests is that replicas crash in succession, each on a
+//! run with it that began after the crash before, while no such run comes to its end. A feature
+//! that is found out is blocked: requests that hold it are refused at all VMs.
+//!
+//! Common features are in most batches and soon cleared by runs that are complete. A rare one
+//! shares batches with the cause by chance, and is measured by the crashes that are left when
+//! those that hold the cause are taken off.
+
+mod blocks;
+mod evidence;
+mod feature;
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::VecDeque;
+
+use blocks::Blocks;
+use evidence::Crash;
+use evidence::MAX_RUNS;
+use evidence::OpenCrash;
+use evidence::Suspect;
+use evidence::find_suspects;
+
+use crate::ids::VmName;
+use crate::pool::Moment;
+use crate::pool::Span;
+use crate::serving::path::types::Instance;
+
+pub use blocks::BLOCK_TTL;
+pub use evidence::BrokenRun;
+pub use feature::BadFeature;
+pub use feature::Feature;
+
+/// Successive crashes after which a feature is blocked, if no run with it was complete lately.
+const MIN_CRASHES: usize = 3;
+
+/// Successive crashes after which a feature is blocked that runs were complete with lately, or
+/// that the evidence does not tell from another one.
+const MANY_CRASHES: usize = 5;
+
+/// Crashes after which a request that broke a run is not sent again.
+const DOUBTFUL_CRASHES: usize = 2;
+
+/// Different requests that must have crashed replicas before a part of their prompts is
+/// suspected rather than the request.
+const MIN_REQUESTS: usize = 2;
+
+/// How long crashes and complete runs are remembered.
+const MEMORY: Span = Span::from_millis(600_000);
+
+/// How long a crash, a complete run or a request that was refused is repeated in beacons, to
+/// make up for lost datagrams.
+const REPORT_TTL: Span = Span::from_millis(5_000);
+
+/// Maximum number of crashes that are remembered; the oldest yields.
+const MAX_CRASHES: usize = 256;
+
+/// Maximum number of features of which it is remembered that a run was complete.
+const MAX_COMPLETED: usize = 8_192;
+
+/// Complete runs of this VM that may show that requests without a feature are served.
+const MAX_RECENT: usize = 16;
+
+/// Maximum number of entries of each kind in a report, as a beacon must fit in a datagram.
+const MAX_REPORTED: usize = 64;
+
+/// A feature that was found out.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Conviction {
+    /// The feature.
+    pub feature: Feature,
+    /// Crashes of replicas that ran a request with it.
+    pub crashes: usize,
+    /// How many of them came in succession.
+    pub successive: usize,
+    /// Different requests among the broken runs.
+    pub requests: usize,
+    /// Time between the first and the last of these crashes.
+    pub span: Span,
+}
+
+/// What one VM tells the others.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct CrashReport {
+    /// Replicas that crashed, when, and the runs of this VM that broke off there.
+    pub crashes: Vec<(Instance, Moment, Vec<BrokenRun>)>,
+    /// Replicas that were taken for crashed and have been heard from since, and when.
+    pub alive: Vec<(Instance, Moment)>,
+    /// Features of which it matters that a run was complete, and when the last one was.
+    pub completed: Vec<(Feature, Moment)>,
+    /// Blocked features that other VMs may not know of: since when, and when a request was last
+    /// refused for them.
+    pub blocks: Vec<(Feature, Moment, Moment)>,
+}
+
+impl CrashReport {
+    /// Returns whether there is nothing to tell.
+    pub fn is_empty(&self) -> bool {
+        *self == Self::default()
+    }
+}
+
+/// What one VM knows of crashed replicas, and which features are blocked.
+///
+/// ```
+/// use banyangauge::ids::Fingerprint;
+/// use banyangauge::pool::{Moment, Span};
+/// use banyangauge::serving::{BrokenRun, CrashTracker, Feature, Instance};
+/// let mut tracker = CrashTracker::default();
+/// let part = Feature::PromptPart(0xbad);
+/// for n in 0..3_u64 {
+///     let name = format!("i-{n}").parse().unwrap();
+///     let replica = Instance { name, started_ms: 0 };
+///     let sent = Moment(n * 1_000_000);
+///     let features = Feature::of_request(Fingerprint(n), &[0xbad]);
+///     tracker.accuse(sent.after(Span::from_millis(70)), &replica, BrokenRun { sent, features });
+/// }
+/// let now = Moment(4_000_000);
+/// assert_eq!(tracker.convict(now, Span::from_millis(1_000))[0].feature, part);
+/// let request = Feature::of_request(Fingerprint(9), &[0xbad]);
+/// assert_eq!(tracker.find_block(now, &request, |_| false), Some(part));
+/// ```
+#[derive(Debug, Default)]
+pub struct CrashTracker {
+    crashes: BTreeMap<Instance, Crash>,
+    /// Replicas that were taken for crashed and have been heard from since, and when.
+    alive: BTreeMap<Instance, Moment>,
+    /// When a run with a feature was last complete, at any VM.
+    completed: BTreeMap<Feature, Moment>,
+    /// The last complete runs of this VM that have parts in their prompts.
+    recent: VecDeque<(Moment, Vec<Feature>)>,
+    blocks: Blocks,
+    /// Features whose blocks ended, to be removed from the store.
+    lifted: BTreeSet<Feature>,
+    /// When blocks ended because a run was complete, for the other VMs.
+    refuted: BTreeMap<Feature, Moment>,
+}
+
+impl CrashTracker {
+    /// Records that a run broke off, and that its replica may have crashed. Returns whether that
+    /// was not known of this replica.
+    pub fn accuse(&mut self, now: Moment, replica: &Instance, run: BrokenRun) -> bool {
+        let is_new = !self.crashes.contains_key(replica);
+        let Some(crash) = self.crash(now, now, replica) else {
+            return false;
+        };
+        // The replica was down when this run was sent.
+        if run.sent > crash.at {
+            return is_new;
+        }
+        if crash.local.len() < MAX_RUNS {
+            crash.local.push(run.clone());
+        }
+        let at = crash.at;
+        self.record_trial(&run, at);
+        is_new
+    }
+
+    /// Records what another VM tells of a replica that crashed at `at`.
+    pub fn learn(
+        &mut self,
+        now: Moment,
+        vm: &VmName,
+        replica: &Instance,
+        at: Moment,
+        mut runs: Vec<BrokenRun>,
+    ) {
+        runs.truncate(MAX_RUNS);
+        let Some(crash) = self.crash(now, at, replica) else {
+            return;
+        };
+        crash.at = crash.at.min(at);
+        let at = crash.at;
+        crash.remote.insert(vm.clone(), runs.clone());
+        runs.iter().for_each(|run| self.record_trial(run, at));
+    }
+
+    /// Returns the record of a replica that crashed at `at`, or `None` if it has been heard from
+    /// since.
+    fn crash(&mut self, now: Moment, at: Moment, replica: &Instance) -> Option<&mut Crash> {
+        if self.alive.get(replica).is_some_and(|heard| *heard >= at) {
+            return None;
+        }
+        if !self.crashes.contains_key(replica) {
+            self.crashes.retain(|_, c| now.since(c.at) < MEMORY);
+            if self.crashes.len() >= MAX_CRASHES {
+                let oldest = self.crashes.iter().min_by_key(|(_, c)| c.at);
+                if let Some(oldest) = oldest.map(|(replica, _)| replica.clone()) {
+                    self.crashes.remove(&oldest);
+                }
+            }
+        }
+        let crash = self.crashes.entry(replica.clone());
+        Some(crash.or_insert_with(|| Crash::new(at, now)))
+    }
+
+    /// Counts a crash against the blocked features of a run.
+    fn record_trial(&mut self, run: &BrokenRun, at: Moment) {
+        for feature in &run.features {
+            if let Some(block) = self.blocks.get_mut(*feature) {
+                block.record_crash(run.sent, at);
+            }
+        }
+    }
+
+    /// Records that a replica was heard from, by a run that was sent at `sent`. What was sent
+    /// after its crash became known shows that it did not crash. Returns whether it was taken
+    /// for crashed.
+    pub fn record_heard(&mut self, now: Moment, replica: &Instance, sent: Moment) -> bool {
+        let crash = self.crashes.get(replica);
+        let refuted = crash.is_some_and(|crash| sent > crash.learnt);
+        if refuted {
+            self.record_alive(replica, now);
+        }
+        refuted
+    }
+
+    /// Records that a replica was alive at `at`, as this VM or another one found.
+    pub fn record_alive(&mut self, replica: &Instance, at: Moment) {
+        if self.crashes.get(replica).is_some_and(|c| c.at <= at) {
+            self.crashes.remove(replica);
+        }
+        self.alive.retain(|_, heard| at.since(*heard) < MEMORY);
+        if self.alive.len() < MAX_CRASHES || self.alive.contains_key(replica) {
+            let heard = self.alive.entry(replica.clone()).or_insert(at);
+            *heard = at.max(*heard);
+        }
+    }
+
+    /// Records that a run of a request with these features was complete, which shows that they
+    /// crash no replica. Returns those that were blocked.
+    pub fn complete(&mut self, now: Moment, features: &[Feature]) -> Vec<Feature> {
+        let has_parts = features.iter().any(|f| f.is_part());
+        if has_parts {
+            self.recent.push_back((now, features.to_vec()));
+            if self.recent.len() > MAX_RECENT {
+                self.recent.pop_front();
+            }
+        }
+        let mut lifted = Vec::new();
+        for feature in features {
+            // A request that is not sent again would only take up room.
+            if feature.is_part() || self.concerns(*feature) {
+                lifted.extend(self.learn_completion(now, *feature).then_some(*feature));
+            }
+        }
+        lifted
+    }
+
+    /// Returns whether anything speaks against a feature.
+    fn concerns(&self, feature: Feature) -> bool {
+        let mut runs = self.crashes.values().flat_map(Crash::runs);
+        self.blocks.contains(feature) || runs.any(|run| run.features.contains(&feature))
+    }
+
+    /// Records that a run with a feature was complete at `at`, at any VM. Returns whether the
+    /// feature was blocked.
+    pub fn learn_completion(&mut self, at: Moment, feature: Feature) -> bool {
+        let mut keep = MEMORY;
+        while self.completed.len() >= MAX_COMPLETED {
+            self.completed.retain(|_, last| at.since(*last) < keep);
+            keep = Span(keep.0 / 2);
+        }
+        let last = self.completed.entry(feature).or_insert(at);
+        *last = at.max(*last);
+        if self.blocks.get(feature).is_none_or(|b| b.since > at) {
+            return false;
+        }
+        self.refuted.retain(|_, last| at.since(*last) < REPORT_TTL);
+        self.refuted.insert(feature, at);
+        self.end_block(feature)
+    }
+
+    /// Ends the block of a feature because an operator says so.
+    pub fn lift(&mut self, now: Moment, feature: Feature) -> bool {
+        let lifted = self.learn_completion(now, feature);
+        self.lifted.remove(&feature);
+        lifted
+    }
+
+    fn end_block(&mut self, feature: Feature) -> bool {
+        let block = self.blocks.remove(feature);
+        if block.is_some_and(|b| b.stored) {
+            self.lifted.insert(feature);
+        }
+        block.is_some()
+    }
+
+    /// Returns whether a run with a feature was complete after `at`.
+    fn is_cleared(&self, feature: Feature, at: Moment) -> bool {
+        self.completed.get(&feature).is_some_and(|last| *last >= at)
+    }
+
+    /// Returns the crashes in the order of their times that were learnt of at `until` at the
+    /// latest and are not explained by what is blocked.
+    fn open_crashes(&self, now: Moment, until: Moment) -> Vec<OpenCrash<'_>> {
+        let recent = |c: &&Crash| now.since(c.at) < MEMORY && c.learnt <= until;
+        let crashes = self.crashes.values().filter(recent);
+        let is_blocked = |feature| self.blocks.contains(feature);
+        let open = crashes.filter_map(|c| OpenCrash::new(c, is_blocked));
+        let mut open: Vec<_> = open.collect();
+        open.sort_by_key(|open| open.crash.at);
+        open
+    }
+
+    /// Blocks the features that crash replicas, and returns them. A crash counts once it has
+    /// been known for `settle`: by then the other VMs have told of their runs, and which
+    /// features are cleared.
+    pub fn convict(&mut self, now: Moment, settle: Span) -> Vec<Conviction> {
+        let mut convictions = Vec::new();
+        let until = Moment(now.0.saturating_sub(settle.0));
+        loop {
+            let found = self.find_cause(now, until);
+            if found.is_empty() {
+                return convictions;
+            }
+            for (feature, suspect) in found {
+                self.blocks.add(now, now, feature);
+                let (first, last) = suspect.span.unwrap_or((now, now));
+                convictions.push(Conviction {
+                    feature,
+                    crashes: suspect.crashes.len(),
+                    successive: suspect.successive,
+                    requests: suspect.requests.len(),
+                    span: last.since(first),
+                });
+            }
+        }
+    }
+
+    /// Returns the features that are most likely the cause of crashes; none if none is certain
+    /// enough.
+    fn find_cause(&self, now: Moment, until: Moment) -> Vec<(Feature, Suspect)> {
+        let crashes = self.open_crashes(now, until);
+        let suspects = find_suspects(&crashes, |feature, at| self.is_cleared(feature, at));
+        let is_candidate = |(feature, s): &(Feature, Suspect)| {
+            !self.blocks.contains(*feature) && self.is_certain(now, *feature, s)
+        };
+        let mut candidates: Vec<_> = suspects.into_iter().filter(is_candidate).collect();
+        let key = |(feature, s): &(Feature, Suspect)| {
+            (!self.is_known(now, *feature), s.successive, s.crashes.len())
+        };
+        let Some(best) = candidates.iter().map(&key).max() else {
+            return Vec::new();
+        };
+        candidates.retain(|candidate| key(candidate) == best);
+        let all = candidates.clone();
+        candidates.retain(|(_, s)| !all.iter().any(|(_, other)| s.is_wider(other)));
+        let all = candidates.clone();
+        candidates.retain(|(_, s)| {
+            best.1 >= MANY_CRASHES || !all.iter().any(|(_, other)| s.is_rival(other))
+        });
+        candidates
+    }
+
+    /// Returns whether a run with a feature was complete lately.
+    fn is_known(&self, now: Moment, feature: Feature) -> bool {
+        let last = self.completed.get(&feature);
+        last.is_some_and(|last| now.since(*last) < MEMORY)
+    }
+
+    /// Returns whether there is enough to block a feature.
+    fn is_certain(&self, now: Moment, feature: Feature, suspect: &Suspect) -> bool {
+        if feature.is_part() && suspect.requests.len() < MIN_REQUESTS {
+            return false;
+        }
+        if !self.is_known(now, feature) {
+            return suspect.successive >= MIN_CRASHES;
+        }
+        // Where no request is served at all, the fault is not that of a feature.
+        let first = suspect.span.map_or(now, |(first, _)| first);
+        let others_served = self
+            .recent
+            .iter()
+            .any(|(at, features)| *at >= first && !features.contains(&feature));
+        suspect.successive >= MANY_CRASHES && others_served
+    }
+
+    /// Returns whether a request is suspected enough not to be sent again after a broken run:
+    /// each attempt may cost another replica and all that it runs.
+    pub fn is_doubtful(&self, now: Moment, features: &[Feature]) -> bool {
+        let crashes = self.open_crashes(now, now);
+        if crashes.len() < DOUBTFUL_CRASHES {
+            return false;
+        }
+        let suspects = find_suspects(&crashes, |feature, at| self.is_cleared(feature, at));
+        features.iter().any(|feature| {
+            let suspect = suspects.get(feature);
+            let enough = suspect.is_some_and(|s| s.successive >= DOUBTFUL_CRASHES);
+            enough && !self.is_known(now, *feature)
+        })
+    }
+
+    /// Returns the blocked feature for which a request is refused now. Once a trial is due, one
+    /// request is let through by the VM for which `may_try` holds.
+    pub fn find_block(
+        &mut self,
+        now: Moment,
+        features: &[Feature],
+        may_try: impl Fn(Feature) -> bool,
+    ) -> Option<Feature> {
+        let mut found = None;
+        for feature in features {
+            let Some(block) = self.blocks.get_mut(*feature) else {
+                continue;
+            };
+            block.last_hit = now;
+            if !block.is_trial_due(now) || !may_try(*feature) {
+                found = Some(*feature);
+            }
+        }
+        found
+    }
+
+    /// The same for a request that is sent right after this call; returns the feature for which
+    /// it is refused.
+    pub fn begin_send(
+        &mut self,
+        now: Moment,
+        features: &[Feature],
+        may_try: impl Fn(Feature) -> bool,
+    ) -> Option<Feature> {
+        let blocked = self.find_block(now, features, may_try);
+        if blocked.is_none() {
+            for feature in features {
+                if let Some(block) = self.blocks.get_mut(*feature) {
+                    block.begin_trial(now);
+                }
+            }
+        }
+        blocked
+    }
+
+    /// Returns whether crashes are known that do not count yet, but will.
+    pub fn is_unsettled(&self, now: Moment, settle: Span) -> bool {
+        let mut crashes = self.crashes.values();
+        crashes.any(|c| now.since(c.learnt) <= settle)
+    }
+
+    /// Records a block that another VM tells of, or the store.
+    pub fn learn_block(&mut self, since: Moment, last_hit: Moment, feature: Feature) -> bool {
+        !self.is_cleared(feature, since) && self.blocks.add(since, last_hit, feature)
+    }
+
+    /// Returns the blocked features that the store is not known to have, and since when they
+    /// are blocked.
+    pub fn unstored(&self) -> impl Iterator<Item = (Feature, Moment)> {
+        let unstored = self.blocks.iter().filter(|(_, b)| !b.stored);
+        unstored.map(|(feature, block)| (feature, block.since))
+    }
+
+    /// Records whether the store has the block of a feature.
+    pub fn set_stored(&mut self, feature: Feature, stored: bool) {
+        if let Some(block) = self.blocks.get_mut(feature) {
+            block.stored = stored;
+        }
+    }
+
+    /// Ends the blocks that no request has needed for `BLOCK_TTL`, and takes those that are to
+    /// be removed from the store.
+    pub fn take_lifted(&mut self, now: Moment) -> Vec<Feature> {
+        let expired = self.blocks.expire(now);
+        self.lifted.extend(expired);
+        std::mem::take(&mut self.lifted).into_iter().collect()
+    }
+
+    /// Returns how many features are blocked.
+    pub fn block_count(&self) -> usize {
+        self.blocks.iter().count()
+    }
+
+    /// Returns what the other VMs are told now.
+    pub fn report(&self, now: Moment) -> CrashReport {
+        let is_recent = |at: Moment| now.since(at) < REPORT_TTL;
+        let mut report = CrashReport::default();
+        let mut newest: Vec<_> = self.crashes.iter().collect();
+        newest.sort_by_key(|(_, crash)| std::cmp::Reverse(crash.at));
+        let mut room = MAX_REPORTED;
+        for (replica, crash) in &newest {
+            if !is_recent(crash.learnt) || crash.local.is_empty() || room == 0 {
+                continue;
+            }
+            let runs = self.accused_runs(crash, room);
+            room = room.saturating_sub(runs.len().max(1));
+            report.crashes.push(((*replica).clone(), crash.at, runs));
+        }
+        let alive = self.alive.iter().filter(|(_, at)| is_recent(**at));
+        let alive = alive.map(|(replica, at)| (replica.clone(), *at));
+        report.alive = alive.take(MAX_REPORTED).collect();
+        report.completed = self.wanted_completions(now);
+        let told = self.blocks.iter();
+        let told = told.filter(|(_, b)| !b.stored || is_recent(b.last_hit));
+        let told = told.map(|(feature, b)| (feature, b.since, b.last_hit));
+        report.blocks = told.take(MAX_REPORTED).collect();
+        report
+    }
+
+    /// Returns the broken runs of this VM at a crashed replica, without the features that have
+    /// been cleared; those that hold blocked or suspected features come first.
+    fn accused_runs(&self, crash: &Crash, most: usize) -> Vec<BrokenRun> {
+        let accused = crash.local.iter().map(|run| {
+            let left = run.features.iter().copied();
+            let left = left.filter(|f| !self.is_cleared(*f, crash.at));
+            BrokenRun {
+                sent: run.sent,
+                features: left.collect(),
+            }
+        });
+        let mut runs: Vec<_> = accused.filter(|run| !run.features.is_empty()).collect();
+        let parts = |run: &BrokenRun| run.features.iter().filter(|f| f.is_part()).count();
+        runs.sort_by_key(|run| std::cmp::Reverse(parts(run)));
+        runs.truncate(most);
+        runs
+    }
+
+    /// Returns the features that stand accused of several crashes, or were blocked, of which this
+    /// VM knows that a run was complete.
+    fn wanted_completions(&self, now: Moment) -> Vec<(Feature, Moment)> {
+        let refuted = self.refuted.iter().map(|(feature, at)| (*feature, *at));
+        let mut wanted: Vec<_> = refuted
+            .filter(|(_, at)| now.since(*at) < REPORT_TTL)
+            .collect();
+        let learnt = self.crashes.values().map(|c| c.learnt).max();
+        if learnt.is_none_or(|learnt| now.since(learnt) >= REPORT_TTL) {
+            return wanted;
+        }
+        let mut accusations: BTreeMap<Feature, usize> = BTreeMap::new();
+        for crash in self.crashes.values() {
+            let features = crash.runs().flat_map(|run| &run.features);
+            let features: BTreeSet<_> = features.filter(|f| f.is_part()).collect();
+            for feature in features {
+                *accusations.entry(*feature).or_default() += 1;
+            }
+        }
+        let accused = accusations.into_iter().filter(|(_, count)| *count > 1);
+        let mut known: Vec<_> = accused
+            .filter_map(|(feature, count)| Some((count, feature, *self.completed.get(&feature)?)))
+            .filter(|(_, _, at)| now.since(*at) < MEMORY)
+            .collect();
+        known.sort_by_key(|(count, ..)| std::cmp::Reverse(*count));
+        wanted.extend(known.into_iter().map(|(_, feature, at)| (feature, at)));
+        wanted.truncate(MAX_REPORTED);
+        wanted
+    }
+}
--- a/lib/src/serving/decisions/retry.rs
+++ b/lib/src/serving/decisions/retry.rs
@@ -20,6 +20,13 @@
 /// until a watch is renewed or a replica is listed.
 pub const RETRY_DELAY: Duration = Duration::from_millis(500);
 
+/// `Retry-After` for a request that is blocked because replicas crash on requests like it: a
+/// block does not end by itself while such requests come.
+pub const BLOCKED_RETRY_AFTER: Duration = Duration::from_secs(3_600);
+
+/// Reason code of such a request.
+pub const CRASHES_UPSTREAMS: &str = "crashes_upstreams";
+
 /// Reason why an attempt gave no response to pass on.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum AttemptFailure {
@@ -39,6 +46,8 @@
     Withheld(WithheldReason),
     /// Not sent: the API key was revoked, or may have been.
     Denied(Denial),
+    /// Not sent: replicas crash on requests like this one.
+    Blocked,
 }
 
 impl AttemptFailure {
@@ -46,14 +55,17 @@
     pub fn may_have_run(self) -> bool {
         !matches!(
             self,
-            Self::NotSent | Self::NotRun(_) | Self::Withheld(_) | Self::Denied(_)
+            Self::NotSent | Self::NotRun(_) | Self::Withheld(_) | Self::Denied(_) | Self::Blocked
         )
     }
 
     /// Returns whether the replica received the request, so that another send
     /// counts as a retry.
     pub fn reached_replica(self) -> bool {
-        !matches!(self, Self::NotSent | Self::Withheld(_) | Self::Denied(_))
+        !matches!(
+            self,
+            Self::NotSent | Self::Withheld(_) | Self::Denied(_) | Self::Blocked
+        )
     }
 
     /// Name used in logs, metrics and error replies. Operators and metrics read these
@@ -70,6 +82,7 @@
             Self::TimedOut => "overdue",
             Self::Withheld(reason) => reason.as_str(),
             Self::Denied(denial) => denial.as_str(),
+            Self::Blocked => CRASHES_UPSTREAMS,
         }
     }
 }
@@ -129,7 +142,7 @@
         let allowed = self.idempotent || self.runs == 0;
         allowed
             && failure != AttemptFailure::TimedOut
-            && !matches!(failure, AttemptFailure::Denied(_))
+            && !matches!(failure, AttemptFailure::Denied(_) | AttemptFailure::Blocked)
             && self.sends < MAX_SENDS
             && self.runs < self.max_runs.max(1)
     }
@@ -188,6 +201,9 @@
         if let (0, AttemptFailure::Denied(denial)) = (attempts.runs, failure) {
             return Self::of_denial(denial);
         }
+        if attempts.runs == 0 && failure == AttemptFailure::Blocked {
+            return Self::not_run(reason, BLOCKED_RETRY_AFTER);
+        }
         if attempts.runs == 0 && !failure.may_have_run() {
             return Self::not_run(reason, RETRY_DELAY);
         }
--- a/lib/src/serving/mod.rs
+++ b/lib/src/serving/mod.rs
@@ -3,7 +3,7 @@
 //! | folder | contents |
 //! |---|---|
 //! | `path` | the path of a request, starting at `path/serve.rs` |
-//! | `decisions` | decisions without I/O: [`Fleet`] (where a request runs), [`retry`] (what follows a failed attempt), [`RetryBudget`] (how many retries are allowed), [`AdapterPlanner`] (what a replica loads next), [`CrashTracker`] (which request crashes its upstream), [`access`] (who the caller is), [`quota`] (whether its organisation may use more) |
+//! | `decisions` | decisions without I/O: [`Fleet`] (where a request runs), [`retry`] (what follows a failed attempt), [`RetryBudget`] (how many retries are allowed), [`AdapterPlanner`] (what a replica loads next), [`CrashTracker`] (which requests crash their replicas), [`access`] (who the caller is), [`quota`] (whether its organisation may use more) |
 //! | `cluster` | what the VM knows: [`Feed`] (of the stored objects), [`Members`] (of the VMs), [`Ownership`] (of who may give orders to which replica) |
 //! | `peers` | messages between VMs |
 //! | `store` | the interface of the store, and the tasks that follow it |
@@ -50,7 +50,13 @@
 pub use decisions::adapter_planner::PendingLoad;
 pub use decisions::adapter_planner::ReplicaAction;
 pub use decisions::adapter_planner::ReplicaReport;
+pub use decisions::crash_tracker::BLOCK_TTL;
+pub use decisions::crash_tracker::BadFeature;
+pub use decisions::crash_tracker::BrokenRun;
+pub use decisions::crash_tracker::Conviction;
+pub use decisions::crash_tracker::CrashReport;
 pub use decisions::crash_tracker::CrashTracker;
+pub use decisions::crash_tracker::Feature;
 pub use decisions::fetch_limiter::FetchLimiter;
 pub use decisions::fetch_limiter::LoadDurations;
 pub use decisions::fleet::*;
--- a/lib/src/serving/path/forward.rs
+++ b/lib/src/serving/path/forward.rs
@@ -21,6 +21,7 @@
 use crate::ids::OrganisationName;
 use crate::ids::ReplicaName;
 use crate::pool::Moment;
+use crate::serving::decisions::crash_tracker::Feature;
 use crate::serving::decisions::fleet::Load;
 use crate::serving::decisions::fleet::Observation;
 use crate::serving::decisions::fleet::PromptQueue;
@@ -31,7 +32,10 @@
 use crate::serving::decisions::urgency::urgency_when_sent;
 use crate::serving::path::charge::Charge;
 use crate::serving::path::codec::ForwardHeaders;
+use crate::serving::path::codec::NotRun;
 use crate::serving::path::codec::ReplicaReply;
+use crate::serving::path::crashes::check_send;
+use crate::serving::path::crashes::record_break;
 use crate::serving::path::limit;
 use crate::serving::path::placement::Placed;
 use crate::serving::path::prefill::PrefillTurn;
@@ -65,6 +69,8 @@
     pub(in crate::serving) cost: Load,
     pub(in crate::serving) shared_prefix: Option<SharedPrefix>,
     pub(in crate::serving) fingerprint: Fingerprint,
+    /// What it may have in common with other requests that crash replicas.
+    pub(in crate::serving) features: Vec<Feature>,
     /// The organisation and API key that it is admitted under.
     pub(in crate::serving) caller: Caller,
     /// The priorities of its organisation and route.
@@ -104,6 +110,8 @@
     target: Option<Target>,
     cost: Load,
     id: u64,
+    /// When the request was sent to the replica.
+    pub(in crate::serving) sent_at: Moment,
     responded: bool,
     /// The urgency that the replica was told.
     pub(in crate::serving) urgency: Option<u8>,
@@ -130,6 +138,7 @@
             target: req.target.clone(),
             cost: req.cost,
             id,
+            sent_at: now(),
             responded: false,
             urgency: None,
             prefill_turn: None,
@@ -289,6 +298,8 @@
     if resume_after.is_none() {
         check_key(node, req)?;
     }
+    check_send(node, req)?;
+    run.sent_at = now();
     let sent = req
         .urgency
         .map(|u| urgency_when_sent(u, now(), req.objective));
@@ -320,7 +331,7 @@
         Ok(Err(SendError::Broken(_))) => {
             run.record_end(RunOutcome::Broken);
             probes::record_unreached(node, replica);
-            record_strike(node, req, &run.instance());
+            record_break(node, req, &run);
             return Err(AttemptFailure::Broken);
         }
         Ok(Ok(answer)) => answer,
@@ -334,6 +345,14 @@
     apply_statement(node, call, answer.head.status, &answer.head.headers);
     let classify = node.codec.classify_response;
     let reply = classify(answer.head.status, &answer.head.headers, &req.id, replica);
+    if !matches!(
+        reply,
+        ReplicaReply::Invalid(_) | ReplicaReply::NotRun(NotRun::Gone)
+    ) {
+        let mut state = node.state();
+        let tracker = &mut state.crash_tracker;
+        tracker.record_heard(now(), &instance, run.sent_at);
+    }
     if matches!(reply, ReplicaReply::Answer | ReplicaReply::Failed) {
         node.state().fleet.record_accepted(now(), replica);
     }
@@ -377,13 +396,7 @@
 }
 
 /// Records that a replica did not run the request, and why.
-fn record_refusal(
-    node: &Node,
-    req: &BufferedRequest,
-    run: &Run,
-    reason: crate::serving::path::codec::NotRun,
-) {
-    use crate::serving::path::codec::NotRun;
+fn record_refusal(node: &Node, req: &BufferedRequest, run: &Run, reason: NotRun) {
     match reason {
         NotRun::Gone => run.record_end(RunOutcome::Gone),
         NotRun::Full => run.record_end(RunOutcome::Full),
@@ -396,22 +409,6 @@
     }
 }
 
-/// Records that an upstream failed while it ran this request. If the other VMs do not know
-/// that yet, the next beacon is sent at once.
-pub(in crate::serving) fn record_strike(node: &Node, req: &BufferedRequest, replica: &Instance) {
-    let is_new = node
-        .state()
-        .crash_tracker
-        .record(now(), req.fingerprint, replica);
-    slog::info!(node.log, "run broken by its replica"; "id" => &req.id,
-        "replica" => replica.name.as_str(), "born" => replica.started_ms,
-        "request" => format!("{:016x}", req.fingerprint.0), "new" => is_new);
-    metrics::counter!("serve_broken_runs_total").increment(1);
-    if is_new {
-        node.beacon_wake.notify_one();
-    }
-}
-
 /// Builds the request to a replica from the caller's request.
 fn build_request(
     node: &Node,
--- a/lib/src/serving/path/mod.rs
+++ b/lib/src/serving/path/mod.rs
@@ -5,6 +5,7 @@
 pub(super) mod choice;
 pub(super) mod codec;
 mod config_age;
+pub(super) mod crashes;
 pub(super) mod forward;
 pub(super) mod limit;
 pub(super) mod owner_check;
--- a/lib/src/serving/path/placement.rs
+++ b/lib/src/serving/path/placement.rs
@@ -19,6 +19,7 @@
 use crate::serving::decisions::waiting::WaitStep;
 use crate::serving::decisions::waiting::wait_reason;
 use crate::serving::path::choice::choose_replica;
+use crate::serving::path::crashes::check_blocked;
 use crate::serving::path::forward::BufferedRequest;
 use crate::serving::path::limit;
 use crate::serving::path::limit::SendPermit;
@@ -162,6 +163,7 @@
             if node.phase() != Phase::Serving {
                 self.limits.begin_stop(at);
             }
+            check_blocked(node, self.req)?;
             let (step, waits_for) = self.attempt(at);
             let gives_way = matches!(step, WaitStep::Send { .. }) && self.must_give_way(at);
             let (step, waits_for) = match gives_way {
--- a/lib/src/serving/path/relay.rs
+++ b/lib/src/serving/path/relay.rs
@@ -27,11 +27,13 @@
 
 use crate::ids::VmName;
 use crate::pool::Span;
+use crate::serving::decisions::crash_tracker::Feature;
 use crate::serving::decisions::retry::Attempts;
 use crate::serving::decisions::retry::RETRY_DELAY;
 use crate::serving::decisions::retry::Refusal;
 use crate::serving::path::builds;
 use crate::serving::path::charge::Charge;
+use crate::serving::path::crashes::check_blocked;
 use crate::serving::path::forward::BufferedRequest;
 use crate::serving::path::forward::Caller;
 use crate::serving::path::forward::check_key;
@@ -42,7 +44,6 @@
 use crate::serving::path::response::full_body;
 use crate::serving::path::routes::Routes;
 use crate::serving::path::serve::RoutedRequest;
-use crate::serving::path::serve::check_blocked;
 use crate::serving::path::serve::count_outcome;
 use crate::serving::path::serve::estimate_load;
 use crate::serving::path::serve::fingerprint;
@@ -404,9 +405,11 @@
     headers.remove(CONTENT_LENGTH);
     let urgency = active.urgencies.find(&routed.service, rank);
     let pieces: Vec<Bytes> = vec![body];
+    let fingerprint = fingerprint(&parts.uri, &pieces);
     let req = BufferedRequest {
         method: parts.method,
-        fingerprint: fingerprint(&parts.uri, &pieces),
+        fingerprint,
+        features: Feature::of_request(fingerprint, &info.prompt_parts),
         path: origin_form(&parts.uri),
         headers,
         cost: estimate_load(&active, &routed.service, &info),
--- a/lib/src/serving/path/response.rs
+++ b/lib/src/serving/path/response.rs
@@ -25,10 +25,11 @@
 use crate::serving::decisions::retry::Attempts;
 use crate::serving::path::builds;
 use crate::serving::path::choice::has_other_replica;
+use crate::serving::path::crashes::record_break;
+use crate::serving::path::crashes::record_complete;
 use crate::serving::path::forward::BufferedRequest;
 use crate::serving::path::forward::Resume;
 use crate::serving::path::forward::StartedResponse;
-use crate::serving::path::forward::record_strike;
 use crate::serving::path::serve::RoutedRequest;
 use crate::serving::path::serve::count_outcome;
 use crate::serving::path::serve::retry;
@@ -135,6 +136,9 @@
             let wake_at = self.wake_at();
             let started = self.response.as_mut()?;
             let chunk = tokio::time::timeout_at(wake_at, started.answer.next_chunk()).await;
+            if let (Ok(Some(Err(_))), Some(started)) = (&chunk, &self.response) {
+                record_break(&self.node, &self.request, &started.run);
+            }
             let ended = match chunk {
                 Err(_) if now() >= self.request.deadline => {
                     let replica = self.response.take().map(|r| r.run.replica.clone());
@@ -252,10 +256,11 @@
                 false => RunOutcome::Answered,
             };
             started.run.record_end(end);
-            let mut state = self.node.state();
-            state.crash_tracker.clear(self.request.fingerprint);
+            if started.answer.head.status.is_success() {
+                record_complete(&self.node, &self.request);
+            }
             if let Some(stream) = self.request.stream {
-                state.stream_builds.complete(stream);
+                self.node.state().stream_builds.complete(stream);
             }
         }
         Ok(rest)
@@ -267,7 +272,6 @@
             return Err(ResponseAborted("no response in progress"));
         };
         started.run.record_end(RunOutcome::Broken);
-        record_strike(&self.node, &self.request, &started.run.instance());
         self.avoid.insert(started.run.replica.clone());
         let urgency = started.run.urgency;
         self.log_broken(ended.as_str(), Some(&started.run.replica));
--- a/lib/src/serving/path/serve.rs
+++ b/lib/src/serving/path/serve.rs
@@ -29,6 +29,7 @@
 use crate::pool::Moment;
 use crate::pool::Span;
 use crate::serving::cluster::state::ActiveConfig;
+use crate::serving::decisions::crash_tracker::Feature;
 use crate::serving::decisions::fleet::Load;
 use crate::serving::decisions::fleet::RunOutcome;
 use crate::serving::decisions::retry::AttemptFailure;
@@ -39,6 +40,9 @@
 use crate::serving::path::charge;
 use crate::serving::path::codec::NotRun;
 use crate::serving::path::config_age;
+use crate::serving::path::crashes::check_blocked;
+use crate::serving::path::crashes::is_doubtful;
+use crate::serving::path::crashes::record_break;
 use crate::serving::path::forward::BufferedRequest;
 use crate::serving::path::forward::Caller;
 use crate::serving::path::forward::Resume;
@@ -57,7 +61,6 @@
 use crate::serving::path::response::stream_body;
 use crate::serving::path::routes::pick_service;
 use crate::serving::path::trace::RequestTrace;
-use crate::serving::path::types::Instance;
 use crate::serving::path::types::Organisation;
 use crate::serving::path::types::Rank;
 use crate::serving::path::types::RequestInfo;
@@ -86,9 +89,6 @@
 /// Interval at which a request checks for the first configuration.
 const CONFIG_POLL: Duration = Duration::from_millis(5);
 
-/// `Retry-After` for a request that is blocked because it crashes its upstreams.
-const BLOCKED_RETRY_AFTER: Duration = Duration::from_secs(30);
-
 /// Mean ratio of generated tokens to the maximum that the request allows.
 const MEAN_OUTPUT_RATIO: f64 = 0.6;
 
@@ -206,9 +206,11 @@
     let body = read_body(body, active.config.limits.body_bytes, deadline).await?;
     let mut headers = head.headers;
     strip_request_headers(&mut headers);
+    let fingerprint = fingerprint(&head.uri, &body);
     let req = BufferedRequest {
         method: head.method,
-        fingerprint: fingerprint(&head.uri, &body),
+        fingerprint,
+        features: Feature::of_request(fingerprint, &info.prompt_parts),
         path: origin_form(&head.uri),
         headers,
         cost: estimate_load(&active, &routed.service, &info),
@@ -374,18 +376,6 @@
     }
 }
 
-/// Refuses a request that has been blocked because it crashed several upstreams.
-pub(in crate::serving) fn check_blocked(node: &Node, req: &BufferedRequest) -> Result<(), Refusal> {
-    let state = node.state();
-    let now = now();
-    let down =
-        |r: &Instance| !state.fleet.is_current(r) || state.fleet.status(now, &r.name) != "live";
-    match state.crash_tracker.is_poison(now, req.fingerprint, down) {
-        true => Err(Refusal::not_run("crashes_upstreams", BLOCKED_RETRY_AFTER)),
-        false => Ok(()),
-    }
-}
-
 /// Runs a request, with retries, and builds the response to the caller.
 pub(in crate::serving) async fn run_request(
     node: &Rc<Node>,
@@ -408,8 +398,8 @@
     }
     let start = start_response(node, &routed, &req, &mut attempts, &mut avoid).await?;
     let mut started = match start {
-        Start::Here(started) => started,
-        Start::Relayed(answer) => return Ok(relay::response(node, req, answer, in_flight)),
+        Start::Here(started) => *started,
+        Start::Relayed(answer) => return Ok(relay::response(node, req, *answer, in_flight)),
     };
     let mut buffered = VecDeque::new();
     let mut complete = false;
@@ -449,7 +439,9 @@
             }
             Err(ended) => {
                 started.run.record_end(RunOutcome::Broken);
-                crate::serving::path::forward::record_strike(node, &req, &started.run.instance());
+                if ended == AttemptFailure::Broken {
+                    record_break(node, &req, &started.run);
+                }
                 attempts.record_failure(ended);
                 avoid.insert(started.run.replica.clone());
                 drop(started);
@@ -518,9 +510,9 @@
 /// A response that has started.
 enum Start {
     /// A replica responds to this VM.
-    Here(StartedResponse),
+    Here(Box<StartedResponse>),
     /// Another VM passes a replica's response on.
-    Relayed(UpstreamResponse),
+    Relayed(Box<UpstreamResponse>),
 }
 
 /// Sends a request until a response starts: to replicas, or to another VM if this one reaches
@@ -535,17 +527,17 @@
     let mut refusal = None;
     if !relay::should_relay(node, routed, req) {
         match first_attempt(node, routed, req, attempts, avoid).await {
-            Ok(started) => return Ok(Start::Here(started)),
+            Ok(started) => return Ok(Start::Here(Box::new(started))),
             Err(r) if !relay::may_relay(req, attempts, &r) => return Err(r),
             Err(r) => refusal = Some(r),
         }
     }
     match (relay::relay(node, routed, req).await, refusal) {
-        (Relayed::Served(answer), _) => Ok(Start::Relayed(answer)),
+        (Relayed::Served(answer), _) => Ok(Start::Relayed(Box::new(answer))),
         (Relayed::Refused(refusal), _) | (Relayed::NotTaken, Some(refusal)) => Err(refusal),
         (Relayed::NotTaken, None) => {
             let started = first_attempt(node, routed, req, attempts, avoid).await;
-            started.map(Start::Here)
+            started.map(|s| Start::Here(Box::new(s)))
         }
     }
 }
@@ -586,6 +578,10 @@
         if !attempts.may_retry(ended) {
             return Err(Refusal::after(attempts, ended));
         }
+        if ended.may_have_run() && is_doubtful(node, req) {
+            slog::info!(node.log, "not sent again, as its replicas may crash on it"; "id" => &req.id);
+            return Err(Refusal::after(attempts, ended));
+        }
         if attempts.none_arrived()
             && attempts.unreached >= MAX_UNREACHED
             && relay::has_helper(node, routed, req)
--- a/lib/src/serving/path/types.rs
+++ b/lib/src/serving/path/types.rs
@@ -86,6 +86,8 @@
     pub max_tokens: u32,
     /// The prompt prefix that it has in common with other requests.
     pub shared_prefix: Option<SharedPrefix>,
+    /// IDs of the parts of the prompt that other requests may share.
+    pub prompt_parts: Vec<u64>,
     /// How long the caller waits for the response.
     pub timeout: Option<Duration>,
     /// ID of the last event that the caller has received, when it resumes a stream.
--- a/lib/src/serving/peers/beacons.rs
+++ b/lib/src/serving/peers/beacons.rs
@@ -10,7 +10,6 @@
 use prost::Message;
 use wire::datagram::Body;
 
-use crate::ids::Fingerprint;
 use crate::ids::Incarnation;
 use crate::ids::ReplicaName;
 use crate::ids::VmName;
@@ -28,6 +27,7 @@
 use crate::serving::path::types::Instance;
 use crate::serving::path::types::Rank;
 use crate::serving::path::types::Target;
+use crate::serving::peers::crash_reports;
 use crate::serving::peers::load_reports;
 use crate::serving::peers::pacer::Pacer;
 use crate::serving::peers::relay;
@@ -48,9 +48,6 @@
 /// The number of intervals after which beacons are sent in the same order again.
 const SEND_TURNS: usize = 3;
 
-/// How long a crash record is repeated in beacons, to make up for lost datagrams.
-const CRASH_REPORT_TTL: Span = Span::from_millis(5_000);
-
 /// How long it is repeated in beacons that a replica stated to leave.
 const LEAVING_REPORT_TTL: Span = Span::from_millis(5_000);
 
@@ -232,15 +229,7 @@
     let leaving = state.stated_leaving.keys();
     beacon.leaving = leaving.map(|r| encode_leaving(state, r)).collect();
     beacon.known = updates::known_revisions(state);
-    let crashes = state.crash_tracker.recent(now, CRASH_REPORT_TTL);
-    beacon.strikes = crashes
-        .iter()
-        .map(|(f, replica)| wire::StrikeNote {
-            fingerprint: f.0,
-            replica: replica.name.to_string(),
-            born: replica.started_ms,
-        })
-        .collect();
+    beacon.crashes = crash_reports::encode_report(state, now);
     beacon
 }
 
@@ -434,12 +423,10 @@
             .stall_detector
             .extend(now, Span::from_millis(beacon.turns_ms));
     }
-    for note in &beacon.strikes {
-        if let Some(replica) = parse_instance(&note.replica, note.born) {
-            state
-                .crash_tracker
-                .record_remote(now, Fingerprint(note.fingerprint), &replica);
-        }
+    if let Some(report) = &beacon.crashes {
+        let delay = state.members.beacon_delay(&vm).unwrap_or_default();
+        let built = Moment(now.0.saturating_sub(delay.0));
+        crash_reports::apply_report(node, &mut state, now, built, &vm, report);
     }
     if beacon.complete {
         load_reports::apply_counts(&mut state, now, &vm, &beacon.flights);
--- /dev/null
+++ b/lib/src/serving/peers/crash_reports.rs
@@ -0,0 +1,125 @@
+//! What VMs tell each other of replicas that crashed, and of what is blocked for it.
+
+use banyangauge_proto as wire;
+
+use crate::ids::Fingerprint;
+use crate::ids::VmName;
+use crate::pool::Moment;
+use crate::serving::cluster::state::NodeState;
+use crate::serving::decisions::crash_tracker::BrokenRun;
+use crate::serving::decisions::crash_tracker::Feature;
+use crate::serving::peers::beacons::parse_instance;
+use crate::serving::program::node::Node;
+
+/// Returns the report for a beacon that is built now; `None` if there is nothing to tell.
+pub(in crate::serving) fn encode_report(
+    state: &NodeState,
+    now: Moment,
+) -> Option<wire::CrashReport> {
+    let report = state.crash_tracker.report(now);
+    let age = |at: Moment| now.since(at).0;
+    let crashes = report
+        .crashes
+        .iter()
+        .map(|(replica, at, runs)| wire::CrashNote {
+            replica: replica.name.to_string(),
+            born: replica.started_ms,
+            age_us: age(*at),
+            runs: runs.iter().map(|run| encode_run(run, *at)).collect(),
+        });
+    let alive = report.alive.iter().map(|(replica, at)| wire::AliveNote {
+        replica: replica.name.to_string(),
+        born: replica.started_ms,
+        age_us: age(*at),
+    });
+    let note = |feature: &Feature, at: Moment, since: Moment| wire::FeatureNote {
+        number: feature.number(),
+        is_part: feature.is_part(),
+        age_us: age(at),
+        since_us: age(since),
+    };
+    let completed = report.completed.iter().map(|(f, at)| note(f, *at, now));
+    let blocked = report
+        .blocks
+        .iter()
+        .map(|(f, since, hit)| note(f, *hit, *since));
+    (!report.is_empty()).then(|| wire::CrashReport {
+        crashes: crashes.collect(),
+        alive: alive.collect(),
+        completed: completed.collect(),
+        blocked: blocked.collect(),
+    })
+}
+
+fn encode_run(run: &BrokenRun, crashed: Moment) -> wire::BrokenRun {
+    let (parts, requests): (Vec<_>, Vec<_>) = run.features.iter().partition(|f| f.is_part());
+    let numbers = |features: Vec<&Feature>| features.iter().map(|f| f.number()).collect();
+    wire::BrokenRun {
+        ran_us: crashed.since(run.sent).0,
+        requests: numbers(requests),
+        parts: numbers(parts),
+    }
+}
+
+/// Applies the report in a beacon of another VM that was built at `built`, on this VM's clock.
+pub(in crate::serving) fn apply_report(
+    node: &Node,
+    state: &mut NodeState,
+    now: Moment,
+    built: Moment,
+    vm: &VmName,
+    report: &wire::CrashReport,
+) {
+    let ago = |us: u64| Moment(built.0.saturating_sub(us));
+    let tracker = &mut state.crash_tracker;
+    for note in &report.alive {
+        if let Some(replica) = parse_instance(&note.replica, note.born) {
+            tracker.record_alive(&replica, ago(note.age_us));
+        }
+    }
+    for note in &report.completed {
+        if tracker.learn_completion(ago(note.age_us), decode_feature(note)) {
+            log_lifted(node, decode_feature(note), vm.as_str());
+        }
+    }
+    for note in &report.crashes {
+        let at = ago(note.age_us);
+        if let Some(replica) = parse_instance(&note.replica, note.born) {
+            let runs = note.runs.iter().map(|run| decode_run(run, at));
+            tracker.learn(now, vm, &replica, at, runs.collect());
+        }
+    }
+    for note in &report.blocked {
+        let (feature, since, hit) = (decode_feature(note), ago(note.since_us), ago(note.age_us));
+        if tracker.learn_block(since, hit, feature) {
+            slog::warn!(node.log, "requests blocked that crash their replicas";
+                "feature" => %feature, "told_by" => vm.as_str());
+        }
+    }
+    node.crash_wake.notify_one();
+}
+
+fn decode_run(run: &wire::BrokenRun, crashed: Moment) -> BrokenRun {
+    let requests = run
+        .requests
+        .iter()
+        .map(|hash| Feature::Request(Fingerprint(*hash)));
+    let parts = run.parts.iter().copied().map(Feature::PromptPart);
+    BrokenRun {
+        sent: Moment(crashed.0.saturating_sub(run.ran_us)),
+        features: requests.chain(parts).collect(),
+    }
+}
+
+fn decode_feature(note: &wire::FeatureNote) -> Feature {
+    match note.is_part {
+        true => Feature::PromptPart(note.number),
+        false => Feature::Request(Fingerprint(note.number)),
+    }
+}
+
+/// Logs that requests with a feature are served again.
+pub(in crate::serving) fn log_lifted(node: &Node, feature: Feature, why: &str) {
+    slog::warn!(node.log, "block lifted, as a run was complete"; "feature" => %feature,
+        "told_by" => why);
+}
--- a/lib/src/serving/peers/mod.rs
+++ b/lib/src/serving/peers/mod.rs
@@ -3,6 +3,7 @@
 
 pub(super) mod beacons;
 pub(super) mod compression;
+pub(super) mod crash_reports;
 pub(super) mod load_reports;
 pub(super) mod pacer;
 pub(super) mod relay;
--- a/lib/src/serving/program/node.rs
+++ b/lib/src/serving/program/node.rs
@@ -104,6 +104,10 @@
     pub(in crate::serving) catch_up_wake: Notify,
     /// Wakes calls that wait for changes when the store came back from an earlier copy.
     pub(in crate::serving) restore_wake: Notify,
+    /// Wakes the task that judges crashes of replicas.
+    pub(in crate::serving) crash_wake: Notify,
+    /// Wakes the task that keeps the blocked features in the store.
+    pub(in crate::serving) blocks_wake: Notify,
     /// Wakes the task that writes this VM's entry.
     pub(in crate::serving) register_wake: Notify,
     /// Wakes the task that reloads the owner table.
@@ -161,6 +165,8 @@
             orders_wake: Notify::new(),
             catch_up_wake: Notify::new(),
             restore_wake: Notify::new(),
+            crash_wake: Notify::new(),
+            blocks_wake: Notify::new(),
             register_wake: Notify::new(),
             owners_wake: Notify::new(),
             socket,
--- a/lib/src/serving/store/apply.rs
+++ b/lib/src/serving/store/apply.rs
@@ -14,6 +14,8 @@
 use crate::serving::path::types::ReplicaInfo;
 use crate::serving::program::node::Node;
 use crate::serving::program::node::now;
+use crate::serving::store::blocks::apply_block;
+use crate::serving::store::blocks::remove_block;
 use crate::serving::store::port::Item;
 
 /// The name of the owner table in the store.
@@ -184,7 +186,7 @@
     !update.items().is_empty()
 }
 
-/// Applies VM entries and the owner table. Returns `true`, as all VMs need every
+/// Applies VM entries, the owner table and blocks of features. Returns `true`, as all VMs need every
 /// change of them.
 pub(in crate::serving) fn apply_cluster(node: &Node, update: &StoreUpdate<'_>) -> bool {
     update
@@ -203,6 +205,9 @@
 }
 
 fn remove_cluster_item(node: &Node, change: &TopicChange) {
+    if remove_block(node, change) {
+        return;
+    }
     if change.item.name == OWNER_TABLE {
         let era = change.item.revision.era;
         node.state().ownership.mark_read(era, false);
@@ -224,6 +229,9 @@
 }
 
 fn apply_cluster_item(node: &Node, item: &Item) {
+    if apply_block(node, item) {
+        return;
+    }
     let log_error = |e: serde_json::Error| {
         slog::error!(node.log, "VM entry or owner table not decoded"; "name" => &item.name, "error" => %e);
     };
--- /dev/null
+++ b/lib/tests/test_serving_crash_tracker.rs
@@ -0,0 +1,449 @@
+//! Which features of requests are blocked because replicas crash on them.
+
+use banyangauge::ids::Fingerprint;
+use banyangauge::ids::VmName;
+use banyangauge::pool::Moment;
+use banyangauge::pool::Span;
+use banyangauge::serving::BLOCK_TTL;
+use banyangauge::serving::BrokenRun;
+use banyangauge::serving::CrashTracker;
+use banyangauge::serving::Feature;
+use banyangauge::serving::Instance;
+use rstest::rstest;
+
+const SETTLE: Span = Span::from_millis(1_000);
+
+/// The part that crashes replicas, and parts of sound requests.
+const BAD: u64 = 0xbad;
+const FIRST: u64 = 1;
+const OTHER: u64 = 2;
+
+fn at(ms: u64) -> Moment {
+    Moment(100_000_000).after(Span::from_millis(ms))
+}
+
+fn instance(name: &str) -> Instance {
+    Instance {
+        name: name.parse().unwrap(),
+        started_ms: 0,
+    }
+}
+
+fn replica(number: u64) -> Instance {
+    instance(&format!("i-{number}"))
+}
+
+fn run(sent: u64, request: u64, parts: &[u64]) -> BrokenRun {
+    BrokenRun {
+        sent: at(sent),
+        features: Feature::of_request(Fingerprint(request), parts),
+    }
+}
+
+/// Replica `number` crashes at `ms` on these runs, each sent 70 ms before.
+fn crash(tracker: &mut CrashTracker, ms: u64, number: u64, runs: &[(u64, &[u64])]) {
+    for (request, parts) in runs {
+        let run = run(ms - 70, *request, parts);
+        tracker.accuse(at(ms), &replica(number), run);
+    }
+}
+
+fn convict(tracker: &mut CrashTracker, ms: u64) -> Vec<Feature> {
+    let convictions = tracker.convict(at(ms), SETTLE);
+    convictions.into_iter().map(|c| c.feature).collect()
+}
+
+fn is_blocked(tracker: &mut CrashTracker, ms: u64, request: u64, parts: &[u64]) -> bool {
+    let features = Feature::of_request(Fingerprint(request), parts);
+    tracker.find_block(at(ms), &features, |_| false).is_some()
+}
+
+fn complete(tracker: &mut CrashTracker, ms: u64, parts: &[u64]) {
+    tracker.complete(at(ms), &Feature::of_request(Fingerprint(ms), parts));
+}
+
+/// Three crashes of one replica, which restarts under the same name, count as three.
+#[test]
+fn request_is_blocked_after_three_crashes_of_one_replica() {
+    let mut tracker = CrashTracker::default();
+    for start in 1..=3 {
+        assert!(!is_blocked(&mut tracker, start * 1_000 - 80, 7, &[]));
+        let name = "i-1".parse().unwrap();
+        let started_ms = start;
+        let replica = Instance { name, started_ms };
+        tracker.accuse(at(start * 1_000), &replica, run(start * 1_000 - 70, 7, &[]));
+        let found = convict(&mut tracker, start * 1_000 + 1_500);
+        assert_eq!(found.len(), usize::from(start == 3));
+    }
+    assert!(is_blocked(&mut tracker, 5_000, 7, &[]));
+    assert!(!is_blocked(&mut tracker, 5_000, 8, &[]));
+}
+
+#[test]
+fn request_is_blocked_after_three_crashed_replicas() {
+    let mut tracker = CrashTracker::default();
+    for n in 1..=2 {
+        crash(&mut tracker, n * 300, n, &[(7, &[])]);
+    }
+    assert_eq!(convict(&mut tracker, 3_000), []);
+    crash(&mut tracker, 3_000, 3, &[(7, &[])]);
+    assert_eq!(convict(&mut tracker, 3_900), [], "a crash must settle");
+    let request = Feature::Request(Fingerprint(7));
+    assert_eq!(convict(&mut tracker, 4_000), [request]);
+}
+
+/// Connections are reset, or answers lost, while replicas live on.
+#[test]
+fn crash_of_live_replica_does_not_count() {
+    let mut tracker = CrashTracker::default();
+    for n in 1..=3 {
+        crash(&mut tracker, n * 300, n, &[(7, &[])]);
+    }
+    tracker.record_alive(&replica(2), at(1_000));
+    assert_eq!(convict(&mut tracker, 3_000), []);
+    // What another VM tells later of the time before does not count either.
+    let vm: VmName = "vm-2".parse().unwrap();
+    tracker.learn(at(1_100), &vm, &replica(2), at(600), vec![run(530, 7, &[])]);
+    assert_eq!(convict(&mut tracker, 3_000), []);
+}
+
+/// Only what was sent after the crash became known shows that there was none.
+#[rstest]
+#[case::before(500, false)]
+#[case::after(700, true)]
+fn crash_is_refuted_by_later_answers(#[case] sent: u64, #[case] refuted: bool) {
+    let mut tracker = CrashTracker::default();
+    crash(&mut tracker, 600, 1, &[(7, &[])]);
+    assert_eq!(
+        tracker.record_heard(at(800), &replica(1), at(sent)),
+        refuted
+    );
+    assert_eq!(tracker.report(at(900)).crashes.is_empty(), refuted);
+    assert_eq!(!tracker.report(at(900)).alive.is_empty(), refuted);
+}
+
+#[test]
+fn complete_run_clears_request() {
+    let mut tracker = CrashTracker::default();
+    for n in 1..=3 {
+        crash(&mut tracker, n * 300, n, &[(7, &[])]);
+    }
+    tracker.complete(at(950), &Feature::of_request(Fingerprint(7), &[]));
+    assert_eq!(convict(&mut tracker, 3_000), []);
+}
+
+/// Each VM reports only its own: forwarded records circulated for ever and grew the beacons until
+/// they saturated the links.
+#[test]
+fn crashes_of_other_vms_are_not_forwarded() {
+    let mut tracker = CrashTracker::default();
+    let vm: VmName = "vm-2".parse().unwrap();
+    tracker.learn(at(0), &vm, &replica(1), at(0), vec![run(0, 1, &[])]);
+    assert!(tracker.report(at(10)).is_empty());
+    tracker.accuse(at(10), &replica(1), run(0, 2, &[]));
+    let reported = |tracker: &CrashTracker, ms| -> Vec<Vec<Feature>> {
+        let crashes = tracker.report(at(ms)).crashes;
+        let runs = crashes.into_iter().flat_map(|(_, _, runs)| runs);
+        runs.map(|run| run.features).collect()
+    };
+    let own = [Feature::of_request(Fingerprint(2), &[])];
+    assert_eq!(reported(&tracker, 20), own);
+    // A report by another VM of a crash that this VM saw does not change its record.
+    tracker.learn(at(90), &vm, &replica(1), at(5), vec![run(0, 2, &[])]);
+    assert_eq!(reported(&tracker, 100), own);
+    assert!(reported(&tracker, 5_100).is_empty());
+}
+
+#[test]
+fn reported_crashes_fit_a_datagram() {
+    let mut tracker = CrashTracker::default();
+    for n in 0..1_000 {
+        crash(
+            &mut tracker,
+            100 + n,
+            n,
+            &[(n, &[FIRST, n]), (n + 5_000, &[FIRST])],
+        );
+    }
+    let report = tracker.report(at(1_100));
+    let runs: usize = report.crashes.iter().map(|(.., runs)| runs.len()).sum();
+    assert_eq!(runs, 64);
+    assert_eq!(report.crashes[0].0, replica(999));
+}
+
+/// Crashes that each were seen by another VM add up, and one that is told again counts once.
+#[test]
+fn crashes_that_other_vms_saw_count() {
+    let mut tracker = CrashTracker::default();
+    for n in 1..=2_u64 {
+        let vm: VmName = format!("vm-{n}").parse().unwrap();
+        for again in 0..3 {
+            let now = at(n * 300 + again * 400);
+            let told = vec![run(n * 300 - 70, n, &[FIRST, BAD])];
+            tracker.learn(now, &vm, &replica(n), at(n * 300), told);
+        }
+    }
+    assert_eq!(convict(&mut tracker, 3_000), []);
+    crash(&mut tracker, 3_000, 3, &[(3, &[FIRST, BAD])]);
+    complete(&mut tracker, 3_500, &[FIRST]);
+    assert_eq!(convict(&mut tracker, 4_500), [Feature::PromptPart(BAD)]);
+}
+
+/// Replicas crashed one after the other on requests that had a part in common. The parts that
+/// sound requests share with them stay served.
+#[test]
+fn part_is_blocked_and_parts_of_sound_requests_are_not() {
+    let mut tracker = CrashTracker::default();
+    complete(&mut tracker, 100, &[FIRST, OTHER]);
+    for n in 1..=3 {
+        // A rare part is in two of the three batches.
+        let rare = 30 + n / 3;
+        let batch: [(u64, &[u64]); 3] = [
+            (n, &[FIRST, BAD]),
+            (n + 10, &[FIRST, OTHER]),
+            (n + 20, &[FIRST, rare]),
+        ];
+        crash(&mut tracker, n * 500, n, &batch);
+    }
+    assert_eq!(convict(&mut tracker, 3_000), [Feature::PromptPart(BAD)]);
+    assert!(is_blocked(&mut tracker, 3_000, 99, &[FIRST, BAD]));
+    assert!(is_blocked(&mut tracker, 3_000, 99, &[BAD, FIRST]));
+    assert!(!is_blocked(&mut tracker, 3_000, 99, &[FIRST, OTHER]));
+    assert!(!is_blocked(&mut tracker, 3_000, 99, &[FIRST, 30]));
+}
+
+/// While no replica stays up long enough for any run to come to its end, the first part of all
+/// requests is in every crash, and so is the cause.
+#[test]
+fn first_part_is_not_blocked_where_no_run_completes() {
+    let mut tracker = CrashTracker::default();
+    complete(&mut tracker, 100, &[FIRST, OTHER]);
+    for n in 1..=9 {
+        let batch: [(u64, &[u64]); 2] = [(n, &[FIRST, BAD]), (n + 10, &[FIRST, n + 100])];
+        crash(&mut tracker, n * 200, n, &batch);
+    }
+    assert_eq!(convict(&mut tracker, 3_000), [Feature::PromptPart(BAD)]);
+    assert_eq!(convict(&mut tracker, 3_500), []);
+}
+
+#[test]
+fn two_bad_parts_are_both_blocked() {
+    let mut tracker = CrashTracker::default();
+    complete(&mut tracker, 100, &[FIRST]);
+    for n in 1..=6 {
+        let parts = [FIRST, BAD + n % 2];
+        crash(
+            &mut tracker,
+            n * 300,
+            n,
+            &[(n, &parts), (n + 10, &[FIRST, 30 + n])],
+        );
+    }
+    let mut found = convict(&mut tracker, 4_000);
+    found.sort();
+    assert_eq!(found, [BAD, BAD + 1].map(Feature::PromptPart));
+}
+
+/// Callers send a request again, so that the request is found out before the part.
+#[test]
+fn part_is_blocked_after_requests_with_it_were() {
+    let mut tracker = CrashTracker::default();
+    complete(&mut tracker, 100, &[FIRST]);
+    for n in 1..=3 {
+        crash(&mut tracker, n * 300, n, &[(7, &[FIRST, BAD])]);
+    }
+    let request = Feature::Request(Fingerprint(7));
+    assert_eq!(convict(&mut tracker, 2_500), [request]);
+    crash(&mut tracker, 3_000, 4, &[(8, &[FIRST, BAD])]);
+    assert_eq!(convict(&mut tracker, 4_500), [Feature::PromptPart(BAD)]);
+}
+
+/// One request that is sent again says nothing of what others share with it.
+#[test]
+fn parts_of_one_bad_request_are_not_blocked() {
+    let mut tracker = CrashTracker::default();
+    for n in 1..=5 {
+        crash(&mut tracker, n * 300, n, &[(7, &[FIRST, OTHER])]);
+    }
+    let request = Feature::Request(Fingerprint(7));
+    assert_eq!(convict(&mut tracker, 4_000), [request]);
+}
+
+/// Replicas that lose power together break off runs of common parts at many of them.
+#[test]
+fn replicas_stopped_together_count_once() {
+    let mut tracker = CrashTracker::default();
+    for n in 1..=9 {
+        crash(&mut tracker, 300 + n, n, &[(n, &[FIRST, OTHER])]);
+    }
+    assert_eq!(convict(&mut tracker, 3_000), []);
+}
+
+/// A part that was served lately is blocked only if replicas go on crashing and others are served.
+#[rstest]
+#[case::few_crashes(4, true, false)]
+#[case::all_fails(5, false, false)]
+#[case::others_served(5, true, true)]
+fn part_that_was_served_is_blocked(
+    #[case] crashes: u64,
+    #[case] others: bool,
+    #[case] blocked: bool,
+) {
+    let mut tracker = CrashTracker::default();
+    complete(&mut tracker, 100, &[BAD]);
+    for n in 1..=crashes {
+        crash(&mut tracker, n * 300, n, &[(n, &[BAD])]);
+    }
+    if others {
+        complete(&mut tracker, 2_000, &[OTHER]);
+    }
+    let found = convict(&mut tracker, 4_000);
+    assert_eq!(!found.is_empty(), blocked);
+}
+
+/// Two parts in different requests of the same batches: one of them is the cause.
+#[test]
+fn parts_that_evidence_does_not_tell_apart_wait_for_more() {
+    let mut tracker = CrashTracker::default();
+    let batch = |n: u64| [(n, [BAD]), (n + 10, [OTHER])];
+    for n in 1..=4 {
+        let batch = batch(n);
+        let batch = batch.each_ref().map(|(n, parts)| (*n, &parts[..]));
+        crash(&mut tracker, n * 300, n, &batch);
+        assert_eq!(convict(&mut tracker, n * 300 + 1_100), []);
+    }
+    crash(&mut tracker, 3_000, 5, &[(5, &[BAD])]);
+    assert_eq!(convict(&mut tracker, 4_500), [Feature::PromptPart(BAD)]);
+}
+
+/// A run that was under way when its part was blocked comes to its end: the part was not the cause.
+#[test]
+fn complete_run_lifts_block() {
+    let mut tracker = blocked_part();
+    let features = Feature::of_request(Fingerprint(50), &[FIRST, BAD]);
+    let lifted = tracker.complete(at(4_000), &features);
+    assert_eq!(lifted, [Feature::PromptPart(BAD)]);
+    assert!(!is_blocked(&mut tracker, 4_000, 51, &[BAD]));
+    // The crashes of before do not count any more, and others are told.
+    assert_eq!(convict(&mut tracker, 4_500), []);
+    let told = tracker.report(at(4_500)).completed;
+    assert!(told.contains(&(Feature::PromptPart(BAD), at(4_000))));
+    // Another VM that has not heard of it does not bring the block back.
+    let since = at(3_000);
+    assert!(!tracker.learn_block(since, at(4_400), Feature::PromptPart(BAD)));
+}
+
+/// A tracker that blocked the bad part at 3 s.
+fn blocked_part() -> CrashTracker {
+    let mut tracker = CrashTracker::default();
+    for n in 1..=3 {
+        crash(&mut tracker, n * 500, n, &[(n, &[BAD])]);
+    }
+    assert_eq!(convict(&mut tracker, 3_000), [Feature::PromptPart(BAD)]);
+    tracker
+}
+
+/// After a minute one request is let through, by one VM; if it crashes its replica, the next one
+/// comes ten times as late.
+#[test]
+fn block_is_tried_seldom_and_by_one_vm() {
+    let mut tracker = blocked_part();
+    let request = Feature::of_request(Fingerprint(60), &[BAD]);
+    let part = Some(Feature::PromptPart(BAD));
+    assert_eq!(tracker.begin_send(at(62_000), &request, |_| true), part);
+    assert_eq!(tracker.begin_send(at(64_000), &request, |_| false), part);
+    assert_eq!(tracker.find_block(at(64_000), &request, |_| true), None);
+    assert_eq!(tracker.begin_send(at(64_000), &request, |_| true), None);
+    assert_eq!(tracker.begin_send(at(64_010), &request, |_| true), part);
+    tracker.accuse(at(64_100), &replica(9), run(64_000, 60, &[BAD]));
+    assert_eq!(tracker.begin_send(at(600_000), &request, |_| true), part);
+    assert_eq!(tracker.begin_send(at(665_000), &request, |_| true), None);
+}
+
+/// A run that was under way when its part was blocked does not put the trial off.
+#[test]
+fn runs_under_way_are_no_trials() {
+    let mut tracker = blocked_part();
+    tracker.accuse(at(3_050), &replica(9), run(2_990, 60, &[BAD]));
+    let request = Feature::of_request(Fingerprint(60), &[BAD]);
+    assert_eq!(tracker.begin_send(at(64_000), &request, |_| true), None);
+}
+
+#[test]
+fn block_ends_when_no_request_needs_it() {
+    let mut tracker = blocked_part();
+    let part = Feature::PromptPart(BAD);
+    tracker.set_stored(part, true);
+    assert!(is_blocked(&mut tracker, 10_000, 60, &[BAD]));
+    let end = at(10_000).after(BLOCK_TTL);
+    let before = Moment(end.0 - 1);
+    assert_eq!(tracker.take_lifted(before), []);
+    assert_eq!(tracker.take_lifted(end), [part]);
+    assert_eq!(tracker.block_count(), 0);
+}
+
+/// A request that another VM refuses keeps the block.
+#[test]
+fn block_stays_while_other_vms_need_it() {
+    let mut tracker = blocked_part();
+    let part = Feature::PromptPart(BAD);
+    tracker.learn_block(at(3_000), at(2_000_000), part);
+    assert_eq!(tracker.take_lifted(at(10_000).after(BLOCK_TTL)), []);
+}
+
+/// What the store has is not told for ever; a VM that starts reads it there.
+#[test]
+fn stored_block_is_told_while_it_is_needed() {
+    let mut tracker = blocked_part();
+    let part = Feature::PromptPart(BAD);
+    let told = |tracker: &CrashTracker, ms| !tracker.report(at(ms)).blocks.is_empty();
+    assert!(told(&tracker, 100_000));
+    tracker.set_stored(part, true);
+    assert!(!told(&tracker, 100_000));
+    assert!(is_blocked(&mut tracker, 101_000, 60, &[BAD]));
+    assert!(told(&tracker, 102_000));
+}
+
+/// An operator lifts a block by removing it from the store.
+#[test]
+fn lifted_block_does_not_return() {
+    let mut tracker = blocked_part();
+    let part = Feature::PromptPart(BAD);
+    tracker.set_stored(part, true);
+    assert!(tracker.lift(at(5_000), part));
+    assert_eq!(convict(&mut tracker, 5_000), []);
+    assert!(!tracker.learn_block(at(3_000), at(4_900), part));
+    assert_eq!(
+        tracker.take_lifted(at(5_000)),
+        [],
+        "the store lacks it already"
+    );
+}
+
+/// A request whose replicas may crash on it is not sent again while that is in doubt.
+#[test]
+fn request_in_doubt_is_not_repeated() {
+    let mut tracker = CrashTracker::default();
+    let bad = |n| Feature::of_request(Fingerprint(n), &[FIRST, BAD]);
+    crash(&mut tracker, 300, 1, &[(1, &[FIRST, BAD])]);
+    assert!(!tracker.is_doubtful(at(310), &bad(1)));
+    crash(&mut tracker, 600, 2, &[(2, &[FIRST, BAD]), (3, &[OTHER])]);
+    assert!(tracker.is_doubtful(at(610), &bad(2)));
+    let other = Feature::of_request(Fingerprint(3), &[OTHER]);
+    assert!(!tracker.is_doubtful(at(610), &other));
+}
+
+/// A flood of crashes, features and blocks takes bounded memory; the newest are kept.
+#[test]
+fn flood_is_bounded() {
+    let mut tracker = CrashTracker::default();
+    for n in 0..20_000 {
+        crash(&mut tracker, 100 + n, n, &[(n, &[n, n + 1])]);
+        complete(&mut tracker, 100 + n, &[1_000_000 + n]);
+        tracker.learn_block(at(n), at(n), Feature::PromptPart(n));
+    }
+    assert_eq!(tracker.block_count(), 1_024);
+    assert!(is_blocked(&mut tracker, 21_000, 0, &[19_999]));
+    assert!(!is_blocked(&mut tracker, 21_000, 0, &[100]));
+    assert_eq!(tracker.report(at(20_100)).blocks.len(), 64);
+}
