serving: crashes are weighed by how many a feature is in, and by whose clock they are refuted

The search of crashes, VMs and beacons found runs in which a rare sound part was blocked before the bad one, which then cost up to nine more requests: a narrower feature won a tie although its parent was the cause; a chain of three crashes counted more than seven at once; a crash was forgotten because another VM's clock put a sign of life after it. After all VMs had restarted the first part of another route was blocked, since no VM knew that it is common.

Now the number of crashes comes first, nested features are blocked together, a feature must be in a third of the crashes between its first and last, crashes that come at once count if there are five, and a VM that has served fewer than twenty runs waits for five. A sign of life refutes what the same VM saw, and the rest only half a second after the crash.

Red without each of: telling, clearing, signs of life, the store.

--- a/lib/src/serving/decisions/crash_tracker/evidence.rs
+++ b/lib/src/serving/decisions/crash_tracker/evidence.rs
@@ -9,7 +9,7 @@
 use crate::pool::Span;
 
 /// Difference by which the clocks of two VMs may seem to differ.
-const CLOCK_ERROR: Span = Span::from_millis(500);
+pub(super) const CLOCK_ERROR: Span = Span::from_millis(500);
 
 /// Maximum number of broken runs of one VM at one replica; the newest count.
 pub(super) const MAX_RUNS: usize = 64;
@@ -53,6 +53,11 @@
         }
     }
 
+    /// Returns whether no VM accuses the replica's runs any more.
+    pub(super) fn is_unfounded(&self) -> bool {
+        self.local.is_empty() && self.remote.is_empty()
+    }
+
     /// Returns the runs that were under way when the replica crashed.
     pub(super) fn runs(&self) -> impl Iterator<Item = &BrokenRun> {
         let all = self.local.iter().chain(self.remote.values().flatten());
@@ -82,13 +87,16 @@
     /// Returns whether the evidence does not tell which of two features is the cause: they were
     /// in different runs at the same replicas.
     pub(super) fn is_rival(&self, other: &Self) -> bool {
-        self.runs != other.runs && !self.crashes.is_disjoint(&other.crashes)
+        let nested = self.runs.is_subset(&other.runs) || other.runs.is_subset(&self.runs);
+        !nested && !self.crashes.is_disjoint(&other.crashes)
     }
 
-    /// Returns whether all runs with another feature had this one, and others had it too. Then
-    /// this one is less likely the cause.
-    pub(super) fn is_wider(&self, other: &Self) -> bool {
-        other.runs.len() < self.runs.len() && other.runs.is_subset(&self.runs)
+    /// Returns how many crashes there were from the first to the last one of the feature.
+    pub(super) fn spanned(&self) -> usize {
+        match (self.crashes.first(), self.crashes.last()) {
+            (Some(first), Some(last)) => last - first + 1,
+            _ => 0,
+        }
     }
 
     /// Counts a crash; the last run with the feature there was sent at `sent`.
--- a/lib/src/serving/decisions/crash_tracker/mod.rs
+++ b/lib/src/serving/decisions/crash_tracker/mod.rs
@@ -18,6 +18,7 @@
 use std::collections::VecDeque;
 
 use blocks::Blocks;
+use evidence::CLOCK_ERROR;
 use evidence::Crash;
 use evidence::MAX_RUNS;
 use evidence::OpenCrash;
@@ -37,10 +38,17 @@
 /// Successive crashes after which a feature is blocked, if no run with it was complete lately.
 const MIN_CRASHES: usize = 3;
 
-/// Successive crashes after which a feature is blocked that runs were complete with lately, or
-/// that the evidence does not tell from another one.
+/// Crashes after which a feature is blocked that runs were complete with lately, or that the
+/// evidence does not tell from another one.
 const MANY_CRASHES: usize = 5;
 
+/// Complete runs that a VM must have seen to take a feature without one for a rare one.
+const MIN_SERVED: usize = 20;
+
+/// Part of the crashes between the first and the last one of a feature, one in so many, that
+/// must be its own: a rare feature is in some of many crashes by chance.
+const MIN_COVERAGE: usize = 3;
+
 /// Crashes after which a request that broke a run is not sent again.
 const DOUBTFUL_CRASHES: usize = 2;
 
@@ -111,14 +119,17 @@
 /// use banyangauge::serving::{BrokenRun, CrashTracker, Feature, Instance};
 /// let mut tracker = CrashTracker::default();
 /// let part = Feature::PromptPart(0xbad);
-/// for n in 0..3_u64 {
+/// for n in 0..20_u64 {
+///     tracker.complete(Moment(n), &Feature::of_request(Fingerprint(n), &[0x5]));
+/// }
+/// for n in 1..4_u64 {
 ///     let name = format!("i-{n}").parse().unwrap();
 ///     let replica = Instance { name, started_ms: 0 };
 ///     let sent = Moment(n * 1_000_000);
 ///     let features = Feature::of_request(Fingerprint(n), &[0xbad]);
 ///     tracker.accuse(sent.after(Span::from_millis(70)), &replica, BrokenRun { sent, features });
 /// }
-/// let now = Moment(4_000_000);
+/// let now = Moment(5_000_000);
 /// assert_eq!(tracker.convict(now, Span::from_millis(1_000))[0].feature, part);
 /// let request = Feature::of_request(Fingerprint(9), &[0xbad]);
 /// assert_eq!(tracker.find_block(now, &request, |_| false), Some(part));
@@ -132,6 +143,8 @@
     completed: BTreeMap<Feature, Moment>,
     /// The last complete runs of this VM that have parts in their prompts.
     recent: VecDeque<(Moment, Vec<Feature>)>,
+    /// How many there were.
+    served: usize,
     blocks: Blocks,
     /// Features whose blocks ended, to be removed from the store.
     lifted: BTreeSet<Feature>,
@@ -181,7 +194,8 @@
     /// Returns the record of a replica that crashed at `at`, or `None` if it has been heard from
     /// since.
     fn crash(&mut self, now: Moment, at: Moment, replica: &Instance) -> Option<&mut Crash> {
-        if self.alive.get(replica).is_some_and(|heard| *heard >= at) {
+        let refuted = |heard: &Moment| *heard >= at.after(CLOCK_ERROR);
+        if self.alive.get(replica).is_some_and(refuted) {
             return None;
         }
         if !self.crashes.contains_key(replica) {
@@ -218,11 +232,12 @@
         refuted
     }
 
-    /// Records that a replica was alive at `at`, as this VM or another one found.
+    /// Records that this VM found a replica alive at `at`.
     pub fn record_alive(&mut self, replica: &Instance, at: Moment) {
-        if self.crashes.get(replica).is_some_and(|c| c.at <= at) {
-            self.crashes.remove(replica);
+        if let Some(crash) = self.crashes.get_mut(replica) {
+            crash.local.clear();
         }
+        self.refute(replica, at);
         self.alive.retain(|_, heard| at.since(*heard) < MEMORY);
         if self.alive.len() < MAX_CRASHES || self.alive.contains_key(replica) {
             let heard = self.alive.entry(replica.clone()).or_insert(at);
@@ -230,11 +245,31 @@
         }
     }
 
+    /// Records that another VM found a replica alive at `at`, after its runs there had broken
+    /// off.
+    pub fn learn_alive(&mut self, vm: &VmName, replica: &Instance, at: Moment) {
+        if let Some(crash) = self.crashes.get_mut(replica) {
+            crash.remote.remove(vm);
+        }
+        self.refute(replica, at);
+    }
+
+    /// Forgets the crash of a replica that was alive at `at`. By the clock of one VM that refutes
+    /// only what that VM saw itself, unless it was clearly later than the crash.
+    fn refute(&mut self, replica: &Instance, at: Moment) {
+        let crash = self.crashes.get(replica);
+        let refuted = |c: &Crash| c.is_unfounded() || at >= c.at.after(CLOCK_ERROR);
+        if crash.is_some_and(refuted) {
+            self.crashes.remove(replica);
+        }
+    }
+
     /// Records that a run of a request with these features was complete, which shows that they
     /// crash no replica. Returns those that were blocked.
     pub fn complete(&mut self, now: Moment, features: &[Feature]) -> Vec<Feature> {
         let has_parts = features.iter().any(|f| f.is_part());
         if has_parts {
+            self.served = self.served.saturating_add(1);
             self.recent.push_back((now, features.to_vec()));
             if self.recent.len() > MAX_RECENT {
                 self.recent.pop_front();
@@ -295,15 +330,18 @@
     }
 
     /// Returns the crashes in the order of their times that were learnt of at `until` at the
-    /// latest and are not explained by what is blocked.
-    fn open_crashes(&self, now: Moment, until: Moment) -> Vec<OpenCrash<'_>> {
+    /// latest.
+    fn settled_crashes(&self, now: Moment, until: Moment) -> Vec<&Crash> {
         let recent = |c: &&Crash| now.since(c.at) < MEMORY && c.learnt <= until;
-        let crashes = self.crashes.values().filter(recent);
-        let is_blocked = |feature| self.blocks.contains(feature);
-        let open = crashes.filter_map(|c| OpenCrash::new(c, is_blocked));
-        let mut open: Vec<_> = open.collect();
-        open.sort_by_key(|open| open.crash.at);
-        open
+        let mut crashes: Vec<_> = self.crashes.values().filter(recent).collect();
+        crashes.sort_by_key(|crash| crash.at);
+        crashes
+    }
+
+    /// Returns what speaks against each feature, given the crashes that what is blocked does not
+    /// explain.
+    fn suspects(&self, crashes: &[OpenCrash<'_>]) -> BTreeMap<Feature, Suspect> {
+        find_suspects(crashes, |feature, at| self.is_cleared(feature, at))
     }
 
     /// Blocks the features that crash replicas, and returns them. A crash counts once it has
@@ -334,25 +372,38 @@
     /// Returns the features that are most likely the cause of crashes; none if none is certain
     /// enough.
     fn find_cause(&self, now: Moment, until: Moment) -> Vec<(Feature, Suspect)> {
-        let crashes = self.open_crashes(now, until);
-        let suspects = find_suspects(&crashes, |feature, at| self.is_cleared(feature, at));
+        let settled = self.settled_crashes(now, until);
+        let is_blocked = |feature| self.blocks.contains(feature);
+        let open = settled.iter().filter_map(|c| OpenCrash::new(c, is_blocked));
+        let open: Vec<_> = open.collect();
+        let suspects = self.suspects(&open);
+        if suspects.is_empty() {
+            return Vec::new();
+        }
+        // Had nothing been blocked, some crashes would speak against other features as well.
+        let all = settled.iter().filter_map(|c| OpenCrash::new(c, |_| false));
+        let all = self.suspects(&all.collect::<Vec<_>>());
         let is_candidate = |(feature, s): &(Feature, Suspect)| {
-            !self.blocks.contains(*feature) && self.is_certain(now, *feature, s)
+            let total = all.get(feature).map_or(0, |all| all.successive);
+            !is_blocked(*feature) && self.is_certain(now, *feature, s, total)
         };
         let mut candidates: Vec<_> = suspects.into_iter().filter(is_candidate).collect();
         let key = |(feature, s): &(Feature, Suspect)| {
-            (!self.is_known(now, *feature), s.successive, s.crashes.len())
+            (!self.is_known(now, *feature), s.crashes.len(), s.successive)
         };
         let Some(best) = candidates.iter().map(&key).max() else {
             return Vec::new();
         };
         candidates.retain(|candidate| key(candidate) == best);
-        let all = candidates.clone();
-        candidates.retain(|(_, s)| !all.iter().any(|(_, other)| s.is_wider(other)));
-        let all = candidates.clone();
-        candidates.retain(|(_, s)| {
-            best.1 >= MANY_CRASHES || !all.iter().any(|(_, other)| s.is_rival(other))
-        });
+        let tied = candidates.clone();
+        let has_rival = |(_, s): &(Feature, Suspect)| tied.iter().any(|(_, o)| s.is_rival(o));
+        if best.2 >= MANY_CRASHES && tied.iter().any(&has_rival) {
+            // The feature with the fewest runs is the least likely to be in all batches by chance.
+            let fewest = tied.iter().map(|(_, s)| s.runs.len()).min();
+            candidates.retain(|(_, s)| Some(s.runs.len()) == fewest);
+        } else {
+            candidates.retain(|candidate| !has_rival(candidate));
+        }
         candidates
     }
 
@@ -362,31 +413,43 @@
         last.is_some_and(|last| now.since(*last) < MEMORY)
     }
 
-    /// Returns whether there is enough to block a feature.
-    fn is_certain(&self, now: Moment, feature: Feature, suspect: &Suspect) -> bool {
-        if feature.is_part() && suspect.requests.len() < MIN_REQUESTS {
+    /// Returns whether there is enough to block a feature. `total` is the number of successive
+    /// crashes that would speak against it if nothing were blocked.
+    fn is_certain(&self, now: Moment, feature: Feature, suspect: &Suspect, total: usize) -> bool {
+        if !feature.is_part() {
+            return suspect.successive >= MIN_CRASHES;
+        }
+        let (successive, crashes) = (suspect.successive, suspect.crashes.len());
+        if suspect.requests.len() < MIN_REQUESTS || crashes * MIN_COVERAGE < suspect.spanned() {
             return false;
         }
-        if !self.is_known(now, feature) {
-            return suspect.successive >= MIN_CRASHES;
+        if self.is_known(now, feature) {
+            // Where no request is served at all, the fault is not that of a feature.
+            let first = suspect.span.map_or(now, |(first, _)| first);
+            let others = self.recent.iter().filter(|(at, _)| *at >= first);
+            let mut others = others.filter(|(_, features)| !features.contains(&feature));
+            return successive >= MANY_CRASHES && others.next().is_some();
+        }
+        if self.served < MIN_SERVED {
+            return successive >= MANY_CRASHES;
         }
-        // Where no request is served at all, the fault is not that of a feature.
-        let first = suspect.span.map_or(now, |(first, _)| first);
-        let others_served = self
-            .recent
-            .iter()
-            .any(|(at, features)| *at >= first && !features.contains(&feature));
-        suspect.successive >= MANY_CRASHES && others_served
+        // Requests that come at the same time crash replicas together.
+        let many_at_once = successive >= DOUBTFUL_CRASHES
+            && crashes >= MANY_CRASHES
+            && crashes * 2 >= suspect.spanned();
+        successive >= MIN_CRASHES || many_at_once || total >= MANY_CRASHES
     }
 
     /// Returns whether a request is suspected enough not to be sent again after a broken run:
     /// each attempt may cost another replica and all that it runs.
     pub fn is_doubtful(&self, now: Moment, features: &[Feature]) -> bool {
-        let crashes = self.open_crashes(now, now);
-        if crashes.len() < DOUBTFUL_CRASHES {
+        let settled = self.settled_crashes(now, now);
+        if settled.len() < DOUBTFUL_CRASHES {
             return false;
         }
-        let suspects = find_suspects(&crashes, |feature, at| self.is_cleared(feature, at));
+        let is_blocked = |feature| self.blocks.contains(feature);
+        let open = settled.iter().filter_map(|c| OpenCrash::new(c, is_blocked));
+        let suspects = self.suspects(&open.collect::<Vec<_>>());
         features.iter().any(|feature| {
             let suspect = suspects.get(feature);
             let enough = suspect.is_some_and(|s| s.successive >= DOUBTFUL_CRASHES);
--- a/lib/src/serving/peers/crash_reports.rs
+++ b/lib/src/serving/peers/crash_reports.rs
@@ -74,7 +74,7 @@
     let tracker = &mut state.crash_tracker;
     for note in &report.alive {
         if let Some(replica) = parse_instance(&note.replica, note.born) {
-            tracker.record_alive(&replica, ago(note.age_us));
+            tracker.learn_alive(vm, &replica, ago(note.age_us));
         }
     }
     for note in &report.completed {
--- /dev/null
+++ b/lib/tests/test_serving_crash_search.rs
@@ -0,0 +1,582 @@
+//! Searches the crossings of crashing replicas, lost messages and restarts of VMs.
+//!
+//! Requests of three routes run on replicas in batches. In some runs requests come that crash
+//! each replica that runs them and share one part of their prompts; beside them replicas crash by
+//! themselves, alone or several at once, connections are reset, a VM is cut off from all replicas,
+//! and VMs restart, one or all. Beacons are late or lost. Checked, by what replicas get: few such
+//! requests after what all VMs could learn, and sound requests are hardly ever refused.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use banyangauge::ids::Fingerprint;
+use banyangauge::ids::VmName;
+use banyangauge::pool::Moment;
+use banyangauge::pool::Span;
+use banyangauge::serving::BrokenRun;
+use banyangauge::serving::CrashReport;
+use banyangauge::serving::CrashTracker;
+use banyangauge::serving::Feature;
+use banyangauge::serving::Instance;
+use rstest::rstest;
+
+const STEP: u64 = 50;
+const BEACON: u64 = 400;
+const SETTLE: Span = Span::from_millis(1_200);
+const PROBE: u64 = 150;
+const RESTART: u64 = 1_000;
+const BAD: u64 = 0xbad;
+const BAD_FROM: u64 = 12_000;
+const END: u64 = 45_000;
+/// Within what time all VMs act on what they could learn, and the crash from which it counts.
+const CONTACT: u64 = 3_000;
+const CRASHES: usize = 5;
+const LATE_REQUESTS: usize = 3;
+/// One in so many sound requests may be refused. The users' rule is one in two.
+const MAX_REFUSED: usize = 20;
+
+fn at(ms: u64) -> Moment {
+    Moment(50_000_000).after(Span::from_millis(ms))
+}
+
+/// A pseudo-random sequence determined by a seed.
+struct Rng(u64);
+
+impl Rng {
+    fn next(&mut self, below: u64) -> u64 {
+        self.0 = self.0.wrapping_add(0x9E37_79B9_7F4A_7C15);
+        let mut z = self.0;
+        z = (z ^ (z >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
+        z = (z ^ (z >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
+        (z ^ (z >> 31)) % below
+    }
+
+    fn chance(&mut self, permille: u64) -> bool {
+        self.next(1_000) < permille
+    }
+}
+
+/// A guard that a run leaves out, to see that the search finds what it prevents.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Without {
+    Nothing,
+    /// VMs do not tell each other of broken runs, nor of blocks.
+    Telling,
+    /// VMs do not tell each other which features are cleared.
+    Clearing,
+    /// A replica that was heard from still counts as crashed.
+    Alive,
+    /// Blocks are not kept in the store.
+    Store,
+}
+
+/// What crashes replicas beside their requests, and what befalls VMs.
+#[derive(Clone, Copy, Debug)]
+struct Faults {
+    /// Chance in a thousand, each step, that a replica crashes by itself.
+    crash: u64,
+    /// That a third of the replicas crash at once.
+    rack: u64,
+    /// That all connections of a VM are reset.
+    reset: u64,
+    /// That a VM is cut off from all replicas for two seconds.
+    cut: u64,
+    /// That a VM restarts.
+    restart: u64,
+    /// That all VMs restart.
+    restart_all: u64,
+}
+
+const CALM: Faults = Faults {
+    crash: 0,
+    rack: 0,
+    reset: 0,
+    cut: 0,
+    restart: 0,
+    restart_all: 0,
+};
+
+const ROUGH: Faults = Faults {
+    crash: 20,
+    rack: 4,
+    reset: 10,
+    cut: 4,
+    restart: 6,
+    restart_all: 0,
+};
+
+/// Hardly any replica stays up.
+const STORM: Faults = Faults {
+    crash: 100,
+    rack: 30,
+    ..CALM
+};
+
+const CUTS: Faults = Faults {
+    reset: 60,
+    cut: 20,
+    ..CALM
+};
+
+#[derive(Clone, Debug)]
+struct Run {
+    vm: usize,
+    sent: u64,
+    end: u64,
+    request: u64,
+    parts: Vec<u64>,
+    tries: u32,
+}
+
+impl Run {
+    fn is_bad(&self) -> bool {
+        self.parts.contains(&BAD)
+    }
+
+    fn features(&self) -> Vec<Feature> {
+        Feature::of_request(Fingerprint(self.request), &self.parts)
+    }
+}
+
+struct Vm {
+    tracker: CrashTracker,
+    up_at: u64,
+    cut_until: u64,
+    /// When it was last disturbed.
+    disturbed: u64,
+}
+
+struct Replica {
+    start: u64,
+    up_at: u64,
+    runs: Vec<Run>,
+}
+
+struct World {
+    rng: Rng,
+    without: Without,
+    vms: Vec<Vm>,
+    replicas: Vec<Replica>,
+    store: BTreeSet<Feature>,
+    /// Beacons under way: when they arrive, to whom, from whom, when they were built.
+    beacons: Vec<(u64, usize, usize, u64, CrashReport)>,
+    /// Probes under way.
+    probes: Vec<(u64, usize, Instance)>,
+    requests: u64,
+    bad_crashes: Vec<u64>,
+    /// Arrivals of bad requests at replicas, from a VM that was last disturbed then.
+    bad_arrivals: Vec<(u64, u64)>,
+    /// Sound requests, and those of them that were refused.
+    sound: BTreeMap<u64, (usize, usize)>,
+}
+
+impl World {
+    fn new(seed: u64, without: Without, vms: usize, replicas: usize) -> Self {
+        let vm = || Vm {
+            tracker: CrashTracker::default(),
+            up_at: 0,
+            cut_until: 0,
+            disturbed: 0,
+        };
+        let replica = || Replica {
+            start: 1,
+            up_at: 0,
+            runs: Vec::new(),
+        };
+        Self {
+            rng: Rng(seed),
+            without,
+            vms: (0..vms).map(|_| vm()).collect(),
+            replicas: (0..replicas).map(|_| replica()).collect(),
+            store: BTreeSet::new(),
+            beacons: Vec::new(),
+            probes: Vec::new(),
+            requests: 0,
+            bad_crashes: Vec::new(),
+            bad_arrivals: Vec::new(),
+            sound: BTreeMap::new(),
+        }
+    }
+
+    fn instance(&self, i: usize) -> Instance {
+        Instance {
+            name: format!("i-{i}").parse().unwrap(),
+            started_ms: self.replicas[i].start,
+        }
+    }
+
+    /// A new request at any VM; it is refused, or sent to a replica.
+    fn ask(&mut self, now: u64, bad: bool) {
+        self.requests += 1;
+        let route = self.rng.next(3);
+        // A few parts are frequent, most are rare.
+        let shared = 100 * (route + 1) + self.rng.next(40).min(self.rng.next(40));
+        let mut parts = vec![10 + route, shared];
+        if bad {
+            parts = vec![10, BAD, 900 + self.rng.next(3)];
+        }
+        let vm = self.rng.next(self.vms.len() as u64) as usize;
+        let run = Run {
+            vm,
+            sent: now,
+            end: 0,
+            request: self.requests,
+            parts,
+            tries: 0,
+        };
+        if self.vms[vm].up_at > now {
+            return;
+        }
+        let blocked = self.send(now, run);
+        if !bad {
+            let second = self.sound.entry(now / 1_000).or_default();
+            second.0 += 1;
+            second.1 += usize::from(blocked);
+        }
+    }
+
+    /// Sends a request to a replica that is up; returns whether it is refused as blocked.
+    fn send(&mut self, now: u64, mut run: Run) -> bool {
+        let up: Vec<_> = (0..self.replicas.len())
+            .filter(|i| self.replicas[*i].up_at <= now)
+            .collect();
+        let features = run.features();
+        let vm = &mut self.vms[run.vm];
+        let first = run.vm == 0;
+        let blocked = vm.tracker.begin_send(at(now), &features, |_| first);
+        if blocked.is_some() || up.is_empty() || vm.cut_until > now {
+            return blocked.is_some();
+        }
+        let i = up[self.rng.next(up.len() as u64) as usize];
+        run.sent = now;
+        run.end = match run.is_bad() {
+            true => now + 70 + self.rng.next(400),
+            false => now + 300 + self.rng.next(1_200),
+        };
+        run.tries += 1;
+        if run.is_bad() {
+            self.bad_arrivals.push((now, self.vms[run.vm].disturbed));
+        }
+        if self.without != Without::Alive {
+            let replica = self.instance(i);
+            let sent = at(run.sent);
+            let tracker = &mut self.vms[run.vm].tracker;
+            tracker.record_heard(at(now + 5), &replica, sent);
+        }
+        self.replicas[i].runs.push(run);
+        false
+    }
+
+    /// A run breaks off at a replica; its VM sends the request again if it may.
+    fn break_off(&mut self, now: u64, i: usize, run: Run) {
+        let replica = self.instance(i);
+        let (vm, features) = (run.vm, run.features());
+        if self.vms[vm].up_at > now {
+            return;
+        }
+        let broken = BrokenRun {
+            sent: at(run.sent),
+            features: features.clone(),
+        };
+        let tracker = &mut self.vms[vm].tracker;
+        if tracker.accuse(at(now), &replica, broken) {
+            self.probes.push((now + PROBE, vm, replica));
+        }
+        if run.tries < 2 && !self.vms[vm].tracker.is_doubtful(at(now), &features) {
+            self.send(now, run);
+        }
+    }
+
+    fn crash(&mut self, now: u64, i: usize) {
+        let runs = std::mem::take(&mut self.replicas[i].runs);
+        self.replicas[i].up_at = now + 2_000 + self.rng.next(1_500);
+        for run in runs {
+            self.break_off(now, i, run);
+        }
+        self.replicas[i].start += 1;
+    }
+
+    /// All connections of a VM to replicas break, while the replicas live on.
+    fn reset(&mut self, now: u64, vm: usize) {
+        for i in 0..self.replicas.len() {
+            let runs = std::mem::take(&mut self.replicas[i].runs);
+            let (broken, kept) = runs.into_iter().partition(|run| run.vm == vm);
+            self.replicas[i].runs = kept;
+            let broken: Vec<Run> = broken;
+            for run in broken {
+                self.break_off(now, i, run);
+            }
+        }
+        self.vms[vm].disturbed = now;
+    }
+
+    fn restart(&mut self, now: u64, vm: usize) {
+        self.vms[vm] = Vm {
+            tracker: CrashTracker::default(),
+            up_at: now + RESTART,
+            cut_until: 0,
+            disturbed: now + RESTART,
+        };
+        for replica in &mut self.replicas {
+            replica.runs.retain(|run| run.vm != vm);
+        }
+        for feature in &self.store {
+            let start = at(now + RESTART);
+            let tracker = &mut self.vms[vm].tracker;
+            tracker.learn_block(start, start, *feature);
+            tracker.set_stored(*feature, true);
+        }
+    }
+
+    /// Runs come to their ends, and bad ones crash their replicas.
+    fn end_runs(&mut self, now: u64) {
+        for i in 0..self.replicas.len() {
+            let ended = |run: &Run| run.end <= now;
+            if self.replicas[i].runs.iter().any(|r| ended(r) && r.is_bad()) {
+                self.bad_crashes.push(now);
+                self.crash(now, i);
+                continue;
+            }
+            let runs = std::mem::take(&mut self.replicas[i].runs);
+            let (done, open): (Vec<_>, Vec<_>) = runs.into_iter().partition(ended);
+            self.replicas[i].runs = open;
+            for run in done {
+                let vm = &mut self.vms[run.vm];
+                vm.tracker.complete(at(now), &run.features());
+            }
+        }
+    }
+
+    fn probe(&mut self, now: u64) {
+        let due = |probe: &(u64, usize, Instance)| probe.0 <= now;
+        let (due, later) = std::mem::take(&mut self.probes).into_iter().partition(due);
+        self.probes = later;
+        let due: Vec<_> = due;
+        for (_, vm, replica) in due {
+            let lives = (0..self.replicas.len())
+                .any(|i| self.instance(i) == replica && self.replicas[i].up_at <= now);
+            let vm = &mut self.vms[vm];
+            if lives && vm.cut_until <= now && self.without != Without::Alive {
+                vm.tracker.record_alive(&replica, at(now));
+            }
+        }
+    }
+
+    /// Each VM sends a beacon to each other, some of which are lost.
+    fn send_beacons(&mut self, now: u64) {
+        for from in 0..self.vms.len() {
+            // The VMs send at different times.
+            let phase = from as u64 * 100 % BEACON / STEP * STEP;
+            if self.vms[from].up_at > now || now % BEACON != phase {
+                continue;
+            }
+            let mut report = self.vms[from].tracker.report(at(now));
+            match self.without {
+                Without::Telling => {
+                    report.crashes.clear();
+                    report.blocks.clear();
+                }
+                Without::Clearing => report.completed.clear(),
+                Without::Alive => report.alive.clear(),
+                Without::Nothing | Without::Store => {}
+            }
+            for to in (0..self.vms.len()).filter(|to| *to != from) {
+                if !self.rng.chance(50) {
+                    let arrival = now + self.rng.next(BEACON);
+                    self.beacons.push((arrival, to, from, now, report.clone()));
+                }
+            }
+        }
+    }
+
+    fn receive_beacons(&mut self, now: u64) {
+        let due = |beacon: &(u64, usize, usize, u64, CrashReport)| beacon.0 <= now;
+        let (due, later) = std::mem::take(&mut self.beacons).into_iter().partition(due);
+        self.beacons = later;
+        let due: Vec<_> = due;
+        for (_, to, from, _, report) in due {
+            if self.vms[to].up_at > now {
+                continue;
+            }
+            // The delay of a beacon is not known exactly.
+            let error = Span::from_millis(self.rng.next(100));
+            let heard = |moment: Moment| moment.after(error);
+            let vm: VmName = format!("vm-{from}").parse().unwrap();
+            let tracker = &mut self.vms[to].tracker;
+            for (replica, moment) in &report.alive {
+                tracker.learn_alive(&vm, replica, heard(*moment));
+            }
+            for (feature, moment) in report.completed {
+                tracker.learn_completion(heard(moment), feature);
+            }
+            for (replica, moment, runs) in report.crashes {
+                let runs = runs.into_iter().map(|run| BrokenRun {
+                    sent: heard(run.sent),
+                    ..run
+                });
+                let runs = runs.collect();
+                tracker.learn(at(now), &vm, &replica, heard(moment), runs);
+            }
+            for (feature, since, hit) in report.blocks {
+                tracker.learn_block(heard(since), heard(hit), feature);
+            }
+        }
+    }
+
+    fn judge(&mut self, now: u64) {
+        for i in 0..self.vms.len() {
+            if self.vms[i].up_at > now {
+                continue;
+            }
+            let tracker = &mut self.vms[i].tracker;
+            tracker.convict(at(now), SETTLE);
+            if self.without == Without::Store {
+                continue;
+            }
+            let unstored: Vec<_> = tracker.unstored().map(|(feature, _)| feature).collect();
+            for feature in unstored {
+                tracker.set_stored(feature, true);
+                self.store.insert(feature);
+            }
+            let lifted = tracker.take_lifted(at(now));
+            for feature in lifted {
+                self.store.remove(&feature);
+                self.vms.iter_mut().for_each(|vm| {
+                    vm.tracker.lift(at(now), feature);
+                });
+            }
+        }
+    }
+
+    fn befall(&mut self, now: u64, faults: Faults) {
+        let vm = self.rng.next(self.vms.len() as u64) as usize;
+        let replica = self.rng.next(self.replicas.len() as u64) as usize;
+        if self.rng.chance(faults.crash) && self.replicas[replica].up_at <= now {
+            self.crash(now, replica);
+        }
+        if self.rng.chance(faults.rack) {
+            for i in 0..self.replicas.len() / 3 {
+                let i = (replica + i) % self.replicas.len();
+                if self.replicas[i].up_at <= now {
+                    self.crash(now, i);
+                }
+            }
+        }
+        if self.rng.chance(faults.reset) {
+            self.reset(now, vm);
+        }
+        if self.rng.chance(faults.cut) {
+            self.vms[vm].cut_until = now + 2_000;
+            self.reset(now, vm);
+        }
+        if self.vms[vm].cut_until > now {
+            self.vms[vm].disturbed = now;
+        }
+        if self.rng.chance(faults.restart) {
+            self.restart(now, vm);
+        }
+        if self.rng.chance(faults.restart_all) {
+            (0..self.vms.len()).for_each(|vm| self.restart(now, vm));
+        }
+    }
+
+    /// Plays a run; bad requests come every `bad_gap` steps, if at all.
+    fn play(&mut self, faults: Faults, bad_gap: Option<u64>) {
+        for step in 0..END / STEP {
+            let now = step * STEP;
+            self.receive_beacons(now);
+            self.end_runs(now);
+            self.probe(now);
+            if now >= 5_000 {
+                self.befall(now, faults);
+            }
+            for _ in 0..self.rng.next(4) {
+                self.ask(now, false);
+            }
+            if bad_gap.is_some_and(|gap| now >= BAD_FROM && step % gap == 0) {
+                self.ask(now, true);
+            }
+            self.send_beacons(now);
+            if step % 4 == 0 {
+                self.judge(now);
+            }
+        }
+    }
+
+    /// Returns how many bad requests came later than the VMs could know, from VMs that were not
+    /// disturbed.
+    fn late_requests(&self) -> usize {
+        let Some(last) = self.bad_crashes.get(CRASHES - 1) else {
+            return 0;
+        };
+        let late = |(now, disturbed): &&(u64, u64)| {
+            *now > last + CONTACT && (*disturbed == 0 || *now > disturbed + CONTACT)
+        };
+        self.bad_arrivals.iter().filter(late).count()
+    }
+
+    /// Returns the sound requests from `from` on, and those of them that were refused as blocked.
+    fn refused(&self, from: u64) -> (usize, usize) {
+        let seconds = self.sound.range(from / 1_000..);
+        seconds.fold((0, 0), |(all, refused), (_, s)| (all + s.0, refused + s.1))
+    }
+}
+
+/// What went wrong in a run: too many late requests, or too many sound ones refused.
+fn violation(seed: u64, without: Without, faults: Faults, bad_gap: Option<u64>) -> Option<String> {
+    let vms = 3 + seed % 4;
+    let replicas = [6, 9, 12][seed as usize % 3];
+    let mut world = World::new(seed, without, vms as usize, replicas);
+    world.play(faults, bad_gap);
+    let late = world.late_requests();
+    let from = world
+        .bad_crashes
+        .first()
+        .map_or(0, |first| first + 2 * CONTACT);
+    let (all, refused) = world.refused(from);
+    if late > LATE_REQUESTS {
+        let crashes = world.bad_crashes.len();
+        return Some(format!(
+            "seed {seed}: {late} late requests, {crashes} crashes"
+        ));
+    }
+    (refused * MAX_REFUSED > all)
+        .then(|| format!("seed {seed}: {refused} of {all} sound requests refused"))
+}
+
+/// Runs of each case; a longer search is started by hand with another number.
+const SEEDS: u64 = 20;
+
+#[rstest]
+#[case::calm_frequent(CALM, Some(5))]
+#[case::calm_burst(CALM, Some(2))]
+#[case::calm_seldom(CALM, Some(30))]
+#[case::rough_frequent(ROUGH, Some(5))]
+#[case::rough_seldom(ROUGH, Some(20))]
+#[case::rough_without_cause(ROUGH, None)]
+#[case::all_restart(Faults { restart_all: 3, ..CALM }, Some(5))]
+#[case::racks_and_flaps(STORM, None)]
+#[case::cuts_and_resets(CUTS, Some(5))]
+fn bad_part_is_refused_and_sound_parts_are_not(
+    #[case] faults: Faults,
+    #[case] bad_gap: Option<u64>,
+) {
+    let found = (0..SEEDS).filter_map(|seed| violation(seed, Without::Nothing, faults, bad_gap));
+    let found: Vec<_> = found.collect();
+    assert!(found.is_empty(), "{} of {SEEDS}: {found:#?}", found.len());
+}
+
+/// The search finds what each guard prevents.
+#[rstest]
+#[case::telling(Without::Telling, CALM, Some(20))]
+#[case::clearing(Without::Clearing, STORM, None)]
+#[case::alive(Without::Alive, CUTS, Some(5))]
+#[case::store(Without::Store, Faults { restart_all: 3, ..CALM }, Some(5))]
+fn search_finds_missing_guard(
+    #[case] without: Without,
+    #[case] faults: Faults,
+    #[case] bad_gap: Option<u64>,
+) {
+    let mut seeds = 0..3 * SEEDS;
+    assert!(seeds.any(|seed| violation(seed, without, faults, bad_gap).is_some()));
+}
--- a/lib/tests/test_serving_crash_tracker.rs
+++ b/lib/tests/test_serving_crash_tracker.rs
@@ -17,6 +17,7 @@
 const BAD: u64 = 0xbad;
 const FIRST: u64 = 1;
 const OTHER: u64 = 2;
+const SERVED: u64 = 3;
 
 fn at(ms: u64) -> Moment {
     Moment(100_000_000).after(Span::from_millis(ms))
@@ -48,6 +49,15 @@
     }
 }
 
+/// A tracker of a VM that has served requests for some time.
+fn served_tracker() -> CrashTracker {
+    let mut tracker = CrashTracker::default();
+    for n in 0..20 {
+        complete(&mut tracker, n, &[SERVED]);
+    }
+    tracker
+}
+
 fn convict(tracker: &mut CrashTracker, ms: u64) -> Vec<Feature> {
     let convictions = tracker.convict(at(ms), SETTLE);
     convictions.into_iter().map(|c| c.feature).collect()
@@ -65,7 +75,7 @@
 /// Three crashes of one replica, which restarts under the same name, count as three.
 #[test]
 fn request_is_blocked_after_three_crashes_of_one_replica() {
-    let mut tracker = CrashTracker::default();
+    let mut tracker = served_tracker();
     for start in 1..=3 {
         assert!(!is_blocked(&mut tracker, start * 1_000 - 80, 7, &[]));
         let name = "i-1".parse().unwrap();
@@ -81,7 +91,7 @@
 
 #[test]
 fn request_is_blocked_after_three_crashed_replicas() {
-    let mut tracker = CrashTracker::default();
+    let mut tracker = served_tracker();
     for n in 1..=2 {
         crash(&mut tracker, n * 300, n, &[(7, &[])]);
     }
@@ -95,7 +105,7 @@
 /// Connections are reset, or answers lost, while replicas live on.
 #[test]
 fn crash_of_live_replica_does_not_count() {
-    let mut tracker = CrashTracker::default();
+    let mut tracker = served_tracker();
     for n in 1..=3 {
         crash(&mut tracker, n * 300, n, &[(7, &[])]);
     }
@@ -103,16 +113,36 @@
     assert_eq!(convict(&mut tracker, 3_000), []);
     // What another VM tells later of the time before does not count either.
     let vm: VmName = "vm-2".parse().unwrap();
-    tracker.learn(at(1_100), &vm, &replica(2), at(600), vec![run(530, 7, &[])]);
+    tracker.record_alive(&replica(2), at(1_200));
+    let told = vec![run(530, 7, &[])];
+    tracker.learn(at(1_300), &vm, &replica(2), at(600), told);
     assert_eq!(convict(&mut tracker, 3_000), []);
 }
 
+/// The clocks of two VMs differ: one heard from a replica right before another one saw it crash.
+#[test]
+fn crash_is_not_refuted_by_another_clock() {
+    let mut tracker = served_tracker();
+    let vm: VmName = "vm-2".parse().unwrap();
+    for n in 1..=3 {
+        crash(&mut tracker, n * 300, n, &[(7, &[])]);
+        let told = vec![run(n * 300 - 70, 7, &[])];
+        tracker.learn(at(n * 300), &vm, &replica(n), at(n * 300), told);
+        tracker.learn_alive(&vm, &replica(n), at(n * 300 + 100));
+    }
+    assert_eq!(convict(&mut tracker, 3_000).len(), 1);
+    for n in 1..=3 {
+        tracker.learn_alive(&vm, &replica(n), at(2_000));
+    }
+    assert!(tracker.report(at(2_100)).crashes.is_empty());
+}
+
 /// Only what was sent after the crash became known shows that there was none.
 #[rstest]
 #[case::before(500, false)]
 #[case::after(700, true)]
 fn crash_is_refuted_by_later_answers(#[case] sent: u64, #[case] refuted: bool) {
-    let mut tracker = CrashTracker::default();
+    let mut tracker = served_tracker();
     crash(&mut tracker, 600, 1, &[(7, &[])]);
     assert_eq!(
         tracker.record_heard(at(800), &replica(1), at(sent)),
@@ -124,7 +154,7 @@
 
 #[test]
 fn complete_run_clears_request() {
-    let mut tracker = CrashTracker::default();
+    let mut tracker = served_tracker();
     for n in 1..=3 {
         crash(&mut tracker, n * 300, n, &[(7, &[])]);
     }
@@ -136,7 +166,7 @@
 /// they saturated the links.
 #[test]
 fn crashes_of_other_vms_are_not_forwarded() {
-    let mut tracker = CrashTracker::default();
+    let mut tracker = served_tracker();
     let vm: VmName = "vm-2".parse().unwrap();
     tracker.learn(at(0), &vm, &replica(1), at(0), vec![run(0, 1, &[])]);
     assert!(tracker.report(at(10)).is_empty());
@@ -156,7 +186,7 @@
 
 #[test]
 fn reported_crashes_fit_a_datagram() {
-    let mut tracker = CrashTracker::default();
+    let mut tracker = served_tracker();
     for n in 0..1_000 {
         crash(
             &mut tracker,
@@ -174,7 +204,7 @@
 /// Crashes that each were seen by another VM add up, and one that is told again counts once.
 #[test]
 fn crashes_that_other_vms_saw_count() {
-    let mut tracker = CrashTracker::default();
+    let mut tracker = served_tracker();
     for n in 1..=2_u64 {
         let vm: VmName = format!("vm-{n}").parse().unwrap();
         for again in 0..3 {
@@ -193,7 +223,7 @@
 /// sound requests share with them stay served.
 #[test]
 fn part_is_blocked_and_parts_of_sound_requests_are_not() {
-    let mut tracker = CrashTracker::default();
+    let mut tracker = served_tracker();
     complete(&mut tracker, 100, &[FIRST, OTHER]);
     for n in 1..=3 {
         // A rare part is in two of the three batches.
@@ -216,7 +246,7 @@
 /// requests is in every crash, and so is the cause.
 #[test]
 fn first_part_is_not_blocked_where_no_run_completes() {
-    let mut tracker = CrashTracker::default();
+    let mut tracker = served_tracker();
     complete(&mut tracker, 100, &[FIRST, OTHER]);
     for n in 1..=9 {
         let batch: [(u64, &[u64]); 2] = [(n, &[FIRST, BAD]), (n + 10, &[FIRST, n + 100])];
@@ -228,7 +258,7 @@
 
 #[test]
 fn two_bad_parts_are_both_blocked() {
-    let mut tracker = CrashTracker::default();
+    let mut tracker = served_tracker();
     complete(&mut tracker, 100, &[FIRST]);
     for n in 1..=6 {
         let parts = [FIRST, BAD + n % 2];
@@ -247,7 +277,7 @@
 /// Callers send a request again, so that the request is found out before the part.
 #[test]
 fn part_is_blocked_after_requests_with_it_were() {
-    let mut tracker = CrashTracker::default();
+    let mut tracker = served_tracker();
     complete(&mut tracker, 100, &[FIRST]);
     for n in 1..=3 {
         crash(&mut tracker, n * 300, n, &[(7, &[FIRST, BAD])]);
@@ -261,7 +291,7 @@
 /// One request that is sent again says nothing of what others share with it.
 #[test]
 fn parts_of_one_bad_request_are_not_blocked() {
-    let mut tracker = CrashTracker::default();
+    let mut tracker = served_tracker();
     for n in 1..=5 {
         crash(&mut tracker, n * 300, n, &[(7, &[FIRST, OTHER])]);
     }
@@ -272,7 +302,7 @@
 /// Replicas that lose power together break off runs of common parts at many of them.
 #[test]
 fn replicas_stopped_together_count_once() {
-    let mut tracker = CrashTracker::default();
+    let mut tracker = served_tracker();
     for n in 1..=9 {
         crash(&mut tracker, 300 + n, n, &[(n, &[FIRST, OTHER])]);
     }
@@ -289,7 +319,7 @@
     #[case] others: bool,
     #[case] blocked: bool,
 ) {
-    let mut tracker = CrashTracker::default();
+    let mut tracker = served_tracker();
     complete(&mut tracker, 100, &[BAD]);
     for n in 1..=crashes {
         crash(&mut tracker, n * 300, n, &[(n, &[BAD])]);
@@ -304,7 +334,7 @@
 /// Two parts in different requests of the same batches: one of them is the cause.
 #[test]
 fn parts_that_evidence_does_not_tell_apart_wait_for_more() {
-    let mut tracker = CrashTracker::default();
+    let mut tracker = served_tracker();
     let batch = |n: u64| [(n, [BAD]), (n + 10, [OTHER])];
     for n in 1..=4 {
         let batch = batch(n);
@@ -335,7 +365,7 @@
 
 /// A tracker that blocked the bad part at 3 s.
 fn blocked_part() -> CrashTracker {
-    let mut tracker = CrashTracker::default();
+    let mut tracker = served_tracker();
     for n in 1..=3 {
         crash(&mut tracker, n * 500, n, &[(n, &[BAD])]);
     }
@@ -423,7 +453,7 @@
 /// A request whose replicas may crash on it is not sent again while that is in doubt.
 #[test]
 fn request_in_doubt_is_not_repeated() {
-    let mut tracker = CrashTracker::default();
+    let mut tracker = served_tracker();
     let bad = |n| Feature::of_request(Fingerprint(n), &[FIRST, BAD]);
     crash(&mut tracker, 300, 1, &[(1, &[FIRST, BAD])]);
     assert!(!tracker.is_doubtful(at(310), &bad(1)));
@@ -436,7 +466,7 @@
 /// A flood of crashes, features and blocks takes bounded memory; the newest are kept.
 #[test]
 fn flood_is_bounded() {
-    let mut tracker = CrashTracker::default();
+    let mut tracker = served_tracker();
     for n in 0..20_000 {
         crash(&mut tracker, 100 + n, n, &[(n, &[n, n + 1])]);
         complete(&mut tracker, 100 + n, &[1_000_000 + n]);
