serving: a block that another VM tells of is written to the store at once

The VM that is first in the order of the part writes it; it had heard of it in a beacon, which did not wake the task that writes, so that it slept for up to a minute. Now the beacon wakes it.

--- a/lib/src/serving/peers/crash_reports.rs
+++ b/lib/src/serving/peers/crash_reports.rs
@@ -94,6 +94,7 @@
         if tracker.learn_block(since, hit, feature) {
             slog::warn!(node.log, "requests blocked that crash their replicas";
                 "feature" => %feature, "told_by" => vm.as_str());
+            node.blocks_wake.notify_one();
         }
     }
     node.crash_wake.notify_one();
