serving: a VM that has just started blocks parts after three crashes as well

What a new VM must not do is block a common part that is in all runs with the cause: it now takes the narrower of two nested parts, after three crashes like any other VM.

--- a/lib/src/serving/decisions/crash_tracker/evidence.rs
+++ b/lib/src/serving/decisions/crash_tracker/evidence.rs
@@ -91,6 +91,11 @@
         !nested && !self.crashes.is_disjoint(&other.crashes)
     }
 
+    /// Returns whether all runs with another feature had this one, and others had it too.
+    pub(super) fn is_wider(&self, other: &Self) -> bool {
+        other.runs.len() < self.runs.len() && other.runs.is_subset(&self.runs)
+    }
+
     /// Returns how many crashes there were from the first to the last one of the feature.
     pub(super) fn spanned(&self) -> usize {
         match (self.crashes.first(), self.crashes.last()) {
--- a/lib/src/serving/decisions/crash_tracker/mod.rs
+++ b/lib/src/serving/decisions/crash_tracker/mod.rs
@@ -42,7 +42,7 @@
 /// evidence does not tell from another one.
 const MANY_CRASHES: usize = 5;
 
-/// Complete runs that a VM must have seen to take a feature without one for a rare one.
+/// Complete runs that a VM must have seen to know the common features.
 const MIN_SERVED: usize = 20;
 
 /// Part of the crashes between the first and the last one of a feature, one in so many, that
@@ -395,6 +395,11 @@
             return Vec::new();
         };
         candidates.retain(|candidate| key(candidate) == best);
+        if self.served < MIN_SERVED {
+            // A common part that no run has cleared yet is in all runs with the cause, and others.
+            let all = candidates.clone();
+            candidates.retain(|(_, s)| !all.iter().any(|(_, other)| s.is_wider(other)));
+        }
         let tied = candidates.clone();
         let has_rival = |(_, s): &(Feature, Suspect)| tied.iter().any(|(_, o)| s.is_rival(o));
         if best.2 >= MANY_CRASHES && tied.iter().any(&has_rival) {
@@ -430,9 +435,6 @@
             let mut others = others.filter(|(_, features)| !features.contains(&feature));
             return successive >= MANY_CRASHES && others.next().is_some();
         }
-        if self.served < MIN_SERVED {
-            return successive >= MANY_CRASHES;
-        }
         // Requests that come at the same time crash replicas together.
         let many_at_once = successive >= DOUBTFUL_CRASHES
             && crashes >= MANY_CRASHES
--- a/lib/tests/test_serving_crash_tracker.rs
+++ b/lib/tests/test_serving_crash_tracker.rs
@@ -256,6 +256,17 @@
     assert_eq!(convict(&mut tracker, 3_500), []);
 }
 
+/// A VM that has just started does not know which parts are common.
+#[test]
+fn common_part_is_not_blocked_by_a_new_vm() {
+    let mut tracker = CrashTracker::default();
+    for n in 1..=3 {
+        let batch: [(u64, &[u64]); 2] = [(n, &[FIRST, BAD]), (n + 10, &[FIRST, n + 100])];
+        crash(&mut tracker, n * 500, n, &batch);
+    }
+    assert_eq!(convict(&mut tracker, 3_000), [Feature::PromptPart(BAD)]);
+}
+
 #[test]
 fn two_bad_parts_are_both_blocked() {
     let mut tracker = served_tracker();
