tests: an address at which connections are refused stays taken

It freed the port that it took for unreachable, so that another test could listen there. The socket is now kept and never listens: connections are refused, and nobody else gets the port.

--- a/lib/tests/test_entry_failures.rs
+++ b/lib/tests/test_entry_failures.rs
@@ -9,6 +9,7 @@
 use rstest::rstest;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
+use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 use wire::entry_message::Body as ToOwner;
 
@@ -38,8 +39,13 @@
     .await
 }
 
-async fn unreachable_address() -> SocketAddr {
-    bind().await.1
+/// An address at which connections are refused. The socket keeps its port, so that nothing else
+/// listens there, and does not listen itself.
+fn unreachable_address() -> (TcpSocket, SocketAddr) {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.bind(SocketAddr::from(([127, 0, 0, 1], 0))).unwrap();
+    let address = socket.local_addr().unwrap();
+    (socket, address)
 }
 
 fn outcomes(releases: &[wire::Release]) -> Vec<u32> {
@@ -66,14 +72,16 @@
 #[tokio::test]
 async fn unreachable_retried_elsewhere() {
     let good = good().await;
-    let world = World::start(grant_first_then(unreachable_address().await, good.address)).await;
+    let (_held, address) = unreachable_address();
+    let world = World::start(grant_first_then(address, good.address)).await;
     assert_eq!(world.send(&not_idempotent(), PROMPT).await.status, 200);
     assert_eq!(outcomes(&world.releases(2).await), [1, 0]);
 }
 
 #[tokio::test]
 async fn unreachable_given_up() {
-    let world = World::start(grant_always(unreachable_address().await)).await;
+    let (_held, address) = unreachable_address();
+    let world = World::start(grant_always(address)).await;
     let response = world.send(&completion(), PROMPT).await;
     assert_eq!(
         response.error(),
