serving: a stream without a length that ends inside an event counts as broken by its replica

A response may come without a length and end with its connection.

stream_cut_inside_event_counts_as_crash fails without the change. The other two cases hold before and after: the whole stream reaches the caller, one that is cut inside an event does not look complete. Not covered: a crash between two events of such a stream looks like its end.

--- a/lib/src/serving/path/response.rs
+++ b/lib/src/serving/path/response.rs
@@ -136,9 +136,6 @@
             let wake_at = self.wake_at();
             let started = self.response.as_mut()?;
             let chunk = tokio::time::timeout_at(wake_at, started.answer.next_chunk()).await;
-            if let (Ok(Some(Err(_))), Some(started)) = (&chunk, &self.response) {
-                record_break(&self.node, &self.request, &started.run);
-            }
             let ended = match chunk {
                 Err(_) if now() >= self.request.deadline => {
                     let replica = self.response.take().map(|r| r.run.replica.clone());
@@ -157,10 +154,11 @@
                     Ok(bytes) => return Some(Ok(bytes)),
                     Err(reason) => AttemptFailure::InvalidReply(reason),
                 },
-                Ok(Some(Err(_))) => AttemptFailure::Broken,
+                Ok(Some(Err(_))) => self.broken_off(),
                 Ok(None) => match self.finish() {
                     Ok(rest) => return rest.map(Ok),
-                    Err(reason) => AttemptFailure::InvalidReply(reason),
+                    // Without a length the connection ends what the replica did not finish.
+                    Err(_) => self.broken_off(),
                 },
             };
             if let Err(e) = self.resume(ended).await {
@@ -169,6 +167,14 @@
         }
     }
 
+    /// Records that the replica broke the response off.
+    fn broken_off(&self) -> AttemptFailure {
+        if let Some(started) = &self.response {
+            record_break(&self.node, &self.request, &started.run);
+        }
+        AttemptFailure::Broken
+    }
+
     /// Returns until when to wait for data: the deadline, or when a stream that can be resumed
     /// has been silent for so long that it is checked.
     fn wake_at(&self) -> Instant {
