serving: the judgement of crashes has a module of its own

crash_tracker/mod.rs keeps what is known and told, judge.rs what follows from it; no logic changed. The log line of a lifted block stands with the blocks in the store, so that the path does not need the messages between VMs for it.

--- a/lib/src/serving/decisions/crash_tracker/mod.rs
+++ b/lib/src/serving/decisions/crash_tracker/mod.rs
@@ -12,6 +12,7 @@
 mod blocks;
 mod evidence;
 mod feature;
+mod judge;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -21,9 +22,6 @@
 use evidence::CLOCK_ERROR;
 use evidence::Crash;
 use evidence::MAX_RUNS;
-use evidence::OpenCrash;
-use evidence::Suspect;
-use evidence::find_suspects;
 
 use crate::ids::VmName;
 use crate::pool::Moment;
@@ -34,27 +32,7 @@
 pub use evidence::BrokenRun;
 pub use feature::BadFeature;
 pub use feature::Feature;
-
-/// Successive crashes after which a feature is blocked, if no run with it was complete lately.
-const MIN_CRASHES: usize = 3;
-
-/// Crashes after which a feature is blocked that runs were complete with lately, or that the
-/// evidence does not tell from another one.
-const MANY_CRASHES: usize = 5;
-
-/// Complete runs that a VM must have seen to know the common features.
-const MIN_SERVED: usize = 20;
-
-/// Part of the crashes between the first and the last one of a feature, one in so many, that
-/// must be its own: a rare feature is in some of many crashes by chance.
-const MIN_COVERAGE: usize = 3;
-
-/// Crashes after which a request that broke a run is not sent again.
-const DOUBTFUL_CRASHES: usize = 2;
-
-/// Different requests that must have crashed replicas before a part of their prompts is
-/// suspected rather than the request.
-const MIN_REQUESTS: usize = 2;
+pub use judge::Conviction;
 
 /// How long crashes and complete runs are remembered.
 const MEMORY: Span = Span::from_millis(600_000);
@@ -75,21 +53,6 @@
 /// Maximum number of entries of each kind in a report, as a beacon must fit in a datagram.
 const MAX_REPORTED: usize = 64;
 
-/// A feature that was found out.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Conviction {
-    /// The feature.
-    pub feature: Feature,
-    /// Crashes of replicas that ran a request with it.
-    pub crashes: usize,
-    /// How many of them came in succession.
-    pub successive: usize,
-    /// Different requests among the broken runs.
-    pub requests: usize,
-    /// Time between the first and the last of these crashes.
-    pub span: Span,
-}
-
 /// What one VM tells the others.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct CrashReport {
@@ -329,136 +292,6 @@
         self.completed.get(&feature).is_some_and(|last| *last >= at)
     }
 
-    /// Returns the crashes in the order of their times that were learnt of at `until` at the
-    /// latest.
-    fn settled_crashes(&self, now: Moment, until: Moment) -> Vec<&Crash> {
-        let recent = |c: &&Crash| now.since(c.at) < MEMORY && c.learnt <= until;
-        let mut crashes: Vec<_> = self.crashes.values().filter(recent).collect();
-        crashes.sort_by_key(|crash| crash.at);
-        crashes
-    }
-
-    /// Returns what speaks against each feature, given the crashes that what is blocked does not
-    /// explain.
-    fn suspects(&self, crashes: &[OpenCrash<'_>]) -> BTreeMap<Feature, Suspect> {
-        find_suspects(crashes, |feature, at| self.is_cleared(feature, at))
-    }
-
-    /// Blocks the features that crash replicas, and returns them. A crash counts once it has
-    /// been known for `settle`: by then the other VMs have told of their runs, and which
-    /// features are cleared.
-    pub fn convict(&mut self, now: Moment, settle: Span) -> Vec<Conviction> {
-        let mut convictions = Vec::new();
-        let until = Moment(now.0.saturating_sub(settle.0));
-        loop {
-            let found = self.find_cause(now, until);
-            if found.is_empty() {
-                return convictions;
-            }
-            for (feature, suspect) in found {
-                self.blocks.add(now, now, feature);
-                let (first, last) = suspect.span.unwrap_or((now, now));
-                convictions.push(Conviction {
-                    feature,
-                    crashes: suspect.crashes.len(),
-                    successive: suspect.successive,
-                    requests: suspect.requests.len(),
-                    span: last.since(first),
-                });
-            }
-        }
-    }
-
-    /// Returns the features that are most likely the cause of crashes; none if none is certain
-    /// enough.
-    fn find_cause(&self, now: Moment, until: Moment) -> Vec<(Feature, Suspect)> {
-        let settled = self.settled_crashes(now, until);
-        let is_blocked = |feature| self.blocks.contains(feature);
-        let open = settled.iter().filter_map(|c| OpenCrash::new(c, is_blocked));
-        let open: Vec<_> = open.collect();
-        let suspects = self.suspects(&open);
-        if suspects.is_empty() {
-            return Vec::new();
-        }
-        // Had nothing been blocked, some crashes would speak against other features as well.
-        let all = settled.iter().filter_map(|c| OpenCrash::new(c, |_| false));
-        let all = self.suspects(&all.collect::<Vec<_>>());
-        let is_candidate = |(feature, s): &(Feature, Suspect)| {
-            let total = all.get(feature).map_or(0, |all| all.successive);
-            !is_blocked(*feature) && self.is_certain(now, *feature, s, total)
-        };
-        let mut candidates: Vec<_> = suspects.into_iter().filter(is_candidate).collect();
-        let key = |(feature, s): &(Feature, Suspect)| {
-            (!self.is_known(now, *feature), s.crashes.len(), s.successive)
-        };
-        let Some(best) = candidates.iter().map(&key).max() else {
-            return Vec::new();
-        };
-        candidates.retain(|candidate| key(candidate) == best);
-        if self.served < MIN_SERVED {
-            // A common part that no run has cleared yet is in all runs with the cause, and others.
-            let all = candidates.clone();
-            candidates.retain(|(_, s)| !all.iter().any(|(_, other)| s.is_wider(other)));
-        }
-        let tied = candidates.clone();
-        let has_rival = |(_, s): &(Feature, Suspect)| tied.iter().any(|(_, o)| s.is_rival(o));
-        if best.2 >= MANY_CRASHES && tied.iter().any(&has_rival) {
-            // The feature with the fewest runs is the least likely to be in all batches by chance.
-            let fewest = tied.iter().map(|(_, s)| s.runs.len()).min();
-            candidates.retain(|(_, s)| Some(s.runs.len()) == fewest);
-        } else {
-            candidates.retain(|candidate| !has_rival(candidate));
-        }
-        candidates
-    }
-
-    /// Returns whether a run with a feature was complete lately.
-    fn is_known(&self, now: Moment, feature: Feature) -> bool {
-        let last = self.completed.get(&feature);
-        last.is_some_and(|last| now.since(*last) < MEMORY)
-    }
-
-    /// Returns whether there is enough to block a feature. `total` is the number of successive
-    /// crashes that would speak against it if nothing were blocked.
-    fn is_certain(&self, now: Moment, feature: Feature, suspect: &Suspect, total: usize) -> bool {
-        if !feature.is_part() {
-            return suspect.successive >= MIN_CRASHES;
-        }
-        let (successive, crashes) = (suspect.successive, suspect.crashes.len());
-        if suspect.requests.len() < MIN_REQUESTS || crashes * MIN_COVERAGE < suspect.spanned() {
-            return false;
-        }
-        if self.is_known(now, feature) {
-            // Where no request is served at all, the fault is not that of a feature.
-            let first = suspect.span.map_or(now, |(first, _)| first);
-            let others = self.recent.iter().filter(|(at, _)| *at >= first);
-            let mut others = others.filter(|(_, features)| !features.contains(&feature));
-            return successive >= MANY_CRASHES && others.next().is_some();
-        }
-        // Requests that come at the same time crash replicas together.
-        let many_at_once = successive >= DOUBTFUL_CRASHES
-            && crashes >= MANY_CRASHES
-            && crashes * 2 >= suspect.spanned();
-        successive >= MIN_CRASHES || many_at_once || total >= MANY_CRASHES
-    }
-
-    /// Returns whether a request is suspected enough not to be sent again after a broken run:
-    /// each attempt may cost another replica and all that it runs.
-    pub fn is_doubtful(&self, now: Moment, features: &[Feature]) -> bool {
-        let settled = self.settled_crashes(now, now);
-        if settled.len() < DOUBTFUL_CRASHES {
-            return false;
-        }
-        let is_blocked = |feature| self.blocks.contains(feature);
-        let open = settled.iter().filter_map(|c| OpenCrash::new(c, is_blocked));
-        let suspects = self.suspects(&open.collect::<Vec<_>>());
-        features.iter().any(|feature| {
-            let suspect = suspects.get(feature);
-            let enough = suspect.is_some_and(|s| s.successive >= DOUBTFUL_CRASHES);
-            enough && !self.is_known(now, *feature)
-        })
-    }
-
     /// Returns the blocked feature for which a request is refused now. Once a trial is due, one
     /// request is let through by the VM for which `may_try` holds.
     pub fn find_block(
--- a/lib/src/serving/path/crashes.rs
+++ b/lib/src/serving/path/crashes.rs
@@ -12,9 +12,9 @@
 use crate::serving::path::forward::BufferedRequest;
 use crate::serving::path::forward::Run;
 use crate::serving::path::types::Instance;
-use crate::serving::peers::crash_reports::log_lifted;
 use crate::serving::program::node::Node;
 use crate::serving::program::node::now;
+use crate::serving::store::blocks::log_lifted;
 
 /// Interval at which crashes are judged, while there are any to judge.
 const CHECK_INTERVAL: Duration = Duration::from_millis(200);
--- a/lib/src/serving/peers/crash_reports.rs
+++ b/lib/src/serving/peers/crash_reports.rs
@@ -10,6 +10,7 @@
 use crate::serving::decisions::crash_tracker::Feature;
 use crate::serving::peers::beacons::parse_instance;
 use crate::serving::program::node::Node;
+use crate::serving::store::blocks::log_lifted;
 
 /// Returns the report for a beacon that is built now; `None` if there is nothing to tell.
 pub(in crate::serving) fn encode_report(
@@ -118,9 +119,3 @@
         false => Feature::Request(Fingerprint(note.number)),
     }
 }
-
-/// Logs that requests with a feature are served again.
-pub(in crate::serving) fn log_lifted(node: &Node, feature: Feature, why: &str) {
-    slog::warn!(node.log, "block lifted, as a run was complete"; "feature" => %feature,
-        "told_by" => why);
-}
--- a/lib/src/serving/store/blocks.rs
+++ b/lib/src/serving/store/blocks.rs
@@ -143,3 +143,9 @@
     }
     true
 }
+
+/// Logs that requests with a feature are served again.
+pub(in crate::serving) fn log_lifted(node: &Node, feature: Feature, why: &str) {
+    slog::warn!(node.log, "block lifted, as a run was complete"; "feature" => %feature,
+        "told_by" => why);
+}
