--- a/lib/tests/test_serving_crash_tracker.rs
+++ b/lib/tests/test_serving_crash_tracker.rs
@@ -119,6 +119,19 @@
     assert_eq!(convict(&mut tracker, 3_000), []);
 }
 
+/// What another VM tells of the time before a sign of life does not count.
+#[test]
+fn crash_told_after_sign_of_life_does_not_count() {
+    let mut tracker = served_tracker();
+    for n in 1..=3 {
+        crash(&mut tracker, n * 300, n, &[(7, &[])]);
+    }
+    tracker.record_alive(&replica(2), at(1_000));
+    let vm: VmName = "vm-2".parse().unwrap();
+    tracker.learn(at(1_100), &vm, &replica(2), at(600), vec![run(530, 7, &[])]);
+    assert_eq!(convict(&mut tracker, 3_000), []);
+}
+
 /// The clocks of two VMs differ: one heard from a replica right before another one saw it crash.
 #[test]
 fn crash_is_not_refuted_by_another_clock() {
