--- a/review/kit/vm.rs
+++ b/review/kit/vm.rs
@@ -123,6 +123,14 @@
         Ok(head.is_some_and(|h| h.status() == 200))
     }
 
+    /// Returns the memory that the process takes.
+    pub fn memory_kb(&self) -> Option<u64> {
+        let pid = self.child.as_ref()?.id();
+        let status = std::fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
+        let line = status.lines().find(|l| l.starts_with("VmRSS:"))?;
+        line.split_whitespace().nth(1)?.parse().ok()
+    }
+
     /// Sends a signal by its name, as `TERM`.
     pub fn signal(&self, name: &str) {
         if let Some(child) = &self.child {
