Add a review case: manifests in quick succession stall the watch

A VM on a slow link asks for all versions since its own in one call, runs into the timeout of the call and repeats it until the store drops its history.

--- a/review/kit/mod.rs
+++ b/review/kit/mod.rs
@@ -5,5 +5,6 @@
 pub mod client;
 pub mod http;
 pub mod json;
+pub mod proxy;
 pub mod store;
 pub mod vm;
--- a/review/kit/store.rs
+++ b/review/kit/store.rs
@@ -14,8 +14,12 @@
 use super::http;
 use super::json::Json;
 
+/// `platform.historyS`: how long changes are kept.
+const HISTORY: Duration = Duration::from_secs(20);
+
 #[derive(Clone)]
 struct Change {
+    at: Instant,
     revision: u64,
     kind: String,
     object: Json,
@@ -27,6 +31,19 @@
     revision: u64,
     objects: BTreeMap<(String, String), Json>,
     log: Vec<Change>,
+    /// The last revision that the history lacks.
+    forgotten: u64,
+}
+
+impl State {
+    /// Drops the changes that are older than the history.
+    fn forget(&mut self) {
+        let old = self.log.iter().take_while(|c| c.at.elapsed() > HISTORY);
+        let old = old.count();
+        if let Some(last) = self.log.drain(..old).next_back() {
+            self.forgotten = last.revision;
+        }
+    }
 }
 
 #[derive(Clone)]
@@ -66,6 +83,7 @@
         };
         state.revision += 1;
         let change = Change {
+            at: Instant::now(),
             revision: state.revision,
             kind: kind.to_owned(),
             object,
@@ -97,6 +115,7 @@
         let key = (kind.to_owned(), name.to_owned());
         state.objects.insert(key, object.clone());
         state.log.push(Change {
+            at: Instant::now(),
             revision,
             kind: kind.to_owned(),
             object: object.clone(),
@@ -141,7 +160,7 @@
         let number = |key| field(key).and_then(|f| f.parse::<u64>().ok());
         match (method, name) {
             ("GET", None) => match number("watch") {
-                Some(from) => (200, self.watch(kind, from, number("waitMs").unwrap_or(0))),
+                Some(from) => self.watch(kind, from, number("waitMs").unwrap_or(0)),
                 None => (200, self.list(kind, field("after"))),
             },
             ("POST", None) => {
@@ -196,11 +215,15 @@
         )
     }
 
-    fn watch(&self, kind: &str, from: u64, wait_ms: u64) -> String {
+    fn watch(&self, kind: &str, from: u64, wait_ms: u64) -> (u16, String) {
         let end = Instant::now() + Duration::from_millis(wait_ms);
         let (lock, changed) = &*self.shared;
         let mut state = lock.lock().unwrap();
         loop {
+            state.forget();
+            if from < state.forgotten {
+                return (410, "null".to_owned());
+            }
             let new = state.log.iter();
             let new = new.filter(|c| c.revision > from && c.kind == kind);
             let events = new.map(|c| {
@@ -211,7 +234,8 @@
             let left = end.saturating_duration_since(Instant::now());
             if !events.is_empty() || left.is_zero() {
                 let (events, revision) = (events.join(","), state.revision);
-                return format!("{{\"events\":[{events}],\"asOf\":{revision}}}");
+                let answer = format!("{{\"events\":[{events}],\"asOf\":{revision}}}");
+                return (200, answer);
             }
             state = changed.wait_timeout(state, left).unwrap().0;
         }
