--- a/review/kit/vm.rs
+++ b/review/kit/vm.rs
@@ -99,6 +99,10 @@
             .stdout(log)
             .spawn()?;
         RUNNING.lock().unwrap().push(child.id());
+        // The script ends the processes that are left if this one is ended.
+        let pids = self.log.with_file_name("pids");
+        let mut pids = File::options().create(true).append(true).open(pids)?;
+        writeln!(pids, "{}", child.id())?;
         self.child = Some(child);
         Ok(())
     }
