serving: log crashes that are judged without a block

A request crashed three replicas at once and was not blocked; the logs of the next five seconds say nothing of it. The line names the feature that most crashes speak against, with the counts that decide, so that crashes that did not count can be told from rivals and from crashes that a VM was not told of.

--- a/lib/src/serving/decisions/crash_tracker/judge.rs
+++ b/lib/src/serving/decisions/crash_tracker/judge.rs
@@ -33,7 +33,7 @@
 /// suspected rather than the request.
 const MIN_REQUESTS: usize = 2;
 
-/// A feature that was found out.
+/// What speaks against a feature that is blocked, or suspected.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Conviction {
     /// The feature.
@@ -48,6 +48,19 @@
     pub span: Span,
 }
 
+impl Conviction {
+    fn new(now: Moment, feature: Feature, suspect: &Suspect) -> Self {
+        let (first, last) = suspect.span.unwrap_or((now, now));
+        Self {
+            feature,
+            crashes: suspect.crashes.len(),
+            successive: suspect.successive,
+            requests: suspect.requests.len(),
+            span: last.since(first),
+        }
+    }
+}
+
 impl CrashTracker {
     /// Returns the crashes in the order of their times that were learnt of at `until` at the
     /// latest.
@@ -77,18 +90,24 @@
             }
             for (feature, suspect) in found {
                 self.blocks.add(now, now, feature);
-                let (first, last) = suspect.span.unwrap_or((now, now));
-                convictions.push(Conviction {
-                    feature,
-                    crashes: suspect.crashes.len(),
-                    successive: suspect.successive,
-                    requests: suspect.requests.len(),
-                    span: last.since(first),
-                });
+                convictions.push(Conviction::new(now, feature, &suspect));
             }
         }
     }
 
+    /// Returns the feature that most crashes speak against and that is not blocked, if there are
+    /// enough of them for a block. `settle` is that of [`Self::convict`].
+    pub fn leading_suspect(&self, now: Moment, settle: Span) -> Option<Conviction> {
+        let until = Moment(now.0.saturating_sub(settle.0));
+        let settled = self.settled_crashes(now, until);
+        let is_blocked = |feature| self.blocks.contains(feature);
+        let open = settled.iter().filter_map(|c| OpenCrash::new(c, is_blocked));
+        let suspects = self.suspects(&open.collect::<Vec<_>>()).into_iter();
+        let suspects = suspects.filter(|(f, s)| s.crashes.len() >= MIN_CRASHES && !is_blocked(*f));
+        let (feature, suspect) = suspects.max_by_key(|(_, s)| (s.crashes.len(), s.successive))?;
+        Some(Conviction::new(now, feature, &suspect))
+    }
+
     /// Returns the features that are most likely the cause of crashes; none if none is certain
     /// enough.
     fn find_cause(&self, now: Moment, until: Moment) -> Vec<(Feature, Suspect)> {
--- a/lib/src/serving/path/crashes.rs
+++ b/lib/src/serving/path/crashes.rs
@@ -5,6 +5,7 @@
 
 use crate::pool::Span;
 use crate::serving::decisions::crash_tracker::BrokenRun;
+use crate::serving::decisions::crash_tracker::Conviction;
 use crate::serving::decisions::retry::AttemptFailure;
 use crate::serving::decisions::retry::BLOCKED_RETRY_AFTER;
 use crate::serving::decisions::retry::CRASHES_UPSTREAMS;
@@ -104,6 +105,7 @@
 
 /// Judges crashes until the process ends.
 pub(in crate::serving) async fn judge_crashes(node: Rc<Node>) {
+    let mut suspect = None;
     loop {
         let pending = {
             let state = node.state();
@@ -116,17 +118,29 @@
             node.crash_wake.notified().await;
         }
         tokio::time::sleep(CHECK_INTERVAL).await;
-        judge(&node);
+        judge(&node, &mut suspect);
     }
 }
 
-/// Blocks the features that crash replicas.
-fn judge(node: &Node) {
-    let convictions = {
+/// Blocks the features that crash replicas. Logs the leading suspect that is not blocked, unless
+/// it was `suspect` already.
+fn judge(node: &Node, suspect: &mut Option<Conviction>) {
+    let (convictions, leading) = {
         let mut state = node.state();
         let settle = Span(state.members.beacon_interval().0 * SETTLE_INTERVALS);
-        state.crash_tracker.convict(now(), settle)
+        let tracker = &mut state.crash_tracker;
+        let convictions = tracker.convict(now(), settle);
+        (convictions, tracker.leading_suspect(now(), settle))
     };
+    if leading != *suspect {
+        if let Some(s) = &leading {
+            slog::info!(node.log, "crashes judged without a block"; "feature" => %s.feature,
+                "crashes" => s.crashes, "successive" => s.successive, "requests" => s.requests,
+                "span_ms" => s.span.as_millis());
+            metrics::counter!("serve_crash_suspects_total").increment(1);
+        }
+        *suspect = leading;
+    }
     for c in convictions {
         slog::warn!(node.log, "requests blocked that crash their replicas";
             "feature" => %c.feature, "crashes" => c.crashes, "successive" => c.successive,
