serving: a request is blocked after three crashes, whatever their order

What callers saw: one request under which three replicas had crashed was sent to replicas six times more, and ten replicas crashed in all. Replicas of the service crashed and came back together, and so did all its callers.

Cause: a crash counted only if the run there was sent after the crash that counted before. That is right for a part of prompts, which shares batches with others, and was applied to whole requests as well: copies that were under way at three replicas at once counted once or twice. Two such requests in the same crashes were also taken for rivals, and neither was blocked before the fifth.

Now the two are judged apart. A request is blocked once three replicas crashed while they ran it and no run of it has been complete since. What that costs a sound request that many callers send is bounded: its first trial comes after 3 to 9 s, at different times for requests that were blocked together, and callers are told when. VMs tell each other of trials, as one that started anew repeated them. Runs of requests that crashed replicas before go first in beacons; those without parts went last. Doubt, too, counts a request's crashes, and sums up only the parts of the request at hand.

--- a/lib/src/serving/decisions/crash_tracker/evidence.rs
+++ b/lib/src/serving/decisions/crash_tracker/evidence.rs
@@ -25,7 +25,7 @@
 
 impl BrokenRun {
     /// Returns the request, by its hash.
-    fn request(&self) -> Option<Feature> {
+    pub(super) fn request(&self) -> Option<Feature> {
         self.features.iter().copied().find(|f| !f.is_part())
     }
 }
@@ -105,7 +105,7 @@
     }
 
     /// Counts a crash; the last run with the feature there was sent at `sent`.
-    fn add_crash(&mut self, position: usize, at: Moment, sent: Moment) {
+    pub(super) fn add_crash(&mut self, position: usize, at: Moment, sent: Moment) {
         self.crashes.insert(position);
         let first = self.span.map_or(at, |(first, _)| first);
         self.span = Some((first, at));
@@ -147,10 +147,10 @@
 }
 
 /// Sums up what speaks against each feature, given the crashes in the order of their times.
-/// `is_cleared` says whether a run with the feature was complete after a crash at that time.
+/// `may_count` says whether a crash at that time may speak against a feature.
 pub(super) fn find_suspects(
     crashes: &[OpenCrash<'_>],
-    is_cleared: impl Fn(Feature, Moment) -> bool,
+    may_count: impl Fn(Feature, Moment) -> bool,
 ) -> BTreeMap<Feature, Suspect> {
     let mut suspects: BTreeMap<Feature, Suspect> = BTreeMap::new();
     let mut run_position = 0;
@@ -160,7 +160,7 @@
         for run in open.crash.runs() {
             run_position += 1;
             for feature in &run.features {
-                if is_cleared(*feature, at) || !open.concerns(*feature) {
+                if !may_count(*feature, at) || !open.concerns(*feature) {
                     continue;
                 }
                 let last = last_sent.entry(*feature).or_insert(run.sent);
--- a/lib/src/serving/decisions/crash_tracker/judge.rs
+++ b/lib/src/serving/decisions/crash_tracker/judge.rs
@@ -1,6 +1,23 @@
-//! Judges which features of requests crash replicas, by the evidence of all VMs.
+//! Judges which parts of prompts crash replicas, by the evidence of all VMs.
+//!
+//! A part shares its batches with others, so that crashes alone do not tell the cause. What tells
+//! it is that crashes go on in succession, each on a run with the part that began after the crash
+//! before: replicas that lose power together are one succession. A part is a candidate once
+//!
+//! * two different requests with it broke off, and a third of the crashes in its time are its own;
+//! * no run with it was complete lately, and three crashes are in succession; or five, if two of
+//!   them are in succession and half of the crashes in its time are its own; or five in succession
+//!   if what is blocked already explains some of them;
+//! * a run with it was complete lately, five crashes are in succession, and requests without it
+//!   are served meanwhile.
+//!
+//! Of the candidates the one with the most crashes is the cause. Crashes that it explains do not
+//! speak against the others, which are judged again by those that are left. Candidates that were
+//! in different runs of the same crashes wait for five in succession; then the rarest is the
+//! cause.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use super::CrashTracker;
 use super::MEMORY;
@@ -12,21 +29,22 @@
 use crate::pool::Moment;
 use crate::pool::Span;
 
-/// Successive crashes after which a feature is blocked, if no run with it was complete lately.
+/// Successive crashes after which a part is blocked, if no run with it was complete lately.
 const MIN_CRASHES: usize = 3;
 
-/// Crashes after which a feature is blocked that runs were complete with lately, or that the
+/// Crashes after which a part is blocked that runs were complete with lately, or that the
 /// evidence does not tell from another one.
 const MANY_CRASHES: usize = 5;
 
-/// Complete runs that a VM must have seen to know the common features.
+/// Complete runs that a VM must have seen to know the common parts.
 const MIN_SERVED: usize = 20;
 
-/// Part of the crashes between the first and the last one of a feature, one in so many, that
-/// must be its own: a rare feature is in some of many crashes by chance.
+/// Part of the crashes between the first and the last one of a part, one in so many, that
+/// must be its own: a rare part is in some of many crashes by chance.
 const MIN_COVERAGE: usize = 3;
 
-/// Crashes after which a request that broke a run is not sent again.
+/// Successive crashes after which a request with a part is not sent again after a broken run,
+/// and that many crashes at once must span.
 const DOUBTFUL_CRASHES: usize = 2;
 
 /// Different requests that must have crashed replicas before a part of their prompts is
@@ -74,27 +92,34 @@
     /// Returns what speaks against each feature, given the crashes that what is blocked does not
     /// explain.
     fn suspects(&self, crashes: &[OpenCrash<'_>]) -> BTreeMap<Feature, Suspect> {
-        find_suspects(crashes, |feature, at| self.is_cleared(feature, at))
+        find_suspects(crashes, |feature, at| !self.is_cleared(feature, at))
     }
 
     /// Blocks the features that crash replicas, and returns them. A crash counts once it has
     /// been known for `settle`: by then the other VMs have told of their runs, and which
     /// features are cleared.
     pub fn convict(&mut self, now: Moment, settle: Span) -> Vec<Conviction> {
-        let mut convictions = Vec::new();
         let until = Moment(now.0.saturating_sub(settle.0));
+        let requests = self.find_bad_requests(&self.settled_crashes(now, until));
+        let mut convictions = self.block(now, requests);
         loop {
-            let found = self.find_cause(now, until);
-            if found.is_empty() {
+            let parts = self.find_bad_parts(now, until);
+            if parts.is_empty() {
                 return convictions;
             }
-            for (feature, suspect) in found {
-                self.blocks.add(now, now, feature);
-                convictions.push(Conviction::new(now, feature, &suspect));
-            }
+            convictions.extend(self.block(now, parts));
         }
     }
 
+    /// Blocks features that were found out.
+    fn block(&mut self, now: Moment, found: Vec<(Feature, Suspect)>) -> Vec<Conviction> {
+        let convictions = found.into_iter().map(|(feature, suspect)| {
+            self.blocks.convict(now, feature);
+            Conviction::new(now, feature, &suspect)
+        });
+        convictions.collect()
+    }
+
     /// Returns the feature that most crashes speak against and that is not blocked, if there are
     /// enough of them for a block. `settle` is that of [`Self::convict`].
     pub fn leading_suspect(&self, now: Moment, settle: Span) -> Option<Conviction> {
@@ -108,25 +133,37 @@
         Some(Conviction::new(now, feature, &suspect))
     }
 
-    /// Returns the features that are most likely the cause of crashes; none if none is certain
-    /// enough.
-    fn find_cause(&self, now: Moment, until: Moment) -> Vec<(Feature, Suspect)> {
+    /// Returns the parts that are most likely the cause of crashes that nothing explains yet; none
+    /// if none is certain enough.
+    fn find_bad_parts(&self, now: Moment, until: Moment) -> Vec<(Feature, Suspect)> {
         let settled = self.settled_crashes(now, until);
-        let is_blocked = |feature| self.blocks.contains(feature);
-        let open = settled.iter().filter_map(|c| OpenCrash::new(c, is_blocked));
-        let open: Vec<_> = open.collect();
-        let suspects = self.suspects(&open);
-        if suspects.is_empty() {
-            return Vec::new();
-        }
         // Had nothing been blocked, some crashes would speak against other features as well.
         let all = settled.iter().filter_map(|c| OpenCrash::new(c, |_| false));
         let all = self.suspects(&all.collect::<Vec<_>>());
+        let successive = |feature| all.get(&feature).map_or(0, |s| s.successive);
+        // A request that is blocked for crashes at one moment may be sound.
+        let explains = |feature: Feature| {
+            let certain = feature.is_part() || successive(feature) >= MIN_CRASHES;
+            certain && self.blocks.contains(feature)
+        };
+        let open = settled.iter().filter_map(|c| OpenCrash::new(c, explains));
+        let suspects = self.suspects(&open.collect::<Vec<_>>());
         let is_candidate = |(feature, s): &(Feature, Suspect)| {
-            let total = all.get(feature).map_or(0, |all| all.successive);
-            !is_blocked(*feature) && self.is_certain(now, *feature, s, total)
+            feature.is_part()
+                && !self.blocks.contains(*feature)
+                && self.is_certain(now, *feature, s, successive(*feature))
         };
-        let mut candidates: Vec<_> = suspects.into_iter().filter(is_candidate).collect();
+        let candidates = suspects.into_iter().filter(is_candidate).collect();
+        self.most_likely(now, candidates)
+    }
+
+    /// Returns the candidates that most crashes speak against; none if they are rivals of which
+    /// the evidence does not say enough.
+    fn most_likely(
+        &self,
+        now: Moment,
+        mut candidates: Vec<(Feature, Suspect)>,
+    ) -> Vec<(Feature, Suspect)> {
         let key = |(feature, s): &(Feature, Suspect)| {
             (!self.is_known(now, *feature), s.crashes.len(), s.successive)
         };
@@ -142,7 +179,7 @@
         let tied = candidates.clone();
         let has_rival = |(_, s): &(Feature, Suspect)| tied.iter().any(|(_, o)| s.is_rival(o));
         if best.2 >= MANY_CRASHES && tied.iter().any(&has_rival) {
-            // The feature with the fewest runs is the least likely to be in all batches by chance.
+            // The part with the fewest runs is the least likely to be in all batches by chance.
             let fewest = tied.iter().map(|(_, s)| s.runs.len()).min();
             candidates.retain(|(_, s)| Some(s.runs.len()) == fewest);
         } else {
@@ -157,22 +194,17 @@
         last.is_some_and(|last| now.since(*last) < MEMORY)
     }
 
-    /// Returns whether there is enough to block a feature. `total` is the number of successive
+    /// Returns whether there is enough to block a part. `total` is the number of successive
     /// crashes that would speak against it if nothing were blocked.
-    fn is_certain(&self, now: Moment, feature: Feature, suspect: &Suspect, total: usize) -> bool {
-        if !feature.is_part() {
-            return suspect.successive >= MIN_CRASHES;
-        }
+    fn is_certain(&self, now: Moment, part: Feature, suspect: &Suspect, total: usize) -> bool {
         let (successive, crashes) = (suspect.successive, suspect.crashes.len());
         if suspect.requests.len() < MIN_REQUESTS || crashes * MIN_COVERAGE < suspect.spanned() {
             return false;
         }
-        if self.is_known(now, feature) {
-            // Where no request is served at all, the fault is not that of a feature.
+        if self.is_known(now, part) {
+            // Where no request is served at all, the fault is not that of a part.
             let first = suspect.span.map_or(now, |(first, _)| first);
-            let others = self.recent.iter().filter(|(at, _)| *at >= first);
-            let mut others = others.filter(|(_, features)| !features.contains(&feature));
-            return successive >= MANY_CRASHES && others.next().is_some();
+            return successive >= MANY_CRASHES && self.serves_without(part, first);
         }
         // Requests that come at the same time crash replicas together.
         let many_at_once = successive >= DOUBTFUL_CRASHES
@@ -181,20 +213,28 @@
         successive >= MIN_CRASHES || many_at_once || total >= MANY_CRASHES
     }
 
+    /// Returns whether a request without a part was served by this VM since `first`.
+    fn serves_without(&self, part: Feature, first: Moment) -> bool {
+        let mut recent = self.recent.iter().filter(|(at, _)| *at >= first);
+        recent.any(|(_, features)| !features.contains(&part))
+    }
+
     /// Returns whether a request is suspected enough not to be sent again after a broken run:
     /// each attempt may cost another replica and all that it runs.
     pub fn is_doubtful(&self, now: Moment, features: &[Feature]) -> bool {
+        self.is_doubtful_request(now, features) || self.is_doubtful_part(now, features)
+    }
+
+    fn is_doubtful_part(&self, now: Moment, features: &[Feature]) -> bool {
+        let parts = features.iter().copied().filter(|f| f.is_part());
+        let doubted: BTreeSet<_> = parts.filter(|part| !self.is_known(now, *part)).collect();
         let settled = self.settled_crashes(now, now);
-        if settled.len() < DOUBTFUL_CRASHES {
-            return false;
-        }
         let is_blocked = |feature| self.blocks.contains(feature);
         let open = settled.iter().filter_map(|c| OpenCrash::new(c, is_blocked));
-        let suspects = self.suspects(&open.collect::<Vec<_>>());
-        features.iter().any(|feature| {
-            let suspect = suspects.get(feature);
-            let enough = suspect.is_some_and(|s| s.successive >= DOUBTFUL_CRASHES);
-            enough && !self.is_known(now, *feature)
-        })
+        let open: Vec<_> = open.collect();
+        let may_count = |feature, at| doubted.contains(&feature) && !self.is_cleared(feature, at);
+        let suspects = find_suspects(&open, may_count);
+        let mut suspects = suspects.values();
+        suspects.any(|suspect| suspect.successive >= DOUBTFUL_CRASHES)
     }
 }
--- a/lib/src/serving/decisions/crash_tracker/mod.rs
+++ b/lib/src/serving/decisions/crash_tracker/mod.rs
@@ -1,18 +1,18 @@
 //! Finds out what requests have in common that crash the replicas that run them.
 //!
 //! A replica that crashes breaks off all its runs, and any of their requests may be the cause.
-//! What speaks against a [`Feature`] of requests is that replicas crash in succession, each on a
-//! run with it that began after the crash before, while no such run comes to its end. A feature
-//! that is found out is blocked: requests that hold it are refused at all VMs.
+//! What speaks against a [`Feature`] of requests is that replicas crash on runs with it while no
+//! such run comes to its end. A feature that is found out is blocked: requests that hold it are
+//! refused at all VMs.
 //!
-//! Common features are in most batches and soon cleared by runs that are complete. A rare one
-//! shares batches with the cause by chance, and is measured by the crashes that are left when
-//! those that hold the cause are taken off.
+//! A request that is sent again and a part of many prompts are judged differently, by what a
+//! wrong block costs: one request (`requests`), or the traffic of a route (`judge`).
 
 mod blocks;
 mod evidence;
 mod feature;
 mod judge;
+mod requests;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -65,6 +65,8 @@
     /// Blocked features that other VMs may not know of: since when, and when a request was last
     /// refused for them.
     pub blocks: Vec<(Feature, Moment, Moment)>,
+    /// From when on a request with one of these blocked features is let through.
+    pub trials: Vec<(Feature, Moment)>,
 }
 
 impl CrashReport {
@@ -178,7 +180,7 @@
     fn record_trial(&mut self, run: &BrokenRun, at: Moment) {
         for feature in &run.features {
             if let Some(block) = self.blocks.get_mut(*feature) {
-                block.record_crash(run.sent, at);
+                block.record_crash(*feature, run.sent, at);
             }
         }
     }
@@ -343,6 +345,31 @@
         !self.is_cleared(feature, since) && self.blocks.add(since, last_hit, feature)
     }
 
+    /// Records from when on another VM would let a request with a blocked feature through. The
+    /// latest time counts, so that a VM that starts does not repeat what others have tried.
+    pub fn learn_trial(&mut self, feature: Feature, at: Moment) {
+        if let Some(block) = self.blocks.get_mut(feature) {
+            block.delay_trial(at);
+        }
+    }
+
+    /// Returns how long a request is refused at least for the features that are blocked now.
+    ///
+    /// ```
+    /// use banyangauge::pool::{Moment, Span};
+    /// use banyangauge::serving::{CrashTracker, Feature};
+    /// let mut tracker = CrashTracker::default();
+    /// let part = Feature::PromptPart(7);
+    /// tracker.learn_block(Moment(0), Moment(0), part);
+    /// let left = tracker.time_to_trial(Moment(50_000_000), &[part]);
+    /// assert_eq!(left, Span::from_millis(10_000));
+    /// ```
+    pub fn time_to_trial(&self, now: Moment, features: &[Feature]) -> Span {
+        let blocks = features.iter().filter_map(|f| self.blocks.get(*f));
+        let left = blocks.map(|block| block.trial_at().since(now));
+        left.max().unwrap_or_default().min(BLOCK_TTL)
+    }
+
     /// Returns the blocked features that the store is not known to have, and since when they
     /// are blocked.
     pub fn unstored(&self) -> impl Iterator<Item = (Feature, Moment)> {
@@ -381,7 +408,7 @@
             if !is_recent(crash.learnt) || crash.local.is_empty() || room == 0 {
                 continue;
             }
-            let runs = self.accused_runs(crash, room);
+            let runs = self.accused_runs(now, crash, room);
             room = room.saturating_sub(runs.len().max(1));
             report.crashes.push(((*replica).clone(), crash.at, runs));
         }
@@ -391,14 +418,17 @@
         report.completed = self.wanted_completions(now);
         let told = self.blocks.iter();
         let told = told.filter(|(_, b)| !b.stored || is_recent(b.last_hit));
-        let told = told.map(|(feature, b)| (feature, b.since, b.last_hit));
-        report.blocks = told.take(MAX_REPORTED).collect();
+        for (feature, block) in told.take(MAX_REPORTED) {
+            report.blocks.push((feature, block.since, block.last_hit));
+            report.trials.push((feature, block.trial_at()));
+        }
         report
     }
 
     /// Returns the broken runs of this VM at a crashed replica, without the features that have
-    /// been cleared; those that hold blocked or suspected features come first.
-    fn accused_runs(&self, crash: &Crash, most: usize) -> Vec<BrokenRun> {
+    /// been cleared; those of requests on which other replicas crashed come first, then those
+    /// that hold most parts.
+    fn accused_runs(&self, now: Moment, crash: &Crash, most: usize) -> Vec<BrokenRun> {
         let accused = crash.local.iter().map(|run| {
             let left = run.features.iter().copied();
             let left = left.filter(|f| !self.is_cleared(*f, crash.at));
@@ -408,9 +438,12 @@
             }
         });
         let mut runs: Vec<_> = accused.filter(|run| !run.features.is_empty()).collect();
-        let parts = |run: &BrokenRun| run.features.iter().filter(|f| f.is_part()).count();
-        runs.sort_by_key(|run| std::cmp::Reverse(parts(run)));
-        runs.truncate(most);
+        if runs.len() > most {
+            let parts = |run: &BrokenRun| run.features.iter().filter(|f| f.is_part()).count();
+            let repeats = |run: &BrokenRun| run.request().map_or(0, |r| self.crashes_of(now, r));
+            runs.sort_by_cached_key(|run| std::cmp::Reverse((repeats(run), parts(run))));
+            runs.truncate(most);
+        }
         runs
     }
 
@@ -428,8 +461,7 @@
         let mut accusations: BTreeMap<Feature, usize> = BTreeMap::new();
         for crash in self.crashes.values() {
             let features = crash.runs().flat_map(|run| &run.features);
-            let features: BTreeSet<_> = features.filter(|f| f.is_part()).collect();
-            for feature in features {
+            for feature in features.collect::<BTreeSet<_>>() {
                 *accusations.entry(*feature).or_default() += 1;
             }
         }
--- /dev/null
+++ b/lib/src/serving/decisions/crash_tracker/requests.rs
@@ -0,0 +1,70 @@
+//! Judges which requests crash the replicas that run them.
+//!
+//! A request is blocked once `MIN_CRASHES` replicas have crashed while they ran it and no run of
+//! it has been complete since. Neither the order of the crashes nor the other requests there
+//! matter: copies that are sent at the same time crash replicas at the same time. A sound request
+//! whose runs all broke off is refused until its first trial.
+
+use std::collections::BTreeMap;
+
+use super::CrashTracker;
+use super::MEMORY;
+use super::evidence::Crash;
+use super::evidence::Suspect;
+use super::feature::Feature;
+use crate::pool::Moment;
+
+/// Crashes after which a request is blocked.
+const MIN_CRASHES: usize = 3;
+
+/// Crashes after which a request that broke a run is not sent again.
+const DOUBTFUL_CRASHES: usize = 2;
+
+impl CrashTracker {
+    /// Returns the requests to block, given crashes in the order of their times.
+    pub(super) fn find_bad_requests(&self, crashes: &[&Crash]) -> Vec<(Feature, Suspect)> {
+        let mut suspects: BTreeMap<Feature, Suspect> = BTreeMap::new();
+        for (position, crash) in crashes.iter().enumerate() {
+            for (request, sent) in last_sends(crash) {
+                if !self.is_cleared(request, crash.at) {
+                    let suspect = suspects.entry(request).or_default();
+                    suspect.requests.insert(request);
+                    suspect.add_crash(position, crash.at, sent);
+                }
+            }
+        }
+        let is_bad = |(request, suspect): &(Feature, Suspect)| {
+            suspect.crashes.len() >= MIN_CRASHES && !self.blocks.contains(*request)
+        };
+        suspects.into_iter().filter(is_bad).collect()
+    }
+
+    /// Returns on how many replicas a request ran when they crashed, since it was last complete.
+    pub(super) fn crashes_of(&self, now: Moment, request: Feature) -> usize {
+        let counts = |crash: &&Crash| {
+            now.since(crash.at) < MEMORY
+                && !self.is_cleared(request, crash.at)
+                && crash.runs().any(|run| run.request() == Some(request))
+        };
+        self.crashes.values().filter(counts).count()
+    }
+
+    /// Returns whether too many replicas crashed on a request with these features to send it
+    /// again after a broken run.
+    pub(super) fn is_doubtful_request(&self, now: Moment, features: &[Feature]) -> bool {
+        let mut requests = features.iter().filter(|f| !f.is_part());
+        requests.any(|request| self.crashes_of(now, *request) >= DOUBTFUL_CRASHES)
+    }
+}
+
+/// Returns the requests that were under way at a crash, and when each was last sent.
+fn last_sends(crash: &Crash) -> BTreeMap<Feature, Moment> {
+    let mut sends = BTreeMap::new();
+    for run in crash.runs() {
+        if let Some(request) = run.request() {
+            let last = sends.entry(request).or_insert(run.sent);
+            *last = run.sent.max(*last);
+        }
+    }
+    sends
+}
--- a/lib/src/serving/path/crashes.rs
+++ b/lib/src/serving/path/crashes.rs
@@ -7,8 +7,8 @@
 use crate::serving::decisions::crash_tracker::BrokenRun;
 use crate::serving::decisions::crash_tracker::Conviction;
 use crate::serving::decisions::retry::AttemptFailure;
-use crate::serving::decisions::retry::BLOCKED_RETRY_AFTER;
 use crate::serving::decisions::retry::CRASHES_UPSTREAMS;
+use crate::serving::decisions::retry::RETRY_DELAY;
 use crate::serving::decisions::retry::Refusal;
 use crate::serving::path::forward::BufferedRequest;
 use crate::serving::path::forward::Run;
@@ -34,11 +34,24 @@
 /// Refuses a request that holds a blocked feature.
 pub(in crate::serving) fn check_blocked(node: &Node, req: &BufferedRequest) -> Result<(), Refusal> {
     match node.state().find_block(now(), &req.features) {
-        Some(_) => Err(Refusal::not_run(CRASHES_UPSTREAMS, BLOCKED_RETRY_AFTER)),
+        Some(_) => Err(Refusal::not_run(
+            CRASHES_UPSTREAMS,
+            blocked_retry_after(node, req),
+        )),
         None => Ok(()),
     }
 }
 
+/// Returns how long callers should stay away with a request that is blocked: until one like it
+/// is let through.
+pub(in crate::serving) fn blocked_retry_after(node: &Node, req: &BufferedRequest) -> Duration {
+    let left = node
+        .state()
+        .crash_tracker
+        .time_to_trial(now(), &req.features);
+    Duration::from_micros(left.0).max(RETRY_DELAY)
+}
+
 /// The same for a request that is sent to a replica right after this call.
 pub(in crate::serving) fn check_send(
     node: &Node,
--- a/lib/src/serving/path/serve.rs
+++ b/lib/src/serving/path/serve.rs
@@ -40,6 +40,7 @@
 use crate::serving::path::charge;
 use crate::serving::path::codec::NotRun;
 use crate::serving::path::config_age;
+use crate::serving::path::crashes::blocked_retry_after;
 use crate::serving::path::crashes::check_blocked;
 use crate::serving::path::crashes::is_doubtful;
 use crate::serving::path::crashes::record_break;
@@ -576,7 +577,7 @@
     let mut ended = ended;
     loop {
         if !attempts.may_retry(ended) {
-            return Err(Refusal::after(attempts, ended));
+            return Err(final_refusal(node, req, attempts, ended));
         }
         if ended.may_have_run() && is_doubtful(node, req) {
             slog::info!(node.log, "not sent again, as its replicas may crash on it"; "id" => &req.id);
@@ -615,6 +616,21 @@
     }
 }
 
+/// Returns the refusal of a request that is not sent again after an attempt that ended with
+/// `ended`.
+fn final_refusal(
+    node: &Node,
+    req: &BufferedRequest,
+    attempts: &Attempts,
+    ended: AttemptFailure,
+) -> Refusal {
+    let mut refusal = Refusal::after(attempts, ended);
+    if ended == AttemptFailure::Blocked {
+        refusal.retry_after = refusal.retry_after.map(|_| blocked_retry_after(node, req));
+    }
+    refusal
+}
+
 /// Avoids a replica for further attempts of a request. A replica that did not take it and is
 /// withheld for a while needs no avoiding, and may be used after that.
 fn avoid_failed(
--- a/lib/src/serving/peers/crash_reports.rs
+++ b/lib/src/serving/peers/crash_reports.rs
@@ -1,10 +1,13 @@
 //! What VMs tell each other of replicas that crashed, and of what is blocked for it.
 
+use std::collections::BTreeMap;
+
 use banyangauge_proto as wire;
 
 use crate::ids::Fingerprint;
 use crate::ids::VmName;
 use crate::pool::Moment;
+use crate::pool::Span;
 use crate::serving::cluster::state::NodeState;
 use crate::serving::decisions::crash_tracker::BrokenRun;
 use crate::serving::decisions::crash_tracker::Feature;
@@ -33,17 +36,22 @@
         born: replica.started_ms,
         age_us: age(*at),
     });
-    let note = |feature: &Feature, at: Moment, since: Moment| wire::FeatureNote {
+    let note = |feature: &Feature, at: Moment| wire::FeatureNote {
         number: feature.number(),
         is_part: feature.is_part(),
         age_us: age(at),
-        since_us: age(since),
+        ..Default::default()
     };
-    let completed = report.completed.iter().map(|(f, at)| note(f, *at, now));
+    let completed = report.completed.iter().map(|(f, at)| note(f, *at));
+    let trials: BTreeMap<_, _> = report.trials.iter().copied().collect();
     let blocked = report
         .blocks
         .iter()
-        .map(|(f, since, hit)| note(f, *hit, *since));
+        .map(|(f, since, hit)| wire::FeatureNote {
+            since_us: age(*since),
+            trial_us: trials.get(f).map_or(0, |trial| trial.since(now).0),
+            ..note(f, *hit)
+        });
     (!report.is_empty()).then(|| wire::CrashReport {
         crashes: crashes.collect(),
         alive: alive.collect(),
@@ -92,7 +100,12 @@
     }
     for note in &report.blocked {
         let (feature, since, hit) = (decode_feature(note), ago(note.since_us), ago(note.age_us));
-        if tracker.learn_block(since, hit, feature) {
+        let is_new = tracker.learn_block(since, hit, feature);
+        // A VM of an earlier build does not tell when.
+        if note.trial_us > 0 {
+            tracker.learn_trial(feature, built.after(Span(note.trial_us)));
+        }
+        if is_new {
             slog::warn!(node.log, "requests blocked that crash their replicas";
                 "feature" => %feature, "told_by" => vm.as_str());
             node.blocks_wake.notify_one();
--- a/lib/tests/test_serving_crash_search.rs
+++ b/lib/tests/test_serving_crash_search.rs
@@ -1,7 +1,8 @@
 //! Searches the crossings of crashing replicas, lost messages and restarts of VMs.
 //!
 //! Requests of three routes run on replicas in batches. In some runs requests come that crash
-//! each replica that runs them and share one part of their prompts; beside them replicas crash by
+//! each replica that runs them: they share one part of their prompts, or they are one or two
+//! requests that are sent again and again, several times at once. Beside them replicas crash by
 //! themselves, alone or several at once, connections are reset, a VM is cut off from all replicas,
 //! and VMs restart, one or all. Beacons are late or lost. Checked, by what replicas get: few such
 //! requests after what all VMs could learn, and sound requests are hardly ever refused.
@@ -32,8 +33,15 @@
 const CONTACT: u64 = 3_000;
 const CRASHES: usize = 5;
 const LATE_REQUESTS: usize = 3;
+/// The crash of a request that is sent again from which on that time counts.
+const REQUEST_CRASHES: usize = 3;
+/// Numbers of the requests that are sent again: those that crash replicas, and sound ones.
+const BAD_REQUESTS: u64 = 1_000_000;
+const OFTEN: u64 = 2_000_000;
 /// One in so many sound requests may be refused. The users' rule is one in two.
 const MAX_REFUSED: usize = 20;
+/// The same where some of them are sent again and again: the users' rule.
+const MAX_REPEATED_REFUSED: usize = 2;
 
 fn at(ms: u64) -> Moment {
     Moment(50_000_000).after(Span::from_millis(ms))
@@ -118,6 +126,36 @@
     ..CALM
 };
 
+/// Requests that crash each replica that runs them.
+#[derive(Clone, Copy, Debug)]
+struct Crashing {
+    /// Steps between two bursts.
+    gap: u64,
+    /// Requests in a burst, or copies of each.
+    copies: u64,
+    /// Different requests that are sent again and again; with none each is another one, and they
+    /// share a part.
+    requests: u64,
+}
+
+/// Requests with a part in common, one each `gap` steps.
+const fn by_part(gap: u64) -> Option<Crashing> {
+    Some(Crashing {
+        gap,
+        copies: 1,
+        requests: 0,
+    })
+}
+
+/// So many requests, each sent to so many VMs at once each `gap` steps.
+const fn by_request(requests: u64, copies: u64, gap: u64) -> Option<Crashing> {
+    Some(Crashing {
+        gap,
+        copies,
+        requests,
+    })
+}
+
 #[derive(Clone, Debug)]
 struct Run {
     vm: usize,
@@ -130,7 +168,12 @@
 
 impl Run {
     fn is_bad(&self) -> bool {
-        self.parts.contains(&BAD)
+        self.parts.contains(&BAD) || self.is_bad_request()
+    }
+
+    /// Whether it is one of the requests that are sent again and crash replicas.
+    fn is_bad_request(&self) -> bool {
+        (BAD_REQUESTS..OFTEN).contains(&self.request)
     }
 
     fn features(&self) -> Vec<Feature> {
@@ -166,8 +209,16 @@
     bad_crashes: Vec<u64>,
     /// Arrivals of bad requests at replicas, from a VM that was last disturbed then.
     bad_arrivals: Vec<(u64, u64)>,
+    /// When a replica crashed that ran a request which is sent again.
+    request_crashes: BTreeMap<u64, Vec<u64>>,
+    /// The arrivals of each of them, as in `bad_arrivals`.
+    request_arrivals: BTreeMap<u64, Vec<(u64, u64)>>,
     /// Sound requests, and those of them that were refused.
     sound: BTreeMap<u64, (usize, usize)>,
+    /// Whether some sound requests are sent again and again as well.
+    repeats: bool,
+    /// The same as `sound`, for those that are sent again and again.
+    repeated: (usize, usize),
 }
 
 impl World {
@@ -194,7 +245,11 @@
             requests: 0,
             bad_crashes: Vec::new(),
             bad_arrivals: Vec::new(),
+            request_crashes: BTreeMap::new(),
+            request_arrivals: BTreeMap::new(),
             sound: BTreeMap::new(),
+            repeats: false,
+            repeated: (0, 0),
         }
     }
 
@@ -205,9 +260,36 @@
         }
     }
 
+    /// A burst of requests that crash replicas.
+    fn ask_crashing(&mut self, now: u64, crashing: Crashing) {
+        for _ in 0..crashing.copies {
+            if crashing.requests == 0 {
+                self.ask(now, true);
+            }
+            for request in 0..crashing.requests {
+                let vm = self.rng.next(self.vms.len() as u64) as usize;
+                let run = Run {
+                    vm,
+                    sent: now,
+                    end: 0,
+                    request: BAD_REQUESTS + request,
+                    parts: Vec::new(),
+                    tries: 0,
+                };
+                if self.vms[vm].up_at <= now {
+                    self.send(now, run);
+                }
+            }
+        }
+    }
+
     /// A new request at any VM; it is refused, or sent to a replica.
     fn ask(&mut self, now: u64, bad: bool) {
         self.requests += 1;
+        let mut request = self.requests;
+        if self.repeats && !bad && self.rng.chance(300) {
+            request = OFTEN + self.rng.next(6);
+        }
         let route = self.rng.next(3);
         // A few parts are frequent, most are rare.
         let shared = 100 * (route + 1) + self.rng.next(40).min(self.rng.next(40));
@@ -220,7 +302,7 @@
             vm,
             sent: now,
             end: 0,
-            request: self.requests,
+            request,
             parts,
             tries: 0,
         };
@@ -232,6 +314,10 @@
             let second = self.sound.entry(now / 1_000).or_default();
             second.0 += 1;
             second.1 += usize::from(blocked);
+            if request >= OFTEN {
+                self.repeated.0 += 1;
+                self.repeated.1 += usize::from(blocked);
+            }
         }
     }
 
@@ -254,7 +340,10 @@
             false => now + 300 + self.rng.next(1_200),
         };
         run.tries += 1;
-        if run.is_bad() {
+        if run.is_bad_request() {
+            let arrivals = self.request_arrivals.entry(run.request).or_default();
+            arrivals.push((now, self.vms[run.vm].disturbed));
+        } else if run.is_bad() {
             self.bad_arrivals.push((now, self.vms[run.vm].disturbed));
         }
         if self.without != Without::Alive {
@@ -289,6 +378,10 @@
 
     fn crash(&mut self, now: u64, i: usize) {
         let runs = std::mem::take(&mut self.replicas[i].runs);
+        let bad = runs.iter().filter(|run| run.is_bad_request());
+        for request in bad.map(|run| run.request).collect::<BTreeSet<_>>() {
+            self.request_crashes.entry(request).or_default().push(now);
+        }
         self.replicas[i].up_at = now + 2_000 + self.rng.next(1_500);
         for run in runs {
             self.break_off(now, i, run);
@@ -420,6 +513,9 @@
             for (feature, since, hit) in report.blocks {
                 tracker.learn_block(heard(since), heard(hit), feature);
             }
+            for (feature, trial) in report.trials {
+                tracker.learn_trial(feature, heard(trial));
+            }
         }
     }
 
@@ -480,8 +576,8 @@
         }
     }
 
-    /// Plays a run; bad requests come every `bad_gap` steps, if at all.
-    fn play(&mut self, faults: Faults, bad_gap: Option<u64>) {
+    /// Plays a run.
+    fn play(&mut self, faults: Faults, crashing: Option<Crashing>) {
         for step in 0..END / STEP {
             let now = step * STEP;
             self.receive_beacons(now);
@@ -493,8 +589,9 @@
             for _ in 0..self.rng.next(4) {
                 self.ask(now, false);
             }
-            if bad_gap.is_some_and(|gap| now >= BAD_FROM && step % gap == 0) {
-                self.ask(now, true);
+            let due = crashing.filter(|c| now >= BAD_FROM && step % c.gap == 0);
+            if let Some(crashing) = due {
+                self.ask_crashing(now, crashing);
             }
             self.send_beacons(now);
             if step % 4 == 0 {
@@ -504,15 +601,14 @@
     }
 
     /// Returns how many bad requests came later than the VMs could know, from VMs that were not
-    /// disturbed.
+    /// disturbed: those with a part in common, or the copies of one, whichever are more.
     fn late_requests(&self) -> usize {
-        let Some(last) = self.bad_crashes.get(CRASHES - 1) else {
-            return 0;
-        };
-        let late = |(now, disturbed): &&(u64, u64)| {
-            *now > last + CONTACT && (*disturbed == 0 || *now > disturbed + CONTACT)
-        };
-        self.bad_arrivals.iter().filter(late).count()
+        let by_part = late(self.bad_crashes.get(CRASHES - 1), &self.bad_arrivals);
+        let by_request = self.request_arrivals.iter().map(|(request, arrivals)| {
+            let crashes = self.request_crashes.get(request);
+            late(crashes.and_then(|c| c.get(REQUEST_CRASHES - 1)), arrivals)
+        });
+        by_part.max(by_request.max().unwrap_or_default())
     }
 
     /// Returns the sound requests from `from` on, and those of them that were refused as blocked.
@@ -522,12 +618,48 @@
     }
 }
 
+/// Returns how many of these arrivals came more than `CONTACT` after the `last` crash, from VMs
+/// that were not disturbed.
+fn late(last: Option<&u64>, arrivals: &[(u64, u64)]) -> usize {
+    let Some(last) = last else {
+        return 0;
+    };
+    let is_late = |(now, disturbed): &&(u64, u64)| {
+        *now > last + CONTACT && (*disturbed == 0 || *now > disturbed + CONTACT)
+    };
+    arrivals.iter().filter(is_late).count()
+}
+
 /// What went wrong in a run: too many late requests, or too many sound ones refused.
-fn violation(seed: u64, without: Without, faults: Faults, bad_gap: Option<u64>) -> Option<String> {
+fn violation(
+    seed: u64,
+    without: Without,
+    faults: Faults,
+    crashing: Option<Crashing>,
+) -> Option<String> {
     let vms = 3 + seed % 4;
     let replicas = [6, 9, 12][seed as usize % 3];
     let mut world = World::new(seed, without, vms as usize, replicas);
-    world.play(faults, bad_gap);
+    world.play(faults, crashing);
+    check(&world, seed, MAX_REFUSED)
+}
+
+/// The same with few replicas, where some sound requests are sent again and again.
+fn violation_few(
+    seed: u64,
+    without: Without,
+    faults: Faults,
+    crashing: Option<Crashing>,
+) -> Option<String> {
+    let vms = 3 + seed % 4;
+    let replicas = [3, 4, 6][seed as usize % 3];
+    let mut world = World::new(seed, without, vms as usize, replicas);
+    world.repeats = true;
+    world.play(faults, crashing);
+    check(&world, seed, MAX_REPEATED_REFUSED)
+}
+
+fn check(world: &World, seed: u64, max_refused: usize) -> Option<String> {
     let late = world.late_requests();
     let from = world
         .bad_crashes
@@ -540,43 +672,72 @@
             "seed {seed}: {late} late requests, {crashes} crashes"
         ));
     }
-    (refused * MAX_REFUSED > all)
-        .then(|| format!("seed {seed}: {refused} of {all} sound requests refused"))
+    (refused * max_refused > all).then(|| {
+        let (often, blocked) = world.repeated;
+        format!(
+            "seed {seed}: {refused} of {all} sound requests refused, \
+             {blocked} of {often} that are sent again and again"
+        )
+    })
 }
 
 /// Runs of each case; a longer search is started by hand with another number.
 const SEEDS: u64 = 20;
 
 #[rstest]
-#[case::calm_frequent(CALM, Some(5))]
-#[case::calm_burst(CALM, Some(2))]
-#[case::calm_seldom(CALM, Some(30))]
-#[case::rough_frequent(ROUGH, Some(5))]
-#[case::rough_seldom(ROUGH, Some(20))]
+#[case::calm_frequent(CALM, by_part(5))]
+#[case::calm_burst(CALM, by_part(2))]
+#[case::calm_seldom(CALM, by_part(30))]
+#[case::rough_frequent(ROUGH, by_part(5))]
+#[case::rough_seldom(ROUGH, by_part(20))]
 #[case::rough_without_cause(ROUGH, None)]
-#[case::all_restart(Faults { restart_all: 3, ..CALM }, Some(5))]
+#[case::all_restart(Faults { restart_all: 3, ..CALM }, by_part(5))]
 #[case::racks_and_flaps(STORM, None)]
-#[case::cuts_and_resets(CUTS, Some(5))]
+#[case::cuts_and_resets(CUTS, by_part(5))]
 fn bad_part_is_refused_and_sound_parts_are_not(
     #[case] faults: Faults,
-    #[case] bad_gap: Option<u64>,
+    #[case] crashing: Option<Crashing>,
+) {
+    let found = (0..SEEDS).filter_map(|seed| violation(seed, Without::Nothing, faults, crashing));
+    let found: Vec<_> = found.collect();
+    assert!(found.is_empty(), "{} of {SEEDS}: {found:#?}", found.len());
+}
+
+/// The same for requests that are sent again and again, where few replicas run them: they crash
+/// together, and come back together.
+#[rstest]
+#[case::calm_alone(CALM, by_request(1, 1, 5))]
+#[case::calm_rounds(CALM, by_request(1, 6, 50))]
+#[case::calm_burst(CALM, by_request(1, 9, 10))]
+#[case::calm_two(CALM, by_request(2, 3, 50))]
+#[case::calm_two_frequent(CALM, by_request(2, 1, 4))]
+#[case::calm_three(CALM, by_request(3, 4, 40))]
+#[case::rough_rounds(ROUGH, by_request(1, 6, 50))]
+#[case::rough_two(ROUGH, by_request(2, 3, 20))]
+#[case::cuts_and_resets(CUTS, by_request(1, 6, 50))]
+#[case::all_restart(Faults { restart_all: 3, ..CALM }, by_request(1, 6, 50))]
+#[case::rough_without_cause(ROUGH, None)]
+#[case::racks_and_flaps(STORM, None)]
+fn bad_request_is_refused_and_sound_requests_are_not(
+    #[case] faults: Faults,
+    #[case] crashing: Option<Crashing>,
 ) {
-    let found = (0..SEEDS).filter_map(|seed| violation(seed, Without::Nothing, faults, bad_gap));
+    let found = (0..SEEDS).filter_map(|s| violation_few(s, Without::Nothing, faults, crashing));
     let found: Vec<_> = found.collect();
     assert!(found.is_empty(), "{} of {SEEDS}: {found:#?}", found.len());
 }
 
 /// The search finds what each guard prevents.
 #[rstest]
-#[case::telling(Without::Telling, CALM, Some(20))]
+#[case::telling(Without::Telling, CALM, by_part(20))]
 #[case::clearing(Without::Clearing, STORM, None)]
-#[case::alive(Without::Alive, CUTS, Some(5))]
-#[case::store(Without::Store, Faults { restart_all: 3, ..CALM }, Some(5))]
+#[case::alive(Without::Alive, CUTS, by_part(5))]
+#[case::store(Without::Store, Faults { restart_all: 3, ..CALM }, by_part(5))]
 fn search_finds_missing_guard(
     #[case] without: Without,
     #[case] faults: Faults,
-    #[case] bad_gap: Option<u64>,
+    #[case] crashing: Option<Crashing>,
 ) {
     let mut seeds = 0..3 * SEEDS;
-    assert!(seeds.any(|seed| violation(seed, without, faults, bad_gap).is_some()));
+    assert!(seeds.any(|seed| violation(seed, without, faults, crashing).is_some()));
 }
--- a/lib/tests/test_serving_crash_tracker.rs
+++ b/lib/tests/test_serving_crash_tracker.rs
@@ -102,6 +102,156 @@
     assert_eq!(convict(&mut tracker, 4_000), [request]);
 }
 
+/// Copies of one request that were under way at the same moment counted as one crash, and three
+/// more replicas crashed on them after they were back.
+#[rstest]
+#[case::at_once(0)]
+#[case::before_the_first_crash(30)]
+fn request_is_blocked_after_crashes_at_one_moment(#[case] gap: u64) {
+    let mut tracker = served_tracker();
+    for n in 0..3 {
+        crash(&mut tracker, 300 + n * gap, n, &[(7, &[FIRST])]);
+    }
+    let request = Feature::Request(Fingerprint(7));
+    assert_eq!(convict(&mut tracker, 1_500), [request]);
+}
+
+/// Two requests in the same crashes were taken for rivals, and neither was blocked.
+#[test]
+fn two_requests_in_the_same_crashes_are_blocked() {
+    let mut tracker = served_tracker();
+    for n in 1..=3 {
+        crash(&mut tracker, n * 300, n, &[(7, &[]), (8, &[])]);
+    }
+    let requests = [7, 8].map(|n| Feature::Request(Fingerprint(n)));
+    assert_eq!(convict(&mut tracker, 3_000), requests);
+}
+
+/// A sound request that many callers send runs at replicas that lose power together. It is served
+/// again after its trial, and other VMs hear of that.
+#[test]
+fn sound_request_is_served_after_its_trial() {
+    let mut tracker = served_tracker();
+    for n in 1..=3 {
+        crash(&mut tracker, 300, n, &[(8, &[])]);
+    }
+    let features = Feature::of_request(Fingerprint(8), &[]);
+    assert_eq!(convict(&mut tracker, 1_500), features);
+    let left = |tracker: &CrashTracker, ms| tracker.time_to_trial(at(ms), &features);
+    assert_eq!(left(&tracker, 1_500), Span::from_millis(3_000));
+    let blocked = Some(features[0]);
+    assert_eq!(tracker.begin_send(at(4_400), &features, |_| true), blocked);
+    assert_eq!(tracker.begin_send(at(4_500), &features, |_| false), blocked);
+    assert_eq!(tracker.begin_send(at(4_500), &features, |_| true), None);
+    assert_eq!(tracker.begin_send(at(4_510), &features, |_| true), blocked);
+    tracker.complete(at(4_600), &features);
+    assert!(!is_blocked(&mut tracker, 4_700, 8, &[]));
+    assert_eq!(convict(&mut tracker, 5_000), []);
+    let told = tracker.report(at(5_000)).completed;
+    assert!(told.contains(&(features[0], at(4_600))));
+}
+
+/// Sound requests that were blocked beside one that crashes replicas were tried together with it.
+#[test]
+fn requests_blocked_together_are_tried_apart() {
+    let mut tracker = served_tracker();
+    let requests = [7, 8, 9];
+    for n in 1..=3 {
+        crash(&mut tracker, 300, n, &requests.map(|r| (r, &[][..])));
+    }
+    assert_eq!(convict(&mut tracker, 1_500).len(), 3);
+    let left = requests.map(|r| {
+        let features = Feature::of_request(Fingerprint(r), &[]);
+        tracker.time_to_trial(at(1_500), &features)
+    });
+    for (first, second) in [(0, 1), (1, 2), (2, 0)] {
+        let apart = left[first].0.abs_diff(left[second].0);
+        assert!(apart >= 500_000, "{left:?}");
+    }
+}
+
+/// Each trial of a request that crashes replicas costs one of them.
+#[test]
+fn bad_request_is_tried_seldom() {
+    let mut tracker = served_tracker();
+    for n in 1..=3 {
+        crash(&mut tracker, 300, n, &[(7, &[])]);
+    }
+    let features = Feature::of_request(Fingerprint(7), &[]);
+    assert_eq!(convict(&mut tracker, 1_500), features);
+    let hours = Span::from_millis(7 * 3_600_000);
+    let mut now = at(1_500);
+    for trial in 1..=3 {
+        let left = tracker.time_to_trial(now, &features);
+        let early = now.after(Span(left.0 - 1));
+        assert!(tracker.begin_send(early, &features, |_| true).is_some());
+        now = now.after(left);
+        assert_eq!(tracker.begin_send(now, &features, |_| true), None);
+        let sent = now;
+        now = now.after(Span::from_millis(70));
+        let run = BrokenRun {
+            sent,
+            features: features.clone(),
+        };
+        tracker.accuse(now, &replica(10 + trial), run);
+    }
+    let end = at(1_500).after(hours);
+    assert!(tracker.begin_send(end, &features, |_| true).is_some());
+    assert_eq!(tracker.time_to_trial(now, &features), BLOCK_TTL);
+    assert!(tracker.lift(end, features[0]));
+    assert_eq!(tracker.begin_send(end, &features, |_| true), None);
+}
+
+/// A VM that starts reads the block in the store, and hears from the others when it was tried.
+#[test]
+fn new_vm_does_not_repeat_trials() {
+    let mut tracker = CrashTracker::default();
+    let features = Feature::of_request(Fingerprint(7), &[]);
+    tracker.learn_block(at(0), at(0), features[0]);
+    let first = Span::from_millis(60_000);
+    assert_eq!(tracker.time_to_trial(at(0), &features), first);
+    tracker.learn_trial(features[0], at(100_000));
+    tracker.learn_trial(features[0], at(10_000));
+    let blocked = Some(features[0]);
+    assert_eq!(tracker.begin_send(at(99_000), &features, |_| true), blocked);
+    assert_eq!(tracker.begin_send(at(100_000), &features, |_| true), None);
+    let told = tracker.report(at(100_000)).trials;
+    assert_eq!(told, [(features[0], at(130_000))]);
+}
+
+/// Where a crash broke off more runs than fit in a beacon, other VMs must hear of the requests
+/// on which replicas crashed before.
+#[test]
+fn runs_of_suspected_requests_are_reported_first() {
+    let mut tracker = served_tracker();
+    for n in 1..=2 {
+        for request in 0..60 {
+            let request = 1_000 * n + request;
+            crash(&mut tracker, n * 300, n, &[(request, &[FIRST, OTHER])]);
+        }
+        crash(&mut tracker, n * 300, n, &[(7, &[])]);
+    }
+    let runs = tracker.report(at(700)).crashes;
+    let request = Feature::of_request(Fingerprint(7), &[]);
+    let is_told = |runs: &Vec<BrokenRun>| runs.iter().any(|run| run.features == request);
+    assert!(runs.iter().all(|(_, _, runs)| is_told(runs)));
+}
+
+/// Crashes after which nothing is blocked are logged with what speaks against whom.
+#[test]
+fn leading_suspect_has_most_crashes() {
+    let mut tracker = served_tracker();
+    for n in 1..=3 {
+        crash(&mut tracker, 300, n, &[(n, &[FIRST, n + 10])]);
+    }
+    crash(&mut tracker, 300, 4, &[(4, &[FIRST])]);
+    assert_eq!(convict(&mut tracker, 2_000), []);
+    let suspect = tracker.leading_suspect(at(2_000), SETTLE).unwrap();
+    assert_eq!(suspect.feature, Feature::PromptPart(FIRST));
+    assert_eq!((suspect.crashes, suspect.successive), (4, 1));
+    assert!(tracker.leading_suspect(at(1_200), SETTLE).is_none());
+}
+
 /// Connections are reset, or answers lost, while replicas live on.
 #[test]
 fn crash_of_live_replica_does_not_count() {
@@ -487,6 +637,19 @@
     assert!(!tracker.is_doubtful(at(610), &other));
 }
 
+/// Copies of a request that crash replicas at one moment put it in doubt as well.
+#[test]
+fn request_in_crashes_at_one_moment_is_not_repeated() {
+    let mut tracker = served_tracker();
+    let request = Feature::of_request(Fingerprint(7), &[]);
+    crash(&mut tracker, 300, 1, &[(7, &[])]);
+    assert!(!tracker.is_doubtful(at(310), &request));
+    crash(&mut tracker, 300, 2, &[(7, &[]), (8, &[])]);
+    assert!(tracker.is_doubtful(at(310), &request));
+    let other = Feature::of_request(Fingerprint(8), &[]);
+    assert!(!tracker.is_doubtful(at(310), &other));
+}
+
 /// A flood of crashes, features and blocks takes bounded memory; the newest are kept.
 #[test]
 fn flood_is_bounded() {
