serving: a blocked request is refused without a panic

A request that arrived while it was blocked ended with its connection: the time until its trial was read while the state was still borrowed for the lookup of the block, which panics ("RefCell already borrowed").

--- a/lib/src/serving/path/crashes.rs
+++ b/lib/src/serving/path/crashes.rs
@@ -33,7 +33,8 @@
 
 /// Refuses a request that holds a blocked feature.
 pub(in crate::serving) fn check_blocked(node: &Node, req: &BufferedRequest) -> Result<(), Refusal> {
-    match node.state().find_block(now(), &req.features) {
+    let blocked = node.state().find_block(now(), &req.features);
+    match blocked {
         Some(_) => Err(Refusal::not_run(
             CRASHES_UPSTREAMS,
             blocked_retry_after(node, req),
