serving: a refusal by another replica is no sign of life

Cause: any response but one that names another replica withdrew the crash of the replica that it was meant for. A replica that starts at the address of a crashed one refuses with 421 what is still sent to the old one, and need not say who it is; while the entry of the old one was still listed, its crash was forgotten. Found by the logs of a failing run: 421 from the address of i-0-1 after it had crashed, and one crash fewer at that VM.

Now only an answer, a failure or a refusal for lack of room is a sign of life: with the expected replica named in the request, no other one sends these.

Still open: the probe 100 ms after a broken run takes a replica that starts at the address within that time for the old one.

--- a/lib/src/serving/path/codec.rs
+++ b/lib/src/serving/path/codec.rs
@@ -90,6 +90,23 @@
     Invalid(&'static str),
 }
 
+impl ReplicaReply {
+    /// Returns whether only the replica that the request was meant for responds so. One that
+    /// uses its address now refuses the request as not loaded as well.
+    ///
+    /// ```
+    /// use banyangauge::serving::{NotRun, ReplicaReply};
+    /// assert!(ReplicaReply::NotRun(NotRun::Full).is_of_replica());
+    /// assert!(!ReplicaReply::NotRun(NotRun::NotLoaded).is_of_replica());
+    /// ```
+    pub fn is_of_replica(self) -> bool {
+        matches!(
+            self,
+            Self::Answer | Self::Failed | Self::NotRun(NotRun::Full)
+        )
+    }
+}
+
 /// What a replica states about itself on a response, regardless of what the response says
 /// about the request.
 #[derive(Clone, Debug, PartialEq)]
--- a/lib/src/serving/path/forward.rs
+++ b/lib/src/serving/path/forward.rs
@@ -345,10 +345,7 @@
     apply_statement(node, call, answer.head.status, &answer.head.headers);
     let classify = node.codec.classify_response;
     let reply = classify(answer.head.status, &answer.head.headers, &req.id, replica);
-    if !matches!(
-        reply,
-        ReplicaReply::Invalid(_) | ReplicaReply::NotRun(NotRun::Gone)
-    ) {
+    if reply.is_of_replica() {
         let mut state = node.state();
         let tracker = &mut state.crash_tracker;
         tracker.record_heard(now(), &instance, run.sent_at);
