serving: reads of the store are given up for lack of progress

What callers saw: 18 to 19 s after a burst of large configurations, VMs on links of 10 Mbit/s still served by an old one; requests of a route that had become unsafe ran at the old service, and some ran twice.

Cause: the answer to a watch holds each version since the last answer, and had to be read within the wait and 0.9 s. On such a link it was not, and the same watch was sent again, from the same revision, until the store dropped its history; the answers that were thrown away filled the link. The class: a call whose answer grows with the backlog is repeated unchanged after a timeout of the whole.

Now a call is given up if its answer has not begun in that time, or does not go on to arrive for 0.9 s. The same holds for lists, which on a slow link also took longer than their timeout each time, and for the watch that confirms ownership, which lists after any failure already.

Open: a VM that knows that its routes may be out of date serves by them as before; only API keys have a bound for that.

--- a/lib/src/platform/mod.rs
+++ b/lib/src/platform/mod.rs
@@ -41,6 +41,8 @@
     Refused(u16),
     /// The object is too large.
     TooLarge,
+    /// The response has more bytes than this.
+    ResponseTooLarge(usize),
     /// No connection to the platform; the call had no effect.
     Unreachable(String),
     /// The call was sent but no response arrived; it may have taken effect.
@@ -57,6 +59,9 @@
             Self::Expired => write!(f, "the version to watch from is too old"),
             Self::Refused(code) => write!(f, "the platform refused with HTTP status {code}"),
             Self::TooLarge => write!(f, "the object is too large"),
+            Self::ResponseTooLarge(max) => {
+                write!(f, "the platform's response is larger than {max} bytes")
+            }
             Self::Unreachable(e) => write!(f, "the platform cannot be reached: {e}"),
             Self::Lost(e) => write!(f, "the platform's response was lost: {e}"),
             Self::Malformed(e) => write!(f, "the platform's response is malformed: {e}"),
--- a/lib/src/serving/mod.rs
+++ b/lib/src/serving/mod.rs
@@ -111,6 +111,7 @@
 pub use store::port::List;
 pub use store::port::Page;
 pub use store::port::Pending;
+pub use store::port::Progress;
 pub use store::port::Replace;
 pub use store::port::Store;
 pub use store::port::StoreRevision;
--- a/lib/src/serving/store/follow.rs
+++ b/lib/src/serving/store/follow.rs
@@ -145,7 +145,7 @@
 }
 
 /// Logs and records a failed call to the store. If the store no longer has the
-/// history needed, the topic is listed next.
+/// history needed, or this VM could not read it, the topic is listed next.
 fn log_failure(node: &Node, topic: Topic, rank: Option<u64>, e: &CallError) {
     let mut state = node.state();
     let feed = state.feeds.get(topic);
@@ -156,11 +156,21 @@
         feed.record_failure(now(), rank);
         return;
     }
-    if matches!(e, CallError::Failed(PlatformError::Expired)) {
+    let is_expired = matches!(e, CallError::Failed(PlatformError::Expired));
+    let is_too_large = matches!(
+        e,
+        CallError::Failed(PlatformError::ResponseTooLarge(_)) | CallError::Stalled(_)
+    );
+    if is_expired || is_too_large {
         feed.mark_history_expired();
-        slog::info!(node.log, "store history expired, listing again";
-            "kind" => store_kind(node, topic),
+        // A list is as large as the objects, and a watch as all changes since the last answer.
+        let why = if is_expired { "expired" } else { "too large" };
+        slog::info!(node.log, "store history not read, listing again";
+            "kind" => store_kind(node, topic), "why" => why, "error" => %e,
             "revision" => %feed.revision());
+        if matches!(e, CallError::Stalled(_)) {
+            feed.record_failure(now(), rank);
+        }
         return;
     }
     if !feed.is_failing() {
--- a/lib/src/serving/store/port.rs
+++ b/lib/src/serving/store/port.rs
@@ -1,11 +1,16 @@
 //! The interface of the store for durable state, as the serving path uses it.
 
+use std::cell::Cell;
 use std::fmt;
 use std::future::Future;
 use std::pin::Pin;
+use std::rc::Rc;
+use std::task::Context;
+use std::task::Poll;
 use std::time::Duration;
 
 use serde_json::value::RawValue;
+use tokio::time::Instant;
 
 use crate::platform::PlatformError;
 
@@ -58,8 +63,64 @@
     pub result: Result<T, PlatformError>,
 }
 
+/// When data of a call's answer last arrived; clones are of the same call.
+#[derive(Clone, Debug, Default)]
+pub struct Progress(Rc<Cell<Option<Instant>>>);
+
+impl Progress {
+    /// Records that data arrived now.
+    pub fn record(&self) {
+        self.0.set(Some(Instant::now()));
+    }
+
+    /// Returns when data last arrived; `None` if none has.
+    pub fn last(&self) -> Option<Instant> {
+        self.0.get()
+    }
+}
+
 /// A pending call.
-pub type Pending<T> = Pin<Box<dyn Future<Output = Answer<T>>>>;
+///
+/// ```
+/// use banyangauge::serving::{Answer, Pending, Progress};
+/// # tokio::runtime::Builder::new_current_thread().build().unwrap().block_on(async {
+/// let progress = Progress::default();
+/// let arrived = progress.clone();
+/// let pending = Pending::new(progress.clone(), async move {
+///     arrived.record();
+///     Answer { era: None, unreadable_era: false, result: Ok(7) }
+/// });
+/// assert_eq!(pending.await.result, Ok(7));
+/// assert!(progress.last().is_some());
+/// # });
+/// ```
+pub struct Pending<T> {
+    progress: Progress,
+    answer: Pin<Box<dyn Future<Output = Answer<T>>>>,
+}
+
+impl<T> Pending<T> {
+    /// Creates a call that records in `progress` when data of its answer arrives.
+    pub fn new(progress: Progress, answer: impl Future<Output = Answer<T>> + 'static) -> Self {
+        Self {
+            progress,
+            answer: Box::pin(answer),
+        }
+    }
+
+    /// Returns when data of the answer arrived.
+    pub fn progress(&self) -> Progress {
+        self.progress.clone()
+    }
+}
+
+impl<T> Future for Pending<T> {
+    type Output = Answer<T>;
+
+    fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Answer<T>> {
+        self.answer.as_mut().poll(cx)
+    }
+}
 
 /// A stored object.
 #[derive(Clone, Debug)]
