serving: the bodies of requests are bounded by the memory of the VM

What callers saw: in a burst of requests of 4 MiB the process passed its 260 MB and was killed; 31 requests that replicas had begun to run ended without an answer, as did all that were being read.

Cause: the body of each request was read and kept until its response was complete, and nothing bounded the sum; limits.memoryMb was not read.

Now one account holds what has arrived of all bodies, and three quarters of what is still to come of those that are being read. A body above 32 KiB is not read before there is room for it, in the order of arrival, for a quarter of the request's time at most; if a quarter of the room is already waited for, the request is refused at once as not run (no_memory). The body of a request whose response has begun and cannot be resumed is given up. Requests that other VMs hand over count as well.

Open: of what callers and replicas make a VM hold only bodies count: neither the 64 KiB that are read ahead of a response, nor streams' tails.

--- a/lib/src/serving/cluster/state.rs
+++ b/lib/src/serving/cluster/state.rs
@@ -29,6 +29,7 @@
 use crate::serving::decisions::access::ConfigAge;
 use crate::serving::decisions::access::KeyBounds;
 use crate::serving::decisions::adapter_planner::AdapterPlanner;
+use crate::serving::decisions::body_room::BodyRoom;
 use crate::serving::decisions::crash_tracker::CrashTracker;
 use crate::serving::decisions::crash_tracker::Feature;
 use crate::serving::decisions::fleet::Fleet;
@@ -101,6 +102,8 @@
 pub(in crate::serving) struct NodeState {
     pub(in crate::serving) active: Option<Rc<ActiveConfig>>,
     pub(in crate::serving) fleet: Fleet,
+    /// Memory for the bodies of requests.
+    pub(in crate::serving) body_room: BodyRoom,
     budget: RetryBudget,
     pub(in crate::serving) members: Members,
     pub(in crate::serving) ownership: Ownership,
@@ -186,6 +189,7 @@
         let mut state = Self {
             active: None,
             fleet: Fleet::new(settings.zone.clone()),
+            body_room: BodyRoom::new(settings.memory),
             budget: RetryBudget::new(settings.budget, now),
             members: Members::new(settings.vm.clone(), now),
             ownership: Ownership::new(settings.vm.clone(), lease, settings.fencing),
--- a/lib/src/serving/decisions/mod.rs
+++ b/lib/src/serving/decisions/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod access;
 pub(super) mod adapter_planner;
+pub(super) mod body_room;
 pub(super) mod crash_tracker;
 pub(super) mod fetch_limiter;
 pub(super) mod fleet;
--- a/lib/src/serving/mod.rs
+++ b/lib/src/serving/mod.rs
@@ -50,6 +50,7 @@
 pub use decisions::adapter_planner::PendingLoad;
 pub use decisions::adapter_planner::ReplicaAction;
 pub use decisions::adapter_planner::ReplicaReport;
+pub use decisions::body_room::BodyRoom;
 pub use decisions::crash_tracker::BLOCK_TTL;
 pub use decisions::crash_tracker::BadFeature;
 pub use decisions::crash_tracker::BrokenRun;
--- a/lib/src/serving/path/forward.rs
+++ b/lib/src/serving/path/forward.rs
@@ -30,6 +30,7 @@
 use crate::serving::decisions::retry::AttemptFailure;
 use crate::serving::decisions::stream_builds::StreamId;
 use crate::serving::decisions::urgency::urgency_when_sent;
+use crate::serving::path::bodies::BodyCharge;
 use crate::serving::path::charge::Charge;
 use crate::serving::path::codec::ForwardHeaders;
 use crate::serving::path::codec::NotRun;
@@ -62,6 +63,8 @@
     pub(in crate::serving) path: Uri,
     pub(in crate::serving) headers: HeaderMap,
     pub(in crate::serving) body: Vec<Bytes>,
+    /// The memory that the body takes.
+    pub(in crate::serving) body_charge: Option<BodyCharge>,
     /// The caller's ID for this attempt.
     pub(in crate::serving) id: String,
     pub(in crate::serving) target: Option<Target>,
@@ -90,6 +93,14 @@
     pub(in crate::serving) build: Option<BuildName>,
 }
 
+impl BufferedRequest {
+    /// Gives up the body of a request that will not be sent again.
+    pub(in crate::serving) fn release_body(&mut self) {
+        self.body.clear();
+        self.body_charge = None;
+    }
+}
+
 /// Identity of a request's caller, and the charge for the request.
 #[derive(Default)]
 pub(in crate::serving) struct Caller {
--- a/lib/src/serving/path/mod.rs
+++ b/lib/src/serving/path/mod.rs
@@ -1,5 +1,6 @@
 //! The request path: from a caller's connection to the last byte of the response.
 
+pub(super) mod bodies;
 pub(super) mod builds;
 pub(super) mod charge;
 pub(super) mod choice;
--- a/lib/src/serving/path/relay.rs
+++ b/lib/src/serving/path/relay.rs
@@ -7,9 +7,8 @@
 
 use banyangauge_proto as wire;
 use bytes::Bytes;
+use bytes::BytesMut;
 use futures_util::stream::unfold;
-use http_body_util::BodyExt;
-use http_body_util::Limited;
 use http_body_util::StreamBody;
 use hyper::HeaderMap;
 use hyper::Request;
@@ -31,6 +30,7 @@
 use crate::serving::decisions::retry::Attempts;
 use crate::serving::decisions::retry::RETRY_DELAY;
 use crate::serving::decisions::retry::Refusal;
+use crate::serving::path::bodies::read_body;
 use crate::serving::path::builds;
 use crate::serving::path::charge::Charge;
 use crate::serving::path::crashes::check_blocked;
@@ -58,6 +58,7 @@
 use crate::serving::program::node::Phase;
 use crate::serving::program::node::now;
 use crate::serving::program::node::to_instant;
+use crate::serving::program::node::to_span;
 use crate::upstream::BodyChunks;
 use crate::upstream::SendError;
 use crate::upstream::UpstreamResponse;
@@ -72,6 +73,9 @@
 /// Space for what goes before the body of a request.
 const MAX_HEAD_BYTES: usize = 4 << 10;
 
+/// Time in which another VM must have sent a request that it hands over.
+const READ_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// On a response to another VM: [`SERVED`], or why this VM refused the request.
 const OUTCOME: &str = "banyan-relay-outcome";
 
@@ -79,8 +83,9 @@
 const SERVED: &str = "served";
 
 /// Refusals that concern the VM rather than the replicas, so that another one is asked.
-const ASK_ANOTHER: [&str; 6] = [
+const ASK_ANOTHER: [&str; 7] = [
     "no_configuration",
+    "no_memory",
     "no_replica",
     "no_route",
     "no_service",
@@ -381,8 +386,10 @@
     let active = active.ok_or(not_run("no_configuration"))?;
     let (parts, body) = request.into_parts();
     let max_bytes = active.config.limits.body_bytes + MAX_HEAD_BYTES;
-    let body = Limited::new(body, max_bytes).collect().await;
-    let mut body = body.map_err(|_| not_run("bad_body"))?.to_bytes();
+    let read_by = arrived.after(to_span(READ_TIMEOUT));
+    let read = read_body(node, body, max_bytes, read_by).await;
+    let read = read.map_err(|refusal| not_run(refusal.reason))?;
+    let mut body = concat(read.pieces);
     let head = wire::RelayHead::decode_length_delimited(&mut body);
     let head = head.map_err(|_| not_run("bad_relay_head"))?;
     let info = (node.codec.parse_request)(&parts.headers);
@@ -423,6 +430,7 @@
             charge: None,
         },
         body: pieces,
+        body_charge: Some(read.charge),
         stream: builds::stream_id(&routed, &info),
         build,
         id: info.id,
@@ -435,6 +443,16 @@
     run_request(node, Rc::new(routed), req, arrived, in_flight).await
 }
 
+/// Joins the pieces of a body; one piece needs no copy.
+fn concat(mut pieces: Vec<Bytes>) -> Bytes {
+    if pieces.len() == 1 {
+        return pieces.remove(0);
+    }
+    let mut all = BytesMut::new();
+    pieces.iter().for_each(|piece| all.extend_from_slice(piece));
+    all.freeze()
+}
+
 /// Returns the digest of the caller's API key; `None` if the route needs none.
 fn read_key(head: &wire::RelayHead) -> Result<Option<KeyDigest>, Refusal> {
     if head.key.is_empty() {
--- a/lib/src/serving/path/serve.rs
+++ b/lib/src/serving/path/serve.rs
@@ -6,15 +6,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::BodyExt;
-use http_body_util::LengthLimitError;
-use http_body_util::Limited;
 use hyper::HeaderMap;
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::Uri;
-use hyper::body::Body;
 use hyper::body::Incoming;
 use hyper::header::CONNECTION;
 use hyper::header::CONTENT_TYPE;
@@ -36,6 +32,7 @@
 use crate::serving::decisions::retry::Attempts;
 use crate::serving::decisions::retry::RETRY_DELAY;
 use crate::serving::decisions::retry::Refusal;
+use crate::serving::path::bodies::read_body;
 use crate::serving::path::builds;
 use crate::serving::path::charge;
 use crate::serving::path::codec::NotRun;
@@ -204,10 +201,11 @@
         Some(organisation) => charge::acquire(node, organisation, &info).await?,
         None => None,
     };
-    let body = read_body(body, active.config.limits.body_bytes, deadline).await?;
+    let max_bytes = active.config.limits.body_bytes;
+    let body = read_body(node, body, max_bytes, deadline).await?;
     let mut headers = head.headers;
     strip_request_headers(&mut headers);
-    let fingerprint = fingerprint(&head.uri, &body);
+    let fingerprint = fingerprint(&head.uri, &body.pieces);
     let req = BufferedRequest {
         method: head.method,
         fingerprint,
@@ -226,7 +224,8 @@
             organisation: organisation.map(|o| o.name.clone()),
             charge,
         },
-        body,
+        body: body.pieces,
+        body_charge: Some(body.charge),
         stream: builds::stream_id(&routed, &info),
         build,
         id: info.id,
@@ -312,32 +311,6 @@
     }
 }
 
-/// Reads the complete body of a request, up to a size and a deadline.
-async fn read_body(
-    body: Incoming,
-    max_bytes: usize,
-    deadline: Moment,
-) -> Result<Vec<Bytes>, Refusal> {
-    let too_large = Refusal::denied(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large");
-    // A stated length is checked before any byte is read.
-    if body.size_hint().lower() > max_bytes as u64 {
-        return Err(too_large);
-    }
-    let mut body = Limited::new(body, max_bytes);
-    let mut pieces = Vec::new();
-    loop {
-        let frame = tokio::time::timeout_at(to_instant(deadline), body.frame()).await;
-        match frame {
-            Err(_) => return Err(Refusal::denied(StatusCode::REQUEST_TIMEOUT, "slow_body")),
-            Ok(None) => return Ok(pieces),
-            Ok(Some(Err(e))) if e.is::<LengthLimitError>() => return Err(too_large),
-            Ok(Some(Err(_))) => return Err(Refusal::denied(StatusCode::BAD_REQUEST, "bad_body")),
-            // Trailers are hop-by-hop here and are dropped.
-            Ok(Some(Ok(frame))) => pieces.extend(frame.into_data()),
-        }
-    }
-}
-
 /// Hashes the path, query and body, to recognise a request that is sent again.
 pub(in crate::serving) fn fingerprint(uri: &Uri, body: &[Bytes]) -> Fingerprint {
     let mut hash = Xxh3::new();
@@ -381,7 +354,7 @@
 pub(in crate::serving) async fn run_request(
     node: &Rc<Node>,
     routed: Rc<RoutedRequest>,
-    req: BufferedRequest,
+    mut req: BufferedRequest,
     arrived: Moment,
     in_flight: InFlight,
 ) -> Result<Response<ResponseBody>, Refusal> {
@@ -462,6 +435,10 @@
     if events.is_some() {
         builds::record_began(node, &routed, &req, &started.run).await;
     }
+    if events.is_none() {
+        // The response has begun and cannot be resumed.
+        req.release_body();
+    }
     let mut body = ResponseStream {
         node: node.clone(),
         routed,
--- a/lib/src/serving/program/node.rs
+++ b/lib/src/serving/program/node.rs
@@ -8,6 +8,7 @@
 
 use banyangauge_proto as wire;
 use tokio::net::UdpSocket;
+use tokio::sync::Mutex;
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
@@ -96,6 +97,10 @@
     pub(in crate::serving) upstreams: Upstreams,
     pub(in crate::serving) log: slog::Logger,
     pub(in crate::serving) incarnation: Incarnation,
+    /// Held by the first request that waits for room for its body.
+    pub(in crate::serving) body_turn: Mutex<()>,
+    /// Wakes it.
+    pub(in crate::serving) body_wake: Notify,
     /// Wakes requests that wait for a replica.
     pub(in crate::serving) placement_wake: Notify,
     /// Wakes the task that issues orders.
@@ -161,6 +166,8 @@
             upstreams: Upstreams::with_timeouts(CONNECT_TIMEOUT, IDLE_TIMEOUT),
             log,
             incarnation,
+            body_turn: Mutex::new(()),
+            body_wake: Notify::new(),
             placement_wake: Notify::new(),
             orders_wake: Notify::new(),
             catch_up_wake: Notify::new(),
--- a/lib/src/serving/program/settings.rs
+++ b/lib/src/serving/program/settings.rs
@@ -27,6 +27,8 @@
     pub peer_address: SocketAddr,
     /// Bytes per second that the link of this VM carries; `None` if that is not known.
     pub link_rate: Option<u64>,
+    /// Bytes of memory above which the process is killed; `None` if that is not known.
+    pub memory: Option<u64>,
     /// Address of the store.
     pub store_address: SocketAddr,
     /// Time between the stop signal and the kill.
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -34,6 +34,7 @@
 mod test_pool_rig;
 mod test_serving_access;
 mod test_serving_adapter_planner;
+mod test_serving_body_room;
 mod test_serving_crash_search;
 mod test_serving_crash_tracker;
 mod test_serving_experiment;
