serving: log how many crashes a broken run adds to, and runs given up

The log of a broken run did not tell whether its crash was counted against the request, so that a crash which hides behind a false one looked like any other. A run that ended at this VM without a response left no line that names its replica, so that a crash after it could not be told from one that nobody saw.

--- a/lib/src/serving/decisions/crash_tracker/requests.rs
+++ b/lib/src/serving/decisions/crash_tracker/requests.rs
@@ -49,11 +49,29 @@
         self.crashes.values().filter(counts).count()
     }
 
+    /// Returns on how many replicas the request with these features ran when they crashed, since
+    /// it was last complete, as far as this VM knows.
+    ///
+    /// ```
+    /// use banyangauge::ids::Fingerprint;
+    /// use banyangauge::pool::Moment;
+    /// use banyangauge::serving::{BrokenRun, CrashTracker, Feature, Instance};
+    /// let mut tracker = CrashTracker::default();
+    /// let features = Feature::of_request(Fingerprint(7), &[]);
+    /// let run = BrokenRun { sent: Moment(0), features: features.clone() };
+    /// let replica = Instance { name: "i-1".parse().unwrap(), started_ms: 0 };
+    /// tracker.accuse(Moment(70_000), &replica, run);
+    /// assert_eq!(tracker.request_crashes(Moment(80_000), &features), 1);
+    /// ```
+    pub fn request_crashes(&self, now: Moment, features: &[Feature]) -> usize {
+        let request = features.iter().find(|f| !f.is_part());
+        request.map_or(0, |request| self.crashes_of(now, *request))
+    }
+
     /// Returns whether too many replicas crashed on a request with these features to send it
     /// again after a broken run.
     pub(super) fn is_doubtful_request(&self, now: Moment, features: &[Feature]) -> bool {
-        let mut requests = features.iter().filter(|f| !f.is_part());
-        requests.any(|request| self.crashes_of(now, *request) >= DOUBTFUL_CRASHES)
+        self.request_crashes(now, features) >= DOUBTFUL_CRASHES
     }
 }
 
--- a/lib/src/serving/path/crashes.rs
+++ b/lib/src/serving/path/crashes.rs
@@ -78,12 +78,16 @@
         sent: run.sent_at,
         features: req.features.clone(),
     };
-    let is_new = node.state().crash_tracker.accuse(now(), &replica, broken);
+    let (is_new, counted) = {
+        let tracker = &mut node.state().crash_tracker;
+        let is_new = tracker.accuse(now(), &replica, broken);
+        (is_new, tracker.request_crashes(now(), &req.features))
+    };
     let features: Vec<_> = req.features.iter().map(ToString::to_string).collect();
     slog::info!(node.log, "run broken by its replica"; "id" => &req.id,
         "replica" => replica.name.as_str(), "born" => replica.started_ms,
         "features" => features.join(" "), "ran_ms" => now().since(run.sent_at).as_millis(),
-        "new" => is_new);
+        "new" => is_new, "request_crashes" => counted);
     metrics::counter!("serve_broken_runs_total").increment(1);
     if is_new {
         node.crash_wake.notify_one();
--- a/lib/src/serving/path/forward.rs
+++ b/lib/src/serving/path/forward.rs
@@ -1,5 +1,6 @@
 //! Sends a request to a replica and classifies the response.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -123,6 +124,8 @@
     id: u64,
     /// When the request was sent to the replica.
     pub(in crate::serving) sent_at: Moment,
+    /// Whether it was sent, and no end of it is known yet.
+    pending: Cell<bool>,
     responded: bool,
     /// The urgency that the replica was told.
     pub(in crate::serving) urgency: Option<u8>,
@@ -150,6 +153,7 @@
             cost: req.cost,
             id,
             sent_at: now(),
+            pending: Cell::new(false),
             responded: false,
             urgency: None,
             prefill_turn: None,
@@ -232,6 +236,7 @@
 
     /// Records how the run ended, which counts towards the replica's health.
     pub(in crate::serving) fn record_end(&self, end: RunOutcome) {
+        self.pending.set(false);
         let mut state = self.node.state();
         if state.fleet.is_current(&self.instance()) {
             state.fleet.record_outcome(now(), &self.replica, end);
@@ -249,6 +254,12 @@
 
 impl Drop for Run {
     fn drop(&mut self) {
+        if self.pending.get() && !self.responded {
+            slog::info!(self.node.log, "run given up before a response";
+                "replica" => self.replica.as_str(), "born" => self.started_ms,
+                "ran_ms" => now().since(self.sent_at).as_millis());
+            metrics::counter!("serve_runs_given_up_total").increment(1);
+        }
         let mut state = self.node.state();
         state.end_run(&self.instance(), self.target.as_ref(), self.cost);
         if !self.responded {
@@ -311,6 +322,7 @@
     }
     check_send(node, req)?;
     run.sent_at = now();
+    run.pending.set(true);
     let sent = req
         .urgency
         .map(|u| urgency_when_sent(u, now(), req.objective));
