tests, known red: crashes that follow a false one, copies at one replica

Fail on the code as it is: a crash that comes after a reset answer of the same replica is dropped, by the VM that saw the reset as by one that was told of it, and two copies of a request at one replica count as one run.

--- a/lib/tests/test_serving_crash_tracker.rs
+++ b/lib/tests/test_serving_crash_tracker.rs
@@ -269,6 +269,80 @@
     assert_eq!(convict(&mut tracker, 3_000), []);
 }
 
+/// A replica that resets an answer and crashes later.
+#[derive(Clone, Copy, Debug)]
+enum FalseCrash {
+    /// This VM saw the answer reset, another one the crash.
+    Own,
+    /// Another VM did, and this one saw the crash.
+    Told,
+    /// One VM saw both.
+    Both,
+}
+
+/// A crash that follows a false one of the same replica was dropped, as the run that broke off had
+/// been sent after the first one.
+#[rstest]
+#[case::own(FalseCrash::Own)]
+#[case::told(FalseCrash::Told)]
+#[case::both(FalseCrash::Both)]
+fn crash_after_a_false_one_counts(#[case] seen: FalseCrash) {
+    let mut tracker = served_tracker();
+    let vm: VmName = "vm-2".parse().unwrap();
+    for n in 1..=3 {
+        let ms = n * 2_000;
+        let (reset, bad) = (run(ms - 800, 100 + n, &[]), run(ms - 70, 7, &[]));
+        match seen {
+            FalseCrash::Own | FalseCrash::Both => {
+                tracker.accuse(at(ms - 750), &replica(n), reset);
+            }
+            FalseCrash::Told => {
+                tracker.learn(at(ms - 600), &vm, &replica(n), at(ms - 750), vec![reset]);
+            }
+        }
+        match seen {
+            FalseCrash::Told | FalseCrash::Both => {
+                tracker.accuse(at(ms), &replica(n), bad);
+            }
+            FalseCrash::Own => tracker.learn(at(ms + 100), &vm, &replica(n), at(ms), vec![bad]),
+        }
+    }
+    let request = Feature::Request(Fingerprint(7));
+    assert_eq!(convict(&mut tracker, 7_500), [request]);
+}
+
+/// The sign of life of a replica that had reset an answer took back its crash right after that,
+/// which another VM had seen.
+#[test]
+fn crash_after_a_sign_of_life_counts() {
+    let mut tracker = served_tracker();
+    let vm: VmName = "vm-2".parse().unwrap();
+    for n in 1..=3 {
+        let ms = n * 2_000;
+        tracker.accuse(at(ms - 300), &replica(n), run(ms - 350, 100 + n, &[]));
+        tracker.record_alive(&replica(n), at(ms - 60));
+        let bad = vec![run(ms - 70, 7, &[])];
+        tracker.learn(at(ms + 100), &vm, &replica(n), at(ms), bad);
+        // Told again, as datagrams get lost.
+        tracker.learn_alive(&vm, &replica(n), at(ms - 60));
+        let bad = vec![run(ms - 70, 7, &[])];
+        tracker.learn(at(ms + 500), &vm, &replica(n), at(ms), bad);
+    }
+    let request = Feature::Request(Fingerprint(7));
+    assert_eq!(convict(&mut tracker, 7_500), [request]);
+}
+
+/// Two copies of a request that were under way at one replica counted as one run.
+#[test]
+fn copies_at_one_replica_count_as_runs() {
+    let mut tracker = served_tracker();
+    crash(&mut tracker, 300, 1, &[(7, &[]), (7, &[]), (8, &[])]);
+    assert_eq!(convict(&mut tracker, 1_500), []);
+    crash(&mut tracker, 1_500, 2, &[(7, &[]), (8, &[])]);
+    let request = Feature::Request(Fingerprint(7));
+    assert_eq!(convict(&mut tracker, 2_500), [request]);
+}
+
 /// What another VM tells of the time before a sign of life does not count.
 #[test]
 fn crash_told_after_sign_of_life_does_not_count() {
