serving: a crash is not merged into a false one of the same replica

Callers' requests that crash replicas went on reaching them: five and more sends later than 3 s after the third crash.

Cause: a crash had one record for each start of a replica, with the time of the first broken run at any VM. A reset answer made the record; the crash that came next was dropped, as its run had been sent after that time, or it left with the sign of life that took the record back. Other VMs did not probe the replica while the first one's record was there.

Class: a record is keyed by a name, and a later event of the same name is merged into it.

Now each broken run keeps its own time and each VM its own runs, and a sign of life refutes what broke off before it: exactly by the clock of the VM that heard it, with the tolerance of clocks for the runs of others. A replica crashes once, and last. A sign of life is the time at which the answered run was sent, or the probe begun, not the time of the answer; each VM probes for its own broken runs, until none is left that broke off after the probe began.

Evidence: crash_after_a_false_one_counts failed in its three cases and passes.

--- a/lib/src/serving/decisions/crash_tracker/evidence.rs
+++ b/lib/src/serving/decisions/crash_tracker/evidence.rs
@@ -30,27 +30,77 @@
     }
 }
 
-/// A replica that seems to have crashed.
+/// Runs that broke off at a replica since a VM last heard from it.
 #[derive(Clone, Debug)]
+struct ToldRuns {
+    /// When the last of them broke off.
+    at: Moment,
+    /// When this VM was told.
+    learnt: Moment,
+    runs: Vec<BrokenRun>,
+}
+
+/// What speaks for the crash of one start of a replica. It crashes once at most, and that is the
+/// last thing it does: what broke off before a sign of life was no crash, and what breaks off
+/// later may be one. So each run keeps its own time, and each VM its own runs.
+#[derive(Clone, Debug, Default)]
 pub(super) struct Crash {
-    /// When the first run there broke off.
-    pub(super) at: Moment,
-    /// When this VM learnt of it.
-    pub(super) learnt: Moment,
-    /// The runs of this VM that broke off.
-    pub(super) local: Vec<BrokenRun>,
+    /// The runs of this VM, and when each broke off.
+    local: Vec<(Moment, BrokenRun)>,
     /// Those of other VMs.
-    pub(super) remote: BTreeMap<VmName, Vec<BrokenRun>>,
+    remote: BTreeMap<VmName, ToldRuns>,
 }
 
 impl Crash {
-    pub(super) fn new(at: Moment, learnt: Moment) -> Self {
-        Self {
-            at,
-            learnt,
-            local: Vec::new(),
-            remote: BTreeMap::new(),
+    /// Adds a run of this VM that broke off at `at`. Returns whether it is its first one.
+    pub(super) fn add_run(&mut self, at: Moment, run: BrokenRun) -> bool {
+        let is_first = self.local.is_empty();
+        if self.local.len() >= MAX_RUNS {
+            self.local.remove(0);
         }
+        self.local.push((at, run));
+        is_first
+    }
+
+    /// Records what another VM tells of its runs, the last of which broke off at `at`.
+    pub(super) fn set_told(
+        &mut self,
+        now: Moment,
+        vm: &VmName,
+        at: Moment,
+        mut runs: Vec<BrokenRun>,
+    ) {
+        runs.truncate(MAX_RUNS);
+        // The same runs, told again: their time is not known exactly, and the earliest is the
+        // closest.
+        let known = self.remote.get(vm);
+        let known = known.filter(|told| at < told.at.after(CLOCK_ERROR));
+        let (at, learnt) = known.map_or((at, now), |told| (at.min(told.at), told.learnt));
+        let told = ToldRuns { at, learnt, runs };
+        self.remote.insert(vm.clone(), told);
+    }
+
+    /// Drops the runs of this VM that broke off before `heard`, at which it found the replica
+    /// alive.
+    pub(super) fn refute_local(&mut self, heard: Moment) {
+        self.local.retain(|(at, _)| *at >= heard);
+    }
+
+    /// Drops the runs of a VM that has heard from the replica since.
+    pub(super) fn refute_told(&mut self, vm: &VmName) {
+        self.remote.remove(vm);
+    }
+
+    /// Drops the runs that broke off clearly before `heard`, by the clock of another VM.
+    pub(super) fn refute_earlier(&mut self, heard: Moment) {
+        self.local.retain(|(at, _)| !is_refuted(*at, heard));
+        self.remote.retain(|_, told| !is_refuted(told.at, heard));
+    }
+
+    /// Returns whether a sign of life at `heard` by this VM's clock refutes anything.
+    pub(super) fn is_refuted_by(&self, heard: Moment) -> bool {
+        let mut told = self.remote.values();
+        self.local.iter().any(|(at, _)| *at < heard) || told.any(|t| is_refuted(t.at, heard))
     }
 
     /// Returns whether no VM accuses the replica's runs any more.
@@ -58,11 +108,54 @@
         self.local.is_empty() && self.remote.is_empty()
     }
 
-    /// Returns the runs that were under way when the replica crashed.
-    pub(super) fn runs(&self) -> impl Iterator<Item = &BrokenRun> {
-        let all = self.local.iter().chain(self.remote.values().flatten());
-        all.filter(|run| run.sent <= self.at.after(CLOCK_ERROR))
+    /// Returns when the last run of this VM broke off; `None` if it has none there.
+    pub(super) fn own_at(&self) -> Option<Moment> {
+        self.local.last().map(|(at, _)| *at)
     }
+
+    /// Returns the runs of this VM, and when each broke off.
+    pub(super) fn own_runs(&self) -> impl Iterator<Item = (Moment, &BrokenRun)> {
+        self.local.iter().map(|(at, run)| (*at, run))
+    }
+
+    /// Returns when this VM learnt the last of it.
+    pub(super) fn learnt(&self) -> Moment {
+        let told = self.remote.values().map(|told| told.learnt);
+        told.chain(self.own_at()).max().unwrap_or(Moment(0))
+    }
+
+    /// Returns all runs, and when each broke off.
+    pub(super) fn runs(&self) -> impl Iterator<Item = (Moment, &BrokenRun)> {
+        let told = self.remote.values();
+        let told = told.flat_map(|t| t.runs.iter().map(|run| (t.at, run)));
+        self.own_runs().chain(told)
+    }
+
+    /// Returns the crash if this VM knew of it at `until`: then the others have told of their runs.
+    pub(super) fn settled(&self, until: Moment) -> Option<SettledCrash<'_>> {
+        // When the last run of each VM broke off, and when this VM learnt of that.
+        let told = self.remote.values().map(|t| (t.at, t.learnt));
+        let ends = || told.clone().chain(self.own_at().map(|at| (at, at)));
+        let last = ends().map(|(at, _)| at).max()?;
+        let latest = ends().filter(|(at, _)| !is_refuted(*at, last));
+        let learnt = latest.map(|(_, learnt)| learnt).min()?;
+        // Each VM sees the crash, or later; its earlier runs may have broken off without one.
+        let at = ends().map(|(at, _)| at).min()?;
+        let runs = self.runs().collect();
+        (learnt <= until).then_some(SettledCrash { at, runs })
+    }
+}
+
+fn is_refuted(at: Moment, heard: Moment) -> bool {
+    heard >= at.after(CLOCK_ERROR)
+}
+
+/// A crash that may be judged.
+#[derive(Clone, Debug)]
+pub(super) struct SettledCrash<'a> {
+    pub(super) at: Moment,
+    /// The broken runs, and when each broke off.
+    pub(super) runs: Vec<(Moment, &'a BrokenRun)>,
 }
 
 /// What speaks against one feature.
@@ -118,7 +211,7 @@
 
 /// A crash that no blocked part of a prompt explains.
 pub(super) struct OpenCrash<'a> {
-    pub(super) crash: &'a Crash,
+    pub(super) crash: &'a SettledCrash<'a>,
     /// Runs of blocked requests there. Such a request explains the crash, but not for the parts
     /// of its own prompt: one of them may be the cause.
     pub(super) blocked: Vec<&'a BrokenRun>,
@@ -126,12 +219,15 @@
 
 impl<'a> OpenCrash<'a> {
     /// Returns the crash, or `None` if a blocked part explains it.
-    pub(super) fn new(crash: &'a Crash, is_blocked: impl Fn(Feature) -> bool) -> Option<Self> {
+    pub(super) fn new(
+        crash: &'a SettledCrash<'a>,
+        is_blocked: impl Fn(Feature) -> bool,
+    ) -> Option<Self> {
         let mut blocked = Vec::new();
-        for run in crash.runs() {
+        for (_, run) in &crash.runs {
             let mut found = run.features.iter().filter(|f| is_blocked(**f)).peekable();
             if found.peek().is_some() {
-                blocked.push(run);
+                blocked.push(*run);
             }
             if found.any(|f| f.is_part()) {
                 return None;
@@ -147,7 +243,7 @@
 }
 
 /// Sums up what speaks against each feature, given the crashes in the order of their times.
-/// `may_count` says whether a crash at that time may speak against a feature.
+/// `may_count` says whether a run that broke off at that time may speak against a feature.
 pub(super) fn find_suspects(
     crashes: &[OpenCrash<'_>],
     may_count: impl Fn(Feature, Moment) -> bool,
@@ -155,12 +251,11 @@
     let mut suspects: BTreeMap<Feature, Suspect> = BTreeMap::new();
     let mut run_position = 0;
     for (position, open) in crashes.iter().enumerate() {
-        let at = open.crash.at;
         let mut last_sent: BTreeMap<Feature, Moment> = BTreeMap::new();
-        for run in open.crash.runs() {
+        for (at, run) in &open.crash.runs {
             run_position += 1;
             for feature in &run.features {
-                if !may_count(*feature, at) || !open.concerns(*feature) {
+                if !may_count(*feature, *at) || !open.concerns(*feature) {
                     continue;
                 }
                 let last = last_sent.entry(*feature).or_insert(run.sent);
@@ -172,7 +267,7 @@
         }
         for (feature, sent) in last_sent {
             if let Some(suspect) = suspects.get_mut(&feature) {
-                suspect.add_crash(position, at, sent);
+                suspect.add_crash(position, open.crash.at, sent);
             }
         }
     }
--- a/lib/src/serving/decisions/crash_tracker/judge.rs
+++ b/lib/src/serving/decisions/crash_tracker/judge.rs
@@ -21,8 +21,8 @@
 
 use super::CrashTracker;
 use super::MEMORY;
-use super::evidence::Crash;
 use super::evidence::OpenCrash;
+use super::evidence::SettledCrash;
 use super::evidence::Suspect;
 use super::evidence::find_suspects;
 use super::feature::Feature;
@@ -80,11 +80,10 @@
 }
 
 impl CrashTracker {
-    /// Returns the crashes in the order of their times that were learnt of at `until` at the
-    /// latest.
-    fn settled_crashes(&self, now: Moment, until: Moment) -> Vec<&Crash> {
-        let recent = |c: &&Crash| now.since(c.at) < MEMORY && c.learnt <= until;
-        let mut crashes: Vec<_> = self.crashes.values().filter(recent).collect();
+    /// Returns what was known of crashes at `until`, in the order of their times.
+    fn settled_crashes(&self, now: Moment, until: Moment) -> Vec<SettledCrash<'_>> {
+        let settled = self.crashes.values().filter_map(|c| c.settled(until));
+        let mut crashes: Vec<_> = settled.filter(|c| now.since(c.at) < MEMORY).collect();
         crashes.sort_by_key(|crash| crash.at);
         crashes
     }
--- a/lib/src/serving/decisions/crash_tracker/mod.rs
+++ b/lib/src/serving/decisions/crash_tracker/mod.rs
@@ -21,7 +21,6 @@
 use blocks::Blocks;
 use evidence::CLOCK_ERROR;
 use evidence::Crash;
-use evidence::MAX_RUNS;
 
 use crate::ids::VmName;
 use crate::pool::Moment;
@@ -56,7 +55,7 @@
 /// What one VM tells the others.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct CrashReport {
-    /// Replicas that crashed, when, and the runs of this VM that broke off there.
+    /// Replicas that crashed, when the last run of this VM broke off there, and its runs.
     pub crashes: Vec<(Instance, Moment, Vec<BrokenRun>)>,
     /// Replicas that were taken for crashed and have been heard from since, and when.
     pub alive: Vec<(Instance, Moment)>,
@@ -104,6 +103,8 @@
     crashes: BTreeMap<Instance, Crash>,
     /// Replicas that were taken for crashed and have been heard from since, and when.
     alive: BTreeMap<Instance, Moment>,
+    /// The same by what other VMs tell.
+    told_alive: BTreeMap<Instance, Moment>,
     /// When a run with a feature was last complete, at any VM.
     completed: BTreeMap<Feature, Moment>,
     /// The last complete runs of this VM that have parts in their prompts.
@@ -118,62 +119,44 @@
 }
 
 impl CrashTracker {
-    /// Records that a run broke off, and that its replica may have crashed. Returns whether that
-    /// was not known of this replica.
+    /// Records that a run broke off, and that its replica may have crashed. Returns whether this
+    /// VM had no broken run there since it last heard from the replica.
     pub fn accuse(&mut self, now: Moment, replica: &Instance, run: BrokenRun) -> bool {
-        let is_new = !self.crashes.contains_key(replica);
-        let Some(crash) = self.crash(now, now, replica) else {
-            return false;
-        };
-        // The replica was down when this run was sent.
-        if run.sent > crash.at {
-            return is_new;
-        }
-        if crash.local.len() < MAX_RUNS {
-            crash.local.push(run.clone());
-        }
-        let at = crash.at;
-        self.record_trial(&run, at);
-        is_new
+        self.record_trial(&run, now);
+        self.crash(now, replica).add_run(now, run)
     }
 
-    /// Records what another VM tells of a replica that crashed at `at`.
+    /// Records what another VM tells of a replica: the runs that have broken off since it last
+    /// heard from it, the last one at `at`.
     pub fn learn(
         &mut self,
         now: Moment,
         vm: &VmName,
         replica: &Instance,
         at: Moment,
-        mut runs: Vec<BrokenRun>,
+        runs: Vec<BrokenRun>,
     ) {
-        runs.truncate(MAX_RUNS);
-        let Some(crash) = self.crash(now, at, replica) else {
+        let heard = [&self.alive, &self.told_alive].map(|heard| heard.get(replica));
+        let heard = heard.into_iter().flatten().max();
+        if heard.is_some_and(|heard| *heard >= at.after(CLOCK_ERROR)) {
             return;
-        };
-        crash.at = crash.at.min(at);
-        let at = crash.at;
-        crash.remote.insert(vm.clone(), runs.clone());
+        }
         runs.iter().for_each(|run| self.record_trial(run, at));
+        self.crash(now, replica).set_told(now, vm, at, runs);
     }
 
-    /// Returns the record of a replica that crashed at `at`, or `None` if it has been heard from
-    /// since.
-    fn crash(&mut self, now: Moment, at: Moment, replica: &Instance) -> Option<&mut Crash> {
-        let refuted = |heard: &Moment| *heard >= at.after(CLOCK_ERROR);
-        if self.alive.get(replica).is_some_and(refuted) {
-            return None;
-        }
+    /// Returns the record of a replica, which is made if there is none.
+    fn crash(&mut self, now: Moment, replica: &Instance) -> &mut Crash {
         if !self.crashes.contains_key(replica) {
-            self.crashes.retain(|_, c| now.since(c.at) < MEMORY);
+            self.crashes.retain(|_, c| now.since(c.learnt()) < MEMORY);
             if self.crashes.len() >= MAX_CRASHES {
-                let oldest = self.crashes.iter().min_by_key(|(_, c)| c.at);
+                let oldest = self.crashes.iter().min_by_key(|(_, c)| c.learnt());
                 if let Some(oldest) = oldest.map(|(replica, _)| replica.clone()) {
                     self.crashes.remove(&oldest);
                 }
             }
         }
-        let crash = self.crashes.entry(replica.clone());
-        Some(crash.or_insert_with(|| Crash::new(at, now)))
+        self.crashes.entry(replica.clone()).or_default()
     }
 
     /// Counts a crash against the blocked features of a run.
@@ -185,46 +168,47 @@
         }
     }
 
-    /// Records that a replica was heard from, by a run that was sent at `sent`. What was sent
-    /// after its crash became known shows that it did not crash. Returns whether it was taken
-    /// for crashed.
+    /// Records that a replica was heard from, by a run that was sent at `sent`. What broke off
+    /// before shows no crash. Returns whether it was taken for crashed.
     pub fn record_heard(&mut self, now: Moment, replica: &Instance, sent: Moment) -> bool {
         let crash = self.crashes.get(replica);
-        let refuted = crash.is_some_and(|crash| sent > crash.learnt);
+        let refuted = crash.is_some_and(|crash| crash.is_refuted_by(sent));
         if refuted {
-            self.record_alive(replica, now);
+            self.alive.retain(|_, heard| now.since(*heard) < MEMORY);
+            self.record_alive(replica, sent);
         }
         refuted
     }
 
+    /// Returns whether runs of this VM broke off at a replica since it last heard from it.
+    pub fn is_accused(&self, replica: &Instance) -> bool {
+        let crash = self.crashes.get(replica);
+        crash.is_some_and(|crash| crash.own_at().is_some())
+    }
+
     /// Records that this VM found a replica alive at `at`.
     pub fn record_alive(&mut self, replica: &Instance, at: Moment) {
         if let Some(crash) = self.crashes.get_mut(replica) {
-            crash.local.clear();
-        }
-        self.refute(replica, at);
-        self.alive.retain(|_, heard| at.since(*heard) < MEMORY);
-        if self.alive.len() < MAX_CRASHES || self.alive.contains_key(replica) {
-            let heard = self.alive.entry(replica.clone()).or_insert(at);
-            *heard = at.max(*heard);
+            crash.refute_local(at);
+            crash.refute_earlier(at);
         }
+        self.remove_unfounded(replica);
+        note_heard(&mut self.alive, replica, at);
     }
 
     /// Records that another VM found a replica alive at `at`, after its runs there had broken
     /// off.
     pub fn learn_alive(&mut self, vm: &VmName, replica: &Instance, at: Moment) {
         if let Some(crash) = self.crashes.get_mut(replica) {
-            crash.remote.remove(vm);
+            crash.refute_told(vm);
+            crash.refute_earlier(at);
         }
-        self.refute(replica, at);
+        self.remove_unfounded(replica);
+        note_heard(&mut self.told_alive, replica, at);
     }
 
-    /// Forgets the crash of a replica that was alive at `at`. By the clock of one VM that refutes
-    /// only what that VM saw itself, unless it was clearly later than the crash.
-    fn refute(&mut self, replica: &Instance, at: Moment) {
-        let crash = self.crashes.get(replica);
-        let refuted = |c: &Crash| c.is_unfounded() || at >= c.at.after(CLOCK_ERROR);
-        if crash.is_some_and(refuted) {
+    fn remove_unfounded(&mut self, replica: &Instance) {
+        if self.crashes.get(replica).is_some_and(Crash::is_unfounded) {
             self.crashes.remove(replica);
         }
     }
@@ -253,7 +237,7 @@
     /// Returns whether anything speaks against a feature.
     fn concerns(&self, feature: Feature) -> bool {
         let mut runs = self.crashes.values().flat_map(Crash::runs);
-        self.blocks.contains(feature) || runs.any(|run| run.features.contains(&feature))
+        self.blocks.contains(feature) || runs.any(|(_, run)| run.features.contains(&feature))
     }
 
     /// Records that a run with a feature was complete at `at`, at any VM. Returns whether the
@@ -337,7 +321,7 @@
     /// Returns whether crashes are known that do not count yet, but will.
     pub fn is_unsettled(&self, now: Moment, settle: Span) -> bool {
         let mut crashes = self.crashes.values();
-        crashes.any(|c| now.since(c.learnt) <= settle)
+        crashes.any(|c| now.since(c.learnt()) <= settle)
     }
 
     /// Records a block that another VM tells of, or the store.
@@ -401,16 +385,18 @@
     pub fn report(&self, now: Moment) -> CrashReport {
         let is_recent = |at: Moment| now.since(at) < REPORT_TTL;
         let mut report = CrashReport::default();
-        let mut newest: Vec<_> = self.crashes.iter().collect();
-        newest.sort_by_key(|(_, crash)| std::cmp::Reverse(crash.at));
+        let own = self.crashes.iter();
+        let own = own.filter_map(|(replica, crash)| Some((crash.own_at()?, replica, crash)));
+        let mut newest: Vec<_> = own.filter(|(at, ..)| is_recent(*at)).collect();
+        newest.sort_by_key(|(at, ..)| std::cmp::Reverse(*at));
         let mut room = MAX_REPORTED;
-        for (replica, crash) in &newest {
-            if !is_recent(crash.learnt) || crash.local.is_empty() || room == 0 {
-                continue;
+        for (at, replica, crash) in newest {
+            if room == 0 {
+                break;
             }
             let runs = self.accused_runs(now, crash, room);
             room = room.saturating_sub(runs.len().max(1));
-            report.crashes.push(((*replica).clone(), crash.at, runs));
+            report.crashes.push((replica.clone(), at, runs));
         }
         let alive = self.alive.iter().filter(|(_, at)| is_recent(**at));
         let alive = alive.map(|(replica, at)| (replica.clone(), *at));
@@ -429,9 +415,9 @@
     /// been cleared; those of requests on which other replicas crashed come first, then those
     /// that hold most parts.
     fn accused_runs(&self, now: Moment, crash: &Crash, most: usize) -> Vec<BrokenRun> {
-        let accused = crash.local.iter().map(|run| {
+        let accused = crash.own_runs().map(|(at, run)| {
             let left = run.features.iter().copied();
-            let left = left.filter(|f| !self.is_cleared(*f, crash.at));
+            let left = left.filter(|f| !self.is_cleared(*f, at));
             BrokenRun {
                 sent: run.sent,
                 features: left.collect(),
@@ -454,13 +440,13 @@
         let mut wanted: Vec<_> = refuted
             .filter(|(_, at)| now.since(*at) < REPORT_TTL)
             .collect();
-        let learnt = self.crashes.values().map(|c| c.learnt).max();
+        let learnt = self.crashes.values().map(Crash::learnt).max();
         if learnt.is_none_or(|learnt| now.since(learnt) >= REPORT_TTL) {
             return wanted;
         }
         let mut accusations: BTreeMap<Feature, usize> = BTreeMap::new();
         for crash in self.crashes.values() {
-            let features = crash.runs().flat_map(|run| &run.features);
+            let features = crash.runs().flat_map(|(_, run)| &run.features);
             for feature in features.collect::<BTreeSet<_>>() {
                 *accusations.entry(*feature).or_default() += 1;
             }
@@ -476,3 +462,12 @@
         wanted
     }
 }
+
+/// Records that a replica was heard from at `at`.
+fn note_heard(heard: &mut BTreeMap<Instance, Moment>, replica: &Instance, at: Moment) {
+    heard.retain(|_, heard| at.since(*heard) < MEMORY);
+    if heard.len() < MAX_CRASHES || heard.contains_key(replica) {
+        let last = heard.entry(replica.clone()).or_insert(at);
+        *last = at.max(*last);
+    }
+}
--- a/lib/src/serving/decisions/crash_tracker/requests.rs
+++ b/lib/src/serving/decisions/crash_tracker/requests.rs
@@ -10,6 +10,7 @@
 use super::CrashTracker;
 use super::MEMORY;
 use super::evidence::Crash;
+use super::evidence::SettledCrash;
 use super::evidence::Suspect;
 use super::feature::Feature;
 use crate::pool::Moment;
@@ -22,15 +23,24 @@
 
 impl CrashTracker {
     /// Returns the requests to block, given crashes in the order of their times.
-    pub(super) fn find_bad_requests(&self, crashes: &[&Crash]) -> Vec<(Feature, Suspect)> {
+    pub(super) fn find_bad_requests(
+        &self,
+        crashes: &[SettledCrash<'_>],
+    ) -> Vec<(Feature, Suspect)> {
         let mut suspects: BTreeMap<Feature, Suspect> = BTreeMap::new();
         for (position, crash) in crashes.iter().enumerate() {
-            for (request, sent) in last_sends(crash) {
-                if !self.is_cleared(request, crash.at) {
-                    let suspect = suspects.entry(request).or_default();
-                    suspect.requests.insert(request);
-                    suspect.add_crash(position, crash.at, sent);
-                }
+            let mut last_sent: BTreeMap<Feature, Moment> = BTreeMap::new();
+            for (at, run) in &crash.runs {
+                let Some(request) = run.request().filter(|r| !self.is_cleared(*r, *at)) else {
+                    continue;
+                };
+                let last = last_sent.entry(request).or_insert(run.sent);
+                *last = run.sent.max(*last);
+            }
+            for (request, sent) in last_sent {
+                let suspect = suspects.entry(request).or_default();
+                suspect.requests.insert(request);
+                suspect.add_crash(position, crash.at, sent);
             }
         }
         let is_bad = |(request, suspect): &(Feature, Suspect)| {
@@ -42,9 +52,11 @@
     /// Returns on how many replicas a request ran when they crashed, since it was last complete.
     pub(super) fn crashes_of(&self, now: Moment, request: Feature) -> usize {
         let counts = |crash: &&Crash| {
-            now.since(crash.at) < MEMORY
-                && !self.is_cleared(request, crash.at)
-                && crash.runs().any(|run| run.request() == Some(request))
+            crash.runs().any(|(at, run)| {
+                now.since(at) < MEMORY
+                    && run.request() == Some(request)
+                    && !self.is_cleared(request, at)
+            })
         };
         self.crashes.values().filter(counts).count()
     }
@@ -74,15 +86,3 @@
         self.request_crashes(now, features) >= DOUBTFUL_CRASHES
     }
 }
-
-/// Returns the requests that were under way at a crash, and when each was last sent.
-fn last_sends(crash: &Crash) -> BTreeMap<Feature, Moment> {
-    let mut sends = BTreeMap::new();
-    for run in crash.runs() {
-        if let Some(request) = run.request() {
-            let last = sends.entry(request).or_insert(run.sent);
-            *last = run.sent.max(*last);
-        }
-    }
-    sends
-}
--- a/lib/src/serving/path/crashes.rs
+++ b/lib/src/serving/path/crashes.rs
@@ -95,20 +95,24 @@
     }
 }
 
-/// Takes a replica for alive if it accepts a connection after it broke off a run.
+/// Takes a replica for alive if it accepts a connection after it broke off runs. Runs that broke
+/// off meanwhile need another probe.
 async fn probe(node: Rc<Node>, replica: Instance) {
-    tokio::time::sleep(PROBE_DELAY).await;
-    let address = {
-        let state = node.state();
-        let info = state.fleet.replica_info(&replica.name);
-        info.filter(|i| i.instance() == replica).map(|i| i.address)
-    };
-    let Some(address) = address else {
-        return;
-    };
-    if node.upstreams.probe(address, PROBE_TIME).await {
-        node.state().crash_tracker.record_alive(&replica, now());
-        slog::info!(node.log, "replica did not crash"; "replica" => replica.name.as_str());
+    while node.state().crash_tracker.is_accused(&replica) {
+        tokio::time::sleep(PROBE_DELAY).await;
+        let address = {
+            let state = node.state();
+            let info = state.fleet.replica_info(&replica.name);
+            info.filter(|i| i.instance() == replica).map(|i| i.address)
+        };
+        let begun = now();
+        match address {
+            Some(address) if node.upstreams.probe(address, PROBE_TIME).await => {
+                node.state().crash_tracker.record_alive(&replica, begun);
+                slog::info!(node.log, "replica did not crash"; "replica" => replica.name.as_str());
+            }
+            _ => return,
+        }
     }
 }
 
