serving: runs that ended with their replicas count against a request, not replicas

Cause: a request was blocked by the number of replicas that crashed on it, three, whatever the number of its runs there. The rule counts runs. Two replicas must be among them: one crash says little of what ran there.

Evidence: copies_at_one_replica_count_as_runs failed and passes.

--- a/lib/src/serving/decisions/crash_tracker/requests.rs
+++ b/lib/src/serving/decisions/crash_tracker/requests.rs
@@ -1,9 +1,9 @@
 //! Judges which requests crash the replicas that run them.
 //!
-//! A request is blocked once `MIN_CRASHES` replicas have crashed while they ran it and no run of
-//! it has been complete since. Neither the order of the crashes nor the other requests there
-//! matter: copies that are sent at the same time crash replicas at the same time. A sound request
-//! whose runs all broke off is refused until its first trial.
+//! A request is blocked once `MIN_RUNS` runs of it have ended with their replicas, of which there
+//! were `MIN_CRASHES`, and none has been complete since. Neither the order of the crashes nor the
+//! other requests there matter: copies that are sent at the same time crash replicas at the same
+//! time. A sound request whose runs all broke off is refused until its first trial.
 
 use std::collections::BTreeMap;
 
@@ -15,8 +15,11 @@
 use super::feature::Feature;
 use crate::pool::Moment;
 
-/// Crashes after which a request is blocked.
-const MIN_CRASHES: usize = 3;
+/// Runs that ended with their replicas after which a request is blocked.
+const MIN_RUNS: usize = 3;
+
+/// Replicas among them. That one replica crashes says little of what it ran.
+const MIN_CRASHES: usize = 2;
 
 /// Crashes after which a request that broke a run is not sent again.
 const DOUBTFUL_CRASHES: usize = 2;
@@ -28,23 +31,29 @@
         crashes: &[SettledCrash<'_>],
     ) -> Vec<(Feature, Suspect)> {
         let mut suspects: BTreeMap<Feature, Suspect> = BTreeMap::new();
+        let mut run_position = 0;
         for (position, crash) in crashes.iter().enumerate() {
             let mut last_sent: BTreeMap<Feature, Moment> = BTreeMap::new();
             for (at, run) in &crash.runs {
+                run_position += 1;
                 let Some(request) = run.request().filter(|r| !self.is_cleared(*r, *at)) else {
                     continue;
                 };
                 let last = last_sent.entry(request).or_insert(run.sent);
                 *last = run.sent.max(*last);
+                let suspect = suspects.entry(request).or_default();
+                suspect.runs.insert(run_position);
+                suspect.requests.insert(request);
             }
             for (request, sent) in last_sent {
                 let suspect = suspects.entry(request).or_default();
-                suspect.requests.insert(request);
                 suspect.add_crash(position, crash.at, sent);
             }
         }
         let is_bad = |(request, suspect): &(Feature, Suspect)| {
-            suspect.crashes.len() >= MIN_CRASHES && !self.blocks.contains(*request)
+            suspect.runs.len() >= MIN_RUNS
+                && suspect.crashes.len() >= MIN_CRASHES
+                && !self.blocks.contains(*request)
         };
         suspects.into_iter().filter(is_bad).collect()
     }
