upstream: bytes without end from a replica end at a bound or the deadline

Callers whose requests had nothing to do with it were held for 8.8 s while a replica sent interim responses without end; others got bodies long after their deadline, which looked whole once the replica closed.

Cause: hyper skips interim responses as long as they come, within one poll; a timeout around the next chunk polls the chunk first, so that chunks that come without a pause never let it pass. Class: a bound on waiting is no bound on receiving.

Now a connection fails after 256 KiB before the head of a response is complete, and again while it is idle; its read buffer, and so a head, has 64 KiB at most; the deadline is looked at before each chunk, on the served path and where another VM passes a response on. Such a request counts as one that may have run, and the replica as broken.

--- a/lib/src/serving/path/relay.rs
+++ b/lib/src/serving/path/relay.rs
@@ -320,9 +320,8 @@
 impl RelayedResponse {
     /// Returns the next chunk, or `None` at the regular end.
     async fn next(&mut self) -> Option<Result<Bytes, ResponseAborted>> {
-        let chunk = self.answer.next_chunk();
-        let chunk = tokio::time::timeout_at(to_instant(self.req.deadline), chunk).await;
-        let reason = match chunk {
+        let deadline = to_instant(self.req.deadline);
+        let reason = match self.answer.next_chunk_before(deadline).await {
             Ok(Some(Ok(bytes))) => return Some(Ok(bytes)),
             Ok(None) => {
                 count_outcome("relayed");
--- a/lib/src/serving/path/response.rs
+++ b/lib/src/serving/path/response.rs
@@ -135,8 +135,7 @@
         loop {
             let wake_at = self.wake_at();
             let started = self.response.as_mut()?;
-            let chunk = tokio::time::timeout_at(wake_at, started.answer.next_chunk()).await;
-            let ended = match chunk {
+            let ended = match started.answer.next_chunk_before(wake_at).await {
                 Err(_) if now() >= self.request.deadline => {
                     let replica = self.response.take().map(|r| r.run.replica.clone());
                     self.log_broken("overdue", replica.as_ref());
--- a/lib/src/serving/path/serve.rs
+++ b/lib/src/serving/path/serve.rs
@@ -472,7 +472,11 @@
 ) -> Result<bool, AttemptFailure> {
     let mut read = 0;
     while read < READ_AHEAD_BYTES {
-        match tokio::time::timeout_at(to_instant(req.deadline), started.answer.next_chunk()).await {
+        match started
+            .answer
+            .next_chunk_before(to_instant(req.deadline))
+            .await
+        {
             Err(_) => return Err(AttemptFailure::TimedOut),
             Ok(None) => return Ok(true),
             Ok(Some(Err(_))) => return Err(AttemptFailure::Broken),
--- /dev/null
+++ b/lib/src/upstream/bounded.rs
@@ -0,0 +1,117 @@
+//! Bounds what an upstream may send before the head of a response is complete.
+//!
+//! hyper bounds the size of one head, but skips interim responses (1xx) as long as they come.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::task::Context;
+use std::task::Poll;
+use std::task::ready;
+
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
+use tokio::io::ReadBuf;
+use tokio::net::TcpStream;
+
+/// Bytes that may be read before the head of a response is complete. What follows the head in the
+/// same read is among them.
+const MAX_HEAD_BYTES: usize = 256 << 10;
+
+/// Marks a connection whose reads are not bounded.
+const UNBOUNDED: usize = usize::MAX;
+
+/// The bytes that may still be read from a connection; clones share them.
+#[derive(Clone)]
+pub(super) struct Allowance(Arc<AtomicUsize>);
+
+impl Default for Allowance {
+    fn default() -> Self {
+        Self(Arc::new(AtomicUsize::new(MAX_HEAD_BYTES)))
+    }
+}
+
+impl Allowance {
+    /// Ends the bound, as the head of a response is complete.
+    pub(super) fn lift(&self) {
+        self.0.store(UNBOUNDED, Ordering::Relaxed);
+    }
+
+    /// Sets the bound again, for the next response.
+    pub(super) fn renew(&self) {
+        self.0.store(MAX_HEAD_BYTES, Ordering::Relaxed);
+    }
+
+    /// Takes bytes that were read; fails if they are too many.
+    fn take(&self, bytes: usize) -> io::Result<()> {
+        let take = |left: usize| match left {
+            UNBOUNDED => Some(UNBOUNDED),
+            left => left.checked_sub(bytes),
+        };
+        let taken = self
+            .0
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, take);
+        let too_long = |_| {
+            let text = format!("expected the head of a response within {MAX_HEAD_BYTES} bytes");
+            io::Error::new(io::ErrorKind::InvalidData, text)
+        };
+        taken.map(|_| ()).map_err(too_long)
+    }
+}
+
+/// A connection whose reads fail once its allowance is used up.
+pub(super) struct BoundedStream {
+    stream: TcpStream,
+    allowance: Allowance,
+}
+
+impl BoundedStream {
+    pub(super) fn new(stream: TcpStream, allowance: Allowance) -> Self {
+        Self { stream, allowance }
+    }
+}
+
+impl AsyncRead for BoundedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(cx, buffer))?;
+        let read = buffer.filled().len() - before;
+        Poll::Ready(self.allowance.take(read))
+    }
+}
+
+impl AsyncWrite for BoundedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, bytes)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, slices)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- a/lib/src/upstream/connections.rs
+++ b/lib/src/upstream/connections.rs
@@ -26,6 +26,8 @@
 use tokio::net::TcpStream;
 
 use super::BodyChunks;
+use super::bounded::Allowance;
+use super::bounded::BoundedStream;
 
 /// Timeout of a connection attempt; upstreams are about a millisecond away.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -39,6 +41,9 @@
 /// sent shortly before the upstream closes the connection may be lost.
 const CLOSE_MARGIN: Duration = Duration::from_millis(700);
 
+/// Maximum size of a connection's read buffer, and so of the head of a response.
+const MAX_BUFFER_BYTES: usize = 64 << 10;
+
 /// Maximum idle connections per upstream; an engine's batch is a few dozen requests.
 const MAX_IDLE_PER_UPSTREAM: usize = 128;
 
@@ -51,8 +56,18 @@
     Broken(String),
 }
 
-struct IdleConnection {
+/// An open connection.
+struct Connection {
     sender: SendRequest<BodyChunks>,
+    allowance: Allowance,
+}
+
+/// The deadline of a response has passed.
+#[derive(Clone, Copy, Debug)]
+pub struct Overdue;
+
+struct IdleConnection {
+    connection: Connection,
     expires_at: Instant,
 }
 
@@ -98,17 +113,17 @@
         address: SocketAddr,
         mut request: Request<BodyChunks>,
     ) -> Result<UpstreamResponse, SendError> {
-        while let Some(sender) = self.take_idle(address) {
-            match self.send_on(address, sender, request).await {
+        while let Some(connection) = self.take_idle(address) {
+            match self.send_on(address, connection, request).await {
                 Ok(response) => return Ok(response),
                 Err((Some(unsent), _)) => request = unsent,
                 Err((None, e)) => return Err(SendError::Broken(e)),
             }
         }
-        let sender = connect(address, self.connect_timeout)
+        let connection = connect(address, self.connect_timeout)
             .await
             .map_err(SendError::NotSent)?;
-        self.send_on(address, sender, request)
+        self.send_on(address, connection, request)
             .await
             .map_err(|(unsent, e)| match unsent {
                 Some(_) => SendError::NotSent(e),
@@ -119,15 +134,15 @@
     /// Opens a connection and keeps it for a request. Returns whether it could be opened and
     /// stayed open for `settle`.
     pub async fn probe(&self, address: SocketAddr, settle: Duration) -> bool {
-        let Ok(sender) = connect(address, self.connect_timeout).await else {
+        let Ok(connection) = connect(address, self.connect_timeout).await else {
             return false;
         };
         tokio::time::sleep(settle).await;
-        if sender.is_closed() {
+        if connection.sender.is_closed() {
             return false;
         }
         let connection = PooledConnection {
-            sender,
+            connection,
             address,
             idle: self.idle.clone(),
             idle_time: self.default_idle_time,
@@ -139,14 +154,16 @@
     async fn send_on(
         &self,
         address: SocketAddr,
-        mut sender: SendRequest<BodyChunks>,
+        mut connection: Connection,
         request: Request<BodyChunks>,
     ) -> Result<UpstreamResponse, (Option<Request<BodyChunks>>, String)> {
-        match sender.try_send_request(request).await {
+        match connection.sender.try_send_request(request).await {
             Ok(response) => {
+                // The body is read as its receiver takes it.
+                connection.allowance.lift();
                 let (head, body) = response.into_parts();
                 let connection = PooledConnection {
-                    sender,
+                    connection,
                     address,
                     idle: self.idle.clone(),
                     idle_time: idle_time(&head).unwrap_or(self.default_idle_time),
@@ -165,14 +182,14 @@
     }
 
     /// Takes the most recently used idle connection, so that surplus ones expire.
-    fn take_idle(&self, address: SocketAddr) -> Option<SendRequest<BodyChunks>> {
+    fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let list = idle.get_mut(&address)?;
         let now = Instant::now();
         list.retain(|i| i.expires_at > now);
         // A connection that was just returned may not be ready yet.
-        let index = list.iter().rposition(|i| i.sender.is_ready())?;
-        Some(list.remove(index).sender)
+        let index = list.iter().rposition(|i| i.connection.sender.is_ready())?;
+        Some(list.remove(index).connection)
     }
 }
 
@@ -186,19 +203,20 @@
     Some(time.saturating_sub(CLOSE_MARGIN))
 }
 
-async fn connect(
-    address: SocketAddr,
-    timeout: Duration,
-) -> Result<SendRequest<BodyChunks>, String> {
+async fn connect(address: SocketAddr, timeout: Duration) -> Result<Connection, String> {
     let work = async {
         let stream = TcpStream::connect(address).await.map_err(text)?;
         stream.set_nodelay(true).map_err(text)?;
-        let (mut sender, connection) =
-            http1::handshake(TokioIo::new(stream)).await.map_err(text)?;
+        let allowance = Allowance::default();
+        let stream = BoundedStream::new(stream, allowance.clone());
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(MAX_BUFFER_BYTES);
+        let handshake = builder.handshake(TokioIo::new(stream));
+        let (mut sender, connection) = handshake.await.map_err(text)?;
         // Errors of the connection are returned to the request that uses it.
         tokio::spawn(async move { connection.await.ok() });
         sender.ready().await.map_err(text)?;
-        Ok(sender)
+        Ok(Connection { sender, allowance })
     };
     tokio::time::timeout(timeout, work)
         .await
@@ -220,7 +238,7 @@
 
 /// A connection that returns to the pool at the end of a response.
 struct PooledConnection {
-    sender: SendRequest<BodyChunks>,
+    connection: Connection,
     address: SocketAddr,
     idle: IdleConnections,
     idle_time: Duration,
@@ -262,6 +280,23 @@
         std::future::poll_fn(|cx| self.poll_chunk(cx)).await
     }
 
+    /// Returns the next chunk if it comes before `deadline`, which also ends a body whose chunks
+    /// come without a pause.
+    ///
+    /// # Errors
+    ///
+    /// [`Overdue`] once the deadline has passed.
+    pub async fn next_chunk_before(
+        &mut self,
+        deadline: tokio::time::Instant,
+    ) -> Result<Option<Result<Bytes, hyper::Error>>, Overdue> {
+        tokio::select! {
+            biased;
+            () = tokio::time::sleep_until(deadline) => Err(Overdue),
+            chunk = self.next_chunk() => Ok(chunk),
+        }
+    }
+
     /// Returns the value of a header if it is visible ASCII.
     pub fn header(&self, name: &str) -> Option<&str> {
         self.head.headers.get(name)?.to_str().ok()
@@ -279,9 +314,10 @@
     fn keep(self) {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let list = idle.entry(self.address).or_default();
-        if list.len() < MAX_IDLE_PER_UPSTREAM && !self.sender.is_closed() {
+        if list.len() < MAX_IDLE_PER_UPSTREAM && !self.connection.sender.is_closed() {
+            self.connection.allowance.renew();
             list.push(IdleConnection {
-                sender: self.sender,
+                connection: self.connection,
                 expires_at: Instant::now() + self.idle_time,
             });
         }
--- a/lib/src/upstream/mod.rs
+++ b/lib/src/upstream/mod.rs
@@ -5,6 +5,7 @@
 //! control calls to engines.
 
 mod body;
+mod bounded;
 mod connections;
 mod errors;
 mod orders;
@@ -13,6 +14,7 @@
 mod sse;
 
 pub use body::BodyChunks;
+pub use connections::Overdue;
 pub use connections::SendError;
 pub use connections::UpstreamResponse;
 pub use connections::Upstreams;
--- a/lib/src/upstream/orders.rs
+++ b/lib/src/upstream/orders.rs
@@ -81,6 +81,7 @@
     pub fn new(timeout: Duration) -> Self {
         let client = Client::builder(TokioExecutor::new())
             .pool_idle_timeout(Duration::from_secs(20))
+            .http1_max_buf_size(MAX_RESPONSE_BYTES)
             .build_http();
         Self { client, timeout }
     }
