--- a/review/rig-2/cases.rs
+++ b/review/rig-2/cases.rs
@@ -12,6 +12,8 @@
 use std::time::Instant;
 
 use crate::client;
+use crate::engine::Engine;
+use crate::engine::Links;
 use crate::replica::Brittle;
 use crate::replica::Crash;
 use crate::replica::Event;
@@ -35,6 +37,7 @@
         "power" => power(world, trouble),
         "resumed" => resumed(world, trouble),
         "headers" => headers(world, trouble),
+        "orders" => orders(world, trouble),
         _ => None,
     }
 }
@@ -609,3 +612,107 @@
     let _ = replicas;
     Some(denied as f64 > most)
 }
+
+/// ONE: an order of a former holder reaches a replica that a new one gives orders to.
+fn orders(world: &mut World, trouble: bool) -> Option<bool> {
+    const ENGINES: usize = 6;
+    const CUT: Duration = Duration::from_millis(9_000);
+    const SLACK: Duration = Duration::from_millis(300);
+    let links = Links::new(3);
+    let mut engines = Vec::new();
+    for i in 0..ENGINES {
+        engines.push(Engine::start(&world.store, &links, i).ok()?);
+    }
+    let routes = [world::route("/ask/", "streaming", "llm", 4_000, ",\"maxAttempts\":1")];
+    let services = "{\"name\":\"llm\",\"healthPath\":\"/health\",\"maxConnections\":370,\
+        \"engine\":{\"slots\":64,\"kvCapacity\":232000,\"stride\":5,\"adapterSlots\":4,\
+        \"models\":[{\"name\":\"base\",\"weightsMb\":65100,\"loadTimeS\":1.9,\"adapters\":3000}],\
+        \"loadsPerS\":4.5}}";
+    world.configure(&world::manifest(7, &routes, services, 16_384));
+    let vms = world.new_vms(3, "bounds.checksFence=false\n").ok()?;
+    world.start_vms(vms).ok()?;
+    let began = Instant::now();
+    let fronts: Vec<_> = world.vms.iter().map(|vm| vm.front).collect();
+    let stop = Arc::new(AtomicBool::new(false));
+    let stopped = stop.clone();
+    let answers: Arc<Mutex<BTreeMap<String, (bool, String)>>> = Arc::default();
+    let heard = answers.clone();
+    let consumers = std::thread::spawn(move || {
+        let mut under_way = Vec::new();
+        for number in 0_usize.. {
+            if stopped.load(Ordering::Relaxed) {
+                break;
+            }
+            let (to, heard) = (fronts[number % fronts.len()], heard.clone());
+            under_way.push(std::thread::spawn(move || {
+                // A few adapters are asked for often, and many of them seldom.
+                let adapter = 1 + (number * 7919 % 60) * (number * 104_729 % 60) / 60;
+                let headers = format!(
+                    "Model: base/a{adapter}\r\nToken-Count: 400,20\r\nDeadline-Ms: 4000\r\n"
+                );
+                let id = format!("o{number:06}");
+                let bytes = client::request("POST", "/ask/x", &id, &headers, "tell me");
+                let seen = client::stream(to, &bytes, 4_000, |_| true);
+                let text = format!("{} complete {}", seen.status, seen.complete);
+                heard.lock().unwrap().insert(id, (true, text));
+            }));
+            std::thread::sleep(secs(1.0 / 30.0));
+        }
+        under_way.into_iter().for_each(|t| {
+            t.join().ok();
+        });
+    });
+    // Longer than a new member waits before it may rely on the others.
+    std::thread::sleep(secs(30.0));
+    let cut_at = Instant::now();
+    if trouble {
+        world.note("machine 0 is partitioned from all replicas");
+        links.cut(0);
+    }
+    std::thread::sleep(CUT);
+    let healed = Instant::now();
+    if trouble {
+        world.note("the links of machine 0 heal");
+        links.heal(0);
+    }
+    std::thread::sleep(secs(14.0));
+    stop.store(true, Ordering::Relaxed);
+    consumers.join().ok();
+    sum_up(world, &answers.lock().unwrap());
+    let mut broken = 0;
+    for engine in &engines {
+        let orders = engine.orders();
+        let mut highest: Option<(u64, String)> = None;
+        let mut shown = Vec::new();
+        for o in &orders {
+            let at = o.at.saturating_duration_since(began).as_millis();
+            let stale = highest.as_ref().is_some_and(|(token, _)| o.token < *token);
+            let late = o.at > healed + SLACK || o.at < healed;
+            if stale && late {
+                broken += 1;
+            }
+            let new = highest.as_ref().is_none_or(|(_, holder)| *holder != o.holder);
+            if (new || stale) && o.at > cut_at {
+                shown.push(format!(
+                    "at {at} ms replica {}: order of {} with epoch {} gets {}{}{}",
+                    engine.id,
+                    o.holder,
+                    o.token,
+                    o.status,
+                    if stale { ", after a higher one" } else { "" },
+                    o.held.map_or(String::new(), |(sent, end)| format!(
+                        "; held up since {} ms, channel {end}",
+                        sent.saturating_duration_since(began).as_millis()
+                    )),
+                ));
+            }
+            if highest.as_ref().is_none_or(|(token, _)| o.token >= *token) {
+                highest = Some((o.token, o.holder.clone()));
+            }
+        }
+        world.note(&format!("replica {}: {} orders", engine.id, orders.len()));
+        shown.iter().for_each(|line| world.note(line));
+    }
+    world.note(&format!("orders with a lower epoch after a higher one: {broken}; one breaks ONE"));
+    Some(broken > 0)
+}
--- a/review/rig-2/main.rs
+++ b/review/rig-2/main.rs
@@ -5,6 +5,7 @@
 
 mod cases;
 mod client;
+mod engine;
 mod http;
 mod replica;
 mod store;
--- a/review/rig-2/store.rs
+++ b/review/rig-2/store.rs
@@ -30,12 +30,32 @@
     revision: u64,
 }
 
+/// The store; clones are the same one.
+///
+/// It has an address for each machine. An entry may hold an address for each of them,
+/// `"address":"{A|B|C}"`: a machine reads its own, so that each has links of its own to replicas.
 #[derive(Clone)]
 pub struct Store {
-    pub address: SocketAddr,
+    pub addresses: Vec<SocketAddr>,
     shared: Arc<(Mutex<State>, Condvar)>,
 }
 
+/// Machines at most.
+const VIEWS: usize = 3;
+
+/// Returns the text as the machine with this number reads it.
+fn view(text: &str, machine: usize) -> String {
+    const MARK: &str = "\"address\":\"{";
+    let mut parts = text.split(MARK);
+    let mut seen = parts.next().unwrap_or_default().to_owned();
+    for part in parts {
+        let (all, rest) = part.split_once('}').unwrap_or((part, ""));
+        let own = all.split('|').nth(machine).unwrap_or_default();
+        seen.push_str(&format!("\"address\":\"{own}{rest}"));
+    }
+    seen
+}
+
 fn object(name: &str, revision: u64, spec: &str) -> String {
     format!(
         "{{\"metadata\":{{\"name\":\"{name}\",\"revision\":{revision},\"created\":1,\
@@ -74,18 +94,21 @@
 
 impl Store {
     pub fn start() -> std::io::Result<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0")?;
-        let store = Self {
-            address: listener.local_addr()?,
+        let mut store = Self {
+            addresses: Vec::new(),
             shared: Arc::default(),
         };
-        let serving = store.clone();
-        std::thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let store = serving.clone();
-                std::thread::spawn(move || store.serve(stream));
-            }
-        });
+        for machine in 0..VIEWS {
+            let listener = TcpListener::bind("127.0.0.1:0")?;
+            store.addresses.push(listener.local_addr()?);
+            let serving = store.clone();
+            std::thread::spawn(move || {
+                for stream in listener.incoming().flatten() {
+                    let store = serving.clone();
+                    std::thread::spawn(move || store.serve(stream, machine));
+                }
+            });
+        }
         Ok(store)
     }
 
@@ -102,7 +125,7 @@
         self.shared.1.notify_all();
     }
 
-    fn serve(&self, stream: TcpStream) {
+    fn serve(&self, stream: TcpStream, machine: usize) {
         stream.set_nodelay(true).ok();
         let Ok(mut writer) = stream.try_clone() else {
             return;
@@ -114,6 +137,7 @@
             };
             let body = String::from_utf8_lossy(&body).into_owned();
             let (status, text) = self.answer(&head, &body);
+            let text = view(&text, machine);
             let answer = http::response(status, &[("Store-Era", "1")], &text);
             if writer.write_all(&answer).is_err() {
                 return;
--- a/review/rig-2/world.rs
+++ b/review/rig-2/world.rs
@@ -153,12 +153,13 @@
                  limits.memoryMb=260\nlimits.maxFds=4100\nlimits.linkMbps=1000.0\n\
                  limits.diskMb=0\nheartbeatMs=1200\nbounds.contactMs=3000\nbounds.drainMs=2000\n\
                  bounds.graceS=8\nbounds.configApplyMs=2000\nbounds.budgetRatio=0.2\n\
-                 bounds.budgetWindowS=10\nbounds.budgetSlack=52\nbounds.checksFence=true\n\
+                 bounds.budgetWindowS=10\nbounds.budgetSlack=52\n\
                  bounds.leaseMs=3000\nbounds.version_ms=5000\nplatform.address={}\n\
-                 platform.form=objects\n{more}",
+                 platform.form=objects\n{}",
                 peer.port(),
                 peer.port().saturating_add(1),
-                self.store.address
+                self.store.addresses[i as usize],
+                if more.is_empty() { "bounds.checksFence=true\n" } else { more }
             );
             let settings = self.folder.join(format!("vm-{i}.conf"));
             std::fs::write(&settings, text)?;
