--- a/review/rig-2/cases.rs
+++ b/review/rig-2/cases.rs
@@ -404,15 +404,18 @@
 
 /// LOST: streams that consumers take up again after all processes were killed.
 fn resumed(world: &mut World, trouble: bool) -> Option<bool> {
-    const STREAMS: usize = 24;
-    const EVENTS: u64 = 60;
+    const STREAMS: usize = 48;
+    // KILL=1: all processes are killed at once, in place of a stop of one after the other.
+    let roll = !std::env::var("KILL").is_ok_and(|k| k == "1");
+    // What a process cuts off at the end of its grace must last longer than that.
+    let last = if roll { 90 } else { 60 };
     const DEADLINE: Duration = Duration::from_millis(15_000);
     let kind = Kind {
         service: "llm",
         slots: 64,
         queue: 192,
         work: secs(0.15),
-        events: EVENTS,
+        events: last,
         deadly: None,
         away: secs(3.0),
     };
@@ -430,7 +433,6 @@
     // Long enough for all to have known the replicas for half a minute.
     std::thread::sleep(secs(35.0));
     let cut = Arc::new(AtomicBool::new(false));
-    let killed_at: Arc<Mutex<Option<Instant>>> = Arc::default();
     let taken: Arc<Mutex<Vec<(Instant, usize, String, bool)>>> = Arc::default();
     let new: Arc<Mutex<Vec<(Instant, usize, bool)>>> = Arc::default();
     let ids = Arc::new(AtomicU64::new(0));
@@ -438,11 +440,23 @@
     std::thread::scope(|scope| {
         for number in 0..STREAMS {
             let (cut, taken, ids) = (cut.clone(), taken.clone(), ids.clone());
-            scope.spawn(move || consume(shared, number, EVENTS, DEADLINE, trouble, &cut, &taken, &ids));
+            scope.spawn(move || consume(shared, number, last, DEADLINE, trouble, &cut, &taken, &ids));
         }
-        std::thread::sleep(secs(3.0));
-        *killed_at.lock().unwrap() = Some(Instant::now());
-        if trouble {
+        std::thread::sleep(secs(if roll { 1.0 } else { 3.0 }));
+        if trouble && roll {
+            for (i, vm) in shared.vms.iter().enumerate() {
+                scope.spawn(move || {
+                    std::thread::sleep(secs(2.0 * i as f64));
+                    shared.note(&format!("machine {i}: SIGTERM"));
+                    vm.stop(secs(8.0));
+                    shared.note(&format!("machine {i}: its process has ended"));
+                    std::thread::sleep(secs(1.0));
+                    vm.start().ok();
+                    shared.note(&format!("machine {i}: its process is started again"));
+                });
+            }
+            std::thread::sleep(secs(8.5));
+        } else if trouble {
             shared.note("all processes are killed");
             shared.vms.iter().for_each(world::Vm::kill);
             std::thread::sleep(secs(1.0));
--- a/review/rig-2/world.rs
+++ b/review/rig-2/world.rs
@@ -85,6 +85,24 @@
         children.retain(|c| c.id() != pid);
     }
 
+    /// SIGTERM; waits until the process has ended, at most for `grace`, then SIGKILL.
+    pub fn stop(&self, grace: Duration) {
+        let Some((pid, _)) = self.running() else {
+            return;
+        };
+        Command::new("kill").args(["-TERM", &pid.to_string()]).status().ok();
+        let end = Instant::now() + grace;
+        let ended = || {
+            let mut children = CHILDREN.lock().unwrap();
+            let child = children.iter_mut().find(|c| c.id() == pid);
+            child.is_none_or(|c| matches!(c.try_wait(), Ok(Some(_))))
+        };
+        while !ended() && Instant::now() < end {
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        self.kill();
+    }
+
     /// Returns the memory that the process holds and its most so far, in MB; `None` if it ended.
     pub fn memory_mb(&self) -> Option<(u64, u64)> {
         let (pid, _) = self.running()?;
