--- a/review/rig-2/cases.rs
+++ b/review/rig-2/cases.rs
@@ -139,7 +139,8 @@
 /// LIMIT: replicas that say they are brittle fall over.
 fn brittle(world: &mut World, trouble: bool) -> Option<bool> {
     const REPLICAS: usize = 3;
-    const MOST: usize = 10;
+    // What the replicas say; MOST=N tries another.
+    let most_said = std::env::var("MOST").ok().and_then(|m| m.parse().ok()).unwrap_or(10);
     let kind = Kind {
         service: "app",
         slots: 4,
@@ -166,9 +167,9 @@
     std::thread::sleep(secs(5.0));
     let from = Instant::now();
     if trouble {
-        world.note(&format!("all replicas say: Server-Brittle: {MOST}"));
+        world.note(&format!("all replicas say: Server-Brittle: {most_said}"));
         replicas[0].set_brittle(Some(Brittle {
-            most: MOST,
+            most: most_said,
             queue: 2,
             queue_from: from + CONTACT,
         }));
@@ -708,11 +709,12 @@
             let new = highest.as_ref().is_none_or(|(_, holder)| *holder != o.holder);
             if (new || stale) && o.at > cut_at {
                 shown.push(format!(
-                    "at {at} ms replica {}: order of {} with epoch {} gets {}{}{}",
+                    "at {at} ms replica {}: order of {} with epoch {} gets {}{}{}{}",
                     engine.id,
                     o.holder,
                     o.token,
                     o.status,
+                    if o.done { ", carried out" } else { "" },
                     if stale { ", after a higher one" } else { "" },
                     o.held.map_or(String::new(), |(sent, end)| format!(
                         "; held up since {} ms, channel {end}",
--- a/review/rig-2/engine.rs
+++ b/review/rig-2/engine.rs
@@ -85,6 +85,8 @@
     pub holder: String,
     pub token: u64,
     pub status: u16,
+    /// Whether it changed what the replica holds.
+    pub done: bool,
     /// Since when it was held up, and how its channel had ended by then.
     pub held: Option<(Instant, &'static str)>,
 }
@@ -280,6 +282,7 @@
         };
         let at = Instant::now();
         let mut state = self.state.lock().unwrap();
+        let before = state.sequence;
         let status = match text("adapter") {
             None => 200,
             Some(adapter) => {
@@ -302,8 +305,10 @@
                 }
             }
         };
+        let done = state.sequence > before;
         state.orders.push(Order {
             at,
+            done,
             holder: text("holder").unwrap_or_default(),
             token: number("fencingToken").unwrap_or(0),
             status,
