--- a/review/rig-2/cases.rs
+++ b/review/rig-2/cases.rs
@@ -14,6 +14,7 @@
 use crate::client;
 use crate::engine::Engine;
 use crate::engine::Links;
+use crate::process;
 use crate::replica::Brittle;
 use crate::replica::Crash;
 use crate::replica::Event;
@@ -38,6 +39,7 @@
         "resumed" => resumed(world, trouble),
         "headers" => headers(world, trouble),
         "orders" => orders(world, trouble),
+        "cut" => cut(world, trouble),
         _ => None,
     }
 }
@@ -140,7 +142,10 @@
 fn brittle(world: &mut World, trouble: bool) -> Option<bool> {
     const REPLICAS: usize = 3;
     // What the replicas say; MOST=N tries another.
-    let most_said = std::env::var("MOST").ok().and_then(|m| m.parse().ok()).unwrap_or(10);
+    let most_said = std::env::var("MOST")
+        .ok()
+        .and_then(|m| m.parse().ok())
+        .unwrap_or(10);
     let kind = Kind {
         service: "app",
         slots: 4,
@@ -186,7 +191,9 @@
     let fall = |w: &What| matches!(w, What::Crashed(_) | What::Back);
     let events = take_events(world, &replicas, began, fall);
     sum_up(world, &answers);
-    let rejected = events.iter().filter(|e| matches!(e.what, What::Rejected(_)));
+    let rejected = events
+        .iter()
+        .filter(|e| matches!(e.what, What::Rejected(_)));
     let ran = events.iter().filter(|e| matches!(e.what, What::Ran(_)));
     let done = |id: &str| events.iter().any(|e| e.what == What::Done(id.to_owned()));
     let lost = events.iter().filter(|e| match &e.what {
@@ -202,7 +209,9 @@
     let falls = events.iter().filter(|e| matches!(e.what, What::Crashed(_)));
     let falls = falls.filter(|e| e.at >= from && e.at <= to).count();
     let most = 2.0 + REPLICAS as f64 / 10.0;
-    world.note(&format!("falls while they say so: {falls}; more than {most} break LIMIT"));
+    world.note(&format!(
+        "falls while they say so: {falls}; more than {most} break LIMIT"
+    ));
     Some(falls as f64 > most)
 }
 
@@ -223,7 +232,13 @@
         away: secs(3.0),
     };
     let replicas = Replicas::start(&world.store, &kind, 3).ok()?;
-    let routes = [world::route("/once/", "unsafe", "app", 6_000, ",\"maxAttempts\":1")];
+    let routes = [world::route(
+        "/once/",
+        "unsafe",
+        "app",
+        6_000,
+        ",\"maxAttempts\":1",
+    )];
     let services = world::plain_service("app");
     world.configure(&world::manifest(7, &routes, &services, 16_384));
     let vms = world.new_vms(3, "").ok()?;
@@ -234,7 +249,11 @@
     world.note(&format!(
         "{ROUNDS} times to each of {MACHINES} machines: {at_once} consumers at once, each with \
          {BYTES} bytes {} over 3 s",
-        if with_length { "with a length" } else { "in chunks" }
+        if with_length {
+            "with a length"
+        } else {
+            "in chunks"
+        }
     ));
     let began = Instant::now();
     let stop = Arc::new(AtomicBool::new(false));
@@ -265,11 +284,17 @@
             std::thread::sleep(CONTACT + secs(1.5));
         }
         stop.store(true, Ordering::Relaxed);
-        platforms.into_iter().filter_map(|p| p.join().ok()).collect()
+        platforms
+            .into_iter()
+            .filter_map(|p| p.join().ok())
+            .collect()
     });
     sum_up(world, &answers.lock().unwrap());
     let events = take_events(world, &replicas, began, |_| false);
-    let ran = events.iter().filter(|e| matches!(e.what, What::Ran(_))).count();
+    let ran = events
+        .iter()
+        .filter(|e| matches!(e.what, What::Ran(_)))
+        .count();
     world.note(&format!("replicas ran {ran} requests"));
     world.note(&format!(
         "ends of processes by machine: {kills:?}; three on each of two machines are a fault"
@@ -285,7 +310,9 @@
         if let Some((now, most)) = world.vms[vm].memory_mb() {
             peak = most.max(peak);
             if now > limit_mb {
-                world.note(&format!("machine {vm}: its process holds {now} MB and is killed"));
+                world.note(&format!(
+                    "machine {vm}: its process holds {now} MB and is killed"
+                ));
                 world.vms[vm].kill();
                 kills += 1;
                 std::thread::sleep(secs(1.0));
@@ -295,7 +322,9 @@
         }
         std::thread::sleep(secs(0.01));
     }
-    world.note(&format!("machine {vm}: most memory {peak} MB of {limit_mb}"));
+    world.note(&format!(
+        "machine {vm}: most memory {peak} MB of {limit_mb}"
+    ));
     kills
 }
 
@@ -340,6 +369,7 @@
     const DEADLY: &str = "/safe/deadly";
     let crash = match std::env::var("CRASH").as_deref() {
         Ok("process") => Crash::Process,
+        Ok("unframed") => Crash::Unframed,
         _ => Crash::Power,
     };
     let kind = Kind {
@@ -352,7 +382,13 @@
         away: secs(4.0),
     };
     let replicas = Replicas::start(&world.store, &kind, 6).ok()?;
-    let routes = [world::route("/safe/", "safe", "app", 1_500, ",\"maxAttempts\":2")];
+    let routes = [world::route(
+        "/safe/",
+        "safe",
+        "app",
+        1_500,
+        ",\"maxAttempts\":2",
+    )];
     let services = world::plain_service("app");
     world.configure(&world::manifest(7, &routes, &services, 16_384));
     let vms = world.new_vms(3, "").ok()?;
@@ -360,7 +396,9 @@
     let began = Instant::now();
     let traffic = Traffic::start(world, 15, 1_500, |_| ("GET", "/safe/x", false));
     std::thread::sleep(secs(5.0));
-    world.note(&format!("{DEADLY} comes once a second, at the machines in turn; {crash:?}"));
+    world.note(&format!(
+        "{DEADLY} comes once a second, at the machines in turn; {crash:?}"
+    ));
     for number in 0..35_usize {
         let to = world.vms[number % world.vms.len()].front;
         let id = format!("bad{number:03}");
@@ -441,7 +479,9 @@
     std::thread::scope(|scope| {
         for number in 0..STREAMS {
             let (cut, taken, ids) = (cut.clone(), taken.clone(), ids.clone());
-            scope.spawn(move || consume(shared, number, last, DEADLINE, trouble, &cut, &taken, &ids));
+            scope.spawn(move || {
+                consume(shared, number, last, DEADLINE, trouble, &cut, &taken, &ids)
+            });
         }
         std::thread::sleep(secs(if roll { 1.0 } else { 3.0 }));
         if trouble && roll {
@@ -491,7 +531,10 @@
         None => false,
     };
     let taken = taken.lock().unwrap();
-    let judged: Vec<_> = taken.iter().filter(|(at, vm, ..)| in_touch(*at, *vm)).collect();
+    let judged: Vec<_> = taken
+        .iter()
+        .filter(|(at, vm, ..)| in_touch(*at, *vm))
+        .collect();
     // Each stream counts once: it went on if one of its tries did.
     let mut streams: BTreeMap<&str, bool> = BTreeMap::new();
     for (_, _, stream, went_on) in &judged {
@@ -499,7 +542,10 @@
     }
     let went_on = streams.values().filter(|on| **on).count();
     let new = new.lock().unwrap();
-    let new: Vec<_> = new.iter().filter(|(at, vm, _)| in_touch(*at, *vm)).collect();
+    let new: Vec<_> = new
+        .iter()
+        .filter(|(at, vm, _)| in_touch(*at, *vm))
+        .collect();
     let begun = new.iter().filter(|(.., begun)| *begun).count();
     let share = |part: usize, of: usize| part as f64 / of.max(1) as f64;
     let (on, begin) = (share(went_on, streams.len()), share(begun, new.len()));
@@ -543,7 +589,9 @@
     let go_on = |_| trouble || !cut.load(Ordering::Relaxed);
     let mut seen = client::stream(world.vms[vm].front, &bytes, 5_000, go_on);
     let mut last = seen.last;
-    world.note(&format!("stream {first} at machine {vm} broke off after event {last:?}"));
+    world.note(&format!(
+        "stream {first} at machine {vm} broke off after event {last:?}"
+    ));
     let Some(_) = last else {
         return;
     };
@@ -555,12 +603,22 @@
         }
         vm = (vm + 1) % world.vms.len();
         let id = format!("c{}", ids.fetch_add(1, Ordering::Relaxed));
-        let more = format!("Resumes: {first}\r\nLast-Event-Id: {}\r\n", last.unwrap_or(0));
+        let more = format!(
+            "Resumes: {first}\r\nLast-Event-Id: {}\r\n",
+            last.unwrap_or(0)
+        );
         let at = Instant::now();
-        seen = client::stream(world.vms[vm].front, &stream_request(&id, left, &more), 5_000, |_| true);
+        seen = client::stream(
+            world.vms[vm].front,
+            &stream_request(&id, left, &more),
+            5_000,
+            |_| true,
+        );
         let went_on = seen.last.is_some();
         taken.lock().unwrap().push((at, vm, first.clone(), went_on));
-        world.note(&format!("{id} takes {first} up again at machine {vm}: {seen:?}"));
+        world.note(&format!(
+            "{id} takes {first} up again at machine {vm}: {seen:?}"
+        ));
         last = seen.last.or(last);
         let left = end.saturating_duration_since(Instant::now());
         let pause = seen.retry_after.map_or(secs(1.0), Duration::from_secs_f64);
@@ -583,7 +641,13 @@
         away: secs(3.0),
     };
     let replicas = Replicas::start(&world.store, &kind, 3).ok()?;
-    let routes = [world::route("/safe/", "safe", "app", 1_500, ",\"maxAttempts\":2")];
+    let routes = [world::route(
+        "/safe/",
+        "safe",
+        "app",
+        1_500,
+        ",\"maxAttempts\":2",
+    )];
     let services = world::plain_service("app");
     let before = if trouble { 8_192 } else { 32_768 };
     world.configure(&world::manifest(7, &routes, &services, before));
@@ -601,7 +665,9 @@
         let to = world.vms[number % world.vms.len()].front;
         let mut channel = BufReader::new(client::connect(to, 3_000).ok()?);
         let status = send(&mut channel, number, 100);
-        *counts.entry(format!("before, short headers: {status:?}")).or_default() += 1;
+        *counts
+            .entry(format!("before, short headers: {status:?}"))
+            .or_default() += 1;
         channels.push(channel);
     }
     world.configure(&world::manifest(9, &routes, &services, 32_768));
@@ -610,20 +676,26 @@
     for (number, channel) in channels.iter_mut().enumerate() {
         let status = send(channel, 100 + number, 24_000);
         denied += usize::from(status.is_some_and(|s| (400..500).contains(&s)));
-        *counts.entry(format!("kept channel, 24,000 bytes: {status:?}")).or_default() += 1;
+        *counts
+            .entry(format!("kept channel, 24,000 bytes: {status:?}"))
+            .or_default() += 1;
     }
     for number in 0..9 {
         let to = world.vms[number % world.vms.len()].front;
         let mut channel = BufReader::new(client::connect(to, 3_000).ok()?);
         let status = send(&mut channel, 200 + number, 24_000);
-        *counts.entry(format!("new channel, 24,000 bytes: {status:?}")).or_default() += 1;
+        *counts
+            .entry(format!("new channel, 24,000 bytes: {status:?}"))
+            .or_default() += 1;
     }
     for (text, count) in counts {
         world.note(&format!("{count} requests, {text}"));
     }
     let all = 2 * CHANNELS + 9;
     let most = 5.0 + all as f64 / 500.0;
-    world.note(&format!("denied: {denied} of {all}; more than {most:.1} break DENIED"));
+    world.note(&format!(
+        "denied: {denied} of {all}; more than {most:.1} break DENIED"
+    ));
     let _ = replicas;
     Some(denied as f64 > most)
 }
@@ -631,14 +703,21 @@
 /// ONE: an order of a former holder reaches a replica that a new one gives orders to.
 fn orders(world: &mut World, trouble: bool) -> Option<bool> {
     const ENGINES: usize = 6;
-    const CUT: Duration = Duration::from_millis(9_000);
+    const CUT: Duration = Duration::from_millis(7_500);
+    const DEADLINE: Duration = Duration::from_millis(4_000);
     const SLACK: Duration = Duration::from_millis(300);
     let links = Links::new(3);
     let mut engines = Vec::new();
     for i in 0..ENGINES {
         engines.push(Engine::start(&world.store, &links, i).ok()?);
     }
-    let routes = [world::route("/ask/", "streaming", "llm", 4_000, ",\"maxAttempts\":1")];
+    let routes = [world::route(
+        "/ask/",
+        "streaming",
+        "llm",
+        4_000,
+        ",\"maxAttempts\":1",
+    )];
     let services = "{\"name\":\"llm\",\"healthPath\":\"/health\",\"maxConnections\":370,\
         \"engine\":{\"slots\":64,\"kvCapacity\":232000,\"stride\":5,\"adapterSlots\":4,\
         \"models\":[{\"name\":\"base\",\"weightsMb\":65100,\"loadTimeS\":1.9,\"adapters\":3000}],\
@@ -706,7 +785,9 @@
             if stale && late {
                 broken += 1;
             }
-            let new = highest.as_ref().is_none_or(|(_, holder)| *holder != o.holder);
+            let new = highest
+                .as_ref()
+                .is_none_or(|(_, holder)| *holder != o.holder);
             if (new || stale) && o.at > cut_at {
                 shown.push(format!(
                     "at {at} ms replica {}: order of {} with epoch {} gets {}{}{}{}",
@@ -729,6 +810,123 @@
         world.note(&format!("replica {}: {} orders", engine.id, orders.len()));
         shown.iter().for_each(|line| world.note(line));
     }
-    world.note(&format!("orders with a lower epoch after a higher one: {broken}; one breaks ONE"));
+    let mut gone = 0;
+    for request in engines.iter().flat_map(|e| e.held_requests()) {
+        // Its consumer has left by its deadline at the latest. A link that was cut within
+        // `contactMs` excuses a late arrival.
+        let late = request.arrived > request.sent + DEADLINE + secs(0.5);
+        if late && request.arrived > healed + CONTACT {
+            gone += 1;
+            world.note(&format!(
+                "request {} reached a replica {} ms after it was sent; channel {}",
+                request.id,
+                (request.arrived - request.sent).as_millis(),
+                request.channel
+            ));
+        }
+    }
+    world.note(&format!(
+        "requests of consumers that had left by then: {gone} (see GONE)"
+    ));
+    world.note(&format!(
+        "orders with a lower epoch after a higher one: {broken}; one breaks ONE"
+    ));
     Some(broken > 0)
 }
+
+/// MIXED: answers that end with their replica look complete.
+fn cut(world: &mut World, trouble: bool) -> Option<bool> {
+    const REPLICAS: u64 = 6;
+    const CRASHES: u64 = 8;
+    let mut replicas = Vec::new();
+    for number in 0..REPLICAS {
+        replicas.push(process::start(&world.store, number).ok()?);
+    }
+    let stream = ",\"maxAttempts\":2,\"resumable\":true,\"gapAimMs\":600";
+    let routes = [
+        world::route("/safe/", "safe", "app", 3_000, ",\"maxAttempts\":2"),
+        world::route("/once/", "unsafe", "app", 3_000, ",\"maxAttempts\":1"),
+        world::route("/ask/", "streaming", "app", 3_000, stream),
+    ];
+    let services = world::plain_service("app");
+    world.configure(&world::manifest(7, &routes, &services, 16_384));
+    let vms = world.new_vms(3, "").ok()?;
+    world.start_vms(vms).ok()?;
+    let fronts: Vec<_> = world.vms.iter().map(|vm| vm.front).collect();
+    let stop = Arc::new(AtomicBool::new(false));
+    let answers: Arc<Mutex<BTreeMap<String, (&'static str, String)>>> = Arc::default();
+    let (stopped, heard) = (stop.clone(), answers.clone());
+    let consumers = std::thread::spawn(move || {
+        let mut under_way = Vec::new();
+        for number in 0_usize.. {
+            if stopped.load(Ordering::Relaxed) {
+                break;
+            }
+            let (to, heard) = (fronts[number % fronts.len()], heard.clone());
+            under_way.push(std::thread::spawn(move || {
+                let (method, path) = match number % 3 {
+                    0 => ("GET", "/safe/x"),
+                    1 => ("POST", "/once/x"),
+                    _ => ("POST", "/ask/x"),
+                };
+                let id = format!("m{number:06}");
+                let bytes = client::request(method, path, &id, "Deadline-Ms: 3000\r\n", "");
+                let text = match client::exchange(to, &bytes, 3_000) {
+                    Ok(a) if a.head.status() != 200 => a.head.status().to_string(),
+                    Ok(a) if a.head.get("response-signature").is_none() => "200, none".to_owned(),
+                    Ok(a) if a.body == process::whole(path, &id).as_bytes() => {
+                        "200, whole".to_owned()
+                    }
+                    Ok(_) => "200, complete and short".to_owned(),
+                    Err(_) => "broken off".to_owned(),
+                };
+                heard.lock().unwrap().insert(id, (path, text));
+            }));
+            std::thread::sleep(secs(1.0 / 30.0));
+        }
+        under_way.into_iter().for_each(|t| {
+            t.join().ok();
+        });
+    });
+    std::thread::sleep(secs(5.0));
+    let mut next = REPLICAS;
+    for crash in 0..CRASHES {
+        if trouble {
+            // One of six at a time; it is back, as another start, before the next one.
+            let gone = replicas.remove(0);
+            world.note(&format!("replica {} is killed", gone.id));
+            world::kill(gone.pid);
+            std::thread::sleep(secs(3.6));
+            world.store.remove("servers", &gone.id);
+            replicas.push(process::start(&world.store, next).ok()?);
+            next += 1;
+            std::thread::sleep(secs(0.4));
+        } else {
+            std::thread::sleep(secs(4.0));
+        }
+        if crash + 1 == CRASHES {
+            std::thread::sleep(secs(1.0));
+        }
+    }
+    stop.store(true, Ordering::Relaxed);
+    consumers.join().ok();
+    let answers = answers.lock().unwrap();
+    let mut counts: BTreeMap<(&str, &str), usize> = BTreeMap::new();
+    for (path, text) in answers.values() {
+        *counts.entry((path, text)).or_default() += 1;
+    }
+    for ((path, text), count) in counts {
+        world.note(&format!("{count} requests {path}: {text}"));
+    }
+    let short: Vec<_> = answers
+        .iter()
+        .filter(|(_, (_, text))| text == "200, complete and short")
+        .collect();
+    for (id, (path, _)) in &short {
+        world.note(&format!(
+            "{id} {path} got a success that is not the replica's whole body"
+        ));
+    }
+    world.note(&format!("such answers: {}; one breaks MIXED", short.len()));
+    Some(!short.is_empty())
+}
--- a/review/rig-2/engine.rs
+++ b/review/rig-2/engine.rs
@@ -38,9 +38,7 @@
 
     /// From now on channels of this machine say nothing, and new ones are refused.
     pub fn cut(&self, machine: usize) {
-        *self.0[machine].lock().unwrap() = Some(Cut {
-            to: None,
-        });
+        *self.0[machine].lock().unwrap() = Some(Cut { to: None });
     }
 
     pub fn heal(&self, machine: usize) {
@@ -91,8 +89,18 @@
     pub held: Option<(Instant, &'static str)>,
 }
 
+/// A consumer's request that was held up on its way to a replica.
+#[derive(Clone, Debug)]
+pub struct HeldRequest {
+    pub id: String,
+    pub sent: Instant,
+    pub arrived: Instant,
+    pub channel: &'static str,
+}
+
 #[derive(Default)]
 struct State {
+    held: Vec<HeldRequest>,
     /// When each adapter is there.
     adapters: BTreeMap<String, Instant>,
     sequence: u64,
@@ -135,6 +143,10 @@
         self.state.lock().unwrap().orders.clone()
     }
 
+    pub fn held_requests(&self) -> Vec<HeldRequest> {
+        self.state.lock().unwrap().held.clone()
+    }
+
     fn listen(self: Arc<Self>, listener: TcpListener, machine: usize) {
         let Ok(address) = listener.local_addr() else {
             return;
@@ -220,6 +232,15 @@
             }
             _ => {
                 let id = head.get("attempt-id").unwrap_or_default().to_owned();
+                if let Some((sent, channel)) = held {
+                    let request = HeldRequest {
+                        id: id.clone(),
+                        sent,
+                        arrived: Instant::now(),
+                        channel,
+                    };
+                    self.state.lock().unwrap().held.push(request);
+                }
                 let model = head.get("model").unwrap_or_default();
                 let adapter = model.split_once('/').map(|(_, a)| a);
                 let now = Instant::now();
@@ -253,7 +274,10 @@
         let state = self.state.lock().unwrap();
         let now = Instant::now();
         let list = |there: bool| {
-            let named = state.adapters.iter().filter(|(_, at)| (**at <= now) == there);
+            let named = state
+                .adapters
+                .iter()
+                .filter(|(_, at)| (**at <= now) == there);
             let named = named.map(|(a, _)| match there {
                 true => format!("\"{a}@1\""),
                 false => format!("\"base/{a}@1\""),
@@ -289,7 +313,13 @@
                 let there = state.adapters.get(&adapter).copied();
                 let load = text("operation").as_deref() == Some("load");
                 match (load, there) {
-                    (true, Some(since)) => if since <= at { 200 } else { 202 },
+                    (true, Some(since)) => {
+                        if since <= at {
+                            200
+                        } else {
+                            202
+                        }
+                    }
                     (false, None) => 200,
                     _ if number("expected") != Some(state.sequence) => 409,
                     (true, None) => {
@@ -321,7 +351,9 @@
 /// Returns how the sender has ended a channel; `None` if it reset it.
 fn channel_end(from: &mut BufReader<TcpStream>) -> Option<&'static str> {
     let stream = from.get_mut();
-    stream.set_read_timeout(Some(Duration::from_millis(20))).ok();
+    stream
+        .set_read_timeout(Some(Duration::from_millis(20)))
+        .ok();
     let mut byte = [0];
     let end = match stream.read(&mut byte) {
         Ok(0) => Some("closed without a reset"),
--- a/review/rig-2/http.rs
+++ b/review/rig-2/http.rs
@@ -72,7 +72,9 @@
     head: &Head,
     mut on_piece: impl FnMut(&[u8]),
 ) -> Result<()> {
-    let chunked = head.get("transfer-encoding").is_some_and(|t| t.contains("chunked"));
+    let chunked = head
+        .get("transfer-encoding")
+        .is_some_and(|t| t.contains("chunked"));
     if chunked {
         loop {
             let size = line(from)?;
@@ -87,7 +89,9 @@
             on_piece(&piece);
         }
     }
-    let length = head.get("content-length").and_then(|l| l.parse::<usize>().ok());
+    let length = head
+        .get("content-length")
+        .and_then(|l| l.parse::<usize>().ok());
     let mut left = length.unwrap_or(0);
     let mut buffer = vec![0; 64 << 10];
     while left > 0 {
--- a/review/rig-2/main.rs
+++ b/review/rig-2/main.rs
@@ -7,12 +7,18 @@
 mod client;
 mod engine;
 mod http;
+mod process;
 mod replica;
 mod store;
 mod world;
 
 fn main() {
     let args: Vec<String> = std::env::args().collect();
+    if let [_, role, id, address] = &args[..]
+        && role == "replica"
+    {
+        return process::serve(id, address);
+    }
     let [_, case, record] = &args[..] else {
         eprintln!("usage: rig CASE RECORD");
         std::process::exit(2);
--- a/review/rig-2/replica.rs
+++ b/review/rig-2/replica.rs
@@ -29,6 +29,8 @@
 pub enum Crash {
     /// The process ends: its channels are closed.
     Process,
+    /// The same in the middle of an answer without a length, which ends with its channel.
+    Unframed,
     /// The machine loses power: its channels say nothing any more.
     Power,
 }
@@ -190,7 +192,7 @@
         boot.freed.notify_all();
         let channels = std::mem::take(&mut *boot.channels.lock().unwrap());
         match how {
-            Crash::Process => channels.iter().for_each(|c| {
+            Crash::Process | Crash::Unframed => channels.iter().for_each(|c| {
                 c.shutdown(Shutdown::Both).ok();
             }),
             // They stay open, and nothing is read or written any more.
@@ -266,12 +268,23 @@
         if let Some((deadly, after, how)) = self.kind.deadly
             && path == deadly
         {
+            if how == Crash::Unframed {
+                let head = format!(
+                    "HTTP/1.1 200 OK\r\nConnection: close\r\nAttempt-Id: {id}\r\n\
+                     Response-Signature: by.{}\r\n\r\nthe first part",
+                    boot.id
+                );
+                to.write_all(head.as_bytes()).ok();
+            }
             std::thread::sleep(after);
             self.crash(boot, how);
             return false;
         }
         let signature = format!("by.{}", boot.id);
-        more.extend([("Attempt-Id", id.as_str()), ("Response-Signature", &signature)]);
+        more.extend([
+            ("Attempt-Id", id.as_str()),
+            ("Response-Signature", &signature),
+        ]);
         let sent = match self.kind.events {
             0 => {
                 std::thread::sleep(self.kind.work);
@@ -344,7 +357,11 @@
         let now = Instant::now();
         let mut load = boot.load.lock().unwrap();
         load.rejected.push_back(now);
-        while load.rejected.front().is_some_and(|at| now - *at > Duration::from_secs(1)) {
+        while load
+            .rejected
+            .front()
+            .is_some_and(|at| now - *at > Duration::from_secs(1))
+        {
             load.rejected.pop_front();
         }
         let brittle = *self.brittle.lock().unwrap();
--- a/review/rig-2/store.rs
+++ b/review/rig-2/store.rs
@@ -67,7 +67,8 @@
     fn write(&mut self, key: Key, spec: &str) -> String {
         self.revision += 1;
         let text = object(&key.1, self.revision, spec);
-        self.objects.insert(key.clone(), (self.revision, spec.to_owned()));
+        self.objects
+            .insert(key.clone(), (self.revision, spec.to_owned()));
         self.log.push(Change {
             revision: self.revision,
             key,
@@ -147,10 +148,10 @@
 
     fn answer(&self, head: &http::Head, body: &str) -> (u16, String) {
         let path = head.word(1).strip_prefix("/banyangauge/objects/");
-        let (path, query) = path.unwrap_or_default().split_once('?').unwrap_or((
-            path.unwrap_or_default(),
-            "",
-        ));
+        let (path, query) = path
+            .unwrap_or_default()
+            .split_once('?')
+            .unwrap_or((path.unwrap_or_default(), ""));
         let field = |key: &str| {
             let mut pairs = query.split('&').filter_map(|p| p.split_once('='));
             pairs.find(|(k, _)| *k == key).map(|(_, v)| v.to_owned())
@@ -216,7 +217,10 @@
         let end = Instant::now() + Duration::from_millis(wait_ms);
         let mut state = self.shared.0.lock().unwrap();
         loop {
-            let new = state.log.iter().filter(|c| c.revision > from && c.key.0 == kind);
+            let new = state
+                .log
+                .iter()
+                .filter(|c| c.revision > from && c.key.0 == kind);
             let events: Vec<_> = new
                 .map(|c| format!("{{\"object\":{},\"tombstone\":{}}}", c.object, c.removed))
                 .collect();
--- a/review/rig-2/world.rs
+++ b/review/rig-2/world.rs
@@ -30,6 +30,24 @@
     children.clear();
 }
 
+/// Ends this process, too, with the rig.
+pub fn adopt(child: Child) {
+    CHILDREN
+        .lock()
+        .unwrap_or_else(|e| e.into_inner())
+        .push(child);
+}
+
+/// SIGKILL.
+pub fn kill(pid: u32) {
+    let mut children = CHILDREN.lock().unwrap_or_else(|e| e.into_inner());
+    if let Some(child) = children.iter_mut().find(|c| c.id() == pid) {
+        child.kill().ok();
+        child.wait().ok();
+    }
+    children.retain(|c| c.id() != pid);
+}
+
 /// Ends everything if the run takes too long.
 pub fn watchdog(most: Duration) {
     std::thread::spawn(move || {
@@ -77,12 +95,7 @@
         let Some((pid, _)) = self.running.lock().unwrap().take() else {
             return;
         };
-        let mut children = CHILDREN.lock().unwrap();
-        if let Some(child) = children.iter_mut().find(|c| c.id() == pid) {
-            child.kill().ok();
-            child.wait().ok();
-        }
-        children.retain(|c| c.id() != pid);
+        kill(pid);
     }
 
     /// SIGTERM; waits until the process has ended, at most for `grace`, then SIGKILL.
@@ -90,7 +103,10 @@
         let Some((pid, _)) = self.running() else {
             return;
         };
-        Command::new("kill").args(["-TERM", &pid.to_string()]).status().ok();
+        Command::new("kill")
+            .args(["-TERM", &pid.to_string()])
+            .status()
+            .ok();
         let end = Instant::now() + grace;
         let ended = || {
             let mut children = CHILDREN.lock().unwrap();
@@ -177,7 +193,11 @@
                 peer.port(),
                 peer.port().saturating_add(1),
                 self.store.addresses[i as usize],
-                if more.is_empty() { "bounds.checksFence=true\n" } else { more }
+                if more.is_empty() {
+                    "bounds.checksFence=true\n"
+                } else {
+                    more
+                }
             );
             let settings = self.folder.join(format!("vm-{i}.conf"));
             std::fs::write(&settings, text)?;
