--- a/review/rig-2/cases.rs
+++ b/review/rig-2/cases.rs
@@ -750,7 +750,7 @@
                 let text = format!("{} complete {}", seen.status, seen.complete);
                 heard.lock().unwrap().insert(id, (true, text));
             }));
-            std::thread::sleep(secs(1.0 / 30.0));
+            std::thread::sleep(secs(1.0 / 60.0));
         }
         under_way.into_iter().for_each(|t| {
             t.join().ok();
