serving: log retries when they are sent, and sends of a process that stops

The logs could not tell a retry that arrives long after the budget granted it from one that is sent at once, nor a request that was taken before a planned stop from one that is passed on late in its grace period, nor small pieces of a body from a large body. The lines 'retry sent' and 'sent while stopping' and the histograms serve_retry_delay_seconds, serve_body_pieces and serve_read_ahead_pieces do. No decision changes.

--- a/lib/src/serving/path/bodies.rs
+++ b/lib/src/serving/path/bodies.rs
@@ -88,7 +88,10 @@
         let frame = tokio::time::timeout_at(to_instant(deadline), body.frame()).await;
         match frame {
             Err(_) => return Err(Refusal::denied(StatusCode::REQUEST_TIMEOUT, "slow_body")),
-            Ok(None) => return Ok(BufferedBody { pieces, charge }),
+            Ok(None) => {
+                metrics::histogram!("serve_body_pieces").record(pieces.len() as f64);
+                return Ok(BufferedBody { pieces, charge });
+            }
             Ok(Some(Err(e))) if e.is::<LengthLimitError>() => return Err(too_large),
             Ok(Some(Err(_))) => return Err(Refusal::denied(StatusCode::BAD_REQUEST, "bad_body")),
             // Trailers are hop-by-hop here and are dropped.
--- a/lib/src/serving/path/forward.rs
+++ b/lib/src/serving/path/forward.rs
@@ -58,6 +58,7 @@
 use crate::serving::peers::stream_origins;
 use crate::serving::peers::stream_origins::Kept;
 use crate::serving::program::node::Node;
+use crate::serving::program::node::Phase;
 use crate::serving::program::node::now;
 use crate::upstream::BodyChunks;
 use crate::upstream::SendError;
@@ -336,6 +337,7 @@
     check_send(node, req)?;
     log_known_crashes(node, req, &run);
     run.sent_at = now();
+    log_send(node, req, &run);
     run.pending.set(true);
     let sent = req
         .urgency
@@ -414,6 +416,23 @@
     }
 }
 
+/// Logs a send that says more than that of a first attempt: a retry, with the time since the budget
+/// granted it, and any send of a process that stops.
+fn log_send(node: &Node, req: &BufferedRequest, run: &Run) {
+    if let Some(granted) = req.trace.granted.take() {
+        let delay = run.sent_at.since(granted);
+        slog::info!(node.log, "retry sent"; "id" => &req.id, "replica" => run.replica.as_str(),
+            "granted_ms" => delay.as_millis());
+        metrics::histogram!("serve_retry_delay_seconds").record(delay.0 as f64 / 1e6);
+    }
+    let phase = node.phase();
+    if phase != Phase::Serving {
+        slog::info!(node.log, "sent while stopping"; "id" => &req.id,
+            "replica" => run.replica.as_str(), "phase" => ?phase,
+            "left_ms" => req.deadline.since(run.sent_at).as_millis());
+    }
+}
+
 /// Has the store keep that a stream begins at the build of a run, if it must. That takes less time
 /// than the first event.
 fn begin_keeping(node: &Rc<Node>, req: &BufferedRequest, run: &Run) -> Option<JoinHandle<Kept>> {
--- a/lib/src/serving/path/serve.rs
+++ b/lib/src/serving/path/serve.rs
@@ -493,6 +493,7 @@
         timing: Timing::new(arrived),
         _open: in_flight,
     };
+    metrics::histogram!("serve_read_ahead_pieces").record(body.buffered.len() as f64);
     if complete {
         body.finish_buffered();
     }
@@ -689,6 +690,7 @@
         true => "granted",
         false => "exhausted",
     };
+    req.trace.granted.set(granted.then_some(at));
     slog::info!(node.log, "retry"; "id" => &req.id, "service" => routed.service.as_str(),
         "budget" => outcome, "after" => ended, "relayed" => req.relayed,
         "tokens" => status.tokens, "vms" => listed, "divisor" => status.vms,
--- a/lib/src/serving/path/trace.rs
+++ b/lib/src/serving/path/trace.rs
@@ -8,6 +8,7 @@
 use slog::Record;
 use slog::Serializer;
 
+use crate::pool::Moment;
 use crate::serving::decisions::waiting::WaitParts;
 use crate::serving::path::types::Rank;
 use crate::serving::path::types::Route;
@@ -18,6 +19,8 @@
 pub(in crate::serving) struct RequestTrace {
     route: RefCell<Option<(Rc<Route>, Rank)>>,
     waits: Cell<WaitParts>,
+    /// When the retry that is sent next was granted.
+    pub(in crate::serving) granted: Cell<Option<Moment>>,
 }
 
 impl RequestTrace {
