serving: a stopping process sends only what can end before it does

Callers saw requests cut without an answer at the end of the grace period, among them requests that may not be repeated. The phase of the process was looked at when a request arrived and while it waited for a replica, but not when it was sent: a body that arrived slowly, a second attempt or a hand-over went to a replica at any time until the process ended. The process said for 3 s that it was not ready, whatever the grace period, so that one of 2 s ended in a kill. At the end whatever was open was cut, also what had never reached a replica.

Each send, to a replica or to another VM, now asks whether the run can end in time: the longest run of its route in the last 30 to 60 s and a fifth more, or the time until its deadline where there was none. What cannot is refused as not run, with Retry-After 0, as soon as that is known, also while its body is read. The times of a stop are parts of short grace periods. At the end requests that did not run get 503, others 502, and streams are broken off.

--- a/lib/src/serving/cluster/state.rs
+++ b/lib/src/serving/cluster/state.rs
@@ -44,6 +44,7 @@
 use crate::serving::decisions::reservations::Reservations;
 use crate::serving::decisions::retry_budget::RetryBudget;
 use crate::serving::decisions::stall_detector::StallDetector;
+use crate::serving::decisions::stop_plan::RunTimes;
 use crate::serving::decisions::stream_builds::KeptGroup;
 use crate::serving::decisions::stream_builds::KnownAsOf;
 use crate::serving::decisions::stream_builds::StreamBuilds;
@@ -108,6 +109,8 @@
     pub(in crate::serving) fleet: Fleet,
     /// Memory for the bodies of requests.
     pub(in crate::serving) body_room: BodyRoom,
+    /// How long runs take, which says what a stopping process may still send.
+    pub(in crate::serving) run_times: RunTimes,
     budget: RetryBudget,
     pub(in crate::serving) members: Members,
     pub(in crate::serving) ownership: Ownership,
@@ -201,6 +204,7 @@
             active: None,
             fleet: Fleet::new(settings.zone.clone()),
             body_room: BodyRoom::new(settings.memory),
+            run_times: RunTimes::default(),
             budget: RetryBudget::new(settings.budget, now),
             members: Members::new(settings.vm.clone(), now),
             ownership: Ownership::new(settings.vm.clone(), lease, settings.fencing),
--- a/lib/src/serving/decisions/mod.rs
+++ b/lib/src/serving/decisions/mod.rs
@@ -15,6 +15,7 @@
 pub mod retry;
 pub(super) mod retry_budget;
 pub(super) mod stall_detector;
+pub(super) mod stop_plan;
 pub(super) mod stream_builds;
 pub(super) mod urgency;
 pub(super) mod waiting;
--- a/lib/src/serving/decisions/retry.rs
+++ b/lib/src/serving/decisions/retry.rs
@@ -29,6 +29,9 @@
 /// Reason code of such a request.
 pub const CRASHES_UPSTREAMS: &str = "crashes_upstreams";
 
+/// Reason code of a request that a stopping process does not send, or cannot wait for.
+pub const STOPPING: &str = "stopping";
+
 /// Reason why an attempt gave no response to pass on.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum AttemptFailure {
@@ -52,6 +55,8 @@
     Denied(Denial),
     /// Not sent: replicas crash on requests like this one.
     Blocked,
+    /// Not sent: the process stops before a run that begins now would end.
+    Stopping,
 }
 
 impl AttemptFailure {
@@ -59,7 +64,12 @@
     pub fn may_have_run(self) -> bool {
         !matches!(
             self,
-            Self::NotSent | Self::NotRun(_) | Self::Withheld(_) | Self::Denied(_) | Self::Blocked
+            Self::NotSent
+                | Self::NotRun(_)
+                | Self::Withheld(_)
+                | Self::Denied(_)
+                | Self::Blocked
+                | Self::Stopping
         )
     }
 
@@ -68,7 +78,7 @@
     pub fn reached_replica(self) -> bool {
         !matches!(
             self,
-            Self::NotSent | Self::Withheld(_) | Self::Denied(_) | Self::Blocked
+            Self::NotSent | Self::Withheld(_) | Self::Denied(_) | Self::Blocked | Self::Stopping
         )
     }
 
@@ -88,6 +98,7 @@
             Self::Withheld(reason) => reason.as_str(),
             Self::Denied(denial) => denial.as_str(),
             Self::Blocked => CRASHES_UPSTREAMS,
+            Self::Stopping => STOPPING,
         }
     }
 }
@@ -194,7 +205,10 @@
         let allowed = self.idempotent || self.runs == 0;
         allowed
             && failure != AttemptFailure::TimedOut
-            && !matches!(failure, AttemptFailure::Denied(_) | AttemptFailure::Blocked)
+            && !matches!(
+                failure,
+                AttemptFailure::Denied(_) | AttemptFailure::Blocked | AttemptFailure::Stopping
+            )
             && self.sends < MAX_SENDS
             && self.runs < self.max_runs.max(1)
     }
@@ -221,6 +235,15 @@
         }
     }
 
+    /// The process stops before the request could end. If it did not run, another VM can serve it
+    /// at once.
+    pub fn stopping(may_have_run: bool) -> Self {
+        match may_have_run {
+            true => Self::denied(StatusCode::BAD_GATEWAY, STOPPING),
+            false => Self::not_run(STOPPING, Duration::ZERO),
+        }
+    }
+
     /// The request is not allowed.
     pub fn denied(status: StatusCode, reason: &'static str) -> Self {
         Self {
@@ -256,6 +279,9 @@
         if attempts.runs == 0 && failure == AttemptFailure::Blocked {
             return Self::not_run(reason, BLOCKED_RETRY_AFTER);
         }
+        if attempts.runs == 0 && failure == AttemptFailure::Stopping {
+            return Self::stopping(false);
+        }
         if attempts.runs == 0 && !failure.may_have_run() {
             return Self::not_run(reason, RETRY_DELAY);
         }
--- a/lib/src/serving/mod.rs
+++ b/lib/src/serving/mod.rs
@@ -75,6 +75,8 @@
 pub use decisions::retry_budget::RetryBudget;
 pub use decisions::retry_budget::RetryLimits;
 pub use decisions::stall_detector::StallDetector;
+pub use decisions::stop_plan::RunTimes;
+pub use decisions::stop_plan::StopPlan;
 pub use decisions::stream_builds::Answer as StreamAnswer;
 pub use decisions::stream_builds::BatchWrite;
 pub use decisions::stream_builds::BuildLedger;
--- a/lib/src/serving/path/forward.rs
+++ b/lib/src/serving/path/forward.rs
@@ -49,10 +49,12 @@
 use crate::serving::path::probes;
 use crate::serving::path::statements::Call;
 use crate::serving::path::statements::apply_statement;
+use crate::serving::path::stop;
 use crate::serving::path::trace::RequestTrace;
 use crate::serving::path::types::Instance;
 use crate::serving::path::types::KeyDigest;
 use crate::serving::path::types::Rank;
+use crate::serving::path::types::Route;
 use crate::serving::path::types::SharedPrefix;
 use crate::serving::path::types::Target;
 use crate::serving::peers::stream_origins;
@@ -310,6 +312,7 @@
 /// checked again.
 pub(in crate::serving) async fn forward(
     node: &Rc<Node>,
+    route: &Route,
     req: &BufferedRequest,
     placed: &Placed,
     resume: Option<Resume>,
@@ -334,6 +337,7 @@
     if resume_after.is_none() {
         check_key(node, req)?;
     }
+    stop::check_send(node, route, req.deadline)?;
     check_send(node, req)?;
     log_known_crashes(node, req, &run);
     run.sent_at = now();
@@ -359,6 +363,7 @@
         run.mark_sent(req.shared_prefix);
         run.keeping = begin_keeping(node, req, &run);
     }
+    let earlier = req.trace.may_have_run.replace(true);
     let sent = tokio::time::timeout(timeout, node.upstreams.send(address, request)).await;
     let answer = match sent {
         Err(_) => return Err(AttemptFailure::TimedOut),
@@ -366,6 +371,7 @@
             run.record_end(RunOutcome::Unreached);
             probes::record_unreached(node, replica);
             send.inspect(|s| s.revert());
+            req.trace.may_have_run.set(earlier);
             return Err(AttemptFailure::NotSent);
         }
         Ok(Err(SendError::Broken(_))) => {
@@ -406,6 +412,7 @@
         }),
         ReplicaReply::NotRun(reason) => {
             send.inspect(|s| s.revert());
+            req.trace.may_have_run.set(earlier);
             record_refusal(node, req, &run, reason);
             Err(AttemptFailure::NotRun(reason))
         }
--- a/lib/src/serving/path/mod.rs
+++ b/lib/src/serving/path/mod.rs
@@ -19,6 +19,7 @@
 pub(super) mod serve;
 pub(super) mod server;
 pub(super) mod statements;
+pub(super) mod stop;
 pub(super) mod trace;
 pub(super) mod types;
 mod wait_log;
--- a/lib/src/serving/path/relay.rs
+++ b/lib/src/serving/path/relay.rs
@@ -34,6 +34,7 @@
 use crate::serving::decisions::retry::PeerAttempts;
 use crate::serving::decisions::retry::RETRY_DELAY;
 use crate::serving::decisions::retry::Refusal;
+use crate::serving::decisions::retry::STOPPING;
 use crate::serving::path::bodies::read_body;
 use crate::serving::path::builds;
 use crate::serving::path::charge::Charge;
@@ -55,6 +56,7 @@
 use crate::serving::path::serve::origin_form;
 use crate::serving::path::serve::run_request;
 use crate::serving::path::serve::spend_retry;
+use crate::serving::path::stop;
 use crate::serving::path::trace::RequestTrace;
 use crate::serving::path::types::KeyDigest;
 use crate::serving::path::types::Rank;
@@ -198,8 +200,12 @@
         if let Err(failure) = check_key(node, req) {
             return Relayed::Refused(Refusal::after(&Attempts::default(), failure));
         }
+        if let Err(failure) = stop::check_send(node, &routed.route, req.deadline) {
+            return Relayed::Refused(Refusal::after(&attempts, failure));
+        }
         let charged = req.caller.charge.as_ref().map(Charge::mark_sent);
         let request = build_request(node, routed, req, &peers);
+        let earlier = req.trace.may_have_run.replace(true);
         let sent = node.upstreams.send(address, request);
         let sent = tokio::time::timeout_at(to_instant(req.deadline), sent).await;
         let outcome = match sent {
@@ -225,11 +231,14 @@
                 return Relayed::Refused(refusal);
             }
             PeerReply::NotRun(refusal) => {
+                req.trace.may_have_run.set(earlier);
                 charged.inspect(|c| c.revert());
                 log_relayed(node, req, &peers, &vm, refusal.reason);
                 return Relayed::Refused(refusal);
             }
             PeerReply::NotTaken(refusal) => {
+                let made = refusal.as_ref().map_or(0, |(_, made)| made.runs);
+                req.trace.may_have_run.set(earlier || made > 0);
                 charged.inspect(|c| c.revert());
                 let reason = refusal.as_ref().map_or("not_sent", |(r, _)| r.reason);
                 log_relayed(node, req, &peers, &vm, reason);
@@ -400,7 +409,9 @@
     /// Returns the next chunk, or `None` at the regular end.
     async fn next(&mut self) -> Option<Result<Bytes, ResponseAborted>> {
         let deadline = to_instant(self.req.deadline);
-        let reason = match self.answer.next_chunk_before(deadline).await {
+        let chunk = self.answer.next_chunk_before(deadline);
+        let reason = match stop::chunk_until_end(&self.node, chunk).await {
+            Err(_) if self.node.phase() == Phase::Ending => STOPPING,
             Ok(Some(Ok(bytes))) => return Some(Ok(bytes)),
             Ok(None) => {
                 count_outcome("relayed");
@@ -422,7 +433,9 @@
 ) -> Response<ResponseBody> {
     let id = (node.codec.parse_request)(request.headers()).id;
     let mut peers = PeerAttempts::default();
-    match handle(&node, request, &mut peers).await {
+    let trace = Rc::new(RequestTrace::default());
+    let handled = handle(&node, request, &trace, &mut peers);
+    match stop::until_end(&node, &trace, handled).await {
         Ok(mut response) => {
             let served = HeaderValue::from_static(SERVED);
             response.headers_mut().insert(OUTCOME, served);
@@ -460,11 +473,12 @@
 async fn handle(
     node: &Rc<Node>,
     request: Request<Incoming>,
+    trace: &Rc<RequestTrace>,
     peers: &mut PeerAttempts,
 ) -> Result<Response<ResponseBody>, Refusal> {
     let not_run = |reason| Refusal::not_run(reason, RETRY_DELAY);
-    if node.phase() == Phase::Draining {
-        return Err(not_run("stopping"));
+    if node.phase() >= Phase::Draining {
+        return Err(Refusal::stopping(false));
     }
     let in_flight = node.track_relayed(MAX_RELAYED);
     let in_flight = in_flight.ok_or(not_run("too_many_relayed"))?;
@@ -484,6 +498,7 @@
         .as_ref()
         .map(decode_attempts)
         .unwrap_or_default();
+    trace.may_have_run.set(peers.runs > 0);
     let info = (node.codec.parse_request)(&parts.headers);
     let routed = RoutedRequest {
         route: find_route(&active.routes, &parts).ok_or(not_run("no_route"))?,
@@ -497,7 +512,6 @@
     }
     let build = builds::find_build(node, &routed, &info).await?;
     let rank = Rank::from_wire(head.rank);
-    let trace = Rc::new(RequestTrace::default());
     trace.record_route(&routed.route, rank);
     let mut headers: HeaderMap = parts.headers;
     strip_request_headers(&mut headers);
@@ -529,7 +543,7 @@
         id: info.id,
         target: info.target,
         deadline: arrived.after(Span(head.left_us)),
-        trace,
+        trace: trace.clone(),
         relayed: true,
     };
     check_blocked(node, &req)?;
--- a/lib/src/serving/path/response.rs
+++ b/lib/src/serving/path/response.rs
@@ -23,6 +23,7 @@
 use crate::serving::decisions::fleet::RunOutcome;
 use crate::serving::decisions::retry::AttemptFailure;
 use crate::serving::decisions::retry::Attempts;
+use crate::serving::decisions::retry::STOPPING;
 use crate::serving::path::builds;
 use crate::serving::path::choice::has_other_replica;
 use crate::serving::path::crashes::record_break;
@@ -33,8 +34,10 @@
 use crate::serving::path::serve::RoutedRequest;
 use crate::serving::path::serve::count_outcome;
 use crate::serving::path::serve::retry;
+use crate::serving::path::stop;
 use crate::serving::program::node::InFlight;
 use crate::serving::program::node::Node;
+use crate::serving::program::node::Phase;
 use crate::serving::program::node::now;
 use crate::serving::program::node::to_instant;
 use crate::upstream::EventSplitter;
@@ -135,7 +138,14 @@
         loop {
             let wake_at = self.wake_at();
             let started = self.response.as_mut()?;
-            let ended = match started.answer.next_chunk_before(wake_at).await {
+            let chunk = started.answer.next_chunk_before(wake_at);
+            let ended = match stop::chunk_until_end(&self.node, chunk).await {
+                Err(_) if self.node.phase() == Phase::Ending => {
+                    let replica = self.response.take().map(|r| r.run.replica.clone());
+                    self.log_broken(STOPPING, replica.as_ref());
+                    count_outcome("broken_off");
+                    return Some(Err(ResponseAborted("the process stops")));
+                }
                 Err(_) if now() >= self.request.deadline => {
                     let replica = self.response.take().map(|r| r.run.replica.clone());
                     self.log_broken("overdue", replica.as_ref());
@@ -261,6 +271,11 @@
                 false => RunOutcome::Answered,
             };
             started.run.record_end(end);
+            let at = now();
+            let took = at.since(started.run.sent_at);
+            let mut state = self.node.state();
+            state.run_times.record(at, &self.routed.route.name, took);
+            drop(state);
             if started.answer.head.status.is_success() {
                 record_complete(&self.node, &self.request);
             }
--- a/lib/src/serving/path/serve.rs
+++ b/lib/src/serving/path/serve.rs
@@ -60,6 +60,7 @@
 use crate::serving::path::response::full_body;
 use crate::serving::path::response::stream_body;
 use crate::serving::path::routes::pick_service;
+use crate::serving::path::stop;
 use crate::serving::path::trace::RequestTrace;
 use crate::serving::path::types::Organisation;
 use crate::serving::path::types::Rank;
@@ -117,6 +118,7 @@
     };
     let trace = Rc::new(RequestTrace::default());
     let handled = handle(&node, request, info, &trace, arrived, in_flight);
+    let handled = stop::until_end(&node, &trace, handled);
     let mut response = match handled.await {
         Ok(response) => response,
         Err(refusal) => refusal_response(&node, &disconnect_log.id, &trace, arrived, &refusal),
@@ -182,8 +184,8 @@
     arrived: Moment,
     in_flight: InFlight,
 ) -> Result<Response<ResponseBody>, Refusal> {
-    if node.phase() == Phase::Draining {
-        return Err(Refusal::not_run("stopping", Duration::ZERO));
+    if node.phase() >= Phase::Draining {
+        return Err(Refusal::stopping(false));
     }
     let active = wait_for_config(node, info.timeout, arrived).await?;
     config_age::record_use(node, active.config.version);
@@ -204,7 +206,11 @@
         None => None,
     };
     let max_bytes = active.config.limits.body_bytes;
-    let body = read_body(node, body, max_bytes, deadline).await?;
+    let body = tokio::select! {
+        biased;
+        refusal = stop::until_too_late(node, &routed.route, deadline) => return Err(refusal),
+        body = read_body(node, body, max_bytes, deadline) => body?,
+    };
     let mut headers = head.headers;
     strip_request_headers(&mut headers);
     let fingerprint = fingerprint(&head.uri, &body.pieces);
@@ -576,7 +582,7 @@
     avoid: &mut BTreeSet<ReplicaName>,
 ) -> Result<StartedResponse, Refusal> {
     let placed = wait_for_replica(node, routed, req, avoid, attempts).await?;
-    match forward(node, req, &placed, None).await {
+    match forward(node, &routed.route, req, &placed, None).await {
         Ok(started) => Ok(started),
         Err(ended) => {
             attempts.record_failure(ended);
@@ -625,7 +631,7 @@
         if ended.reached_replica() && !spend_retry(node, routed, req, ended.as_str()) {
             return Err(Refusal::after(attempts, ended));
         }
-        ended = match forward(node, req, &placed, resume).await {
+        ended = match forward(node, &routed.route, req, &placed, resume).await {
             // An error response cannot continue a response that has started.
             Ok(started) if attempts.answered && !started.answer.head.status.is_success() => {
                 started.run.record_end(RunOutcome::Failed);
--- a/lib/src/serving/path/server.rs
+++ b/lib/src/serving/path/server.rs
@@ -111,7 +111,7 @@
     let served = server.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(served);
     let mut phase = node.phase.subscribe();
-    let closing = phase.wait_for(|p| *p == Phase::Draining);
+    let closing = phase.wait_for(|p| *p >= Phase::Draining);
     tokio::select! {
         // Errors are disconnects, which end the caller's requests as well.
         _ = &mut served => return,
--- a/lib/src/serving/path/trace.rs
+++ b/lib/src/serving/path/trace.rs
@@ -19,6 +19,8 @@
 pub(in crate::serving) struct RequestTrace {
     route: RefCell<Option<(Rc<Route>, Rank)>>,
     waits: Cell<WaitParts>,
+    /// Whether a replica may have run the request.
+    pub(in crate::serving) may_have_run: Cell<bool>,
     /// When the retry that is sent next was granted.
     pub(in crate::serving) granted: Cell<Option<Moment>>,
 }
--- a/lib/src/serving/program/node.rs
+++ b/lib/src/serving/program/node.rs
@@ -23,6 +23,7 @@
 use crate::pool::Span;
 use crate::serving::cluster::recency::reader_id;
 use crate::serving::cluster::state::NodeState;
+use crate::serving::decisions::stop_plan::StopPlan;
 use crate::serving::decisions::stream_builds::StreamGroup;
 use crate::serving::path::codec::Codec;
 use crate::serving::path::waiting::Turn;
@@ -93,6 +94,8 @@
     Unready,
     /// Refuses new requests and finishes those in flight.
     Draining,
+    /// Answers or breaks off what is still in flight.
+    Ending,
 }
 
 /// The shared state of one VM's serving process.
@@ -138,6 +141,8 @@
     /// Wakes the task that sends beacons.
     pub(in crate::serving) beacon_wake: Notify,
     pub(in crate::serving) phase: watch::Sender<Phase>,
+    /// The times of the planned stop, once it has begun.
+    pub(in crate::serving) stop_plan: Cell<Option<StopPlan>>,
     state: RefCell<NodeState>,
     last_id: Cell<u64>,
     in_flight: Cell<usize>,
@@ -205,6 +210,7 @@
             socket,
             beacon_wake: Notify::new(),
             phase: watch::Sender::new(Phase::Serving),
+            stop_plan: Cell::new(None),
             state: RefCell::new(state),
             last_id: Cell::new(0),
             in_flight: Cell::new(0),
--- a/lib/src/serving/program/orders.rs
+++ b/lib/src/serving/program/orders.rs
@@ -81,7 +81,7 @@
 
 /// Returns the next action for each owned replica that has one.
 fn due_actions(node: &Node, at: Moment) -> Vec<(ReplicaName, FencingToken, ReplicaAction)> {
-    if node.phase() == Phase::Draining {
+    if node.phase() >= Phase::Draining {
         return Vec::new();
     }
     let mut state = node.state();
--- a/lib/src/serving/program/run.rs
+++ b/lib/src/serving/program/run.rs
@@ -11,8 +11,10 @@
 use tokio::signal::unix::signal;
 
 use crate::platform::PlatformError;
+use crate::pool::Moment;
 use crate::pool::Span;
 use crate::serving::cluster::topic::Topic;
+use crate::serving::decisions::stop_plan::StopPlan;
 use crate::serving::path::codec::Codec;
 use crate::serving::path::crashes;
 use crate::serving::path::prefill;
@@ -27,6 +29,8 @@
 use crate::serving::program::node::Node;
 use crate::serving::program::node::Phase;
 use crate::serving::program::node::now;
+use crate::serving::program::node::to_instant;
+use crate::serving::program::node::to_span;
 use crate::serving::program::orders;
 use crate::serving::program::settings::ServeSettings;
 use crate::serving::store::apply::OWNER_TABLE;
@@ -55,12 +59,8 @@
 /// store.
 const VM_EXPIRY: Span = Span::from_millis(30_000);
 
-/// Time for which a stopping process still accepts connections: the load balancer checks
-/// once a second and removes a VM after two failed checks.
-const UNREADY_PERIOD: Duration = Duration::from_millis(3_000);
-
-/// Part of the grace period that is reserved for the exit of the process.
-const EXIT_RESERVE: Duration = Duration::from_millis(500);
+/// Time for the last answers to reach callers, and to remove this VM's entry.
+const END_TIME: Duration = Duration::from_millis(200);
 
 /// Interval at which a stopping process checks whether all requests have ended.
 const DRAIN_POLL: Duration = Duration::from_millis(50);
@@ -143,36 +143,47 @@
 
     /// Reports that it is not ready, drains the requests in flight, and returns within the
     /// grace period of the settings. A request is over when its response has been written to
-    /// the connection, which a caller that reads slowly holds up.
+    /// the connection, which a caller that reads slowly holds up. What cannot end within the
+    /// grace period is refused before it is sent to a replica; what is open at its end is answered
+    /// with what is known of it.
     pub async fn stop(&self) {
         let node = &self.node;
         slog::info!(node.log, "stopping"; "open" => node.in_flight());
-        let start = tokio::time::Instant::now();
-        let end = start + node.settings.grace.saturating_sub(EXIT_RESERVE);
+        let plan = StopPlan::new(now(), to_span(node.settings.grace));
+        node.stop_plan.set(Some(plan));
         node.phase.send_replace(Phase::Unready);
         node.beacon_wake.notify_one();
-        tokio::time::sleep(UNREADY_PERIOD).await;
+        tokio::time::sleep_until(to_instant(plan.drain)).await;
         node.phase.send_replace(Phase::Draining);
         // Gives idle connections time to close.
         tokio::time::sleep(DRAIN_POLL).await;
-        let is_busy = || node.in_flight() > 0 || node.connections() > 0;
-        while is_busy() && tokio::time::Instant::now() < end {
-            tokio::time::sleep(DRAIN_POLL).await;
-        }
-        let name = vm_entry_name(node);
-        let removed = call(
-            node,
-            EXIT_RESERVE / 2,
-            (node.store.delete)(node.codec.kinds.internal, &name),
-        );
-        if let Err(e) = removed.await {
-            slog::info!(node.log, "could not remove this VM's entry"; "error" => %e);
-        }
+        until_idle(node, plan.end).await;
+        slog::info!(node.log, "ending"; "open" => node.in_flight(),
+            "connections" => node.connections());
+        node.phase.send_replace(Phase::Ending);
+        let ended = now().after(to_span(END_TIME));
+        tokio::join!(until_idle(node, ended), unregister(node));
         slog::info!(node.log, "stopped"; "open" => node.in_flight(),
             "connections" => node.connections());
     }
 }
 
+/// Waits until no request is in flight and no connection is open, or until `end`.
+async fn until_idle(node: &Node, end: Moment) {
+    while (node.in_flight() > 0 || node.connections() > 0) && now() < end {
+        tokio::time::sleep(DRAIN_POLL).await;
+    }
+}
+
+/// Removes this VM's entry from the store.
+async fn unregister(node: &Node) {
+    let name = vm_entry_name(node);
+    let remove = (node.store.delete)(node.codec.kinds.internal, &name);
+    if let Err(e) = call(node, END_TIME, remove).await {
+        slog::info!(node.log, "could not remove this VM's entry"; "error" => %e);
+    }
+}
+
 /// Runs the server until SIGTERM or SIGINT; a SIGINT during the shutdown ends it at once.
 /// SIGHUP calls `reload`.
 ///
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -63,6 +63,7 @@
 mod test_serving_retry_budget_search;
 mod test_serving_routes;
 mod test_serving_speeds;
+mod test_serving_stop_plan;
 mod test_serving_stream_builds_search;
 mod test_serving_stream_restarts_search;
 mod test_serving_subscriptions;
