serving: what is kept of bodies and answers is counted by the memory that it takes

A faulty replica that sends bytes without end, and callers that send bodies in chunks of one byte, drove a VM over its memory limit; the requests of others ended with it. Bodies were kept as lists of the pieces in which they arrived, each of which takes 32 bytes and holds a read buffer, and only their payload was counted. Answers that are read ahead and incomplete events had a bound each, but none for all of them, and bodies without a stated length were read whatever there was room for. An incomplete event was searched for its end from its start with each piece.

Pieces are copied into blocks, so that what is kept is what is counted. Bodies that have arrived stay within the room; the one that finds none is refused as not run. Answers may take a quarter of the room: one that finds none is read ahead no further, an event above 4 KiB ends its run. The entry and the calls to engines collect bodies the same way.

--- a/lib/src/entry/serve.rs
+++ b/lib/src/entry/serve.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use http_body_util::BodyExt;
 use http_body_util::LengthLimitError;
 use http_body_util::Limited;
 use hyper::Request;
@@ -29,6 +28,7 @@
 use super::response_body::ResponseBody;
 use super::state::State;
 use crate::timeline::EventKind;
+use crate::upstream::collect;
 
 /// `Retry-After` while there is no catalog or too many requests are in flight.
 const RETRY_DELAY_MS: u64 = 1_000;
@@ -140,9 +140,9 @@
     if body.size_hint().lower() > max_bytes as u64 {
         return Err(too_large());
     }
-    let read = Limited::new(body, max_bytes).collect();
+    let read = collect(Limited::new(body, max_bytes));
     match tokio::time::timeout_at(clock::to_instant(deadline), read).await {
-        Ok(Ok(whole)) => Ok(whole.to_bytes()),
+        Ok(Ok(whole)) => Ok(whole),
         Ok(Err(e)) if e.is::<LengthLimitError>() => Err(too_large()),
         Ok(Err(e)) => Err(CallerError::new(Code::BadRequest, e.to_string())),
         Err(_) => Err(CallerError::new(
--- a/lib/src/serving/decisions/body_room.rs
+++ b/lib/src/serving/decisions/body_room.rs
@@ -1,8 +1,9 @@
-//! Bounds the memory that the bodies of requests take.
+//! Bounds the memory that the bodies of requests, and what is kept of answers, take.
 //!
-//! Load: many callers send large bodies at once, slowly, to replicas that take their time. Harm: a
-//! process above its memory limit is killed with all that it serves. A body counts from before its
-//! first byte is read until its request is over, as it may be sent again.
+//! Load: many callers send large bodies at once, slowly, to replicas that take their time; faulty
+//! replicas send answers without end. Harm: a process above its memory limit is killed with all
+//! that it serves. A body counts from before its first byte is read until its request is over, as
+//! it may be sent again. What is counted is the memory that the bytes take.
 
 /// Memory that the process needs without bodies, in bytes.
 const BASE_BYTES: u64 = 60 << 20;
@@ -14,6 +15,9 @@
 /// Part of the room for which bodies may wait. Those that would wait longer are refused.
 const WAITING_FRACTION: f64 = 0.25;
 
+/// Part of the room that answers may take: requests need theirs while replicas send too much.
+const ANSWER_FRACTION: f64 = 0.25;
+
 /// The room for bodies.
 ///
 /// ```
@@ -35,6 +39,8 @@
     pending: u64,
     /// Bytes of the bodies that wait for room.
     waiting: u64,
+    /// Bytes that are kept of answers.
+    answers: u64,
 }
 
 impl BodyRoom {
@@ -46,12 +52,13 @@
             held: 0,
             pending: 0,
             waiting: 0,
+            answers: 0,
         }
     }
 
     /// Returns the bytes that count.
     fn used(&self) -> u64 {
-        self.held + fraction(self.pending, PENDING_FRACTION)
+        self.held + self.answers + fraction(self.pending, PENDING_FRACTION)
     }
 
     /// Begins to read a body of so many bytes if there is room for it. A single body always has.
@@ -70,6 +77,49 @@
         self.pending += length;
     }
 
+    /// Returns whether a body that takes `own` bytes may take so many `more`, whatever was expected
+    /// of it. A single body always may.
+    ///
+    /// ```
+    /// use banyangauge::serving::BodyRoom;
+    /// let mut room = BodyRoom::new(Some(64 << 20));
+    /// room.read(3 << 20, 0);
+    /// assert!(room.fits(0, 1 << 20));
+    /// assert!(!room.fits(0, 2 << 20));
+    /// ```
+    pub fn fits(&self, own: u64, more: u64) -> bool {
+        let needed = self.held + self.answers + more;
+        self.held == own || self.room.is_none_or(|room| needed <= room)
+    }
+
+    /// Takes room for bytes of an answer that are kept; returns whether there is any.
+    ///
+    /// ```
+    /// use banyangauge::serving::BodyRoom;
+    /// let mut room = BodyRoom::new(Some(64 << 20));
+    /// assert!(room.keep_answer(1 << 20));
+    /// assert!(!room.keep_answer(1), "the rest is for requests");
+    /// room.release_answer(1 << 20);
+    /// assert!(room.keep_answer(1));
+    /// ```
+    pub fn keep_answer(&mut self, bytes: u64) -> bool {
+        let most = self.room.map(|room| fraction(room, ANSWER_FRACTION));
+        let fits = most.is_none_or(|most| self.answers + bytes <= most);
+        let fits = fits
+            && self
+                .room
+                .is_none_or(|room| self.held + self.answers + bytes <= room);
+        if fits {
+            self.answers += bytes;
+        }
+        fits
+    }
+
+    /// Gives room of an answer back.
+    pub fn release_answer(&mut self, bytes: u64) {
+        self.answers = self.answers.saturating_sub(bytes);
+    }
+
     /// Records that bytes of a body arrived, and how many of them were expected.
     pub fn read(&mut self, bytes: u64, expected: u64) {
         self.held += bytes;
--- a/lib/src/serving/path/bodies.rs
+++ b/lib/src/serving/path/bodies.rs
@@ -1,4 +1,4 @@
-//! Reads the bodies of requests, as far as memory allows.
+//! Reads the bodies of requests, and keeps what is read of answers, as far as memory allows.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -18,6 +18,7 @@
 use crate::serving::program::node::now;
 use crate::serving::program::node::time_until;
 use crate::serving::program::node::to_instant;
+use crate::upstream::BodyBuffer;
 
 /// Size in bytes up to which a body is read without waiting for room.
 const SMALL_BODY: u64 = 32 << 10;
@@ -30,16 +31,21 @@
     node: Rc<Node>,
     /// Bytes that were expected when the body began.
     length: u64,
-    /// Bytes that have arrived.
+    /// Bytes of memory that what has arrived takes.
     read: u64,
 }
 
 impl BodyCharge {
-    /// Records that bytes arrived.
-    fn record(&mut self, bytes: u64) {
-        let expected = bytes.min(self.length.saturating_sub(self.read));
-        self.read += bytes;
-        self.node.state().body_room.read(bytes, expected);
+    /// Records that the body takes so many bytes of memory by now; returns whether there is room
+    /// for them.
+    fn record(&mut self, size: u64) -> bool {
+        let more = size.saturating_sub(self.read);
+        let expected = more.min(self.length.saturating_sub(self.read));
+        let room = &mut self.node.state().body_room;
+        let fits = size <= SMALL_BODY || room.fits(self.read, more);
+        self.read += more;
+        room.read(more, expected);
+        fits
     }
 }
 
@@ -52,6 +58,84 @@
     }
 }
 
+/// The room that the kept part of an answer takes, until this is dropped.
+pub(in crate::serving) struct AnswerCharge {
+    node: Rc<Node>,
+    size: u64,
+}
+
+impl AnswerCharge {
+    pub(in crate::serving) fn new(node: &Rc<Node>) -> Self {
+        Self {
+            node: node.clone(),
+            size: 0,
+        }
+    }
+
+    /// Records how much is kept; returns whether there is room for it, without which it counts
+    /// as before.
+    pub(in crate::serving) fn resize(&mut self, size: usize) -> bool {
+        let size = size as u64;
+        if size == self.size {
+            return true;
+        }
+        let room = &mut self.node.state().body_room;
+        let fits = match size.checked_sub(self.size) {
+            Some(more) => room.keep_answer(more),
+            None => {
+                room.release_answer(self.size - size);
+                true
+            }
+        };
+        if fits {
+            self.size = size;
+        }
+        fits
+    }
+}
+
+impl Drop for AnswerCharge {
+    fn drop(&mut self) {
+        self.resize(0);
+    }
+}
+
+/// The first bytes of an answer, which are read before its head is passed on.
+pub(in crate::serving) struct ReadAhead {
+    buffer: BodyBuffer,
+    charge: AnswerCharge,
+    pieces: u32,
+}
+
+impl ReadAhead {
+    pub(in crate::serving) fn new(node: &Rc<Node>) -> Self {
+        Self {
+            buffer: BodyBuffer::default(),
+            charge: AnswerCharge::new(node),
+            pieces: 0,
+        }
+    }
+
+    /// Adds a piece; returns whether there is room for more.
+    pub(in crate::serving) fn push(&mut self, piece: &[u8]) -> bool {
+        self.buffer.push(piece);
+        self.pieces += 1;
+        self.charge.resize(self.buffer.size())
+    }
+
+    /// Takes the first bytes that are left.
+    pub(in crate::serving) fn pop_block(&mut self) -> Option<Bytes> {
+        let block = self.buffer.pop_block()?;
+        self.charge.resize(self.buffer.size());
+        Some(block)
+    }
+
+    /// Returns in how many pieces the bytes arrived.
+    pub(in crate::serving) fn pieces(&self) -> u32 {
+        self.pieces
+    }
+}
+
 /// Bodies that wait for room, counted until this is dropped.
 struct Waiting<'a>(&'a Node, u64);
 
@@ -63,7 +147,7 @@
 
 /// A complete body.
 pub(in crate::serving) struct BufferedBody {
-    pub(in crate::serving) pieces: Vec<Bytes>,
+    pub(in crate::serving) blocks: Vec<Bytes>,
     pub(in crate::serving) charge: BodyCharge,
 }
 
@@ -83,22 +167,29 @@
     }
     let mut charge = wait_for_room(node, stated, deadline).await?;
     let mut body = Limited::new(body, max_bytes);
-    let mut pieces = Vec::new();
+    let mut buffer = BodyBuffer::default();
+    let mut pieces = 0;
     loop {
         let frame = tokio::time::timeout_at(to_instant(deadline), body.frame()).await;
         match frame {
             Err(_) => return Err(Refusal::denied(StatusCode::REQUEST_TIMEOUT, "slow_body")),
             Ok(None) => {
-                metrics::histogram!("serve_body_pieces").record(pieces.len() as f64);
-                return Ok(BufferedBody { pieces, charge });
+                metrics::histogram!("serve_body_pieces").record(f64::from(pieces));
+                let blocks = buffer.into_blocks();
+                return Ok(BufferedBody { blocks, charge });
             }
             Ok(Some(Err(e))) if e.is::<LengthLimitError>() => return Err(too_large),
             Ok(Some(Err(_))) => return Err(Refusal::denied(StatusCode::BAD_REQUEST, "bad_body")),
             // Trailers are hop-by-hop here and are dropped.
             Ok(Some(Ok(frame))) => {
-                let data = frame.into_data().ok();
-                charge.record(data.as_ref().map_or(0, |piece| piece.len() as u64));
-                pieces.extend(data);
+                let Ok(piece) = frame.into_data() else {
+                    continue;
+                };
+                pieces += 1;
+                buffer.push(&piece);
+                if !charge.record(buffer.size() as u64) {
+                    return Err(Refusal::not_run("no_memory", RETRY_DELAY));
+                }
             }
         }
     }
--- a/lib/src/serving/path/relay.rs
+++ b/lib/src/serving/path/relay.rs
@@ -9,7 +9,6 @@
 
 use banyangauge_proto as wire;
 use bytes::Bytes;
-use bytes::BytesMut;
 use futures_util::stream::unfold;
 use http_body_util::StreamBody;
 use hyper::HeaderMap;
@@ -70,6 +69,7 @@
 use crate::upstream::BodyChunks;
 use crate::upstream::SendError;
 use crate::upstream::UpstreamResponse;
+use crate::upstream::join;
 
 /// Maximum number of VMs that are asked to serve one request.
 const MAX_HELPERS: usize = 3;
@@ -490,7 +490,7 @@
     let read_by = arrived.after(to_span(READ_TIMEOUT));
     let read = read_body(node, body, max_bytes, read_by).await;
     let read = read.map_err(|refusal| not_run(refusal.reason))?;
-    let mut body = concat(read.pieces);
+    let mut body = join(read.blocks);
     let head = wire::RelayHead::decode_length_delimited(&mut body);
     let head = head.map_err(|_| not_run("bad_relay_head"))?;
     *peers = head
@@ -550,16 +550,6 @@
     run_request(node, Rc::new(routed), req, arrived, in_flight, peers).await
 }
 
-/// Joins the pieces of a body; one piece needs no copy.
-fn concat(mut pieces: Vec<Bytes>) -> Bytes {
-    if pieces.len() == 1 {
-        return pieces.remove(0);
-    }
-    let mut all = BytesMut::new();
-    pieces.iter().for_each(|piece| all.extend_from_slice(piece));
-    all.freeze()
-}
-
 /// Returns the digest of the caller's API key; `None` if the route needs none.
 fn read_key(head: &wire::RelayHead) -> Result<Option<KeyDigest>, Refusal> {
     if head.key.is_empty() {
--- a/lib/src/serving/path/response.rs
+++ b/lib/src/serving/path/response.rs
@@ -1,7 +1,6 @@
 //! Streams a response to the caller and resumes it on another replica if it breaks off.
 
 use std::collections::BTreeSet;
-use std::collections::VecDeque;
 use std::convert::Infallible;
 use std::fmt;
 use std::pin::Pin;
@@ -24,6 +23,8 @@
 use crate::serving::decisions::retry::AttemptFailure;
 use crate::serving::decisions::retry::Attempts;
 use crate::serving::decisions::retry::STOPPING;
+use crate::serving::path::bodies::AnswerCharge;
+use crate::serving::path::bodies::ReadAhead;
 use crate::serving::path::builds;
 use crate::serving::path::choice::has_other_replica;
 use crate::serving::path::crashes::record_break;
@@ -46,6 +47,9 @@
 /// callers disconnect after eight times that gap.
 const GAPS_BEFORE_CHECK: u32 = 4;
 
+/// Bytes up to which an incomplete event does not count; the event of a token is smaller.
+const SMALL_EVENT: usize = 4 << 10;
+
 /// Error that aborts a response and closes the caller's connection; holds the reason.
 #[derive(Debug)]
 pub(in crate::serving) struct ResponseAborted(pub(in crate::serving) &'static str);
@@ -83,11 +87,13 @@
     pub(in crate::serving) request: BufferedRequest,
     pub(in crate::serving) response: Option<StartedResponse>,
     /// Chunks that were read ahead.
-    pub(in crate::serving) buffered: VecDeque<Bytes>,
+    pub(in crate::serving) buffered: ReadAhead,
     pub(in crate::serving) attempts: Attempts,
     pub(in crate::serving) avoid: BTreeSet<ReplicaName>,
     /// Splits a stream into complete events; `None` for other bodies.
     pub(in crate::serving) events: Option<EventTracker>,
+    /// The room that a large event takes until it is complete.
+    pub(in crate::serving) event_charge: AnswerCharge,
     pub(in crate::serving) timing: Timing,
     pub(in crate::serving) _open: InFlight,
 }
@@ -132,7 +138,7 @@
     /// Returns the next chunk, or `None` at the regular end. An error closes the caller's
     /// connection, so that the caller cannot mistake the response for a complete one.
     async fn next(&mut self) -> Option<Result<Bytes, ResponseAborted>> {
-        if let Some(chunk) = self.buffered.pop_front() {
+        if let Some(chunk) = self.buffered.pop_block() {
             return Some(Ok(chunk));
         }
         loop {
@@ -231,6 +237,11 @@
             .scanner
             .push(bytes)
             .map_err(|_| "event exceeds the maximum size")?;
+        let size = events.scanner.size();
+        let size = if size > SMALL_EVENT { size } else { 0 };
+        if !self.event_charge.resize(size) {
+            return Err("no memory for an event");
+        }
         events.check_ids(&complete)?;
         if !complete.is_empty() && self.request.build.is_none() {
             // Only replicas of this build can continue what the caller now has.
--- a/lib/src/serving/path/serve.rs
+++ b/lib/src/serving/path/serve.rs
@@ -2,7 +2,6 @@
 
 use std::cell::Cell;
 use std::collections::BTreeSet;
-use std::collections::VecDeque;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -34,6 +33,8 @@
 use crate::serving::decisions::retry::PeerAttempts;
 use crate::serving::decisions::retry::RETRY_DELAY;
 use crate::serving::decisions::retry::Refusal;
+use crate::serving::path::bodies::AnswerCharge;
+use crate::serving::path::bodies::ReadAhead;
 use crate::serving::path::bodies::read_body;
 use crate::serving::path::builds;
 use crate::serving::path::charge;
@@ -213,7 +214,7 @@
     };
     let mut headers = head.headers;
     strip_request_headers(&mut headers);
-    let fingerprint = fingerprint(&head.uri, &body.pieces);
+    let fingerprint = fingerprint(&head.uri, &body.blocks);
     let req = BufferedRequest {
         method: head.method,
         fingerprint,
@@ -232,7 +233,7 @@
             organisation: organisation.map(|o| o.name.clone()),
             charge,
         },
-        body: body.pieces,
+        body: body.blocks,
         body_charge: Some(body.charge),
         stream: builds::stream_id(&routed, &info),
         build,
@@ -413,7 +414,7 @@
         Start::Here(started) => *started,
         Start::Relayed(answer) => return Ok(relay::response(node, req, *answer, in_flight)),
     };
-    let mut buffered = VecDeque::new();
+    let mut buffered = ReadAhead::new(node);
     let mut complete = false;
     let stream = routed.route.kind == RouteKind::Stream;
     while !stream || started.failed {
@@ -422,7 +423,7 @@
                 complete = read;
                 started.run.record_end(RunOutcome::Failed);
                 attempts.record_failure(AttemptFailure::Failed);
-                let pieces = std::mem::take(&mut buffered);
+                let earlier = std::mem::replace(&mut buffered, ReadAhead::new(node));
                 avoid.insert(started.run.replica.clone());
                 let next = retry(
                     node,
@@ -437,7 +438,7 @@
                     Ok(next) => (started, complete) = (next, false),
                     // No retry succeeded: the replica's error response is forwarded.
                     Err(_) => {
-                        buffered = pieces;
+                        buffered = earlier;
                         break;
                     }
                 }
@@ -457,7 +458,7 @@
                 attempts.record_failure(ended);
                 avoid.insert(started.run.replica.clone());
                 drop(started);
-                buffered.clear();
+                buffered = ReadAhead::new(node);
                 started = retry(node, &routed, &req, attempts, avoid, ended, None).await?;
             }
         }
@@ -496,10 +497,11 @@
         attempts: *attempts,
         avoid: std::mem::take(avoid),
         events,
+        event_charge: AnswerCharge::new(node),
         timing: Timing::new(arrived),
         _open: in_flight,
     };
-    metrics::histogram!("serve_read_ahead_pieces").record(body.buffered.len() as f64);
+    metrics::histogram!("serve_read_ahead_pieces").record(f64::from(body.buffered.pieces()));
     if complete {
         body.finish_buffered();
     }
@@ -512,12 +514,12 @@
     kind.is_some_and(|k| k.starts_with("text/event-stream"))
 }
 
-/// Buffers the first `READ_AHEAD_BYTES` of a response. Returns whether the response is
-/// complete.
+/// Buffers the first `READ_AHEAD_BYTES` of a response, as far as there is room. Returns whether
+/// the response is complete.
 async fn read_ahead(
     started: &mut StartedResponse,
     req: &BufferedRequest,
-    buffered: &mut VecDeque<Bytes>,
+    buffered: &mut ReadAhead,
 ) -> Result<bool, AttemptFailure> {
     let mut read = 0;
     while read < READ_AHEAD_BYTES {
@@ -531,7 +533,9 @@
             Ok(Some(Err(_))) => return Err(AttemptFailure::Broken),
             Ok(Some(Ok(piece))) => {
                 read += piece.len();
-                buffered.push_back(piece);
+                if !buffered.push(&piece) {
+                    return Ok(false);
+                }
             }
         }
     }
--- a/lib/src/upstream/connections.rs
+++ b/lib/src/upstream/connections.rs
@@ -351,11 +351,12 @@
         &mut self,
         deadline: tokio::time::Instant,
     ) -> Result<Option<Result<Bytes, hyper::Error>>, Overdue> {
-        tokio::select! {
-            biased;
-            () = tokio::time::sleep_until(deadline) => Err(Overdue),
-            chunk = self.next_chunk() => Ok(chunk),
+        if tokio::time::Instant::now() >= deadline {
+            return Err(Overdue);
         }
+        // A chunk that is there needs no timer.
+        let chunk = tokio::time::timeout_at(deadline, self.next_chunk());
+        chunk.await.map_err(|_| Overdue)
     }
 
     /// Returns the value of a header if it is visible ASCII.
--- a/lib/src/upstream/mod.rs
+++ b/lib/src/upstream/mod.rs
@@ -1,11 +1,13 @@
 //! Client side of the upstreams: model engines and services.
 //!
+//! `buffer` keeps bytes that arrive in pieces.
 //! `connections` sends requests over reused connections, `run` and `sse` check that a
 //! response is complete and belongs to its request, `orders` and `report` are the
 //! control calls to engines.
 
 mod body;
 mod bounded;
+mod buffer;
 mod connections;
 mod errors;
 mod orders;
@@ -14,6 +16,9 @@
 mod sse;
 
 pub use body::BodyChunks;
+pub use buffer::BodyBuffer;
+pub use buffer::collect;
+pub use buffer::join;
 pub use connections::Overdue;
 pub use connections::SendError;
 pub use connections::UpstreamResponse;
--- a/lib/src/upstream/orders.rs
+++ b/lib/src/upstream/orders.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::Limited;
 use hyper::Method;
@@ -17,6 +16,7 @@
 use serde::Deserialize;
 use serde_json::json;
 
+use super::buffer::collect;
 use crate::ids::AdapterVersion;
 use crate::ids::FencingToken;
 
@@ -193,11 +193,9 @@
                         false => OrderError::Lost(e.to_string()),
                     })?;
             let status = response.status();
-            let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES)
-                .collect()
-                .await
-                .map_err(|e| OrderError::Lost(e.to_string()))?
-                .to_bytes();
+            let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES);
+            let body = collect(body).await;
+            let body = body.map_err(|e| OrderError::Lost(e.to_string()))?;
             match status {
                 s if s.is_success() => Ok(body),
                 StatusCode::PRECONDITION_FAILED => Err(OrderError::Fenced),
--- a/lib/src/upstream/sse.rs
+++ b/lib/src/upstream/sse.rs
@@ -48,8 +48,13 @@
             self.append(&chunk)?;
             return Ok(complete);
         }
+        // What was kept holds no end, but may end with half of one.
+        let searched = self.partial.len() - 1;
         self.append(&chunk)?;
-        let end = last_event_end(&self.partial);
+        let end = match last_event_end(&self.partial[searched..]) {
+            0 => 0,
+            end => searched + end,
+        };
         Ok(self.partial.split_to(end).freeze())
     }
 
@@ -58,9 +63,17 @@
         self.partial.is_empty()
     }
 
+    /// Returns the bytes of memory that the incomplete event takes.
+    pub fn size(&self) -> usize {
+        match self.partial.is_empty() {
+            true => 0,
+            false => self.partial.capacity(),
+        }
+    }
+
     /// Discards the incomplete event, before a stream is resumed.
     pub fn reset(&mut self) {
-        self.partial.clear();
+        self.partial = BytesMut::new();
     }
 
     fn append(&mut self, bytes: &[u8]) -> Result<(), StreamFault> {
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -72,6 +72,7 @@
 mod test_serving_urgency;
 mod test_serving_waiting;
 mod test_telemetry;
+mod test_upstream_buffer;
 mod test_upstream_given_up;
 mod test_upstream_not_sent;
 mod test_upstream_sse;
--- a/lib/tests/test_serving_body_room.rs
+++ b/lib/tests/test_serving_body_room.rs
@@ -87,3 +87,43 @@
     let mut room = BodyRoom::new(None);
     assert!((0..10_000).all(|_| room.begin(4 * MIB)));
 }
+
+/// Bodies without a stated length, or that arrive at the same time after all, were read whatever
+/// there was room for.
+#[test]
+fn bodies_that_arrive_stay_within_room() {
+    let mut room = room(10);
+    let mut sizes = [0_u64; 8];
+    for n in 0..1_000 {
+        let own = &mut sizes[n % 8];
+        if room.fits(*own, MIB / 8) {
+            room.read(MIB / 8, 0);
+            *own += MIB / 8;
+        }
+    }
+    assert_eq!(sizes.iter().sum::<u64>(), 10 * MIB);
+    // A body that is refused makes room for the others.
+    room.end(0, sizes[0]);
+    assert!(room.fits(sizes[1], MIB));
+}
+
+/// Replicas that send too much must not keep callers from sending requests.
+#[test]
+fn answers_leave_room_for_bodies() {
+    let mut room = room(100);
+    let kept = (0..1_000).filter(|_| room.keep_answer(MIB)).count();
+    assert_eq!(kept, 25);
+    let admitted = (0..1_000).filter(|_| room.begin(4 * MIB)).count();
+    assert_eq!(admitted, 25);
+    room.release_answer(25 * MIB);
+    assert!(room.keep_answer(MIB));
+}
+
+/// An answer is not kept while bodies fill the room.
+#[test]
+fn answers_yield_to_bodies() {
+    let mut room = room(100);
+    room.read(99 * MIB, 0);
+    assert!(room.keep_answer(MIB));
+    assert!(!room.keep_answer(1));
+}
