serving: the retry budget bears the time until retries arrive

Repeats could pile up beyond what is allowed in a window: a retry is paid when it is granted and arrives later. It waits for the turn of its prompt (0.6 s at most) and for a connection (0.25 s), and lies with a replica that stands still until that is found silent (1.5 s). The retries of up to 2.35 s then reach the replicas in the window of those that follow. A first send added 0.65 of the ratio, and 0.3 of the window before were carried over, which bears 0.77 s where the slack is small against the requests.

What a first send adds now follows from that time and the window's length: 0.567 of the ratio with a window of 10 s. The example of RetryBudget takes nine first sends for a retry instead of eight.

Before: retry_budget_retries_arrive_after_a_standstill::case_3_many, 1,122 retries in a window where 1,056 are allowed; with the change all cases pass. Few requests (20 and 50 a second) stayed within the limits before as well, as parts of tokens are not spent.

--- a/lib/src/serving/decisions/retry_budget.rs
+++ b/lib/src/serving/decisions/retry_budget.rs
@@ -9,9 +9,10 @@
 /// Slices of the window in which first sends are counted; the oldest is dropped as a whole.
 const SLICES: u64 = 10;
 
-/// Fraction of the ratio that a first send adds to the bucket. With `CARRIED_FRACTION` it is
-/// less than 1: a retry reaches its replica some time after it was granted.
-const EARNED_FRACTION: f64 = 0.65;
+/// Longest time from the grant of a retry until its replica reads it. A retry waits for the turn of
+/// its prompt and for a connection, and lies with a replica that stands still until that is found
+/// silent.
+const MAX_DELAY: Span = Span::from_millis(2_350);
 
 /// Fraction of the ratio that a bucket may hold of the last window's first sends, for
 /// failures that come all at once.
@@ -101,7 +102,7 @@
 /// let mut budget = RetryBudget::new(limits, Moment(0));
 /// let service = "llm".parse().unwrap();
 /// assert!(!budget.try_retry(Moment(0), &service));
-/// for _ in 0..8 {
+/// for _ in 0..9 {
 ///     budget.record_first_send(Moment(0), &service);
 /// }
 /// assert!(budget.try_retry(Moment(0), &service));
@@ -147,7 +148,7 @@
 
     /// Counts a request that is sent for the first time.
     pub fn record_first_send(&mut self, now: Moment, service: &ServiceName) {
-        let earned = self.limits.ratio * EARNED_FRACTION;
+        let earned = self.limits.ratio * earned_fraction(self.limits.window_us);
         let slice = self.slice(now);
         let bucket = self.bucket(now, service);
         bucket.tokens += earned;
@@ -233,3 +234,11 @@
         bucket
     }
 }
+
+/// Returns the fraction of the ratio that a first send adds to the bucket. The retries that reach
+/// replicas in a window may have been granted in `MAX_DELAY` before it as well; with what is carried
+/// into that time they stay within the ratio.
+fn earned_fraction(window_us: u64) -> f64 {
+    let delay = MAX_DELAY.0 as f64 / window_us.max(1) as f64;
+    (1.0 - CARRIED_FRACTION) / (1.0 + delay)
+}
--- a/lib/tests/test_serving_retry_budget_search.rs
+++ b/lib/tests/test_serving_retry_budget_search.rs
@@ -1,6 +1,7 @@
 //! The retry budgets of all VMs against the limit of the fleet, in every window: single
 //! cases, and a randomised search in which VMs are killed, join and leave, the store is away,
-//! and callers come in bursts and fall silent.
+//! replicas stand still and read later what was sent to them, and callers come in bursts and fall
+//! silent.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -17,6 +18,10 @@
 
 const WINDOW_MS: u64 = 10_000;
 
+/// How long retries go to replicas that stand still: until VMs find them silent, after a wait for
+/// the turn of a prompt and for a connection.
+const STANDSTILL_MS: u64 = 1_500 + 600 + 250;
+
 const LIMITS: RetryLimits = RetryLimits {
     ratio: 0.2,
     window_us: WINDOW_MS * 1_000,
@@ -81,8 +86,13 @@
         }
     }
 
-    /// Sends a request at a VM, and up to `retries` retries.
+    /// Sends a request at a VM, and up to `retries` retries that arrive at once.
     fn request(&mut self, ms: u64, vm: usize, retries: usize) {
+        self.request_late(ms, vm, retries, ms);
+    }
+
+    /// Sends a request at a VM, and up to `retries` retries that arrive at `arrival`.
+    fn request_late(&mut self, ms: u64, vm: usize, retries: usize, arrival: u64) {
         self.requests.push(ms);
         let Some(process) = self.vms.get_mut(&vm) else {
             return;
@@ -94,7 +104,7 @@
             if !process.budget.try_retry(at(ms), &self.service) {
                 return;
             }
-            self.retries.push(ms);
+            self.retries.push(arrival);
         }
     }
 
@@ -189,6 +199,23 @@
     fleet.assert_within_limits();
 }
 
+/// All requests fail after a calm time. The retries of the first seconds lie with replicas that
+/// stand still, and arrive together at the beginning of the window in which the others follow.
+#[rstest]
+#[case::few(50)]
+#[case::as_usual(20)]
+#[case::many(2)]
+fn retry_budget_retries_arrive_after_a_standstill(#[case] gap: usize) {
+    let mut fleet = History::new(6);
+    let (from, to) = (20_000, 20_000 + STANDSTILL_MS);
+    for ms in (0..40_000).step_by(gap) {
+        let retries = if ms >= from { 3 } else { 0 };
+        let arrival = if (from..to).contains(&ms) { to } else { ms };
+        fleet.request_late(ms, ms as usize / gap % 6, retries, arrival);
+    }
+    fleet.assert_within_limits();
+}
+
 /// All VMs are killed five times in a window while all requests fail.
 #[test]
 fn retry_budget_vms_restart_in_a_window() {
@@ -252,6 +279,10 @@
     rate: f64,
     /// Fraction of requests that fail at each send.
     failing: f64,
+    /// Longest time for which replicas stand still, in milliseconds; 0 if they do not.
+    standstill: u64,
+    /// Until when they do.
+    still_until: u64,
 }
 
 impl Scenario {
@@ -268,6 +299,8 @@
             short_list: None,
             rate: rng.random_range(0.05..2.0),
             failing: 0.0,
+            standstill: 0,
+            still_until: 0,
             rng,
         }
     }
@@ -279,13 +312,17 @@
             }
             self.recover(ms);
             self.shorten_list(ms);
+            if self.standstill > 0 && ms > self.still_until && self.rng.random_bool(0.01) {
+                self.still_until = ms + self.rng.random_range(0..=self.standstill);
+            }
             let requests =
                 self.rate as usize + usize::from(self.rng.random_bool(self.rate.fract()));
             for _ in 0..requests {
                 let vm = self.rng.random_range(self.gone..self.size);
                 let retries = (0..3).take_while(|_| self.rng.random_bool(self.failing));
                 let retries = retries.count();
-                self.history.request(ms, vm, retries);
+                let arrival = ms.max(self.still_until);
+                self.history.request_late(ms, vm, retries, arrival);
             }
         }
         self.history
@@ -381,6 +418,18 @@
     }
 }
 
+/// Retries that all arrive at the end of a standstill of the replicas lie in one window with those
+/// that follow. VMs find a replica silent within this time and send it nothing more.
+#[test]
+fn retry_budget_search_with_late_arrivals_stays_within_limits() {
+    for seed in 200..260 {
+        let mut scenario = Scenario::new(seed);
+        scenario.standstill = STANDSTILL_MS;
+        let found = scenario.run().first_excess();
+        assert_eq!(found, None, "seed {seed}");
+    }
+}
+
 /// A budget that grants nothing would keep every limit.
 #[test]
 fn retry_budget_search_grants_retries() {
