--- a/lib/src/serving/path/bodies.rs
+++ b/lib/src/serving/path/bodies.rs
@@ -79,11 +79,12 @@
         if size == self.size {
             return true;
         }
-        let room = &mut self.node.state().body_room;
         let fits = match size.checked_sub(self.size) {
-            Some(more) => room.keep_answer(more),
+            Some(more) => self.node.state().body_room.keep_answer(more),
             None => {
-                room.release_answer(self.size - size);
+                let released = self.size - size;
+                self.node.state().body_room.release_answer(released);
+                self.node.body_wake.notify_one();
                 true
             }
         };
--- a/lib/src/serving/path/stop.rs
+++ b/lib/src/serving/path/stop.rs
@@ -65,8 +65,8 @@
 ) -> Result<T, Refusal> {
     tokio::select! {
         biased;
-        () = until(node, Phase::Ending) => Err(Refusal::stopping(trace.may_have_run.get())),
         handled = handled => handled,
+        () = until(node, Phase::Ending) => Err(Refusal::stopping(trace.may_have_run.get())),
     }
 }
 
--- a/lib/src/upstream/buffer.rs
+++ b/lib/src/upstream/buffer.rs
@@ -39,6 +39,11 @@
         while !piece.is_empty() {
             let room = BLOCK_BYTES - self.last.len();
             let (now, rest) = piece.split_at(piece.len().min(room));
+            let size = (self.last.len() + now.len()).next_power_of_two();
+            if size > self.last.capacity() {
+                // What grows by itself may end above the size of a block.
+                self.last.reserve(size - self.last.len());
+            }
             self.last.extend_from_slice(now);
             if self.last.len() == BLOCK_BYTES {
                 self.complete_block();
--- a/lib/tests/test_upstream_buffer.rs
+++ b/lib/tests/test_upstream_buffer.rs
@@ -19,6 +19,8 @@
 #[rstest]
 #[case::bytes(1)]
 #[case::small(7)]
+#[case::uneven(1_000)]
+#[case::above_half_a_block(9_000)]
 #[case::of_a_block(16 << 10)]
 #[case::large(100_000)]
 fn body_buffer_takes_about_its_bytes(#[case] piece: usize) {
