serving: a crash accuses runs that had ended, and needs no broken connection

Callers saw replicas crash on the same request again and again, and with each of them the sound requests that ran there. Evidence came from connections that broke while a VM waited on them. A run that ended by its caller or its deadline accused nothing, a replica without power or one that hangs was never taken for crashed, and an accepted connection cleared it: the kernel accepts, or another start at the same address does. A response without a length cleared its request though the crash of its replica had ended it.

A VM now watches each of its runs until its replica gives a sign of life that is clearly later than the end of the run. A replica that runs something, or ran it lately, and is silent is asked for its health or its report. A refused connection, another start that answers, or 0.6 s without an answer while other replicas are heard from is its crash, and all runs there are accused. Only an answer or data of that instance refutes it. Replicas that leave are not asked. While a check is unanswered, the replica gets nothing more, and an idempotent request that waits there goes to another one.

--- a/bench/benches/placement.rs
+++ b/bench/benches/placement.rs
@@ -42,6 +42,7 @@
     let service = Service {
         name: service.clone(),
         connections: 750,
+        health_path: None,
         engine: Some(engine),
     };
     Config {
--- a/lib/src/serving/decisions/crash_tracker/evidence.rs
+++ b/lib/src/serving/decisions/crash_tracker/evidence.rs
@@ -47,6 +47,10 @@
 pub(super) struct Crash {
     /// The runs of this VM, and when each broke off.
     local: Vec<(Moment, BrokenRun)>,
+    /// When this VM learnt of the last of them.
+    local_learnt: Moment,
+    /// Whether some of them did not break: the replica is taken to have crashed on them.
+    presumed: bool,
     /// Those of other VMs.
     remote: BTreeMap<VmName, ToldRuns>,
 }
@@ -55,11 +59,27 @@
     /// Adds a run of this VM that broke off at `at`. Returns whether it is its first one.
     pub(super) fn add_run(&mut self, at: Moment, run: BrokenRun) -> bool {
         let is_first = self.local.is_empty();
+        self.push_run(at, at, run);
+        is_first
+    }
+
+    /// Adds a run of this VM on which the replica is taken to have crashed by `at`.
+    pub(super) fn presume(&mut self, now: Moment, at: Moment, run: BrokenRun) {
+        self.push_run(now, at, run);
+        self.presumed = true;
+    }
+
+    fn push_run(&mut self, now: Moment, at: Moment, run: BrokenRun) {
         if self.local.len() >= MAX_RUNS {
             self.local.remove(0);
         }
         self.local.push((at, run));
-        is_first
+        self.local_learnt = now.max(self.local_learnt);
+    }
+
+    /// Returns whether data of the replica that arrives now shows that it did not crash.
+    pub(super) fn is_presumed(&self) -> bool {
+        self.presumed
     }
 
     /// Records what another VM tells of its runs, the last of which broke off at `at`.
@@ -84,6 +104,7 @@
     /// alive.
     pub(super) fn refute_local(&mut self, heard: Moment) {
         self.local.retain(|(at, _)| *at >= heard);
+        self.presumed &= !self.local.is_empty();
     }
 
     /// Drops the runs of another VM that broke off before `heard`, at which that VM found the
@@ -97,6 +118,7 @@
     /// Drops the runs that broke off clearly before `heard`, by the clock of another VM.
     pub(super) fn refute_earlier(&mut self, heard: Moment) {
         self.local.retain(|(at, _)| !is_refuted(*at, heard));
+        self.presumed &= !self.local.is_empty();
         self.remote.retain(|_, told| !is_refuted(told.at, heard));
     }
 
@@ -113,7 +135,12 @@
 
     /// Returns when the last run of this VM broke off; `None` if it has none there.
     pub(super) fn own_at(&self) -> Option<Moment> {
-        self.local.last().map(|(at, _)| *at)
+        self.local.iter().map(|(at, _)| *at).max()
+    }
+
+    /// Returns when this VM learnt of the last of its own runs.
+    pub(super) fn own_learnt(&self) -> Moment {
+        self.local_learnt
     }
 
     /// Returns the runs of this VM, and when each broke off.
@@ -124,7 +151,8 @@
     /// Returns when this VM learnt the last of it.
     pub(super) fn learnt(&self) -> Moment {
         let told = self.remote.values().map(|told| told.learnt);
-        told.chain(self.own_at()).max().unwrap_or(Moment(0))
+        let own = self.own_at().map(|_| self.local_learnt);
+        told.chain(own).max().unwrap_or(Moment(0))
     }
 
     /// Returns all runs, and when each broke off.
@@ -138,7 +166,10 @@
     pub(super) fn settled(&self, until: Moment) -> Option<SettledCrash<'_>> {
         // When the last run of each VM broke off, and when this VM learnt of that.
         let told = self.remote.values().map(|t| (t.at, t.learnt));
-        let ends = || told.clone().chain(self.own_at().map(|at| (at, at)));
+        let ends = || {
+            told.clone()
+                .chain(self.own_at().map(|at| (at, self.local_learnt)))
+        };
         let last = ends().map(|(at, _)| at).max()?;
         let latest = ends().filter(|(at, _)| !is_refuted(*at, last));
         let learnt = latest.map(|(_, learnt)| learnt).min()?;
--- a/lib/src/serving/decisions/crash_tracker/mod.rs
+++ b/lib/src/serving/decisions/crash_tracker/mod.rs
@@ -13,6 +13,7 @@
 mod feature;
 mod judge;
 mod requests;
+mod watch;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -21,6 +22,7 @@
 use blocks::Blocks;
 use evidence::CLOCK_ERROR;
 use evidence::Crash;
+use watch::Watch;
 
 use crate::ids::VmName;
 use crate::pool::Moment;
@@ -33,6 +35,7 @@
 pub use feature::Feature;
 pub use judge::Conviction;
 pub use requests::KnownCrashes;
+pub use watch::RunEnd;
 
 /// How long crashes and complete runs are remembered.
 const MEMORY: Span = Span::from_millis(600_000);
@@ -102,6 +105,10 @@
 #[derive(Debug, Default)]
 pub struct CrashTracker {
     crashes: BTreeMap<Instance, Crash>,
+    /// The runs of this VM on which their replicas may still crash.
+    watch: Watch,
+    /// Replicas that are being asked for a sign of life.
+    asked: BTreeSet<Instance>,
     /// Replicas that were taken for crashed and have been heard from since, and when.
     alive: BTreeMap<Instance, Moment>,
     /// The same by what other VMs tell.
@@ -127,6 +134,116 @@
         self.crash(now, replica).add_run(now, run)
     }
 
+    /// Records that a run is sent to a replica now.
+    pub fn begin_run(&mut self, replica: &Instance, id: u64, run: BrokenRun) {
+        self.watch.begin(replica, id, run);
+    }
+
+    /// Records how a run ended, unless its connection broke; the first end counts.
+    pub fn end_run(&mut self, now: Moment, replica: &Instance, id: u64, end: RunEnd) {
+        self.watch.end(now, replica, id, end);
+    }
+
+    /// Records that the connection of a run broke, and that its replica may have crashed. Returns
+    /// whether this VM had no broken run there since it last heard from the replica.
+    pub fn break_run(&mut self, now: Moment, replica: &Instance, id: u64, run: BrokenRun) -> bool {
+        let known = self.watch.take(replica, id) && self.is_accused(replica);
+        !known && self.accuse(now, replica, run)
+    }
+
+    /// Records that data of a replica arrived, which was not sent before a crash that was taken
+    /// to have happened earlier. Returns the blocked features of runs that this shows to be
+    /// complete.
+    pub fn hear(&mut self, now: Moment, replica: &Instance) -> Vec<Feature> {
+        let presumed = self.crashes.get(replica).is_some_and(Crash::is_presumed);
+        if presumed {
+            self.record_alive(replica, now);
+        }
+        self.confirm_runs(now, replica)
+    }
+
+    /// Records that a replica answered what it was asked at `asked`. Returns the blocked features
+    /// of runs that this shows to be complete.
+    pub fn record_answer(&mut self, asked: Moment, replica: &Instance) -> Vec<Feature> {
+        if self.crashes.contains_key(replica) {
+            self.record_alive(replica, asked);
+        }
+        self.confirm_runs(asked, replica)
+    }
+
+    fn confirm_runs(&mut self, at: Moment, replica: &Instance) -> Vec<Feature> {
+        let complete = self.watch.hear(replica, at);
+        let complete = complete.into_iter();
+        complete
+            .flat_map(|run| self.complete(at, &run.features))
+            .collect()
+    }
+
+    /// Records that a replica has crashed by `at`, though not all connections to it broke. All
+    /// runs are accused that were under way there, or had ended shortly before. Returns how
+    /// many there are.
+    ///
+    /// ```
+    /// use banyangauge::ids::Fingerprint;
+    /// use banyangauge::pool::Moment;
+    /// use banyangauge::serving::{BrokenRun, CrashTracker, Feature, Instance, RunEnd};
+    /// let mut tracker = CrashTracker::default();
+    /// let replica = Instance { name: "i-1".parse().unwrap(), started_ms: 0 };
+    /// let features = Feature::of_request(Fingerprint(7), &[]);
+    /// let run = BrokenRun { sent: Moment(0), features: features.clone() };
+    /// tracker.begin_run(&replica, 1, run);
+    /// // The caller leaves before the replica crashes.
+    /// tracker.end_run(Moment(50_000), &replica, 1, RunEnd::Open);
+    /// assert_eq!(tracker.record_dead(Moment(600_000), &replica, Moment(600_000)), 1);
+    /// assert_eq!(tracker.request_crashes(Moment(600_000), &features), 1);
+    /// ```
+    pub fn record_dead(&mut self, now: Moment, replica: &Instance, at: Moment) -> usize {
+        let runs = self.watch.accuse(replica);
+        let count = runs.len();
+        for run in runs {
+            self.record_trial(&run, at);
+            self.crash(now, replica).presume(now, at, run);
+        }
+        count
+    }
+
+    /// Returns whether a replica is taken for crashed on a run of this VM that did not break.
+    pub fn is_accused_run(&self, replica: &Instance, id: u64) -> bool {
+        self.watch.is_accused(replica, id)
+    }
+
+    /// Returns the replicas that must be asked for a sign of life: they ran something and have
+    /// given none since.
+    pub fn due_replicas(&mut self, now: Moment) -> Vec<Instance> {
+        self.watch.due(now)
+    }
+
+    /// Returns whether a replica must be asked for a sign of life, or is accused.
+    pub fn is_suspected(&self, now: Moment, replica: &Instance) -> bool {
+        self.is_accused(replica) || self.watch.is_due(now, replica)
+    }
+
+    /// Returns whether this VM has heard nothing from a replica since `since`, but from another
+    /// one.
+    pub fn is_silent(&self, replica: &Instance, since: Moment) -> bool {
+        self.watch.is_silent(replica, since)
+    }
+
+    /// Records that a replica is asked for a sign of life. Returns whether it was not before.
+    pub fn begin_check(&mut self, replica: &Instance) -> bool {
+        self.asked.insert(replica.clone())
+    }
+
+    /// Records that a replica is no longer asked for a sign of life.
+    pub fn end_check(&mut self, replica: &Instance) {
+        self.asked.remove(replica);
+    }
+
+    /// Forgets the runs that ended at a replica that leaves as planned.
+    pub fn excuse(&mut self, replica: &Instance) {
+        self.watch.forget_ended(replica);
+    }
+
     /// Records what another VM tells of a replica: the runs that have broken off since it last
     /// heard from it, the last one at `at`.
     pub fn learn(
@@ -194,6 +311,9 @@
             crash.refute_earlier(at);
         }
         self.remove_unfounded(replica);
+        if !self.is_accused(replica) {
+            self.watch.acquit(replica);
+        }
         note_heard(&mut self.alive, replica, at);
     }
 
@@ -387,8 +507,9 @@
         let is_recent = |at: Moment| now.since(at) < REPORT_TTL;
         let mut report = CrashReport::default();
         let own = self.crashes.iter();
+        let own = own.filter(|(_, crash)| is_recent(crash.own_learnt()));
         let own = own.filter_map(|(replica, crash)| Some((crash.own_at()?, replica, crash)));
-        let mut newest: Vec<_> = own.filter(|(at, ..)| is_recent(*at)).collect();
+        let mut newest: Vec<_> = own.collect();
         newest.sort_by_key(|(at, ..)| std::cmp::Reverse(*at));
         let mut room = MAX_REPORTED;
         for (at, replica, crash) in newest {
--- a/lib/src/serving/decisions/fleet/health.rs
+++ b/lib/src/serving/decisions/fleet/health.rs
@@ -6,6 +6,7 @@
 use crate::ids::ReplicaName;
 use crate::pool::Moment;
 use crate::pool::Span;
+use crate::serving::path::types::Instance;
 
 /// Back-off after a replica's first failure; it doubles with each further one.
 const MIN_BACKOFF: Span = Span::from_millis(200);
@@ -21,6 +22,10 @@
 /// as long for its first byte. The longest prompt is prefilled within it.
 const UNRESPONSIVE_AFTER: Span = Span::from_millis(1_500);
 
+/// How long a replica gets no requests that does not answer a check. While it is silent it is
+/// checked again sooner.
+const UNANSWERED_BACKOFF: Span = Span::from_millis(1_200);
+
 /// Weight of the newest outcome in the failure rate.
 const OUTCOME_WEIGHT: f64 = 0.15;
 
@@ -172,6 +177,19 @@
         }
     }
 
+    /// Records whether a replica answers a check of whether it is alive.
+    pub fn record_check(&mut self, now: Moment, replica: &Instance, answers: bool) {
+        let r = self.replicas.get_mut(&replica.name);
+        let Some(r) = r.filter(|r| r.listing.instance() == *replica) else {
+            return;
+        };
+        let until = &mut r.health.backoff_until;
+        *until = match answers {
+            true => now.min(*until),
+            false => now.after(UNANSWERED_BACKOFF).max(*until),
+        };
+    }
+
     /// Returns the state of a replica for the log.
     ///
     /// Operators read these texts in the log, so they stay the same when a field or
--- a/lib/src/serving/mod.rs
+++ b/lib/src/serving/mod.rs
@@ -59,6 +59,7 @@
 pub use decisions::crash_tracker::CrashTracker;
 pub use decisions::crash_tracker::Feature;
 pub use decisions::crash_tracker::KnownCrashes;
+pub use decisions::crash_tracker::RunEnd;
 pub use decisions::fetch_limiter::FetchLimiter;
 pub use decisions::fetch_limiter::LoadDurations;
 pub use decisions::fleet::*;
--- a/lib/src/serving/path/codec.rs
+++ b/lib/src/serving/path/codec.rs
@@ -182,6 +182,12 @@
     pub parse_order_outcome: fn(StatusCode) -> OrderOutcome,
     /// Encodes a request for the status report of the named replica.
     pub encode_report_request: fn(&ReplicaName) -> Result<Request<BodyChunks>, BadRecord>,
+    /// Encodes a request that a replica answers by itself, without running anything, given the
+    /// health path of its service.
+    pub encode_health_request: fn(&str, &ReplicaName) -> Result<Request<BodyChunks>, BadRecord>,
+    /// Returns whether a response to such a request, or to one for a status report, is that of the
+    /// named replica, as opposed to another start at its address.
+    pub is_from_replica: fn(StatusCode, &HeaderMap, &ReplicaName) -> bool,
     /// Parses a replica's status report.
     pub parse_report: fn(&[u8]) -> Result<ReplicaReport, BadRecord>,
 }
--- a/lib/src/serving/path/crashes.rs
+++ b/lib/src/serving/path/crashes.rs
@@ -1,12 +1,19 @@
 //! Finds out which requests crash their replicas, and refuses them.
 
+use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
+use hyper::Request;
+
+use crate::pool::Moment;
 use crate::pool::Span;
 use crate::serving::cluster::state::NodeState;
 use crate::serving::decisions::crash_tracker::BrokenRun;
 use crate::serving::decisions::crash_tracker::Conviction;
+use crate::serving::decisions::crash_tracker::Feature;
+use crate::serving::decisions::fleet::RunOutcome;
 use crate::serving::decisions::retry::AttemptFailure;
 use crate::serving::decisions::retry::CRASHES_UPSTREAMS;
 use crate::serving::decisions::retry::RETRY_DELAY;
@@ -17,6 +24,8 @@
 use crate::serving::program::node::Node;
 use crate::serving::program::node::now;
 use crate::serving::store::blocks::log_lifted;
+use crate::upstream::BodyChunks;
+use crate::upstream::SendError;
 
 /// Interval at which crashes are judged, while there are any to judge.
 const CHECK_INTERVAL: Duration = Duration::from_millis(200);
@@ -25,12 +34,20 @@
 /// within the first, and what clears features within the next.
 const SETTLE_INTERVALS: u64 = 3;
 
-/// Time from a broken run to the probe that tells a crashed replica from a connection that
-/// was reset.
-const PROBE_DELAY: Duration = Duration::from_millis(100);
+/// Time from a broken run until its replica is asked for a sign of life, and between two
+/// questions.
+const CHECK_DELAY: Duration = Duration::from_millis(100);
+
+/// For how long a replica is asked at most.
+const CHECK_TTL: Span = Span::from_millis(10_000);
 
-/// How long the connection of the probe must stay open.
-const PROBE_TIME: Duration = Duration::from_millis(30);
+/// The silence after which a replica does not answer, in parts: a sound replica may say nothing for
+/// about a second, and is asked only after it has been silent for a while.
+const SILENCE_TICKS: u32 = 6;
+const SILENCE_TICK: Duration = Duration::from_millis(100);
+
+/// The part of it after which the replica gets no further requests until it answers.
+const AVOID_TICKS: u32 = 2;
 
 /// Refuses a request that holds a blocked feature.
 pub(in crate::serving) fn check_blocked(node: &Node, req: &BufferedRequest) -> Result<(), Refusal> {
@@ -100,7 +117,7 @@
     };
     let (is_new, counted) = {
         let tracker = &mut node.state().crash_tracker;
-        let is_new = tracker.accuse(now(), &replica, broken);
+        let is_new = tracker.break_run(now(), &replica, run.id, broken);
         (is_new, tracker.request_crashes(now(), &req.features))
     };
     let features: Vec<_> = req.features.iter().map(ToString::to_string).collect();
@@ -111,36 +128,200 @@
     metrics::counter!("serve_broken_runs_total").increment(1);
     if is_new {
         node.crash_wake.notify_one();
-        tokio::task::spawn_local(probe(node.clone(), replica));
+        if let Standing::Listed(address) = standing(node, &replica) {
+            begin_check(node, replica, address, CHECK_DELAY);
+        }
     }
 }
 
-/// Takes a replica for alive if it accepts a connection after it broke off runs. Runs that broke
-/// off meanwhile need another probe.
-async fn probe(node: Rc<Node>, replica: Instance) {
-    while node.state().crash_tracker.is_accused(&replica) {
-        tokio::time::sleep(PROBE_DELAY).await;
-        let address = {
-            let state = node.state();
-            let info = state.fleet.replica_info(&replica.name);
-            info.filter(|i| i.instance() == replica).map(|i| i.address)
-        };
-        let begun = now();
-        match address {
-            Some(address) if node.upstreams.probe(address, PROBE_TIME).await => {
-                node.state().crash_tracker.record_alive(&replica, begun);
-                slog::info!(node.log, "replica did not crash"; "replica" => replica.name.as_str());
+/// What the list of replicas says of one start of a replica.
+enum Standing {
+    /// It is listed, at this address.
+    Listed(SocketAddr),
+    /// Another start is listed in its place.
+    Replaced,
+    /// It leaves, or is not listed any more.
+    Leaving,
+}
+
+fn standing(node: &Node, replica: &Instance) -> Standing {
+    let state = node.state();
+    match state.fleet.replica_info(&replica.name) {
+        Some(info) if info.instance() != *replica => Standing::Replaced,
+        Some(info) if !info.draining => Standing::Listed(info.address),
+        _ => Standing::Leaving,
+    }
+}
+
+/// Records that another start of a replica answered at the address at which one is listed.
+pub(in crate::serving) fn record_replaced(node: &Node, run: &Run) {
+    let replica = run.instance();
+    if let Standing::Listed(_) = standing(node, &replica) {
+        record_dead(node, &replica, run.sent_at, "another start at its address");
+    }
+}
+
+/// Asks the replicas for a sign of life that ran something and have given none since.
+pub(in crate::serving) fn check_replicas(node: &Rc<Node>) {
+    let due = node.state().crash_tracker.due_replicas(now());
+    for replica in due {
+        match standing(node, &replica) {
+            Standing::Listed(address) => begin_check(node, replica, address, Duration::ZERO),
+            Standing::Replaced => record_dead(node, &replica, now(), "replaced"),
+            Standing::Leaving => node.state().crash_tracker.excuse(&replica),
+        }
+    }
+}
+
+fn begin_check(node: &Rc<Node>, replica: Instance, address: SocketAddr, delay: Duration) {
+    if node.state().crash_tracker.begin_check(&replica) {
+        let node = node.clone();
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep(delay).await;
+            check(&node, &replica, address).await;
+            node.state().crash_tracker.end_check(&replica);
+        });
+    }
+}
+
+/// Asks a replica for a sign of life until it gives one, or is known to be dead. That its address
+/// accepts a connection is none: the system accepts for a process that hangs, and another start of
+/// the replica may be there.
+async fn check(node: &Node, replica: &Instance, address: SocketAddr) {
+    let begun = now();
+    while now().since(begun) < CHECK_TTL && node.state().crash_tracker.is_suspected(now(), replica)
+    {
+        let asked = now();
+        match ask(node, replica, address).await {
+            Sign::Alive => {
+                let (lifted, was_accused) = {
+                    let tracker = &mut node.state().crash_tracker;
+                    let was_accused = tracker.is_accused(replica);
+                    (tracker.record_answer(asked, replica), was_accused)
+                };
+                record_lifted(node, &lifted);
+                node.state().fleet.record_check(now(), replica, true);
+                if was_accused {
+                    slog::info!(node.log, "replica did not crash"; "replica" => replica.name.as_str());
+                }
             }
-            _ => return,
+            Sign::Dead(evidence) => return record_dead(node, replica, asked, evidence),
+            Sign::Silent => {
+                if node.state().crash_tracker.is_silent(replica, asked) {
+                    // It goes on being asked: a sign of life refutes this.
+                    record_dead(node, replica, asked, "silent");
+                }
+            }
+        }
+        tokio::time::sleep(CHECK_DELAY).await;
+    }
+}
+
+/// What a replica that is asked for a sign of life does.
+enum Sign {
+    Alive,
+    /// It is not there any more; holds what shows this.
+    Dead(&'static str),
+    /// It says nothing, or its address resets connections as an overloaded replica may.
+    Silent,
+}
+
+async fn ask(node: &Node, replica: &Instance, address: SocketAddr) -> Sign {
+    let Some(request) = encode_check(node, replica) else {
+        return Sign::Silent;
+    };
+    let mut sent = pin!(node.upstreams.send(address, request));
+    let mut is_reset = false;
+    // Time for which this VM stood still is no silence of the replica.
+    for tick in 0..SILENCE_TICKS {
+        if tick == AVOID_TICKS {
+            node.state().fleet.record_check(now(), replica, false);
+        }
+        tokio::select! {
+            biased;
+            answer = &mut sent, if !is_reset => match answer {
+                Ok(answer) => {
+                    let is_from = node.codec.is_from_replica;
+                    let head = &answer.head;
+                    return match is_from(head.status, &head.headers, &replica.name) {
+                        true => Sign::Alive,
+                        false => Sign::Dead("another start at its address"),
+                    };
+                }
+                Err(SendError::NotSent(_)) => return Sign::Dead("connection refused"),
+                Err(SendError::Broken(_)) => is_reset = true,
+            },
+            () = tokio::time::sleep(SILENCE_TICK) => {}
+        }
+    }
+    Sign::Silent
+}
+
+/// Encodes what a replica is asked for a sign of life. Engines answer for a status report without
+/// a slot, others for their health.
+fn encode_check(node: &Node, replica: &Instance) -> Option<Request<BodyChunks>> {
+    let path = {
+        let state = node.state();
+        let service = &state.fleet.replica_info(&replica.name)?.service;
+        let config = &state.active.as_ref()?.config;
+        let service = config.services.get(service);
+        let service = service.filter(|s| s.engine.is_none());
+        service.and_then(|s| s.health_path.clone())
+    };
+    let request = match path {
+        Some(path) => (node.codec.encode_health_request)(&path, &replica.name),
+        None => (node.codec.encode_report_request)(&replica.name),
+    };
+    match request {
+        Ok(request) => Some(request),
+        Err(e) => {
+            slog::warn!(node.log, "check of a replica could not be encoded"; "error" => %e);
+            None
+        }
+    }
+}
+
+/// Records that a replica had crashed by `at`, though not all connections to it broke.
+fn record_dead(node: &Node, replica: &Instance, at: Moment, evidence: &'static str) {
+    let runs = {
+        let mut state = node.state();
+        if state.fleet.is_current(replica) {
+            let outcome = RunOutcome::Unreached;
+            state.fleet.record_outcome(now(), &replica.name, outcome);
         }
+        state.crash_tracker.record_dead(now(), replica, at)
+    };
+    if runs > 0 {
+        slog::info!(node.log, "replica taken for crashed"; "replica" => replica.name.as_str(),
+            "born" => replica.started_ms, "evidence" => evidence, "runs" => runs,
+            "known_ms" => now().since(at).as_millis());
+        metrics::counter!("serve_presumed_crashes_total", "evidence" => evidence).increment(1);
+        node.crash_wake.notify_one();
+        node.dead_wake.notify_waiters();
+    }
+}
+
+/// Waits until the replica is taken for crashed that executes a run.
+pub(in crate::serving) async fn until_dead(node: &Node, replica: &Instance, run: u64) {
+    loop {
+        let woken = node.dead_wake.notified();
+        if node.state().crash_tracker.is_accused_run(replica, run) {
+            return;
+        }
+        woken.await;
     }
 }
 
 /// Records that the response to a request was complete.
 pub(in crate::serving) fn record_complete(node: &Node, req: &BufferedRequest) {
     let lifted = node.state().crash_tracker.complete(now(), &req.features);
+    record_lifted(node, &lifted);
+}
+
+/// Logs the blocks that ended, and has the store remove them.
+pub(in crate::serving) fn record_lifted(node: &Node, lifted: &[Feature]) {
     for feature in lifted {
-        log_lifted(node, feature, node.settings.vm.as_str());
+        log_lifted(node, *feature, node.settings.vm.as_str());
         node.blocks_wake.notify_one();
     }
 }
--- a/lib/src/serving/path/forward.rs
+++ b/lib/src/serving/path/forward.rs
@@ -1,6 +1,7 @@
 //! Sends a request to a replica and classifies the response.
 
 use std::cell::Cell;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -8,6 +9,7 @@
 use hyper::HeaderMap;
 use hyper::Method;
 use hyper::Request;
+use hyper::StatusCode;
 use hyper::Uri;
 use hyper::header::CONNECTION;
 use hyper::header::CONTENT_LENGTH;
@@ -24,7 +26,9 @@
 use crate::ids::ReplicaName;
 use crate::ids::ServiceName;
 use crate::pool::Moment;
+use crate::serving::decisions::crash_tracker::BrokenRun;
 use crate::serving::decisions::crash_tracker::Feature;
+use crate::serving::decisions::crash_tracker::RunEnd;
 use crate::serving::decisions::fleet::Load;
 use crate::serving::decisions::fleet::Observation;
 use crate::serving::decisions::fleet::PromptQueue;
@@ -41,6 +45,9 @@
 use crate::serving::path::crashes::check_send;
 use crate::serving::path::crashes::log_known_crashes;
 use crate::serving::path::crashes::record_break;
+use crate::serving::path::crashes::record_lifted;
+use crate::serving::path::crashes::record_replaced;
+use crate::serving::path::crashes::until_dead;
 use crate::serving::path::limit;
 use crate::serving::path::placement::Placed;
 use crate::serving::path::prefill::PrefillTurn;
@@ -135,7 +142,7 @@
     pub(in crate::serving) keeping: Option<JoinHandle<Kept>>,
     target: Option<Target>,
     cost: Load,
-    id: u64,
+    pub(in crate::serving) id: u64,
     /// When the request was sent to the replica.
     pub(in crate::serving) sent_at: Moment,
     /// Whether it was sent, and no end of it is known yet.
@@ -250,6 +257,14 @@
         self.cost.prefill = 0;
     }
 
+    /// Records that the replica that executes the run is alive, as opposed to another start at
+    /// its address.
+    pub(in crate::serving) fn record_sign(&self) {
+        let instance = self.instance();
+        let lifted = self.node.state().crash_tracker.hear(now(), &instance);
+        record_lifted(&self.node, &lifted);
+    }
+
     /// Records how the run ended, which counts towards the replica's health.
     pub(in crate::serving) fn record_end(&self, end: RunOutcome) {
         self.pending.set(false);
@@ -259,6 +274,24 @@
         }
     }
 
+    /// Records that the request is sent now, from when on its replica may crash on it.
+    fn begin_sent(&mut self, req: &BufferedRequest) {
+        self.sent_at = now();
+        self.pending.set(true);
+        let run = BrokenRun {
+            sent: self.sent_at,
+            features: req.features.clone(),
+        };
+        let tracker = &mut self.node.state().crash_tracker;
+        tracker.begin_run(&self.instance(), self.id, run);
+    }
+
+    /// Records how the run ended, which says whether its replica may still crash on it.
+    pub(in crate::serving) fn close(&self, end: RunEnd) {
+        let tracker = &mut self.node.state().crash_tracker;
+        tracker.end_run(now(), &self.instance(), self.id, end);
+    }
+
     /// Returns the incarnation of the replica that executes the run.
     pub(in crate::serving) fn instance(&self) -> Instance {
         Instance {
@@ -276,6 +309,7 @@
                 "ran_ms" => now().since(self.sent_at).as_millis());
             metrics::counter!("serve_runs_given_up_total").increment(1);
         }
+        self.close(RunEnd::Open);
         let mut state = self.node.state();
         state.end_run(&self.instance(), self.target.as_ref(), self.cost);
         if !self.responded {
@@ -294,6 +328,8 @@
     pub(in crate::serving) run: Run,
     /// Whether the response says that the replica failed.
     pub(in crate::serving) failed: bool,
+    /// Whether the response ends with its connection, which may be the crash of the replica.
+    pub(in crate::serving) unframed: bool,
 }
 
 /// The part of a response that the caller already has, when another replica continues it.
@@ -340,9 +376,8 @@
     stop::check_send(node, route, req.deadline)?;
     check_send(node, req)?;
     log_known_crashes(node, req, &run);
-    run.sent_at = now();
+    run.begin_sent(req);
     log_send(node, req, &run);
-    run.pending.set(true);
     let sent = req
         .urgency
         .map(|u| urgency_when_sent(u, now(), req.objective));
@@ -364,11 +399,21 @@
         run.keeping = begin_keeping(node, req, &run);
     }
     let earlier = req.trace.may_have_run.replace(true);
-    let sent = tokio::time::timeout(timeout, node.upstreams.send(address, request)).await;
+    let mut sending = pin!(node.upstreams.send(address, request));
+    let sent = tokio::select! {
+        biased;
+        sent = tokio::time::timeout(timeout, &mut sending) => sent,
+        // A replica that is dead answers no more; another one may do so in time.
+        () = until_dead(node, &instance, run.id), if route.idempotent() => {
+            run.record_end(RunOutcome::Broken);
+            return Err(AttemptFailure::Broken);
+        }
+    };
     let answer = match sent {
         Err(_) => return Err(AttemptFailure::TimedOut),
         Ok(Err(SendError::NotSent(_))) => {
             run.record_end(RunOutcome::Unreached);
+            run.close(RunEnd::Closed);
             probes::record_unreached(node, replica);
             send.inspect(|s| s.revert());
             req.trace.may_have_run.set(earlier);
@@ -392,6 +437,7 @@
     let classify = node.codec.classify_response;
     let reply = classify(answer.head.status, &answer.head.headers, &req.id, replica);
     if reply.is_of_replica() {
+        run.record_sign();
         let mut state = node.state();
         let tracker = &mut state.crash_tracker;
         tracker.record_heard(now(), &instance, run.sent_at);
@@ -399,19 +445,23 @@
     if matches!(reply, ReplicaReply::Answer | ReplicaReply::Failed) {
         node.state().fleet.record_accepted(now(), replica);
     }
+    let unframed = is_unframed(&req.method, &answer);
     match reply {
         ReplicaReply::Answer => Ok(StartedResponse {
             answer,
             run,
             failed: false,
+            unframed,
         }),
         ReplicaReply::Failed => Ok(StartedResponse {
             answer,
             run,
             failed: true,
+            unframed,
         }),
         ReplicaReply::NotRun(reason) => {
             send.inspect(|s| s.revert());
+            run.close(RunEnd::Closed);
             req.trace.may_have_run.set(earlier);
             record_refusal(node, req, &run, reason);
             Err(AttemptFailure::NotRun(reason))
@@ -423,6 +473,17 @@
     }
 }
 
+/// Returns whether the end of a response is that of its connection.
+fn is_unframed(method: &Method, answer: &UpstreamResponse) -> bool {
+    let headers = &answer.head.headers;
+    let framed = headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
+    let empty = matches!(
+        answer.head.status,
+        StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
+    );
+    !framed && !empty && method != Method::HEAD
+}
+
 /// Logs a send that says more than that of a first attempt: a retry, with the time since the budget
 /// granted it, and any send of a process that stops.
 fn log_send(node: &Node, req: &BufferedRequest, run: &Run) {
@@ -475,7 +536,10 @@
 /// Records that a replica did not run the request, and why.
 fn record_refusal(node: &Node, req: &BufferedRequest, run: &Run, reason: NotRun) {
     match reason {
-        NotRun::Gone => run.record_end(RunOutcome::Gone),
+        NotRun::Gone => {
+            run.record_end(RunOutcome::Gone);
+            record_replaced(node, run);
+        }
         NotRun::Full => run.record_end(RunOutcome::Full),
         NotRun::NotLoaded => {
             if let Some(target) = &req.target {
--- a/lib/src/serving/path/probes.rs
+++ b/lib/src/serving/path/probes.rs
@@ -7,6 +7,7 @@
 use crate::ids::ReplicaName;
 use crate::ids::ServiceName;
 use crate::serving::decisions::reachability::SILENT_AFTER;
+use crate::serving::path::crashes::check_replicas;
 use crate::serving::program::node::Node;
 use crate::serving::program::node::now;
 
@@ -27,6 +28,7 @@
             silent.cloned().collect()
         };
         silent.iter().for_each(|r| record_unreached(&node, r));
+        check_replicas(&node);
         let unreachable: Vec<_> = {
             let state = node.state();
             let unreachable = state.reachability.unreachable();
--- a/lib/src/serving/path/response.rs
+++ b/lib/src/serving/path/response.rs
@@ -19,6 +19,7 @@
 use crate::ids::ReplicaName;
 use crate::pool::Moment;
 use crate::pool::Span;
+use crate::serving::decisions::crash_tracker::RunEnd;
 use crate::serving::decisions::fleet::RunOutcome;
 use crate::serving::decisions::retry::AttemptFailure;
 use crate::serving::decisions::retry::Attempts;
@@ -224,6 +225,7 @@
     fn accept_data(&mut self, bytes: Bytes) -> Result<Bytes, &'static str> {
         if let Some(started) = &mut self.response {
             started.run.on_data();
+            started.run.record_sign();
             // Other responses arrive when they are complete.
             if self.events.is_some() && !started.failed {
                 started.run.on_event();
@@ -287,7 +289,12 @@
             let mut state = self.node.state();
             state.run_times.record(at, &self.routed.route.name, took);
             drop(state);
-            if started.answer.head.status.is_success() {
+            let end = match started.unframed {
+                true => RunEnd::Unframed,
+                false => RunEnd::Closed,
+            };
+            started.run.close(end);
+            if started.answer.head.status.is_success() && !started.unframed {
                 record_complete(&self.node, &self.request);
             }
             if let Some(stream) = self.request.stream {
--- a/lib/src/serving/path/serve.rs
+++ b/lib/src/serving/path/serve.rs
@@ -26,6 +26,7 @@
 use crate::pool::Span;
 use crate::serving::cluster::state::ActiveConfig;
 use crate::serving::decisions::crash_tracker::Feature;
+use crate::serving::decisions::crash_tracker::RunEnd;
 use crate::serving::decisions::fleet::Load;
 use crate::serving::decisions::fleet::RunOutcome;
 use crate::serving::decisions::retry::AttemptFailure;
@@ -422,6 +423,9 @@
             Ok(read) if started.failed && attempts.idempotent => {
                 complete = read;
                 started.run.record_end(RunOutcome::Failed);
+                if read && !started.unframed {
+                    started.run.close(RunEnd::Closed);
+                }
                 attempts.record_failure(AttemptFailure::Failed);
                 let earlier = std::mem::replace(&mut buffered, ReadAhead::new(node));
                 avoid.insert(started.run.replica.clone());
--- a/lib/src/serving/path/types.rs
+++ b/lib/src/serving/path/types.rs
@@ -213,6 +213,8 @@
     pub name: ServiceName,
     /// Maximum number of connections that one replica accepts.
     pub connections: u32,
+    /// Path at which its replicas say whether they are healthy.
+    pub health_path: Option<String>,
     /// Its inference engine; `None` for a service without models.
     pub engine: Option<Engine>,
 }
--- a/lib/src/serving/program/node.rs
+++ b/lib/src/serving/program/node.rs
@@ -122,6 +122,8 @@
     pub(in crate::serving) restore_wake: Notify,
     /// Wakes the task that judges crashes of replicas.
     pub(in crate::serving) crash_wake: Notify,
+    /// Notified when a replica is taken for crashed that did not break all its connections.
+    pub(in crate::serving) dead_wake: Notify,
     /// Wakes the task that keeps the blocked features in the store.
     pub(in crate::serving) blocks_wake: Notify,
     /// Wakes the task that keeps the ledger of builds in the store.
@@ -200,6 +202,7 @@
             catch_up_wake: Notify::new(),
             restore_wake: Notify::new(),
             crash_wake: Notify::new(),
+            dead_wake: Notify::new(),
             blocks_wake: Notify::new(),
             ledger_wake: Notify::new(),
             streams_wake: Notify::new(),
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -38,6 +38,7 @@
 mod test_serving_build_ledger;
 mod test_serving_crash_search;
 mod test_serving_crash_tracker;
+mod test_serving_crash_watch;
 mod test_serving_experiment;
 mod test_serving_feed;
 mod test_serving_feed_late;
--- a/lib/tests/test_serving_place.rs
+++ b/lib/tests/test_serving_place.rs
@@ -75,6 +75,7 @@
         let service = Service {
             name: name.clone(),
             connections: 100,
+            health_path: None,
             engine,
         };
         (name, service)
--- a/lib/tests/test_serving_urgency.rs
+++ b/lib/tests/test_serving_urgency.rs
@@ -21,6 +21,7 @@
     Service {
         name: name.parse().unwrap(),
         connections: 9,
+        health_path: None,
         engine: engine.then(|| Engine {
             slots: 8,
             kv_tokens: 1_000,
