serving: a refusal for want of an adapter to a request that names none is another start's

A replica that starts at the address of a crashed one refuses what is meant for that one with 421. Without its name on the response, VMs took that for an adapter that is not loaded, and sent sound requests there for as long as the old entry was listed.

--- a/lib/src/serving/path/forward.rs
+++ b/lib/src/serving/path/forward.rs
@@ -460,6 +460,11 @@
             unframed,
         }),
         ReplicaReply::NotRun(reason) => {
+            let reason = match reason {
+                // What names no adapter is refused so only by another start at the address.
+                NotRun::NotLoaded if req.target.is_none() => NotRun::Gone,
+                reason => reason,
+            };
             send.inspect(|s| s.revert());
             run.close(RunEnd::Closed);
             req.trace.may_have_run.set(earlier);
