serving: a presumed crash is dated by its runs, and needs no other replica that lives

A run that ended dates the crash by its end, one under way by when its silence began. A VM that hears from other VMs counts a silence as well: they refute it if they hear from the replica.

--- a/lib/src/serving/cluster/members.rs
+++ b/lib/src/serving/cluster/members.rs
@@ -351,6 +351,11 @@
         Some((beacon.incarnation, beacon.sent, beacon.received_at))
     }
 
+    /// Returns whether a beacon of any VM was received since `since`.
+    pub fn hears_any(&self, since: Moment) -> bool {
+        self.beacons.values().any(|b| b.received_at >= since)
+    }
+
     /// Returns the VMs whose last beacon was received within `span`: name,
     /// incarnation, when it was sent (on the sender's clock) and when it was
     /// received (on ours).
--- a/lib/src/serving/decisions/crash_tracker/mod.rs
+++ b/lib/src/serving/decisions/crash_tracker/mod.rs
@@ -198,11 +198,11 @@
     /// assert_eq!(tracker.request_crashes(Moment(600_000), &features), 1);
     /// ```
     pub fn record_dead(&mut self, now: Moment, replica: &Instance, at: Moment) -> usize {
-        let runs = self.watch.accuse(replica);
+        let runs = self.watch.accuse(replica, at);
         let count = runs.len();
-        for run in runs {
-            self.record_trial(&run, at);
-            self.crash(now, replica).presume(now, at, run);
+        for (earliest, run) in runs {
+            self.record_trial(&run, earliest);
+            self.crash(now, replica).presume(now, earliest, run);
         }
         count
     }
@@ -223,10 +223,12 @@
         self.is_accused(replica) || self.watch.is_due(now, replica)
     }
 
-    /// Returns whether this VM has heard nothing from a replica since `since`, but from another
-    /// one.
-    pub fn is_silent(&self, replica: &Instance, since: Moment) -> bool {
-        self.watch.is_silent(replica, since)
+    /// Returns whether this VM has heard nothing from a replica since `since`, though it is in
+    /// touch: it hears from another replica, or `hears_peers`. Those would refute a crash that is
+    /// none; a VM that hears from nobody may be cut off itself.
+    pub fn is_silent(&self, replica: &Instance, since: Moment, hears_peers: bool) -> bool {
+        let in_touch = hears_peers || self.watch.hears_any(since);
+        in_touch && self.watch.is_silent(replica, since)
     }
 
     /// Records that a replica is asked for a sign of life. Returns whether it was not before.
--- a/lib/src/serving/decisions/crash_tracker/watch.rs
+++ b/lib/src/serving/decisions/crash_tracker/watch.rs
@@ -152,13 +152,17 @@
         }
     }
 
-    /// Records that a replica is taken for crashed. Returns the runs that it may have crashed on.
-    pub(super) fn accuse(&mut self, replica: &Instance) -> Vec<BrokenRun> {
+    /// Records that a replica has crashed by `at`. Returns the runs that it may have crashed on,
+    /// each with the earliest time of that crash.
+    pub(super) fn accuse(&mut self, replica: &Instance, at: Moment) -> Vec<(Moment, BrokenRun)> {
+        let silent_at = Moment(at.0.saturating_sub(QUIET.0));
         let runs = self.0.get_mut(replica).map(|watched| &mut watched.runs);
         let runs = runs.into_iter().flat_map(BTreeMap::values_mut);
         let open = runs.filter(|run| !run.accused).map(|run| {
             run.accused = true;
-            run.run.clone()
+            let ended = run.ended.map(|(ended, _)| ended);
+            let earliest = ended.unwrap_or(silent_at.max(run.run.sent));
+            (earliest, run.run.clone())
         });
         open.collect()
     }
@@ -206,11 +210,14 @@
         }
     }
 
-    /// Returns whether this VM has heard nothing from a replica since `since`, but from another
-    /// one: a VM that hears from none may be cut off.
+    /// Returns whether this VM has heard nothing from a replica since `since`.
     pub(super) fn is_silent(&self, replica: &Instance, since: Moment) -> bool {
-        let hears = |watched: &WatchedReplica| watched.heard >= since;
-        let mut others = self.0.iter().filter(|(other, _)| *other != replica);
-        !self.0.get(replica).is_some_and(hears) && others.any(|(_, watched)| hears(watched))
+        let watched = self.0.get(replica);
+        watched.is_none_or(|watched| watched.heard < since)
+    }
+
+    /// Returns whether this VM has heard from any replica since `since`.
+    pub(super) fn hears_any(&self, since: Moment) -> bool {
+        self.0.values().any(|watched| watched.heard >= since)
     }
 }
--- a/lib/src/serving/path/crashes.rs
+++ b/lib/src/serving/path/crashes.rs
@@ -207,7 +207,12 @@
             }
             Sign::Dead(evidence) => return record_dead(node, replica, asked, evidence),
             Sign::Silent => {
-                if node.state().crash_tracker.is_silent(replica, asked) {
+                let is_silent = {
+                    let state = node.state();
+                    let hears_peers = state.members.hears_any(asked);
+                    state.crash_tracker.is_silent(replica, asked, hears_peers)
+                };
+                if is_silent {
                     // It goes on being asked: a sign of life refutes this.
                     record_dead(node, replica, asked, "silent");
                 }
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -36,6 +36,7 @@
 mod test_serving_adapter_planner;
 mod test_serving_body_room;
 mod test_serving_build_ledger;
+mod test_serving_crash_forms_search;
 mod test_serving_crash_search;
 mod test_serving_crash_tracker;
 mod test_serving_crash_watch;
--- a/lib/tests/test_serving_crash_watch.rs
+++ b/lib/tests/test_serving_crash_watch.rs
@@ -45,7 +45,10 @@
     let (mut tracker, replica, features) = watched();
     tracker.end_run(at(50), &replica, 1, RunEnd::Open);
     assert!(tracker.due_replicas(at(400)).is_empty());
-    assert_eq!(tracker.due_replicas(at(560)), [replica.clone()]);
+    assert_eq!(
+        tracker.due_replicas(at(560)),
+        std::slice::from_ref(&replica)
+    );
     assert_eq!(tracker.record_dead(at(570), &replica, at(560)), 1);
     assert_eq!(tracker.request_crashes(at(570), &features), 1);
 }
@@ -106,7 +109,7 @@
     assert_eq!(known.map(|k| (k.crashes, k.runs)), Some((1, 1)));
 }
 
-/// A VM that hears from no replica may be cut off itself.
+/// A VM that hears from nobody may be cut off itself.
 #[rstest]
 #[case::only_replica(None, false)]
 #[case::other_silent(Some(500), false)]
@@ -117,9 +120,10 @@
         tracker.begin_run(&self::replica(2), 2, run(0));
         tracker.hear(at(heard), &self::replica(2));
     }
-    assert_eq!(tracker.is_silent(&replica, at(600)), silent);
+    assert_eq!(tracker.is_silent(&replica, at(600), false), silent);
+    assert!(tracker.is_silent(&replica, at(600), true));
     tracker.hear(at(650), &replica);
-    assert!(!tracker.is_silent(&replica, at(600)));
+    assert!(!tracker.is_silent(&replica, at(600), true));
 }
 
 /// Replicas that run something and say nothing are asked, at most once a second.
@@ -127,14 +131,17 @@
 fn quiet_replica_is_due_within_a_second() {
     let (mut tracker, replica, _) = watched();
     assert!(tracker.due_replicas(at(499)).is_empty());
-    assert_eq!(tracker.due_replicas(at(500)), [replica.clone()]);
+    assert_eq!(
+        tracker.due_replicas(at(500)),
+        std::slice::from_ref(&replica)
+    );
     for second in 0..5 {
         let answered = 700 + 1_000 * second;
         tracker.record_answer(at(answered), &replica);
         assert!(tracker.due_replicas(at(answered + 499)).is_empty());
         assert_eq!(
             tracker.due_replicas(at(answered + 1_000)),
-            [replica.clone()]
+            std::slice::from_ref(&replica)
         );
     }
 }
