--- a/lib/src/serving/path/crashes.rs
+++ b/lib/src/serving/path/crashes.rs
@@ -49,6 +49,9 @@
 /// The part of it after which the replica gets no further requests until it answers.
 const AVOID_TICKS: u32 = 2;
 
+/// Evidence of a crash: another start answers at the address.
+const OTHER_START: &str = "another start at its address";
+
 /// Refuses a request that holds a blocked feature.
 pub(in crate::serving) fn check_blocked(node: &Node, req: &BufferedRequest) -> Result<(), Refusal> {
     let blocked = node.state().find_block(now(), &req.features);
@@ -128,7 +131,7 @@
     metrics::counter!("serve_broken_runs_total").increment(1);
     if is_new {
         node.crash_wake.notify_one();
-        if let Standing::Listed(address) = standing(node, &replica) {
+        if let Standing::Listed(address) | Standing::Draining(address) = standing(node, &replica) {
             begin_check(node, replica, address, CHECK_DELAY);
         }
     }
@@ -140,16 +143,19 @@
     Listed(SocketAddr),
     /// Another start is listed in its place.
     Replaced,
-    /// It leaves, or is not listed any more.
-    Leaving,
+    /// It leaves as planned, from this address.
+    Draining(SocketAddr),
+    /// It is not listed any more.
+    Unlisted,
 }
 
 fn standing(node: &Node, replica: &Instance) -> Standing {
     let state = node.state();
     match state.fleet.replica_info(&replica.name) {
         Some(info) if info.instance() != *replica => Standing::Replaced,
-        Some(info) if !info.draining => Standing::Listed(info.address),
-        _ => Standing::Leaving,
+        Some(info) if info.draining => Standing::Draining(info.address),
+        Some(info) => Standing::Listed(info.address),
+        None => Standing::Unlisted,
     }
 }
 
@@ -157,7 +163,7 @@
 pub(in crate::serving) fn record_replaced(node: &Node, run: &Run) {
     let replica = run.instance();
     if let Standing::Listed(_) = standing(node, &replica) {
-        record_dead(node, &replica, run.sent_at, "another start at its address");
+        record_dead(node, &replica, run.sent_at, OTHER_START);
     }
 }
 
@@ -168,7 +174,9 @@
         match standing(node, &replica) {
             Standing::Listed(address) => begin_check(node, replica, address, Duration::ZERO),
             Standing::Replaced => record_dead(node, &replica, now(), "replaced"),
-            Standing::Leaving => node.state().crash_tracker.excuse(&replica),
+            Standing::Draining(_) | Standing::Unlisted => {
+                node.state().crash_tracker.excuse(&replica);
+            }
         }
     }
 }
@@ -176,9 +184,10 @@
 fn begin_check(node: &Rc<Node>, replica: Instance, address: SocketAddr, delay: Duration) {
     if node.state().crash_tracker.begin_check(&replica) {
         let node = node.clone();
+        let path = health_path(&node, &replica);
         tokio::task::spawn_local(async move {
             tokio::time::sleep(delay).await;
-            check(&node, &replica, address).await;
+            check(&node, &replica, address, path.as_deref()).await;
             node.state().crash_tracker.end_check(&replica);
         });
     }
@@ -187,12 +196,23 @@
 /// Asks a replica for a sign of life until it gives one, or is known to be dead. That its address
 /// accepts a connection is none: the system accepts for a process that hangs, and another start of
 /// the replica may be there.
-async fn check(node: &Node, replica: &Instance, address: SocketAddr) {
+async fn check(node: &Node, replica: &Instance, address: SocketAddr, path: Option<&str>) {
     let begun = now();
     while now().since(begun) < CHECK_TTL && node.state().crash_tracker.is_suspected(now(), replica)
     {
+        let encoded = match path {
+            Some(path) => (node.codec.encode_health_request)(path, &replica.name),
+            None => (node.codec.encode_report_request)(&replica.name),
+        };
+        let request = match encoded {
+            Ok(request) => request,
+            Err(e) => {
+                slog::warn!(node.log, "check of a replica could not be encoded"; "error" => %e);
+                return;
+            }
+        };
         let asked = now();
-        match ask(node, replica, address).await {
+        match ask(node, replica, address, request).await {
             Sign::Alive => {
                 let (lifted, was_accused) = {
                     let tracker = &mut node.state().crash_tracker;
@@ -205,8 +225,8 @@
                     slog::info!(node.log, "replica did not crash"; "replica" => replica.name.as_str());
                 }
             }
-            Sign::Dead(evidence) => return record_dead(node, replica, asked, evidence),
-            Sign::Silent => {
+            Sign::Replaced => return record_dead(node, replica, asked, OTHER_START),
+            Sign::None(evidence) => {
                 let is_silent = {
                     let state = node.state();
                     let hears_peers = state.members.hears_any(asked);
@@ -214,7 +234,7 @@
                 };
                 if is_silent {
                     // It goes on being asked: a sign of life refutes this.
-                    record_dead(node, replica, asked, "silent");
+                    record_dead(node, replica, asked, evidence);
                 }
             }
         }
@@ -225,18 +245,21 @@
 /// What a replica that is asked for a sign of life does.
 enum Sign {
     Alive,
-    /// It is not there any more; holds what shows this.
-    Dead(&'static str),
-    /// It says nothing, or its address resets connections as an overloaded replica may.
-    Silent,
+    /// Another start answers at its address.
+    Replaced,
+    /// It gives none; holds what its address does. A replica that is overloaded, or that this VM
+    /// reaches over old connections only, refuses or resets new ones as well.
+    None(&'static str),
 }
 
-async fn ask(node: &Node, replica: &Instance, address: SocketAddr) -> Sign {
-    let Some(request) = encode_check(node, replica) else {
-        return Sign::Silent;
-    };
+async fn ask(
+    node: &Node,
+    replica: &Instance,
+    address: SocketAddr,
+    request: Request<BodyChunks>,
+) -> Sign {
     let mut sent = pin!(node.upstreams.send(address, request));
-    let mut is_reset = false;
+    let mut failed = None;
     // Time for which this VM stood still is no silence of the replica.
     for tick in 0..SILENCE_TICKS {
         if tick == AVOID_TICKS {
@@ -244,50 +267,47 @@
         }
         tokio::select! {
             biased;
-            answer = &mut sent, if !is_reset => match answer {
-                Ok(answer) => {
+            answer = &mut sent, if failed.is_none() => match answer {
+                Ok(mut answer) => {
                     let is_from = node.codec.is_from_replica;
                     let head = &answer.head;
-                    return match is_from(head.status, &head.headers, &replica.name) {
+                    let is_from = is_from(head.status, &head.headers, &replica.name);
+                    // The connection is kept once the answer is read.
+                    let end = tokio::time::Instant::now() + SILENCE_TICK;
+                    while let Ok(Some(Ok(_))) = answer.next_chunk_before(end).await {}
+                    return match is_from {
                         true => Sign::Alive,
-                        false => Sign::Dead("another start at its address"),
+                        false => Sign::Replaced,
                     };
                 }
-                Err(SendError::NotSent(_)) => return Sign::Dead("connection refused"),
-                Err(SendError::Broken(_)) => is_reset = true,
+                Err(SendError::NotSent(_)) => failed = Some("connection refused"),
+                Err(SendError::Broken(_)) => failed = Some("connection reset"),
             },
             () = tokio::time::sleep(SILENCE_TICK) => {}
         }
     }
-    Sign::Silent
+    Sign::None(failed.unwrap_or("silent"))
 }
 
-/// Encodes what a replica is asked for a sign of life. Engines answer for a status report without
-/// a slot, others for their health.
-fn encode_check(node: &Node, replica: &Instance) -> Option<Request<BodyChunks>> {
-    let path = {
-        let state = node.state();
-        let service = &state.fleet.replica_info(&replica.name)?.service;
-        let config = &state.active.as_ref()?.config;
-        let service = config.services.get(service);
-        let service = service.filter(|s| s.engine.is_none());
-        service.and_then(|s| s.health_path.clone())
-    };
-    let request = match path {
-        Some(path) => (node.codec.encode_health_request)(&path, &replica.name),
-        None => (node.codec.encode_report_request)(&replica.name),
-    };
-    match request {
-        Ok(request) => Some(request),
-        Err(e) => {
-            slog::warn!(node.log, "check of a replica could not be encoded"; "error" => %e);
-            None
-        }
-    }
+/// Returns where a replica is asked for its health; `None` for engines, which answer for a status
+/// report without a slot.
+fn health_path(node: &Node, replica: &Instance) -> Option<String> {
+    let state = node.state();
+    let service = &state.fleet.replica_info(&replica.name)?.service;
+    let service = state.active.as_ref()?.config.services.get(service)?;
+    service
+        .health_path
+        .clone()
+        .filter(|_| service.engine.is_none())
 }
 
-/// Records that a replica had crashed by `at`, though not all connections to it broke.
+/// Records that a replica had crashed by `at`, though not all connections to it broke. The planned
+/// end of one that drains is no crash.
 fn record_dead(node: &Node, replica: &Instance, at: Moment, evidence: &'static str) {
+    if let Standing::Draining(_) = standing(node, replica) {
+        node.state().crash_tracker.excuse(replica);
+        return;
+    }
     let runs = {
         let mut state = node.state();
         if state.fleet.is_current(replica) {
