serving: log the silence before a response breaks off, and how late a stop ends

The record of streams that were cut around SIGTERM does not say whether their replica was silent, whether they were cut at the end of the grace period, or whether that end came late. The line `response broke off` now has the time since the last data, the phase and the time until the end; `ending` and `stopped` say how late they are.

--- a/lib/src/serving/path/response.rs
+++ b/lib/src/serving/path/response.rs
@@ -398,9 +398,13 @@
     /// Logs a response that broke off or was overdue.
     fn log_broken(&self, reason: &'static str, replica: Option<&ReplicaName>) {
         let last = self.events.as_ref().and_then(|e| e.last_id);
+        let heard = self.timing.last_data.unwrap_or(self.timing.arrived);
         slog::info!(self.node.log, "response broke off"; "id" => &self.request.id, "why" => reason,
             "last" => last, "replica" => replica.map(ReplicaName::as_str),
-            "route" => &self.routed.route.name);
+            "route" => &self.routed.route.name, "phase" => ?self.node.phase(),
+            "silent_ms" => now().since(heard).as_millis(),
+            "held_ms" => now().since(self.timing.arrived).as_millis(),
+            "end_ms" => stop::time_left(&self.node).map(Span::as_millis));
     }
 }
 
--- a/lib/src/serving/path/stop.rs
+++ b/lib/src/serving/path/stop.rs
@@ -38,6 +38,12 @@
     Some(plan.last_send(longest))
 }
 
+/// Returns the time until what is open is broken off, if this process stops.
+pub(in crate::serving) fn time_left(node: &Node) -> Option<Span> {
+    let plan = node.stop_plan.get()?;
+    Some(plan.end.since(now()))
+}
+
 /// Waits until a request that was not sent yet can no longer be, and returns its refusal.
 pub(in crate::serving) async fn until_too_late(
     node: &Node,
--- a/lib/src/serving/program/run.rs
+++ b/lib/src/serving/program/run.rs
@@ -148,8 +148,9 @@
     /// with what is known of it.
     pub async fn stop(&self) {
         let node = &self.node;
+        let begun = now();
         slog::info!(node.log, "stopping"; "open" => node.in_flight());
-        let plan = StopPlan::new(now(), to_span(node.settings.grace));
+        let plan = StopPlan::new(begun, to_span(node.settings.grace));
         node.stop_plan.set(Some(plan));
         node.phase.send_replace(Phase::Unready);
         node.beacon_wake.notify_one();
@@ -159,12 +160,12 @@
         tokio::time::sleep(DRAIN_POLL).await;
         until_idle(node, plan.end).await;
         slog::info!(node.log, "ending"; "open" => node.in_flight(),
-            "connections" => node.connections());
+            "connections" => node.connections(), "late_ms" => now().since(plan.end).as_millis());
         node.phase.send_replace(Phase::Ending);
         let ended = now().after(to_span(END_TIME));
         tokio::join!(until_idle(node, ended), unregister(node));
         slog::info!(node.log, "stopped"; "open" => node.in_flight(),
-            "connections" => node.connections());
+            "connections" => node.connections(), "took_ms" => now().since(begun).as_millis());
     }
 }
 
