--- a/lib/src/serving/path/mod.rs
+++ b/lib/src/serving/path/mod.rs
@@ -1,6 +1,7 @@
 //! The request path: from a caller's connection to the last byte of the response.
 
-pub(super) mod bodies;
+mod attempts;
+mod bodies;
 pub(super) mod builds;
 pub(super) mod charge;
 pub(super) mod choice;
