serving: a silent run is given up only once another replica has it

Callers saw streams cut in the middle of a planned stop, 2 s after their last event, and plain requests answered 502 while their replica was about to answer.

Cause: a run whose replica says nothing was given up first (the response dropped, the connection reset), and only then was another replica looked for, a retry taken from the budget and the send checked. Each of these may refuse: the process stops, the budget is spent, the other replica has no room, breaks or fails. The class is an irrevocable step before the alternative is secured.

Now the attempts on other replicas are made beside the silent run. It goes on if its replica speaks first or no other one takes it, and is given up once another one has answered, or has had the request for 200 ms without refusing it, as two must not work on one stream. The same holds for plain requests whose replica is taken for dead, unless another start is listed in its place. A stream that the store does not keep begins elsewhere, as it does at first.

--- a/lib/src/serving/decisions/retry.rs
+++ b/lib/src/serving/decisions/retry.rs
@@ -152,6 +152,26 @@
         self.arrived += u32::from(failure.reached_replica());
     }
 
+    /// Takes back a failure that was counted before it was known: the attempt goes on.
+    ///
+    /// ```
+    /// use banyangauge::serving::retry::{AttemptFailure, Attempts};
+    /// let mut attempts = Attempts { max_runs: 2, idempotent: true, ..Attempts::default() };
+    /// attempts.record_failure(AttemptFailure::Broken);
+    /// attempts.record_failure(AttemptFailure::Failed);
+    /// attempts.undo_failure(AttemptFailure::Broken);
+    /// assert!(attempts.may_retry(AttemptFailure::Failed));
+    /// ```
+    pub fn undo_failure(&mut self, failure: AttemptFailure) {
+        let undo = |count: &mut u32, counted: bool| {
+            *count = count.saturating_sub(u32::from(counted));
+        };
+        undo(&mut self.sends, true);
+        undo(&mut self.runs, failure.may_have_run());
+        undo(&mut self.unreached, failure == AttemptFailure::NotSent);
+        undo(&mut self.arrived, failure.reached_replica());
+    }
+
     /// Counts the attempts of VMs that the request was handed to, none of which serves it.
     pub fn add_peer_attempts(&mut self, made: &PeerAttempts) {
         self.sends = self.sends.saturating_add(made.arrived);
--- a/lib/src/serving/path/attempts.rs
+++ b/lib/src/serving/path/attempts.rs
@@ -3,21 +3,35 @@
 use std::collections::BTreeSet;
 use std::rc::Rc;
 
+use futures_util::TryFutureExt;
+
 use crate::ids::ReplicaName;
 use crate::pool::Moment;
+use crate::serving::decisions::fleet::RunOutcome;
 use crate::serving::decisions::retry::AttemptFailure;
 use crate::serving::decisions::retry::Attempts;
+use crate::serving::decisions::retry::RETRY_DELAY;
 use crate::serving::decisions::retry::Refusal;
+use crate::serving::path::builds;
 use crate::serving::path::codec::NotRun;
 use crate::serving::path::crashes::blocked_retry_after;
 use crate::serving::path::crashes::is_doubtful;
+use crate::serving::path::crashes::is_replaced;
+use crate::serving::path::crashes::until_dead;
 use crate::serving::path::forward::BufferedRequest;
 use crate::serving::path::forward::Resume;
 use crate::serving::path::forward::StartedResponse;
 use crate::serving::path::forward::forward;
+use crate::serving::path::placement::Placed;
 use crate::serving::path::placement::wait_for_replica;
 use crate::serving::path::relay;
 use crate::serving::path::serve::RoutedRequest;
+use crate::serving::path::serve::is_event_stream;
+use crate::serving::path::takeover::LastSend;
+use crate::serving::path::takeover::OtherAttempts;
+use crate::serving::path::takeover::PendingSend;
+use crate::serving::path::takeover::Takeover;
+use crate::serving::path::takeover::take_over;
 use crate::serving::program::node::Node;
 use crate::serving::program::node::now;
 
@@ -33,9 +47,10 @@
     avoid: &mut BTreeSet<ReplicaName>,
 ) -> Result<StartedResponse, Refusal> {
     let placed = wait_for_replica(node, routed, req, avoid, attempts).await?;
-    match forward(node, &routed.route, req, &placed, None).await {
+    match attempt(node, routed, req, attempts, avoid, &placed, None).await {
         Ok(started) => Ok(started),
-        Err(ended) => {
+        Err(Ended::Final(refusal)) => Err(refusal),
+        Err(Ended::Failed(ended)) => {
             attempts.record_failure(ended);
             log_attempt(node, req, &placed.replica, attempts, ended);
             avoid_failed(node, avoid, placed.replica, ended);
@@ -82,14 +97,15 @@
         if ended.reached_replica() && !spend_retry(node, routed, req, ended.as_str()) {
             return Err(Refusal::after(attempts, ended));
         }
-        ended = match forward(node, &routed.route, req, &placed, resume).await {
+        ended = match attempt(node, routed, req, attempts, avoid, &placed, resume).await {
             // An error response cannot continue a response that has started.
             Ok(started) if attempts.answered && !started.answer.head.status.is_success() => {
                 started.run.record_end(RunOutcome::Failed);
                 AttemptFailure::Failed
             }
             Ok(started) => return Ok(started),
-            Err(next) => next,
+            Err(Ended::Final(refusal)) => return Err(refusal),
+            Err(Ended::Failed(next)) => next,
         };
         attempts.record_failure(ended);
         log_attempt(node, req, &placed.replica, attempts, ended);
@@ -97,6 +113,167 @@
     }
 }
 
+/// Has another replica go on with a stream, after an attempt that ended with `ended` and is already
+/// recorded in `attempts`.
+pub(in crate::serving) async fn resume_elsewhere(
+    node: &Rc<Node>,
+    routed: &RoutedRequest,
+    req: &BufferedRequest,
+    attempts: &mut Attempts,
+    avoid: &mut BTreeSet<ReplicaName>,
+    ended: AttemptFailure,
+    resume: Resume,
+) -> Result<StartedResponse, Refusal> {
+    let resume = Some(resume);
+    let started = retry(node, routed, req, attempts, avoid, ended, resume).await?;
+    match req.build {
+        Some(_) => Ok(started),
+        // The caller has no event yet: the stream begins with this replica's.
+        None => until_kept(node, routed, req, attempts, avoid, started, resume).await,
+    }
+}
+
+/// Has the store keep the stream that a response begins, if it must; otherwise the stream begins
+/// elsewhere.
+pub(in crate::serving) async fn until_kept(
+    node: &Rc<Node>,
+    routed: &RoutedRequest,
+    req: &BufferedRequest,
+    attempts: &mut Attempts,
+    avoid: &mut BTreeSet<ReplicaName>,
+    mut started: StartedResponse,
+    resume: Option<Resume>,
+) -> Result<StartedResponse, Refusal> {
+    while is_event_stream(&started.answer.head.headers)
+        && !builds::record_began(node, routed, req, &mut started.run).await
+    {
+        let ended = AttemptFailure::NotKept;
+        attempts.record_failure(ended);
+        log_attempt(node, req, &started.run.replica, attempts, ended);
+        drop(started);
+        req.trace.last_send.end();
+        if req.kept.get() {
+            // It could not be told from the stream of the attempt that may be kept.
+            return Err(Refusal::after(attempts, ended));
+        }
+        started = retry(node, routed, req, attempts, avoid, ended, resume).await?;
+    }
+    Ok(started)
+}
+
+/// How an attempt ended that gave no response.
+enum Ended {
+    /// Another attempt may follow.
+    Failed(AttemptFailure),
+    /// Those on other replicas have been made as well.
+    Final(Refusal),
+}
+
+/// Sends a request to a replica. While that one is taken for dead, other replicas are tried beside
+/// it: it may be silent only, and is given up once another one has the request.
+async fn attempt(
+    node: &Rc<Node>,
+    routed: &RoutedRequest,
+    req: &BufferedRequest,
+    attempts: &mut Attempts,
+    avoid: &mut BTreeSet<ReplicaName>,
+    placed: &Placed,
+    resume: Option<Resume>,
+) -> Result<StartedResponse, Ended> {
+    let last_send = &req.trace.last_send;
+    last_send.end();
+    // A send that failed is over; that of a response counts until this VM goes on with it.
+    let own = forward(node, &routed.route, req, placed, resume);
+    let own = own.inspect_err(|_| {
+        last_send.end();
+    });
+    let mut own = Box::pin(own);
+    let broken = AttemptFailure::Broken;
+    loop {
+        let dead = async {
+            let send = last_send.until_sent().await;
+            until_dead(node, &send.replica, send.run).await;
+            send
+        };
+        let send = tokio::select! {
+            biased;
+            ended = &mut own => return ended.map_err(Ended::Failed),
+            send = dead, if routed.route.idempotent() => send,
+        };
+        let mut tried = *attempts;
+        tried.record_failure(broken);
+        let mut tried_avoid = avoid.clone();
+        tried_avoid.insert(placed.replica.clone());
+        last_send.end();
+        let mut others: OtherAttempts<'_> = Box::pin(retry(
+            node,
+            routed,
+            req,
+            &mut tried,
+            &mut tried_avoid,
+            broken,
+            resume,
+        ));
+        let refusal = match take_over(&mut own, &mut others, last_send).await {
+            Takeover::Stayed(Ok(started)) => {
+                drop(others);
+                *attempts = without_own(tried, last_send);
+                return Ok(started);
+            }
+            Takeover::Moved(started) => {
+                drop(others);
+                give_up(node, req, &send, own);
+                (*attempts, *avoid) = (tried, tried_avoid);
+                return Ok(*started);
+            }
+            step @ (Takeover::Stayed(Err(_)) | Takeover::GiveUp) => {
+                if let Takeover::GiveUp = step {
+                    give_up(node, req, &send, own);
+                }
+                // The others are the next attempts.
+                let started = others.await.map_err(Ended::Final)?;
+                (*attempts, *avoid) = (tried, tried_avoid);
+                return Ok(started);
+            }
+            Takeover::Refused(refusal) => refusal,
+        };
+        drop(others);
+        if is_replaced(node, &send.replica) {
+            return Err(Ended::Final(refusal));
+        }
+        slog::info!(node.log, "silent run goes on, as no other replica takes it";
+            "id" => &req.id, "replica" => placed.replica.as_str(), "why" => refusal.reason);
+        *attempts = without_own(tried, last_send);
+        tokio::select! {
+            biased;
+            ended = &mut own => return ended.map_err(Ended::Failed),
+            () = tokio::time::sleep(RETRY_DELAY) => last_send.begin(send),
+        }
+    }
+}
+
+/// Returns the attempts that were made beside a run which goes on, one of them perhaps still under
+/// way.
+pub(in crate::serving) fn without_own(mut tried: Attempts, last_send: &LastSend) -> Attempts {
+    tried.undo_failure(AttemptFailure::Broken);
+    if last_send.end() {
+        tried.record_failure(AttemptFailure::Broken);
+    }
+    tried
+}
+
+/// Gives up a run that another replica has taken over.
+fn give_up<T>(node: &Node, req: &BufferedRequest, send: &PendingSend, run: T) {
+    slog::info!(node.log, "silent run given up"; "id" => &req.id,
+        "replica" => send.replica.name.as_str(), "ran_ms" => now().since(send.at).as_millis());
+    drop(run);
+    let mut state = node.state();
+    if state.fleet.is_current(&send.replica) {
+        let fleet = &mut state.fleet;
+        fleet.record_outcome(now(), &send.replica.name, RunOutcome::Broken);
+    }
+}
+
 /// Returns the refusal of a request that is not sent again after an attempt that ended with
 /// `ended`.
 fn final_refusal(
--- a/lib/src/serving/path/crashes.rs
+++ b/lib/src/serving/path/crashes.rs
@@ -167,6 +167,11 @@
     }
 }
 
+/// Returns whether another start of a replica is listed in its place, so that it says nothing more.
+pub(in crate::serving) fn is_replaced(node: &Node, replica: &Instance) -> bool {
+    matches!(standing(node, replica), Standing::Replaced)
+}
+
 /// Asks the replicas for a sign of life that ran something and have given none since.
 pub(in crate::serving) fn check_replicas(node: &Rc<Node>) {
     let due = node.state().crash_tracker.due_replicas(now());
--- a/lib/src/serving/path/forward.rs
+++ b/lib/src/serving/path/forward.rs
@@ -1,7 +1,6 @@
 //! Sends a request to a replica and classifies the response.
 
 use std::cell::Cell;
-use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -47,7 +46,6 @@
 use crate::serving::path::crashes::record_break;
 use crate::serving::path::crashes::record_lifted;
 use crate::serving::path::crashes::record_replaced;
-use crate::serving::path::crashes::until_dead;
 use crate::serving::path::limit;
 use crate::serving::path::placement::Placed;
 use crate::serving::path::prefill::PrefillTurn;
@@ -57,6 +55,7 @@
 use crate::serving::path::statements::Call;
 use crate::serving::path::statements::apply_statement;
 use crate::serving::path::stop;
+use crate::serving::path::takeover::PendingSend;
 use crate::serving::path::trace::RequestTrace;
 use crate::serving::path::types::Instance;
 use crate::serving::path::types::KeyDigest;
@@ -378,6 +377,11 @@
     log_known_crashes(node, req, &run);
     run.begin_sent(req);
     log_send(node, req, &run);
+    req.trace.last_send.begin(PendingSend {
+        replica: run.instance(),
+        run: run.id,
+        at: run.sent_at,
+    });
     let sent = req
         .urgency
         .map(|u| urgency_when_sent(u, now(), req.objective));
@@ -399,17 +403,8 @@
         run.keeping = begin_keeping(node, req, &run);
     }
     let earlier = req.trace.may_have_run.replace(true);
-    let mut sending = pin!(node.upstreams.send(address, request));
-    let sent = tokio::select! {
-        biased;
-        sent = tokio::time::timeout(timeout, &mut sending) => sent,
-        // A replica that is dead answers no more; another one may do so in time.
-        () = until_dead(node, &instance, run.id), if route.idempotent() => {
-            run.record_end(RunOutcome::Broken);
-            return Err(AttemptFailure::Broken);
-        }
-    };
-    let answer = match sent {
+    let sending = node.upstreams.send(address, request);
+    let answer = match tokio::time::timeout(timeout, sending).await {
         Err(_) => return Err(AttemptFailure::TimedOut),
         Ok(Err(SendError::NotSent(_))) => {
             run.record_end(RunOutcome::Unreached);
--- a/lib/src/serving/path/mod.rs
+++ b/lib/src/serving/path/mod.rs
@@ -21,6 +21,7 @@
 pub(super) mod server;
 pub(super) mod statements;
 pub(super) mod stop;
+mod takeover;
 pub(super) mod trace;
 pub(super) mod types;
 mod wait_log;
--- a/lib/src/serving/path/response.rs
+++ b/lib/src/serving/path/response.rs
@@ -23,11 +23,12 @@
 use crate::serving::decisions::fleet::RunOutcome;
 use crate::serving::decisions::retry::AttemptFailure;
 use crate::serving::decisions::retry::Attempts;
+use crate::serving::decisions::retry::Refusal;
 use crate::serving::decisions::retry::STOPPING;
-use crate::serving::path::attempts::retry;
+use crate::serving::path::attempts::resume_elsewhere;
+use crate::serving::path::attempts::without_own;
 use crate::serving::path::bodies::AnswerCharge;
 use crate::serving::path::bodies::ReadAhead;
-use crate::serving::path::builds;
 use crate::serving::path::choice::has_other_replica;
 use crate::serving::path::crashes::record_break;
 use crate::serving::path::crashes::record_complete;
@@ -37,12 +38,16 @@
 use crate::serving::path::serve::RoutedRequest;
 use crate::serving::path::serve::count_outcome;
 use crate::serving::path::stop;
+use crate::serving::path::takeover::OtherAttempts;
+use crate::serving::path::takeover::Takeover;
+use crate::serving::path::takeover::take_over;
 use crate::serving::program::node::InFlight;
 use crate::serving::program::node::Node;
 use crate::serving::program::node::Phase;
 use crate::serving::program::node::now;
 use crate::serving::program::node::to_instant;
 use crate::upstream::EventSplitter;
+use crate::upstream::Overdue;
 
 /// A resumable stream is checked after a silence of this many times the route's maximum gap;
 /// callers disconnect after eight times that gap.
@@ -63,6 +68,12 @@
 
 impl std::error::Error for ResponseAborted {}
 
+const NOT_RESUMED: ResponseAborted =
+    ResponseAborted("upstream broke off and the response could not be resumed");
+
+/// A chunk of a replica's response, or its end.
+type Chunk = Result<Option<Result<Bytes, hyper::Error>>, Overdue>;
+
 /// Body of a response to a caller.
 pub(in crate::serving) type ResponseBody =
     Pin<Box<dyn Body<Data = Bytes, Error = ResponseAborted>>>;
@@ -146,7 +157,14 @@
             let wake_at = self.wake_at();
             let started = self.response.as_mut()?;
             let chunk = started.answer.next_chunk_before(wake_at);
-            let ended = match stop::chunk_until_end(&self.node, chunk).await {
+            let mut chunk = stop::chunk_until_end(&self.node, chunk).await;
+            if chunk.is_err() && self.should_move() {
+                chunk = match self.take_over().await {
+                    Ok(chunk) => chunk,
+                    Err(e) => return Some(Err(e)),
+                };
+            }
+            let ended = match chunk {
                 Err(_) if self.node.phase() == Phase::Ending => {
                     let replica = self.response.take().map(|r| r.run.replica.clone());
                     self.log_broken(STOPPING, replica.as_ref());
@@ -159,12 +177,7 @@
                     count_outcome("broken_off");
                     return Some(Err(ResponseAborted("deadline exceeded")));
                 }
-                Err(_) if !self.should_move() => continue,
-                Err(_) => {
-                    let replica = self.response.as_ref().map(|r| &r.run.replica);
-                    self.log_broken("silent", replica);
-                    AttemptFailure::Broken
-                }
+                Err(_) => continue,
                 Ok(Some(Ok(bytes))) => match self.accept_data(bytes) {
                     Ok(bytes) if bytes.is_empty() => continue,
                     Ok(bytes) => return Some(Ok(bytes)),
@@ -210,6 +223,10 @@
         let Some(started) = &self.response else {
             return false;
         };
+        let is_over = self.node.phase() == Phase::Ending || now() >= self.request.deadline;
+        if is_over || self.events.is_none() || !self.attempts.idempotent {
+            return false;
+        }
         let replica = &started.run.replica;
         if !self.node.state().fleet.is_silent(now(), replica) {
             return false;
@@ -304,7 +321,71 @@
         Ok(rest)
     }
 
-    /// Resumes the response on another replica if it is an event stream and may be retried.
+    /// Starts a silent stream on another replica, while its own may still go on with it. Returns
+    /// what that one sends if it does.
+    async fn take_over(&mut self) -> Result<Chunk, ResponseAborted> {
+        let (Some(started), Some(events)) = (&mut self.response, &self.events) else {
+            return Ok(Err(Overdue));
+        };
+        let silent = AttemptFailure::Broken;
+        let mut tried = self.attempts;
+        tried.record_failure(silent);
+        let mut avoid = self.avoid.clone();
+        avoid.insert(started.run.replica.clone());
+        let resume = Resume {
+            after: events.last_id,
+            urgency: started.run.urgency,
+        };
+        let last_send = &self.request.trace.last_send;
+        last_send.end();
+        let mut others: OtherAttempts<'_> = Box::pin(resume_elsewhere(
+            &self.node,
+            &self.routed,
+            &self.request,
+            &mut tried,
+            &mut avoid,
+            silent,
+            resume,
+        ));
+        let deadline = to_instant(self.request.deadline);
+        let chunk = started.answer.next_chunk_before(deadline);
+        let chunk = stop::chunk_until_end(&self.node, chunk);
+        let next = match take_over(chunk, &mut others, last_send).await {
+            Takeover::Stayed(chunk) if !is_broken(&chunk, events) => {
+                drop(others);
+                self.attempts = without_own(tried, last_send);
+                return Ok(chunk);
+            }
+            Takeover::Refused(refusal) => {
+                drop(others);
+                self.attempts = without_own(tried, last_send);
+                slog::info!(self.node.log, "silent run goes on, as no other replica takes it";
+                    "id" => &self.request.id, "replica" => started.run.replica.as_str(),
+                    "why" => refusal.reason);
+                return Ok(Err(Overdue));
+            }
+            Takeover::Moved(next) => Some(*next),
+            // Its own replica broke off, or must be given up; the others are the next attempts.
+            Takeover::Stayed(_) | Takeover::GiveUp => None,
+        };
+        let own = self.response.take();
+        if let Some(own) = &own {
+            own.run.record_end(RunOutcome::Broken);
+            self.log_broken("silent", Some(&own.run.replica));
+        }
+        // This closes the connection, which makes the replica cancel the run.
+        drop(own);
+        let next = match next {
+            Some(next) => Ok(next),
+            None => stop::until_end(&self.node, &self.request.trace, &mut others).await,
+        };
+        drop(others);
+        (self.attempts, self.avoid) = (tried, avoid);
+        self.go_on(next).map(|()| Err(Overdue))
+    }
+
+    /// Resumes a response that broke off on another replica, if it is an event stream and may be
+    /// retried.
     async fn resume(&mut self, ended: AttemptFailure) -> Result<(), ResponseAborted> {
         let Some(started) = self.response.take() else {
             return Err(ResponseAborted("no response in progress"));
@@ -313,52 +394,42 @@
         self.avoid.insert(started.run.replica.clone());
         let urgency = started.run.urgency;
         self.log_broken(ended.as_str(), Some(&started.run.replica));
-        // This closes the connection, which makes the replica cancel the run.
         drop(started);
-        let Some(events) = &mut self.events else {
+        let Some(events) = &self.events else {
             count_outcome("broken_off");
-            return Err(ResponseAborted(
-                "upstream broke off and the response could not be resumed",
-            ));
+            return Err(NOT_RESUMED);
         };
-        events.scanner.reset();
         self.attempts.record_failure(ended);
         let resume = Resume {
             after: events.last_id,
             urgency,
         };
-        let next = retry(
+        let next = resume_elsewhere(
             &self.node,
             &self.routed,
             &self.request,
             &mut self.attempts,
             &mut self.avoid,
             ended,
-            Some(resume),
+            resume,
         );
-        match next.await {
-            Ok(mut started) => {
-                slog::info!(self.node.log, "response resumed"; "id" => &self.request.id,
-                    "replica" => started.run.replica.as_str(),
-                    "route" => &self.routed.route.name);
-                // The caller has no event yet: the stream begins with this replica's.
-                let (routed, request) = (&self.routed, &self.request);
-                if self.request.build.is_none()
-                    && !builds::record_began(&self.node, routed, request, &mut started.run).await
-                {
-                    count_outcome("broken_off");
-                    return Err(ResponseAborted("the store does not keep the stream"));
-                }
-                self.response = Some(started);
-                Ok(())
-            }
-            Err(_) => {
-                count_outcome("broken_off");
-                Err(ResponseAborted(
-                    "upstream broke off and the response could not be resumed",
-                ))
-            }
+        let next = next.await;
+        self.go_on(next)
+    }
+
+    /// Goes on with the response of the replica that resumes the stream.
+    fn go_on(&mut self, next: Result<StartedResponse, Refusal>) -> Result<(), ResponseAborted> {
+        let Ok(started) = next else {
+            count_outcome("broken_off");
+            return Err(NOT_RESUMED);
+        };
+        if let Some(events) = &mut self.events {
+            events.scanner.reset();
         }
+        slog::info!(self.node.log, "response resumed"; "id" => &self.request.id,
+            "replica" => started.run.replica.as_str(), "route" => &self.routed.route.name);
+        self.response = Some(started);
+        Ok(())
     }
 
     /// Logs a complete stream that missed an objective, and records stalls so that long
@@ -408,6 +479,15 @@
     }
 }
 
+/// Returns whether a replica broke a stream off.
+fn is_broken(chunk: &Chunk, events: &EventTracker) -> bool {
+    match chunk {
+        Ok(Some(Err(_))) => true,
+        Ok(None) => !events.scanner.is_empty(),
+        Ok(Some(Ok(_))) | Err(Overdue) => false,
+    }
+}
+
 impl Drop for ResponseStream {
     fn drop(&mut self) {
         // Logs and counts a caller that disconnected; responses that ended or broke off
--- a/lib/src/serving/path/serve.rs
+++ b/lib/src/serving/path/serve.rs
@@ -35,8 +35,8 @@
 use crate::serving::decisions::retry::RETRY_DELAY;
 use crate::serving::decisions::retry::Refusal;
 use crate::serving::path::attempts::first_attempt;
-use crate::serving::path::attempts::log_attempt;
 use crate::serving::path::attempts::retry;
+use crate::serving::path::attempts::until_kept;
 use crate::serving::path::bodies::AnswerCharge;
 use crate::serving::path::bodies::ReadAhead;
 use crate::serving::path::bodies::read_body;
@@ -461,19 +461,8 @@
             }
         }
     }
-    while stream
-        && is_event_stream(&started.answer.head.headers)
-        && !builds::record_began(node, &routed, &req, &mut started.run).await
-    {
-        let ended = AttemptFailure::NotKept;
-        attempts.record_failure(ended);
-        log_attempt(node, &req, &started.run.replica, attempts, ended);
-        drop(started);
-        if req.kept.get() {
-            // It could not be told from the stream of the attempt that may be kept.
-            return Err(Refusal::after(attempts, ended));
-        }
-        started = retry(node, &routed, &req, attempts, avoid, ended, None).await?;
+    if stream {
+        started = until_kept(node, &routed, &req, attempts, avoid, started, None).await?;
     }
     let mut response = Response::new(());
     *response.status_mut() = started.answer.head.status;
@@ -507,7 +496,7 @@
 }
 
 /// Returns whether the response is a stream of server-sent events.
-fn is_event_stream(headers: &HeaderMap) -> bool {
+pub(in crate::serving) fn is_event_stream(headers: &HeaderMap) -> bool {
     let kind = headers.get(CONTENT_TYPE).and_then(|v| v.to_str().ok());
     kind.is_some_and(|k| k.starts_with("text/event-stream"))
 }
--- a/lib/src/serving/path/trace.rs
+++ b/lib/src/serving/path/trace.rs
@@ -10,6 +10,7 @@
 
 use crate::pool::Moment;
 use crate::serving::decisions::waiting::WaitParts;
+use crate::serving::path::takeover::LastSend;
 use crate::serving::path::types::Rank;
 use crate::serving::path::types::Route;
 
@@ -23,6 +24,7 @@
     pub(in crate::serving) may_have_run: Cell<bool>,
     /// When the retry that is sent next was granted.
     pub(in crate::serving) granted: Cell<Option<Moment>>,
+    pub(in crate::serving) last_send: LastSend,
 }
 
 impl RequestTrace {
