serving: a retry that is too late to be sent in a stop takes none from the budget

A stopping process took a retry from the budget and refused to send it right after. The check comes before the budget now, and again before the send. stop_spends_no_retry_that_it_cannot_send: one granted before, none now.

--- a/lib/src/serving/path/attempts.rs
+++ b/lib/src/serving/path/attempts.rs
@@ -27,6 +27,7 @@
 use crate::serving::path::relay;
 use crate::serving::path::serve::RoutedRequest;
 use crate::serving::path::serve::is_event_stream;
+use crate::serving::path::stop;
 use crate::serving::path::takeover::LastSend;
 use crate::serving::path::takeover::OtherAttempts;
 use crate::serving::path::takeover::PendingSend;
@@ -94,6 +95,12 @@
             Err(refusal) if attempts.runs == 0 => return Err(refusal),
             Err(_) => return Err(Refusal::after(attempts, ended)),
         };
+        // The budget pays for no retry that is too late to be sent.
+        if let Err(stopping) = stop::check_send(node, &routed.route, req.deadline) {
+            attempts.record_failure(stopping);
+            log_attempt(node, req, &placed.replica, attempts, stopping);
+            return Err(Refusal::after(attempts, stopping));
+        }
         if ended.reached_replica() && !spend_retry(node, routed, req, ended.as_str()) {
             return Err(Refusal::after(attempts, ended));
         }
