serving: attempts beside a silent run count for the request if they fail, too

A request whose replica was silent ran three times where maxAttempts is 2, and the hand-over to another VM and its first run there were not paid from the retry budget.

While a run is silent, further attempts are counted in a copy of the request's attempts. The copy was kept if one of them succeeded, and dropped if all failed after the silent run had been given up, or was known to be over. The request then had no attempts: it could be handed to another VM, which is for requests that no replica has received.

The copy is kept in both cases, so such a request is refused after its own attempts.

--- a/lib/src/serving/path/attempts.rs
+++ b/lib/src/serving/path/attempts.rs
@@ -238,14 +238,15 @@
                     give_up(node, req, &send, own);
                 }
                 // The others are the next attempts.
-                let started = others.await.map_err(Ended::Final)?;
+                let started = others.await;
                 (*attempts, *avoid) = (tried, tried_avoid);
-                return Ok(started);
+                return started.map_err(Ended::Final);
             }
             Takeover::Refused(refusal) => refusal,
         };
         drop(others);
         if is_replaced(node, &send.replica) {
+            (*attempts, *avoid) = (tried, tried_avoid);
             return Err(Ended::Final(refusal));
         }
         slog::info!(node.log, "silent run goes on, as no other replica takes it";
