serving: a run is kept until another replica has it, whatever that replica does

The time of the overlap starts when the connection is open. - A plain request was given up after 200 ms without an answer, or for an error response. Two replicas may work on a plain request, so it waits for a response that is a success. - A replica that is heard from again in the meantime keeps its run. - An error response left its send pending, which ended the overlap of the next one. - A stream without an event could be kept at the build of another replica, and go on at its own. - A refusal or a run of one of two sends took back what was known of the other one; both are counted now, for the answer and for the charge of the organisation. - A stream that its own replica broke in the meantime left no evidence of a crash. - A replica that is no longer listed is not waited for.

--- a/lib/src/serving/decisions/retry.rs
+++ b/lib/src/serving/decisions/retry.rs
@@ -141,6 +141,8 @@
     pub idempotent: bool,
     /// Whether the response head was already sent to the caller.
     pub answered: bool,
+    /// Whether a run of an earlier attempt goes on.
+    pub under_way: bool,
 }
 
 impl Attempts {
@@ -152,24 +154,52 @@
         self.arrived += u32::from(failure.reached_replica());
     }
 
-    /// Takes back a failure that was counted before it was known: the attempt goes on.
+    /// Returns the attempts with which others are made beside the last run, which goes on and
+    /// counts as one that broke.
     ///
     /// ```
     /// use banyangauge::serving::retry::{AttemptFailure, Attempts};
-    /// let mut attempts = Attempts { max_runs: 2, idempotent: true, ..Attempts::default() };
-    /// attempts.record_failure(AttemptFailure::Broken);
-    /// attempts.record_failure(AttemptFailure::Failed);
-    /// attempts.undo_failure(AttemptFailure::Broken);
-    /// assert!(attempts.may_retry(AttemptFailure::Failed));
+    /// let attempts = Attempts { max_runs: 3, idempotent: true, ..Attempts::default() };
+    /// let mut tried = attempts.beside_run();
+    /// assert!(tried.may_retry(AttemptFailure::Broken));
+    /// tried.record_failure(AttemptFailure::Failed);
+    /// // The run itself ended well: one other replica has run the request.
+    /// assert_eq!(attempts.after_run(tried, false).runs, 1);
     /// ```
-    pub fn undo_failure(&mut self, failure: AttemptFailure) {
-        let undo = |count: &mut u32, counted: bool| {
-            *count = count.saturating_sub(u32::from(counted));
-        };
-        undo(&mut self.sends, true);
-        undo(&mut self.runs, failure.may_have_run());
-        undo(&mut self.unreached, failure == AttemptFailure::NotSent);
-        undo(&mut self.arrived, failure.reached_replica());
+    pub fn beside_run(&self) -> Self {
+        let mut tried = *self;
+        tried.record_failure(AttemptFailure::Broken);
+        tried.under_way = true;
+        tried
+    }
+
+    /// Returns the attempts after others were made beside the last run, which goes on. Those that
+    /// reached no replica do not count; `pending` says whether one is under way.
+    pub fn after_run(&self, mut tried: Self, pending: bool) -> Self {
+        if pending {
+            tried.record_failure(AttemptFailure::Broken);
+        }
+        let arrived = tried.arrived.saturating_sub(1);
+        Self {
+            sends: self.sends + arrived.saturating_sub(self.arrived),
+            runs: tried.runs.saturating_sub(1),
+            arrived,
+            ..*self
+        }
+    }
+
+    /// Returns the attempts after one of those that were made beside the last run succeeded.
+    pub fn after_takeover(&self, tried: Self) -> Self {
+        Self {
+            under_way: self.under_way,
+            ..tried
+        }
+    }
+
+    /// Returns whether an error response is no better than none: the caller has the head of
+    /// another response, or may still get one.
+    pub fn needs_success(&self) -> bool {
+        self.answered || self.under_way
     }
 
     /// Counts the attempts of VMs that the request was handed to, none of which serves it.
--- a/lib/src/serving/path/attempts.rs
+++ b/lib/src/serving/path/attempts.rs
@@ -16,11 +16,12 @@
 use crate::serving::path::codec::NotRun;
 use crate::serving::path::crashes::blocked_retry_after;
 use crate::serving::path::crashes::is_doubtful;
-use crate::serving::path::crashes::is_replaced;
+use crate::serving::path::crashes::is_gone;
 use crate::serving::path::crashes::until_dead;
 use crate::serving::path::forward::BufferedRequest;
 use crate::serving::path::forward::Resume;
 use crate::serving::path::forward::StartedResponse;
+use crate::serving::path::forward::begin_keeping;
 use crate::serving::path::forward::forward;
 use crate::serving::path::placement::Placed;
 use crate::serving::path::placement::wait_for_replica;
@@ -28,11 +29,12 @@
 use crate::serving::path::serve::RoutedRequest;
 use crate::serving::path::serve::is_event_stream;
 use crate::serving::path::stop;
-use crate::serving::path::takeover::LastSend;
+use crate::serving::path::takeover::MAX_OVERLAP;
 use crate::serving::path::takeover::OtherAttempts;
-use crate::serving::path::takeover::PendingSend;
+use crate::serving::path::takeover::SentRun;
 use crate::serving::path::takeover::Takeover;
-use crate::serving::path::takeover::take_over;
+use crate::serving::path::takeover::race;
+use crate::serving::path::types::RouteKind;
 use crate::serving::program::node::Node;
 use crate::serving::program::node::now;
 
@@ -105,9 +107,11 @@
             return Err(Refusal::after(attempts, ended));
         }
         ended = match attempt(node, routed, req, attempts, avoid, &placed, resume).await {
-            // An error response cannot continue a response that has started.
-            Ok(started) if attempts.answered && !started.answer.head.status.is_success() => {
+            // An error response neither continues another one nor is worth giving up a run.
+            Ok(started) if attempts.needs_success() && !started.answer.head.status.is_success() => {
                 started.run.record_end(RunOutcome::Failed);
+                drop(started);
+                req.last_send.end();
                 AttemptFailure::Failed
             }
             Ok(started) => return Ok(started),
@@ -158,7 +162,7 @@
         attempts.record_failure(ended);
         log_attempt(node, req, &started.run.replica, attempts, ended);
         drop(started);
-        req.trace.last_send.end();
+        req.last_send.end();
         if req.kept.get() {
             // It could not be told from the stream of the attempt that may be kept.
             return Err(Refusal::after(attempts, ended));
@@ -177,7 +181,7 @@
 }
 
 /// Sends a request to a replica. While that one is taken for dead, other replicas are tried beside
-/// it: it may be silent only, and is given up once another one has the request.
+/// it: it may be silent only.
 async fn attempt(
     node: &Rc<Node>,
     routed: &RoutedRequest,
@@ -187,98 +191,139 @@
     placed: &Placed,
     resume: Option<Resume>,
 ) -> Result<StartedResponse, Ended> {
-    let last_send = &req.trace.last_send;
+    let last_send = &req.last_send;
     last_send.end();
-    // A send that failed is over; that of a response counts until this VM goes on with it.
     let own = forward(node, &routed.route, req, placed, resume);
     let own = own.inspect_err(|_| {
         last_send.end();
     });
     let mut own = Box::pin(own);
-    let broken = AttemptFailure::Broken;
+    let mut was_refused = false;
     loop {
         let dead = async {
-            let send = last_send.until_sent().await;
-            until_dead(node, &send.replica, send.run).await;
-            send
+            let run = last_send.until_sent().await;
+            until_dead(node, &run.replica, run.id).await;
+            run
         };
-        let send = tokio::select! {
+        let run = tokio::select! {
             biased;
             ended = &mut own => return ended.map_err(Ended::Failed),
-            send = dead, if routed.route.idempotent() => send,
+            run = dead, if routed.route.idempotent() => run,
         };
-        let mut tried = *attempts;
-        tried.record_failure(broken);
-        let mut tried_avoid = avoid.clone();
-        tried_avoid.insert(placed.replica.clone());
-        last_send.end();
-        let mut others: OtherAttempts<'_> = Box::pin(retry(
-            node,
-            routed,
-            req,
-            &mut tried,
-            &mut tried_avoid,
-            broken,
-            resume,
-        ));
-        let refusal = match take_over(&mut own, &mut others, last_send).await {
-            Takeover::Stayed(Ok(started)) => {
-                drop(others);
-                *attempts = without_own(tried, last_send);
-                return Ok(started);
-            }
-            Takeover::Moved(started) => {
-                drop(others);
-                give_up(node, req, &send, own);
-                (*attempts, *avoid) = (tried, tried_avoid);
-                return Ok(*started);
-            }
-            step @ (Takeover::Stayed(Err(_)) | Takeover::GiveUp) => {
-                if let Takeover::GiveUp = step {
-                    give_up(node, req, &send, own);
-                }
-                // The others are the next attempts.
-                let started = others.await;
-                (*attempts, *avoid) = (tried, tried_avoid);
-                return started.map_err(Ended::Final);
-            }
-            Takeover::Refused(refusal) => refusal,
+        let others = try_others(node, routed, req, attempts, avoid, own, &run, resume);
+        let (silent, why) = match others.await {
+            Beside::Ended(ended) => return ended.map(|started| *started),
+            Beside::Stays(own, why) => (own, why),
         };
-        drop(others);
-        if is_replaced(node, &send.replica) {
-            (*attempts, *avoid) = (tried, tried_avoid);
-            return Err(Ended::Final(refusal));
+        own = silent;
+        if is_gone(node, &run.replica) {
+            return Err(Ended::Failed(AttemptFailure::Broken));
+        }
+        if !std::mem::replace(&mut was_refused, true) {
+            log_stays(node, req, &placed.replica, why);
         }
-        slog::info!(node.log, "silent run goes on, as no other replica takes it";
-            "id" => &req.id, "replica" => placed.replica.as_str(), "why" => refusal.reason);
-        *attempts = without_own(tried, last_send);
         tokio::select! {
             biased;
             ended = &mut own => return ended.map_err(Ended::Failed),
-            () = tokio::time::sleep(RETRY_DELAY) => last_send.begin(send),
+            () = tokio::time::sleep(RETRY_DELAY) => last_send.begin(run),
         }
     }
 }
 
-/// Returns the attempts that were made beside a run which goes on, one of them perhaps still under
-/// way.
-pub(in crate::serving) fn without_own(mut tried: Attempts, last_send: &LastSend) -> Attempts {
-    tried.undo_failure(AttemptFailure::Broken);
-    if last_send.end() {
-        tried.record_failure(AttemptFailure::Broken);
-    }
-    tried
+/// What came of trying other replicas beside a silent run.
+enum Beside<F> {
+    /// Its own replica or another one answered, or all have ended.
+    Ended(Result<Box<StartedResponse>, Ended>),
+    /// It goes on, and no other replica takes it.
+    Stays(F, &'static str),
+}
+
+/// Tries other replicas beside a run that has no response.
+#[expect(
+    clippy::too_many_arguments,
+    reason = "the request and its attempts go through all steps"
+)]
+async fn try_others<F>(
+    node: &Rc<Node>,
+    routed: &RoutedRequest,
+    req: &BufferedRequest,
+    attempts: &mut Attempts,
+    avoid: &mut BTreeSet<ReplicaName>,
+    mut own: F,
+    run: &SentRun,
+    resume: Option<Resume>,
+) -> Beside<F>
+where
+    F: Future<Output = Result<StartedResponse, AttemptFailure>> + Unpin,
+{
+    let last_send = &req.last_send;
+    let silent = AttemptFailure::Broken;
+    let mut tried = attempts.beside_run();
+    let mut tried_avoid = avoid.clone();
+    tried_avoid.insert(run.replica.name.clone());
+    last_send.end();
+    let (tries, avoids) = (&mut tried, &mut tried_avoid);
+    let others = retry(node, routed, req, tries, avoids, silent, resume);
+    let mut others: OtherAttempts<'_> = Box::pin(others);
+    // Two replicas may work on a plain request, and must not on a stream.
+    let is_stream = routed.route.kind == RouteKind::Stream;
+    let overlap = is_stream.then_some(MAX_OVERLAP);
+    let is_silent = || {
+        let state = node.state();
+        state.crash_tracker.is_accused_run(&run.replica, run.id)
+    };
+    let ended = match race(&mut own, &mut others, last_send, overlap, is_silent).await {
+        Takeover::Own(Ok(mut started)) => {
+            drop(others);
+            *attempts = attempts.after_run(tried, last_send.end());
+            if started.run.keeping.is_none() && req.kept.get() {
+                // The store may keep that the stream begins at the other replica's build.
+                started.run.keeping = begin_keeping(node, req, &started.run);
+            }
+            return Beside::Ended(Ok(Box::new(started)));
+        }
+        Takeover::Stays(why) => {
+            drop(others);
+            *attempts = attempts.after_run(tried, last_send.end());
+            return Beside::Stays(own, why);
+        }
+        Takeover::Moved(started) => {
+            give_up(node, req, run, own);
+            Ok(started)
+        }
+        Takeover::GiveUp => {
+            give_up(node, req, run, own);
+            others.as_mut().await.map(Box::new)
+        }
+        // The others are the next attempts.
+        Takeover::Own(Err(_)) => others.as_mut().await.map(Box::new),
+    };
+    drop(others);
+    *attempts = attempts.after_takeover(tried);
+    *avoid = tried_avoid;
+    Beside::Ended(ended.map_err(Ended::Final))
+}
+
+/// Logs that a silent run goes on.
+pub(in crate::serving) fn log_stays(
+    node: &Node,
+    req: &BufferedRequest,
+    replica: &ReplicaName,
+    why: &'static str,
+) {
+    slog::info!(node.log, "silent run goes on, as no other replica takes it"; "id" => &req.id,
+        "replica" => replica.as_str(), "why" => why);
 }
 
 /// Gives up a run that another replica has taken over.
-fn give_up<T>(node: &Node, req: &BufferedRequest, send: &PendingSend, run: T) {
+fn give_up<T>(node: &Node, req: &BufferedRequest, run: &SentRun, own: T) {
     slog::info!(node.log, "silent run given up"; "id" => &req.id,
-        "replica" => send.replica.name.as_str(), "ran_ms" => now().since(send.at).as_millis());
-    drop(run);
+        "replica" => run.replica.name.as_str(), "ran_ms" => now().since(run.sent_at).as_millis());
+    drop(own);
     let mut state = node.state();
-    if state.fleet.is_current(&send.replica) {
+    if state.fleet.is_current(&run.replica) {
         let fleet = &mut state.fleet;
-        fleet.record_outcome(now(), &send.replica.name, RunOutcome::Broken);
+        fleet.record_outcome(now(), &run.replica.name, RunOutcome::Broken);
     }
 }
 
--- a/lib/src/serving/path/charge.rs
+++ b/lib/src/serving/path/charge.rs
@@ -42,42 +42,37 @@
     node: Rc<Node>,
     organisation: OrganisationName,
     weight: f64,
-    may_have_run: Cell<bool>,
+    /// Number of sends in which the request may have run.
+    runs: Cell<u32>,
 }
 
 impl Charge {
     /// Records that the request is about to be sent, so that it may run from now on.
     pub(in crate::serving) fn mark_sent(&self) -> ChargedSend<'_> {
-        let ran_before = self.may_have_run.replace(true);
-        ChargedSend {
-            charge: self,
-            ran_before,
-        }
+        self.runs.set(self.runs.get() + 1);
+        ChargedSend(self)
     }
 }
 
 /// One send of a charged request.
-pub(in crate::serving) struct ChargedSend<'a> {
-    charge: &'a Charge,
-    ran_before: bool,
-}
+pub(in crate::serving) struct ChargedSend<'a>(&'a Charge);
 
 impl ChargedSend<'_> {
     /// Records that this send did not run the request.
     pub(in crate::serving) fn revert(&self) {
-        self.charge.may_have_run.set(self.ran_before);
+        self.0.runs.set(self.0.runs.get().saturating_sub(1));
     }
 }
 
 impl Drop for Charge {
     fn drop(&mut self) {
-        let outcome = if self.may_have_run.get() {
+        let outcome = if self.runs.get() > 0 {
             "ran"
         } else {
             "not_run"
         };
         count_usage(&self.organisation, outcome, self.weight);
-        if !self.may_have_run.get() {
+        if self.runs.get() == 0 {
             let mut state = self.node.state();
             state
                 .borrower
@@ -110,7 +105,7 @@
         node: node.clone(),
         organisation: name.clone(),
         weight,
-        may_have_run: Cell::new(false),
+        runs: Cell::new(0),
     };
     let over = |after: Span, answer_origin: &'static str| {
         count_usage(name, "over_limit", weight);
--- a/lib/src/serving/path/crashes.rs
+++ b/lib/src/serving/path/crashes.rs
@@ -167,9 +167,12 @@
     }
 }
 
-/// Returns whether another start of a replica is listed in its place, so that it says nothing more.
-pub(in crate::serving) fn is_replaced(node: &Node, replica: &Instance) -> bool {
-    matches!(standing(node, replica), Standing::Replaced)
+/// Returns whether a replica that says nothing is gone: another start of it is listed, or none.
+pub(in crate::serving) fn is_gone(node: &Node, replica: &Instance) -> bool {
+    matches!(
+        standing(node, replica),
+        Standing::Replaced | Standing::Unlisted
+    )
 }
 
 /// Asks the replicas for a sign of life that ran something and have given none since.
--- a/lib/src/serving/path/forward.rs
+++ b/lib/src/serving/path/forward.rs
@@ -55,7 +55,8 @@
 use crate::serving::path::statements::Call;
 use crate::serving::path::statements::apply_statement;
 use crate::serving::path::stop;
-use crate::serving::path::takeover::PendingSend;
+use crate::serving::path::takeover::LastSend;
+use crate::serving::path::takeover::SentRun;
 use crate::serving::path::trace::RequestTrace;
 use crate::serving::path::types::Instance;
 use crate::serving::path::types::KeyDigest;
@@ -108,6 +109,7 @@
     pub(in crate::serving) build: Option<BuildName>,
     /// Whether the store may keep that the stream begins at a build.
     pub(in crate::serving) kept: Cell<bool>,
+    pub(in crate::serving) last_send: LastSend,
 }
 
 impl BufferedRequest {
@@ -377,10 +379,10 @@
     log_known_crashes(node, req, &run);
     run.begin_sent(req);
     log_send(node, req, &run);
-    req.trace.last_send.begin(PendingSend {
+    req.last_send.begin(SentRun {
         replica: run.instance(),
-        run: run.id,
-        at: run.sent_at,
+        id: run.id,
+        sent_at: run.sent_at,
     });
     let sent = req
         .urgency
@@ -402,8 +404,11 @@
         run.mark_sent(req.shared_prefix);
         run.keeping = begin_keeping(node, req, &run);
     }
-    let earlier = req.trace.may_have_run.replace(true);
-    let sending = node.upstreams.send(address, request);
+    req.trace.add_runs(1);
+    let sending = node.upstreams.send_if(address, request, || {
+        req.last_send.open();
+        true
+    });
     let answer = match tokio::time::timeout(timeout, sending).await {
         Err(_) => return Err(AttemptFailure::TimedOut),
         Ok(Err(SendError::NotSent(_))) => {
@@ -411,7 +416,7 @@
             run.close(RunEnd::Closed);
             probes::record_unreached(node, replica);
             send.inspect(|s| s.revert());
-            req.trace.may_have_run.set(earlier);
+            req.trace.revert_run();
             return Err(AttemptFailure::NotSent);
         }
         Ok(Err(SendError::Broken(_))) => {
@@ -462,7 +467,7 @@
             };
             send.inspect(|s| s.revert());
             run.close(RunEnd::Closed);
-            req.trace.may_have_run.set(earlier);
+            req.trace.revert_run();
             record_refusal(node, req, &run, reason);
             Err(AttemptFailure::NotRun(reason))
         }
@@ -503,7 +508,11 @@
 
 /// Has the store keep that a stream begins at the build of a run, if it must. That takes less time
 /// than the first event.
-fn begin_keeping(node: &Rc<Node>, req: &BufferedRequest, run: &Run) -> Option<JoinHandle<Kept>> {
+pub(in crate::serving) fn begin_keeping(
+    node: &Rc<Node>,
+    req: &BufferedRequest,
+    run: &Run,
+) -> Option<JoinHandle<Kept>> {
     let stream = req.stream.filter(|_| req.build.is_none())?;
     let (service, build) = (run.service.clone()?, run.build.clone()?);
     let must = node.state().stream_builds.must_keep(&service, &build);
--- a/lib/src/serving/path/relay.rs
+++ b/lib/src/serving/path/relay.rs
@@ -56,6 +56,7 @@
 use crate::serving::path::serve::origin_form;
 use crate::serving::path::serve::run_request;
 use crate::serving::path::stop;
+use crate::serving::path::takeover::LastSend;
 use crate::serving::path::trace::RequestTrace;
 use crate::serving::path::types::KeyDigest;
 use crate::serving::path::types::Rank;
@@ -205,7 +206,7 @@
         }
         let charged = req.caller.charge.as_ref().map(Charge::mark_sent);
         let request = build_request(node, routed, req, &peers);
-        let earlier = req.trace.may_have_run.replace(true);
+        req.trace.add_runs(1);
         let sent = node.upstreams.send(address, request);
         let sent = tokio::time::timeout_at(to_instant(req.deadline), sent).await;
         let outcome = match sent {
@@ -231,14 +232,15 @@
                 return Relayed::Refused(refusal);
             }
             PeerReply::NotRun(refusal) => {
-                req.trace.may_have_run.set(earlier);
+                req.trace.revert_run();
                 charged.inspect(|c| c.revert());
                 log_relayed(node, req, &peers, &vm, refusal.reason);
                 return Relayed::Refused(refusal);
             }
             PeerReply::NotTaken(refusal) => {
+                req.trace.revert_run();
                 let made = refusal.as_ref().map_or(0, |(_, made)| made.runs);
-                req.trace.may_have_run.set(earlier || made > 0);
+                req.trace.add_runs(made.saturating_sub(peers.runs));
                 charged.inspect(|c| c.revert());
                 let reason = refusal.as_ref().map_or("not_sent", |(r, _)| r.reason);
                 log_relayed(node, req, &peers, &vm, reason);
@@ -498,7 +500,7 @@
         .as_ref()
         .map(decode_attempts)
         .unwrap_or_default();
-    trace.may_have_run.set(peers.runs > 0);
+    trace.add_runs(peers.runs);
     let info = (node.codec.parse_request)(&parts.headers);
     let routed = RoutedRequest {
         route: find_route(&active.routes, &parts).ok_or(not_run("no_route"))?,
@@ -545,6 +547,7 @@
         deadline: arrived.after(Span(head.left_us)),
         trace: trace.clone(),
         relayed: true,
+        last_send: LastSend::default(),
     };
     check_blocked(node, &req)?;
     run_request(node, Rc::new(routed), req, arrived, in_flight, peers).await
--- a/lib/src/serving/path/response.rs
+++ b/lib/src/serving/path/response.rs
@@ -25,8 +25,8 @@
 use crate::serving::decisions::retry::Attempts;
 use crate::serving::decisions::retry::Refusal;
 use crate::serving::decisions::retry::STOPPING;
+use crate::serving::path::attempts::log_stays;
 use crate::serving::path::attempts::resume_elsewhere;
-use crate::serving::path::attempts::without_own;
 use crate::serving::path::bodies::AnswerCharge;
 use crate::serving::path::bodies::ReadAhead;
 use crate::serving::path::choice::has_other_replica;
@@ -38,9 +38,10 @@
 use crate::serving::path::serve::RoutedRequest;
 use crate::serving::path::serve::count_outcome;
 use crate::serving::path::stop;
+use crate::serving::path::takeover::MAX_OVERLAP;
 use crate::serving::path::takeover::OtherAttempts;
 use crate::serving::path::takeover::Takeover;
-use crate::serving::path::takeover::take_over;
+use crate::serving::path::takeover::race;
 use crate::serving::program::node::InFlight;
 use crate::serving::program::node::Node;
 use crate::serving::program::node::Phase;
@@ -71,7 +72,7 @@
 const NOT_RESUMED: ResponseAborted =
     ResponseAborted("upstream broke off and the response could not be resumed");
 
-/// A chunk of a replica's response, or its end.
+/// A chunk of a replica's response, or its end; `Overdue` if nothing came yet.
 type Chunk = Result<Option<Result<Bytes, hyper::Error>>, Overdue>;
 
 /// Body of a response to a caller.
@@ -159,7 +160,7 @@
             let chunk = started.answer.next_chunk_before(wake_at);
             let mut chunk = stop::chunk_until_end(&self.node, chunk).await;
             if chunk.is_err() && self.should_move() {
-                chunk = match self.take_over().await {
+                chunk = match self.move_silent().await {
                     Ok(chunk) => chunk,
                     Err(e) => return Some(Err(e)),
                 };
@@ -322,21 +323,24 @@
     }
 
     /// Starts a silent stream on another replica, while its own may still go on with it. Returns
-    /// what that one sends if it does.
-    async fn take_over(&mut self) -> Result<Chunk, ResponseAborted> {
+    /// what that one sends if it does, and that nothing came otherwise.
+    async fn move_silent(&mut self) -> Result<Chunk, ResponseAborted> {
         let (Some(started), Some(events)) = (&mut self.response, &self.events) else {
             return Ok(Err(Overdue));
         };
-        let silent = AttemptFailure::Broken;
-        let mut tried = self.attempts;
-        tried.record_failure(silent);
+        // The two must be of one build: either may go on with the stream.
+        let begins = self.request.build.is_none();
+        if begins {
+            self.request.build = started.run.build.clone();
+        }
+        let mut tried = self.attempts.beside_run();
         let mut avoid = self.avoid.clone();
         avoid.insert(started.run.replica.clone());
         let resume = Resume {
             after: events.last_id,
             urgency: started.run.urgency,
         };
-        let last_send = &self.request.trace.last_send;
+        let last_send = &self.request.last_send;
         last_send.end();
         let mut others: OtherAttempts<'_> = Box::pin(resume_elsewhere(
             &self.node,
@@ -344,43 +348,55 @@
             &self.request,
             &mut tried,
             &mut avoid,
-            silent,
+            AttemptFailure::Broken,
             resume,
         ));
+        let replica = started.run.replica.clone();
+        let is_silent = || self.node.state().fleet.is_silent(now(), &replica);
         let deadline = to_instant(self.request.deadline);
         let chunk = started.answer.next_chunk_before(deadline);
         let chunk = stop::chunk_until_end(&self.node, chunk);
-        let next = match take_over(chunk, &mut others, last_send).await {
-            Takeover::Stayed(chunk) if !is_broken(&chunk, events) => {
+        let overlap = Some(MAX_OVERLAP);
+        let outcome = race(chunk, &mut others, last_send, overlap, is_silent).await;
+        let (is_over, next) = match outcome {
+            Takeover::Own(chunk) if !is_broken(&chunk, events) => {
                 drop(others);
-                self.attempts = without_own(tried, last_send);
+                self.attempts = self.attempts.after_run(tried, last_send.end());
+                if begins {
+                    self.request.build = None;
+                }
                 return Ok(chunk);
             }
-            Takeover::Refused(refusal) => {
+            Takeover::Stays(why) => {
                 drop(others);
-                self.attempts = without_own(tried, last_send);
-                slog::info!(self.node.log, "silent run goes on, as no other replica takes it";
-                    "id" => &self.request.id, "replica" => started.run.replica.as_str(),
-                    "why" => refusal.reason);
+                self.attempts = self.attempts.after_run(tried, last_send.end());
+                log_stays(&self.node, &self.request, &replica, why);
+                if begins {
+                    self.request.build = None;
+                }
                 return Ok(Err(Overdue));
             }
-            Takeover::Moved(next) => Some(*next),
-            // Its own replica broke off, or must be given up; the others are the next attempts.
-            Takeover::Stayed(_) | Takeover::GiveUp => None,
+            // The others are the next attempts.
+            Takeover::Own(_) => (true, None),
+            Takeover::GiveUp => (false, None),
+            Takeover::Moved(next) => (false, Some(*next)),
         };
-        let own = self.response.take();
-        if let Some(own) = &own {
+        let ended = match is_over {
+            true => self.broken_off().as_str(),
+            false => "silent",
+        };
+        self.log_broken(ended, Some(&replica));
+        // This closes the connection, which makes the replica cancel the run.
+        if let Some(own) = self.response.take() {
             own.run.record_end(RunOutcome::Broken);
-            self.log_broken("silent", Some(&own.run.replica));
         }
-        // This closes the connection, which makes the replica cancel the run.
-        drop(own);
         let next = match next {
             Some(next) => Ok(next),
             None => stop::until_end(&self.node, &self.request.trace, &mut others).await,
         };
         drop(others);
-        (self.attempts, self.avoid) = (tried, avoid);
+        self.attempts = self.attempts.after_takeover(tried);
+        self.avoid = avoid;
         self.go_on(next).map(|()| Err(Overdue))
     }
 
@@ -426,6 +442,7 @@
         if let Some(events) = &mut self.events {
             events.scanner.reset();
         }
+        self.event_charge.resize(0);
         slog::info!(self.node.log, "response resumed"; "id" => &self.request.id,
             "replica" => started.run.replica.as_str(), "route" => &self.routed.route.name);
         self.response = Some(started);
--- a/lib/src/serving/path/serve.rs
+++ b/lib/src/serving/path/serve.rs
@@ -60,6 +60,7 @@
 use crate::serving::path::response::stream_body;
 use crate::serving::path::routes::pick_service;
 use crate::serving::path::stop;
+use crate::serving::path::takeover::LastSend;
 use crate::serving::path::trace::RequestTrace;
 use crate::serving::path::types::Organisation;
 use crate::serving::path::types::Rank;
@@ -238,6 +239,7 @@
         deadline,
         trace: trace.clone(),
         relayed: false,
+        last_send: LastSend::default(),
     };
     check_blocked(node, &req)?;
     let peers = &mut PeerAttempts::default();
--- a/lib/src/serving/path/stop.rs
+++ b/lib/src/serving/path/stop.rs
@@ -72,7 +72,7 @@
     tokio::select! {
         biased;
         handled = handled => handled,
-        () = until(node, Phase::Ending) => Err(Refusal::stopping(trace.may_have_run.get())),
+        () = until(node, Phase::Ending) => Err(Refusal::stopping(trace.may_have_run())),
     }
 }
 
--- a/lib/src/serving/path/takeover.rs
+++ b/lib/src/serving/path/takeover.rs
@@ -17,30 +17,38 @@
 use crate::serving::program::node::now;
 use crate::serving::program::node::to_instant;
 
-/// Longest time for which two replicas may run a request; a replica that was given up ends its
-/// work within about as long again.
-const MAX_OVERLAP: Span = Span::from_millis(200);
+/// Longest time for which two replicas may work on a stream; one that was given up ends its work
+/// within about as long again.
+pub(in crate::serving) const MAX_OVERLAP: Span = Span::from_millis(200);
 
-/// A send whose response has not begun.
+/// A run that was sent.
 #[derive(Clone, Debug, Eq, PartialEq)]
-pub(in crate::serving) struct PendingSend {
+pub(in crate::serving) struct SentRun {
     pub(in crate::serving) replica: Instance,
-    /// The ID of the run.
-    pub(in crate::serving) run: u64,
-    pub(in crate::serving) at: Moment,
+    pub(in crate::serving) id: u64,
+    pub(in crate::serving) sent_at: Moment,
 }
 
-/// The last send of a request, while its response has not begun.
+/// The last send of a request, from when it begins until it fails or another attempt begins.
 #[derive(Debug, Default)]
 pub(in crate::serving) struct LastSend {
-    pending: RefCell<Option<PendingSend>>,
+    /// The run, and when the connection for it was open.
+    pending: RefCell<Option<(SentRun, Option<Moment>)>>,
     wake: Notify,
 }
 
 impl LastSend {
-    /// Records that the request is sent.
-    pub(in crate::serving) fn begin(&self, send: PendingSend) {
-        self.pending.replace(Some(send));
+    /// Records that a run is sent once a connection is open.
+    pub(in crate::serving) fn begin(&self, run: SentRun) {
+        self.pending.replace(Some((run, None)));
+        self.wake.notify_waiters();
+    }
+
+    /// Records that the connection is open.
+    pub(in crate::serving) fn open(&self) {
+        if let Some((_, opened)) = &mut *self.pending.borrow_mut() {
+            *opened = Some(now());
+        }
         self.wake.notify_waiters();
     }
 
@@ -49,61 +57,82 @@
         self.pending.take().is_some()
     }
 
-    /// Waits until the request is sent.
-    pub(in crate::serving) async fn until_sent(&self) -> PendingSend {
+    /// Waits until a run is sent.
+    pub(in crate::serving) async fn until_sent(&self) -> SentRun {
         loop {
             let woken = self.wake.notified();
             let pending = self.pending.borrow().clone();
             match pending {
-                Some(send) => return send,
+                Some((run, _)) => return run,
                 None => woken.await,
             }
         }
     }
 
-    /// Waits until one send has been under way for `MAX_OVERLAP`.
-    async fn until_overlap_ends(&self) {
+    /// Waits until a replica has had a run for so long.
+    async fn until_held(&self, time: Span) {
         loop {
-            let send = self.until_sent().await;
-            tokio::time::sleep_until(to_instant(send.at.after(MAX_OVERLAP))).await;
-            if self.pending.borrow().as_ref() == Some(&send) && now() >= send.at.after(MAX_OVERLAP)
-            {
+            let woken = self.wake.notified();
+            let pending = self.pending.borrow().clone();
+            let Some((_, Some(opened))) = pending else {
+                woken.await;
+                continue;
+            };
+            let due = opened.after(time);
+            if now() >= due {
                 return;
             }
+            tokio::select! {
+                () = tokio::time::sleep_until(to_instant(due)) => {}
+                () = woken => {}
+            }
         }
     }
 }
 
-/// The attempts to start a run on other replicas.
+/// Attempts to start a run on other replicas.
 pub(in crate::serving) type OtherAttempts<'a> =
     Pin<Box<dyn Future<Output = Result<StartedResponse, Refusal>> + 'a>>;
 
 /// Result of starting a run on other replicas.
 pub(in crate::serving) enum Takeover<T> {
-    /// Its own replica went on meanwhile.
-    Stayed(T),
-    /// Another replica has it. Its own must be given up.
+    /// Its own replica went on with it.
+    Own(T),
+    /// Another replica has it. Its own run must be given up.
     Moved(Box<StartedResponse>),
-    /// No other replica takes it.
-    Refused(Refusal),
-    /// Another replica has had it for `MAX_OVERLAP` without refusing it. Its own must be given up
-    /// before the attempts go on.
+    /// No other replica takes it, or its own is heard from again.
+    Stays(&'static str),
+    /// Another replica has had it for `MAX_OVERLAP` and has not refused it. Its own run must be
+    /// given up before the attempts go on.
     GiveUp,
 }
 
 /// Makes attempts on other replicas until one has the run, or its own replica goes on with it.
-pub(in crate::serving) async fn take_over<T>(
+/// `overlap` bounds the time for which two may run it; `is_silent` says whether its own replica
+/// still says nothing.
+pub(in crate::serving) async fn race<T>(
     own: impl Future<Output = T>,
     others: &mut OtherAttempts<'_>,
     last_send: &LastSend,
+    overlap: Option<Span>,
+    is_silent: impl Fn() -> bool,
 ) -> Takeover<T> {
+    let overlap_ends = async {
+        match overlap {
+            Some(time) => last_send.until_held(time).await,
+            None => std::future::pending().await,
+        }
+    };
     tokio::select! {
         biased;
-        result = own => Takeover::Stayed(result),
+        result = own => Takeover::Own(result),
         moved = others => match moved {
             Ok(started) => Takeover::Moved(Box::new(started)),
-            Err(refusal) => Takeover::Refused(refusal),
+            Err(refusal) => Takeover::Stays(refusal.reason),
+        },
+        () = overlap_ends => match is_silent() {
+            true => Takeover::GiveUp,
+            false => Takeover::Stays("heard_again"),
         },
-        () = last_send.until_overlap_ends() => Takeover::GiveUp,
     }
 }
--- a/lib/src/serving/path/trace.rs
+++ b/lib/src/serving/path/trace.rs
@@ -10,7 +10,6 @@
 
 use crate::pool::Moment;
 use crate::serving::decisions::waiting::WaitParts;
-use crate::serving::path::takeover::LastSend;
 use crate::serving::path::types::Rank;
 use crate::serving::path::types::Route;
 
@@ -20,11 +19,10 @@
 pub(in crate::serving) struct RequestTrace {
     route: RefCell<Option<(Rc<Route>, Rank)>>,
     waits: Cell<WaitParts>,
-    /// Whether a replica may have run the request.
-    pub(in crate::serving) may_have_run: Cell<bool>,
+    /// Number of sends in which a replica may have run the request.
+    runs: Cell<u32>,
     /// When the retry that is sent next was granted.
     pub(in crate::serving) granted: Cell<Option<Moment>>,
-    pub(in crate::serving) last_send: LastSend,
 }
 
 impl RequestTrace {
@@ -33,6 +31,21 @@
         self.route.replace(Some((route.clone(), rank)));
     }
 
+    /// Counts sends in which a replica may run the request.
+    pub(in crate::serving) fn add_runs(&self, runs: u32) {
+        self.runs.set(self.runs.get().saturating_add(runs));
+    }
+
+    /// Takes back one send that did not run it.
+    pub(in crate::serving) fn revert_run(&self) {
+        self.runs.set(self.runs.get().saturating_sub(1));
+    }
+
+    /// Returns whether a replica may have run the request.
+    pub(in crate::serving) fn may_have_run(&self) -> bool {
+        self.runs.get() > 0
+    }
+
     /// Adds a wait for a replica that ended.
     pub(in crate::serving) fn add_wait(&self, parts: &WaitParts) {
         let mut waits = self.waits.get();
