serving: a hand-over that is too late to be sent takes no retry from the budget

A second VM was paid for before the checks that may refuse the hand-over: the process stops, or the key was revoked. By reading: no test brings it about.

--- a/lib/src/serving/path/relay.rs
+++ b/lib/src/serving/path/relay.rs
@@ -194,16 +194,16 @@
         if !attempts.may_hand_over() {
             break;
         }
-        if !is_paid && !spend_retry(node, routed, req, "refused_by_peer") {
-            break;
-        }
-        is_paid = true;
         if let Err(failure) = check_key(node, req) {
             return Relayed::Refused(Refusal::after(&Attempts::default(), failure));
         }
         if let Err(failure) = stop::check_send(node, &routed.route, req.deadline) {
             return Relayed::Refused(Refusal::after(&attempts, failure));
         }
+        if !is_paid && !spend_retry(node, routed, req, "refused_by_peer") {
+            break;
+        }
+        is_paid = true;
         let charged = req.caller.charge.as_ref().map(Charge::mark_sent);
         let request = build_request(node, routed, req, &peers);
         req.trace.add_runs(1);
