serving: read what callers still send before a connection is closed

A caller that had sent further requests on its connection and read a large answer late lost the end of it in a planned stop: 21,362,482 of 25,165,824 bytes arrived. The connection was closed as soon as the answer was written to it, with the further requests unread. The system resets a connection that is closed so, and drops what it has not delivered.

The connection now outlives the server that serves it: its sending side is ended, and what the caller still sends is read and dropped, until it has closed its side or for 1 s. A process that stops waits for that as for any open connection. The same holds wherever this side closes first, such as after a refusal while the body is still on its way.

--- a/lib/src/serving/path/mod.rs
+++ b/lib/src/serving/path/mod.rs
@@ -10,6 +10,7 @@
 pub(super) mod crashes;
 pub(super) mod forward;
 pub(super) mod limit;
+mod linger;
 pub(super) mod owner_check;
 pub(super) mod placement;
 pub(super) mod prefill;
--- a/lib/src/serving/path/server.rs
+++ b/lib/src/serving/path/server.rs
@@ -16,6 +16,7 @@
 use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 
+use crate::serving::path::linger::SharedStream;
 use crate::serving::path::relay::serve_relayed;
 use crate::serving::path::response::full_body;
 use crate::serving::path::serve::serve;
@@ -108,17 +109,23 @@
         .timer(TokioTimer::new())
         .header_read_timeout(header_timeout)
         .max_buf_size(buffer_bytes.max(MIN_BUFFER_BYTES));
-    let served = server.serve_connection(TokioIo::new(stream), service);
-    tokio::pin!(served);
-    let mut phase = node.phase.subscribe();
-    let closing = phase.wait_for(|p| *p >= Phase::Draining);
-    tokio::select! {
-        // Errors are disconnects, which end the caller's requests as well.
-        _ = &mut served => return,
-        _ = closing => {}
+    let stream = SharedStream::new(stream);
+    {
+        let served = server.serve_connection(TokioIo::new(stream.clone()), service);
+        tokio::pin!(served);
+        let mut phase = node.phase.subscribe();
+        let closing = phase.wait_for(|p| *p >= Phase::Draining);
+        let has_ended = tokio::select! {
+            // Errors are disconnects, which end the caller's requests as well.
+            _ = &mut served => true,
+            _ = closing => false,
+        };
+        if !has_ended {
+            served.as_mut().graceful_shutdown();
+            served.await.ok();
+        }
     }
-    served.as_mut().graceful_shutdown();
-    served.await.ok();
+    stream.close().await;
 }
 
 /// Returns whether callers should be routed to this VM. While it cannot tell whether API keys
