serving: a stop's times run from the signal

The grace period begins when the process gets SIGTERM; the times of a planned stop began when the serving thread turned to it. With that thread busy for 1.5 s, requests were taken until 4.5 s after SIGTERM and the process ended 9.0 s after it, where it is killed after 8 s: 3 requests that were sent too late to be excused were still under way.

A thread of its own now waits for the signals and notes when the first one came; the stop is planned from then. `stopping` logs as late_ms how much later the serving thread turned to it. A machine on which no thread runs is as late as before.

--- a/lib/src/serving/program/run.rs
+++ b/lib/src/serving/program/run.rs
@@ -3,12 +3,15 @@
 use std::fmt;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::thread;
 use std::time::Duration;
 
 use serde_json::value::to_raw_value;
 use tokio::net::UdpSocket;
+use tokio::runtime;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
+use tokio::sync::oneshot;
 
 use crate::platform::PlatformError;
 use crate::pool::Moment;
@@ -147,9 +150,14 @@
     /// grace period is refused before it is sent to a replica; what is open at its end is answered
     /// with what is known of it.
     pub async fn stop(&self) {
+        self.stop_since(now()).await;
+    }
+
+    /// Does so in a grace period that began at `begun`, when the process was told to stop.
+    async fn stop_since(&self, begun: Moment) {
         let node = &self.node;
-        let begun = now();
-        slog::info!(node.log, "stopping"; "open" => node.in_flight());
+        slog::info!(node.log, "stopping"; "open" => node.in_flight(),
+            "late_ms" => now().since(begun).as_millis());
         let plan = StopPlan::new(begun, to_span(node.settings.grace));
         node.stop_plan.set(Some(plan));
         node.phase.send_replace(Phase::Unready);
@@ -185,6 +193,34 @@
     }
 }
 
+/// Waits for SIGTERM or SIGINT in a thread of its own, as the thread that serves may be busy.
+/// The receiver gets the time of the first one.
+fn watch_signals() -> std::io::Result<oneshot::Receiver<Moment>> {
+    let runtime = runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    let (mut terminate, mut interrupt) = {
+        let _entered = runtime.enter();
+        (
+            signal(SignalKind::terminate())?,
+            signal(SignalKind::interrupt())?,
+        )
+    };
+    let (sender, receiver) = oneshot::channel();
+    let watch = async move {
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+        // The server may have ended.
+        sender.send(now()).ok();
+    };
+    thread::Builder::new()
+        .name("signals".to_owned())
+        .spawn(move || runtime.block_on(watch))?;
+    Ok(receiver)
+}
+
 /// Runs the server until SIGTERM or SIGINT; a SIGINT during the shutdown ends it at once.
 /// SIGHUP calls `reload`.
 ///
@@ -199,21 +235,22 @@
     reload: impl Fn() -> Result<ServeSettings, String>,
 ) -> Result<(), ServeError> {
     let install = |kind| signal(kind).map_err(ServeError::Signals);
-    let mut terminate = install(SignalKind::terminate())?;
-    let mut interrupt = install(SignalKind::interrupt())?;
+    let mut told = watch_signals().map_err(ServeError::Signals)?;
     let mut hangup = install(SignalKind::hangup())?;
     let old = settings.clone();
     let log = log.new(slog::o!("vm" => settings.vm.to_string()));
     let server = Server::start(settings, codec, store, log.clone()).await?;
-    loop {
+    let begun = loop {
         tokio::select! {
-            _ = terminate.recv() => break,
-            _ = interrupt.recv() => break,
+            // Without its sender, the thread is gone.
+            begun = &mut told => break begun.unwrap_or_else(|_| now()),
             _ = hangup.recv() => log_reload(&log, &old, reload()),
         }
-    }
+    };
+    // Only an interrupt after the first signal counts.
+    let mut interrupt = install(SignalKind::interrupt())?;
     tokio::select! {
-        () = server.stop() => {}
+        () = server.stop_since(begun) => {}
         _ = interrupt.recv() => slog::warn!(log, "stopped by a second interrupt without draining"),
     }
     Ok(())
