serving: one account for connections and the bodies on them

Callers that opened many connections and stopped short of the end of a head or a body took memory and descriptors without a bound: bodies up to 32 KiB took no room, the buffers of connections stood in no account, nothing bounded the connections of one process, and what stood still kept its room until its deadline.

Now a connection counts from the moment it is accepted, with 44 KiB, and so does each body, whatever its size. The room is the memory limit less 32 MiB, and three quarters of the descriptors that are not for files; large bodies and answers still have what is above 60 MiB. When room is short, the one that has stood still longest gives way if it has for 0.5 s: a body is refused as not run (503, no_memory) and its connection closed, a connection without a complete head is closed. Requests that run, and answers that are still to be written, stay. If nothing stands still, the newest is refused. Reads take 16 KiB at most, so that hyper does not enlarge its buffer.

--- a/lib/src/serving/cluster/state.rs
+++ b/lib/src/serving/cluster/state.rs
@@ -29,12 +29,13 @@
 use crate::serving::decisions::access::ConfigAge;
 use crate::serving::decisions::access::KeyBounds;
 use crate::serving::decisions::adapter_planner::AdapterPlanner;
-use crate::serving::decisions::body_room::BodyRoom;
 use crate::serving::decisions::crash_tracker::CrashTracker;
 use crate::serving::decisions::crash_tracker::Feature;
 use crate::serving::decisions::fleet::AdmittedBuilds;
 use crate::serving::decisions::fleet::Fleet;
 use crate::serving::decisions::fleet::Load;
+use crate::serving::decisions::memory_account::AccountLimits;
+use crate::serving::decisions::memory_account::MemoryAccount;
 use crate::serving::decisions::prefill_turns::PrefillTurns;
 use crate::serving::decisions::quota::Borrower;
 use crate::serving::decisions::quota::Lender;
@@ -107,8 +108,8 @@
 pub(in crate::serving) struct NodeState {
     pub(in crate::serving) active: Option<Rc<ActiveConfig>>,
     pub(in crate::serving) fleet: Fleet,
-    /// Memory for the bodies of requests.
-    pub(in crate::serving) body_room: BodyRoom,
+    /// Memory for connections and the bodies of requests.
+    pub(in crate::serving) memory: MemoryAccount,
     /// How long runs take, which says what a stopping process may still send.
     pub(in crate::serving) run_times: RunTimes,
     budget: RetryBudget,
@@ -203,7 +204,10 @@
         let mut state = Self {
             active: None,
             fleet: Fleet::new(settings.zone.clone()),
-            body_room: BodyRoom::new(settings.memory),
+            memory: MemoryAccount::new(AccountLimits {
+                memory: settings.memory,
+                max_fds: settings.max_fds,
+            }),
             run_times: RunTimes::default(),
             budget: RetryBudget::new(settings.budget, now),
             members: Members::new(settings.vm.clone(), now),
--- a/lib/src/serving/decisions/body_room.rs
+++ b/lib/src/serving/decisions/body_room.rs
@@ -56,6 +56,19 @@
         }
     }
 
+    /// Returns the bytes that are held of bodies and of answers.
+    ///
+    /// ```
+    /// use banyangauge::serving::BodyRoom;
+    /// let mut room = BodyRoom::new(None);
+    /// room.read(3, 0);
+    /// room.keep_answer(2);
+    /// assert_eq!(room.held(), 5);
+    /// ```
+    pub fn held(&self) -> u64 {
+        self.held + self.answers
+    }
+
     /// Returns the bytes that count.
     fn used(&self) -> u64 {
         self.held + self.answers + fraction(self.pending, PENDING_FRACTION)
--- a/lib/src/serving/decisions/mod.rs
+++ b/lib/src/serving/decisions/mod.rs
@@ -6,6 +6,7 @@
 pub(super) mod crash_tracker;
 pub(super) mod fetch_limiter;
 pub(super) mod fleet;
+pub(super) mod memory_account;
 pub(super) mod order_timeout;
 pub(super) mod prefill_turns;
 pub mod quota;
--- a/lib/src/serving/path/bodies.rs
+++ b/lib/src/serving/path/bodies.rs
@@ -12,49 +12,41 @@
 use hyper::body::Incoming;
 
 use crate::pool::Moment;
+use crate::serving::decisions::memory_account::HolderId;
+use crate::serving::decisions::memory_account::SMALL_BODY;
 use crate::serving::decisions::retry::RETRY_DELAY;
 use crate::serving::decisions::retry::Refusal;
+use crate::serving::path::connections::Holder;
 use crate::serving::program::node::Node;
 use crate::serving::program::node::now;
 use crate::serving::program::node::time_until;
 use crate::serving::program::node::to_instant;
 use crate::upstream::BodyBuffer;
 
-/// Size in bytes up to which a body is read without waiting for room.
-const SMALL_BODY: u64 = 32 << 10;
+/// Interval at which the first body that waits for room looks for others that stand still.
+const STILL_POLL: Duration = Duration::from_millis(100);
 
 /// Part of the time until its deadline for which a request waits for room.
 const WAIT_FRACTION: f64 = 0.25;
 
 /// The room that a body takes, until this is dropped.
-pub(in crate::serving) struct BodyCharge {
-    node: Rc<Node>,
-    /// Bytes that were expected when the body began.
-    length: u64,
-    /// Bytes of memory that what has arrived takes.
-    read: u64,
-}
+pub(in crate::serving) struct BodyCharge(Holder);
 
 impl BodyCharge {
     /// Records that the body takes so many bytes of memory by now; returns whether there is room
     /// for them.
     fn record(&mut self, size: u64) -> bool {
-        let more = size.saturating_sub(self.read);
-        let expected = more.min(self.length.saturating_sub(self.read));
-        let room = &mut self.node.state().body_room;
-        let fits = size <= SMALL_BODY || room.fits(self.read, more);
-        self.read += more;
-        room.read(more, expected);
+        let Holder { node, id, .. } = &self.0;
+        let (fits, closed) = node.state().memory.read(*id, size, now());
+        node.close(&closed);
         fits
     }
 }
 
 impl Drop for BodyCharge {
     fn drop(&mut self) {
-        if self.length > 0 || self.read > 0 {
-            self.node.state().body_room.end(self.length, self.read);
-            self.node.body_wake.notify_one();
-        }
+        self.0.node.state().memory.remove(self.0.id);
+        self.0.node.body_wake.notify_one();
     }
 }
 
@@ -80,10 +72,10 @@
             return true;
         }
         let fits = match size.checked_sub(self.size) {
-            Some(more) => self.node.state().body_room.keep_answer(more),
+            Some(more) => self.node.state().memory.bodies().keep_answer(more),
             None => {
                 let released = self.size - size;
-                self.node.state().body_room.release_answer(released);
+                self.node.state().memory.bodies().release_answer(released);
                 self.node.body_wake.notify_one();
                 true
             }
@@ -142,7 +134,7 @@
 
 impl Drop for Waiting<'_> {
     fn drop(&mut self) {
-        self.0.state().body_room.leave(self.1);
+        self.0.state().memory.bodies().leave(self.1);
     }
 }
 
@@ -156,6 +148,7 @@
 /// is room for it.
 pub(in crate::serving) async fn read_body(
     node: &Rc<Node>,
+    connection: Option<HolderId>,
     body: Incoming,
     max_bytes: usize,
     deadline: Moment,
@@ -166,16 +159,24 @@
     if stated > max_bytes as u64 {
         return Err(too_large);
     }
-    let mut charge = wait_for_room(node, stated, deadline).await?;
+    let mut charge = wait_for_room(node, connection, stated, deadline).await?;
     let mut body = Limited::new(body, max_bytes);
     let mut buffer = BodyBuffer::default();
     let mut pieces = 0;
     loop {
-        let frame = tokio::time::timeout_at(to_instant(deadline), body.frame()).await;
+        let frame = tokio::time::timeout_at(to_instant(deadline), body.frame());
+        let frame = tokio::select! {
+            biased;
+            () = charge.0.displaced() => {
+                return Err(Refusal::not_run("no_memory", RETRY_DELAY));
+            }
+            frame = frame => frame,
+        };
         match frame {
             Err(_) => return Err(Refusal::denied(StatusCode::REQUEST_TIMEOUT, "slow_body")),
             Ok(None) => {
                 metrics::histogram!("serve_body_pieces").record(f64::from(pieces));
+                charge.0.pause();
                 let blocks = buffer.into_blocks();
                 return Ok(BufferedBody { blocks, charge });
             }
@@ -200,23 +201,22 @@
 /// wait are refused at once.
 async fn wait_for_room(
     node: &Rc<Node>,
+    connection: Option<HolderId>,
     length: u64,
     deadline: Moment,
 ) -> Result<BodyCharge, Refusal> {
-    let charge = || BodyCharge {
-        node: node.clone(),
-        length,
-        read: 0,
-    };
-    if length <= SMALL_BODY {
-        node.state().body_room.begin_small(length);
-        return Ok(charge());
-    }
     let no_room = Refusal::not_run("no_memory", RETRY_DELAY);
-    if node.body_turn.try_lock().is_ok() && node.state().body_room.begin(length) {
-        return Ok(charge());
+    let connection = connection.ok_or(no_room)?;
+    let begin = || {
+        let (id, closed) = node.state().memory.begin(connection, length, now());
+        node.close(&closed);
+        id.map(|id| BodyCharge(Holder::new(node, id)))
+    };
+    let may_begin = length <= SMALL_BODY || node.body_turn.try_lock().is_ok();
+    if let Some(charge) = may_begin.then(begin).flatten() {
+        return Ok(charge);
     }
-    if !node.state().body_room.wait(length) {
+    if !node.state().memory.bodies().wait(length) {
         return Err(no_room);
     }
     let waiting = Waiting(node, length);
@@ -224,15 +224,17 @@
     let since = now();
     let admitted = tokio::time::timeout(patience, async {
         let _turn = node.body_turn.lock().await;
-        while !node.state().body_room.begin(length) {
-            node.body_wake.notified().await;
+        loop {
+            if let Some(charge) = begin() {
+                return charge;
+            }
+            // None of them may end for a long time.
+            let woken = tokio::time::timeout(STILL_POLL, node.body_wake.notified());
+            woken.await.ok();
         }
     });
-    let admitted = admitted.await.is_ok();
+    let admitted = admitted.await;
     drop(waiting);
     metrics::histogram!("serve_body_wait_seconds").record(now().since(since).0 as f64 / 1e6);
-    match admitted {
-        true => Ok(charge()),
-        false => Err(no_room),
-    }
+    admitted.map_err(|_| no_room)
 }
--- a/lib/src/serving/path/mod.rs
+++ b/lib/src/serving/path/mod.rs
@@ -7,6 +7,7 @@
 pub(super) mod choice;
 pub(super) mod codec;
 mod config_age;
+pub(super) mod connections;
 pub(super) mod crashes;
 pub(super) mod forward;
 pub(super) mod limit;
--- a/lib/src/serving/path/relay.rs
+++ b/lib/src/serving/path/relay.rs
@@ -488,9 +488,10 @@
     let active = node.state().serving_config(arrived);
     let active = active.ok_or(not_run("no_configuration"))?;
     let (parts, body) = request.into_parts();
+    let connection = parts.extensions.get().copied();
     let max_bytes = active.config.limits.body_bytes + MAX_HEAD_BYTES;
     let read_by = arrived.after(to_span(READ_TIMEOUT));
-    let read = read_body(node, body, max_bytes, read_by).await;
+    let read = read_body(node, connection, body, max_bytes, read_by).await;
     let read = read.map_err(|refusal| not_run(refusal.reason))?;
     let mut body = join(read.blocks);
     let head = wire::RelayHead::decode_length_delimited(&mut body);
--- a/lib/src/serving/path/serve.rs
+++ b/lib/src/serving/path/serve.rs
@@ -202,11 +202,12 @@
         Some(organisation) => charge::acquire(node, organisation, &info).await?,
         None => None,
     };
+    let connection = head.extensions.get().copied();
     let max_bytes = active.config.limits.body_bytes;
     let body = tokio::select! {
         biased;
         refusal = stop::until_too_late(node, &routed.route, deadline) => return Err(refusal),
-        body = read_body(node, body, max_bytes, deadline) => body?,
+        body = read_body(node, connection, body, max_bytes, deadline) => body?,
     };
     let mut headers = head.headers;
     strip_request_headers(&mut headers);
--- a/lib/src/serving/path/server.rs
+++ b/lib/src/serving/path/server.rs
@@ -6,8 +6,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
+use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
@@ -16,6 +18,10 @@
 use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 
+use crate::serving::path::connections::Activity;
+use crate::serving::path::connections::GuardedBody;
+use crate::serving::path::connections::Holder;
+use crate::serving::path::connections::TrackedStream;
 use crate::serving::path::linger::SharedStream;
 use crate::serving::path::relay::serve_relayed;
 use crate::serving::path::response::full_body;
@@ -72,7 +78,14 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                tokio::task::spawn_local(serve_connection(node.clone(), stream, peer));
+                let (id, closed) = node.state().memory.connect(now());
+                node.close(&closed);
+                let Some(id) = id else {
+                    node.record_closed("refused", 1);
+                    continue;
+                };
+                let holder = Holder::new(&node, id);
+                tokio::task::spawn_local(serve_connection(node.clone(), holder, stream, peer));
             }
             Err(e) => {
                 slog::warn!(node.log, "could not accept a connection"; "error" => %e);
@@ -83,7 +96,7 @@
 }
 
 /// Serves one connection, and shuts it down gracefully when the process drains.
-async fn serve_connection(node: Rc<Node>, stream: TcpStream, peer: Peer) {
+async fn serve_connection(node: Rc<Node>, holder: Holder, stream: TcpStream, peer: Peer) {
     let _open = node.track_connection();
     if let Err(e) = stream.set_nodelay(true) {
         slog::debug!(node.log, "could not set TCP_NODELAY on a connection"; "error" => %e);
@@ -94,14 +107,18 @@
         l.header_timeout.max(l.idle_timeout)
     });
     let buffer_bytes = limits.map_or(DEFAULT_HEADER_BYTES, |l| l.header_bytes * 2);
-    let shared = node.clone();
-    let service = service_fn(move |request| {
+    let activity = Activity::new(holder);
+    let (shared, served_on) = (node.clone(), activity.clone());
+    let service = service_fn(move |mut request: Request<Incoming>| {
         let node = shared.clone();
+        let running = served_on.begin_request();
+        request.extensions_mut().insert(served_on.holder.id);
         async move {
-            Ok::<_, Infallible>(match peer {
+            let response = match peer {
                 Peer::Caller => serve(node, request).await,
                 Peer::Vm => serve_relayed(node, request).await,
-            })
+            };
+            Ok::<_, Infallible>(response.map(|body| GuardedBody::new(body, running)))
         }
     });
     let mut server = http1::Builder::new();
@@ -111,7 +128,8 @@
         .max_buf_size(buffer_bytes.max(MIN_BUFFER_BYTES));
     let stream = SharedStream::new(stream);
     {
-        let served = server.serve_connection(TokioIo::new(stream.clone()), service);
+        let tracked = TrackedStream::new(stream.clone(), activity.clone());
+        let served = server.serve_connection(TokioIo::new(tracked), service);
         tokio::pin!(served);
         let mut phase = node.phase.subscribe();
         let closing = phase.wait_for(|p| *p >= Phase::Draining);
@@ -119,13 +137,22 @@
             // Errors are disconnects, which end the caller's requests as well.
             _ = &mut served => true,
             _ = closing => false,
+            () = activity.holder.displaced() => {
+                if !activity.is_busy() {
+                    return;
+                }
+                false
+            }
         };
         if !has_ended {
             served.as_mut().graceful_shutdown();
             served.await.ok();
         }
     }
-    stream.close().await;
+    tokio::select! {
+        () = stream.close() => {}
+        () = activity.holder.displaced() => {}
+    }
 }
 
 /// Returns whether callers should be routed to this VM. While it cannot tell whether API keys
@@ -145,7 +172,7 @@
         };
         let node = node.clone();
         tokio::task::spawn_local(async move {
-            let service = service_fn(move |request: hyper::Request<hyper::body::Incoming>| {
+            let service = service_fn(move |request: Request<Incoming>| {
                 let ready = node.phase() == Phase::Serving && is_ready(&node);
                 let is_check = request.uri().path() == node.codec.ready_path;
                 let mut response = Response::new(full_body(Bytes::new()));
--- a/lib/src/serving/program/node.rs
+++ b/lib/src/serving/program/node.rs
@@ -5,6 +5,7 @@
 use std::cell::RefMut;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use banyangauge_proto as wire;
@@ -23,6 +24,7 @@
 use crate::pool::Span;
 use crate::serving::cluster::recency::reader_id;
 use crate::serving::cluster::state::NodeState;
+use crate::serving::decisions::memory_account::HolderId;
 use crate::serving::decisions::stop_plan::StopPlan;
 use crate::serving::decisions::stream_builds::StreamGroup;
 use crate::serving::path::codec::Codec;
@@ -110,7 +112,11 @@
     pub(in crate::serving) incarnation: Incarnation,
     /// Held by the first request that waits for room for its body.
     pub(in crate::serving) body_turn: Mutex<()>,
-    /// Wakes it.
+    /// Wakes connections and bodies that give way to others.
+    pub(in crate::serving) closers: RefCell<BTreeMap<HolderId, Rc<Notify>>>,
+    /// What gave way since that was last logged, and when that was.
+    pub(in crate::serving) closed: Cell<(u64, Moment)>,
+    /// Wakes the first request that waits for room for its body.
     pub(in crate::serving) body_wake: Notify,
     /// Wakes requests that wait for a replica.
     pub(in crate::serving) placement_wake: Notify,
@@ -196,6 +202,8 @@
             log,
             incarnation,
             body_turn: Mutex::new(()),
+            closers: RefCell::default(),
+            closed: Cell::new((0, Moment(0))),
             body_wake: Notify::new(),
             placement_wake: Notify::new(),
             orders_wake: Notify::new(),
--- a/lib/src/serving/program/settings.rs
+++ b/lib/src/serving/program/settings.rs
@@ -29,6 +29,8 @@
     pub link_rate: Option<u64>,
     /// Bytes of memory above which the process is killed; `None` if that is not known.
     pub memory: Option<u64>,
+    /// Descriptors that the process may open; `None` if that is not known.
+    pub max_fds: Option<usize>,
     /// Address of the store.
     pub store_address: SocketAddr,
     /// Whether the whole system starts for the first time.
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -48,6 +48,7 @@
 mod test_serving_instances;
 mod test_serving_leaving;
 mod test_serving_members;
+mod test_serving_memory_account;
 mod test_serving_order_timeout;
 mod test_serving_ownership;
 mod test_serving_place;
