serving: heads count by their size

A connection counted with 44 KiB whatever had arrived of its head, and a head of 15 KB takes more: the crowd of heads that stop short took 64,468 of 65,536 KiB. What a head has above 8 KiB now counts twice, as its buffer doubles when it grows, until its request is over.

--- a/lib/src/serving/decisions/memory_account.rs
+++ b/lib/src/serving/decisions/memory_account.rs
@@ -24,6 +24,12 @@
 /// Size in bytes up to which a body is read without waiting for room.
 pub(in crate::serving) const SMALL_BODY: u64 = 32 << 10;
 
+/// Bytes of a head that the memory of a connection contains.
+const HEAD_BYTES: u64 = 8 << 10;
+
+/// Memory of the rest of a head for each of its bytes, as a buffer doubles when it grows.
+const HEAD_FACTOR: u64 = 2;
+
 /// Descriptors that are kept for files.
 const FILE_FDS: usize = 200;
 
@@ -44,7 +50,10 @@
 /// What a holder takes.
 #[derive(Clone, Copy, Debug)]
 enum Taken {
-    Connection,
+    Connection {
+        /// Memory of a head above what each connection takes.
+        head: u64,
+    },
     Body {
         connection: HolderId,
         /// Bytes that were expected when the body began.
@@ -101,6 +110,8 @@
     room: Option<u64>,
     max_connections: Option<usize>,
     connections: usize,
+    /// Memory of heads above what each connection takes.
+    heads: u64,
     bodies: BodyRoom,
     holders: BTreeMap<HolderId, Holder>,
     /// The holders that wait for their peers, and since when.
@@ -120,6 +131,7 @@
                 .map(|m| m.saturating_sub(PROCESS_BYTES).max(m / MIN_FRACTION)),
             max_connections: sockets.map(|fds| (fds as f64 * CONNECTION_FRACTION) as usize),
             connections: 0,
+            heads: 0,
             bodies: BodyRoom::new(limits.memory),
             holders: BTreeMap::new(),
             still: BTreeSet::new(),
@@ -135,7 +147,7 @@
 
     /// Returns the bytes that count.
     fn used(&self) -> u64 {
-        self.bodies.held() + self.connections as u64 * CONNECTION_BYTES
+        self.bodies.held() + self.heads + self.connections as u64 * CONNECTION_BYTES
     }
 
     /// Takes room for a connection, which waits for its first head. Returns its id, or `None` if
@@ -149,7 +161,10 @@
             self.displace(id, &mut closed);
         }
         self.connections += 1;
-        (Some(self.insert(Taken::Connection, Some(at))), closed)
+        (
+            Some(self.insert(Taken::Connection { head: 0 }, Some(at))),
+            closed,
+        )
     }
 
     /// Records that a connection or body no longer waits for its peer, as its request is complete
@@ -163,6 +178,33 @@
         self.set_since(id, Some(at));
     }
 
+    /// Records how many bytes have arrived of the head on a connection; none after its request.
+    /// Returns whether there is room for them, and what gives way to it.
+    pub fn read_head(&mut self, id: HolderId, size: u64, at: Moment) -> (bool, Vec<HolderId>) {
+        let mut closed = Vec::new();
+        let Some(Taken::Connection { head }) = self.holders.get(&id).map(|h| h.taken) else {
+            // It has given way.
+            return (false, closed);
+        };
+        let taken = size.saturating_sub(HEAD_BYTES) * HEAD_FACTOR;
+        let more = taken.saturating_sub(head);
+        let fits = loop {
+            // A single connection always has room.
+            if more == 0 || self.fits(more) || self.connections == 1 {
+                break true;
+            }
+            let Some(other) = first_still(&self.still, at, Some(id)) else {
+                break false;
+            };
+            self.displace(other, &mut closed);
+        };
+        if fits && let Some(holder) = self.holders.get_mut(&id) {
+            self.heads = self.heads + taken - head;
+            holder.taken = Taken::Connection { head: taken };
+        }
+        (fits, closed)
+    }
+
     /// Begins to read a body of so many bytes on a connection if there is room for it. Returns its
     /// id, and what gives way to it.
     pub fn begin(
@@ -243,7 +285,10 @@
     pub fn remove(&mut self, id: HolderId) {
         self.set_since(id, None);
         match self.holders.remove(&id).map(|holder| holder.taken) {
-            Some(Taken::Connection) => self.connections -= 1,
+            Some(Taken::Connection { head }) => {
+                self.connections -= 1;
+                self.heads -= head;
+            }
             Some(Taken::Body { length, read, .. }) => self.bodies.end(length, read),
             None => {}
         }
--- a/lib/src/serving/path/connections.rs
+++ b/lib/src/serving/path/connections.rs
@@ -98,6 +98,8 @@
     pub(in crate::serving) holder: Holder,
     /// Whether a request is in flight.
     running: Cell<bool>,
+    /// Bytes of the head that is being read.
+    head: Cell<u64>,
     /// Whether its peer has yet to read what was written.
     blocked: Cell<bool>,
 }
@@ -107,6 +109,7 @@
         Rc::new(Self {
             holder,
             running: Cell::new(false),
+            head: Cell::new(0),
             blocked: Cell::new(false),
         })
     }
@@ -122,6 +125,35 @@
         RunningRequest(self.clone())
     }
 
+    /// Records bytes that were read.
+    ///
+    /// # Errors
+    ///
+    /// If there is no room for them.
+    fn record_read(&self, bytes: usize) -> io::Result<()> {
+        // The bytes of a body count where it is kept.
+        if self.running.get() {
+            return Ok(());
+        }
+        self.head.set(self.head.get() + bytes as u64);
+        match self.count_head() {
+            true => Ok(()),
+            false => {
+                self.holder.node.record_closed("refused", 1);
+                let text = "expected room for the head of a request, found none";
+                Err(io::Error::new(io::ErrorKind::OutOfMemory, text))
+            }
+        }
+    }
+
+    fn count_head(&self) -> bool {
+        let Holder { node, id, .. } = &self.holder;
+        let counted = node.state().memory.read_head(*id, self.head.get(), now());
+        let (fits, closed) = counted;
+        node.close(&closed);
+        fits
+    }
+
     fn set(&self, flag: &Cell<bool>, to: bool) {
         if flag.replace(to) == to {
             return;
@@ -139,6 +171,8 @@
 
 impl Drop for RunningRequest {
     fn drop(&mut self) {
+        self.0.head.set(0);
+        self.0.count_head();
         self.0.set(&self.0.running, false);
     }
 }
@@ -207,7 +241,7 @@
         ready!(Pin::new(&mut self.stream).poll_read(cx, &mut part))?;
         let read = part.filled().len();
         buffer.advance(read);
-        Poll::Ready(Ok(()))
+        Poll::Ready(self.activity.record_read(read))
     }
 }
 
--- a/lib/tests/test_serving_memory_account.rs
+++ b/lib/tests/test_serving_memory_account.rs
@@ -118,6 +118,26 @@
     assert_eq!(read, 431);
 }
 
+/// Heads that stop short took more than each connection was counted with.
+#[test]
+fn heads_count() {
+    let mut account = account(64);
+    let mut read = 0;
+    while let (Some(connection), _) = account.connect(Moment(0)) {
+        if account.read_head(connection, 16 * KIB, Moment(0)).0 {
+            read += 1;
+        } else {
+            account.remove(connection);
+            break;
+        }
+    }
+    // Of 32 MiB, 44 KiB for a connection and twice the 8 KiB of its head that these lack.
+    assert_eq!(read, 546);
+    let (id, closed) = account.connect(Moment(SECOND));
+    assert_eq!(closed.len(), 1);
+    assert!(account.read_head(id.unwrap(), 16 * KIB, Moment(SECOND)).0);
+}
+
 /// A body that makes progress stays, one that has stopped gives way to it.
 #[rstest]
 #[case::progress(1_024, false)]
