--- a/lib/tests/test_serving_memory_account.rs
+++ b/lib/tests/test_serving_memory_account.rs
@@ -118,6 +118,20 @@
     assert_eq!(read, 431);
 }
 
+/// What arrives where there is no room is refused, if nothing stands still.
+#[test]
+fn arriving_bytes_find_no_room() {
+    let mut account = account(64);
+    let open = fill(&mut account, 0);
+    open.iter().for_each(|id| account.pause(*id));
+    let held = begin(&mut account, open[0], 32 * KIB, 0);
+    account.read(held, 32 * KIB, Moment(0));
+    account.pause(held);
+    let body = begin(&mut account, open[1], 32 * KIB, 0);
+    assert!(!account.read(body, 32 * KIB, Moment(0)).0);
+    assert!(!account.read_head(open[2], 16 * KIB, Moment(0)).0);
+}
+
 /// Heads that stop short took more than each connection was counted with.
 #[test]
 fn heads_count() {
