serving: a process that stood still reads what arrived before it sends

A replica answered 503 with Retry-After: 3 while its VM did nothing for 1 s; 13 requests reached it 0.8 s after that answer, 2 are allowed.

A process that gets no processor time finds all its sockets readable at once when it goes on. Requests on open connections of callers were placed and sent before the answer was read that waited in the socket of the replica. The same holds for a limit, or that a replica leaves, told in that time: what is checked right before a send is as old as the standstill.

A task ticks every 100 ms. A send that finds the last tick more than 250 ms old waits until that task has run; after a late tick it first lets the event loop turn eight times, so that what the sockets held is read and applied. The checks before the send follow the wait.

replica_rests_from_a_vm_that_stood_still: 13 requests in 3 of 3 runs before, passes in 3 of 3 now. The 79 tests of silent, resting, limited, leaving and unreachable replicas, of retries and stops pass, one run beside other load.

--- a/lib/src/serving/path/forward.rs
+++ b/lib/src/serving/path/forward.rs
@@ -365,6 +365,7 @@
     };
     let mut run = Run::begin(node, req, replica);
     run.wait_for_turn(req.rank, req.deadline).await;
+    node.event_loop.until_current().await;
     // The replica may have stated a limit, asked for rest, or stated that it leaves, while
     // the request waited for its turn.
     limit::renew(node, replica, placed.permit)
--- a/lib/src/serving/program/node.rs
+++ b/lib/src/serving/program/node.rs
@@ -29,6 +29,7 @@
 use crate::serving::decisions::stream_builds::StreamGroup;
 use crate::serving::path::codec::Codec;
 use crate::serving::path::waiting::Turn;
+use crate::serving::program::event_loop::EventLoop;
 use crate::serving::program::orders::DELIVERY_TIMEOUT;
 use crate::serving::program::settings::ServeSettings;
 use crate::serving::store::port::Store;
@@ -110,6 +111,7 @@
     pub(in crate::serving) controls: Upstreams,
     pub(in crate::serving) log: slog::Logger,
     pub(in crate::serving) incarnation: Incarnation,
+    pub(in crate::serving) event_loop: EventLoop,
     /// Held by the first request that waits for room for its body.
     pub(in crate::serving) body_turn: Mutex<()>,
     /// Wakes connections and bodies that give way to others.
@@ -201,6 +203,7 @@
                 .with_delivery_timeout(DELIVERY_TIMEOUT),
             log,
             incarnation,
+            event_loop: EventLoop::new(now),
             body_turn: Mutex::new(()),
             closers: RefCell::default(),
             closed: Cell::new((0, Moment(0))),
--- a/lib/src/serving/program/run.rs
+++ b/lib/src/serving/program/run.rs
@@ -28,6 +28,7 @@
 use crate::serving::peers::beacons;
 use crate::serving::peers::load_reports;
 use crate::serving::peers::renewal;
+use crate::serving::program::event_loop;
 use crate::serving::program::experiment::Experiment;
 use crate::serving::program::node::Node;
 use crate::serving::program::node::Phase;
@@ -125,6 +126,7 @@
         for (listener, peer) in [(callers, Peer::Caller), (peers, Peer::Vm)] {
             tokio::task::spawn_local(server::serve_connections(node.clone(), listener, peer));
         }
+        tokio::task::spawn_local(event_loop::watch(node.clone()));
         tokio::task::spawn_local(probes::watch_replicas(node.clone()));
         tokio::task::spawn_local(server::serve_readiness(node.clone(), readiness));
         tokio::task::spawn_local(beacons::send_beacons(node.clone()));
