crashes: a report that names no start clears no crashed one

Cause: an engine is asked for its status report as a sign of life. The report does not say which start gives it, and a start gives it whichever one was asked for. An answer that was no 421 and named nobody counted as the crashed start's. So the next start at its address, 3 s later, cleared it, and the request was blocked only if three crashes came within about a second.

An engine whose report does not name it is now asked for its health as well: that names the start, or is refused by another one. If it says nothing of that within 0.2 s, the report clears the engine only if its address has answered each time; otherwise the engine only gets requests again, which show which start it is.

--- a/lib/src/serving/path/codec.rs
+++ b/lib/src/serving/path/codec.rs
@@ -186,8 +186,8 @@
     /// health path of its service.
     pub encode_health_request: fn(&str, &ReplicaName) -> Result<Request<BodyChunks>, BadRecord>,
     /// Returns whether a response to such a request, or to one for a status report, is that of the
-    /// named replica, as opposed to another start at its address.
-    pub is_from_replica: fn(StatusCode, &HeaderMap, &ReplicaName) -> bool,
+    /// named replica, as opposed to another start at its address; `None` if it does not say.
+    pub identify: fn(StatusCode, &HeaderMap, &ReplicaName) -> Option<bool>,
     /// Parses a replica's status report.
     pub parse_report: fn(&[u8]) -> Result<ReplicaReport, BadRecord>,
 }
--- a/lib/src/serving/path/crashes.rs
+++ b/lib/src/serving/path/crashes.rs
@@ -5,8 +5,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use hyper::Request;
-
 use crate::pool::Moment;
 use crate::pool::Span;
 use crate::serving::cluster::state::NodeState;
@@ -18,13 +16,13 @@
 use crate::serving::decisions::retry::CRASHES_UPSTREAMS;
 use crate::serving::decisions::retry::RETRY_DELAY;
 use crate::serving::decisions::retry::Refusal;
+use crate::serving::path::codec::BadRecord;
 use crate::serving::path::forward::BufferedRequest;
 use crate::serving::path::forward::Run;
 use crate::serving::path::types::Instance;
 use crate::serving::program::node::Node;
 use crate::serving::program::node::now;
 use crate::serving::store::blocks::log_lifted;
-use crate::upstream::BodyChunks;
 use crate::upstream::SendError;
 
 /// Interval at which crashes are judged, while there are any to judge.
@@ -49,6 +47,10 @@
 /// The part of it after which the replica gets no further requests until it answers.
 const AVOID_TICKS: u32 = 2;
 
+/// The silence after which a replica does not say which start it is: one that has just started has
+/// free slots and answers at once.
+const NAME_TICKS: u32 = 2;
+
 /// Evidence of a crash: another start answers at the address.
 const OTHER_START: &str = "another start at its address";
 
@@ -192,10 +194,10 @@
 fn begin_check(node: &Rc<Node>, replica: Instance, address: SocketAddr, delay: Duration) {
     if node.state().crash_tracker.begin_check(&replica) {
         let node = node.clone();
-        let path = health_path(&node, &replica);
+        let health = health(&node, &replica);
         tokio::task::spawn_local(async move {
             tokio::time::sleep(delay).await;
-            check(&node, &replica, address, path.as_deref()).await;
+            check(&node, &replica, address, &health).await;
             node.state().crash_tracker.end_check(&replica);
         });
     }
@@ -204,37 +206,29 @@
 /// Asks a replica for a sign of life until it gives one, or is known to be dead. That its address
 /// accepts a connection is none: the system accepts for a process that hangs, and another start of
 /// the replica may be there.
-async fn check(node: &Node, replica: &Instance, address: SocketAddr, path: Option<&str>) {
+async fn check(node: &Node, replica: &Instance, address: SocketAddr, health: &Health) {
     let begun = now();
+    // Whether the address has answered each time: a start takes longer than a question.
+    let mut is_steady = true;
     while now().since(begun) < CHECK_TTL && node.state().crash_tracker.is_suspected(now(), replica)
     {
-        let encoded = match path {
-            Some(path) => (node.codec.encode_health_request)(path, &replica.name),
-            None => (node.codec.encode_report_request)(&replica.name),
-        };
-        let request = match encoded {
-            Ok(request) => request,
+        let asked = now();
+        let sign = match ask_sign(node, replica, address, health).await {
+            Ok(sign) => sign,
             Err(e) => {
                 slog::warn!(node.log, "check of a replica could not be encoded"; "error" => %e);
                 return;
             }
         };
-        let asked = now();
-        match ask(node, replica, address, request).await {
-            Sign::Alive => {
-                let (lifted, was_accused) = {
-                    let tracker = &mut node.state().crash_tracker;
-                    let was_accused = tracker.is_accused(replica);
-                    (tracker.record_answer(asked, replica), was_accused)
-                };
-                record_lifted(node, &lifted);
+        match sign {
+            Sign::Unnamed if !is_steady => {
+                // Requests that are sent there will show which start it is.
                 node.state().fleet.record_check(now(), replica, true);
-                if was_accused {
-                    slog::info!(node.log, "replica did not crash"; "replica" => replica.name.as_str());
-                }
             }
+            Sign::Alive | Sign::Unnamed => record_alive(node, replica, asked),
             Sign::Replaced => return record_dead(node, replica, asked, OTHER_START),
             Sign::None(evidence) => {
+                is_steady = false;
                 let is_silent = {
                     let state = node.state();
                     let hears_peers = state.members.hears_any(asked);
@@ -250,26 +244,95 @@
     }
 }
 
+/// Records that a replica gave a sign of life when it was asked at `asked`.
+fn record_alive(node: &Node, replica: &Instance, asked: Moment) {
+    let (lifted, was_accused) = {
+        let tracker = &mut node.state().crash_tracker;
+        let was_accused = tracker.is_accused(replica);
+        (tracker.record_answer(asked, replica), was_accused)
+    };
+    record_lifted(node, &lifted);
+    node.state().fleet.record_check(now(), replica, true);
+    if was_accused {
+        slog::info!(node.log, "replica did not crash"; "replica" => replica.name.as_str());
+    }
+}
+
 /// What a replica that is asked for a sign of life does.
 enum Sign {
     Alive,
     /// Another start answers at its address.
     Replaced,
+    /// A start answers at its address and does not say which.
+    Unnamed,
     /// It gives none; holds what its address does. A replica that is overloaded, or that this VM
     /// reaches over old connections only, refuses or resets new ones as well.
     None(&'static str),
 }
 
+/// How a replica may be asked.
+struct Health {
+    /// The health path of its service.
+    path: Option<String>,
+    is_engine: bool,
+}
+
+fn health(node: &Node, replica: &Instance) -> Health {
+    let state = node.state();
+    let info = state.fleet.replica_info(&replica.name);
+    let config = state.active.as_ref().map(|active| &active.config);
+    let service = info.and_then(|info| config?.services.get(&info.service));
+    Health {
+        path: service.and_then(|service| service.health_path.clone()),
+        is_engine: service.is_none_or(|service| service.engine.is_some()),
+    }
+}
+
+/// A question that a replica answers without running anything.
+#[derive(Clone, Copy)]
+enum Question<'a> {
+    /// Engines answer it without a slot, whichever start is asked.
+    Report,
+    /// Other starts refuse it.
+    Health(&'a str),
+}
+
+/// Asks a replica for a sign of life. One that answers and does not say which start it is, is asked
+/// for that as well.
+async fn ask_sign(
+    node: &Node,
+    replica: &Instance,
+    address: SocketAddr,
+    health: &Health,
+) -> Result<Sign, BadRecord> {
+    let path = health.path.as_deref().map(Question::Health);
+    let first = path.filter(|_| !health.is_engine);
+    let first = first.unwrap_or(Question::Report);
+    let sign = ask(node, replica, address, first, SILENCE_TICKS).await?;
+    let (Sign::Unnamed, Some(path)) = (&sign, path) else {
+        return Ok(sign);
+    };
+    Ok(match ask(node, replica, address, path, NAME_TICKS).await? {
+        Sign::None(_) => Sign::Unnamed,
+        sign => sign,
+    })
+}
+
 async fn ask(
     node: &Node,
     replica: &Instance,
     address: SocketAddr,
-    request: Request<BodyChunks>,
-) -> Sign {
+    question: Question<'_>,
+    ticks: u32,
+) -> Result<Sign, BadRecord> {
+    let request = match question {
+        Question::Report => (node.codec.encode_report_request)(&replica.name),
+        Question::Health(path) => (node.codec.encode_health_request)(path, &replica.name),
+    }?;
     let mut sent = pin!(node.upstreams.send(address, request));
     let mut failed = None;
     // Time for which this VM stood still is no silence of the replica.
-    for tick in 0..SILENCE_TICKS {
+    for tick in 0..ticks {
         if tick == AVOID_TICKS {
             node.state().fleet.record_check(now(), replica, false);
         }
@@ -277,16 +340,16 @@
             biased;
             answer = &mut sent, if failed.is_none() => match answer {
                 Ok(mut answer) => {
-                    let is_from = node.codec.is_from_replica;
                     let head = &answer.head;
-                    let is_from = is_from(head.status, &head.headers, &replica.name);
+                    let start = (node.codec.identify)(head.status, &head.headers, &replica.name);
                     // The connection is kept once the answer is read.
                     let end = tokio::time::Instant::now() + SILENCE_TICK;
                     while let Ok(Some(Ok(_))) = answer.next_chunk_before(end).await {}
-                    return match is_from {
-                        true => Sign::Alive,
-                        false => Sign::Replaced,
-                    };
+                    return Ok(match (start, question) {
+                        (Some(true), _) | (None, Question::Health(_)) => Sign::Alive,
+                        (Some(false), _) => Sign::Replaced,
+                        (None, Question::Report) => Sign::Unnamed,
+                    });
                 }
                 Err(SendError::NotSent(_)) => failed = Some("connection refused"),
                 Err(SendError::Broken(_)) => failed = Some("connection reset"),
@@ -294,19 +357,7 @@
             () = tokio::time::sleep(SILENCE_TICK) => {}
         }
     }
-    Sign::None(failed.unwrap_or("silent"))
-}
-
-/// Returns where a replica is asked for its health; `None` for engines, which answer for a status
-/// report without a slot.
-fn health_path(node: &Node, replica: &Instance) -> Option<String> {
-    let state = node.state();
-    let service = &state.fleet.replica_info(&replica.name)?.service;
-    let service = state.active.as_ref()?.config.services.get(service)?;
-    service
-        .health_path
-        .clone()
-        .filter(|_| service.engine.is_none())
+    Ok(Sign::None(failed.unwrap_or("silent")))
 }
 
 /// Records that a replica had crashed by `at`, though not all connections to it broke. The planned
