linger: a request that crosses the close of an idle connection stays unread

Callers whose request crossed the close of an idle connection (at a planned stop, after the idle time) saw their connection end without a reset. Requests that must not run twice may be sent again only if they were not read, so that these failed.

Cause: since the last bytes of responses are protected, every connection is read until its peer closes it, for 1 s at most, also one with no response to lose.

Now only connections on which something was written within that second are read on; by reading, a request that crosses the close in that second is still read.

--- a/lib/src/serving/path/connections.rs
+++ b/lib/src/serving/path/connections.rs
@@ -16,6 +16,7 @@
 use tokio::io::ReadBuf;
 use tokio::sync::Notify;
 
+use crate::pool::Moment;
 use crate::pool::Span;
 use crate::serving::decisions::memory_account::HolderId;
 use crate::serving::path::linger::SharedStream;
@@ -102,6 +103,8 @@
     head: Cell<u64>,
     /// Whether its peer has yet to read what was written.
     blocked: Cell<bool>,
+    /// When something was written last.
+    written: Cell<Option<Moment>>,
 }
 
 impl Activity {
@@ -111,9 +114,16 @@
             running: Cell::new(false),
             head: Cell::new(0),
             blocked: Cell::new(false),
+            written: Cell::new(None),
         })
     }
 
+    /// Returns whether something was written within the last `time`.
+    pub(in crate::serving) fn wrote_within(&self, time: Span) -> bool {
+        let written = self.written.get();
+        written.is_some_and(|at| now().since(at) < time)
+    }
+
     /// Returns whether something is still to be written.
     pub(in crate::serving) fn is_busy(&self) -> bool {
         self.running.get() || self.blocked.get()
@@ -226,6 +236,9 @@
     fn record<T>(&self, written: Poll<T>) -> Poll<T> {
         let blocked = &self.activity.blocked;
         self.activity.set(blocked, written.is_pending());
+        if written.is_ready() {
+            self.activity.written.set(Some(now()));
+        }
         written
     }
 }
--- a/lib/src/serving/path/linger.rs
+++ b/lib/src/serving/path/linger.rs
@@ -21,7 +21,7 @@
 use tokio::net::TcpStream;
 
 /// Longest time for which a connection is read after its last response.
-const LINGER_TIME: Duration = Duration::from_secs(1);
+pub(in crate::serving) const LINGER_TIME: Duration = Duration::from_secs(1);
 
 /// Bytes that are read at a time, and dropped.
 const DROPPED_BYTES: usize = 4 << 10;
--- a/lib/src/serving/path/server.rs
+++ b/lib/src/serving/path/server.rs
@@ -22,6 +22,7 @@
 use crate::serving::path::connections::GuardedBody;
 use crate::serving::path::connections::Holder;
 use crate::serving::path::connections::TrackedStream;
+use crate::serving::path::linger::LINGER_TIME;
 use crate::serving::path::linger::SharedStream;
 use crate::serving::path::relay::serve_relayed;
 use crate::serving::path::response::full_body;
@@ -29,6 +30,7 @@
 use crate::serving::program::node::Node;
 use crate::serving::program::node::Phase;
 use crate::serving::program::node::now;
+use crate::serving::program::node::to_span;
 
 /// Length of the queue of connections that wait to be accepted.
 const BACKLOG: u32 = 1_024;
@@ -149,6 +151,11 @@
             served.await.ok();
         }
     }
+    // Without a response that its caller may have yet to read, a request that crosses the close
+    // stays unread: its caller may send it again.
+    if !activity.wrote_within(to_span(LINGER_TIME)) {
+        return;
+    }
     tokio::select! {
         () = stream.close() => {}
         () = activity.holder.displaced() => {}
