server: a body that gives way has its refusal read

A connection and the body on it may give way at the same time. Which of the two was seen first was random: if the request had been refused by then, the connection counted as idle and was dropped, with what its caller was still sending unread, which resets it. The refusal could be lost with it.

Found by a review, by reading; no test shows it, as the kernel here still hands over what arrived before a reset. The notice to the connection is now looked at first, while the request runs.

--- a/lib/src/serving/path/server.rs
+++ b/lib/src/serving/path/server.rs
@@ -136,15 +136,17 @@
         let mut phase = node.phase.subscribe();
         let closing = phase.wait_for(|p| *p >= Phase::Draining);
         let has_ended = tokio::select! {
-            // Errors are disconnects, which end the caller's requests as well.
-            _ = &mut served => true,
-            _ = closing => false,
+            // What gives way may end its request at the same time: then the response is to be read.
+            biased;
             () = activity.holder.displaced() => {
                 if !activity.is_busy() {
                     return;
                 }
                 false
             }
+            // Errors are disconnects, which end the caller's requests as well.
+            _ = &mut served => true,
+            _ = closing => false,
         };
         if !has_ended {
             served.as_mut().graceful_shutdown();
