crashes: a full engine is cleared by its report again

An engine that was silent for 0.6 s and full afterwards answered its report, but not the question for its name, and stayed accused of crashing: a report was to clear it only if its address had answered each time. So runs on a sound engine could speak against their requests for minutes.

An engine that has just started has free slots and names itself at once.

--- a/lib/src/serving/path/crashes.rs
+++ b/lib/src/serving/path/crashes.rs
@@ -208,8 +208,6 @@
 /// the replica may be there.
 async fn check(node: &Node, replica: &Instance, address: SocketAddr, health: &Health) {
     let begun = now();
-    // Whether the address has answered each time: a start takes longer than a question.
-    let mut is_steady = true;
     while now().since(begun) < CHECK_TTL && node.state().crash_tracker.is_suspected(now(), replica)
     {
         let asked = now();
@@ -221,14 +219,9 @@
             }
         };
         match sign {
-            Sign::Unnamed if !is_steady => {
-                // Requests that are sent there will show which start it is.
-                node.state().fleet.record_check(now(), replica, true);
-            }
             Sign::Alive | Sign::Unnamed => record_alive(node, replica, asked),
             Sign::Replaced => return record_dead(node, replica, asked, OTHER_START),
             Sign::None(evidence) => {
-                is_steady = false;
                 let is_silent = {
                     let state = node.state();
                     let hears_peers = state.members.hears_any(asked);
@@ -263,7 +256,8 @@
     Alive,
     /// Another start answers at its address.
     Replaced,
-    /// A start answers at its address and does not say which.
+    /// A start answers at its address and does not say which: it has no free slot, so that it is
+    /// hardly a new one.
     Unnamed,
     /// It gives none; holds what its address does. A replica that is overloaded, or that this VM
     /// reaches over old connections only, refuses or resets new ones as well.
