upstream, platform: control calls read responses through the pool

Orders to engines, load reports and calls of the platform had a client of their own, so that what the pool of connections checks of a response (the bytes before its head, whether the request was sent) held for callers' requests only, and would have to be written again for each further check.

Both use `Upstreams` now, and read bodies by `read_body`. What they tell their callers is unchanged: a request of which no byte was sent is `Unreachable`, any other failure is `Lost`.

`heads` sends responses byte by byte. The test has odd heads that are sound: a repeated length, chunks in capitals, a body that ends with its connection, HTTP/1.0, values above 127, a 103 before the response.

--- a/lib/src/platform/mod.rs
+++ b/lib/src/platform/mod.rs
@@ -7,19 +7,21 @@
 
 use bytes::Bytes;
 use bytes::BytesMut;
-use http_body_util::BodyExt;
-use http_body_util::Full;
 use hyper::Method;
 use hyper::Request;
 use hyper::StatusCode;
-use hyper::body::Incoming;
-use hyper_util::client::legacy::Client;
-use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::TokioExecutor;
+use hyper::header::CONTENT_TYPE;
+use hyper::header::HOST;
 use serde::Deserialize;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+use crate::upstream::BodyChunks;
+use crate::upstream::SendError;
+use crate::upstream::UpstreamResponse;
+use crate::upstream::Upstreams;
+use crate::upstream::read_body;
+
 /// Upper bound on one call; the platform normally answers within milliseconds.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -121,16 +123,14 @@
 #[derive(Clone, Debug)]
 pub struct Platform {
     address: SocketAddr,
-    client: Client<HttpConnector, Full<Bytes>>,
+    upstreams: Upstreams,
 }
 
 impl Platform {
     /// Returns a client for the platform at `address` without connecting.
     pub fn new(address: SocketAddr) -> Self {
-        let client = Client::builder(TokioExecutor::new())
-            .pool_idle_timeout(Duration::from_secs(20))
-            .build_http();
-        Self { address, client }
+        let upstreams = Upstreams::new();
+        Self { address, upstreams }
     }
 
     /// Reads one object.
@@ -222,9 +222,9 @@
     pub async fn watch(&self, kind: &str, version: &str) -> Result<Watch, PlatformError> {
         let path = format!("{kind}?watch=1&resourceVersion={version}");
         let response = self.send(Method::GET, &path, Bytes::new()).await?;
-        match response.status() {
+        match response.head.status {
             StatusCode::OK => Ok(Watch {
-                body: response.into_body(),
+                response,
                 buffer: BytesMut::new(),
             }),
             status => Err(status_error(status)),
@@ -233,14 +233,10 @@
 
     async fn call(&self, method: Method, path: &str, body: Bytes) -> Result<Bytes, PlatformError> {
         let exchange = async {
-            let response = self.send(method, path, body).await?;
-            let status = response.status();
-            let limited = http_body_util::Limited::new(response.into_body(), MAX_BODY_BYTES);
-            let body = limited
-                .collect()
-                .await
-                .map_err(|e| PlatformError::Lost(e.to_string()))?
-                .to_bytes();
+            let mut response = self.send(method, path, body).await?;
+            let body = read_body(&mut response, MAX_BODY_BYTES).await;
+            let body = body.map_err(|e| PlatformError::Lost(e.to_string()))?;
+            let status = response.head.status;
             match status.is_success() {
                 true => Ok(body),
                 false => Err(status_error(status)),
@@ -256,28 +252,26 @@
         method: Method,
         path: &str,
         body: Bytes,
-    ) -> Result<hyper::Response<Incoming>, PlatformError> {
-        let uri = format!("http://{}/apis/banyangauge.dev/v1/{path}", self.address);
+    ) -> Result<UpstreamResponse, PlatformError> {
         let request = Request::builder()
             .method(method)
-            .uri(uri)
-            .header("content-type", "application/json")
-            .body(Full::new(body))
+            .uri(format!("/apis/banyangauge.dev/v1/{path}"))
+            .header(HOST, self.address.to_string())
+            .header(CONTENT_TYPE, "application/json")
+            .body(BodyChunks::from(body))
             .map_err(|e| PlatformError::Malformed(e.to_string()))?;
-        self.client
-            .request(request)
-            .await
-            .map_err(|e| match e.is_connect() {
-                true => PlatformError::Unreachable(e.to_string()),
-                false => PlatformError::Lost(e.to_string()),
-            })
+        let sent = self.upstreams.send(self.address, request).await;
+        sent.map_err(|e| match e {
+            SendError::NotSent(e) => PlatformError::Unreachable(e),
+            e => PlatformError::Lost(e.to_string()),
+        })
     }
 }
 
 /// An open watch: a stream of newline-delimited JSON events.
 #[derive(Debug)]
 pub struct Watch {
-    body: Incoming,
+    response: UpstreamResponse,
     buffer: BytesMut,
 }
 
@@ -300,14 +294,10 @@
                     "a watch line is longer than 8 MiB".into(),
                 ));
             }
-            match self.body.frame().await {
+            match self.response.next_chunk().await {
                 None => return Ok(None),
                 Some(Err(e)) => return Err(PlatformError::Lost(e.to_string())),
-                Some(Ok(frame)) => {
-                    if let Ok(data) = frame.into_data() {
-                        self.buffer.extend_from_slice(&data);
-                    }
-                }
+                Some(Ok(chunk)) => self.buffer.extend_from_slice(&chunk),
             }
         }
     }
--- a/lib/src/upstream/bounded.rs
+++ b/lib/src/upstream/bounded.rs
@@ -26,7 +26,7 @@
 const UNBOUNDED: usize = usize::MAX;
 
 /// The bytes that may still be read from a connection; clones share them.
-#[derive(Clone)]
+#[derive(Clone, Debug)]
 pub(super) struct Allowance(Arc<AtomicUsize>);
 
 impl Default for Allowance {
--- a/lib/src/upstream/connections.rs
+++ b/lib/src/upstream/connections.rs
@@ -67,6 +67,16 @@
     Broken(String),
 }
 
+impl fmt::Display for SendError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::NotSent(e) | Self::Broken(e) => f.write_str(e),
+        }
+    }
+}
+
+impl std::error::Error for SendError {}
+
 /// Error of a response that ended before it was complete.
 #[derive(Debug)]
 pub enum BodyError {
@@ -88,6 +98,7 @@
 impl std::error::Error for BodyError {}
 
 /// An open connection.
+#[derive(Debug)]
 struct Connection {
     sender: SendRequest<BodyChunks>,
     allowance: Allowance,
@@ -98,6 +109,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Overdue;
 
+#[derive(Debug)]
 struct IdleConnection {
     connection: Connection,
     expires_at: Instant,
@@ -106,7 +118,7 @@
 type IdleConnections = Arc<Mutex<BTreeMap<SocketAddr, Vec<IdleConnection>>>>;
 
 /// Connections to all upstreams; clones share them.
-#[derive(Clone)]
+#[derive(Clone, Debug)]
 pub struct Upstreams {
     idle: IdleConnections,
     connect_timeout: Duration,
@@ -335,6 +347,7 @@
 
 /// A response whose head was read. The connection returns to the pool once the body
 /// is read to its end; dropping the response before closes the connection.
+#[derive(Debug)]
 pub struct UpstreamResponse {
     /// Status and headers.
     pub head: response::Parts,
@@ -345,6 +358,7 @@
 }
 
 /// A connection that returns to the pool at the end of a response.
+#[derive(Debug)]
 struct PooledConnection {
     connection: Connection,
     address: SocketAddr,
--- a/lib/src/upstream/orders.rs
+++ b/lib/src/upstream/orders.rs
@@ -5,18 +5,18 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::Method;
 use hyper::Request;
 use hyper::StatusCode;
-use hyper_util::client::legacy::Client;
-use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::TokioExecutor;
+use hyper::header::CONTENT_TYPE;
+use hyper::header::HOST;
 use serde::Deserialize;
 use serde_json::json;
 
-use super::buffer::collect;
+use super::BodyChunks;
+use super::SendError;
+use super::Upstreams;
+use super::read_body;
 use crate::ids::AdapterVersion;
 use crate::ids::FencingToken;
 
@@ -72,18 +72,15 @@
 /// A client for control calls to upstreams; clones share connections.
 #[derive(Clone, Debug)]
 pub struct OrderClient {
-    client: Client<HttpConnector, Full<Bytes>>,
+    upstreams: Upstreams,
     timeout: Duration,
 }
 
 impl OrderClient {
     /// Returns a client whose calls are bounded by `timeout`.
     pub fn new(timeout: Duration) -> Self {
-        let client = Client::builder(TokioExecutor::new())
-            .pool_idle_timeout(Duration::from_secs(20))
-            .http1_max_buf_size(MAX_RESPONSE_BYTES)
-            .build_http();
-        Self { client, timeout }
+        let upstreams = Upstreams::new();
+        Self { upstreams, timeout }
     }
 
     /// Loads an adapter version into a free slot.
@@ -157,9 +154,10 @@
     pub(super) async fn get(&self, to: SocketAddr, path: &str) -> Result<Bytes, OrderError> {
         let request = Request::builder()
             .method(Method::GET)
-            .uri(format!("http://{to}{path}"))
-            .body(Full::new(Bytes::new()));
-        self.send(request).await
+            .uri(path)
+            .header(HOST, to.to_string())
+            .body(BodyChunks::default());
+        self.send(to, request).await
     }
 
     async fn post(
@@ -171,32 +169,32 @@
     ) -> Result<Bytes, OrderError> {
         let request = Request::builder()
             .method(Method::POST)
-            .uri(format!("http://{to}{path}"))
-            .header("content-type", "application/json")
+            .uri(path)
+            .header(HOST, to.to_string())
+            .header(CONTENT_TYPE, "application/json")
             .header(TOKEN_HEADER, token.0)
-            .body(Full::new(Bytes::from(body.to_string())));
-        self.send(request).await
+            .body(BodyChunks::from(Bytes::from(body.to_string())));
+        self.send(to, request).await
     }
 
     async fn send(
         &self,
-        request: Result<Request<Full<Bytes>>, hyper::http::Error>,
+        to: SocketAddr,
+        request: Result<Request<BodyChunks>, hyper::http::Error>,
     ) -> Result<Bytes, OrderError> {
         let request = request.map_err(|e| OrderError::Malformed(e.to_string()))?;
         let work = async {
-            let response =
-                self.client
-                    .request(request)
-                    .await
-                    .map_err(|e| match e.is_connect() {
-                        true => OrderError::Unreachable(e.to_string()),
-                        false => OrderError::Lost(e.to_string()),
-                    })?;
-            let status = response.status();
-            let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES);
-            let body = collect(body).await;
+            let mut response = self
+                .upstreams
+                .send(to, request)
+                .await
+                .map_err(|e| match e {
+                    SendError::NotSent(e) => OrderError::Unreachable(e),
+                    e => OrderError::Lost(e.to_string()),
+                })?;
+            let body = read_body(&mut response, MAX_RESPONSE_BYTES).await;
             let body = body.map_err(|e| OrderError::Lost(e.to_string()))?;
-            match status {
+            match response.head.status {
                 s if s.is_success() => Ok(body),
                 StatusCode::PRECONDITION_FAILED => Err(OrderError::Fenced),
                 StatusCode::CONFLICT => Err(OrderError::Full),
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -77,6 +77,7 @@
 mod test_telemetry;
 mod test_upstream_buffer;
 mod test_upstream_given_up;
+mod test_upstream_heads;
 mod test_upstream_not_sent;
 mod test_upstream_sse;
 mod test_usage_store;
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod caller;
 pub mod check;
+pub mod heads;
 pub mod process;
 pub mod prove;
 pub mod rig;
