upstream: a response whose head states no one end of its body is none

What callers saw: a replica in trouble sent a response whose head was spoilt where it states the length of the body, and callers got a complete response with a body that was not the replica's. `Transfer-Encoding: chunkfd`, with a blank, empty, or `identity`: the sizes and ends of the chunks were part of the body (3,026 bytes in place of 3,000). `chunked` beside `Content-Length: 10`: ten bytes. `gzip, chunked`: a body that nobody was told is compressed. A 204 with a length was passed on with that length; a 304 with `30x0` left callers without a response.

Cause: hyper reads a response as a browser does. A transfer coding that does not end with `chunked` ends with the connection, one goes before a length, and the length in a response to HEAD, of a 204 or a 304 is not looked at. `Transfer-Encoding` is dropped on the way to the caller and `Content-Length` is not, so what callers read was not what this side had gone by. Such a run also counted as complete.

Why this works: `check_head` decides on each response in `Upstreams`, through which all of these read, before the status, the header or the body is returned. It takes `chunked` alone, one length, or neither. What became of the request is then unknown: it is answered 502, and not repeated if it is not idempotent. The replica can be reached and need not have crashed, so this is no evidence of a crash, nor a sign of life for a check. The log names the replica, what was expected and what was found.

hyper refuses lines that are no fields, and names with blanks or control bytes; these are tests here, and need no change. Their log line says what hyper reported.

--- a/lib/src/serving/path/crashes.rs
+++ b/lib/src/serving/path/crashes.rs
@@ -227,6 +227,7 @@
         match sign {
             Sign::Alive | Sign::Unnamed => record_alive(node, replica, asked),
             Sign::Replaced => return record_dead(node, replica, asked, OTHER_START),
+            Sign::Unclear => {}
             Sign::None(evidence) => {
                 let is_silent = {
                     let state = node.state();
@@ -266,6 +267,8 @@
     /// A start answers at its address and does not say which: it has no free slot, so that it is
     /// hardly a new one.
     Unnamed,
+    /// Something answers at its address that cannot be believed.
+    Unclear,
     /// It gives none; holds what its address does. A replica that is overloaded, or that this VM
     /// reaches over old connections only, refuses or resets new ones as well.
     None(&'static str),
@@ -314,7 +317,7 @@
         return Ok(sign);
     };
     Ok(match ask(node, replica, address, path, NAME_TICKS).await? {
-        Sign::None(_) => Sign::Unnamed,
+        Sign::None(_) | Sign::Unclear => Sign::Unnamed,
         sign => sign,
     })
 }
@@ -354,6 +357,11 @@
                 }
                 Err(SendError::NotSent(_)) => failed = Some("connection refused"),
                 Err(SendError::Broken(_)) => failed = Some("connection reset"),
+                Err(SendError::InvalidHead(fault)) => {
+                    slog::warn!(node.log, "response with an invalid head";
+                        "replica" => replica.name.as_str(), "error" => %fault);
+                    return Ok(Sign::Unclear);
+                }
             },
             () = tokio::time::sleep(SILENCE_TICK) => {}
         }
--- a/lib/src/serving/path/forward.rs
+++ b/lib/src/serving/path/forward.rs
@@ -424,12 +424,23 @@
             cancel_send(node, req);
             return Err(AttemptFailure::NotSent);
         }
-        Ok(Err(SendError::Broken(_))) => {
+        Ok(Err(SendError::Broken(e))) => {
+            slog::info!(node.log, "no response of a replica"; "id" => &req.id,
+                "replica" => replica.as_str(), "error" => e);
             run.record_end(RunOutcome::Broken);
             probes::record_unreached(node, replica);
             record_break(node, req, &run);
             return Err(AttemptFailure::Broken);
         }
+        Ok(Err(SendError::InvalidHead(fault))) => {
+            // The replica can be reached, and need not have crashed.
+            run.on_data();
+            run.record_end(RunOutcome::Broken);
+            slog::warn!(node.log, "response with an invalid head"; "id" => &req.id,
+                "replica" => replica.as_str(), "error" => %fault);
+            metrics::counter!("serve_invalid_heads_total").increment(1);
+            return Err(AttemptFailure::InvalidReply("an invalid head"));
+        }
         Ok(Ok(answer)) => answer,
     };
     run.on_data();
--- a/lib/src/serving/path/relay.rs
+++ b/lib/src/serving/path/relay.rs
@@ -215,7 +215,9 @@
                 let status = StatusCode::GATEWAY_TIMEOUT;
                 return Relayed::Refused(Refusal::denied(status, "overdue"));
             }
-            Ok(Err(SendError::Broken(_))) => {
+            Ok(Err(e @ (SendError::Broken(_) | SendError::InvalidHead(_)))) => {
+                slog::warn!(node.log, "no response of another VM"; "id" => &req.id,
+                    "vm" => vm.as_str(), "error" => %e);
                 log_relayed(node, req, &peers, &vm, "broken");
                 return Relayed::Refused(Refusal::denied(StatusCode::BAD_GATEWAY, "broken"));
             }
--- a/lib/src/serving/program/orders.rs
+++ b/lib/src/serving/program/orders.rs
@@ -26,6 +26,7 @@
 use crate::serving::program::node::now;
 use crate::serving::program::node::time_until;
 use crate::upstream::BodyChunks;
+use crate::upstream::SendError;
 use crate::upstream::read_body;
 
 /// Timeout for a report, and for the response to an order if orders are not repeated.
@@ -284,8 +285,12 @@
         (listing.address, replica, sent)
     };
     let exchange = async {
-        let answer = node.controls.send_if(address, request, is_allowed);
-        let mut response = answer.await.ok()?;
+        let answer = node.controls.send_if(address, request, is_allowed).await;
+        if let Err(e @ SendError::InvalidHead(_)) = &answer {
+            slog::warn!(node.log, "response with an invalid head"; "replica" => name.as_str(),
+                "error" => %e);
+        }
+        let mut response = answer.ok()?;
         let call = Call {
             id: None,
             replica: &replica,
--- a/lib/src/upstream/connections.rs
+++ b/lib/src/upstream/connections.rs
@@ -21,15 +21,11 @@
 use std::time::Instant;
 
 use bytes::Bytes;
-use hyper::Method;
 use hyper::Request;
-use hyper::StatusCode;
 use hyper::body::Body;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
-use hyper::header::CONTENT_LENGTH;
-use hyper::header::TRANSFER_ENCODING;
 use hyper::http::response;
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
@@ -39,6 +35,9 @@
 use super::bounded::Allowance;
 use super::bounded::BoundedStream;
 use super::delivery::Delivery;
+use super::head::BodyEnd;
+use super::head::HeadFault;
+use super::head::check_head;
 
 /// Timeout of a connection attempt; upstreams are about a millisecond away.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -65,12 +64,15 @@
     NotSent(String),
     /// The request may have been sent.
     Broken(String),
+    /// The request was sent, and the head of its response cannot be believed.
+    InvalidHead(HeadFault),
 }
 
 impl fmt::Display for SendError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::NotSent(e) | Self::Broken(e) => f.write_str(e),
+            Self::InvalidHead(fault) => fault.fmt(f),
         }
     }
 }
@@ -201,17 +203,14 @@
             match self.send_on(address, connection, request).await {
                 Ok(response) => return Ok(response),
                 Err((Some(unsent), _)) => request = unsent,
-                Err((None, e)) => return Err(SendError::Broken(e)),
+                Err((None, e)) => return Err(e),
             }
         }
         let connection = self.connect(address).await.map_err(SendError::NotSent)?;
         check()?;
         self.send_on(address, connection, request)
             .await
-            .map_err(|(unsent, e)| match unsent {
-                Some(_) => SendError::NotSent(e),
-                None => SendError::Broken(e),
-            })
+            .map_err(|(_, e)| e)
     }
 
     /// Opens a connection and keeps it for a request. Returns whether it could be opened and
@@ -234,20 +233,22 @@
         true
     }
 
+    /// Sends a request on a connection. An error comes with the request if no byte of it was sent.
     async fn send_on(
         &self,
         address: SocketAddr,
         mut connection: Connection,
         mut request: Request<BodyChunks>,
-    ) -> Result<UpstreamResponse, (Option<Request<BodyChunks>>, String)> {
+    ) -> Result<UpstreamResponse, (Option<Request<BodyChunks>>, SendError)> {
         request.body_mut().track(&connection.delivery);
-        let is_head = request.method() == Method::HEAD;
+        let method = request.method().clone();
         match connection.sender.try_send_request(request).await {
             Ok(response) => {
                 // The body is read as its receiver takes it.
                 connection.allowance.lift();
                 let (head, body) = response.into_parts();
-                let is_unframed = !is_head && is_unframed(&head);
+                let end = check_head(&method, &head)
+                    .map_err(|fault| (None, SendError::InvalidHead(fault)))?;
                 let connection = PooledConnection {
                     connection,
                     address,
@@ -258,12 +259,17 @@
                     head,
                     body,
                     connection: Some(connection),
-                    is_unframed,
+                    end,
                 })
             }
             Err(mut e) => {
                 let unsent = e.take_message();
-                Err((unsent, e.into_error().to_string()))
+                let e = e.into_error().to_string();
+                let error = match unsent {
+                    Some(_) => SendError::NotSent(e),
+                    None => SendError::Broken(e),
+                };
+                Err((unsent, error))
             }
         }
     }
@@ -305,16 +311,6 @@
     }
 }
 
-/// Returns whether the end of a response is that of its connection, given that it may have a body.
-fn is_unframed(head: &response::Parts) -> bool {
-    let framed = [CONTENT_LENGTH, TRANSFER_ENCODING];
-    let empty = matches!(
-        head.status,
-        StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
-    );
-    !empty && !framed.iter().any(|name| head.headers.contains_key(name))
-}
-
 /// Returns how long the connection may be reused: the idle time in the response's
 /// `Keep-Alive` header less `CLOSE_MARGIN`; `None` if it names none.
 fn idle_time(head: &response::Parts) -> Option<Duration> {
@@ -353,8 +349,7 @@
     pub head: response::Parts,
     body: Incoming,
     connection: Option<PooledConnection>,
-    /// Whether the response ends with its connection.
-    is_unframed: bool,
+    end: BodyEnd,
 }
 
 /// A connection that returns to the pool at the end of a response.
@@ -373,14 +368,14 @@
             let frame = ready!(std::pin::Pin::new(&mut self.body).poll_frame(cx));
             match frame {
                 None => {
-                    let connection = self.connection.take();
-                    let cut = |c: &PooledConnection| c.connection.delivery.is_cut();
-                    if self.is_unframed && connection.as_ref().is_some_and(cut) {
+                    let Some(connection) = self.connection.take() else {
+                        return Poll::Ready(None);
+                    };
+                    let is_cut = connection.connection.delivery.is_cut();
+                    if self.end == BodyEnd::Connection && is_cut {
                         return Poll::Ready(Some(Err(BodyError::RequestCut)));
                     }
-                    if let Some(connection) = connection {
-                        connection.keep();
-                    }
+                    connection.keep();
                     return Poll::Ready(None);
                 }
                 Some(Err(e)) => {
@@ -426,7 +421,7 @@
 
     /// Returns whether the end of the response is that of its connection.
     pub fn is_unframed(&self) -> bool {
-        self.is_unframed
+        self.end == BodyEnd::Connection
     }
 
     /// Returns the value of a header if it is visible ASCII.
--- a/lib/src/upstream/mod.rs
+++ b/lib/src/upstream/mod.rs
@@ -2,9 +2,8 @@
 //!
 //! `buffer` keeps bytes that arrive in pieces.
 //! `connections` sends requests over reused connections, `delivery` knows what of one has
-//! arrived, `run` and `sse` check that a
-//! response is complete and belongs to its request, `orders` and `report` are the
-//! control calls to engines.
+//! arrived, `head` decides whether a response can be believed, `run` and `sse` check that it is
+//! complete and belongs to its request, `orders` and `report` are the control calls to engines.
 
 mod body;
 mod bounded;
@@ -12,6 +11,7 @@
 mod connections;
 mod delivery;
 mod errors;
+mod head;
 mod orders;
 mod report;
 mod run;
@@ -28,6 +28,7 @@
 pub use connections::Upstreams;
 pub use errors::RunError;
 pub use errors::Unready;
+pub use head::HeadFault;
 pub use orders::FenceReply;
 pub use orders::OrderClient;
 pub use orders::OrderError;
--- a/lib/src/upstream/run.rs
+++ b/lib/src/upstream/run.rs
@@ -71,6 +71,7 @@
         .map_err(|e| match e {
             SendError::NotSent(e) => RunError::NotSent(e),
             SendError::Broken(e) => RunError::BrokenEarly(e),
+            SendError::InvalidHead(fault) => RunError::BrokenEarly(fault.to_string()),
         })?;
     match expected.model.is_empty() {
         true => check_service(response, expected).await,
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -12,6 +12,7 @@
 mod test_config_spread;
 mod test_entry_failures;
 mod test_entry_fakes;
+mod test_entry_heads;
 mod test_entry_input;
 mod test_entry_life;
 mod test_entry_path;
--- a/lib/tests/test_upstream_heads.rs
+++ b/lib/tests/test_upstream_heads.rs
@@ -1,18 +1,27 @@
-//! Responses with odd heads, for each client that reads responses.
+//! Responses with malformed heads, for each client that reads responses, beside sound ones.
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use banyangauge::ids::FencingToken;
 use banyangauge::platform::Platform;
+use banyangauge::platform::PlatformError;
+use banyangauge::upstream::BodyChunks;
 use banyangauge::upstream::OrderClient;
+use banyangauge::upstream::OrderError;
+use banyangauge::upstream::Upstreams;
 use banyangauge::upstream::read_report;
 use banyangauge_testutils::heads::Coding;
+use banyangauge_testutils::heads::Fault;
 use banyangauge_testutils::heads::Head;
 use banyangauge_testutils::heads::RawResponse;
 use banyangauge_testutils::heads::RawServer;
 use banyangauge_testutils::heads::SIZE;
+use banyangauge_testutils::heads::malformed;
 use banyangauge_testutils::heads::sound;
+use hyper::Method;
+use hyper::Request;
+use rstest::rstest;
 
 /// How long a client waits for a whole response.
 const TIMEOUT: Duration = Duration::from_secs(2);
@@ -40,7 +49,145 @@
     server.unwrap().address
 }
 
-/// Odd responses that are sound reach all clients.
+/// Returns the status and the body of a response, if it is a whole one.
+async fn ask(upstreams: &Upstreams, to: SocketAddr, method: Method, path: &str) -> Option<Seen> {
+    let request = Request::builder().method(method).uri(path);
+    let request = request.header("host", "x").body(BodyChunks::default());
+    let exchange = async {
+        let mut response = upstreams.send(to, request.unwrap()).await.ok()?;
+        let mut body = Vec::new();
+        while let Some(chunk) = response.next_chunk().await {
+            body.extend_from_slice(&chunk.ok()?);
+        }
+        Some((response.head.status.as_u16(), body.len()))
+    };
+    tokio::time::timeout(TIMEOUT, exchange).await.ok()?
+}
+
+/// A status, and the size of a body.
+type Seen = (u16, usize);
+
+async fn ask_for(head: Head, method: Method, reused: bool) -> Option<Seen> {
+    let (upstreams, to) = (Upstreams::new(), start(head, &[b'x'; SIZE]));
+    if reused {
+        let warm = ask(&upstreams, to, Method::GET, "/warm").await;
+        assert_eq!(warm, Some((200, SIZE)));
+    }
+    ask(&upstreams, to, method, "/x").await
+}
+
+/// Responses whose bodies were not what their upstream had sent were taken for whole ones.
+#[rstest]
+#[tokio::test]
+async fn response_with_malformed_head_is_none(
+    #[values(Fault::Length, Fault::Line, Fault::Name, Fault::Status)] fault: Fault,
+    #[values(false, true)] reused: bool,
+) {
+    let mut taken = Vec::new();
+    for head in malformed(fault) {
+        if let Some(seen) = ask_for(head, Method::POST, reused).await {
+            taken.push((head.name, seen));
+        }
+    }
+    assert_eq!(taken, []);
+}
+
+#[rstest]
+#[tokio::test]
+async fn response_with_sound_head_is_whole(#[values(false, true)] reused: bool) {
+    for head in sound() {
+        let size = if head.coding == Coding::None { 0 } else { SIZE };
+        let status = head.start.trim_end().rsplit("HTTP/1.").next().unwrap();
+        let status = status[2..5].parse().unwrap();
+        let seen = ask_for(head, Method::POST, reused).await;
+        assert_eq!(seen, Some((status, size)), "{}", head.name);
+    }
+}
+
+fn without_body(head: Head) -> Head {
+    Head {
+        coding: Coding::None,
+        ..head
+    }
+}
+
+/// The caller of a HEAD request learns the length from its response.
+#[rstest]
+#[tokio::test]
+async fn response_to_head_request_by_head(#[values(false, true)] reused: bool) {
+    for head in sound().into_iter().map(without_body) {
+        let seen = ask_for(head, Method::HEAD, reused).await;
+        assert!(seen.is_some_and(|(_, size)| size == 0), "{}", head.name);
+    }
+    let mut taken = Vec::new();
+    for head in malformed(Fault::Length).into_iter().map(without_body) {
+        if ask_for(head, Method::HEAD, reused).await.is_some() {
+            taken.push(head.name);
+        }
+    }
+    assert_eq!(taken, [""; 0]);
+}
+
+/// An order whose response is malformed counted as carried out or as refused, and a report was
+/// believed.
+#[rstest]
+#[tokio::test]
+async fn order_with_malformed_response_is_unknown(
+    #[values(Fault::Length, Fault::Line, Fault::Name, Fault::Status)] fault: Fault,
+) {
+    let client = OrderClient::new(TIMEOUT);
+    let (token, adapter) = (FencingToken(1), "a@1".parse().unwrap());
+    let mut taken = Vec::new();
+    for head in malformed(fault) {
+        let to = start(head, br#"{"token":1,"incarnation":7}"#);
+        let ends = [
+            ("load", client.load(to, token, &adapter).await.err()),
+            ("unload", client.unload(to, token, &adapter).await.err()),
+            ("fence", client.fence(to, token).await.err()),
+            ("report", read_report(&client, to).await.err()),
+        ];
+        for (call, end) in ends {
+            if !matches!(end, Some(OrderError::Lost(_))) {
+                taken.push((head.name, call, end));
+            }
+        }
+    }
+    assert_eq!(taken, []);
+}
+
+/// A write whose response is malformed counted as done or as without effect.
+#[rstest]
+#[tokio::test]
+async fn platform_call_with_malformed_response_is_unknown(
+    #[values(Fault::Length, Fault::Line, Fault::Name, Fault::Status)] fault: Fault,
+) {
+    let mut taken = Vec::new();
+    for head in malformed(fault) {
+        let body = br#"{"metadata":{"resourceVersion":"1"},"spec":{},"items":[]}"#;
+        let platform = Platform::new(start(head, body));
+        let read = platform.get::<serde_json::Value>("kinds", "x");
+        let list = platform.list::<serde_json::Value>("kinds");
+        let ends = [
+            ("create", platform.create("kinds", "x", &1).await.err()),
+            (
+                "replace",
+                platform.replace("kinds", "x", "1", &1).await.err(),
+            ),
+            ("delete", platform.delete("kinds", "x").await.err()),
+            ("get", read.await.err()),
+            ("list", list.await.err()),
+            ("watch", platform.watch("kinds", "1").await.err()),
+        ];
+        for (call, end) in ends {
+            if !matches!(end, Some(PlatformError::Lost(_))) {
+                taken.push((head.name, call, end));
+            }
+        }
+    }
+    assert_eq!(taken, []);
+}
+
+/// Sound responses reach the same clients.
 #[tokio::test]
 async fn calls_with_sound_responses_succeed() {
     let with_body = |head: &Head| head.coding != Coding::None && !has_length(head);
--- a/testutils/src/heads.rs
+++ b/testutils/src/heads.rs
@@ -1,4 +1,5 @@
-//! A server that sends responses byte by byte as it is told, and heads of responses for it.
+//! A server that sends responses byte by byte as it is told, and heads of responses for it, sound
+//! and malformed.
 
 use std::io;
 use std::io::Read;
@@ -10,6 +11,19 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+/// What is wrong with the head of a response.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Fault {
+    /// Where it states the length of the body.
+    Length,
+    /// A line that is no field.
+    Line,
+    /// A blank or control byte in the name of a field.
+    Name,
+    /// The status.
+    Status,
+}
+
 /// How the body of a response is sent.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Coding {
@@ -66,9 +80,170 @@
     }
 }
 
+/// Returns the heads with this fault; their bodies have [`SIZE`] bytes.
+pub fn malformed(fault: Fault) -> Vec<Head> {
+    match fault {
+        Fault::Length => lengths(),
+        Fault::Line => lines(),
+        Fault::Name => names(),
+        Fault::Status => statuses(),
+    }
+}
+
 /// Size of the body that the lengths in the heads are for, in bytes.
 pub const SIZE: usize = 3_000;
 
+fn lengths() -> Vec<Head> {
+    let mut heads = vec![
+        chunked("coding_misspelt", b"transfer-encoding: chunkfd\r\n"),
+        chunked("coding_with_blank", b"transfer-encoding: chun ked\r\n"),
+        chunked("coding_with_control", b"transfer-encoding: chun\x01ked\r\n"),
+        chunked("coding_empty", b"transfer-encoding:\r\n"),
+        chunked("coding_identity", b"transfer-encoding: identity\r\n"),
+        chunked(
+            "coding_identity_after",
+            b"transfer-encoding: chunked\r\ntransfer-encoding: identity\r\n",
+        ),
+        chunked(
+            "coding_identity_before",
+            b"transfer-encoding: identity\r\ntransfer-encoding: chunked\r\n",
+        ),
+        chunked("coding_compressed", b"transfer-encoding: gzip, chunked\r\n"),
+        chunked("coding_twice", b"transfer-encoding: chunked, chunked\r\n"),
+        chunked(
+            "coding_in_two_lines",
+            b"transfer-encoding: chunked\r\ntransfer-encoding: chunked\r\n",
+        ),
+        chunked(
+            "coding_with_parameter",
+            b"transfer-encoding: chunked;q=1\r\n",
+        ),
+        chunked("coding_of_bytes", b"transfer-encoding: chunk\xe9d\r\n"),
+        chunked(
+            "coding_and_length",
+            b"transfer-encoding: chunked\r\ncontent-length: 10\r\n",
+        ),
+        chunked(
+            "length_and_coding",
+            b"content-length: 3000\r\ntransfer-encoding: chunked\r\n",
+        ),
+        plain(
+            "coding_misspelt_and_length",
+            b"transfer-encoding: xhunked\r\ncontent-length: 3000\r\n",
+        ),
+        plain("length_with_letter", b"content-length: 30x0\r\n"),
+        plain("length_empty", b"content-length:\r\n"),
+        plain("length_negative", b"content-length: -3000\r\n"),
+        plain("length_with_plus", b"content-length: +3000\r\n"),
+        plain("length_hexadecimal", b"content-length: 0xbb8\r\n"),
+        plain("length_with_blank", b"content-length: 30 00\r\n"),
+        plain("length_with_nul", b"content-length: 30\x0000\r\n"),
+        plain("length_of_bytes", b"content-length: 30\xb200\r\n"),
+        plain(
+            "length_too_large",
+            b"content-length: 18446744073709551617\r\n",
+        ),
+        plain(
+            "lengths_that_differ",
+            b"content-length: 3000\r\ncontent-length: 2999\r\n",
+        ),
+        plain("list_that_differs", b"content-length: 3000, 2999\r\n"),
+    ];
+    heads.push(Head {
+        start: "HTTP/1.0 200 OK\r\n",
+        ..chunked("coding_of_version_1_0", b"transfer-encoding: chunked\r\n")
+    });
+    heads.push(started(
+        "no_content_with_length",
+        "HTTP/1.1 204 No Content\r\n",
+        b"content-length: 3000\r\n",
+    ));
+    heads.push(Head {
+        start: "HTTP/1.1 204 No Content\r\n",
+        ..chunked("no_content_in_chunks", b"transfer-encoding: chunked\r\n")
+    });
+    heads.push(empty(
+        "not_modified_with_letter",
+        "HTTP/1.1 304 Not Modified\r\n",
+        b"content-length: 30x0\r\n",
+    ));
+    heads.push(empty(
+        "not_modified_misspelt",
+        "HTTP/1.1 304 Not Modified\r\n",
+        b"transfer-encoding: chunkfd\r\n",
+    ));
+    heads
+}
+
+fn lines() -> Vec<Head> {
+    vec![
+        plain("no_colon", b"content-length 3000\r\n"),
+        plain("one_word", b"x-note\r\ncontent-length: 3000\r\n"),
+        plain("control_bytes", b"\x01\x02\x03\r\ncontent-length: 3000\r\n"),
+        plain("no_name", b": 3000\r\ncontent-length: 3000\r\n"),
+        plain("blank", b" \r\ncontent-length: 3000\r\n"),
+        plain("folded", b"x-note: a\r\n b\r\ncontent-length: 3000\r\n"),
+        plain("folded_first", b" x-note: a\r\ncontent-length: 3000\r\n"),
+        plain(
+            "value_with_nul",
+            b"x-note: a\0b\r\ncontent-length: 3000\r\n",
+        ),
+        plain("value_with_cr", b"x-note: a\rb\r\ncontent-length: 3000\r\n"),
+        plain("value_with_lf", b"x-note: a\nb\r\ncontent-length: 3000\r\n"),
+        chunked(
+            "second_status_line",
+            b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n",
+        ),
+    ]
+}
+
+fn names() -> Vec<Head> {
+    vec![
+        plain("blank_inside", b"content length: 3000\r\n"),
+        plain("blank_at_end", b"content-length : 3000\r\n"),
+        plain("blank_in_front", b" content-length: 3000\r\n"),
+        plain("tab_inside", b"content\tlength: 3000\r\n"),
+        plain("tab_at_end", b"content-length\t: 3000\r\n"),
+        plain("control_byte", b"content\x01length: 3000\r\n"),
+        plain("delete", b"content\x7flength: 3000\r\n"),
+        plain("nul", b"content\0length: 3000\r\n"),
+        plain("cr", b"content\rlength: 3000\r\n"),
+        plain("cr_first", b"\rontent-length: 3000\r\n"),
+        plain("lf", b"content\nlength: 3000\r\n"),
+        plain("lf_last", b"content-lengt\n: 3000\r\n"),
+        plain("not_ascii", b"content\xe9length: 3000\r\n"),
+        plain("note_with_blank", b"x note: a\r\ncontent-length: 3000\r\n"),
+        plain(
+            "note_with_control",
+            b"x\x02note: a\r\ncontent-length: 3000\r\n",
+        ),
+        chunked("coding_with_blank", b"transfer encoding: chunked\r\n"),
+        chunked(
+            "coding_with_blank_at_end",
+            b"transfer-encoding : chunked\r\n",
+        ),
+        chunked("coding_with_control", b"transfer\x1fencoding: chunked\r\n"),
+    ]
+}
+
+fn statuses() -> Vec<Head> {
+    const LENGTH: &[u8] = b"content-length: 3000\r\n";
+    vec![
+        started("zero", "HTTP/1.1 000 X\r\n", LENGTH),
+        started("below_range", "HTTP/1.1 099 X\r\n", LENGTH),
+        started("one_digit", "HTTP/1.1 0 X\r\n", LENGTH),
+        started("two_digits", "HTTP/1.1 20 X\r\n", LENGTH),
+        started("four_digits", "HTTP/1.1 2000 X\r\n", LENGTH),
+        started("letter", "HTTP/1.1 2x0 X\r\n", LENGTH),
+        started("negative", "HTTP/1.1 -20 X\r\n", LENGTH),
+        started("none", "HTTP/1.1 \r\n", LENGTH),
+        started("interim", "HTTP/1.1 100 X\r\n", LENGTH),
+        started("interim_last", "HTTP/1.1 199 X\r\n", LENGTH),
+        started("unknown_version", "HTTP/7.3 200 X\r\n", LENGTH),
+        started("no_protocol", "HTTX/1.1 200 X\r\n", LENGTH),
+    ]
+}
+
 /// Returns sound heads; their bodies have [`SIZE`] bytes, or none.
 pub fn sound() -> Vec<Head> {
     vec![
