upstream: a length that a list repeats stands in the header once

What callers saw: no response at all to a request whose replica had stated its length as `Content-Length: 3000, 3000`, which is legal; their connection was closed.

Cause: the value was passed on as it came, and hyper's server takes a list for no length. (Two equal lines were passed on whole.)

Why this works: the length is parsed anyway, and replaces the values that it was parsed from, as RFC 9110, 8.6 asks of who forwards a message.

--- a/lib/src/upstream/connections.rs
+++ b/lib/src/upstream/connections.rs
@@ -246,8 +246,8 @@
             Ok(response) => {
                 // The body is read as its receiver takes it.
                 connection.allowance.lift();
-                let (head, body) = response.into_parts();
-                let end = check_head(&method, &head)
+                let (mut head, body) = response.into_parts();
+                let end = check_head(&method, &mut head)
                     .map_err(|fault| (None, SendError::InvalidHead(fault)))?;
                 let connection = PooledConnection {
                     connection,
--- a/lib/src/upstream/head.rs
+++ b/lib/src/upstream/head.rs
@@ -68,9 +68,12 @@
     Connection,
 }
 
-/// Checks that a head states how its body ends in at most one way. Returns how the body of the
-/// response to a request with this method ends.
-pub(super) fn check_head(method: &Method, head: &response::Parts) -> Result<BodyEnd, HeadFault> {
+/// Checks that a head states how its body ends in at most one way. A length that it repeats stands
+/// there once afterwards. Returns how the body of the response to a request with this method ends.
+pub(super) fn check_head(
+    method: &Method,
+    head: &mut response::Parts,
+) -> Result<BodyEnd, HeadFault> {
     let is_chunked = check_coding(head.version, &head.headers)?;
     let length = parse_length(&head.headers)?;
     if is_chunked && length.is_some() {
@@ -81,6 +84,9 @@
     if has_body && head.status == StatusCode::NO_CONTENT {
         return Err(HeadFault::NeedlessBody(head.status));
     }
+    if let Some(length) = length {
+        head.headers.insert(CONTENT_LENGTH, length.into());
+    }
     let is_empty = method == Method::HEAD
         || matches!(
             head.status,
--- a/testutils/src/heads.rs
+++ b/testutils/src/heads.rs
@@ -252,6 +252,7 @@
             "length_twice",
             b"content-length: 3000\r\ncontent-length: 3000\r\n",
         ),
+        plain("length_listed_twice", b"content-length: 3000, 3000\r\n"),
         plain("length_with_zero", b"content-length: 03000\r\n"),
         plain("length_between_tabs", b"content-length:\t3000\t \r\n"),
         chunked("chunked", b"Transfer-Encoding: Chunked\r\n"),
