upstream: what has no status of a response is none for all readers

What callers saw: with status 000 to 099, 0, 20, 2000, 2x0, and of replicas also with 101, 600 and 999, a 502. But what such a response stated of its replica was applied: `Server-Leaving` on a 600 or a 101 took the replica from service. Callers of `banyan-entry` got 101, 600 and 999 as responses, other VMs passed them on, both stores took them for refusals without effect, and a 600 was a sign of life.

Cause: the range of statuses was checked where replicas' responses to callers are classified, after the statements had been read, and nowhere else.

Why this works: the status is checked with the rest of the head, before anyone reads the response.

--- a/lib/src/upstream/head.rs
+++ b/lib/src/upstream/head.rs
@@ -5,6 +5,7 @@
 //! response is the whole body that its upstream sent, or none.
 
 use std::fmt;
+use std::ops::Range;
 
 use hyper::HeaderMap;
 use hyper::Method;
@@ -16,12 +17,18 @@
 use hyper::header::TRANSFER_ENCODING;
 use hyper::http::response;
 
+/// The statuses of responses. Interim ones are read as such, and no request asks for another
+/// protocol.
+const STATUSES: Range<u16> = 200..600;
+
 /// Maximum length of a value in an error, in characters.
 const MAX_QUOTE: usize = 200;
 
 /// Why a response is not believed.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum HeadFault {
+    /// The status is that of no response.
+    Status(u16),
     /// The transfer coding is not `chunked` alone; holds what was found.
     Coding(String),
     /// There is no one length; holds what was found.
@@ -35,6 +42,14 @@
 impl fmt::Display for HeadFault {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
+            Self::Status(status) => {
+                let Range { start, end } = STATUSES;
+                write!(
+                    f,
+                    "expected a status from {start} to {}, found {status}",
+                    end - 1
+                )
+            }
             Self::Coding(found) => {
                 write!(f, "expected the transfer coding `chunked`, found {found}")
             }
@@ -68,12 +83,16 @@
     Connection,
 }
 
-/// Checks that a head states how its body ends in at most one way. A length that it repeats stands
-/// there once afterwards. Returns how the body of the response to a request with this method ends.
+/// Checks that a head has the status of a response, and states how its body ends in at most one
+/// way. A length that it repeats stands there once afterwards. Returns how the body of the response
+/// to a request with this method ends.
 pub(super) fn check_head(
     method: &Method,
     head: &mut response::Parts,
 ) -> Result<BodyEnd, HeadFault> {
+    if !STATUSES.contains(&head.status.as_u16()) {
+        return Err(HeadFault::Status(head.status.as_u16()));
+    }
     let is_chunked = check_coding(head.version, &head.headers)?;
     let length = parse_length(&head.headers)?;
     if is_chunked && length.is_some() {
--- a/testutils/src/heads.rs
+++ b/testutils/src/heads.rs
@@ -238,7 +238,10 @@
         started("negative", "HTTP/1.1 -20 X\r\n", LENGTH),
         started("none", "HTTP/1.1 \r\n", LENGTH),
         started("interim", "HTTP/1.1 100 X\r\n", LENGTH),
+        started("other_protocol", "HTTP/1.1 101 X\r\n", LENGTH),
         started("interim_last", "HTTP/1.1 199 X\r\n", LENGTH),
+        started("above_range", "HTTP/1.1 600 X\r\n", LENGTH),
+        started("last", "HTTP/1.1 999 X\r\n", LENGTH),
         started("unknown_version", "HTTP/7.3 200 X\r\n", LENGTH),
         started("no_protocol", "HTTX/1.1 200 X\r\n", LENGTH),
     ]
