upstream: a lone LF in the head of a response is no end of a line

What callers saw: a replica in trouble sent a head with a line that held LF alone, or LF as the first byte of a field's name. Callers got 200 with a body that began with the rest of the head (`ontent-length: 3000`, an empty line, then the replica's 3,000 bytes; or the sizes of the chunks).

Cause: hyper takes LF without CR for the end of a line, so that such a byte at the start of a line is the empty line that ends the head. The length behind it is not in the head any more, and a response without a length ends with its connection. RFC 9112, 2.2 allows a recipient to read LF so; an upstream that sends whole responses ends its lines with CRLF.

Why this works: the bytes of a head pass through `BoundedStream`, which counts them already. It follows their lines up to the empty line, also those of interim responses before, and fails the read at a lone LF, before hyper parses it. The state begins anew with the next response. An upstream that ends all of its lines with LF gets no response believed; the log says why.

Not covered: an empty line that ends with CRLF in place of a field makes a well-formed response without a length.

--- a/lib/src/upstream/bounded.rs
+++ b/lib/src/upstream/bounded.rs
@@ -1,12 +1,15 @@
-//! Bounds what an upstream may send before the head of a response is complete.
+//! Checks what an upstream sends until the head of a response is complete.
 //!
-//! hyper bounds the size of one head, but skips interim responses (1xx) as long as they come.
+//! hyper bounds the size of one head, but skips interim responses (1xx) as long as they come. It
+//! also takes a lone LF for the end of a line: one in place of another byte may end the head early,
+//! and the rest of the head becomes the body.
 
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::AtomicUsize;
-use std::sync::atomic::Ordering;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 use std::task::Context;
 use std::task::Poll;
 use std::task::ready;
@@ -17,65 +20,136 @@
 use tokio::net::TcpStream;
 
 use super::delivery::Delivery;
+use super::head::HeadFault;
 
 /// Bytes that may be read before the head of a response is complete. What follows the head in the
 /// same read is among them.
 const MAX_HEAD_BYTES: usize = 256 << 10;
 
-/// Marks a connection whose reads are not bounded.
-const UNBOUNDED: usize = usize::MAX;
+/// Position in the status line of the digit that tells an interim response from others.
+const CLASS_POSITION: usize = "HTTP/1.1 ".len();
 
-/// The bytes that may still be read from a connection; clones share them.
-#[derive(Clone, Debug)]
-pub(super) struct Allowance(Arc<AtomicUsize>);
+/// What is known of the bytes of a response until its head is complete; clones share it.
+#[derive(Clone, Debug, Default)]
+pub(super) struct HeadBytes(Arc<Mutex<State>>);
 
-impl Default for Allowance {
+#[derive(Debug)]
+struct State {
+    /// The bytes that may still be read; `None` once the head is complete.
+    allowance: Option<usize>,
+    lines: Lines,
+    /// Whether a line ended with a lone LF.
+    has_lone_lf: bool,
+}
+
+impl Default for State {
     fn default() -> Self {
-        Self(Arc::new(AtomicUsize::new(MAX_HEAD_BYTES)))
+        Self {
+            allowance: Some(MAX_HEAD_BYTES),
+            lines: Lines::default(),
+            has_lone_lf: false,
+        }
     }
 }
 
-impl Allowance {
-    /// Ends the bound, as the head of a response is complete.
-    pub(super) fn lift(&self) {
-        self.0.store(UNBOUNDED, Ordering::Relaxed);
+impl HeadBytes {
+    /// Ends the checks, as the head of a response is complete.
+    pub(super) fn complete(&self) {
+        self.state().allowance = None;
     }
 
-    /// Sets the bound again, for the next response.
+    /// Begins again, for the next response.
     pub(super) fn renew(&self) {
-        self.0.store(MAX_HEAD_BYTES, Ordering::Relaxed);
+        *self.state() = State::default();
     }
 
-    /// Takes bytes that were read; fails if they are too many.
-    fn take(&self, bytes: usize) -> io::Result<()> {
-        let take = |left: usize| match left {
-            UNBOUNDED => Some(UNBOUNDED),
-            left => left.checked_sub(bytes),
+    /// Returns whether a line of the head ended with a lone LF.
+    pub(super) fn has_lone_lf(&self) -> bool {
+        self.state().has_lone_lf
+    }
+
+    /// Takes bytes that were read; fails if they are too many, or no head.
+    fn take(&self, bytes: &[u8]) -> io::Result<()> {
+        let mut state = self.state();
+        let Some(left) = state.allowance else {
+            return Ok(());
         };
-        let taken = self
-            .0
-            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, take);
-        let too_long = |_| {
+        let Some(left) = left.checked_sub(bytes.len()) else {
             let text = format!("expected the head of a response within {MAX_HEAD_BYTES} bytes");
-            io::Error::new(io::ErrorKind::InvalidData, text)
+            return Err(io::Error::new(io::ErrorKind::InvalidData, text));
         };
-        taken.map(|_| ()).map_err(too_long)
+        state.allowance = Some(left);
+        if state.lines.has_lone_lf(bytes) {
+            state.has_lone_lf = true;
+            let fault = HeadFault::LoneLf;
+            return Err(io::Error::new(io::ErrorKind::InvalidData, fault));
+        }
+        Ok(())
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Position in the lines of a head, and of the interim ones before it.
+#[derive(Debug, Default)]
+struct Lines {
+    /// Bytes of the present line.
+    length: usize,
+    last: u8,
+    has_status_line: bool,
+    is_interim: bool,
+    is_complete: bool,
+}
+
+impl Lines {
+    /// Takes the next bytes; returns whether a line of the head ends with a lone LF among them.
+    fn has_lone_lf(&mut self, bytes: &[u8]) -> bool {
+        for byte in bytes {
+            if self.is_complete {
+                return false;
+            }
+            match (self.last, *byte) {
+                (b'\r', b'\n') => self.end_line(),
+                (_, b'\n') => return true,
+                (_, byte) => {
+                    if !self.has_status_line && self.length == CLASS_POSITION {
+                        self.is_interim = byte == b'1';
+                    }
+                    self.length += 1;
+                }
+            }
+            self.last = *byte;
+        }
+        false
+    }
+
+    fn end_line(&mut self) {
+        let is_empty = self.length == "\r".len();
+        if !is_empty {
+            self.has_status_line = true;
+        } else if self.has_status_line {
+            self.is_complete = !self.is_interim;
+            self.has_status_line = false;
+        }
+        self.length = 0;
     }
 }
 
-/// A connection whose reads fail once its allowance is used up, and which knows what of a request was
-/// delivered.
+/// A connection whose reads fail if they are no head where one is expected, and which knows what of a
+/// request was delivered.
 pub(super) struct BoundedStream {
     stream: TcpStream,
-    allowance: Allowance,
+    head: HeadBytes,
     delivery: Delivery,
 }
 
 impl BoundedStream {
-    pub(super) fn new(stream: TcpStream, allowance: Allowance, delivery: Delivery) -> Self {
+    pub(super) fn new(stream: TcpStream, head: HeadBytes, delivery: Delivery) -> Self {
         Self {
             stream,
-            allowance,
+            head,
             delivery,
         }
     }
@@ -95,11 +169,11 @@
         let before = buffer.filled().len();
         let has_room = buffer.remaining() > 0;
         ready!(Pin::new(&mut self.stream).poll_read(cx, buffer))?;
-        let read = buffer.filled().len() - before;
-        if read == 0 && has_room {
+        let read = &buffer.filled()[before..];
+        if read.is_empty() && has_room {
             self.delivery.record_end(&self.stream);
         }
-        Poll::Ready(self.allowance.take(read))
+        Poll::Ready(self.head.take(read))
     }
 }
 
--- a/lib/src/upstream/connections.rs
+++ b/lib/src/upstream/connections.rs
@@ -32,8 +32,8 @@
 use tokio::net::TcpSocket;
 
 use super::BodyChunks;
-use super::bounded::Allowance;
 use super::bounded::BoundedStream;
+use super::bounded::HeadBytes;
 use super::delivery::Delivery;
 use super::head::BodyEnd;
 use super::head::HeadFault;
@@ -103,7 +103,7 @@
 #[derive(Debug)]
 struct Connection {
     sender: SendRequest<BodyChunks>,
-    allowance: Allowance,
+    head_bytes: HeadBytes,
     delivery: Delivery,
 }
 
@@ -245,7 +245,7 @@
         match connection.sender.try_send_request(request).await {
             Ok(response) => {
                 // The body is read as its receiver takes it.
-                connection.allowance.lift();
+                connection.head_bytes.complete();
                 let (mut head, body) = response.into_parts();
                 let end = check_head(&method, &mut head)
                     .map_err(|fault| (None, SendError::InvalidHead(fault)))?;
@@ -267,6 +267,9 @@
                 let e = e.into_error().to_string();
                 let error = match unsent {
                     Some(_) => SendError::NotSent(e),
+                    None if connection.head_bytes.has_lone_lf() => {
+                        SendError::InvalidHead(HeadFault::LoneLf)
+                    }
                     None => SendError::Broken(e),
                 };
                 Err((unsent, error))
@@ -279,8 +282,8 @@
         let work = async {
             let socket = open_socket(address, self.delivery_timeout).map_err(text)?;
             let stream = socket.connect(address).await.map_err(text)?;
-            let (allowance, delivery) = (Allowance::default(), Delivery::default());
-            let stream = BoundedStream::new(stream, allowance.clone(), delivery.clone());
+            let (head_bytes, delivery) = (HeadBytes::default(), Delivery::default());
+            let stream = BoundedStream::new(stream, head_bytes.clone(), delivery.clone());
             let mut builder = http1::Builder::new();
             builder.max_buf_size(MAX_BUFFER_BYTES);
             let handshake = builder.handshake(TokioIo::new(stream));
@@ -290,7 +293,7 @@
             sender.ready().await.map_err(text)?;
             Ok(Connection {
                 sender,
-                allowance,
+                head_bytes,
                 delivery,
             })
         };
@@ -436,7 +439,7 @@
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let list = idle.entry(self.address).or_default();
         if list.len() < MAX_IDLE_PER_UPSTREAM && !self.connection.sender.is_closed() {
-            self.connection.allowance.renew();
+            self.connection.head_bytes.renew();
             list.push(IdleConnection {
                 connection: self.connection,
                 expires_at: Instant::now() + self.idle_time,
--- a/lib/src/upstream/head.rs
+++ b/lib/src/upstream/head.rs
@@ -27,6 +27,8 @@
 /// Why a response is not believed.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum HeadFault {
+    /// A line ends with LF alone.
+    LoneLf,
     /// The status is that of no response.
     Status(u16),
     /// The transfer coding is not `chunked` alone; holds what was found.
@@ -42,6 +44,7 @@
 impl fmt::Display for HeadFault {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
+            Self::LoneLf => f.write_str("expected CRLF at the end of a line, found a lone LF"),
             Self::Status(status) => {
                 let Range { start, end } = STATUSES;
                 write!(
--- a/testutils/src/heads.rs
+++ b/testutils/src/heads.rs
@@ -190,6 +190,8 @@
         ),
         plain("value_with_cr", b"x-note: a\rb\r\ncontent-length: 3000\r\n"),
         plain("value_with_lf", b"x-note: a\nb\r\ncontent-length: 3000\r\n"),
+        plain("empty_line", b"\ncontent-length: 3000\r\n"),
+        chunked("empty_line_in_chunks", b"\ntransfer-encoding: chunked\r\n"),
         chunked(
             "second_status_line",
             b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n",
@@ -210,6 +212,8 @@
         plain("cr", b"content\rlength: 3000\r\n"),
         plain("cr_first", b"\rontent-length: 3000\r\n"),
         plain("lf", b"content\nlength: 3000\r\n"),
+        plain("lf_first", b"\nontent-length: 3000\r\n"),
+        chunked("lf_first_of_coding", b"\nransfer-encoding: chunked\r\n"),
         plain("lf_last", b"content-lengt\n: 3000\r\n"),
         plain("not_ascii", b"content\xe9length: 3000\r\n"),
         plain("note_with_blank", b"x note: a\r\ncontent-length: 3000\r\n"),
