upstream: more bytes than the stated length make a response none

What callers saw: a length that is well-formed and too small (1000, for a body of 3,000 bytes) gave them that part as a complete response.

Cause: the bytes behind the stated end were left to the connection, which hyper closes, and the response counted as whole.

A length beyond the body was broken off already, and its test stays.

Why this works: `HeadBytes` knows where the head ends and how much was read. If more came behind the head than its length, the response is not believed: at its head, if the bytes came with it, else at the next piece of its body. A request waits on the connection for one response, so that no sound upstream sends more. Bytes that arrive after the body was passed on are not seen; what comes in one piece with the body, as here, is. The log line `response ended early` has the reason of every body that ends so.

--- a/lib/src/serving/path/relay.rs
+++ b/lib/src/serving/path/relay.rs
@@ -421,7 +421,11 @@
                 count_outcome("relayed");
                 return None;
             }
-            Ok(Some(Err(_))) => "the VM that served the request broke off",
+            Ok(Some(Err(e))) => {
+                slog::info!(self.node.log, "response ended early"; "id" => &self.req.id,
+                    "error" => %e);
+                "the VM that served the request broke off"
+            }
             Err(_) => "deadline exceeded",
         };
         slog::info!(self.node.log, "response broke off"; "id" => &self.req.id, "why" => reason);
--- a/lib/src/serving/path/response.rs
+++ b/lib/src/serving/path/response.rs
@@ -186,7 +186,11 @@
                     Ok(bytes) => return Some(Ok(bytes)),
                     Err(reason) => AttemptFailure::InvalidReply(reason),
                 },
-                Ok(Some(Err(_))) => self.broken_off(),
+                Ok(Some(Err(e))) => {
+                    slog::info!(self.node.log, "response ended early"; "id" => &self.request.id,
+                        "error" => %e);
+                    self.broken_off()
+                }
                 Ok(None) => match self.finish() {
                     Ok(rest) => return rest.map(Ok),
                     // Without a length the connection ends what the replica did not finish.
--- a/lib/src/serving/path/serve.rs
+++ b/lib/src/serving/path/serve.rs
@@ -416,7 +416,7 @@
     let mut complete = false;
     let stream = routed.route.kind == RouteKind::Stream;
     while !stream || started.failed {
-        match read_ahead(&mut started, &req, &mut buffered).await {
+        match read_ahead(&node.log, &mut started, &req, &mut buffered).await {
             Ok(read) if started.failed && attempts.idempotent => {
                 complete = read;
                 started.run.record_end(RunOutcome::Failed);
@@ -507,6 +507,7 @@
 /// Buffers the first `READ_AHEAD_BYTES` of a response, as far as there is room. Returns whether
 /// the response is complete.
 async fn read_ahead(
+    log: &slog::Logger,
     started: &mut StartedResponse,
     req: &BufferedRequest,
     buffered: &mut ReadAhead,
@@ -520,7 +521,11 @@
         {
             Err(_) => return Err(AttemptFailure::TimedOut),
             Ok(None) => return Ok(true),
-            Ok(Some(Err(_))) => return Err(AttemptFailure::Broken),
+            Ok(Some(Err(e))) => {
+                slog::info!(log, "response ended early"; "id" => &req.id,
+                    "replica" => started.run.replica.as_str(), "error" => %e);
+                return Err(AttemptFailure::Broken);
+            }
             Ok(Some(Ok(piece))) => {
                 read += piece.len();
                 if !buffered.push(&piece) {
--- a/lib/src/upstream/bounded.rs
+++ b/lib/src/upstream/bounded.rs
@@ -40,6 +40,8 @@
     lines: Lines,
     /// Whether a line ended with a lone LF.
     has_lone_lf: bool,
+    /// The bytes that were read, of the head and behind it.
+    read: u64,
 }
 
 impl Default for State {
@@ -48,6 +50,7 @@
             allowance: Some(MAX_HEAD_BYTES),
             lines: Lines::default(),
             has_lone_lf: false,
+            read: 0,
         }
     }
 }
@@ -68,9 +71,16 @@
         self.state().has_lone_lf
     }
 
+    /// Returns how many bytes were read behind the head of the response.
+    pub(super) fn body_bytes(&self) -> u64 {
+        let state = self.state();
+        state.read - state.lines.size
+    }
+
     /// Takes bytes that were read; fails if they are too many, or no head.
     fn take(&self, bytes: &[u8]) -> io::Result<()> {
         let mut state = self.state();
+        state.read += bytes.len() as u64;
         let Some(left) = state.allowance else {
             return Ok(());
         };
@@ -95,6 +105,8 @@
 /// Position in the lines of a head, and of the interim ones before it.
 #[derive(Debug, Default)]
 struct Lines {
+    /// Bytes of all lines so far.
+    size: u64,
     /// Bytes of the present line.
     length: usize,
     last: u8,
@@ -110,6 +122,7 @@
             if self.is_complete {
                 return false;
             }
+            self.size += 1;
             match (self.last, *byte) {
                 (b'\r', b'\n') => self.end_line(),
                 (_, b'\n') => return true,
--- a/lib/src/upstream/connections.rs
+++ b/lib/src/upstream/connections.rs
@@ -86,6 +86,8 @@
     Broken(hyper::Error),
     /// The response ended with its connection before the upstream had received the request.
     RequestCut,
+    /// The body is not what the head states.
+    InvalidHead(HeadFault),
 }
 
 impl fmt::Display for BodyError {
@@ -93,6 +95,7 @@
         match self {
             Self::Broken(e) => e.fmt(f),
             Self::RequestCut => f.write_str("ended before the whole request was received"),
+            Self::InvalidHead(fault) => fault.fmt(f),
         }
     }
 }
@@ -247,7 +250,9 @@
                 // The body is read as its receiver takes it.
                 connection.head_bytes.complete();
                 let (mut head, body) = response.into_parts();
+                let read = connection.head_bytes.body_bytes();
                 let end = check_head(&method, &mut head)
+                    .and_then(|end| end.check_excess(read).map(|()| end))
                     .map_err(|fault| (None, SendError::InvalidHead(fault)))?;
                 let connection = PooledConnection {
                     connection,
@@ -374,12 +379,11 @@
                     let Some(connection) = self.connection.take() else {
                         return Poll::Ready(None);
                     };
-                    let is_cut = connection.connection.delivery.is_cut();
-                    if self.end == BodyEnd::Connection && is_cut {
-                        return Poll::Ready(Some(Err(BodyError::RequestCut)));
+                    let checked = connection.check_end(self.end);
+                    if checked.is_ok() {
+                        connection.keep();
                     }
-                    connection.keep();
-                    return Poll::Ready(None);
+                    return Poll::Ready(checked.err().map(Err));
                 }
                 Some(Err(e)) => {
                     self.connection = None;
@@ -388,7 +392,9 @@
                 Some(Ok(frame)) => {
                     // Trailers are ignored.
                     if let Ok(data) = frame.into_data() {
-                        return Poll::Ready(Some(Ok(data)));
+                        let connection = self.connection.as_ref();
+                        let checked = connection.map_or(Ok(()), |c| c.check_excess(self.end));
+                        return Poll::Ready(Some(checked.map(|()| data)));
                     }
                 }
             }
@@ -434,6 +440,20 @@
 }
 
 impl PooledConnection {
+    /// Checks that a body which has ended is the whole one that the upstream sent.
+    fn check_end(&self, end: BodyEnd) -> Result<(), BodyError> {
+        if end == BodyEnd::Connection && self.connection.delivery.is_cut() {
+            return Err(BodyError::RequestCut);
+        }
+        self.check_excess(end)
+    }
+
+    /// Checks that the upstream has sent no more than the body.
+    fn check_excess(&self, end: BodyEnd) -> Result<(), BodyError> {
+        let read = self.connection.head_bytes.body_bytes();
+        end.check_excess(read).map_err(BodyError::InvalidHead)
+    }
+
     /// Returns the connection to the pool.
     fn keep(self) {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
--- a/lib/src/upstream/head.rs
+++ b/lib/src/upstream/head.rs
@@ -39,6 +39,8 @@
     CodingAndLength,
     /// A response that has no body, because of its status, states one.
     NeedlessBody(StatusCode),
+    /// More bytes follow the head than the length that it states.
+    Excess(u64),
 }
 
 impl fmt::Display for HeadFault {
@@ -69,6 +71,9 @@
                     status.as_u16()
                 )
             }
+            Self::Excess(length) => {
+                write!(f, "expected a body of {length} bytes, found more")
+            }
         }
     }
 }
@@ -86,6 +91,16 @@
     Connection,
 }
 
+impl BodyEnd {
+    /// Checks that the bytes that were read behind a head are no more than its length.
+    pub(super) fn check_excess(self, read: u64) -> Result<(), HeadFault> {
+        match self {
+            Self::Length(length) if read > length => Err(HeadFault::Excess(length)),
+            _ => Ok(()),
+        }
+    }
+}
+
 /// Checks that a head has the status of a response, and states how its body ends in at most one
 /// way. A length that it repeats stands there once afterwards. Returns how the body of the response
 /// to a request with this method ends.
--- a/lib/tests/test_entry_heads.rs
+++ b/lib/tests/test_entry_heads.rs
@@ -12,6 +12,7 @@
 use banyangauge_testutils::heads::RawServer;
 use banyangauge_testutils::heads::SIZE;
 use banyangauge_testutils::heads::malformed;
+use banyangauge_testutils::heads::misstated;
 use banyangauge_testutils::heads::sound;
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -153,6 +154,17 @@
     assert_eq!(wrong, []);
 }
 
+/// A part of a body was passed on as all of it.
+#[rstest]
+#[tokio::test]
+async fn response_of_misstated_length_is_none(#[values(false, true)] is_http2: bool) {
+    for head in misstated() {
+        let world = start(head, Ask::Call, &Arc::default()).await;
+        let (status, _) = send(&world, Ask::Call, is_http2).await;
+        assert_eq!(status, 502, "{}", head.name);
+    }
+}
+
 #[rstest]
 #[tokio::test]
 async fn response_with_sound_head_is_whole(
--- a/lib/tests/test_upstream_heads.rs
+++ b/lib/tests/test_upstream_heads.rs
@@ -18,6 +18,7 @@
 use banyangauge_testutils::heads::RawServer;
 use banyangauge_testutils::heads::SIZE;
 use banyangauge_testutils::heads::malformed;
+use banyangauge_testutils::heads::misstated;
 use banyangauge_testutils::heads::sound;
 use hyper::Method;
 use hyper::Request;
@@ -92,6 +93,16 @@
     assert_eq!(taken, []);
 }
 
+/// A part of a body was taken for all of it.
+#[rstest]
+#[tokio::test]
+async fn response_of_misstated_length_is_not_whole(#[values(false, true)] reused: bool) {
+    for head in misstated() {
+        let seen = ask_for(head, Method::POST, reused).await;
+        assert_eq!(seen, None, "{}", head.name);
+    }
+}
+
 #[rstest]
 #[tokio::test]
 async fn response_with_sound_head_is_whole(#[values(false, true)] reused: bool) {
--- a/testutils/src/heads.rs
+++ b/testutils/src/heads.rs
@@ -90,6 +90,15 @@
     }
 }
 
+/// Returns well-formed heads that state another length than that of the body.
+pub fn misstated() -> Vec<Head> {
+    vec![
+        plain("a_part", b"content-length: 1000\r\n"),
+        plain("nothing", b"content-length: 0\r\n"),
+        plain("beyond_body", b"content-length: 4000\r\n"),
+    ]
+}
+
 /// Size of the body that the lengths in the heads are for, in bytes.
 pub const SIZE: usize = 3_000;
 
