upstream: the fault of a head's bytes is kept as it is

What was read as a flag and turned into a fault by its reader is the fault itself, and `Lines::read` says that it reads.

--- a/lib/src/upstream/bounded.rs
+++ b/lib/src/upstream/bounded.rs
@@ -1,4 +1,4 @@
-//! Checks what an upstream sends until the head of a response is complete.
+//! Checks the bytes of a response until its head is complete, and counts those that follow.
 //!
 //! hyper bounds the size of one head, but skips interim responses (1xx) as long as they come. It
 //! also takes a lone LF for the end of a line: one in place of another byte may end the head early,
@@ -29,7 +29,7 @@
 /// Position in the status line of the digit that tells an interim response from others.
 const CLASS_POSITION: usize = "HTTP/1.1 ".len();
 
-/// What is known of the bytes of a response until its head is complete; clones share it.
+/// What is known of the bytes of a response, above all until its head is complete; clones share it.
 #[derive(Clone, Debug, Default)]
 pub(super) struct HeadBytes(Arc<Mutex<State>>);
 
@@ -38,8 +38,8 @@
     /// The bytes that may still be read; `None` once the head is complete.
     allowance: Option<usize>,
     lines: Lines,
-    /// Whether a line ended with a lone LF.
-    has_lone_lf: bool,
+    /// Why the bytes are no head.
+    fault: Option<HeadFault>,
     /// The bytes that were read, of the head and behind it.
     read: u64,
 }
@@ -49,7 +49,7 @@
         Self {
             allowance: Some(MAX_HEAD_BYTES),
             lines: Lines::default(),
-            has_lone_lf: false,
+            fault: None,
             read: 0,
         }
     }
@@ -66,9 +66,9 @@
         *self.state() = State::default();
     }
 
-    /// Returns whether a line of the head ended with a lone LF.
-    pub(super) fn has_lone_lf(&self) -> bool {
-        self.state().has_lone_lf
+    /// Returns why the bytes that were read are no head, if they are none.
+    pub(super) fn fault(&self) -> Option<HeadFault> {
+        self.state().fault.clone()
     }
 
     /// Returns how many bytes were read behind the head of the response.
@@ -89,12 +89,10 @@
             return Err(io::Error::new(io::ErrorKind::InvalidData, text));
         };
         state.allowance = Some(left);
-        if state.lines.has_lone_lf(bytes) {
-            state.has_lone_lf = true;
-            let fault = HeadFault::LoneLf;
-            return Err(io::Error::new(io::ErrorKind::InvalidData, fault));
-        }
-        Ok(())
+        state.lines.read(bytes).map_err(|fault| {
+            state.fault = Some(fault.clone());
+            io::Error::new(io::ErrorKind::InvalidData, fault)
+        })
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
@@ -116,16 +114,16 @@
 }
 
 impl Lines {
-    /// Takes the next bytes; returns whether a line of the head ends with a lone LF among them.
-    fn has_lone_lf(&mut self, bytes: &[u8]) -> bool {
+    /// Reads the next bytes, as far as they are of the head; fails if a line ends with a lone LF.
+    fn read(&mut self, bytes: &[u8]) -> Result<(), HeadFault> {
         for byte in bytes {
             if self.is_complete {
-                return false;
+                break;
             }
             self.size += 1;
             match (self.last, *byte) {
                 (b'\r', b'\n') => self.end_line(),
-                (_, b'\n') => return true,
+                (_, b'\n') => return Err(HeadFault::LoneLf),
                 (_, byte) => {
                     if !self.has_status_line && self.length == CLASS_POSITION {
                         self.is_interim = byte == b'1';
@@ -135,7 +133,7 @@
             }
             self.last = *byte;
         }
-        false
+        Ok(())
     }
 
     fn end_line(&mut self) {
--- a/lib/src/upstream/connections.rs
+++ b/lib/src/upstream/connections.rs
@@ -270,12 +270,10 @@
             Err(mut e) => {
                 let unsent = e.take_message();
                 let e = e.into_error().to_string();
-                let error = match unsent {
-                    Some(_) => SendError::NotSent(e),
-                    None if connection.head_bytes.has_lone_lf() => {
-                        SendError::InvalidHead(HeadFault::LoneLf)
-                    }
-                    None => SendError::Broken(e),
+                let error = match (&unsent, connection.head_bytes.fault()) {
+                    (Some(_), _) => SendError::NotSent(e),
+                    (None, Some(fault)) => SendError::InvalidHead(fault),
+                    (None, None) => SendError::Broken(e),
                 };
                 Err((unsent, error))
             }
