serving: one report of responses with invalid heads

Responses to callers' requests, to checks of a replica and to orders and reports wrote the same log line, each by itself, and only the first counted. `report_invalid_head` takes the log and the replica's name, and counts all.

--- a/lib/src/serving/path/crashes.rs
+++ b/lib/src/serving/path/crashes.rs
@@ -20,6 +20,7 @@
 use crate::serving::path::codec::BadRecord;
 use crate::serving::path::forward::BufferedRequest;
 use crate::serving::path::forward::Run;
+use crate::serving::path::heads::report_invalid_head;
 use crate::serving::path::types::Instance;
 use crate::serving::program::node::Node;
 use crate::serving::program::node::now;
@@ -358,8 +359,7 @@
                 Err(SendError::NotSent(_)) => failed = Some("connection refused"),
                 Err(SendError::Broken(_)) => failed = Some("connection reset"),
                 Err(SendError::InvalidHead(fault)) => {
-                    slog::warn!(node.log, "response with an invalid head";
-                        "replica" => replica.name.as_str(), "error" => %fault);
+                    report_invalid_head(&node.log, &replica.name, None, &fault);
                     return Ok(Sign::Unclear);
                 }
             },
--- a/lib/src/serving/path/forward.rs
+++ b/lib/src/serving/path/forward.rs
@@ -46,6 +46,7 @@
 use crate::serving::path::crashes::record_break;
 use crate::serving::path::crashes::record_lifted;
 use crate::serving::path::crashes::record_replaced;
+use crate::serving::path::heads::report_invalid_head;
 use crate::serving::path::limit;
 use crate::serving::path::placement::Placed;
 use crate::serving::path::prefill::PrefillTurn;
@@ -436,9 +437,7 @@
             // The replica can be reached, and need not have crashed.
             run.on_data();
             run.record_end(RunOutcome::Broken);
-            slog::warn!(node.log, "response with an invalid head"; "id" => &req.id,
-                "replica" => replica.as_str(), "error" => %fault);
-            metrics::counter!("serve_invalid_heads_total").increment(1);
+            report_invalid_head(&node.log, replica, Some(&req.id), &fault);
             return Err(AttemptFailure::InvalidReply("an invalid head"));
         }
         Ok(Ok(answer)) => answer,
--- a/lib/src/serving/path/mod.rs
+++ b/lib/src/serving/path/mod.rs
@@ -10,6 +10,7 @@
 pub(super) mod connections;
 pub(super) mod crashes;
 pub(super) mod forward;
+pub(super) mod heads;
 pub(super) mod limit;
 mod linger;
 pub(super) mod owner_check;
--- a/lib/src/serving/program/orders.rs
+++ b/lib/src/serving/program/orders.rs
@@ -18,6 +18,7 @@
 use crate::serving::decisions::adapter_planner::ReplicaReport;
 use crate::serving::decisions::fleet::WithheldReason;
 use crate::serving::path::codec::Order;
+use crate::serving::path::heads::report_invalid_head;
 use crate::serving::path::statements::Call;
 use crate::serving::path::statements::apply_statement;
 use crate::serving::program::experiment::Mechanism;
@@ -286,9 +287,8 @@
     };
     let exchange = async {
         let answer = node.controls.send_if(address, request, is_allowed).await;
-        if let Err(e @ SendError::InvalidHead(_)) = &answer {
-            slog::warn!(node.log, "response with an invalid head"; "replica" => name.as_str(),
-                "error" => %e);
+        if let Err(SendError::InvalidHead(fault)) = &answer {
+            report_invalid_head(&node.log, name, None, fault);
         }
         let mut response = answer.ok()?;
         let call = Call {
