upstream: a head that hyper refuses is no crash of its replica

What callers saw: while all replicas of a service sent heads that hyper refuses (`Content-Length: 30x0`, a name with a blank) to requests and to checks, a safe request that was repeated was blocked as one that crashes replicas: 503 with a `Retry-After` of an hour, also after the heads were sound again.

Cause: such a head counted as a connection that broke, which is evidence of a crash and of a replica that cannot be reached. The replicas answered.

Why this works: what hyper reports as an error of parsing is a fault of the head like the others. A connection that ends within the head still is one that broke: hyper reports that apart.

--- a/lib/src/upstream/connections.rs
+++ b/lib/src/upstream/connections.rs
@@ -269,11 +269,14 @@
             }
             Err(mut e) => {
                 let unsent = e.take_message();
-                let e = e.into_error().to_string();
+                let e = e.into_error();
                 let error = match (&unsent, connection.head_bytes.fault()) {
-                    (Some(_), _) => SendError::NotSent(e),
+                    (Some(_), _) => SendError::NotSent(e.to_string()),
                     (None, Some(fault)) => SendError::InvalidHead(fault),
-                    (None, None) => SendError::Broken(e),
+                    (None, None) if e.is_parse() => {
+                        SendError::InvalidHead(HeadFault::Malformed(e.to_string()))
+                    }
+                    (None, None) => SendError::Broken(e.to_string()),
                 };
                 Err((unsent, error))
             }
--- a/lib/src/upstream/head.rs
+++ b/lib/src/upstream/head.rs
@@ -27,6 +27,8 @@
 /// Why a response is not believed.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum HeadFault {
+    /// It is none of HTTP/1; holds what hyper reports.
+    Malformed(String),
     /// A line ends with LF alone.
     LoneLf,
     /// The status is that of no response.
@@ -46,6 +48,7 @@
 impl fmt::Display for HeadFault {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
+            Self::Malformed(e) => write!(f, "expected the head of a response: {e}"),
             Self::LoneLf => f.write_str("expected CRLF at the end of a line, found a lone LF"),
             Self::Status(status) => {
                 let Range { start, end } = STATUSES;
