--- a/lib/src/upstream/connections.rs
+++ b/lib/src/upstream/connections.rs
@@ -380,11 +380,12 @@
                     let Some(connection) = self.connection.take() else {
                         return Poll::Ready(None);
                     };
-                    let checked = connection.check_end(self.end);
-                    if checked.is_ok() {
-                        connection.keep();
+                    let is_cut = connection.connection.delivery.is_cut();
+                    if self.end == BodyEnd::Connection && is_cut {
+                        return Poll::Ready(Some(Err(BodyError::RequestCut)));
                     }
-                    return Poll::Ready(checked.err().map(Err));
+                    connection.keep();
+                    return Poll::Ready(None);
                 }
                 Some(Err(e)) => {
                     self.connection = None;
@@ -441,14 +442,6 @@
 }
 
 impl PooledConnection {
-    /// Checks that a body which has ended is the whole one that the upstream sent.
-    fn check_end(&self, end: BodyEnd) -> Result<(), BodyError> {
-        if end == BodyEnd::Connection && self.connection.delivery.is_cut() {
-            return Err(BodyError::RequestCut);
-        }
-        self.check_excess(end)
-    }
-
     /// Checks that the upstream has sent no more than the body.
     fn check_excess(&self, end: BodyEnd) -> Result<(), BodyError> {
         let read = self.connection.head_bytes.body_bytes();
